--- /dev/null
+++ b/src/runkeel/api/machines.py
@@ -0,0 +1,145 @@
+"""Machines as the platform's machine list shows them, and live members of the cluster."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+
+class MachineKind(enum.StrEnum):
+    """What runs on a machine."""
+
+    NODE = "node"
+    ENGINE = "engine"
+    APPLICATION = "application"
+    SCORER = "scorer"
+
+
+class MachineState(enum.StrEnum):
+    """State in the machine list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Parse ``ip:port``.
+
+        Raises:
+            ValueError: the text is not of that form or the port is out of range.
+        """
+        host, separator, port_text = text.rpartition(":")
+        if not separator or not host or not port_text.isdigit():
+            raise ValueError(f"not an address of the form ip:port: {text!r}")
+        port = int(port_text)
+        if port > 65_535:
+            raise ValueError(f"port out of range: {text!r}")
+        return cls(host, port)
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """An entry of the machine list.
+
+    Attributes:
+        pool: the service or model that a back end serves; empty for nodes and scorers.
+        version: the list's version at which this entry last changed.
+    """
+
+    machine_id: str
+    kind: MachineKind
+    zone: str
+    pool: str
+    http: Address | None
+    state: MachineState
+    version: int
+
+
+class MemberStatus(enum.IntEnum):
+    """What this node believes of another node."""
+
+    ALIVE = 1
+    SUSPECT = 2
+    DEAD = 3
+    LEFT = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A node of the cluster.
+
+    Attributes:
+        incarnation: grows each time the node starts, or finds itself suspected.
+    """
+
+    node_id: str
+    zone: str
+    incarnation: int
+    status: MemberStatus
+    http: Address
+    peer: Address
+    gossip: Address
+
+
+@dataclass(frozen=True, slots=True)
+class PoolSummary:
+    """Load of the back ends of one pool that one node owns.
+
+    Attributes:
+        sequence: grows with each summary of this node.
+        slots: requests that its back ends can run at once.
+        in_flight: requests sent to its back ends.
+        queued: requests waiting at the node.
+        projected_wait_ms: how long a new request of the lowest caller class would wait.
+        minimum_version: lowest weight version among its back ends; 0 for applications.
+        maximum_version: highest weight version among its back ends; 0 for applications.
+    """
+
+    node_id: str
+    pool: str
+    sequence: int
+    backends: int
+    slots: int
+    in_flight: int
+    queued: int
+    projected_wait_ms: int
+    minimum_version: int = 0
+    maximum_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineStatus:
+    """What a model engine reports of itself.
+
+    Attributes:
+        age_seconds: lag of the report.
+        swap: ``idle``, ``loading`` or ``failed``.
+        fence: highest fence that the engine has accepted.
+    """
+
+    sequence: int
+    age_seconds: float
+    running: int
+    waiting: int
+    max_running: int
+    kv_used_blocks: int
+    kv_total_blocks: int
+    ready: bool
+    model: str
+    weight_version: int
+    role: str
+    fence: int
+    swap: str
+    swap_order_id: str
+    adapters: tuple[str, ...] = field(default=())
--- /dev/null
+++ b/wire/common.thrift
@@ -0,0 +1,87 @@
+/** Messages shared by all parts. Enums cross the wire as i32. */
+namespace py runkeel.wire.generated.common
+
+/** Frame payload type. Each part owns a range of a hundred. */
+enum MessageType {
+  ERROR = 1,          // ErrorReport, ends a call or stream
+  CANCEL = 2,         // no payload: the other side has given up on the stream
+  WINDOW = 3,         // WindowUpdate: flow-control credit for a stream
+  HELLO = 4,          // Hello: first frame of a connection, both ways
+  HELLO_PROOF = 5,    // HelloProof: answers the peer's challenge
+
+  APPLICATION_REQUEST = 100,
+  APPLICATION_RESPONSE = 101,
+  MODEL_REQUEST = 102,
+  TOKEN_CHUNK = 103,
+  WITHDRAW = 104,
+  WITHDRAW_REPLY = 105,
+  ANSWER_LOOKUP = 106,
+  ANSWER_LOOKUP_REPLY = 107,
+  REQUEST_STATE = 108,
+
+  STATE_PUSH = 200,
+  STATE_PUSH_REPLY = 201,
+  STATE_SYNC = 202,
+  STATE_SYNC_REPLY = 203,
+
+  RECORD_PREPARE = 300,
+  RECORD_PREPARE_REPLY = 301,
+  RECORD_ACCEPT = 302,
+  RECORD_ACCEPT_REPLY = 303,
+  RECORD_LEARN = 304,
+  RECORD_LEARN_REPLY = 305,
+  RECORD_RECOVER = 306,
+  RECORD_RECOVER_REPLY = 307,
+  RECORD_READ = 308,
+  RECORD_READ_REPLY = 309,
+
+  STEP_SUBMIT = 400,
+  STEP_SUBMIT_REPLY = 401,
+  STEP_PULL = 402,
+  STEP_PULL_REPLY = 403,
+  SAMPLE_STORE = 404,
+  SAMPLE_STORE_REPLY = 405,
+  SAMPLE_FETCH = 406,
+  SAMPLE_FETCH_REPLY = 407,
+  SAMPLE_RELEASE = 408,
+  SAMPLE_RELEASE_REPLY = 409,
+
+  QUERY = 500,
+  QUERY_REPLY = 501,
+
+  WEIGHTS_PERMIT = 600,
+  WEIGHTS_PERMIT_REPLY = 601,
+}
+
+/** An error sent to a peer; verdict is runkeel.errors.Verdict. */
+struct ErrorReport {
+  1: string code,
+  2: i32 verdict,
+  3: string detail,
+  4: optional i64 retry_after_ms,
+}
+
+/** Credit: the receiver is ready for this many more frames. */
+struct WindowUpdate {
+  1: i32 frames,
+}
+
+/** Opens a connection; challenge is 16 random bytes. */
+struct Hello {
+  1: i32 protocol_version,
+  2: string cluster,
+  3: string node_id,
+  4: string zone,
+  5: i64 incarnation,
+  6: binary challenge,
+}
+
+/** HMAC-SHA256 with the cluster key over the peer's challenge and the sender's node id. */
+struct HelloProof {
+  1: binary proof,
+}
+
+struct HttpHeader {
+  1: string name,
+  2: string value,
+}
