--- a/src/runkeel/api/__init__.py
+++ b/src/runkeel/api/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, configuration and interfaces; no I/O."""
--- a/src/runkeel/backends/__init__.py
+++ b/src/runkeel/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters for back ends: model engines and applications."""
--- a/src/runkeel/membership/__init__.py
+++ b/src/runkeel/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Heartbeats, failure detection and the view of live nodes."""
--- a/src/runkeel/operators/__init__.py
+++ b/src/runkeel/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' query and command language."""
--- a/src/runkeel/platform/__init__.py
+++ b/src/runkeel/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters for the platform: object API, machine list, weight store, scorers."""
--- a/src/runkeel/requests/__init__.py
+++ b/src/runkeel/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The caller's path from entry node to back end and back."""
--- a/src/runkeel/state/__init__.py
+++ b/src/runkeel/state/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated configuration, ownership and replicated records."""
--- a/src/runkeel/weights/__init__.py
+++ b/src/runkeel/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Weight versions and their paced roll-out."""
--- a/src/runkeel/wire/__init__.py
+++ b/src/runkeel/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The internal protocol: thrift messages in multiplexed frames."""
--- a/src/runkeel_lab/__init__.py
+++ b/src/runkeel_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator of the served systems, load, experiments and reports."""
--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,5 @@
+"""Tests of runkeel."""
+
+from gevent import monkey
+
+monkey.patch_all()
