--- a/src/runkeel/api/interfaces.py
+++ b/src/runkeel/api/interfaces.py
@@ -79,7 +79,7 @@
     def on_call(
         self, message_type: int, request_class: type, handler: Callable[[str, Any], tuple[int, Any]]
     ) -> None:
-        """Register ``handler(peer_node_id, request) -> (reply type, reply)``, run in its own task."""
+        """Register ``handler(peer_node_id, request) -> (reply type, reply)``; a task a call."""
 
     def on_stream(
         self, message_type: int, request_class: type, handler: Callable[[PeerStream, Any], None]
