--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,37 @@
+import random
+import unittest
+
+from runkeel.errors import ErrorCode, RunkeelError
+from runkeel.wire.codec import decode, encode
+from runkeel.wire.generated.common.ttypes import ErrorReport, Hello, HttpHeader
+from runkeel.wire.generated.requests.ttypes import ApplicationRequest, RequestEnvelope
+
+
+class CodecTest(unittest.TestCase):
+    def test_round_trip(self):
+        hello = Hello(1, "cluster", "node", "zone", 7, b"\x00" * 16)
+        self.assertEqual(decode(Hello, encode(hello)), hello)
+
+    def test_damaged_bodies_give_protocol_errors_only(self):
+        envelope = RequestEnvelope("id", 1, 100, 0, "top", True, "m", "p", "e")
+        request = ApplicationRequest(envelope, "GET", "/", [HttpHeader("a", "b")], b"body")
+        whole = encode(request)
+        chance = random.Random(1)
+        for _ in range(2_000):
+            damaged = bytearray(whole)
+            for _ in range(3):
+                damaged[chance.randrange(len(damaged))] = chance.randrange(256)
+            try:
+                decode(ApplicationRequest, bytes(damaged))
+            except RunkeelError as error:
+                self.assertIs(error.code, ErrorCode.PROTOCOL_ERROR)
+
+    def test_deep_nesting_is_refused(self):
+        with self.assertRaises(RunkeelError):
+            decode(Hello, b"\xfc" * 1_000_000)
+
+    def test_wrong_field_type_is_refused(self):
+        with self.assertRaises(RunkeelError):
+            encode(Hello("not a number"))
+        with self.assertRaises(RunkeelError):
+            encode(ErrorReport(code="\udc80"))
