--- /dev/null
+++ b/tests/records/simulation.py
@@ -0,0 +1,309 @@
+"""A simulated network, store and membership, on which real record services run step by step.
+
+Every call waits until the simulation delivers it, answers it or loses it, so a run is determined
+by the sequence of steps alone.
+"""
+
+from __future__ import annotations
+
+import itertools
+import random
+from dataclasses import dataclass, field, replace
+
+import gevent
+from gevent.event import AsyncResult
+
+from runkeel.api.machines import Address, Member, MemberStatus
+from runkeel.errors import ErrorCode, RunkeelError, may_have_run, not_run
+from runkeel.state.records import GroupView, RecordOptions, RecordService
+from runkeel.wire.codec import decode, encode
+
+GROUP = "records-0"
+FOREVER = 1e6
+NOWHERE = Address("127.0.0.1", 1)
+QUIET_TURNS = 6
+
+OPTIONS = RecordOptions(
+    call_timeout_seconds=FOREVER,
+    backoff_seconds=0.0,
+    max_backoff_seconds=0.0,
+    step_interval_seconds=FOREVER,
+    formation_wait_seconds=FOREVER,
+    loss_rounds=3,
+    recovery_page_bytes=100,
+)
+
+
+@dataclass(eq=False)
+class PendingCall:
+    """A message on its way: the request first, then its reply."""
+
+    source: str
+    target: str
+    message_type: int
+    request: object
+    reply_class: type
+    result: AsyncResult
+    reply: object = None
+    answered: bool = False
+
+
+@dataclass(eq=False)
+class FakeStore:
+    """The object API as one node sees it; shared content, callbacks of one node."""
+
+    views: dict[str, GroupView] = field(default_factory=dict)
+    callbacks: list = field(default_factory=list)
+    up: bool = True
+
+    def group(self, name):
+        return self.views.get(name)
+
+    def change(self, name, expected_generation, spec, timeout_seconds):
+        if not self.up:
+            raise not_run(ErrorCode.STORE_UNAVAILABLE)
+        view = self.views.get(name)
+        if (view.generation if view else 0) != expected_generation:
+            raise not_run(ErrorCode.CONFLICT)
+        self.views[name] = GroupView(expected_generation + 1, spec)
+        for callback in list(self.callbacks):
+            callback(name)
+
+    def on_change(self, callback):
+        self.callbacks.append(callback)
+
+
+class FakeMembership:
+    def __init__(self, node_id, simulation):
+        self.node_id = node_id
+        self._simulation = simulation
+
+    def live_members(self, zone=None):
+        return tuple(
+            Member(node_id, self._simulation.zones[node_id], 1, MemberStatus.ALIVE, *[NOWHERE] * 3)
+            for node_id in self._simulation.zones
+            if self.is_live(node_id)
+        )
+
+    def is_live(self, node_id):
+        return node_id in self._simulation.services
+
+
+class FakeHandlers:
+    def __init__(self):
+        self.by_type = {}
+
+    def on_call(self, message_type, request_class, handler):
+        self.by_type[message_type] = (request_class, handler)
+
+
+class FakePeers:
+    def __init__(self, node_id, simulation):
+        self._node_id = node_id
+        self._simulation = simulation
+
+    def call(self, node_id, message_type, message, reply_class, timeout_seconds):
+        call = PendingCall(
+            self._node_id, node_id, message_type, encode(message), reply_class, AsyncResult()
+        )
+        self._simulation.pending.append(call)
+        self._simulation.activity += 1
+        return call.result.get()
+
+
+class Simulation:
+    """Nodes a, b, c... with one record group; :attr:`violations` lists what the oracle refutes."""
+
+    def __init__(self, nodes=3, options=OPTIONS, seed=1, spares=0):
+        names = "abcdefghij"[: nodes + spares]
+        self.zones = {name: f"zone-{index % nodes}" for index, name in enumerate(names)}
+        self.options = replace(options, expected_zones=tuple(set(self.zones.values())))
+        self.rng = random.Random(seed)
+        self.now = 1_000.0
+        self.pending: list[PendingCall] = []
+        self.activity = 0
+        self.store = FakeStore()
+        self.services: dict[str, RecordService] = {}
+        self.handlers: dict[str, FakeHandlers] = {}
+        self.callbacks: dict[str, list] = {}
+        self.paused: set[str] = set()
+        self.cut: set[str] = set()
+        self.operations: dict[str, list[gevent.Greenlet]] = {name: [] for name in names}
+        self.decided: dict[str, bytes] = {}
+        self.proposed: dict[str, set[bytes]] = {}
+        self.violations: list[str] = []
+        self._numbers = itertools.count()
+        for name in names:
+            self.start(name)
+        self.settle()
+
+    # Nodes
+
+    def start(self, name):
+        """Start an empty process for a node."""
+        self.handlers[name] = FakeHandlers()
+        before = len(self.store.callbacks)
+        service = RecordService(
+            name,
+            FakePeers(name, self),
+            self.handlers[name],
+            FakeMembership(name, self),
+            self.store,
+            self.options,
+            clock=lambda: self.now,
+            wall_clock=lambda: self.now,
+            rng=random.Random(self.rng.getrandbits(32)),
+        )
+        self.callbacks[name] = self.store.callbacks[before:]
+        self.services[name] = service
+        service.start()
+        self.quiesce()
+
+    def kill(self, name):
+        """End a node's process; its calls and operations end with it."""
+        if name not in self.services:
+            return
+        gevent.killall(self.operations[name])
+        self.operations[name].clear()
+        self.services.pop(name).stop()
+        for callback in self.callbacks[name]:
+            self.store.callbacks.remove(callback)
+        self.paused.discard(name)
+        self.quiesce()
+
+    def restart(self, name):
+        self.kill(name)
+        self.start(name)
+
+    def wake(self, name):
+        """Let a node look after its group once."""
+        if name in self.services:
+            for callback in self.callbacks[name]:
+                callback(GROUP)
+            self.quiesce()
+
+    def stop(self):
+        for name in list(self.services):
+            self.kill(name)
+
+    def replica(self, name):
+        return self.services[name]._replicas[GROUP]
+
+    def voting(self):
+        return [name for name in self.services if self.replica(name).phase == "voting"]
+
+    # Network
+
+    def deliver(self, index, duplicate=False):
+        """Move one message on; a duplicated request is left in the network as well."""
+        if not self.pending:
+            return
+        call = self.pending[index % len(self.pending)]
+        receiver = call.source if call.answered else call.target
+        if receiver in self.paused:
+            return
+        self.pending.remove(call)
+        if {call.source, call.target} & self.cut or receiver not in self.services:
+            self._lose(call)
+        elif call.answered:
+            call.result.set(call.reply)
+        else:
+            if duplicate:
+                self.pending.append(self._copy(call))
+            self._answer(call)
+        self.quiesce()
+
+    def lose(self, index):
+        """Lose one message."""
+        if self.pending:
+            call = self.pending.pop(index % len(self.pending))
+            self._lose(call)
+            self.quiesce()
+
+    def _lose(self, call):
+        if call.result is not None:
+            call.result.set_exception(may_have_run(ErrorCode.PEER_LOST))
+
+    def _copy(self, call):
+        return PendingCall(
+            call.source,
+            call.target,
+            call.message_type,
+            call.request,
+            call.reply_class,
+            AsyncResult(),
+        )
+
+    def _answer(self, call):
+        request_class, handler = self.handlers[call.target].by_type[call.message_type]
+        _, reply = handler(call.source, decode(request_class, call.request))
+        call.reply = decode(call.reply_class, encode(reply))
+        call.answered = True
+        self.pending.append(call)
+
+    def quiesce(self):
+        """Run every task until all of them wait for the simulation."""
+        quiet = 0
+        while quiet < QUIET_TURNS:
+            before = self.activity
+            gevent.sleep(0)
+            quiet = quiet + 1 if self.activity == before else 0
+
+    def settle(self, rounds=12, per_round=200):
+        """Deliver everything in random order and let every node look after its group."""
+        for _ in range(rounds):
+            for name in list(self.services):
+                self.wake(name)
+            for _ in range(per_round):
+                if not self.pending:
+                    break
+                self.deliver(self.rng.randrange(len(self.pending)))
+
+    # Operations, checked against the oracle
+
+    def decide(self, name, key):
+        """Begin a decide with a fresh value."""
+        if name not in self.services:
+            return None
+        value = f"{name}{next(self._numbers)}".encode()
+        self.proposed.setdefault(key, set()).add(value)
+        return self._spawn(name, self._decide, self.services[name], key, value)
+
+    def read(self, name, key):
+        """Begin a read."""
+        if name not in self.services:
+            return None
+        return self._spawn(name, self._read, self.services[name], key, self.decided.get(key))
+
+    def _spawn(self, name, function, *arguments):
+        task = gevent.spawn(function, *arguments)
+        self.operations[name] = [one for one in self.operations[name] if not one.ready()]
+        self.operations[name].append(task)
+        self.quiesce()
+        return task
+
+    def _decide(self, service, key, value):
+        try:
+            result = service.decide(key, value, FOREVER)
+        except RunkeelError as error:
+            return error
+        self._check(key, result)
+        return result
+
+    def _read(self, service, key, decided_before):
+        try:
+            result = service.read(key, FOREVER)
+        except RunkeelError as error:
+            return error
+        if result is not None:
+            self._check(key, result)
+        elif decided_before is not None:
+            self.violations.append(f"read of {key} missed {decided_before}")
+        return result
+
+    def _check(self, key, result):
+        expected = self.decided.setdefault(key, result)
+        if result != expected:
+            self.violations.append(f"{key} was decided as {expected} and as {result}")
+        if result not in self.proposed.get(key, ()):
+            self.violations.append(f"{key} was decided as {result}, which nobody proposed")
--- /dev/null
+++ b/tests/records/test_records.py
@@ -0,0 +1,121 @@
+"""Scenarios of the record service on the simulated network."""
+
+import unittest
+from dataclasses import replace
+
+from runkeel.errors import ErrorCode, Verdict
+from tests.records.simulation import GROUP, OPTIONS, Simulation
+
+
+class SimulationTestCase(unittest.TestCase):
+    def simulate(self, **arguments):
+        simulation = Simulation(**arguments)
+        self.addCleanup(simulation.stop)
+        self.addCleanup(lambda: self.assertEqual(simulation.violations, []))
+        return simulation
+
+
+class DecideTest(SimulationTestCase):
+    def test_first_value_wins_and_is_read_everywhere(self):
+        simulation = self.simulate()
+        self.assertEqual(simulation.voting(), ["a", "b", "c"])
+        first = simulation.decide("a", "k")
+        simulation.settle()
+        second = simulation.decide("b", "k")
+        read = simulation.read("c", "k")
+        simulation.settle()
+        self.assertEqual(first.value, b"a0")
+        self.assertEqual(second.value, b"a0")
+        self.assertEqual(read.value, b"a0")
+
+    def test_unknown_key_reads_as_none(self):
+        simulation = self.simulate()
+        read = simulation.read("a", "k")
+        simulation.settle()
+        self.assertTrue(read.successful())
+        self.assertIsNone(read.value)
+
+    def test_racing_claims_get_one_value(self):
+        simulation = self.simulate(nodes=5)
+        tasks = [simulation.decide(name, "k") for name in "abcde"]
+        simulation.settle(rounds=40)
+        self.assertEqual(len({task.value for task in tasks}), 1)
+
+    def test_one_dead_zone_does_not_stop_decisions(self):
+        simulation = self.simulate()
+        simulation.kill("c")
+        task = simulation.decide("a", "k")
+        simulation.settle()
+        self.assertEqual(task.value, b"a0")
+
+    def test_store_down_does_not_stop_decisions(self):
+        simulation = self.simulate()
+        simulation.store.up = False
+        task = simulation.decide("a", "k")
+        simulation.settle()
+        self.assertEqual(task.value, b"a0")
+
+    def test_full_table_refuses_new_keys_and_keeps_old_ones(self):
+        simulation = self.simulate(options=replace(OPTIONS, max_records=2))
+        for key in "kl":
+            simulation.decide("a", key)
+        simulation.settle()
+        refused = simulation.decide("a", "m")
+        kept = simulation.read("b", "k")
+        simulation.settle()
+        self.assertIs(refused.value.code, ErrorCode.RECORDS_UNAVAILABLE)
+        self.assertIs(refused.value.verdict, Verdict.NOT_RUN)
+        self.assertEqual(kept.value, b"a0")
+
+    def test_record_is_forgotten_after_retention(self):
+        simulation = self.simulate()
+        simulation.decide("a", "k")
+        simulation.settle()
+        simulation.now += OPTIONS.retention_seconds + 1
+        self.assertEqual(simulation.replica("b").table.get("k"), None)
+        self.assertEqual(simulation.replica("b").table.bytes, 0)
+
+
+class RestartTest(SimulationTestCase):
+    def test_restarted_replica_recovers_before_it_votes(self):
+        simulation = self.simulate()
+        for number in range(20):
+            simulation.decide("a", f"k{number}")
+        simulation.settle()
+        simulation.restart("c")
+        self.assertEqual(simulation.voting(), ["a", "b"])
+        simulation.settle()
+        self.assertEqual(simulation.voting(), ["a", "b", "c"])
+        self.assertEqual(simulation.replica("c").table.count, 20)
+
+    def test_restart_of_every_node_in_turn_keeps_records(self):
+        simulation = self.simulate()
+        simulation.decide("a", "k")
+        simulation.settle()
+        for name in "abcabc":
+            simulation.restart(name)
+            simulation.settle()
+        read = simulation.read("a", "k")
+        simulation.settle()
+        self.assertEqual(read.value, b"a0")
+
+    def test_total_loss_refuses_decisions_for_the_retention(self):
+        simulation = self.simulate()
+        simulation.decide("a", "k")
+        simulation.settle()
+        for name in "abc":
+            simulation.kill(name)
+        for name in "abc":
+            simulation.start(name)
+        simulation.settle()
+        self.assertEqual(simulation.store.views[GROUP].spec.epoch, 2)
+        refused = simulation.decide("b", "k")
+        simulation.settle()
+        self.assertIs(refused.value.code, ErrorCode.RECORDS_UNAVAILABLE)
+        self.assertIs(refused.value.verdict, Verdict.NOT_RUN)
+        self.assertGreater(refused.value.retry_after_seconds, 800)
+        simulation.now += OPTIONS.retention_seconds + 1
+        simulation.decided.clear()
+        accepted = simulation.decide("b", "k")
+        simulation.settle()
+        self.assertEqual(accepted.value, b"b2")
