--- a/src/runkeel/api/configuration.py
+++ b/src/runkeel/api/configuration.py
@@ -96,6 +96,8 @@
     """A back end or node (the object's name) that must get no new work."""
 
     reason: str = ""
+    stop: bool = False
+    """A node with this set stops once it is drained (a planned stop)."""
 
 
 class EngineRoleSpec(Spec):
--- a/src/runkeel/api/interfaces.py
+++ b/src/runkeel/api/interfaces.py
@@ -15,6 +15,7 @@
     ObjectKind,
     PriorityClassSpec,
     ServiceSpec,
+    Spec,
 )
 from runkeel.api.machines import EngineStatus, Machine, MachineKind, Member, PoolSummary
 from runkeel.wire.generated.requests.ttypes import (
@@ -145,6 +146,9 @@
     def engine_role(self, backend_id: str) -> EngineRoleSpec:
         """Return the role that the operator gave an engine."""
 
+    def spec(self, kind: ObjectKind, name: str) -> Spec | None:
+        """Return the spec of any object, or None when there is none or it was deleted."""
+
     def is_draining(self, target_id: str) -> bool:
         """Return whether the operator drains this back end or node."""
 
@@ -152,7 +156,7 @@
         """Return the names of the objects of a kind, without deleted ones."""
 
     def generation(self, kind: ObjectKind, name: str) -> int:
-        """Return the object's generation; 0 for none."""
+        """Return the object's generation, a deleted object's too; 0 for one that never was."""
 
     def on_change(self, callback: Callable[[ObjectKind, str], None]) -> None:
         """Call back after an object has changed."""
