Add the lab's deployments, launcher, load and trainers

Cause: nothing starts a deployment or measures one yet. Change: typed deployment files for both users, a launcher of stand-ins and nodes, link rules, seeded open-loop callers that check every token, and emulated trainers.

--- /dev/null
+++ b/src/runkeel_lab/cli.py
@@ -0,0 +1,97 @@
+"""The ``runkeel-lab`` command line.
+
+Exit codes: 0 all holds, 1 something does not hold, 2 wrong usage or files.
+"""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import defopt  # noqa: E402  (the standard library must be patched first)
+
+import runkeel  # noqa: E402
+
+EXIT_OK = 0
+EXIT_VIOLATED = 1
+EXIT_USAGE = 2
+
+
+def standins(file: Path) -> int:
+    """Run the stand-ins that a file describes until SIGTERM; print their addresses when ready.
+
+    Example: ``runkeel-lab standins platform.toml``
+
+    :param file: TOML file with [[standin]] tables.
+    """
+    from runkeel_lab.standins.process import run_standins
+
+    return run_standins(file) or EXIT_OK
+
+
+def demo(*, out: Path = Path("out/demo")) -> int:
+    """Run the food bank at its size of today and check what was seen, in under a minute.
+
+    Example: ``runkeel-lab demo``
+
+    :param out: folder for logs, journals and the report.
+    """
+    from runkeel_lab.demo import run_demo
+
+    return EXIT_OK if run_demo(out) else EXIT_VIOLATED
+
+
+def run(
+    experiment: Path,
+    *,
+    out: Path = Path("out/run"),
+    seconds: float = 0.0,
+    seed: int = 0,
+    scale: float = 1.0,
+) -> int:
+    """Run an experiment; write report.json and plots.
+
+    Example: ``runkeel-lab run examples/experiments/food-bank-quiet.toml --out out/quiet``
+
+    :param experiment: TOML file, see docs/lab.md.
+    :param out: folder for logs, journals, the report and plots.
+    :param seconds: length of the load in s; 0 takes the experiment's.
+    :param seed: seed of all random choices; 0 takes the experiment's.
+    :param scale: multiplies rates of callers and counts of engines and servers.
+    """
+    from runkeel_lab.runner import run_experiment_file
+
+    return EXIT_OK if run_experiment_file(experiment, out, seconds, seed, scale) else EXIT_VIOLATED
+
+
+def replay(trace: Path, *, out: Path = Path("out/replay")) -> int:
+    """Replay a recorded trace and compare with its stated outcomes.
+
+    Example: ``runkeel-lab replay traces/food-bank-quiet.jsonl``
+
+    :param trace: JSON lines of stimuli and stated outcomes, see docs/lab.md.
+    :param out: folder for logs and journals.
+    """
+    from runkeel_lab.replay import replay_trace
+
+    return EXIT_OK if replay_trace(trace, out) else EXIT_VIOLATED
+
+
+def main() -> None:
+    """Run the command line and exit with its code."""
+    from runkeel_lab.processes import LabError
+
+    try:
+        code = defopt.run(
+            [standins, demo, run, replay],
+            version=f"runkeel-lab {runkeel.__version__}",
+            short={},
+        )
+    except (LabError, OSError, ValueError) as error:
+        print(f"runkeel-lab: {error}", file=sys.stderr)
+        code = EXIT_USAGE
+    sys.exit(code)
