Add peer connections with calls and multiplexed streams

Cause: the parts of different nodes need calls and streams whose failures carry a true verdict. Change: framing, mutual proof of the cluster key, dialling with backoff, per-stream credit, keep-alive probes, in-process calls to the own node, emulated delays and cuts. common.thrift gains PING and PONG, and WindowUpdate counts credit. generate.sh no longer overwrites the package docstring.

--- /dev/null
+++ b/src/runkeel/wire/dialing.py
@@ -0,0 +1,171 @@
+"""Connections that this node opens: one to each peer, dialled on demand, with backoff."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from runkeel.api.machines import Address
+from runkeel.errors import ErrorCode, RunkeelError, not_run
+from runkeel.wire import metrics
+from runkeel.wire.connection import Connection
+from runkeel.wire.handshake import HandshakeSocket, LocalIdentity, dial_handshake
+from runkeel.wire.links import LinkPolicy
+
+AddressBook = Callable[[str], "tuple[Address, str] | None"]
+"""Returns a node's peer address and zone, or None for an unknown node."""
+
+DIAL_TIMEOUT_SECONDS = 2.0
+FIRST_BACKOFF_SECONDS = 0.1
+LONGEST_BACKOFF_SECONDS = 2.0
+MAXIMUM_PEERS = 2_048
+_CUT_POLL_SECONDS = 0.05
+
+
+@dataclass
+class _Peer:
+    """Dial state of one peer; ``dialling`` is set while a task dials."""
+
+    address: Address
+    zone: str
+    connection: Connection | None = None
+    dialling: Event | None = None
+    failures: int = 0
+    retry_at: float = 0.0
+
+
+class Dialer:
+    """Finds or opens the connection to a peer."""
+
+    def __init__(
+        self, identity: LocalIdentity, address_book: AddressBook, link_policy: LinkPolicy
+    ) -> None:
+        self._identity = identity
+        self._address_book = address_book
+        self._link_policy = link_policy
+        self._peers: dict[str, _Peer] = {}
+        self._dials: set[gevent.Greenlet] = set()
+        self._stopped = False
+
+    def connection(self, node_id: str, deadline: float) -> Connection:
+        """Return the connection to a peer, dialling if there is none.
+
+        Raises:
+            RunkeelError: PEER_UNREACHABLE (NOT_RUN), at once while the peer is in backoff.
+        """
+        while True:
+            peer = self._peer(node_id)
+            if peer.connection is not None:
+                return peer.connection
+            if peer.dialling is None:
+                self._start_dial(node_id, peer)
+            dialling = peer.dialling
+            failures = peer.failures
+            if not dialling.wait(max(0.0, deadline - time.monotonic())):
+                raise not_run(ErrorCode.PEER_UNREACHABLE, f"no connection to {node_id} in time")
+            if peer.connection is None and peer.failures > failures:
+                raise self._unreachable(node_id, peer)
+
+    def connections(self) -> list[Connection]:
+        """Return the open connections."""
+        return [peer.connection for peer in self._peers.values() if peer.connection is not None]
+
+    def end_backoff(self, node_id: str) -> None:
+        """Allow a dial at once: the peer has shown that it is alive."""
+        peer = self._peers.get(node_id)
+        if peer is not None:
+            peer.retry_at = 0.0
+
+    def stop(self) -> None:
+        """Close all connections and end the dials."""
+        self._stopped = True
+        gevent.killall(list(self._dials), timeout=1.0)
+        for connection in self.connections():
+            connection.close("this node stops")
+
+    def _peer(self, node_id: str) -> _Peer:
+        known = self._address_book(node_id)
+        if known is None or self._stopped:
+            raise not_run(ErrorCode.PEER_UNREACHABLE, f"no address of {node_id}")
+        address, zone = known
+        peer = self._peers.get(node_id)
+        if peer is not None and (peer.address, peer.zone) == (address, zone):
+            return peer
+        if peer is not None and peer.connection is not None:
+            peer.connection.close("the peer has a new address")
+        self._make_room()
+        peer = _Peer(address, zone)
+        self._peers[node_id] = peer
+        return peer
+
+    def _make_room(self) -> None:
+        if len(self._peers) < MAXIMUM_PEERS:
+            return
+        for node_id, peer in list(self._peers.items()):
+            if peer.connection is None and peer.dialling is None:
+                del self._peers[node_id]
+        if len(self._peers) >= MAXIMUM_PEERS:
+            raise not_run(ErrorCode.QUEUE_FULL, "too many peers")
+
+    def _start_dial(self, node_id: str, peer: _Peer) -> None:
+        if time.monotonic() < peer.retry_at:
+            raise self._unreachable(node_id, peer)
+        peer.dialling = Event()
+        task = gevent.spawn(self._dial, node_id, peer)
+        self._dials.add(task)
+        task.rawlink(self._dials.discard)
+
+    def _unreachable(self, node_id: str, peer: _Peer) -> RunkeelError:
+        retry_after = max(0.0, peer.retry_at - time.monotonic())
+        return not_run(ErrorCode.PEER_UNREACHABLE, f"can't connect to {node_id}", retry_after)
+
+    def _dial(self, node_id: str, peer: _Peer) -> None:
+        try:
+            with gevent.Timeout(DIAL_TIMEOUT_SECONDS):
+                connection = self._connect(node_id, peer)
+        except (OSError, RunkeelError, gevent.Timeout):
+            metrics.DIAL_FAILURES.inc()
+            self._back_off(peer)
+        else:
+            # The address may have changed while the dial was under way.
+            if self._peers.get(node_id) is peer and not self._stopped:
+                peer.connection = connection
+                peer.failures = 0
+                connection.start()
+            else:
+                connection.discard()
+        finally:
+            dialling, peer.dialling = peer.dialling, None
+            dialling.set()
+
+    def _back_off(self, peer: _Peer) -> None:
+        backoff = min(LONGEST_BACKOFF_SECONDS, FIRST_BACKOFF_SECONDS * 2 ** min(peer.failures, 10))
+        peer.failures += 1
+        peer.retry_at = time.monotonic() + backoff * random.uniform(0.5, 1.0)
+
+    def _connect(self, node_id: str, peer: _Peer) -> Connection:
+        policy = self._link_policy if peer.zone != self._identity.zone else None
+        delay = 0.0
+        while policy is not None and policy.is_cut(peer.zone):
+            gevent.sleep(_CUT_POLL_SECONDS)
+        if policy is not None:
+            delay = policy.delay_seconds(peer.zone)
+        sock = socket.create_connection((peer.address.host, peer.address.port))
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            hello = dial_handshake(HandshakeSocket(sock), self._identity, node_id, delay)
+        except BaseException:
+            sock.close()
+            raise
+        return Connection(sock, hello.node_id, hello.zone, policy, None, self._on_closed)
+
+    def _on_closed(self, connection: Connection) -> None:
+        peer = self._peers.get(connection.peer_node_id)
+        if peer is not None and peer.connection is connection:
+            peer.connection = None
--- /dev/null
+++ b/src/runkeel/wire/network.py
@@ -0,0 +1,214 @@
+"""Calls and streams between the nodes of a cluster."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent import socket
+from loguru import logger
+
+from runkeel.api.machines import Address
+from runkeel.errors import ErrorCode, RunkeelError, not_run
+from runkeel.wire import metrics
+from runkeel.wire.codec import decode, encode
+from runkeel.wire.connection import Connection
+from runkeel.wire.dialing import DIAL_TIMEOUT_SECONDS, AddressBook, Dialer
+from runkeel.wire.frames import FINISH
+from runkeel.wire.handlers import HandlerRegistry
+from runkeel.wire.handshake import (
+    HandshakeSocket,
+    LocalIdentity,
+    accept_handshake,
+    receive_hello,
+)
+from runkeel.wire.links import LinkPolicy
+from runkeel.wire.local import open_local_stream
+from runkeel.wire.streams import Stream
+
+MAXIMUM_ACCEPTED_CONNECTIONS = 2_048
+MAXIMUM_PENDING_HANDSHAKES = 64
+HANDSHAKE_TIMEOUT_SECONDS = 2.0
+CHECK_INTERVAL_SECONDS = 0.25
+LISTEN_BACKLOG = 256
+_PAUSE_SECONDS = 1.0
+_ACCEPT_RETRY_SECONDS = 0.5
+_CUT_POLL_SECONDS = 0.05
+
+
+class PeerNetwork:
+    """Implements :class:`PeerClient` and :class:`PeerHandlers` of runkeel.api.interfaces.
+
+    Args:
+        cluster_key: secret shared by the cluster's nodes; must not be empty.
+        listen_address: port 0 lets the kernel choose; see :attr:`address`.
+        address_book: asked at each call, so that moved nodes are found.
+        link_policy: emulates delays and cuts between zones.
+    """
+
+    def __init__(
+        self,
+        node_id: str,
+        zone: str,
+        cluster_name: str,
+        cluster_key: bytes,
+        incarnation: int,
+        listen_address: Address,
+        address_book: AddressBook,
+        link_policy: LinkPolicy | None = None,
+    ) -> None:
+        if not cluster_key:
+            raise ValueError("the cluster key is empty")
+        self._identity = LocalIdentity(cluster_name, cluster_key, node_id, zone, incarnation)
+        self._link_policy = link_policy or LinkPolicy()
+        self._registry = HandlerRegistry()
+        self._dialer = Dialer(self._identity, address_book, self._link_policy)
+        self._accepted: set[Connection] = set()
+        self._handshakes: set[gevent.Greenlet] = set()
+        self._listen_address = listen_address
+        self._listener: socket.socket | None = None
+        self._tasks: list[gevent.Greenlet] = []
+
+    @property
+    def address(self) -> Address:
+        """Address that peers connect to; the port is known after :meth:`start`."""
+        if self._listener is None:
+            return self._listen_address
+        host, port = self._listener.getsockname()[:2]
+        return Address(host, port)
+
+    def start(self) -> None:
+        """Listen for peers. Raises OSError when the address can't be bound."""
+        address = (self._listen_address.host, self._listen_address.port)
+        self._listener = socket.create_server(address, backlog=LISTEN_BACKLOG)
+        self._tasks = [gevent.spawn(self._accept_peers), gevent.spawn(self._check_connections)]
+
+    def stop(self) -> None:
+        """Stop listening, end the handlers and close all connections."""
+        gevent.killall([*self._tasks, *self._handshakes], timeout=1.0)
+        if self._listener is not None:
+            self._listener.close()
+        self._registry.stop()
+        self._dialer.stop()
+        for connection in list(self._accepted):
+            connection.close("this node stops")
+
+    def on_call(
+        self, message_type: int, request_class: type, handler: Callable[[str, Any], tuple[int, Any]]
+    ) -> None:
+        """Register ``handler(peer_node_id, request) -> (reply type, reply)``; a task a call.
+
+        A call whose caller has given up still runs to its end; its reply is dropped.
+        """
+        self._registry.on_call(message_type, request_class, handler)
+
+    def on_stream(
+        self, message_type: int, request_class: type, handler: Callable[[Stream, Any], None]
+    ) -> None:
+        """Register ``handler(stream, first_message)``, run in its own task."""
+        self._registry.on_stream(message_type, request_class, handler)
+
+    def call(
+        self,
+        node_id: str,
+        message_type: int,
+        message: Any,
+        reply_class: type,
+        timeout_seconds: float,
+    ) -> Any:
+        """Send one message and return the one reply; see :class:`PeerClient`."""
+        deadline = time.monotonic() + timeout_seconds
+        stream = self._open(node_id, message_type, message, deadline)
+        try:
+            reply_type, body = stream.receive(deadline - time.monotonic())
+        except BaseException as error:
+            timed_out = isinstance(error, RunkeelError) and not stream.cancelled
+            stream.cancel()
+            if timed_out and stream.withdrawn:
+                raise not_run(ErrorCode.DEADLINE_EXCEEDED, "withdrawn before it was sent") from None
+            raise
+        stream.release()
+        if reply_type == FINISH:
+            raise RunkeelError(ErrorCode.PROTOCOL_ERROR, "the peer sent no reply")
+        return decode(reply_class, body)
+
+    def open_stream(self, node_id: str, message_type: int, message: Any) -> Stream:
+        """Open a stream with its first message; see :class:`PeerClient`."""
+        return self._open(node_id, message_type, message, time.monotonic() + DIAL_TIMEOUT_SECONDS)
+
+    def _open(self, node_id: str, message_type: int, message: Any, deadline: float) -> Stream:
+        try:
+            body = encode(message)
+        except RunkeelError as error:
+            raise not_run(error.code, error.detail) from error
+        if node_id == self._identity.node_id:
+            return open_local_stream(self._registry, node_id, message_type, body)
+        return self._dialer.connection(node_id, deadline).open_stream(message_type, body)
+
+    def _accept_peers(self) -> None:
+        while True:
+            try:
+                sock, address = self._listener.accept()
+            except OSError as error:
+                # Such as too many open files: those in use must be closed first.
+                logger.warning("can't accept peers: {}", error, code="accept_failed")
+                gevent.sleep(_ACCEPT_RETRY_SECONDS)
+                continue
+            self._start_handshake(sock, address)
+
+    def _start_handshake(self, sock: socket.socket, address: tuple) -> None:
+        busy = len(self._handshakes) >= MAXIMUM_PENDING_HANDSHAKES
+        if busy or len(self._accepted) >= MAXIMUM_ACCEPTED_CONNECTIONS:
+            metrics.HANDSHAKES_REFUSED.labels("limit").inc()
+            sock.close()
+            return
+        task = gevent.spawn(self._accept, sock, address)
+        self._handshakes.add(task)
+        task.rawlink(self._handshakes.discard)
+
+    def _accept(self, sock: socket.socket, address: tuple) -> None:
+        try:
+            with gevent.Timeout(HANDSHAKE_TIMEOUT_SECONDS):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection = self._authenticate(sock)
+        except (OSError, RunkeelError, gevent.Timeout) as error:
+            metrics.HANDSHAKES_REFUSED.labels("failed").inc()
+            logger.debug("peer refused: {}", error, code=ErrorCode.PROTOCOL_ERROR, peer=address)
+            sock.close()
+            return
+        except BaseException:
+            sock.close()
+            raise
+        self._accepted.add(connection)
+        connection.start()
+        self._dialer.end_backoff(connection.peer_node_id)
+
+    def _authenticate(self, sock: socket.socket) -> Connection:
+        link = HandshakeSocket(sock)
+        hello = receive_hello(link, self._identity)
+        policy = self._link_policy if hello.zone != self._identity.zone else None
+        delay = 0.0
+        while policy is not None and policy.is_cut(hello.zone):
+            gevent.sleep(_CUT_POLL_SECONDS)
+        if policy is not None:
+            delay = policy.delay_seconds(hello.zone)
+        accept_handshake(link, self._identity, hello, delay)
+        return Connection(
+            sock, hello.node_id, hello.zone, policy, self._registry, self._accepted.discard
+        )
+
+    def _check_connections(self) -> None:
+        """Probe silent peers, unless it was this process that stood still."""
+        last = time.monotonic()
+        while True:
+            gevent.sleep(CHECK_INTERVAL_SECONDS)
+            now = time.monotonic()
+            paused = now - last > CHECK_INTERVAL_SECONDS + _PAUSE_SECONDS
+            last = now
+            for connection in [*self._accepted, *self._dialer.connections()]:
+                if paused:
+                    connection.forgive(now)
+                else:
+                    connection.check(now)
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -8,6 +8,8 @@
   WINDOW = 3,         // WindowUpdate: flow-control credit for a stream
   HELLO = 4,          // Hello: first frame of a connection, both ways
   HELLO_PROOF = 5,    // HelloProof: answers the peer's challenge
+  PING = 6,           // no payload: asks for a PONG
+  PONG = 7,           // no payload
 
   APPLICATION_REQUEST = 100,
   APPLICATION_RESPONSE = 101,
@@ -61,9 +63,9 @@
   4: optional i64 retry_after_ms,
 }
 
-/** Credit: the receiver is ready for this many more frames. */
+/** Credit granted to the sender. A frame costs one, and one more for each 16 KiB of its body. */
 struct WindowUpdate {
-  1: i32 frames,
+  1: i32 credit,
 }
 
 /** Opens a connection; challenge is 16 random bytes. */
@@ -76,7 +78,7 @@
   6: binary challenge,
 }
 
-/** HMAC-SHA256 with the cluster key over the peer's challenge and the sender's node id. */
+/** HMAC-SHA256 with the cluster key over role, cluster, both challenges and both node ids. */
 struct HelloProof {
   1: binary proof,
 }
--- a/wire/generate.sh
+++ b/wire/generate.sh
@@ -7,5 +7,5 @@
 for file in *.thrift; do
   thrift --gen py:slots -out "$scratch" "$file"
 done
-rm -f "$scratch"/runkeel/wire/generated/*/constants.py.orig
+rm -f "$scratch"/runkeel/wire/generated/__init__.py
 cp -r "$scratch"/runkeel/wire/generated/* ../src/runkeel/wire/generated/
