Fuzz the records against a dictionary and fix two faults that it found

A node that restarted while its clock stood still or had gone back could draw an incarnation below the one it had joined with, or the same one twice. Change: the incarnation is drawn above the one in the joined entry, with 31 random bits below the seconds; the simulated clocks always run backwards. hypothesis state machines for three and five replicas and for held-back messages, two mutants (recovery skipped, crash vectors ignored) that the fuzzer must catch, make fuzz. Conclusion: the fuzz tests pass and both mutants are caught.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,10 @@
 
 generate:
 	sh wire/generate.sh
+
+# Free-running fuzzing: new examples on every run.
+FUZZ_TESTS := tests.records.test_fuzz.FuzzTest
+FUZZ_EXAMPLES ?= 2000
+
+fuzz: setup
+	RUNKEEL_FUZZ_EXAMPLES=$(FUZZ_EXAMPLES) $(BIN)/python -m tests $(FUZZ_TESTS)
--- a/src/runkeel/state/records/replica.py
+++ b/src/runkeel/state/records/replica.py
@@ -31,7 +31,7 @@
     ReplicaStatus,
 )
 
-INCARNATION_RANDOM_BITS = 20
+INCARNATION_RANDOM_BITS = 31
 
 
 class ReplicaPhase(enum.StrEnum):
@@ -59,6 +59,11 @@
     return next((entry for entry in spec.joined if entry.startswith(prefix)), None)
 
 
+def joined_incarnation(entry: str) -> int:
+    """Return the incarnation of an entry of ``joined``."""
+    return int(entry.rpartition("@")[2])
+
+
 def to_ballot_number(ballot: Ballot | None) -> BallotNumber | None:
     """Convert from the wire."""
     return None if ballot is None else BallotNumber(ballot.round, ballot.nonce)
@@ -94,6 +99,7 @@
         self._wall_clock = wall_clock
         self._rng = rng
         self._tenure: str | None = None
+        self.incarnation = 0
         self.incarnation = self._draw_incarnation()
 
     # Membership of the group
@@ -134,6 +140,11 @@
                 self.retention_until = self._clock() + self._options.retention_seconds
             self._set_phase(ReplicaPhase.VOTING)
         else:
+            # The entry may be the only trace of an earlier process, and this machine's clock may
+            # have gone back since: the present incarnation must be the higher one.
+            self.vector[self.node_id] = max(
+                self.vector.get(self.node_id, 0), joined_incarnation(entry)
+            )
             self._reset(ReplicaPhase.RECOVERING)
             self._tenure = entry
 
@@ -181,16 +192,14 @@
     def _draw_incarnation(self) -> int:
         """Return an incarnation above all that are known of this node.
 
-        Milliseconds come first so that a later process draws a higher one; the random bits
-        tell apart two that start in the same millisecond. A clock that went backwards is
-        found during recovery, see :meth:`merge_vector`.
+        Seconds come first, so that a later process usually draws a higher one; the random bits
+        make it unlike any earlier one even when the clock went back. That it is also the highest
+        is made sure by the recovery, see :meth:`merge_vector`.
         """
-        milliseconds = int(self._wall_clock() * 1000)
-        drawn = (milliseconds << INCARNATION_RANDOM_BITS) | self._rng.getrandbits(
-            INCARNATION_RANDOM_BITS
-        )
-        known = max(self.vector.get(self.node_id, 0), getattr(self, "incarnation", 0))
-        return max(drawn, known + 1)
+        known = max(self.vector.get(self.node_id, 0), self.incarnation)
+        seconds = max(int(self._wall_clock()), (known >> INCARNATION_RANDOM_BITS) + 1)
+        random_bits = self._rng.getrandbits(INCARNATION_RANDOM_BITS)
+        return (seconds << INCARNATION_RANDOM_BITS) | random_bits
 
     # Crash vector
 
--- a/tests/records/simulation.py
+++ b/tests/records/simulation.py
@@ -17,6 +17,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, may_have_run, not_run
 from runkeel.state.records import GroupView, RecordOptions, RecordService
 from runkeel.wire.codec import decode, encode
+from runkeel.wire.generated.common.ttypes import MessageType
 
 GROUP = "records-0"
 FOREVER = 1e6
@@ -119,7 +120,7 @@
         self.zones = {name: f"zone-{index % nodes}" for index, name in enumerate(names)}
         self.options = replace(options, expected_zones=tuple(set(self.zones.values())))
         self.rng = random.Random(seed)
-        self.now = 1_000.0
+        self.now = 1_000_000.0
         self.pending: list[PendingCall] = []
         self.activity = 0
         self.store = FakeStore()
@@ -133,6 +134,7 @@
         self.proposed: dict[str, set[bytes]] = {}
         self.violations: list[str] = []
         self._numbers = itertools.count()
+        self._starts = itertools.count()
         for name in names:
             self.start(name)
         self.settle()
@@ -143,6 +145,8 @@
         """Start an empty process for a node."""
         self.handlers[name] = FakeHandlers()
         before = len(self.store.callbacks)
+        # Clocks that run backwards: every process starts earlier than the one before.
+        started_at = self.now - 100 * next(self._starts)
         service = RecordService(
             name,
             FakePeers(name, self),
@@ -151,7 +155,7 @@
             self.store,
             self.options,
             clock=lambda: self.now,
-            wall_clock=lambda: self.now,
+            wall_clock=lambda: started_at,
             rng=random.Random(self.rng.getrandbits(32)),
         )
         self.callbacks[name] = self.store.callbacks[before:]
@@ -241,6 +245,16 @@
         call.answered = True
         self.pending.append(call)
 
+    def exchange(self, source, target):
+        """Deliver the oldest request from one node to another, and its reply."""
+        for call in self.pending:
+            if (call.source, call.target) == (source, target):
+                if not call.answered:
+                    self.deliver(self.pending.index(call))
+                if call in self.pending:
+                    self.deliver(self.pending.index(call))
+                return
+
     def quiesce(self):
         """Run every task until all of them wait for the simulation."""
         quiet = 0
@@ -259,6 +273,20 @@
                     break
                 self.deliver(self.rng.randrange(len(self.pending)))
 
+    def recover(self, name, rounds=6):
+        """Deliver only a node's own recovery; every other message is held back."""
+        for _ in range(rounds):
+            self.wake(name)
+            while own := [
+                call
+                for call in self.pending
+                if call.source == name and call.message_type == MessageType.RECORD_RECOVER
+            ]:
+                if own[0].target in self.paused and not own[0].answered:
+                    self.lose(self.pending.index(own[0]))
+                else:
+                    self.deliver(self.pending.index(own[0]))
+
     # Operations, checked against the oracle
 
     def decide(self, name, key):
--- /dev/null
+++ b/tests/records/test_fuzz.py
@@ -0,0 +1,77 @@
+"""Fuzzing of the record service, and proof that the fuzzer finds the faults it is meant for."""
+
+import os
+import unittest
+from unittest import mock
+
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from runkeel.state.records import proposer
+from runkeel.state.records.group import GroupManager
+from runkeel.state.records.replica import Replica
+from runkeel.wire.generated.records.ttypes import ReplicaStatus
+from tests.records.machine import FiveRecordMachine, HeldBackMachine, RecordMachine
+
+FREE_RUNNING = "RUNKEEL_FUZZ_EXAMPLES" in os.environ
+EXAMPLES = int(os.environ.get("RUNKEEL_FUZZ_EXAMPLES", "60"))
+MUTANT_EXAMPLES = 600
+
+
+def fuzz_settings(examples, derandomize, steps=20):
+    return settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=derandomize,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate] if derandomize else [Phase.generate, Phase.shrink],
+    )
+
+
+def unchecked_members(replies):
+    """The mutant of consistent_members: counts every OK."""
+    return {
+        node_id: reply.incarnation
+        for node_id, reply in replies.items()
+        if reply.status == ReplicaStatus.OK
+    }
+
+
+class FuzzTest(unittest.TestCase):
+    def test_three_replicas(self):
+        run_state_machine_as_test(RecordMachine, settings=fuzz_settings(EXAMPLES, not FREE_RUNNING))
+
+    def test_held_back_messages(self):
+        run_state_machine_as_test(
+            HeldBackMachine, settings=fuzz_settings(EXAMPLES, not FREE_RUNNING)
+        )
+
+    def test_five_replicas(self):
+        run_state_machine_as_test(
+            FiveRecordMachine, settings=fuzz_settings(EXAMPLES, not FREE_RUNNING)
+        )
+
+
+class MutantTest(unittest.TestCase):
+    """Each mutant lacks one safeguard; the fuzzer must find the wrong value that follows."""
+
+    def assert_found(self):
+        with self.assertRaises(AssertionError):
+            run_state_machine_as_test(
+                HeldBackMachine, settings=fuzz_settings(MUTANT_EXAMPLES, derandomize=True)
+            )
+
+    def test_recovery_skipped(self):
+        def vote_at_once(manager, _view):
+            manager._replica.finish_recovery(retention_wait=False)
+
+        with mock.patch.object(GroupManager, "_recover", vote_at_once):
+            self.assert_found()
+
+    def test_crash_vector_check_skipped(self):
+        with (
+            mock.patch.object(Replica, "_names_older_incarnation", return_value=False),
+            mock.patch.object(proposer, "consistent_members", unchecked_members),
+        ):
+            self.assert_found()
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -99,6 +99,15 @@
         simulation.settle()
         self.assertEqual(read.value, b"a0")
 
+    def test_incarnation_grows_although_the_clock_goes_back(self):
+        simulation = self.simulate()
+        incarnations = [simulation.replica("b").incarnation]
+        for _ in range(4):
+            simulation.restart("b")
+            simulation.settle()
+            incarnations.append(simulation.replica("b").incarnation)
+        self.assertEqual(incarnations, sorted(set(incarnations)))
+
     def test_total_loss_refuses_decisions_for_the_retention(self):
         simulation = self.simulate()
         simulation.decide("a", "k")
