--- /dev/null
+++ b/src/runkeel/membership/digests.py
@@ -0,0 +1,40 @@
+"""Finds nodes whose replicated state differs for more than a moment."""
+
+from __future__ import annotations
+
+import random
+
+CONSECUTIVE_DIFFERENCES = 2
+_MAXIMUM_PEERS = 4_096
+
+
+class DigestMonitor:
+    """Counts the consecutive heartbeats in which a node's state digest differed from ours."""
+
+    def __init__(self) -> None:
+        self.own: int | None = None
+        self._differences: dict[str, int] = {}
+
+    def hear(self, node_id: str, digest: int) -> None:
+        """Compare the digest of a node's heartbeat."""
+        if self.own is None or digest == self.own:
+            self._differences.pop(node_id, None)
+        elif node_id in self._differences or len(self._differences) < _MAXIMUM_PEERS:
+            self._differences[node_id] = self._differences.get(node_id, 0) + 1
+
+    def forget(self, node_id: str) -> None:
+        """Drop a node that is no longer live."""
+        self._differences.pop(node_id, None)
+
+    def take(self) -> str | None:
+        """Return a node that has differed long enough, at random, and count it anew."""
+        found = [
+            node_id
+            for node_id, count in self._differences.items()
+            if count >= CONSECUTIVE_DIFFERENCES
+        ]
+        if not found:
+            return None
+        chosen = random.choice(found)
+        del self._differences[chosen]
+        return chosen
--- /dev/null
+++ b/src/runkeel/membership/synchronizer.py
@@ -0,0 +1,145 @@
+"""Joining, and repair of member tables that differ."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+from typing import Protocol
+
+from runkeel.api.machines import Address, Member
+from runkeel.membership.datagrams import record_of, split_records
+from runkeel.membership.limits import TokenBucket
+from runkeel.membership.table import MemberTable
+from runkeel.wire.generated.membership.ttypes import Datagram, DatagramKind, ZoneHash
+
+JOIN_SECONDS = 1.0
+"""Interval of attempts while no other node is known."""
+
+SEED_CHECK_SECONDS = 10.0
+"""Interval at which a seed that is not a live member is asked, to heal a split."""
+
+SYNC_SECONDS = 2.0
+"""Shortest time between two requests of this node to repair its table."""
+
+DIFFERENCES_BEFORE_SYNC = 3
+"""News spreads by itself: views must differ this often in a row before a repair."""
+
+MAXIMUM_SEEDS = 32
+MAXIMUM_ZONES = 32
+
+
+class Sender(Protocol):
+    """What the parts of membership use to send."""
+
+    node_id: str
+    zone: str
+
+    def local(self) -> Member:
+        """Return this node."""
+
+    def is_live(self, node_id: str) -> bool:
+        """Return whether a node is live and reachable."""
+
+    def send(self, kind: int, targets: Iterable[Member], **fields: object) -> int:
+        """Send a datagram to members; return its bytes."""
+
+    def send_to(
+        self, kind: int, targets: list[tuple[Address, str | None]], **fields: object
+    ) -> int:
+        """Send a datagram to addresses with their zones; return its bytes."""
+
+    def broadcast(self, records: list) -> None:
+        """Send records to the nodes of the zone."""
+
+    def state_digest(self) -> int | None:
+        """Return the digest of this node's replicated state."""
+
+
+class Synchronizer:
+    """Asks seeds and peers for what this node's table lacks, and answers such requests."""
+
+    def __init__(self, sender: Sender, table: MemberTable, seeds: tuple[Address, ...]) -> None:
+        self._sender = sender
+        self._table = table
+        self._seeds = seeds[:MAXIMUM_SEEDS]
+        self._join_at = 0.0
+        self._announced = False
+        self._differences = 0
+        self._requests = TokenBucket(rate=1 / SYNC_SECONDS, burst=2.0)
+        self._introductions = TokenBucket(rate=10.0, burst=20.0)
+        self._answers = TokenBucket(rate=40.0, burst=160.0)
+
+    def tick(self, now: float) -> None:
+        """Join, and look for a part of the cluster that was lost."""
+        alone = len(self._table.all()) <= 1
+        if not alone and not self._announced:
+            self._announced = True
+            self._sender.broadcast([record_of(self._sender.local())])
+        if now < self._join_at:
+            return
+        wait = JOIN_SECONDS if alone else SEED_CHECK_SECONDS
+        self._join_at = now + wait * random.uniform(0.8, 1.2)
+        seeds = self._lost_seeds()
+        if not alone and seeds:
+            seeds = [random.choice(seeds)]
+        self._join(seeds)
+
+    def on_request(self, datagram: Datagram, source: Address, zone: str | None, now: float) -> None:
+        """Answer JOIN with everything, SYNC_REQUEST with the zones that differ."""
+        if datagram.kind == DatagramKind.SYNC_REQUEST and not datagram.zone_hashes:
+            own = [record_of(self._sender.local())]
+            self._sender.send_to(DatagramKind.NEWS, [(source, zone)], records=own)
+            return
+        theirs = {each.zone: each.hash for each in (datagram.zone_hashes or ())[:MAXIMUM_ZONES]}
+        everything = datagram.kind == DatagramKind.JOIN
+        members = [
+            member
+            for member in self._table.all()
+            if everything or self._differs(member.zone, theirs)
+        ]
+        records = [record_of(member, with_suspect_address=True) for member in members]
+        for chunk in split_records(records):
+            if self._answers.take(now):
+                self._sender.send_to(DatagramKind.SYNC, [(source, zone)], records=chunk)
+
+    def ask_introduction(self, source: Address, zone: str | None, now: float) -> None:
+        """Ask the unknown sender of a datagram who it is."""
+        if self._introductions.take(now):
+            self._sender.send_to(DatagramKind.SYNC_REQUEST, [(source, zone)])
+
+    def on_view_hash(self, sender: Member, view_hash: int, now: float) -> None:
+        """Compare a zone mate's view of the whole cluster with ours."""
+        if sender.zone != self._sender.zone or view_hash == self._table.view_hash():
+            self._differences = 0
+            return
+        self._differences += 1
+        if self._differences >= DIFFERENCES_BEFORE_SYNC and self._requests.take(now):
+            self._differences = 0
+            self._request(sender, self._table.zones())
+
+    def on_zone_hashes(self, sender: Member, hashes: Iterable[ZoneHash], now: float) -> None:
+        """Compare a bridge's view of its own zone with ours."""
+        for each in hashes:
+            differs = each.hash != self._table.zone_hash(each.zone)
+            if each.zone == sender.zone and differs and self._requests.take(now):
+                self._request(sender, [each.zone])
+
+    def _request(self, target: Member, zones: list[str]) -> None:
+        hashes = [ZoneHash(zone, self._table.zone_hash(zone)) for zone in zones[:MAXIMUM_ZONES]]
+        self._sender.send(DatagramKind.SYNC_REQUEST, [target], zone_hashes=hashes)
+
+    def _differs(self, zone: str, theirs: dict[str, int]) -> bool:
+        return zone in theirs and theirs[zone] != self._table.zone_hash(zone)
+
+    def _lost_seeds(self) -> list[Address]:
+        live = {
+            member.gossip for member in self._table.all() if self._sender.is_live(member.node_id)
+        }
+        return [seed for seed in self._seeds if seed not in live]
+
+    def _join(self, seeds: list[Address]) -> None:
+        zones = {member.gossip: member.zone for member in self._table.all()}
+        targets = [(seed, zones.get(seed)) for seed in seeds]
+        if targets:
+            own = [record_of(self._sender.local())]
+            self._sender.send_to(DatagramKind.JOIN, targets, records=own)
