Add the rollout service: steps, planning, generation, scoring and delivery

Cause: trainers need their steps' samples once each, within the staleness bound. Change: RolloutService with the routes for trainers, forwarding to the step's owner, a planner, a pipeline of generation, scoring and replication, a store of samples with second copies in another zone, and a delivery record whose entries are decided by majority before they are handed over.

--- /dev/null
+++ b/src/runkeel/rollouts/replication.py
@@ -0,0 +1,193 @@
+"""Second copies of samples on nodes of other zones."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+
+from runkeel.api.interfaces import Membership, PeerClient, PeerHandlers
+from runkeel.errors import ErrorCode, RunkeelError
+from runkeel.rollouts import metrics
+from runkeel.rollouts.options import MEBIBYTE, RolloutOptions
+from runkeel.rollouts.ranking import StepRanking
+from runkeel.rollouts.sample import Sample, StepKey, sample_from_wire, sample_to_wire
+from runkeel.rollouts.sample_store import SampleStore
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.rollouts import ttypes
+
+_PAGE_BYTES = MEBIBYTE
+_MAXIMUM_PAGES = 256
+_MAXIMUM_CANDIDATES = 4
+
+
+class SampleReplicator:
+    """Stores, fetches and releases copies on other nodes, and serves others' copies."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        peers: PeerClient,
+        ranking: StepRanking,
+        store: SampleStore,
+        options: RolloutOptions,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._membership = membership
+        self._peers = peers
+        self._ranking = ranking
+        self._store = store
+        self._options = options
+        self._clock = clock
+
+    @property
+    def node_id(self) -> str:
+        """This node's id, as it stands among the holders of a sample."""
+        return self._membership.node_id
+
+    def register(self, handlers: PeerHandlers) -> None:
+        """Serve other nodes' copies."""
+        handlers.on_call(MessageType.SAMPLE_STORE, ttypes.SampleStore, self._on_store)
+        handlers.on_call(MessageType.SAMPLE_FETCH, ttypes.SampleFetch, self._on_fetch)
+        handlers.on_call(MessageType.SAMPLE_RELEASE, ttypes.SampleRelease, self._on_release)
+
+    def replicate(self, sample: Sample) -> tuple[str, ...]:
+        """Hold a sample here and on a second node; return both nodes' ids.
+
+        A cluster of one node has no second copy.
+
+        Raises:
+            RunkeelError: STORAGE_FULL here, or the last failure of the candidates.
+        """
+        self._store.put(sample)
+        candidates = self._ranking.replica_candidates(sample.step)[:_MAXIMUM_CANDIDATES]
+        if not candidates:
+            return (self._membership.node_id,)
+        failure = RunkeelError(ErrorCode.STORAGE_FULL, "no node took the second copy")
+        for member in candidates:
+            try:
+                self._store_at(member.node_id, sample)
+            except RunkeelError as error:
+                metrics.REPLICATION_FAILURES.labels(error.code).inc()
+                failure = error
+            else:
+                return (self._membership.node_id, member.node_id)
+        self._store.release(sample.step, [sample.digest])
+        raise failure
+
+    def fetch(self, step: StepKey, digest: bytes, holders: Iterable[str]) -> Sample | None:
+        """Return a sample from here or one of its holders; None when none has it."""
+        sample = self._store.get(step, digest)
+        if sample is not None:
+            return sample
+        for node_id in holders:
+            if node_id == self._membership.node_id:
+                continue
+            found = self._fetch_from(node_id, step, [digest])
+            for sample in found:
+                if sample.digest == digest and sample.step == step:
+                    return self._keep(sample)
+        return None
+
+    def collect_step(self, step: StepKey) -> list[tuple[Sample, tuple[str, ...]]]:
+        """Return the samples of a step that this and other nodes hold, each with its holders."""
+        samples = {sample.digest: sample for sample in self._store.of_step(step)}
+        holders = {digest: [self._membership.node_id] for digest in samples}
+        for member in self._ranking.copy_holders(step):
+            for sample in self._fetch_from(member.node_id, step, []):
+                if sample.step != step:
+                    continue
+                samples.setdefault(sample.digest, sample)
+                holders.setdefault(sample.digest, []).append(member.node_id)
+        return [(sample, tuple(holders[digest])) for digest, sample in samples.items()]
+
+    def release(self, step: StepKey, digests_by_holder: dict[str, list[bytes]]) -> None:
+        """Drop copies here and elsewhere; copies on unreachable nodes expire by age."""
+        for node_id, digests in digests_by_holder.items():
+            if node_id == self._membership.node_id:
+                self._store.release(step, digests)
+                continue
+            message = ttypes.SampleRelease(step.model, step.step_id, digests)
+            try:
+                self._peers.call(
+                    node_id,
+                    MessageType.SAMPLE_RELEASE,
+                    message,
+                    ttypes.SampleReleaseReply,
+                    self._options.peer_timeout_seconds,
+                )
+            except RunkeelError as error:
+                metrics.REPLICATION_FAILURES.labels(error.code).inc()
+
+    def _keep(self, sample: Sample) -> Sample:
+        try:
+            self._store.put(sample)
+        except RunkeelError as error:
+            metrics.REPLICATION_FAILURES.labels(error.code).inc()
+        return sample
+
+    def _store_at(self, node_id: str, sample: Sample) -> None:
+        reply = self._peers.call(
+            node_id,
+            MessageType.SAMPLE_STORE,
+            ttypes.SampleStore([sample_to_wire(sample, self._clock())]),
+            ttypes.SampleStoreReply,
+            self._options.peer_timeout_seconds,
+        )
+        if sample.digest not in (reply.digests or []):
+            raise RunkeelError(ErrorCode.STORAGE_FULL, f"{node_id} did not take a sample")
+
+    def _fetch_from(self, node_id: str, step: StepKey, digests: list[bytes]) -> list[Sample]:
+        found: list[Sample] = []
+        after = b""
+        for _ in range(_MAXIMUM_PAGES):
+            # The age in the answer was taken after this moment, so counting it from here
+            # makes the sample look older by the round trip, never younger.
+            asked_at = self._clock()
+            try:
+                reply = self._peers.call(
+                    node_id,
+                    MessageType.SAMPLE_FETCH,
+                    ttypes.SampleFetch(step.model, step.step_id, digests, after),
+                    ttypes.SampleFetchReply,
+                    self._options.peer_timeout_seconds,
+                )
+                page = [sample_from_wire(record, asked_at) for record in reply.samples or []]
+            except RunkeelError as error:
+                metrics.REPLICATION_FAILURES.labels(error.code).inc()
+                break
+            found.extend(page)
+            if not page or not reply.more:
+                break
+            after = page[-1].digest
+        return found
+
+    def _on_store(self, _peer: str, request: ttypes.SampleStore) -> tuple[int, object]:
+        held = []
+        for record in request.samples or []:
+            sample = sample_from_wire(record, self._clock())
+            self._store.put(sample)
+            held.append(sample.digest)
+        return MessageType.SAMPLE_STORE_REPLY, ttypes.SampleStoreReply(held)
+
+    def _on_fetch(self, _peer: str, request: ttypes.SampleFetch) -> tuple[int, object]:
+        step = StepKey(request.model, request.step_id)
+        wanted = set(request.digests or [])
+        after = request.after or b""
+        page: list[ttypes.SampleRecord] = []
+        size = 0
+        for sample in self._store.of_step(step):
+            if sample.digest <= after or (wanted and sample.digest not in wanted):
+                continue
+            if page and size + sample.size > _PAGE_BYTES:
+                return MessageType.SAMPLE_FETCH_REPLY, ttypes.SampleFetchReply(page, True)
+            page.append(sample_to_wire(sample, self._clock()))
+            size += sample.size
+        return MessageType.SAMPLE_FETCH_REPLY, ttypes.SampleFetchReply(page, False)
+
+    def _on_release(self, _peer: str, request: ttypes.SampleRelease) -> tuple[int, object]:
+        step = StepKey(request.model, request.step_id)
+        if request.digests:
+            released = self._store.release(step, request.digests)
+        else:
+            released = self._store.release_step(step)
+        return MessageType.SAMPLE_RELEASE_REPLY, ttypes.SampleReleaseReply(released)
--- /dev/null
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -0,0 +1,127 @@
+"""The one place that decides what is too old and how much may run.
+
+The role is that of AReaL's staleness manager (Fu et al., "AReaL: A Large-Scale Asynchronous
+Reinforcement Learning System", 2025): the bound on staleness and the counts of samples that
+run or wait decide together whether more work may start.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from runkeel.api.configuration import DeliveryPreference, ModelSpec
+from runkeel.api.interfaces import Configuration, Membership
+from runkeel.rollouts.options import RolloutOptions
+from runkeel.rollouts.sample import Sample
+from runkeel.rollouts.step import Attempt, Step
+
+_DEFAULT_SPEC = ModelSpec()
+_TAIL_FRACTION = 0.1
+_IDLE_FRACTION = 0.5
+
+
+class StalenessManager:
+    """Checks samples against the operator's bound and limits the work in flight."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        membership: Membership,
+        options: RolloutOptions,
+        clock: Callable[[], float] = time.monotonic,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._configuration = configuration
+        self._membership = membership
+        self._options = options
+        self._clock = clock
+        self._wall_clock = wall_clock
+
+    def spec(self, model: str) -> ModelSpec:
+        """Return the model's configuration in force."""
+        return self._configuration.model(model) or _DEFAULT_SPEC
+
+    def is_fresh(self, sample: Sample, trainer_version: int) -> bool:
+        """Return whether a sample may be handed to a trainer at that version, now."""
+        spec = self.spec(sample.step.model)
+        if trainer_version - sample.oldest_version > spec.max_staleness_versions:
+            return False
+        age = sample.age_seconds(self._clock(), self._wall_clock())
+        return age <= spec.max_staleness_seconds
+
+    def newest_version(self, step: Step) -> int:
+        """Return a lower bound of the version that the trainer will state next.
+
+        An engine can only run what the trainer has published, so the newest version in the
+        pool counts beside the one that the trainer stated last.
+        """
+        summaries = self._membership.pool_summaries(step.key.model)
+        deployed = max((summary.maximum_version for summary in summaries), default=0)
+        return max(step.trainer_version, deployed)
+
+    def minimum_version(self, step: Step) -> int:
+        """Return the oldest weights with which a generation is worth starting."""
+        spec = self.spec(step.key.model)
+        return max(0, step.trainer_version - spec.max_staleness_versions)
+
+    def attempt_is_hopeless(
+        self, model: str, attempt: Attempt, restarts: int, newest_version: int
+    ) -> bool:
+        """Return whether a running attempt can no longer be handed over within the bound.
+
+        A model that prefers staleness also gives up stragglers past half the bound, once for
+        each task: a task longer than that must still be able to finish.
+        """
+        if attempt.oldest_version is None or attempt.first_token_at is None:
+            return False
+        spec = self.spec(model)
+        bound = spec.max_staleness_versions
+        if spec.prefer is DeliveryPreference.STALENESS and restarts == 0 and attempt.generating:
+            bound = bound // 2
+        if newest_version - attempt.oldest_version > bound:
+            return True
+        return self._clock() - attempt.first_token_at > spec.max_staleness_seconds
+
+    def capacity(self, model: str, in_flight_here: int) -> int:
+        """Return how many more generations this node may start for the model."""
+        summaries = self._membership.pool_summaries(model)
+        slots = sum(summary.slots for summary in summaries)
+        busy = sum(summary.in_flight + summary.queued for summary in summaries)
+        others = max(0, busy - in_flight_here)
+        share = slots * self.spec(model).rollout_share
+        allowed = max(self._options.minimum_in_flight, int(share) - others)
+        return max(0, allowed - in_flight_here)
+
+    def engines_idle(self, model: str) -> bool:
+        """Return whether most slots of the model's engines are free."""
+        summaries = self._membership.pool_summaries(model)
+        slots = sum(summary.slots for summary in summaries)
+        busy = sum(summary.in_flight + summary.queued for summary in summaries)
+        return busy < slots * _IDLE_FRACTION
+
+    def startable_steps(self, steps: list[Step]) -> list[Step]:
+        """Return the steps of one model whose tasks may start now, most urgent first.
+
+        Steps that the trainer pulls come first. Steps submitted ahead fill what is left: as
+        many as the bound lets become useful when idle time matters most, else only while the
+        present step is in its tail, or absent, and engines would idle.
+        """
+        pulled = [step for step in steps if step.pulled and not step.finished]
+        ahead = [step for step in steps if not step.pulled]
+        pulled.sort(key=lambda step: step.submitted_at)
+        ahead.sort(key=lambda step: step.submitted_at)
+        if not ahead:
+            return pulled
+        spec = self.spec(ahead[0].key.model)
+        if spec.prefer is DeliveryPreference.IDLE_TIME:
+            return pulled + ahead[: max(1, spec.max_staleness_versions)]
+        in_tail = all(_in_tail(step) for step in pulled)
+        if in_tail and self.engines_idle(ahead[0].key.model):
+            return pulled + ahead[:1]
+        return pulled
+
+
+def _in_tail(step: Step) -> bool:
+    unfinished = sum(task.sample is None and task.entry is None for task in step.tasks.values())
+    return unfinished <= len(step.tasks) * _TAIL_FRACTION
--- /dev/null
+++ b/src/runkeel/rollouts/step.py
@@ -0,0 +1,173 @@
+"""Steps and tasks as their owner keeps them in memory."""
+
+from __future__ import annotations
+
+import hashlib
+import struct
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import Event
+from gevent.lock import BoundedSemaphore
+
+from runkeel.rollouts.sample import Sample, StepKey
+
+
+@dataclass(frozen=True, slots=True)
+class TaskSpec:
+    """A task as the trainer submitted it.
+
+    Attributes:
+        group: tasks that the trainer compares with each other.
+        expected_tokens: the trainer's guess of the length; 0 for none.
+    """
+
+    task_id: str
+    group: str
+    prompt: str
+    max_tokens: int
+    expected_tokens: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One try to make the sample of a task.
+
+    Attributes:
+        generating: whether it occupies an engine, as opposed to being scored or replicated.
+        oldest_version: lowest version reported so far; None before the first token.
+        first_token_at: monotonic clock, in s; None before the first token.
+    """
+
+    number: int
+    started_at: float
+    generating: bool = True
+    oldest_version: int | None = None
+    first_token_at: float | None = None
+    greenlet: gevent.Greenlet | None = None
+
+
+@dataclass(eq=False, slots=True)
+class Task:
+    """A task and what has become of it.
+
+    Attributes:
+        sample: finished sample that may be handed over.
+        holders: nodes with a copy of ``sample``.
+        entry: cursor of the delivery entry that names this task.
+        confirmed: whether the trainer has confirmed that entry.
+        remake: whether the sample that the entry names must be replaced.
+        restarts: attempts that were cancelled as too old.
+        failures: consecutive failed attempts.
+        not_before: monotonic time before which no new attempt starts.
+    """
+
+    spec: TaskSpec
+    attempts: int = 0
+    running: list[Attempt] = field(default_factory=list)
+    sample: Sample | None = None
+    holders: tuple[str, ...] = ()
+    entry: int | None = None
+    confirmed: bool = False
+    remake: bool = False
+    restarts: int = 0
+    failures: int = 0
+    not_before: float = 0.0
+
+    @property
+    def needs_attempt(self) -> bool:
+        """Whether a sample must be made and nothing is making it."""
+        if self.confirmed or self.running or self.sample is not None:
+            return False
+        return self.entry is None or self.remake
+
+    @property
+    def ready(self) -> bool:
+        """Whether the task has a sample that stands in no entry yet."""
+        return self.sample is not None and self.entry is None
+
+
+def step_digest(tasks: Iterable[TaskSpec]) -> bytes:
+    """Return the digest that tells whether two submissions are the same step."""
+    content = hashlib.blake2b(digest_size=16)
+    for task in tasks:
+        for text in (task.task_id, task.group, task.prompt):
+            encoded = text.encode()
+            content.update(struct.pack("<I", len(encoded)) + encoded)
+        content.update(struct.pack("<ii", task.max_tokens, task.expected_tokens))
+    return content.digest()
+
+
+class Step:
+    """An open step of this node.
+
+    Attributes:
+        trainer_version: latest version that the trainer stated for this step.
+        pulled: whether the trainer has asked for samples, so that the step is its present one.
+        confirmed_cursors: entries below this cursor are confirmed.
+        lock: held while entries are learnt, decided or assembled.
+    """
+
+    def __init__(
+        self, key: StepKey, tasks: Iterable[TaskSpec], trainer_version: int, now: float
+    ) -> None:
+        specs = list(tasks)
+        self.key = key
+        self.digest = step_digest(specs)
+        self.tasks: dict[str, Task] = {spec.task_id: Task(spec) for spec in specs}
+        self.trainer_version = trainer_version
+        self.pulled = False
+        self.confirmed_cursors = 0
+        self.finished = False
+        self.closed = False
+        self.submitted_at = now
+        self.last_used_at = now
+        self.durations: list[float] = []
+        self.lock = BoundedSemaphore(1)
+        self._changed = Event()
+
+    def notify(self) -> None:
+        """Wake those that wait for a change."""
+        changed = self._changed
+        self._changed = Event()
+        changed.set()
+
+    def change_event(self) -> Event:
+        """Return an event that the next change sets."""
+        return self._changed
+
+    def state_version(self, version: int, now: float) -> None:
+        """Note the version that the trainer states in a pull."""
+        self.trainer_version = version
+        self.pulled = True
+        self.last_used_at = now
+
+    def ready_tasks(self) -> list[Task]:
+        """Return the tasks with a sample to hand over, whole groups first."""
+        unfinished = {
+            task.spec.group
+            for task in self.tasks.values()
+            if task.sample is None and task.entry is None
+        }
+        ready = [task for task in self.tasks.values() if task.ready]
+        return sorted(ready, key=lambda task: (task.spec.group in unfinished, task.spec.group))
+
+    def undelivered_count(self) -> int:
+        """Return how many tasks stand in no entry."""
+        return sum(task.entry is None for task in self.tasks.values())
+
+    def close(self) -> None:
+        """Cancel all attempts and wake those that wait."""
+        self.closed = True
+        for task in self.tasks.values():
+            cancel_attempts(task)
+        self.notify()
+
+
+def cancel_attempts(task: Task) -> None:
+    """Cancel the task's attempts."""
+    for attempt in task.running:
+        if attempt.greenlet is not None and attempt.greenlet is not gevent.getcurrent():
+            attempt.greenlet.kill(block=False)
+    task.running.clear()
--- /dev/null
+++ b/src/runkeel/rollouts/step_owner.py
@@ -0,0 +1,263 @@
+"""The steps that this node owns, and the loop that keeps their work going."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from runkeel.api.interfaces import Records
+from runkeel.errors import ErrorCode, not_run
+from runkeel.rollouts import metrics
+from runkeel.rollouts.delivery import DeliveryLog
+from runkeel.rollouts.hand_over import Batch, Pull, StepDelivery, drop_sample
+from runkeel.rollouts.options import RolloutOptions
+from runkeel.rollouts.pipeline import SamplePipeline, cancel_attempt
+from runkeel.rollouts.planner import Planner
+from runkeel.rollouts.replication import SampleReplicator
+from runkeel.rollouts.sample import StepKey
+from runkeel.rollouts.sample_store import SampleStore
+from runkeel.rollouts.staleness_manager import StalenessManager
+from runkeel.rollouts.step import Step, TaskSpec
+
+_RETRY_AFTER_SECONDS = 1.0
+_DRAIN_POLL_SECONDS = 0.02
+_MINIMUM_TURN_SECONDS = 0.002
+
+
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A step as a trainer submits it."""
+
+    key: StepKey
+    tasks: tuple[TaskSpec, ...]
+    trainer_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SubmissionResult:
+    """Counts of a step's tasks after its submission."""
+
+    tasks: int
+    delivered: int
+    adopted: int
+
+
+@dataclass(frozen=True, slots=True)
+class _OpenStep:
+    step: Step
+    delivery: StepDelivery
+
+
+class StepOwner:
+    """Opens steps, plans their work and answers pulls."""
+
+    def __init__(
+        self,
+        records: Records,
+        replicator: SampleReplicator,
+        store: SampleStore,
+        staleness: StalenessManager,
+        planner: Planner,
+        options: RolloutOptions,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._records = records
+        self._replicator = replicator
+        self._store = store
+        self._staleness = staleness
+        self._planner = planner
+        self._options = options
+        self._clock = clock
+        self._steps: dict[StepKey, _OpenStep] = {}
+        self._wake = Event()
+        self._draining = False
+        self._loop: gevent.Greenlet | None = None
+        self._pipeline: SamplePipeline | None = None
+        self._next_sweep = 0.0
+        self._gauge = metrics.STEPS_OPEN.labels(replicator.node_id)
+
+    def start(self, pipeline: SamplePipeline) -> None:
+        """Start planning with the pipeline that makes the samples."""
+        self._pipeline = pipeline
+        self._loop = gevent.spawn(self._run)
+
+    def drain(self, timeout_seconds: float) -> bool:
+        """Start nothing new, let what runs finish; return whether it has."""
+        self._draining = True
+        deadline = time.monotonic() + timeout_seconds
+        while self._pipeline is not None and self._pipeline.running():
+            if time.monotonic() >= deadline:
+                return False
+            gevent.sleep(_DRAIN_POLL_SECONDS)
+        return True
+
+    def stop(self) -> None:
+        """Cancel everything and forget the steps."""
+        self._draining = True
+        if self._loop is not None:
+            self._loop.kill()
+        for opened in list(self._steps.values()):
+            opened.step.close()
+        self._steps.clear()
+        self._gauge.set(0)
+        if self._pipeline is not None:
+            self._pipeline.stop()
+
+    def wake(self) -> None:
+        """Let the planner look again."""
+        self._wake.set()
+
+    def steps(self) -> tuple[Step, ...]:
+        """Return the open steps."""
+        return tuple(opened.step for opened in self._steps.values())
+
+    def submit(self, submission: Submission) -> SubmissionResult:
+        """Open a step, or find it open; what earlier owners did for it is taken over.
+
+        Raises:
+            RunkeelError: STEP_CONFLICT, SERVICE_LIMIT, NODE_LEAVING or RECORDS_UNAVAILABLE.
+        """
+        step = Step(submission.key, submission.tasks, submission.trainer_version, self._clock())
+        opened = self._steps.get(submission.key)
+        adopted = 0
+        if opened is None:
+            self._check_room()
+            opened = self._open(step)
+            adopted = self._adopt_samples(opened.step)
+        if opened.step.digest != step.digest:
+            raise not_run(ErrorCode.STEP_CONFLICT, f"step {step.key.step_id} has other tasks")
+        opened.step.last_used_at = self._clock()
+        opened.step.trainer_version = submission.trainer_version
+        self.wake()
+        tasks = opened.step.tasks.values()
+        delivered = sum(task.entry is not None for task in tasks)
+        return SubmissionResult(len(tasks), delivered, adopted)
+
+    def pull(self, key: StepKey, pull: Pull) -> Batch | None:
+        """Return a batch, or None when nothing is ready in time.
+
+        Raises:
+            RunkeelError: UNKNOWN_STEP: to be submitted again; else see StepDelivery.pull.
+        """
+        opened = self._steps.get(key)
+        if opened is None:
+            raise not_run(ErrorCode.UNKNOWN_STEP, f"step {key.step_id} is not open here")
+        return opened.delivery.pull(pull)
+
+    def _check_room(self) -> None:
+        if self._draining:
+            raise not_run(ErrorCode.NODE_LEAVING, "no new steps", _RETRY_AFTER_SECONDS)
+        if len(self._steps) >= self._options.maximum_steps:
+            finished = [opened.step for opened in self._steps.values() if opened.step.finished]
+            if not finished:
+                raise not_run(ErrorCode.SERVICE_LIMIT, "too many open steps", _RETRY_AFTER_SECONDS)
+            self._close(min(finished, key=lambda step: step.last_used_at))
+
+    def _open(self, step: Step) -> _OpenStep:
+        log = DeliveryLog(
+            self._records,
+            step.key,
+            step.digest,
+            step.tasks,
+            self._replicator.node_id,
+            self._options.records_timeout_seconds,
+        )
+        delivery = StepDelivery(
+            step, log, self._replicator, self._staleness, self._options, self.wake, self._clock
+        )
+        delivery.recover()
+        # A second submission of the same step may have been quicker.
+        opened = self._steps.setdefault(step.key, _OpenStep(step, delivery))
+        self._gauge.set(len(self._steps))
+        return opened
+
+    def _adopt_samples(self, step: Step) -> int:
+        adopted = 0
+        for sample, holders in self._replicator.collect_step(step.key):
+            task = step.tasks.get(sample.task_id)
+            if task is None or sample.step_digest != step.digest or not task.needs_attempt:
+                continue
+            if not self._staleness.is_fresh(sample, self._staleness.newest_version(step)):
+                continue
+            adopted += 1
+            if self._replicator.node_id in holders and len(holders) > 1:
+                task.attempts = max(task.attempts, sample.attempt)
+                task.sample = sample
+                task.holders = holders
+            elif self._pipeline is not None:
+                self._pipeline.adopt(step, task, sample)
+        step.notify()
+        return adopted
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait(self._options.planner_interval_seconds)
+            self._wake.clear()
+            try:
+                self._turn()
+            except Exception:  # the loop must outlive a fault in one turn
+                logger.exception("planning failed", code=ErrorCode.INTERNAL)
+            # Many samples that finish together cost one turn.
+            gevent.sleep(_MINIMUM_TURN_SECONDS)
+
+    def _turn(self) -> None:
+        now = time.monotonic()
+        if now >= self._next_sweep:
+            self._next_sweep = now + self._options.planner_interval_seconds
+            self.sweep()
+        if self._draining or self._pipeline is None or self._store.is_full:
+            return
+        by_model: dict[str, list[Step]] = {}
+        for opened in self._steps.values():
+            by_model.setdefault(opened.step.key.model, []).append(opened.step)
+        for model, steps in by_model.items():
+            room = self._options.maximum_open_samples - self._open_samples()
+            in_flight = self._pipeline.generating(model)
+            for planned in self._planner.plan(model, steps, in_flight, room):
+                if planned.hedge:
+                    metrics.HEDGES.labels(model).inc()
+                self._pipeline.start(planned.step, planned.task)
+
+    def _open_samples(self) -> int:
+        waiting = sum(
+            task.sample is not None
+            for opened in self._steps.values()
+            for task in opened.step.tasks.values()
+        )
+        return waiting + self._pipeline.running()
+
+    def sweep(self) -> None:
+        """Cancel and drop what is too old, close steps that nobody uses."""
+        now = self._clock()
+        for opened in list(self._steps.values()):
+            step = opened.step
+            for task, attempt in self._planner.hopeless_attempts(step):
+                cancel_attempt(task, attempt)
+                task.restarts += 1
+                metrics.SAMPLES_DROPPED.labels(step.key.model, "cancelled_too_stale").inc()
+            for task in self._planner.hopeless_samples(step):
+                drop_sample(step, task, self._replicator, "too_stale")
+            unused = now - step.last_used_at
+            if unused > self._options.step_idle_seconds or (
+                step.finished and unused > self._options.finished_step_seconds
+            ):
+                self._close(step)
+        self._store.expire(lambda model: self._staleness.spec(model).max_staleness_seconds)
+
+    def _close(self, step: Step) -> None:
+        step.close()
+        self._steps.pop(step.key, None)
+        self._gauge.set(len(self._steps))
+        if not step.finished:
+            logger.warning(
+                "step {} of {} forgotten: nobody asked for it",
+                step.key.step_id,
+                step.key.model,
+                code="step_forgotten",
+            )
+        self._store.release_step(step.key)
