Add the sample log and fuzz tests of exactly-once delivery

Cause: samples must survive kill -9 on nodes with a disk, and each task must reach the trainer once under crashes, paused owners and lost answers. At first it missed the one that ignores token positions, because the fake engine's gap had the right tokens under wrong positions; the fake now skips tokens for real.

--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -18,6 +18,8 @@
 from runkeel.rollouts.staleness_manager import StalenessManager
 from runkeel.rollouts.step import Step, Task, cancel_attempts
 
+_LOCK_PATIENCE_RATIO = 4
+
 
 @dataclass(frozen=True, slots=True)
 class Pull:
@@ -106,7 +108,8 @@
 
     @contextmanager
     def _locked(self) -> Iterator[None]:
-        if not self._step.lock.acquire(timeout=self._options.records_timeout_seconds * 4):
+        patience = self._options.records_timeout_seconds * _LOCK_PATIENCE_RATIO
+        if not self._step.lock.acquire(blocking=patience > 0, timeout=patience or None):
             raise RunkeelError(ErrorCode.RECORDS_UNAVAILABLE, "the step is being worked on")
         try:
             yield
--- a/src/runkeel/rollouts/service.py
+++ b/src/runkeel/rollouts/service.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from loguru import logger
+
 from runkeel.api.http import HttpRoutes
 from runkeel.api.interfaces import (
     Configuration,
@@ -26,6 +28,7 @@
 from runkeel.rollouts.ranking import StepRanking
 from runkeel.rollouts.replication import SampleReplicator
 from runkeel.rollouts.sample import StepKey, sample_from_wire, sample_to_wire
+from runkeel.rollouts.sample_log import SampleLog
 from runkeel.rollouts.sample_store import SampleStore
 from runkeel.rollouts.scoring import SampleScorer, ScorerCaller
 from runkeel.rollouts.staleness_manager import StalenessManager
@@ -70,7 +73,12 @@
         self._options = options
         self._clock = clock
         self._ranking = StepRanking(membership, configuration)
-        self.store = SampleStore(membership.node_id, options, None, clock)
+        self._log = (
+            SampleLog(data_folder / "samples", membership.node_id, options, clock, wall_clock)
+            if data_folder is not None
+            else None
+        )
+        self.store = SampleStore(membership.node_id, options, self._log, clock)
         self._replicator = SampleReplicator(
             membership, peers, self._ranking, self.store, options, clock
         )
@@ -90,6 +98,7 @@
             self._owner.wake,
             clock,
         )
+        self._owner.use_pipeline(self._pipeline)
         self._api = TrainerApi(configuration, options, self.submit, self.pull)
         self._register_peers(handlers)
 
@@ -98,8 +107,12 @@
         self._api.register(routes)
 
     def start(self) -> None:
-        """Start planning."""
-        self._owner.start(self._pipeline)
+        """Take back the samples on disk and start planning."""
+        if self._log is not None:
+            samples = self._log.recover()
+            self.store.restore(samples)
+            logger.info("recovered {} samples", len(samples), code="samples_recovered")
+        self._owner.start()
 
     def drain(self, timeout_seconds: float = DEFAULT_DRAIN_SECONDS) -> bool:
         """Begin a planned stop: refuse new steps, finish running samples, still answer pulls.
@@ -112,6 +125,8 @@
     def stop(self) -> None:
         """Cancel everything that runs."""
         self._owner.stop()
+        if self._log is not None:
+            self._log.close()
 
     def steps(self) -> tuple[Step, ...]:
         """Return the steps that this node owns, for queries."""
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -81,9 +81,12 @@
         self._next_sweep = 0.0
         self._gauge = metrics.STEPS_OPEN.labels(replicator.node_id)
 
-    def start(self, pipeline: SamplePipeline) -> None:
-        """Start planning with the pipeline that makes the samples."""
+    def use_pipeline(self, pipeline: SamplePipeline) -> None:
+        """Set the pipeline that makes the samples; called once, before anything else."""
         self._pipeline = pipeline
+
+    def start(self) -> None:
+        """Start planning."""
         self._loop = gevent.spawn(self._run)
 
     def drain(self, timeout_seconds: float) -> bool:
@@ -199,13 +202,14 @@
             self._wake.wait(self._options.planner_interval_seconds)
             self._wake.clear()
             try:
-                self._turn()
+                self.turn()
             except Exception:  # the loop must outlive a fault in one turn
                 logger.exception("planning failed", code=ErrorCode.INTERNAL)
             # Many samples that finish together cost one turn.
             gevent.sleep(_MINIMUM_TURN_SECONDS)
 
-    def _turn(self) -> None:
+    def turn(self) -> None:
+        """Look once through the steps: drop what is too old, start what there is room for."""
         now = time.monotonic()
         if now >= self._next_sweep:
             self._next_sweep = now + self._options.planner_interval_seconds
--- a/tests/rollouts/fakes.py
+++ b/tests/rollouts/fakes.py
@@ -130,9 +130,11 @@
             if position and prompt in self.hold:
                 self.hold[prompt].wait()
             version = self.version
-            first = position + (1 if fault == "gap" and position else 0)
+            shift = {"gap": 1, "overlap": -1}.get(fault, 0) if position else 0
+            first = position + shift
             count = min(2, length - position)
-            ids = [token(version, prompt, position + offset) for offset in range(count)]
+            made_for = "another prompt" if fault == "crossed" else prompt
+            ids = [token(version, made_for, first + offset) for offset in range(count)]
             if fault == "truncated" and position:
                 return
             end = position + count == length
@@ -182,7 +184,9 @@
 class FakeCluster:
     """Nodes of three zones with shared records, engine and clock."""
 
-    def __init__(self, options=FAST, node_ids=("a1", "b1", "c1"), gate=None, **spec) -> None:
+    def __init__(
+        self, options=FAST, node_ids=("a1", "b1", "c1"), gate=None, start=True, **spec
+    ) -> None:
         self.options = options
         self.records = FakeRecords()
         self.dispatcher = FakeDispatcher()
@@ -193,9 +197,9 @@
         self.nodes = {node_id: FakeNode(node_id, node_id[0], self) for node_id in node_ids}
         for node in self.nodes.values():
             node.live = set(node_ids)
-            self.boot(node.node_id)
+            self.boot(node.node_id, start=start)
 
-    def boot(self, node_id: str, data_folder=None) -> RolloutService:
+    def boot(self, node_id: str, data_folder=None, start=True) -> RolloutService:
         """Start a node's service, without memory of an earlier one."""
         node = self.nodes[node_id]
         node.handlers.clear()
@@ -213,7 +217,8 @@
             clock=self.clock,
             wall_clock=self.clock,
         )
-        node.service.start()
+        if start:
+            node.service.start()
         self.down.discard(node_id)
         return node.service
 
--- /dev/null
+++ b/tests/rollouts/test_fuzz.py
@@ -0,0 +1,78 @@
+"""Stateful fuzzing of exactly-once delivery, and proof that it sees what it is meant to see."""
+
+from __future__ import annotations
+
+import os
+import unittest
+from unittest import mock
+
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from runkeel.rollouts.delivery import DeliveryLog
+from runkeel.rollouts.generation import TokenAccumulator
+from runkeel.rollouts.hand_over import StepDelivery
+from runkeel.rollouts.staleness_manager import StalenessManager
+from tests.rollouts.fuzz_machine import RolloutMachine
+
+EXAMPLES = int(os.environ.get("RUNKEEL_FUZZ_EXAMPLES", "150"))
+MUTANT_EXAMPLES = 400
+STEPS = 40
+
+
+def fuzz(examples: int, phases: tuple[Phase, ...]) -> None:
+    """Run the machine."""
+    run_state_machine_as_test(
+        RolloutMachine,
+        settings=settings(
+            derandomize="RUNKEEL_FUZZ_EXAMPLES" not in os.environ,
+            deadline=None,
+            max_examples=examples,
+            stateful_step_count=STEPS,
+            phases=phases,
+            database=None,
+            print_blob=False,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+class FuzzTest(unittest.TestCase):
+    def test_each_task_once_and_fresh_under_faults(self):
+        fuzz(EXAMPLES, (Phase.generate, Phase.shrink))
+
+
+class MutantTest(unittest.TestCase):
+    """Faults put into the code on purpose, which the machine must find."""
+
+    def assert_found(self, owner, name: str, replacement) -> None:
+        with mock.patch.object(owner, name, replacement), self.assertRaises(AssertionError):
+            fuzz(MUTANT_EXAMPLES, (Phase.generate,))
+
+    def test_handing_over_before_the_entry_is_decided(self):
+        self.assert_found(DeliveryLog, "_decide", lambda self, proposal: proposal)
+
+    def test_no_staleness_check_at_hand_over(self):
+        self.assert_found(StalenessManager, "is_fresh", lambda self, sample, version: True)
+
+    def test_a_new_owner_that_does_not_learn_the_entries(self):
+        self.assert_found(DeliveryLog, "learn", lambda self: [])
+
+    def test_tokens_taken_whatever_their_position(self):
+        def add(self, chunk):
+            self._extend(chunk.token_ids, chunk.weight_version)
+            self.finish_reason = chunk.finish_reason
+
+        self.assert_found(TokenAccumulator, "add", add)
+
+    def test_an_entry_served_without_its_lost_samples(self):
+        def serve(self, pull):
+            entry = self._log.entry(pull.cursor)
+            found = [self._sample_of(item, pull.trainer_version)[0] for item in entry.items]
+            return self._hand_over(pull, [sample for sample in found if sample is not None])
+
+        self.assert_found(StepDelivery, "_serve", serve)
+
+
+if __name__ == "__main__":
+    unittest.main()
