Bound steps' memory, tell lagging summaries from others' load, fetch copies side by side

Cause: a pool summary that still counted finished work made the planner hold back; a submission asked the copy holders one after the other; prompts of open steps had no common bound.

--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -7,8 +7,6 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-import gevent
-
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.rollouts import metrics
 from runkeel.rollouts.delivery import DeliveryEntry, DeliveryLog, ManifestItem, manifest_item
@@ -165,7 +163,7 @@
             for digest, node_ids in holders.items():
                 for node_id in node_ids | {self._replicator.node_id}:
                     digests.setdefault(node_id, []).append(digest)
-        gevent.spawn(self._replicator.release, self._step.key, digests)
+        self._replicator.release_later(self._step.key, digests)
 
     def _try_batch(self, pull: Pull, patience_is_over: bool) -> Batch | None:
         if pull.cursor < self._step.confirmed_cursors:
@@ -280,4 +278,4 @@
     if sample is None:
         return
     holders = {node_id: [sample.digest] for node_id in task.holders}
-    gevent.spawn(replicator.release, step.key, holders)
+    replicator.release_later(step.key, holders)
--- a/src/runkeel/rollouts/options.py
+++ b/src/runkeel/rollouts/options.py
@@ -15,6 +15,7 @@
         maximum_steps: open steps that this node owns.
         maximum_tasks_per_step: tasks in one step.
         maximum_step_bytes: size of a submitted step, in bytes.
+        maximum_steps_bytes: prompts of all open steps together, in characters.
         maximum_open_samples: samples that are being made or wait for delivery on this node.
         maximum_stored_samples: samples held here, replicas for other nodes included.
         maximum_stored_bytes: their token ids together, in bytes.
@@ -27,7 +28,8 @@
         generation_timeout_seconds: for one generation, resumptions included.
         minimum_in_flight: generations per model that may run however little slack is seen.
         retry_base_seconds, retry_limit_seconds: backoff of a task whose attempt failed.
-        scoring_concurrency: calls to scorers at once, and to one scorer.
+        scoring_concurrency: calls to scorers at once.
+        scoring_concurrency_per_scorer: calls to one scorer at once.
         scoring_timeout_seconds: for one call to a scorer.
         scoring_attempts: calls for one sample before the attempt counts as failed.
         hedge_tasks: a step's last tasks that may be run twice when engines idle; 0 turns it off.
@@ -39,9 +41,10 @@
         log_segment_bytes, log_maximum_bytes: of the sample log on disk.
     """
 
-    maximum_steps: int = 64
+    maximum_steps: int = 32
     maximum_tasks_per_step: int = 8_192
     maximum_step_bytes: int = 8 * MEBIBYTE
+    maximum_steps_bytes: int = 48 * MEBIBYTE
     maximum_open_samples: int = 4_096
     maximum_stored_samples: int = 16_384
     maximum_stored_bytes: int = 96 * MEBIBYTE
--- a/src/runkeel/rollouts/replication.py
+++ b/src/runkeel/rollouts/replication.py
@@ -5,6 +5,9 @@
 import time
 from collections.abc import Callable, Iterable
 
+import gevent
+from gevent.pool import Group
+
 from runkeel.api.interfaces import Membership, PeerClient, PeerHandlers
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.rollouts import metrics
@@ -38,6 +41,7 @@
         self._store = store
         self._options = options
         self._clock = clock
+        self._tasks = Group()
 
     @property
     def node_id(self) -> str:
@@ -92,14 +96,26 @@
         """Return the samples of a step that this and other nodes hold, each with its holders."""
         samples = {sample.digest: sample for sample in self._store.of_step(step)}
         holders = {digest: [self._membership.node_id] for digest in samples}
-        for member in self._ranking.copy_holders(step):
-            for sample in self._fetch_from(member.node_id, step, []):
-                if sample.step != step:
-                    continue
-                samples.setdefault(sample.digest, sample)
-                holders.setdefault(sample.digest, []).append(member.node_id)
+        members = self._ranking.copy_holders(step)
+        fetches = [
+            self._tasks.spawn(self._fetch_from, member.node_id, step, []) for member in members
+        ]
+        gevent.joinall(fetches)
+        for member, fetch in zip(members, fetches, strict=True):
+            for sample in fetch.value or ():
+                if sample.step == step:
+                    samples.setdefault(sample.digest, sample)
+                    holders.setdefault(sample.digest, []).append(member.node_id)
         return [(sample, tuple(holders[digest])) for digest, sample in samples.items()]
 
+    def release_later(self, step: StepKey, digests_by_holder: dict[str, list[bytes]]) -> None:
+        """Drop copies like :meth:`release`, without waiting for it."""
+        self._tasks.spawn(self.release, step, digests_by_holder)
+
+    def stop(self) -> None:
+        """Cancel calls that nobody waits for."""
+        self._tasks.kill()
+
     def release(self, step: StepKey, digests_by_holder: dict[str, list[bytes]]) -> None:
         """Drop copies here and elsewhere; copies on unreachable nodes expire by age."""
         for node_id, digests in digests_by_holder.items():
--- a/src/runkeel/rollouts/service.py
+++ b/src/runkeel/rollouts/service.py
@@ -125,6 +125,7 @@
     def stop(self) -> None:
         """Cancel everything that runs."""
         self._owner.stop()
+        self._replicator.stop()
         if self._log is not None:
             self._log.close()
 
--- a/src/runkeel/rollouts/staleness_manager.py
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -12,6 +12,7 @@
 
 from runkeel.api.configuration import DeliveryPreference, ModelSpec
 from runkeel.api.interfaces import Configuration, Membership
+from runkeel.rollouts.capacity import RecentMaximum, total_busy, total_slots
 from runkeel.rollouts.options import RolloutOptions
 from runkeel.rollouts.sample import Sample
 from runkeel.rollouts.step import Attempt, Step
@@ -19,6 +20,8 @@
 _DEFAULT_SPEC = ModelSpec()
 _TAIL_FRACTION = 0.1
 _IDLE_FRACTION = 0.5
+_LOAD_FOR_IDLE_TIME = 1.1
+_LOAD_FOR_STALENESS = 1.0
 
 
 class StalenessManager:
@@ -37,6 +40,7 @@
         self._options = options
         self._clock = clock
         self._wall_clock = wall_clock
+        self._in_flight: dict[str, RecentMaximum] = {}
 
     def spec(self, model: str) -> ModelSpec:
         """Return the model's configuration in force."""
@@ -86,19 +90,29 @@
     def capacity(self, model: str, in_flight_here: int) -> int:
         """Return how many more generations this node may start for the model."""
         summaries = self._membership.pool_summaries(model)
-        slots = sum(summary.slots for summary in summaries)
-        busy = sum(summary.in_flight + summary.queued for summary in summaries)
-        others = max(0, busy - in_flight_here)
-        share = slots * self.spec(model).rollout_share
-        allowed = max(self._options.minimum_in_flight, int(share) - others)
+        recent = self._in_flight.setdefault(model, RecentMaximum())
+        # The summaries lag: they may still count what has finished here since. Without the
+        # maximum, finished work would pass for that of others, and engines would idle.
+        counted_here = recent.note(self._clock(), in_flight_here)
+        others = max(0, total_busy(summaries) - counted_here)
+        slots = int(total_slots(summaries) * self._target_load(model))
+        allowed = max(self._options.minimum_in_flight, slots - others)
         return max(0, allowed - in_flight_here)
 
     def engines_idle(self, model: str) -> bool:
         """Return whether most slots of the model's engines are free."""
         summaries = self._membership.pool_summaries(model)
-        slots = sum(summary.slots for summary in summaries)
-        busy = sum(summary.in_flight + summary.queued for summary in summaries)
-        return busy < slots * _IDLE_FRACTION
+        return total_busy(summaries) < total_slots(summaries) * _IDLE_FRACTION
+
+    def _target_load(self, model: str) -> float:
+        """Return the work in the pool to aim at, as a multiple of its slots.
+
+        Idle time asks for a short queue, so that a slot that falls free is filled at once.
+        The share that callers must be left is the dispatcher's to enforce.
+        """
+        if self.spec(model).prefer is DeliveryPreference.IDLE_TIME:
+            return _LOAD_FOR_IDLE_TIME
+        return _LOAD_FOR_STALENESS
 
     def startable_steps(self, steps: list[Step]) -> list[Step]:
         """Return the steps of one model whose tasks may start now, most urgent first.
--- a/src/runkeel/rollouts/step.py
+++ b/src/runkeel/rollouts/step.py
@@ -103,6 +103,7 @@
     """An open step of this node.
 
     Attributes:
+        size: characters of the prompts.
         trainer_version: latest version that the trainer stated for this step.
         pulled: whether the trainer has asked for samples, so that the step is its present one.
         confirmed_cursors: entries below this cursor are confirmed.
@@ -116,6 +117,7 @@
         self.key = key
         self.digest = step_digest(specs)
         self.tasks: dict[str, Task] = {spec.task_id: Task(spec) for spec in specs}
+        self.size = sum(len(spec.prompt) for spec in specs)
         self.trainer_version = trainer_version
         self.pulled = False
         self.confirmed_cursors = 0
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -129,7 +129,7 @@
         opened = self._steps.get(submission.key)
         adopted = 0
         if opened is None:
-            self._check_room()
+            self._check_room(step)
             opened = self._open(step)
             adopted = self._adopt_samples(opened.step)
         if opened.step.digest != step.digest:
@@ -152,10 +152,12 @@
             raise not_run(ErrorCode.UNKNOWN_STEP, f"step {key.step_id} is not open here")
         return opened.delivery.pull(pull)
 
-    def _check_room(self) -> None:
+    def _check_room(self, new: Step) -> None:
         if self._draining:
             raise not_run(ErrorCode.NODE_LEAVING, "no new steps", _RETRY_AFTER_SECONDS)
-        if len(self._steps) >= self._options.maximum_steps:
+        size = new.size + sum(opened.step.size for opened in self._steps.values())
+        too_many = len(self._steps) >= self._options.maximum_steps
+        if too_many or size > self._options.maximum_steps_bytes:
             finished = [opened.step for opened in self._steps.values() if opened.step.finished]
             if not finished:
                 raise not_run(ErrorCode.SERVICE_LIMIT, "too many open steps", _RETRY_AFTER_SECONDS)
@@ -247,12 +249,17 @@
             for task in self._planner.hopeless_samples(step):
                 drop_sample(step, task, self._replicator, "too_stale")
             unused = now - step.last_used_at
-            if unused > self._options.step_idle_seconds or (
-                step.finished and unused > self._options.finished_step_seconds
-            ):
+            if unused > self._longest_unused(step):
                 self._close(step)
         self._store.expire(lambda model: self._staleness.spec(model).max_staleness_seconds)
 
+    def _longest_unused(self, step: Step) -> float:
+        """Return for how long a step is kept that nobody asks for, in s."""
+        if step.undelivered_count() == 0:
+            # Most likely consumed, by a trainer that did not ask for the end.
+            return self._options.finished_step_seconds
+        return self._options.step_idle_seconds
+
     def _close(self, step: Step) -> None:
         step.close()
         self._steps.pop(step.key, None)
