--- /dev/null
+++ b/tests/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the lab."""
