--- /dev/null
+++ b/src/runkeel/backends/http_connection.py
@@ -0,0 +1,274 @@
+"""Keep-alive HTTP/1.1 connections to one back end, with a verdict for every failure.
+
+The parser is geventhttpclient's (llhttp). Its own pool is not used because it can't tell whether a
+byte of the request was written, which decides between ``NOT_RUN`` and ``MAY_HAVE_RUN``.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import gevent.socket
+from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPResponse
+
+from runkeel.api.machines import Address
+from runkeel.errors import ErrorCode, RunkeelError, may_have_run, not_run
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+RECEIVE_BYTES = 65_536
+MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+MAXIMUM_IDLE_CONNECTIONS = 32
+MAXIMUM_IDLE_SECONDS = 20.0
+_FIRST_FINAL_STATUS = 200
+
+
+class _Answer(HTTPResponse):
+    """Parser of exactly one answer; bytes beyond its end are an error."""
+
+    def _on_message_begin(self) -> None:
+        if self.message_complete and self.get_code() >= _FIRST_FINAL_STATUS:
+            raise HTTPProtocolViolationError("bytes after the end of the answer")
+        super()._on_message_begin()
+
+    @property
+    def finished(self) -> bool:
+        """Whether the final answer is complete; interim (1xx) answers don't count."""
+        return self.message_complete and self.get_code() >= _FIRST_FINAL_STATUS
+
+    @property
+    def final_headers_complete(self) -> bool:
+        """Whether the headers of the final answer have come."""
+        return self.headers_complete and self.get_code() >= _FIRST_FINAL_STATUS
+
+    def take_body(self) -> bytes:
+        """Return the body bytes parsed so far and forget them."""
+        body = bytes(self._body_buffer)
+        self._body_buffer.clear()
+        return body
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Body bytes parsed and not yet taken."""
+        return len(self._body_buffer)
+
+
+@dataclass(slots=True)
+class HttpAnswer:
+    """A whole answer of a back end."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class HttpAnswerStream:
+    """An answer whose body is read as it comes. Close it, also when it has ended."""
+
+    def __init__(self, pool: HttpConnectionPool, sock: gevent.socket.socket, answer: _Answer):
+        self._pool = pool
+        self._sock: gevent.socket.socket | None = sock
+        self._answer = answer
+        self.status = answer.get_code()
+
+    def chunks(self, deadline: float) -> Iterator[bytes]:
+        """Yield body bytes as they arrive, until the answer's end.
+
+        Raises:
+            RunkeelError: TRUNCATED_ANSWER, BACKEND_LOST or DEADLINE_EXCEEDED (MAY_HAVE_RUN).
+        """
+        while True:
+            body = self._answer.take_body()
+            if body:
+                yield body
+            if self._answer.finished:
+                return
+            if self._sock is None:
+                raise may_have_run(ErrorCode.CANCELLED, "the stream was closed")
+            _receive_into(self._sock, self._answer, deadline)
+
+    def close(self) -> None:
+        """Give the connection back if the answer was read to its end, else close it."""
+        sock, self._sock = self._sock, None
+        if sock is not None:
+            self._pool.give_back(sock, self._answer)
+
+
+class HttpConnectionPool:
+    """Connections to one back end."""
+
+    def __init__(
+        self, address: Address, maximum_answer_bytes: int = MAXIMUM_ANSWER_BYTES
+    ) -> None:
+        self._address = (address.host, address.port)
+        self._host = str(address)
+        self._maximum_answer_bytes = maximum_answer_bytes
+        self._idle: list[tuple[gevent.socket.socket, float]] = []
+        self._closed = False
+
+    def request(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        deadline: float,
+        before_send: Callable[[], None] | None = None,
+    ) -> HttpAnswer:
+        """Send a request and return the whole answer.
+
+        Args:
+            deadline: monotonic time at which to give up.
+            before_send: called once, right before the first byte is written; if it raises,
+                nothing is sent.
+
+        Raises:
+            RunkeelError: BACKEND_UNREACHABLE (NOT_RUN: no byte was sent); BACKEND_LOST,
+                TRUNCATED_ANSWER or DEADLINE_EXCEEDED (MAY_HAVE_RUN).
+        """
+        sock, answer = self._exchange_headers(method, target, headers, body, deadline, before_send)
+        try:
+            while not answer.finished:
+                if answer.buffered_bytes > self._maximum_answer_bytes:
+                    raise may_have_run(ErrorCode.BACKEND_LOST, "the answer is too large")
+                _receive_into(sock, answer, deadline)
+        finally:
+            self.give_back(sock, answer)
+        return HttpAnswer(answer.get_code(), list(answer.items()), answer.take_body())
+
+    def open_stream(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        deadline: float,
+        before_send: Callable[[], None] | None = None,
+    ) -> HttpAnswerStream:
+        """Send a request and return after the answer's headers. Raises like :meth:`request`."""
+        sock, answer = self._exchange_headers(method, target, headers, body, deadline, before_send)
+        return HttpAnswerStream(self, sock, answer)
+
+    def give_back(self, sock: gevent.socket.socket, answer: _Answer) -> None:
+        """Keep a connection whose answer ended cleanly; close any other."""
+        reusable = answer.finished and not answer.should_close()
+        if self._closed or not reusable or len(self._idle) >= MAXIMUM_IDLE_CONNECTIONS:
+            sock.close()
+            return
+        self._idle.append((sock, time.monotonic()))
+
+    def close(self) -> None:
+        """Close the idle connections; connections in use are closed when given back."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop()[0].close()
+
+    def _exchange_headers(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        deadline: float,
+        before_send: Callable[[], None] | None,
+    ) -> tuple[gevent.socket.socket, _Answer]:
+        head = _encode_head(method, target, self._host, headers, len(body))
+        sock = self._connection(deadline)
+        answer = _Answer(method)
+        try:
+            if before_send is not None:
+                before_send()
+            _send(sock, head + body, deadline)
+            while not answer.final_headers_complete:
+                _receive_into(sock, answer, deadline)
+        except BaseException:
+            sock.close()
+            raise
+        return sock, answer
+
+    def _connection(self, deadline: float) -> gevent.socket.socket:
+        now = time.monotonic()
+        while self._idle:
+            sock, idle_since = self._idle.pop()
+            if now - idle_since < MAXIMUM_IDLE_SECONDS and _is_quiet(sock):
+                return sock
+            sock.close()
+        return self._connect(deadline - now)
+
+    def _connect(self, remaining_seconds: float) -> gevent.socket.socket:
+        if remaining_seconds <= 0:
+            raise not_run(ErrorCode.DEADLINE_EXCEEDED, "no time left to connect")
+        sock = gevent.socket.socket()
+        try:
+            sock.settimeout(min(CONNECT_TIMEOUT_SECONDS, remaining_seconds))
+            sock.connect(self._address)
+            sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+        except OSError as error:
+            sock.close()
+            raise not_run(ErrorCode.BACKEND_UNREACHABLE, f"{self._host}: {error}") from error
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
+
+def _encode_head(
+    method: str, target: str, host: str, headers: list[tuple[str, str]], body_bytes: int
+) -> bytes:
+    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
+    lines.extend(f"{name}: {value}" for name, value in headers)
+    if body_bytes or method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"Content-Length: {body_bytes}")
+    text = "\r\n".join(lines)
+    if text.count("\r") != len(lines) - 1 or text.count("\n") != len(lines) - 1:
+        raise not_run(ErrorCode.BAD_REQUEST, "line break in the request's head")
+    try:
+        return text.encode("latin-1") + b"\r\n\r\n"
+    except UnicodeEncodeError:
+        raise not_run(ErrorCode.BAD_REQUEST, "character outside latin-1 in the head") from None
+
+
+def _is_quiet(sock: gevent.socket.socket) -> bool:
+    """Return whether an idle connection is open and has no unread bytes."""
+    sock.settimeout(0.0)
+    try:
+        sock.recv(1, gevent.socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
+def _send(sock: gevent.socket.socket, data: bytes, deadline: float) -> None:
+    sock.settimeout(max(0.001, deadline - time.monotonic()))
+    try:
+        sock.sendall(data)
+    except TimeoutError as error:
+        raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, "time-out while sending") from error
+    except OSError as error:
+        raise may_have_run(ErrorCode.BACKEND_LOST, f"while sending: {error}") from error
+
+
+def _receive_into(sock: gevent.socket.socket, answer: _Answer, deadline: float) -> None:
+    sock.settimeout(max(0.001, deadline - time.monotonic()))
+    try:
+        data = sock.recv(RECEIVE_BYTES)
+    except TimeoutError as error:
+        raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, "no answer in time") from error
+    except OSError as error:
+        raise _cut(answer, str(error)) from error
+    if not data:
+        raise _cut(answer, "connection closed")
+    try:
+        answer.feed(data)
+    except HTTPParseError as error:
+        raise may_have_run(ErrorCode.BACKEND_LOST, f"broken answer: {error}") from error
+
+
+def _cut(answer: _Answer, detail: str) -> RunkeelError:
+    """Build the error for a connection that ended before the answer's end."""
+    if answer.final_headers_complete:
+        return may_have_run(ErrorCode.TRUNCATED_ANSWER, detail)
+    return may_have_run(ErrorCode.BACKEND_LOST, detail)
--- /dev/null
+++ b/src/runkeel/requests/place.py
@@ -0,0 +1,124 @@
+"""Placement at the entry: which owner node gets a request.
+
+Power of two choices on the owners' summaries (Mitzenmacher, "The Power of Two Choices in Randomized
+Load Balancing", 2001), the entry's own zone first. The summaries are up to a second old; what this
+entry has itself sent since is added to them.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from runkeel.api.interfaces import MachineView, Membership, Ownership
+from runkeel.api.machines import PoolSummary
+from runkeel.requests.backend_choice import PoolId
+
+OVERFLOW_MARGIN_MS = 20
+"""Another zone is chosen when it would save at least so much waiting."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Candidate:
+    node_id: str
+    in_zone: bool
+    load: float
+    wait_ms: float
+    slots: int
+
+
+class Placement:
+    """Chooses owners, and counts what this entry has under way at each."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        machines: MachineView,
+        ownership: Ownership,
+        generator: random.Random | None = None,
+    ) -> None:
+        self._membership = membership
+        self._machines = machines
+        self._ownership = ownership
+        self._random = generator or random.Random()
+        self._outstanding: dict[tuple[str, str], int] = {}
+
+    def choose(
+        self, pool: PoolId, exclude: Collection[str] = (), minimum_version: int = 0
+    ) -> str | None:
+        """Return the node id of an owner of the pool, or None when no live node owns one."""
+        candidates = self._candidates(pool, exclude, minimum_version)
+        if not candidates:
+            return self._choose_by_ownership(pool, exclude)
+        near = [candidate for candidate in candidates if candidate.in_zone]
+        far = [candidate for candidate in candidates if not candidate.in_zone]
+        best_near = self._best_of_two(near)
+        best_far = self._best_of_two(far)
+        if best_near is None or best_far is None:
+            chosen = best_near or best_far
+        elif best_near.wait_ms > best_far.wait_ms + OVERFLOW_MARGIN_MS:
+            chosen = best_far
+        else:
+            chosen = best_near
+        return chosen.node_id
+
+    def sent(self, pool: PoolId, node_id: str) -> None:
+        """Count an attempt under way."""
+        key = (pool.name, node_id)
+        self._outstanding[key] = self._outstanding.get(key, 0) + 1
+
+    def ended(self, pool: PoolId, node_id: str) -> None:
+        """End what :meth:`sent` began."""
+        key = (pool.name, node_id)
+        left = self._outstanding[key] - 1
+        if left:
+            self._outstanding[key] = left
+        else:
+            del self._outstanding[key]
+
+    def _candidates(
+        self, pool: PoolId, exclude: Collection[str], minimum_version: int
+    ) -> list[_Candidate]:
+        return [
+            self._candidate(pool, summary)
+            for summary in self._membership.pool_summaries(pool.name)
+            if summary.slots > 0
+            and summary.node_id not in exclude
+            and summary.maximum_version >= minimum_version
+            and self._membership.is_live(summary.node_id)
+        ]
+
+    def _candidate(self, pool: PoolId, summary: PoolSummary) -> _Candidate:
+        outstanding = self._outstanding.get((pool.name, summary.node_id), 0)
+        busy = max(summary.in_flight + summary.queued, outstanding)
+        member = self._membership.member(summary.node_id)
+        in_zone = member is not None and member.zone == self._membership.zone
+        load = busy / summary.slots
+        return _Candidate(
+            summary.node_id, in_zone, load, summary.projected_wait_ms, summary.slots
+        )
+
+    def _best_of_two(self, candidates: list[_Candidate]) -> _Candidate | None:
+        if not candidates:
+            return None
+        if len(candidates) > 2:
+            weights = [candidate.slots for candidate in candidates]
+            candidates = self._random.choices(candidates, weights, k=2)
+        elif len(candidates) == 2 and self._random.random() < 0.5:
+            candidates = candidates[::-1]
+        return min(candidates, key=lambda candidate: (candidate.load, candidate.wait_ms))
+
+    def _choose_by_ownership(self, pool: PoolId, exclude: Collection[str]) -> str | None:
+        """Fall back to the ownership rule while no summary is known, as after a start."""
+        owners = {
+            self._ownership.owner_of(machine.machine_id)
+            for machine in self._machines.machines(pool.kind, pool.name)
+            if not self._machines.is_leaving(machine.machine_id)
+        }
+        live = sorted(
+            owner
+            for owner in owners
+            if owner is not None and owner not in exclude and self._membership.is_live(owner)
+        )
+        return self._random.choice(live) if live else None
--- /dev/null
+++ b/tests/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of runkeel.backends."""
--- a/wire/requests.thrift
+++ b/wire/requests.thrift
@@ -69,15 +69,24 @@
 struct Withdraw {
   1: string request_id,
   2: i32 attempt,
+  3: i64 age_ms,             // since the sender began to send the request; see docs/design/requests.md
 }
 
 struct WithdrawReply {
   1: i32 state,
 }
 
+/** Value of a claim record: who may dispatch the request, once. */
+struct Claim {
+  1: string node_id,
+  2: i64 incarnation,
+  3: string request_id,
+  4: binary request_digest,  // SHA-256 of method, path and body
+}
+
 /** Asks the claimant of an idempotency key for the answer that it recorded. */
 struct AnswerLookup {
-  1: string key,
+  1: string key,             // request id of the claimant's request
   2: i64 wait_ms,
 }
 
@@ -85,4 +94,5 @@
   1: bool found,
   2: bool in_progress,
   3: optional ApplicationResponse response,
+  4: optional common.ErrorReport error,  // NOT_RUN: the claim is closed for good without a run
 }
