--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -98,9 +98,7 @@
 class HttpConnectionPool:
     """Connections to one back end."""
 
-    def __init__(
-        self, address: Address, maximum_answer_bytes: int = MAXIMUM_ANSWER_BYTES
-    ) -> None:
+    def __init__(self, address: Address, maximum_answer_bytes: int = MAXIMUM_ANSWER_BYTES) -> None:
         self._address = (address.host, address.port)
         self._host = str(address)
         self._maximum_answer_bytes = maximum_answer_bytes
--- a/src/runkeel/requests/accepted.py
+++ b/src/runkeel/requests/accepted.py
@@ -1,7 +1,7 @@
-"""The owner's table of requests by (request id, attempt), the source of its proofs of ``NOT_RUN``.
+"""The owner's table of requests by (request id, attempt): the source of its proofs of ``NOT_RUN``.
 
-A request moves from queued to sent to finished, or from queued to withdrawn, never back. The step to
-sent and the step to withdrawn exclude each other: neither yields to another task.
+A request moves from queued to sent to finished, or from queued to withdrawn, never back. The step
+to sent and the step to withdrawn exclude each other: neither yields to another task.
 """
 
 from __future__ import annotations
--- a/src/runkeel/requests/backend_choice.py
+++ b/src/runkeel/requests/backend_choice.py
@@ -92,7 +92,9 @@
 
 def make_client(machine: Machine) -> ApplicationClient | EngineClient:
     """Return the client for a back end of its kind."""
-    return EngineClient(machine) if machine.kind is MachineKind.ENGINE else ApplicationClient(machine)
+    return (
+        EngineClient(machine) if machine.kind is MachineKind.ENGINE else ApplicationClient(machine)
+    )
 
 
 class OwnedBackends:
--- a/src/runkeel/requests/deadline.py
+++ b/src/runkeel/requests/deadline.py
@@ -53,5 +53,3 @@
     if not (text.isascii() and text.isdigit() and len(text) <= 9) or int(text) == 0:
         raise not_run(ErrorCode.BAD_DEADLINE, "the deadline is no positive number of milliseconds")
     return min(int(text), MAXIMUM_DEADLINE_MS)
-
-
--- a/src/runkeel/requests/dispatch.py
+++ b/src/runkeel/requests/dispatch.py
@@ -111,16 +111,16 @@
         """Try to turn an unknown outcome into a proof by withdrawing the attempt."""
         if error.verdict is not Verdict.MAY_HAVE_RUN or error.code not in _WITHDRAWABLE:
             return error
-        state = self.withdraw(node_id, envelope, started)
+        state = self.withdraw(node_id, envelope.request_id, envelope.attempt, started)
         if state is RequestState.WITHDRAWN:
             return not_run(error.code, error.detail, error.retry_after_seconds)
         return error
 
-    def withdraw(self, node_id: str, envelope: RequestEnvelope, started: float) -> RequestState:
+    def withdraw(self, node_id: str, request_id: str, attempt: int, started: float) -> RequestState:
         """Withdraw an attempt begun at ``started``; UNKNOWN when the owner can't say."""
         asked = time.monotonic()
         epoch = self._pauses.epoch()
-        message = Withdraw(envelope.request_id, envelope.attempt, int((asked - started) * 1_000) + 1)
+        message = Withdraw(request_id, attempt, int((asked - started) * 1_000) + 1)
         state = RequestState.UNKNOWN
         try:
             reply = self._peers.call(
--- a/src/runkeel/requests/dispatcher.py
+++ b/src/runkeel/requests/dispatcher.py
@@ -5,24 +5,16 @@
 import time
 from collections.abc import Iterator
 
-import gevent
-from gevent.queue import Empty, SimpleQueue
-
-from runkeel.api.interfaces import Configuration, PeerClient, PeerStream
+from runkeel.api.interfaces import Configuration, PeerClient
 from runkeel.api.machines import MachineKind
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.requests.backend_choice import PoolId
 from runkeel.requests.deadline import Deadline
 from runkeel.requests.dispatch import Attempts, AttemptSender
 from runkeel.requests.generation import GenerationAttempt, GenerationProgress
+from runkeel.requests.hedging import HedgedRace
 from runkeel.requests.latencies import LatencyQuantile
-from runkeel.requests.metrics import (
-    DROPPED_ANSWERS,
-    HEDGES,
-    HEDGES_WON,
-    RESUMED_GENERATIONS,
-    RETRIES,
-)
+from runkeel.requests.metrics import RESUMED_GENERATIONS, RETRIES
 from runkeel.requests.place import Placement
 from runkeel.requests.retry_budget import RetryBudget
 from runkeel.wire.generated.requests.ttypes import (
@@ -157,9 +149,7 @@
     def _place(self, pool: PoolId, attempts: Attempts, minimum_version: int = 0) -> str:
         node_id = self._placement.choose(pool, attempts.tried, minimum_version)
         if node_id is None:
-            raise not_run(
-                ErrorCode.NO_BACKEND, "no live owner", NO_BACKEND_RETRY_AFTER_SECONDS
-            )
+            raise not_run(ErrorCode.NO_BACKEND, "no live owner", NO_BACKEND_RETRY_AFTER_SECONDS)
         return node_id
 
     def _may_retry(
@@ -186,8 +176,23 @@
         delay = self._hedge_delay(pool, request)
         if delay is None or delay >= deadline.remaining_seconds():
             return self._attempt(pool, node_id, request, attempts.begin(), attempts, deadline)
-        race = _Race(self, pool, request, attempts, deadline)
-        return race.run(node_id, delay)
+        race = HedgedRace(
+            run=lambda node, number: self._attempt(pool, node, request, number, attempts, deadline),
+            begin=attempts.begin,
+            place_hedge=lambda: self._place_hedge(pool, node_id, attempts),
+            withdraw=lambda node, number, started: self._sender.withdraw(
+                node, request.envelope.request_id, number, started
+            ),
+            note_failure=attempts.note,
+        )
+        return race.decide(node_id, delay)
+
+    def _place_hedge(self, pool: PoolId, first: str, attempts: Attempts) -> str | None:
+        """Return the node for a second copy: another owner, else the same one's other back end."""
+        if not self._budget_of(pool).spend():
+            return None
+        other = self._placement.choose(pool, attempts.tried | {first})
+        return other or first
 
     def _attempt(
         self,
@@ -218,11 +223,16 @@
         return None if delay is None else max(MINIMUM_HEDGE_DELAY_SECONDS, delay)
 
     def _budget(self, pool: PoolId) -> RetryBudget:
+        """Return the pool's budget after noting one more first attempt."""
+        budget = self._budget_of(pool)
+        spec = self._configuration.service(pool.name) or self._configuration.model(pool.name)
+        budget.earn(spec.retry_budget if spec is not None else DEFAULT_RETRY_RATIO)
+        return budget
+
+    def _budget_of(self, pool: PoolId) -> RetryBudget:
         budget = self._budgets.get(pool)
         if budget is None:
             budget = self._budgets[pool] = RetryBudget()
-        spec = self._configuration.service(pool.name) or self._configuration.model(pool.name)
-        budget.earn(spec.retry_budget if spec is not None else DEFAULT_RETRY_RATIO)
         return budget
 
     def _latency(self, pool: PoolId) -> LatencyQuantile:
--- a/src/runkeel/requests/generation_run.py
+++ b/src/runkeel/requests/generation_run.py
@@ -87,10 +87,11 @@
 
     def _watch(self) -> None:
         try:
-            while self._stream.receive()[0]:
+            while self._stream.receive(self._request.envelope.remaining_ms / 1_000)[0]:
                 pass
         except RunkeelError:
-            # The entry node gave up or is gone; withdraw() wakes the queue or calls cancel().
+            # The entry node gave up or is gone, or the time is up. The withdrawal wakes the
+            # task that waits in the queue, or calls cancel().
             self._withdraw()
 
     def _cancel_at_engine(self, client: EngineClient) -> None:
--- a/src/runkeel/requests/owner.py
+++ b/src/runkeel/requests/owner.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import gevent
-
 from runkeel.api.interfaces import Configuration, Membership, PeerHandlers, PeerStream
 from runkeel.api.machines import MachineKind, PoolSummary
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
@@ -273,10 +271,3 @@
         if not self._backends.accepts_work(backend):
             raise not_run(ErrorCode.BACKEND_UNREACHABLE, "the back end has just been taken out")
         run.row.mark_sent()
-
-
-def run_ticks(owner: Owner, interval_seconds: float) -> None:
-    """Tick for ever; run as a task."""
-    while True:
-        gevent.sleep(interval_seconds)
-        owner.tick()
--- a/src/runkeel/requests/owner_queue.py
+++ b/src/runkeel/requests/owner_queue.py
@@ -1,7 +1,7 @@
 """Queue of one pool at the owner of its back ends.
 
-Requests wait by priority rank, first come first served within a rank. What can't meet its deadline by
-the projected wait is refused at once, when it comes or as soon as the projection shows it.
+Requests wait by priority rank, first come first served within a rank. What can't meet its deadline
+by the projected wait is refused at once, when it comes or as soon as the projection shows it.
 """
 
 from __future__ import annotations
@@ -120,7 +120,7 @@
                 return
 
     def shed(self) -> None:
-        """Refuse now whoever can't get a slot before its deadline, and all if no back end is left."""
+        """Refuse now whoever can no longer get a slot before its deadline."""
         slots = self._backends.total_slots(self._pool)
         kept = 0
         for waiter in list(self._waiting):
--- a/src/runkeel/requests/place.py
+++ b/src/runkeel/requests/place.py
@@ -95,9 +95,7 @@
         member = self._membership.member(summary.node_id)
         in_zone = member is not None and member.zone == self._membership.zone
         load = busy / summary.slots
-        return _Candidate(
-            summary.node_id, in_zone, load, summary.projected_wait_ms, summary.slots
-        )
+        return _Candidate(summary.node_id, in_zone, load, summary.projected_wait_ms, summary.slots)
 
     def _best_of_two(self, candidates: list[_Candidate]) -> _Candidate | None:
         if not candidates:
