--- a/tests/requests/test_applications.py
+++ b/tests/requests/test_applications.py
@@ -5,13 +5,10 @@
 import json
 import unittest
 
-import gevent
-
 from runkeel.api.configuration import PriorityClassSpec, ServiceSpec
-from runkeel.api.machines import Address, MachineKind
+from runkeel.api.machines import MachineKind
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
-from runkeel.wire.generated.common.ttypes import MessageType
-from tests.requests.fakes import FakeApplication, FakeCluster, LinkFaults, machine
+from tests.requests.fakes import FakeApplication, FakeCluster, machine
 
 
 class ClusterCase(unittest.TestCase):
