--- /dev/null
+++ b/src/runkeel/operators/prompt.py
@@ -0,0 +1,93 @@
+"""Interactive prompt with history and completion from the grammar."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+from prompt_toolkit import PromptSession
+from prompt_toolkit.completion import CompleteEvent, Completer, Completion
+from prompt_toolkit.document import Document
+from prompt_toolkit.history import FileHistory, History, InMemoryHistory
+
+from runkeel.errors import RunkeelError
+from runkeel.operators.client import OperatorClient
+from runkeel.operators.language import CHANGEABLE_KINDS, accepts_word, expected_words
+from runkeel.operators.sources import RESOURCES
+from runkeel.operators.values import field_names
+
+HISTORY_FILE = Path("~/.runkeel_history")
+_LEAVE = ("exit", "quit")
+_KIND_VERBS = ("set", "create", "delete")
+
+
+class CommandCompleter(Completer):
+    """Completes keywords, resources, columns, kinds and fields.
+
+    Args:
+        resources: columns of each resource that the node offers.
+    """
+
+    def __init__(self, resources: dict[str, list[str]]) -> None:
+        self._resources = resources
+
+    def get_completions(
+        self, document: Document, complete_event: CompleteEvent
+    ) -> Iterable[Completion]:
+        """Yield what may complete the word before the cursor."""
+        text = document.text_before_cursor
+        fragment = "" if not text or text[-1] in " ,=<>" else text.split()[-1]
+        before = text[: len(text) - len(fragment)]
+        for word in sorted({*expected_words(before), *self._free_words(before)}):
+            if word.startswith(fragment):
+                yield Completion(word, start_position=-len(fragment))
+
+    def _free_words(self, before: str) -> Iterator[str]:
+        """Yield the names that fit where the grammar takes a free word."""
+        words = before.split()
+        if not words or not accepts_word(before):
+            return
+        if words == ["show"]:
+            yield from self._resources
+        elif words[0] == "show" and words[-1] in ("where", "and", "by"):
+            yield from self._resources.get(words[1], ())
+        elif words[0] in _KIND_VERBS and len(words) == 1:
+            yield from CHANGEABLE_KINDS
+        elif words[0] in _KIND_VERBS and words[1] in CHANGEABLE_KINDS and len(words) >= 3:
+            yield from field_names(CHANGEABLE_KINDS[words[1]])
+
+
+def run_prompt(client: OperatorClient, output_format: str) -> int:
+    """Read and run lines until the end of input; return the last exit code."""
+    from runkeel.operators.ctl import ExitCode, run_once
+
+    session = PromptSession(history=_history(), completer=CommandCompleter(_resources(client)))
+    code = ExitCode.OK
+    while True:
+        try:
+            line = session.prompt("runkeel> ").strip()
+        except KeyboardInterrupt:
+            continue
+        except EOFError:
+            return code
+        if line in _LEAVE:
+            return code
+        if line:
+            code = run_once(client, line, output_format)
+
+
+def _resources(client: OperatorClient) -> dict[str, list[str]]:
+    try:
+        document = client.send(f"show {RESOURCES}").document
+    except RunkeelError:
+        return {}
+    return {row[0]: row[1].split(", ") for row in document.get("rows", ())}
+
+
+def _history() -> History:
+    path = HISTORY_FILE.expanduser()
+    try:
+        path.touch(mode=0o600)
+    except OSError:
+        return InMemoryHistory()
+    return FileHistory(str(path))
--- /dev/null
+++ b/src/runkeel/operators/selection.py
@@ -0,0 +1,86 @@
+"""Filters, orders and cuts the rows of a table as a query asks."""
+
+from __future__ import annotations
+
+import operator
+from collections.abc import Callable
+from typing import Any
+
+from runkeel.operators.diagnostics import bad_command
+from runkeel.operators.sources import QuerySource, Row
+from runkeel.operators.statements import Comparison, Condition, Scalar, ShowQuery, Word
+from runkeel.operators.values import parse_scalar
+
+_COMPARE: dict[Comparison, Callable[[Any, Any], bool]] = {
+    Comparison.EQUAL: operator.eq,
+    Comparison.NOT_EQUAL: operator.ne,
+    Comparison.LESS: operator.lt,
+    Comparison.LESS_OR_EQUAL: operator.le,
+    Comparison.GREATER: operator.gt,
+    Comparison.GREATER_OR_EQUAL: operator.ge,
+}
+
+
+def check_columns(text: str, query: ShowQuery, source: QuerySource) -> None:
+    """Check that all fields that a query names exist.
+
+    Raises:
+        RunkeelError: BAD_COMMAND.
+    """
+    words = [condition.field for condition in query.conditions]
+    if query.order_by is not None:
+        words.append(query.order_by)
+    for word in words:
+        if word.text not in source.columns:
+            problem = f"{source.name} has no field {word.text!r}"
+            raise bad_command(text, word.column, problem, word.text, source.columns)
+
+
+def select(query: ShowQuery, columns: tuple[str, ...], rows: list[Row]) -> list[Row]:
+    """Return the rows that the query asks for, in its order."""
+    for condition in query.conditions:
+        index = columns.index(condition.field.text)
+        rows = [row for row in rows if _matches(row[index], condition)]
+    if query.order_by is not None:
+        rows = _ordered(rows, columns.index(query.order_by.text), query.descending)
+    return rows if query.limit is None else rows[: query.limit]
+
+
+def _ordered(rows: list[Row], index: int, descending: bool) -> list[Row]:
+    return sorted(rows, key=lambda row: _sort_key(row[index]), reverse=descending)
+
+
+def _sort_key(value: Scalar) -> tuple[int, Any]:
+    """Order null before numbers before text, so that mixed columns can be sorted."""
+    if value is None:
+        return (0, 0)
+    if isinstance(value, bool | int | float):
+        return (1, value)
+    return (2, value)
+
+
+def _matches(value: Scalar, condition: Condition) -> bool:
+    wanted = _wanted(value, condition.value)
+    if condition.comparison is Comparison.CONTAINS:
+        return condition.value.text in _text(value)
+    if condition.comparison is Comparison.NOT_EQUAL:
+        return value != wanted
+    if value is None or wanted is None:
+        return condition.comparison is Comparison.EQUAL and value is wanted
+    return _COMPARE[condition.comparison](value, wanted)
+
+
+def _wanted(value: Scalar, word: Word) -> Scalar:
+    """Return the condition's value in the type of the row's value."""
+    if isinstance(value, str):
+        return word.text
+    scalar = parse_scalar(word.text)
+    if value is None or isinstance(scalar, str):
+        return None
+    return scalar
+
+
+def _text(value: Scalar) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    return "" if value is None else str(value)
