--- a/src/runkeel/operators/standard_sources.py
+++ b/src/runkeel/operators/standard_sources.py
@@ -96,7 +96,7 @@
         sources.add("commands", COMMAND_COLUMNS, self.commands.rows, everywhere=True)
         sources.add("config", CONFIG_COLUMNS, self.config)
         for kind, plural in _PLURALS.items():
-            columns = ("name", "generation", *_fields_of(kind))
+            columns = ("name", "generation", *field_names(kind))
             sources.add(plural, columns, lambda kind=kind: self.objects(kind))
 
     def nodes(self) -> list[Row]:
@@ -201,7 +201,7 @@
         rows: list[Row] = []
         for name in self.configuration.names(kind):
             fields = self._dump(kind, name)
-            values = [fields.get(field_name) for field_name in _fields_of(kind)]
+            values = [fields.get(field_name) for field_name in field_names(kind)]
             rows.append((name, self.configuration.generation(kind, name), *values))
         return rows
 
@@ -252,10 +252,6 @@
         return {name: _scalar(name, value) for name, value in fields.items()}
 
 
-def _fields_of(kind: ObjectKind) -> tuple[str, ...]:
-    return field_names(kind)
-
-
 def _scalar(field_name: str, value: object) -> Scalar:
     if field_name in _HIDDEN_FIELDS:
         return _HIDDEN
--- /dev/null
+++ b/tests/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' language, queries and commands."""
--- /dev/null
+++ b/tests/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of weight roll-outs."""
