--- /dev/null
+++ b/tests/rollouts/test_planner.py
@@ -0,0 +1,60 @@
+"""What the planner starts first, and how the operator's preference moves it."""
+
+from __future__ import annotations
+
+import unittest
+
+from runkeel.api.configuration import DeliveryPreference
+from runkeel.rollouts.planner import LengthHistory, Planner
+from runkeel.rollouts.sample import StepKey
+from runkeel.rollouts.staleness_manager import StalenessManager
+from runkeel.rollouts.step import Step, TaskSpec
+from tests.rollouts.fakes import FAST, MODEL, FakeCluster
+
+
+class PlannerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cluster = FakeCluster(node_ids=("a1",), start=False, max_staleness_versions=2)
+        self.addCleanup(self.cluster.stop)
+        node = self.cluster.nodes["a1"]
+        self.staleness = StalenessManager(
+            self.cluster.configuration, node, FAST, self.cluster.clock, self.cluster.clock
+        )
+        self.planner = Planner(self.staleness, LengthHistory(), FAST, self.cluster.clock)
+
+    def step(self, number: int, lengths=(10, 99, 20, 30)) -> Step:
+        tasks = [
+            TaskSpec(f"{number}.{place}", f"g{place // 2}", "p", 100, length)
+            for place, length in enumerate(lengths)
+        ]
+        return Step(StepKey(MODEL, str(number)), tasks, 1, float(number))
+
+    def planned(self, steps, in_flight=0, room=100) -> list[str]:
+        plan = self.planner.plan(MODEL, steps, in_flight, room)
+        return [planned.task.spec.task_id for planned in plan]
+
+    def test_longest_group_first_and_longest_in_it(self):
+        self.assertEqual(self.planned([self.step(1)]), ["1.1", "1.0", "1.3", "1.2"])
+
+    def test_slack_and_room_bound_what_starts(self):
+        steps = [self.step(1, lengths=range(1, 100))]
+        self.assertEqual(len(self.planned(steps)), 70)
+        self.assertEqual(len(self.planned(steps, in_flight=68)), 2)
+        self.assertEqual(len(self.planned(steps, room=3)), 3)
+
+    def test_idle_time_runs_steps_ahead_and_staleness_waits_for_the_tail(self):
+        present, later = self.step(1), self.step(2)
+        present.pulled = True
+        self.assertEqual(len(self.planned([later, present])), 8)
+        spec = self.cluster.configuration.spec
+        self.cluster.configuration.spec = spec.model_copy(
+            update={"prefer": DeliveryPreference.STALENESS}
+        )
+        self.assertEqual(len(self.planned([later, present])), 4)
+        for task in present.tasks.values():
+            task.entry = 0
+        self.assertEqual(self.planned([later, present])[0], "2.1")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/rollouts/test_service.py
+++ b/tests/rollouts/test_service.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
+import gevent
+from gevent.event import Event
+
+from runkeel.api.configuration import ModelSpec
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.rollouts.hand_over import Pull
-from tests.rollouts.fakes import FakeCluster, submission, token
+from tests.rollouts.fakes import FAST, FakeCluster, submission, token
 
 
 class StepTest(unittest.TestCase):
@@ -61,6 +66,83 @@
             self.node.submit(submission(count=5))
         self.assertEqual(caught.exception.code, ErrorCode.STEP_CONFLICT)
 
+    def until(self, condition) -> None:
+        with gevent.Timeout(5):
+            while not condition():
+                gevent.sleep(0.002)
+
+    def test_straggler_runs_on_across_a_swap_with_the_versions_of_each_range(self):
+        dispatcher = self.cluster.dispatcher
+        dispatcher.hold["prompt 1"] = Event()
+        self.node.submit(self.step)
+        self.until(lambda: dispatcher.open == 1)
+        dispatcher.version = 3
+        dispatcher.hold["prompt 1"].set()
+        samples = self.pull(0, version=3, most=3).samples + self.pull(1, version=3).samples
+        versions = {s.task_id: [(p.version, p.first, p.count) for p in s.versions] for s in samples}
+        self.assertEqual(versions["t1"], [(1, 0, 2), (3, 2, 2)])
+
+    def test_straggler_past_the_bound_is_cancelled_and_made_again(self):
+        dispatcher = self.cluster.dispatcher
+        dispatcher.hold["prompt 1"] = Event()
+        self.node.submit(self.step)
+        self.until(lambda: dispatcher.open == 1)
+        del dispatcher.hold["prompt 1"]
+        dispatcher.version = 9
+        samples = self.pull(0, version=9).samples
+        self.assertEqual({part.version for s in samples for part in s.versions}, {9})
+        self.until(lambda: dispatcher.open == 0)
+
+    def test_bound_changed_while_running_holds_at_once(self):
+        self.node.submit(self.step)
+        self.pull(0)
+        self.cluster.clock.now += 50
+        self.cluster.dispatcher.version = 2
+        again = self.pull(0, version=2)
+        self.assertEqual({s.oldest_version for s in again.samples}, {1})
+        self.cluster.configuration.spec = ModelSpec(max_staleness_seconds=49)
+        remade = self.pull(0, version=2)
+        self.assertEqual({s.oldest_version for s in remade.samples}, {2})
+        self.assertEqual({s.task_id for s in again.samples}, {s.task_id for s in remade.samples})
+
+    def test_restarted_owner_takes_back_finished_samples(self):
+        """The owner loses its memory; the copy in another zone and the disk keep the samples."""
+        self.node.submit(self.step)
+        owner = self.cluster.nodes[self.cluster.owner_of(self.step.key)]
+        self.until(lambda: len(owner.service.store) == 4)
+        generated = len(self.cluster.dispatcher.requests)
+        self.cluster.crash(owner.node_id)
+        self.cluster.boot(owner.node_id)
+        self.assertEqual(self.node.submit(self.step).adopted, 4)
+        self.assertEqual(sorted(self.drain_step()), ["t0", "t1", "t2", "t3"])
+        self.assertEqual(len(self.cluster.dispatcher.requests), generated)
+
+    def test_last_task_is_hedged_when_engines_idle(self):
+        self.cluster.options = replace(FAST, hedge_tasks=1)
+        for node_id in self.cluster.nodes:
+            self.cluster.crash(node_id)
+            self.cluster.boot(node_id)
+        dispatcher = self.cluster.dispatcher
+        dispatcher.hold["prompt 1"] = Event()
+        self.node = self.cluster.nodes["a1"].service
+        self.node.submit(self.step)
+        self.pull(0, most=3)
+        del dispatcher.hold["prompt 1"]
+        self.cluster.clock.now += 10
+        sample = self.pull(1).samples[0]
+        self.assertEqual((sample.task_id, sample.attempt), ("t1", 2))
+        self.until(lambda: dispatcher.open == 0)
+
+    def test_drain_refuses_new_steps_and_still_answers(self):
+        self.node.submit(self.step)
+        owner = self.cluster.nodes[self.cluster.owner_of(self.step.key)].service
+        self.until(lambda: len(owner.store) == 4)
+        self.assertTrue(owner.drain(5.0))
+        with self.assertRaises(RunkeelError) as caught:
+            owner._owner.submit(submission(step_id="other"))
+        self.assertEqual(caught.exception.code, ErrorCode.NODE_LEAVING)
+        self.assertEqual(len(self.drain_step()), 4)
+
 
 if __name__ == "__main__":
     unittest.main()
