--- a/src/runkeel/rollouts/delivery.py
+++ b/src/runkeel/rollouts/delivery.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from loguru import logger
@@ -45,12 +45,18 @@
 
 @dataclass(frozen=True, slots=True)
 class DeliveryEntry:
-    """A decided entry."""
+    """A decided entry.
+
+    Attributes:
+        entered_before: bitmap of the tasks in earlier entries, in the step's order. It makes
+            the latest entry enough to go on from, since records expire.
+    """
 
     cursor: int
     revision: int
     proposer: str
     items: tuple[ManifestItem, ...]
+    entered_before: bytes = b""
 
 
 def manifest_item(sample: Sample, holders: Iterable[str]) -> ManifestItem:
@@ -78,7 +84,7 @@
         self._records = records
         self._step = step
         self._step_digest = step_digest
-        self._task_ids = frozenset(task_ids)
+        self._task_ids = {task_id: place for place, task_id in enumerate(task_ids)}
         self._node_id = node_id
         self._timeout_seconds = timeout_seconds
         self._entered: dict[str, int] = {}
@@ -117,6 +123,23 @@
             learnt.append(self._append(self._decode(value)))
         return learnt
 
+    def skip_to(self, cursor: int) -> list[str]:
+        """Learn from the entry before a cursor what stands in all entries before it.
+
+        For a step whose first entries have expired. Returns the tasks that were not known to
+        be entered; none if that entry can't be read either. Raises like :meth:`learn`.
+        """
+        value = self._records.read(self._key(cursor - 1, 0), self._timeout_seconds)
+        if value is None:
+            return []
+        entry = self._decode(value)
+        entered = _bitmap_members(entry.entered_before, self._task_ids)
+        entered += [item.task_id for item in entry.items]
+        new = [task_id for task_id in entered if task_id not in self._entered]
+        self._entered.update((task_id, cursor - 1) for task_id in new)
+        self._entries += [None] * (cursor - 1 - self.next_cursor) + [entry]
+        return new
+
     def learn_revisions(self, cursor: int) -> None:
         """Read the revisions of an entry that follow the known one. Raises like learn."""
         entry = self._entries[cursor]
@@ -135,7 +158,7 @@
                 proposes for the same cursor again and takes what it is then given.
         """
         cursor = self.next_cursor
-        proposal = DeliveryEntry(cursor, 0, self._node_id, tuple(items))
+        proposal = DeliveryEntry(cursor, 0, self._node_id, tuple(items), self._bitmap())
         return self._append(self._decide(proposal))
 
     def decide_revision(self, cursor: int, items: Sequence[ManifestItem]) -> DeliveryEntry:
@@ -147,7 +170,9 @@
         known = self._entries[cursor]
         if known is None or known.revision >= MAXIMUM_REVISIONS:
             raise RunkeelError(ErrorCode.BAD_CURSOR, "the entry can't be revised")
-        proposal = DeliveryEntry(cursor, known.revision + 1, self._node_id, tuple(items))
+        proposal = DeliveryEntry(
+            cursor, known.revision + 1, self._node_id, tuple(items), known.entered_before
+        )
         metrics.ENTRIES_REVISED.labels(self._step.model).inc()
         return self._replace(cursor, self._decide(proposal))
 
@@ -168,6 +193,8 @@
     def _append(self, entry: DeliveryEntry) -> DeliveryEntry:
         if entry.cursor != self.next_cursor or entry.revision != 0:
             raise self._broken("an entry stands under another entry's key")
+        if entry.entered_before != self._bitmap():
+            raise self._broken("an entry was proposed without knowing all earlier ones")
         for item in entry.items:
             if item.task_id not in self._task_ids or item.task_id in self._entered:
                 raise self._broken(f"task {item.task_id} is unknown or entered twice")
@@ -184,6 +211,12 @@
         self._entries[cursor] = entry
         return entry
 
+    def _bitmap(self) -> bytes:
+        bits = 0
+        for task_id in self._entered:
+            bits |= 1 << self._task_ids[task_id]
+        return bits.to_bytes((len(self._task_ids) + 7) // 8, "little")
+
     def _broken(self, detail: str) -> RunkeelError:
         logger.error(
             "delivery record of step {} is broken: {}",
@@ -209,7 +242,12 @@
             for item in entry.items
         ]
         return ttypes.DeliveryEntry(
-            self._step_digest, entry.cursor, entry.revision, entry.proposer, items
+            self._step_digest,
+            entry.cursor,
+            entry.revision,
+            entry.proposer,
+            items,
+            entry.entered_before,
         )
 
     def _decode(self, value: bytes) -> DeliveryEntry:
@@ -228,4 +266,11 @@
             )
             for item in record.items
         )
-        return DeliveryEntry(record.cursor, record.revision, record.proposer, items)
+        return DeliveryEntry(
+            record.cursor, record.revision, record.proposer, items, record.entered_before
+        )
+
+
+def _bitmap_members(bitmap: bytes, places: Mapping[str, int]) -> list[str]:
+    bits = int.from_bytes(bitmap, "little")
+    return [task_id for task_id, place in places.items() if bits >> place & 1]
--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
@@ -124,6 +124,11 @@
             raise RunkeelError(ErrorCode.BAD_CURSOR, f"cursor {cursor} was confirmed")
         if cursor > self._log.next_cursor:
             self._learn()
+        if cursor > self._log.next_cursor:
+            skipped = self._log.skip_to(cursor)
+            for task_id in skipped:
+                self._step.tasks[task_id].entry = cursor - 1
+            self._release((), skipped)
         if cursor > self._log.next_cursor:
             raise RunkeelError(
                 ErrorCode.BAD_CURSOR, f"cursor {cursor} lies behind {self._log.next_cursor}"
@@ -144,25 +149,26 @@
         for confirmed in range(self._step.confirmed_cursors, cursor):
             entry = self._log.compact(confirmed)
             if entry is not None:
-                self._release(entry)
+                self._release(entry.items, [item.task_id for item in entry.items])
         self._step.confirmed_cursors = cursor
         if self._log.is_complete and cursor == self._log.next_cursor:
             self._step.finished = True
 
-    def _release(self, entry: DeliveryEntry) -> None:
+    def _release(self, items: Iterable[ManifestItem], task_ids: Iterable[str]) -> None:
+        """Drop all copies of confirmed samples, and what else was made for their tasks."""
         digests: dict[str, list[bytes]] = {}
-        for item in entry.items:
-            task = self._step.tasks[item.task_id]
+        copies = [(item.digest, item.holders) for item in items]
+        for task_id in task_ids:
+            task = self._step.tasks[task_id]
             task.confirmed = True
             task.remake = False
             cancel_attempts(task)
-            holders = {item.digest: set(item.holders)}
             if task.sample is not None:
-                holders.setdefault(task.sample.digest, set()).update(task.holders)
+                copies.append((task.sample.digest, task.holders))
             task.sample = None
-            for digest, node_ids in holders.items():
-                for node_id in node_ids | {self._replicator.node_id}:
-                    digests.setdefault(node_id, []).append(digest)
+        for digest, holders in copies:
+            for node_id in {*holders, self._replicator.node_id}:
+                digests.setdefault(node_id, []).append(digest)
         self._replicator.release_later(self._step.key, digests)
 
     def _try_batch(self, pull: Pull, patience_is_over: bool) -> Batch | None:
--- a/tests/rollouts/fuzz_machine.py
+++ b/tests/rollouts/fuzz_machine.py
@@ -189,6 +189,14 @@
     def advance(self, seconds: int) -> None:
         self.cluster.clock.now += seconds
 
+    @rule()
+    def expire_records(self) -> None:
+        """Only the entries that the trainer holds or asks for are young enough to be kept."""
+        values = self.cluster.records.values
+        for key in list(values):
+            if int(key.split("/")[3]) < self.cursor - 1:
+                del values[key]
+
     @rule(node_id=nodes, moment=moments)
     def fail_records(self, node_id: str, moment: str) -> None:
         self.fail_at = (node_id, moment)
--- a/wire/rollouts.thrift
+++ b/wire/rollouts.thrift
@@ -110,4 +110,5 @@
   3: i32 revision,
   4: string proposer,
   5: list<ManifestItem> items,
+  6: binary entered_before,    // bitmap of the tasks in earlier entries, in the step's order
 }
