--- a/src/runkeel/backends/engine_directory.py
+++ b/src/runkeel/backends/engine_directory.py
@@ -14,7 +14,7 @@
 from runkeel.api.machines import Address, EngineStatus, Machine, MachineKind
 from runkeel.backends import engine_metrics as metrics
 from runkeel.backends.engine_orders import CacheEvent, EngineControlClient
-from runkeel.errors import RunkeelError
+from runkeel.errors import ErrorCode, RunkeelError
 
 POLL_SECONDS = 1.0
 POLL_BUDGET_BYTES_PER_SECOND = 3_000
@@ -22,14 +22,23 @@
 INITIAL_BYTES_PER_POLL = 600
 STALE_POLLS = 3.5
 """An engine is unreachable when no poll has succeeded for this many poll intervals."""
+FAILED_POLLS = 2
+"""So is one that fails this many polls in a row; a refused connection counts for all."""
+RETRY_SECONDS = 0.3
+"""Pause after a failed poll."""
+POLL_TIMEOUT_SECONDS = 1.0
 JITTER = 0.2
-CACHE_EVENT_WAIT_MS = 1_500
+CACHE_EVENT_WAIT_MS = 500
 CACHE_EVENT_PAUSE_SECONDS = 2.0
 
 CacheEventListener = Callable[[str, list[CacheEvent]], None]
 ClientFactory = Callable[[Address], EngineControlClient]
 
 
+def _polling_client(address: Address) -> EngineControlClient:
+    return EngineControlClient(address, POLL_TIMEOUT_SECONDS)
+
+
 @dataclass(slots=True)
 class _Engine:
     """An owned engine, its last report and the tasks that follow it."""
@@ -39,6 +48,7 @@
     status: EngineStatus | None = None
     effective_at: float = 0.0
     answered_at: float = 0.0
+    failed_polls: int = 0
     in_service: bool = False
     tasks: list[gevent.Greenlet] | None = None
 
@@ -49,7 +59,7 @@
     def __init__(
         self,
         ownership: Ownership,
-        client_factory: ClientFactory = EngineControlClient,
+        client_factory: ClientFactory = _polling_client,
         poll_seconds: float = POLL_SECONDS,
     ) -> None:
         self._ownership = ownership
@@ -120,6 +130,7 @@
             return
         now = time.monotonic()
         engine.answered_at = now
+        engine.failed_polls = 0
         effective_at = now - status.age_seconds
         if engine.status is None or effective_at >= engine.effective_at:
             engine.status = status
@@ -171,16 +182,20 @@
     def _poll(self, engine: _Engine) -> None:
         while True:
             bytes_before = engine.client.exchanged_bytes
+            interval = self.poll_interval_seconds
             try:
                 status = engine.client.load()
             except RunkeelError as error:
                 metrics.ENGINE_POLLS.labels(str(error.code)).inc()
+                refused = error.code is ErrorCode.BACKEND_UNREACHABLE
+                engine.failed_polls += FAILED_POLLS if refused else 1
+                interval = min(interval, RETRY_SECONDS)
                 self._note_service(engine)
             else:
                 metrics.ENGINE_POLLS.labels("ok").inc()
                 self._count_bytes(engine.client.exchanged_bytes - bytes_before)
                 self.observe(engine.machine.machine_id, status)
-            gevent.sleep(self.poll_interval_seconds * random.uniform(1 - JITTER, 1 + JITTER))
+            gevent.sleep(interval * random.uniform(1 - JITTER, 1 + JITTER))
 
     def _count_bytes(self, poll_bytes: int) -> None:
         metrics.ENGINE_POLL_BYTES.inc(poll_bytes)
@@ -207,7 +222,7 @@
     def _is_healthy(self, engine: _Engine) -> bool:
         if engine.status is None or not engine.status.ready:
             return False
-        if engine.status.model != engine.machine.pool:
+        if engine.status.model != engine.machine.pool or engine.failed_polls >= FAILED_POLLS:
             return False
         return time.monotonic() - engine.answered_at < STALE_POLLS * self.poll_interval_seconds
 
--- a/src/runkeel/backends/engine_orders.py
+++ b/src/runkeel/backends/engine_orders.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import json
+import time
 from dataclasses import dataclass
 from typing import Any
 
-from geventhttpclient import HTTPClient
-from geventhttpclient._parser import HTTPParseError
-
 from runkeel.api.machines import Address, EngineStatus
+from runkeel.backends.http_connection import HttpConnectionPool
 from runkeel.errors import ErrorCode, RunkeelError
 
 DEFAULT_TIMEOUT_SECONDS = 2.0
-_REQUEST_OVERHEAD_BYTES = 90
+MAXIMUM_ANSWER_BYTES = 1024 * 1024
+_JSON_HEADERS = [("Content-Type", "application/json")]
+_REQUEST_OVERHEAD_BYTES = 50
 """Request line and headers of a request as sent by this adapter, roughly."""
 _TCP_SEGMENT_BYTES = 80
 """IPv4 and TCP headers of the two segments of an exchange."""
@@ -76,8 +77,9 @@
 class EngineControlClient:
     """Asks and orders one engine over one kept-alive connection.
 
-    Methods raise RunkeelError BACKEND_UNREACHABLE when the engine does not answer in time,
-    BACKEND_REFUSED for an unexpected status and PROTOCOL_ERROR for a malformed answer.
+    Methods raise RunkeelError: BACKEND_UNREACHABLE, BACKEND_LOST, TRUNCATED_ANSWER or
+    DEADLINE_EXCEEDED when the engine does not answer in time, BACKEND_REFUSED for an unexpected
+    status and PROTOCOL_ERROR for a malformed answer.
 
     Attributes:
         exchanged_bytes: estimate of all bytes sent and received.
@@ -85,19 +87,12 @@
 
     def __init__(self, address: Address, timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS) -> None:
         self.exchanged_bytes = 0
-        self._address = address
-        self._client = HTTPClient(
-            address.host,
-            address.port,
-            headers={"User-Agent": "runkeel"},
-            connection_timeout=timeout_seconds,
-            network_timeout=timeout_seconds,
-            concurrency=1,
-        )
+        self._timeout_seconds = timeout_seconds
+        self._pool = HttpConnectionPool(address, MAXIMUM_ANSWER_BYTES)
 
     def close(self) -> None:
         """Close the connection."""
-        self._client.close()
+        self._pool.close()
 
     def load(self) -> EngineStatus:
         """Return the lagging load report, which costs the engine nothing."""
@@ -153,15 +148,10 @@
         return document
 
     def _exchange(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
-        headers = {"Content-Type": "application/json"} if body else {}
-        try:
-            response = self._client.request(method, target, body=body, headers=headers)
-            answer = bytes(response.read())
-        except (OSError, HTTPParseError, ValueError) as error:
-            raise RunkeelError(
-                ErrorCode.BACKEND_UNREACHABLE, f"engine at {self._address}: {error}"
-            ) from error
-        header_bytes = sum(len(name) + len(value) + 4 for name, value in response.headers.items())
+        headers = _JSON_HEADERS if body else []
+        deadline = time.monotonic() + self._timeout_seconds
+        answer = self._pool.request(method, target, headers, body, deadline)
+        header_bytes = sum(len(name) + len(value) + 4 for name, value in answer.headers)
         self.exchanged_bytes += _REQUEST_OVERHEAD_BYTES + len(target) + len(body)
-        self.exchanged_bytes += header_bytes + len(answer) + _TCP_SEGMENT_BYTES
-        return response.status_code, answer
+        self.exchanged_bytes += header_bytes + len(answer.body) + _TCP_SEGMENT_BYTES
+        return answer.status, answer.body
--- a/src/runkeel/operators/commands.py
+++ b/src/runkeel/operators/commands.py
@@ -25,7 +25,7 @@
 UNCHANGED = "unchanged"
 DRY_RUN = "dry_run"
 NOT_FOUND = "not_found"
-COMMAND_COLUMNS = ("command_id", "operator", "command", "outcome", "generation", "age_ms")
+COMMAND_COLUMNS = ("command_id", "operator", "command", "outcome", "generation", "ago_ms")
 
 Edit = Callable[[dict[str, Any] | None], dict[str, Any]]
 Adviser = Callable[[Change], list[str]]
--- a/src/runkeel/operators/grammar.py
+++ b/src/runkeel/operators/grammar.py
@@ -21,7 +21,9 @@
 create: "create" WORD name [assignment ("," assignment)*] suffix*
 delete: "delete" WORD name suffix*
 
-assignment: WORD value
+assignment: field value
+// LALR(1) merges what may follow a name, so these keywords win over WORD there.
+!field: WORD | "role" | "reason" | "version"
 suffix: if_generation | dry_run
 if_generation: "if" "generation" WORD
 dry_run: "--dry-run"
--- a/src/runkeel/operators/language.py
+++ b/src/runkeel/operators/language.py
@@ -23,10 +23,15 @@
     Statement,
     Word,
 )
-from runkeel.operators.values import convert, resolve_field, whole_number
+from runkeel.operators.values import (
+    ENGINE_ROLES,
+    check_choice,
+    convert,
+    resolve_field,
+    whole_number,
+)
 
 MAXIMUM_TEXT_LENGTH = 4_000
-ENGINE_ROLES = ("mixed", "serve", "rollout")
 CHANGEABLE_KINDS = {str(kind): kind for kind in ObjectKind if kind is not ObjectKind.RECORD_GROUP}
 """Kinds that operators may change; record groups are the system's own."""
 _TERMINAL_HINTS = {
@@ -164,10 +169,7 @@
 
     def _set_engine_role(self, children: list) -> Change:
         name, role, *suffixes = children
-        if role not in ENGINE_ROLES:
-            word = _word(role)
-            problem = f"unknown role {word.text!r}"
-            raise bad_command(self._text, word.column, problem, word.text, ENGINE_ROLES)
+        check_choice(self._text, "role", _word(role), ENGINE_ROLES)
         fields = (("role", str(role)),)
         return self._change(
             "set", ObjectKind.ENGINE_ROLE, name, ChangeMode.UPSERT, fields, suffixes
@@ -198,8 +200,8 @@
         return kind
 
     def _assignment(self, kind: ObjectKind, tree: Tree) -> tuple[str, Scalar]:
-        field_token, value_tree = tree.children
-        field_name = resolve_field(self._text, kind, _word(field_token))
+        field_tree, value_tree = tree.children
+        field_name = resolve_field(self._text, kind, _word(field_tree.children[0]))
         return field_name, convert(self._text, kind, field_name, _value(value_tree))
 
     def _change(
--- a/src/runkeel/operators/queries.py
+++ b/src/runkeel/operators/queries.py
@@ -155,13 +155,13 @@
 
 
 def _age_ms(columns: tuple[str, ...], rows: list[Row], started_at: float) -> int:
-    """Return the age of the oldest row, or of the collection itself."""
-    age_ms = int((time.monotonic() - started_at) * 1000)
-    if AGE_COLUMN in columns:
-        index = columns.index(AGE_COLUMN)
-        ages = [row[index] for row in rows if isinstance(row[index], int | float)]
-        age_ms = max([age_ms, *(int(age) for age in ages)])
-    return age_ms
+    """Return an upper bound of the age of what the rows show."""
+    collecting_ms = int((time.monotonic() - started_at) * 1000)
+    if AGE_COLUMN not in columns:
+        return collecting_ms
+    index = columns.index(AGE_COLUMN)
+    ages = (int(row[index]) for row in rows if isinstance(row[index], int | float))
+    return collecting_ms + max(ages, default=0)
 
 
 def _cell(value: Scalar) -> Cell:
--- a/src/runkeel/operators/sources.py
+++ b/src/runkeel/operators/sources.py
@@ -11,7 +11,7 @@
 RowProvider = Callable[[], list[Row]]
 
 AGE_COLUMN = "age_ms"
-"""A column of this name says how old a row is; -1 when not known."""
+"""A column of this name says how old what the row shows is; null when not known."""
 RESOURCES = "resources"
 
 
--- a/src/runkeel/operators/values.py
+++ b/src/runkeel/operators/values.py
@@ -10,11 +10,18 @@
 from runkeel.api.configuration import SPEC_CLASSES, ObjectKind
 from runkeel.operators.diagnostics import bad_command
 from runkeel.operators.statements import Scalar, Word
+from runkeel.operators.tokens import ROLE_OPERATE, ROLE_READ
 
 _NUMBER = re.compile(r"([+-]?\d+(?:\.\d+)?)([a-z%]*)", re.IGNORECASE)
 _MILLISECONDS = {"ms": 1, "s": 1_000, "m": 60_000, "min": 60_000, "h": 3_600_000}
 _FIELD_SUFFIXES = ("", "_ms", "_seconds")
-_FIELD_PREFIXES = ("", "default_", "max_")
+_FIELD_PREFIXES = ("", "default_", "max_", "target_")
+ENGINE_ROLES = ("mixed", "serve", "rollout")
+OPERATOR_ROLES = (ROLE_READ, ROLE_OPERATE)
+_CHOICES = {
+    (ObjectKind.ENGINE_ROLE, "role"): ENGINE_ROLES,
+    (ObjectKind.OPERATOR, "role"): OPERATOR_ROLES,
+}
 _BOOLEANS = {"true": True, "yes": True, "on": True, "false": False, "no": False, "off": False}
 
 
@@ -49,17 +56,27 @@
         return _boolean(text, word)
     if annotation in (int, float):
         return _number(text, field_name, annotation, word)
+    choices = _CHOICES.get((kind, field_name), ())
     if isinstance(annotation, type) and issubclass(annotation, Enum):
-        choices = [str(member.value) for member in annotation]
-        if word.text not in choices:
-            problem = f"unknown {field_name} {word.text!r}"
-            raise bad_command(text, word.column, problem, word.text, choices)
-        return word.text
+        choices = tuple(str(member.value) for member in annotation)
+    if choices:
+        check_choice(text, field_name, word, choices)
     if isinstance(annotation, types.GenericAlias) or typing.get_origin(annotation) is tuple:
         raise bad_command(text, word.column, f"{field_name} is a list, kept by the system itself")
     return word.text
 
 
+def check_choice(text: str, what: str, word: Word, choices: tuple[str, ...]) -> None:
+    """Check that a word is one of the choices.
+
+    Raises:
+        RunkeelError: BAD_COMMAND.
+    """
+    if word.text not in choices:
+        problem = f"unknown {what} {word.text!r}"
+        raise bad_command(text, word.column, problem, word.text, choices)
+
+
 def whole_number(text: str, word: Word, what: str) -> int:
     """Return a whole number, 0 or more.
 
--- a/src/runkeel/platform/weight_store.py
+++ b/src/runkeel/platform/weight_store.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
-from geventhttpclient import HTTPClient
-from geventhttpclient._parser import HTTPParseError
-
 from runkeel.api.machines import Address
-from runkeel.errors import ErrorCode, RunkeelError, not_run
+from runkeel.errors import ErrorCode, not_run
+from runkeel.platform.json_http import JsonHttpClient, unexpected_status
 
 DEFAULT_TIMEOUT_SECONDS = 2.0
 
@@ -38,13 +35,10 @@
 
 
 class WeightStoreClient:
-    """Reads the weight store; every call raises STORE_UNAVAILABLE when it can't be read.
-
-    Each call opens its own connection: calls are rare, seconds apart at the least.
-    """
+    """Reads the weight store; every call raises STORE_UNAVAILABLE when it can't be read."""
 
     def __init__(self, address: Address, timeout_seconds: float = DEFAULT_TIMEOUT_SECONDS) -> None:
-        self._address = address
+        self._client = JsonHttpClient(address)
         self._timeout_seconds = timeout_seconds
 
     def limits(self) -> StoreLimits:
@@ -68,22 +62,10 @@
             raise not_run(ErrorCode.STORE_UNAVAILABLE, f"weight versions: {error!r}") from error
         return tuple(sorted(versions, key=lambda item: item.version))
 
-    def _get(self, target: str) -> dict[str, Any]:
-        client = HTTPClient(
-            self._address.host,
-            self._address.port,
-            connection_timeout=self._timeout_seconds,
-            network_timeout=self._timeout_seconds,
-        )
-        try:
-            response = client.request("GET", target)
-            body = bytes(response.read())
-            status = response.status_code
-            document = json.loads(body) if status == 200 else None
-        except (OSError, HTTPParseError, ValueError) as error:
-            raise not_run(ErrorCode.STORE_UNAVAILABLE, f"weight store: {error}") from error
-        finally:
-            client.close()
-        if not isinstance(document, dict):
-            raise RunkeelError(ErrorCode.STORE_UNAVAILABLE, f"weight store: HTTP {status}")
-        return document
+    def _get(self, path: str) -> dict[str, Any]:
+        response = self._client.call("GET", path, self._timeout_seconds)
+        if response.status != 200:
+            raise unexpected_status(response, "weight store")
+        if not isinstance(response.body, dict):
+            raise not_run(ErrorCode.STORE_UNAVAILABLE, "weight store: not a JSON object")
+        return response.body
--- a/src/runkeel/weights/pacing.py
+++ b/src/runkeel/weights/pacing.py
@@ -33,6 +33,10 @@
 MAXIMUM_WAIT_MS = 1_500
 CALL_MARGIN_SECONDS = 2.0
 RETRY_SECONDS = 0.5
+GRANT_DELAY_SECONDS = 0.01
+GRANT_SECONDS = 0.05
+"""Pause between evaluations while permits are wanted."""
+LIMIT_KEPT_SECONDS = 1.0
 RENEW_SECONDS = 1.5
 """Pause between renewals of an owner that holds permits and wants none."""
 
@@ -118,21 +122,34 @@
         read_limits: ReadLimits,
     ) -> None:
         self._membership = membership
+        self._configuration = configuration
+        self._machines = machines
         self._gate = StoreGate(read_limits)
-        self._table = PermitTable(
-            lambda model: swap_limit(model, configuration, machines), self._gate.limit
-        )
+        self._model_limits: dict[str, tuple[int, float]] = {}
+        """Limit of each model and until when it is kept; counting engines costs time."""
+        self._table = PermitTable(self._model_limit, self._gate.limit)
         self._coordinating = False
         self._since = 0.0
-        self._changed = Event()
+        self._waiting: dict[str, Event] = {}
+        self._granter: gevent.Greenlet | None = None
         membership.on_change(self._check_role)
         self._check_role()
         handlers.on_call(MessageType.WEIGHTS_PERMIT, PermitRequest, self.handle)
 
+    @property
+    def coordinating(self) -> bool:
+        """Whether this node believes to be the coordinator."""
+        return self._coordinating
+
     def holds(self) -> list[SwapKey]:
         """Return the engines that may swap now, as this coordinator sees it."""
         return self._table.holds()
 
+    def stop(self) -> None:
+        """Stop granting."""
+        if self._granter is not None:
+            self._granter.kill()
+
     def handle(self, owner_id: str, request: PermitRequest) -> tuple[int, PermitReply]:
         """Take an owner's declaration and answer with what it may swap.
 
@@ -149,35 +166,55 @@
             owner_id, request.zone, request.incarnation, request.sequence, wants, holds
         )
         if accepted:
-            self._wake()
-            self._wait_for_grant(owner_id, request, set(holds))
-        granted = sorted(key.backend_id for key in self._table.holds_of(owner_id))
-        if not self._table.is_latest(owner_id, request.incarnation, request.sequence):
-            granted = []
+            self._grant_soon()
+            if wants:
+                self._wait_for_grant(owner_id, request.wait_ms)
+        granted: list[str] = []
+        if self._table.is_latest(owner_id, request.incarnation, request.sequence):
+            granted = sorted(key.backend_id for key in self._table.holds_of(owner_id))
         lease_ms = int(LEASE_SECONDS * 1000)
         return MessageType.WEIGHTS_PERMIT_REPLY, PermitReply(True, granted, lease_ms)
 
-    def _wait_for_grant(self, owner_id: str, request: PermitRequest, held: set[SwapKey]) -> None:
-        deadline = time.monotonic() + min(request.wait_ms, MAXIMUM_WAIT_MS) / 1000
-        while self._table.is_latest(owner_id, request.incarnation, request.sequence):
+    def _wait_for_grant(self, owner_id: str, wait_ms: int) -> None:
+        """Wait until the owner gets a grant or sends a newer declaration."""
+        overtaken = self._waiting.get(owner_id)
+        if overtaken is not None:
+            overtaken.set()
+        event = self._waiting[owner_id] = Event()
+        event.wait(min(wait_ms, MAXIMUM_WAIT_MS) / 1000)
+        if self._waiting.get(owner_id) is event:
+            del self._waiting[owner_id]
+
+    def _grant_soon(self) -> None:
+        """Grant after a moment: declarations of many owners cost one evaluation together."""
+        if self._granter is None or self._granter.ready():
+            self._granter = gevent.spawn(self._grant_while_wanted)
+
+    def _grant_while_wanted(self) -> None:
+        gevent.sleep(GRANT_DELAY_SECONDS)
+        while self._coordinating and self._table.wanted():
+            grace = self._since + GRACE_SECONDS - time.monotonic()
+            if grace > 0:
+                gevent.sleep(grace)
             self._grant()
-            remaining = deadline - time.monotonic()
-            if not request.wants or remaining <= 0 or self._table.holds_of(owner_id) - held:
-                return
-            self._changed.wait(min(remaining, RETRY_SECONDS))
+            gevent.sleep(GRANT_SECONDS)
 
     def _grant(self) -> None:
-        if time.monotonic() - self._since < GRACE_SECONDS:
-            return
-        if self._table.wanted():
-            self._gate.refresh()
-        if self._table.grant():
+        self._gate.refresh()
+        granted = self._table.grant()
+        if granted:
             self._gate.note_granted()
-            self._wake()
-
-    def _wake(self) -> None:
-        self._changed.set()
-        self._changed.clear()
+        for owner_id in granted:
+            event = self._waiting.get(owner_id)
+            if event is not None:
+                event.set()
+
+    def _model_limit(self, model: str) -> int:
+        limit, until = self._model_limits.get(model, (0, 0.0))
+        if until <= time.monotonic():
+            limit = swap_limit(model, self._configuration, self._machines)
+            self._model_limits[model] = (limit, time.monotonic() + LIMIT_KEPT_SECONDS)
+        return limit
 
     def _check_role(self) -> None:
         node_ids = [member.node_id for member in self._membership.live_members()]
@@ -185,7 +222,9 @@
         coordinating = coordinator_of(node_ids or [own_id]) == own_id
         if coordinating and not self._coordinating:
             self._since = time.monotonic()
+        if coordinating != self._coordinating:
             self._table.clear()
+            self._model_limits.clear()
         self._coordinating = coordinating
 
 
--- a/src/runkeel/weights/permits.py
+++ b/src/runkeel/weights/permits.py
@@ -92,21 +92,23 @@
         owner = self._owners.get(owner_id)
         return owner is not None and (owner.incarnation, owner.sequence) == (incarnation, sequence)
 
-    def grant(self) -> bool:
-        """Turn wants into holds while the limits allow; return whether any was granted."""
+    def grant(self) -> set[str]:
+        """Turn wants into holds while the limits allow; return the owners that got some."""
         self._expire()
         usage = _Usage(self._owners.values())
-        granted = False
-        while len(usage.held) < self._store_limit():
+        store_limit = self._store_limit()
+        granted: set[str] = set()
+        while len(usage.held) < store_limit:
             choice = self._next(usage)
             if choice is None:
                 break
-            owner, key = choice
+            owner_id, key = choice
+            owner = self._owners[owner_id]
             del owner.wants[key]
             owner.holds.add(key)
             usage.add(owner, key)
             metrics.PERMITS_GRANTED.inc()
-            granted = True
+            granted.add(owner_id)
         return granted
 
     def holds_of(self, owner_id: str) -> set[SwapKey]:
@@ -129,17 +131,22 @@
                 metrics.PERMITS_EXPIRED.inc(len(owner.holds))
                 del self._owners[owner_id]
 
-    def _next(self, usage: _Usage) -> tuple[_Owner, SwapKey] | None:
+    def _next(self, usage: _Usage) -> tuple[str, SwapKey] | None:
         """Return the want to grant next: fewest holds in its zone, then of its owner, oldest."""
         by_need = sorted(
-            (owner for owner in self._owners.values() if owner.wants),
-            key=lambda owner: (usage.by_zone[owner.zone], len(owner.holds), owner.oldest_want()),
+            ((owner_id, owner) for owner_id, owner in self._owners.items() if owner.wants),
+            key=lambda item: (
+                usage.by_zone[item[1].zone],
+                len(item[1].holds),
+                item[1].oldest_want(),
+                item[0],
+            ),
         )
-        for owner in by_need:
+        for owner_id, owner in by_need:
             for key in sorted(owner.wants, key=lambda key: (owner.wants[key], key.backend_id)):
                 full = usage.by_model[key.model] >= self._model_limit(key.model)
                 if not full and key not in usage.held:
-                    return owner, key
+                    return owner_id, key
         return None
 
 
--- a/tests/weights/fakes.py
+++ b/tests/weights/fakes.py
@@ -44,6 +44,8 @@
         (reconciler, "MAXIMUM_BACKOFF_SECONDS"): 0.08,
         (reconciler, "HELD_RETRY_SECONDS"): 0.2,
         (pacing, "GRACE_SECONDS"): 0.02,
+        (pacing, "GRANT_SECONDS"): 0.005,
+        (pacing, "LIMIT_KEPT_SECONDS"): 0.0,
         (pacing, "PROBE_SPACING_SECONDS"): 0.05,
         (pacing, "RETRY_SECONDS"): 0.02,
         (pacing, "MAXIMUM_WAIT_MS"): 50,
@@ -397,6 +399,7 @@
 
     def stop(self) -> None:
         self.roll_out.stop()
+        self.coordinator.stop()
         self.monitor.stop()
         self.permits.stop()
 
--- a/tests/weights/test_roll_out.py
+++ b/tests/weights/test_roll_out.py
@@ -102,7 +102,7 @@
         self.assertEqual(0, self.store.refused, "the store's limit was kept to")
 
     def test_lost_coordinator_is_replaced(self):
-        node = next(n for n in self.cluster.nodes.values() if n.coordinator._coordinating)
+        node = next(n for n in self.cluster.nodes.values() if n.coordinator.coordinating)
         lost = node.membership.node_id
         self.cluster.peers.cut.add(lost)
         zones = self.cluster.nodes["node-a"].membership.zones
