--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -7,8 +7,6 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-import gevent
-
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.rollouts import metrics
 from runkeel.rollouts.delivery import DeliveryEntry, DeliveryLog, ManifestItem, manifest_item
@@ -18,6 +16,8 @@
 from runkeel.rollouts.staleness_manager import StalenessManager
 from runkeel.rollouts.step import Step, Task, cancel_attempts
 
+_LOCK_PATIENCE_RATIO = 4
+
 
 @dataclass(frozen=True, slots=True)
 class Pull:
@@ -106,7 +106,8 @@
 
     @contextmanager
     def _locked(self) -> Iterator[None]:
-        if not self._step.lock.acquire(timeout=self._options.records_timeout_seconds * 4):
+        patience = self._options.records_timeout_seconds * _LOCK_PATIENCE_RATIO
+        if not self._step.lock.acquire(blocking=patience > 0, timeout=patience or None):
             raise RunkeelError(ErrorCode.RECORDS_UNAVAILABLE, "the step is being worked on")
         try:
             yield
@@ -162,7 +163,7 @@
             for digest, node_ids in holders.items():
                 for node_id in node_ids | {self._replicator.node_id}:
                     digests.setdefault(node_id, []).append(digest)
-        gevent.spawn(self._replicator.release, self._step.key, digests)
+        self._replicator.release_later(self._step.key, digests)
 
     def _try_batch(self, pull: Pull, patience_is_over: bool) -> Batch | None:
         if pull.cursor < self._step.confirmed_cursors:
@@ -277,4 +278,4 @@
     if sample is None:
         return
     holders = {node_id: [sample.digest] for node_id in task.holders}
-    gevent.spawn(replicator.release, step.key, holders)
+    replicator.release_later(step.key, holders)
