--- a/src/runkeel_lab/launcher.py
+++ b/src/runkeel_lab/launcher.py
@@ -96,24 +96,30 @@
 
     def standin_process(self, standin_id: str) -> ChildProcess:
         """Return the process that a stand-in runs in. Raises LabError."""
-        scorers = {each.id: "scorers" for each in self.plan.scorers}
-        name = scorers.get(standin_id, standin_id)
-        if name not in self.processes and self.deployment.hollow:
-            name = "backends"
-        if name not in self.processes:
-            raise LabError(f"no such stand-in: {standin_id}")
-        return self.processes[name]
+        return self.processes[self._group_of(standin_id)]
 
-    def standin_client(self, standin_id: str) -> HttpClient:
-        """Return a client of a stand-in. Raises LabError."""
-        standin = self.plan.standin(standin_id)
-        if standin is None:
-            raise LabError(f"no such stand-in: {standin_id}")
-        return HttpClient(standin.address)
+    def has_own_process(self, standin_id: str) -> bool:
+        """Return whether a stand-in shares its process with no other."""
+        return self._group_of(standin_id) == standin_id
+
+    def control(self, method: str, standin_id: str, target: str, content: Any = None) -> Any:
+        """Call a stand-in's control face, which answers even while the stand-in is down."""
+        address = Address.parse(self.standin_process(standin_id).ready["control"])
+        return HttpClient(address).json(method, f"/standins/{standin_id}{target}", content)
 
     def set_fault(self, standin_id: str, kind: str, **options: Any) -> None:
         """Set a fault on a stand-in."""
-        self.standin_client(standin_id).json("POST", "/fault", {"kind": kind, **options})
+        self.control("POST", standin_id, "/fault", {"kind": kind, **options})
+
+    def _group_of(self, standin_id: str) -> str:
+        planned = self.plan.standin(standin_id)
+        if planned is None:
+            raise LabError(f"no such stand-in: {standin_id}")
+        if planned in self.plan.scorers:
+            return "scorers"
+        if planned in self.plan.backends():
+            return "backends" if self.deployment.hollow else standin_id
+        return "platform"
 
     def list_state(self, machine_id: str, state: str) -> None:
         """Show a machine in another state in the machine list."""
@@ -121,12 +127,12 @@
         if planned is None:
             raise LabError(f"no such machine: {machine_id}")
         entry = {**planned.as_machine(), "state": state}
-        self.standin_client("machine-list").json("PUT", f"/fault/machines/{machine_id}", entry)
+        self.control("PUT", "machine-list", f"/fault/machines/{machine_id}", entry)
 
     def publish_weights(self, model: str, version: int) -> None:
         """Publish a version in the weight store."""
         target = f"/fault/models/{model}/versions/{version}"
-        self.standin_client("weight-store").json("POST", target, {})
+        self.control("POST", "weight-store", target, {})
 
     def seed_configuration(self) -> None:
         """Write the initial configuration objects to the object API."""
--- a/src/runkeel_lab/links.py
+++ b/src/runkeel_lab/links.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from runkeel.wire.links import LinkPolicy
+
 _CHECK_INTERVAL_SECONDS = 0.1
 
 
@@ -44,7 +46,7 @@
         os.replace(temporary, path)
 
 
-class FileLinkPolicy:
+class FileLinkPolicy(LinkPolicy):
     """Link policy of one node that follows a rules file, as :mod:`runkeel.wire.links` asks.
 
     A file that can't be read leaves the last rules in force.
--- a/src/runkeel_lab/plan.py
+++ b/src/runkeel_lab/plan.py
@@ -166,8 +166,8 @@
         for pool in self._deployment.models:
             for number in range(pool.engines):
                 options = {
-                    "weight_store": f"http://{weight_store.address}",
-                    "version": pool.versions[0],
+                    "weight_store": str(weight_store.address),
+                    "weight_version": pool.versions[0],
                     **pool.options,
                 }
                 engine_id = f"{pool.name}-{number + 1}"
--- a/src/runkeel_lab/processes.py
+++ b/src/runkeel_lab/processes.py
@@ -57,11 +57,13 @@
     Attributes:
         name: for messages and for the log file's name.
         started: how often it was started.
+        ready: what it printed when it was last ready.
     """
 
     def __init__(self, name: str, arguments: Sequence[str], folder: Path) -> None:
         self.name = name
         self.started = 0
+        self.ready: dict[str, Any] = {}
         self._arguments = [sys.executable, *arguments]
         self._output_path = folder / f"{name}.out"
         self._log_path = folder / f"{name}.log"
@@ -104,6 +106,7 @@
             while True:
                 found = self._ready_object()
                 if found is not None:
+                    self.ready = found
                     return found
                 if not self.running:
                     raise LabError(f"{self.name}: ended at start:\n{self._log_tail()}")
--- a/src/runkeel_lab/trainer.py
+++ b/src/runkeel_lab/trainer.py
@@ -53,18 +53,13 @@
 
 @dataclass(slots=True)
 class StepRecord:
-    """One step: its tasks and when it was whole.
-
-    Attributes:
-        changed_batches: cursors that were answered twice with different samples.
-    """
+    """One step: its tasks and when it was whole."""
 
     step_id: str
     tasks: tuple[Task, ...]
     submitted: float = 0.0
     whole: float = 0.0
     samples: list[SampleRecord] = field(default_factory=list)
-    changed_batches: int = 0
 
 
 class Trainer:
@@ -164,7 +159,7 @@
 
     def _train_step(self, step: StepRecord, deadline: float, count: bool) -> bool:
         """Pull and train on one step; return whether it was whole before the deadline."""
-        cursor, last, waiting_since, untrained = 1, False, time.monotonic(), 0
+        cursor, last, waiting_since, untrained = 0, False, time.monotonic(), 0
         while not last:
             batch = self._pull(step, cursor)
             if batch is None:
@@ -179,6 +174,7 @@
                     step.whole = time.monotonic()
                 self._train(untrained, time.monotonic() - waiting_since, count)
                 waiting_since, untrained = time.monotonic(), 0
+        self._pull(step, cursor, wait_ms=0)
         return True
 
     def _train(self, samples: int, waited: float, count: bool) -> None:
@@ -189,13 +185,17 @@
             self.waited_seconds += waited
             self.trained_seconds += time.monotonic() - began
 
-    def _pull(self, step: StepRecord, cursor: int) -> dict[str, Any] | None:
+    def _pull(
+        self, step: StepRecord, cursor: int, wait_ms: int | None = None
+    ) -> dict[str, Any] | None:
+        """Ask for a batch, which confirms the one before; None when there is none yet."""
         spec = self.spec
+        wait_ms = spec.pull_wait_ms if wait_ms is None else wait_ms
         target = (
             f"/v1/models/{spec.model}/steps/{step.step_id}/batches/{cursor}"
-            f"?version={self.version}&wait_ms={spec.pull_wait_ms}&max={spec.pull_maximum}"
+            f"?version={self.version}&wait_ms={wait_ms}&max={spec.pull_maximum}"
         )
-        timeout = spec.pull_wait_ms / 1000.0 + _PULL_GRACE_SECONDS
+        timeout = wait_ms / 1000.0 + _PULL_GRACE_SECONDS
         status, content = self._call("GET", target, None, timeout)
         if status == 200:
             return content
--- /dev/null
+++ b/src/runkeel_lab/verify_callers.py
@@ -0,0 +1,77 @@
+"""Compares callers' records with the back ends' journals."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+
+from runkeel_lab.journals import Execution
+from runkeel_lab.load.records import CallRecord, Outcome
+from runkeel_lab.violations import Violation, ViolationKind
+
+_NOT_RUN = "not_run"
+
+
+class CallerVerifier:
+    """Finds what callers were told wrongly.
+
+    Args:
+        executions: runs at all back ends.
+    """
+
+    def __init__(self, executions: Iterable[Execution]) -> None:
+        self._by_nonce: dict[str, list[Execution]] = defaultdict(list)
+        self._by_request: dict[str, list[Execution]] = defaultdict(list)
+        for run in executions:
+            if run.nonce:
+                self._by_nonce[run.nonce].append(run)
+            self._by_request[run.request_id].append(run)
+
+    def verify(self, records: Sequence[CallRecord]) -> list[Violation]:
+        """Return the violations of all records."""
+        return [violation for record in records for violation in self.verify_one(record)]
+
+    def verify_one(self, record: CallRecord) -> list[Violation]:
+        """Return the violations of one record."""
+        found = [*self._answer_faults(record), *self._false_verdicts(record)]
+        if record.outcome is Outcome.LOST:
+            last = record.attempts[-1]
+            found.append(_violation(ViolationKind.LOST, record, last.error or str(last.status)))
+        runs = self._by_nonce.get(record.nonce, [])
+        if not record.repeatable and len(runs) > 1:
+            places = ", ".join(f"{run.standin} at {run.started:.3f}" for run in runs)
+            found.append(_violation(ViolationKind.DOUBLED, record, places))
+        return found
+
+    def _answer_faults(self, record: CallRecord) -> list[Violation]:
+        found = []
+        for flag, kind in (
+            (record.crossed, ViolationKind.CROSSED),
+            (record.incomplete, ViolationKind.INCOMPLETE),
+            (record.wrong_tokens, ViolationKind.WRONG_TOKENS),
+        ):
+            if flag:
+                found.append(_violation(kind, record, f"{record.tokens} tokens"))
+        if record.outcome is Outcome.ANSWERED and not record.prompt:
+            ended = [run for run in self._by_nonce.get(record.nonce, []) if run.finished]
+            if not ended:
+                found.append(_violation(ViolationKind.NEVER_RAN, record, ""))
+        return found
+
+    def _false_verdicts(self, record: CallRecord) -> list[Violation]:
+        """A "not run" is false if its own request ran, or if all were told so and one ran."""
+        found = []
+        for attempt in record.attempts:
+            if attempt.verdict == _NOT_RUN and attempt.request_id:
+                for run in self._by_request.get(attempt.request_id, []):
+                    detail = f"request {attempt.request_id} ran on {run.standin}"
+                    found.append(_violation(ViolationKind.FALSE_NOT_RUN, record, detail))
+        if not found and record.outcome is Outcome.NOT_RUN:
+            for run in self._by_nonce.get(record.nonce, []):
+                detail = f"ran on {run.standin} as {run.request_id}"
+                found.append(_violation(ViolationKind.FALSE_NOT_RUN, record, detail))
+        return found
+
+
+def _violation(kind: ViolationKind, record: CallRecord, detail: str) -> Violation:
+    return Violation(kind, record.nonce, f"{record.caller_class}: {detail}")
