--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -68,6 +68,29 @@
     return EXIT_OK if run_experiment_file(experiment, out, seconds, seed, scale) else EXIT_VIOLATED
 
 
+def sweep(
+    experiments: list[Path],
+    *,
+    out: Path = Path("out/sweep"),
+    seconds: float = 0.0,
+    seed: int = 0,
+    pairs: bool = False,
+) -> int:
+    """Run several experiments one after another and list their violations.
+
+    Example: ``runkeel-lab sweep examples/experiments/food-bank-*.toml``
+
+    :param experiments: TOML files, see docs/lab.md.
+    :param out: folder for a folder of each run.
+    :param seconds: length of each load in s; 0 takes the experiment's.
+    :param seed: seed of all random choices; 0 takes the experiment's.
+    :param pairs: run each two experiments' faults together instead of each alone.
+    """
+    from runkeel_lab.sweep import run_sweep
+
+    return EXIT_OK if run_sweep(experiments, out, seconds, seed, pairs) else EXIT_VIOLATED
+
+
 def replay(trace: Path, *, out: Path = Path("out/replay")) -> int:
     """Replay a recorded trace and compare with its stated outcomes.
 
@@ -87,7 +110,7 @@
 
     try:
         code = defopt.run(
-            [standins, demo, run, replay],
+            [standins, demo, run, sweep, replay],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
         )
--- a/src/runkeel_lab/experiment.py
+++ b/src/runkeel_lab/experiment.py
@@ -15,6 +15,8 @@
 from runkeel_lab.load.arrivals import LengthDistribution
 from runkeel_lab.load.classes import CallerClass
 
+_MAXIMUM_EXTENSIONS = 4
+
 
 class _Section(BaseModel):
     """Base of all sections: unknown keys are refused."""
@@ -105,11 +107,21 @@
 
 
 def load_experiment(path: Path) -> Experiment:
-    """Read an experiment file.
+    """Read an experiment file; what it lacks is taken from the file that it ``extends``.
 
     Raises:
         OSError: the file can't be read.
         ValueError: it is no TOML, or not an experiment.
     """
+    return Experiment.model_validate(_read(path, _MAXIMUM_EXTENSIONS))
+
+
+def _read(path: Path, extensions: int) -> dict[str, Any]:
     with path.open("rb") as file:
-        return Experiment.model_validate(tomllib.load(file))
+        content = tomllib.load(file)
+    base = content.pop("extends", None)
+    if base is None:
+        return content
+    if extensions == 0:
+        raise ValueError(f"{path}: extends too many files")
+    return {**_read(path.parent / base, extensions - 1), **content}
--- a/src/runkeel_lab/faults.py
+++ b/src/runkeel_lab/faults.py
@@ -11,7 +11,7 @@
 from runkeel_lab.experiment import FaultKind, FaultSpec
 from runkeel_lab.http_client import TransportError
 from runkeel_lab.launcher import EmulatedDeployment
-from runkeel_lab.operators import OperatorClient
+from runkeel_lab.operators import CommandRecord, OperatorClient
 from runkeel_lab.processes import LabError
 
 _UNDRAIN_SECONDS = 10.0
@@ -37,10 +37,15 @@
 
 
 class FaultRunner:
-    """Brings about faults at their times and undoes them after their durations."""
+    """Brings about faults at their times and undoes them after their durations.
+
+    Attributes:
+        races: the commands of each race, with what their operators were told.
+    """
 
     def __init__(self, deployment: EmulatedDeployment, operator: OperatorClient) -> None:
         self.records: list[FaultRecord] = []
+        self.races: list[list[CommandRecord]] = []
         self._deployment = deployment
         self._operator = operator
         self._begin: dict[FaultKind, Callable[[FaultSpec], None]] = {
@@ -58,7 +63,7 @@
             FaultKind.LIST_LEAVING: lambda spec: deployment.list_state(spec.target, "leaving"),
             FaultKind.DRAIN: lambda spec: self._command(f"drain backend {spec.target}"),
             FaultKind.CONFIGURATION_CHANGE: self._change_configuration,
-            FaultKind.RACING_COMMANDS: lambda spec: _ignore(operator.race(spec.commands)),
+            FaultKind.RACING_COMMANDS: self._race,
             FaultKind.MACHINE_LIST_LAG: self._lag_machine_list,
             FaultKind.WEIGHT_STORE_DOWN: lambda spec: self._set("weight-store", "down"),
             FaultKind.SCORER_DOWN: self._scorers_down,
@@ -142,6 +147,9 @@
         for text in spec.commands:
             self._command(text)
 
+    def _race(self, spec: FaultSpec) -> None:
+        self.races.append(self._operator.race(spec.commands))
+
     def _command(self, text: str) -> None:
         record = self._operator.command(text, retry_seconds=_UNDRAIN_SECONDS)
         if not record.accepted:
@@ -164,7 +172,3 @@
     if not separator:
         raise ValueError(f"cut wants the target 'zone|zone', found {spec.target!r}")
     return zone, other
-
-
-def _ignore(_: object) -> None:
-    return None
--- a/src/runkeel_lab/load/caller.py
+++ b/src/runkeel_lab/load/caller.py
@@ -183,16 +183,19 @@
 
 def _wants_retry(attempt: Attempt, record: CallRecord) -> bool:
     """Retry what did not run, and what may have: by key, or where repeating does no harm."""
+    broken_off = attempt.status < 300 and bool(attempt.error or attempt.verdict)
+    if not broken_off and attempt.status not in _RETRYABLE_STATUS:
+        return False
     if attempt.verdict == "not_run" or attempt.code == _CODE_OF_UNSENT:
-        return attempt.status in _RETRYABLE_STATUS
+        return True
     safe = record.repeatable or bool(record.idempotency_key)
-    return safe and attempt.status in _RETRYABLE_STATUS and attempt.verdict != "ran"
+    return safe and attempt.verdict != "ran"
 
 
 def _settle(record: CallRecord) -> Outcome:
     """Conclude from all attempts: one that may have run outweighs later proof about others."""
     last = record.attempts[-1]
-    if last.status and not last.verdict:
+    if last.status and not last.verdict and not last.error:
         return Outcome.ANSWERED if last.status < 400 else Outcome.REFUSED
     if last.verdict == "ran":
         return Outcome.RAN
--- a/src/runkeel_lab/runner.py
+++ b/src/runkeel_lab/runner.py
@@ -10,6 +10,7 @@
 from rich.progress import Progress, TextColumn
 
 from runkeel.api.configuration import ModelSpec
+from runkeel_lab.configuration_monitor import ConfigurationMonitor
 from runkeel_lab.deployment import Deployment, load_deployment
 from runkeel_lab.experiment import Experiment, load_experiment
 from runkeel_lab.faults import FaultRunner
@@ -23,7 +24,8 @@
 from runkeel_lab.summary import print_summary
 from runkeel_lab.trainer import Trainer
 from runkeel_lab.verify_callers import CallerVerifier
-from runkeel_lab.verify_control import verify_control
+from runkeel_lab.verify_configuration import accepted_changes, verify_configuration
+from runkeel_lab.verify_control import verify_control, verify_races
 from runkeel_lab.verify_samples import verify_trainer
 
 SETTLE_SECONDS = 3.0
@@ -46,6 +48,7 @@
         self._running = deployment
         self._operator = OperatorClient(deployment.targets())
         self._faults = FaultRunner(deployment, self._operator)
+        self._configuration = ConfigurationMonitor(deployment)
         self._generator = LoadGenerator(
             experiment.callers,
             deployment.targets(),
@@ -63,6 +66,7 @@
         result = self.result
         monitor = ResourceMonitor(self._running)
         monitor.start()
+        self._configuration.start()
         result.started = time.monotonic()
         until = result.started + result.seconds
         tasks = [
@@ -79,6 +83,7 @@
         finally:
             gevent.killall([*tasks, progress])
             monitor.stop()
+            self._configuration.stop()
         result.nodes = {node: usage.as_dict() for node, usage in monitor.usage.items()}
         return result
 
@@ -100,6 +105,11 @@
             result.violations += findings.violations
         result.control = verify_control(result.faults, journals, result.records)
         result.violations += result.control.violations
+        result.violations += verify_races(self._faults.races)
+        changes = accepted_changes(journals, result.started)
+        configuration = verify_configuration(self._configuration.views, changes)
+        result.config_in_force_s = configuration.in_force_s
+        result.violations += configuration.violations
 
     def _staleness_bound(self, model: str) -> int:
         for entry in self._running.deployment.objects:
--- a/src/runkeel_lab/verify_control.py
+++ b/src/runkeel_lab/verify_control.py
@@ -9,6 +9,7 @@
 from runkeel_lab.faults import FaultRecord
 from runkeel_lab.journals import Journals
 from runkeel_lab.load.records import CallRecord
+from runkeel_lab.operators import CommandRecord
 from runkeel_lab.violations import Violation, ViolationKind
 
 DRAIN_BOUND_SECONDS = 1.0
@@ -16,6 +17,7 @@
 LIST_LEAVING_BOUND_SECONDS = 3.0
 """New work ends so long after the machine list shows the machine as leaving."""
 _CRASH_KINDS = frozenset({FaultKind.KILL, FaultKind.ENGINE_CRASH, FaultKind.APPLICATION_CRASH})
+_CODES_OF_CUT = frozenset({"cancelled", "peer_lost", "truncated_answer"})
 _OBSERVED_AFTER_CRASH_SECONDS = 10.0
 
 
@@ -49,6 +51,22 @@
     return findings
 
 
+def verify_races(races: Sequence[Sequence[CommandRecord]]) -> list[Violation]:
+    """Check that no two racing commands were both told that they made the same generation."""
+    found = []
+    for race in races:
+        accepted = [record for record in race if record.accepted]
+        generations = [record.content.get("generation") for record in accepted]
+        if len(set(generations)) < len(generations):
+            detail = f"accepted generations {generations}"
+            found.append(Violation(ViolationKind.RACE_UNDECIDED, race[0].command, detail))
+        for record in race:
+            if not record.accepted and not record.content.get("verdict"):
+                detail = f"no verdict: {record.status} {record.content}"
+                found.append(Violation(ViolationKind.RACE_UNDECIDED, record.command, detail))
+    return found
+
+
 def _check_leaving(fault: FaultRecord, journals: Journals, findings: ControlFindings) -> None:
     target = fault.spec.target
     began, bound = fault.effective, DRAIN_BOUND_SECONDS
@@ -76,8 +94,8 @@
     for record in records:
         for attempt in record.attempts:
             in_flight = attempt.sent < fault.began < attempt.ended
-            answered = attempt.status != 0 and not (attempt.error or attempt.status == 502)
-            if attempt.node == fault.spec.target and in_flight and not answered:
+            cut = bool(attempt.error) or attempt.code in _CODES_OF_CUT
+            if attempt.node == fault.spec.target and in_flight and cut:
                 findings.in_flight_cut += 1
                 detail = f"{record.caller_class} on {attempt.node}: {attempt.error}"
                 findings.violations.append(
--- a/tests/lab/test_verify.py
+++ b/tests/lab/test_verify.py
@@ -39,9 +39,7 @@
         self.assertEqual(self._kinds(call(Outcome.ANSWERED, status=200), run()), [])
 
     def test_an_answer_without_a_run(self):
-        self.assertEqual(
-            self._kinds(call(Outcome.ANSWERED, status=200)), [ViolationKind.NEVER_RAN]
-        )
+        self.assertEqual(self._kinds(call(Outcome.ANSWERED, status=200)), [ViolationKind.NEVER_RAN])
         unfinished = run(finished=0.0)
         self.assertEqual(
             self._kinds(call(Outcome.ANSWERED, status=200), unfinished), [ViolationKind.NEVER_RAN]
