Replace dead members and cover zones, one member at a time

Cause: machines are replaced at any time, and a group that only loses members ends without a majority. Simulated stores may lag.

--- a/src/runkeel/state/records/group.py
+++ b/src/runkeel/state/records/group.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -12,9 +11,9 @@
 
 from runkeel.api.configuration import RecordGroupSpec
 from runkeel.api.interfaces import Membership, PeerClient
-from runkeel.api.machines import Member
 from runkeel.errors import RunkeelError
 from runkeel.state.records import metrics
+from runkeel.state.records.member_changes import MemberChanges, choose_members
 from runkeel.state.records.options import RecordOptions
 from runkeel.state.records.recovery import Recovery, recovery_quorum
 from runkeel.state.records.replica import Replica, ReplicaPhase
@@ -49,23 +48,6 @@
         """Call back with a group's name after its object has changed."""
 
 
-def rendezvous_order(group: str, members: Iterable[Member]) -> list[Member]:
-    """Return the nodes in the group's order of preference (highest random weight)."""
-
-    def weight(member: Member) -> bytes:
-        return hashlib.blake2b(f"{group}/{member.node_id}".encode(), digest_size=8).digest()
-
-    return sorted(members, key=weight)
-
-
-def choose_members(group: str, live: Iterable[Member], limit: int) -> tuple[str, ...]:
-    """Return one live node a zone, at most ``limit``."""
-    chosen: dict[str, str] = {}
-    for member in rendezvous_order(group, live):
-        chosen.setdefault(member.zone, member.node_id)
-    return tuple(list(chosen.values())[:limit])
-
-
 class GroupManager:
     """Looks after one group on one node; :meth:`step` is called at intervals and on changes."""
 
@@ -88,7 +70,7 @@
         self._recovery = Recovery(replica, peers, options)
         self._started_at = clock()
         self._loss_rounds = 0
-        self._unseen_since: dict[str, float] = {}
+        self._changes = MemberChanges(replica.group, membership, options, clock)
 
     def observe(self) -> None:
         """Let the replica take over the group object in force."""
@@ -103,13 +85,15 @@
         if view is None:
             self._create()
             return
-        self._track_liveness(view.spec)
+        self._changes.observe(view.spec)
         if self._replica.epoch != view.spec.epoch:
             return
         if self._replica.phase is ReplicaPhase.JOINING:
             self._join(view)
         elif self._replica.phase is ReplicaPhase.RECOVERING:
             self._recover(view)
+        elif self._replica.phase is ReplicaPhase.VOTING:
+            self._change_member(view)
 
     # Formation
 
@@ -166,7 +150,7 @@
 
     def _is_lost(self, node_id: str, status: int | None) -> bool:
         if status is None:
-            return self._unseen_seconds(node_id) >= self._options.abandon_after_seconds
+            return self._changes.dead_seconds(node_id) >= self._options.abandon_after_seconds
         return status == ReplicaStatus.RECOVERING
 
     def _form_anew(self, view: GroupView) -> None:
@@ -179,14 +163,21 @@
         )
         self._change("form_anew", view.generation, spec)
 
-    def _track_liveness(self, spec: RecordGroupSpec) -> None:
-        now = self._clock()
-        self._unseen_since = {
-            node_id: self._unseen_since.get(node_id, now)
-            for node_id in spec.members
-            if not self._membership.is_live(node_id)
-        }
-
-    def _unseen_seconds(self, node_id: str) -> float:
-        since = self._unseen_since.get(node_id)
-        return 0.0 if since is None else self._clock() - since
+    # Replacement and growth
+
+    def _change_member(self, view: GroupView) -> None:
+        """Replace or add one member, if all that stay are voting in this epoch.
+
+        One live member does it; the check keeps two changes from running into each other, and a
+        node that is cut off from the others from changing anything.
+        """
+        proposal = self._changes.propose(view.spec)
+        if proposal is None:
+            return
+        spec, dropped = proposal
+        staying = [node_id for node_id in view.spec.members if node_id != dropped]
+        if next(filter(self._membership.is_live, staying), None) != self._replica.node_id:
+            return
+        others = [node_id for node_id in staying if node_id != self._replica.node_id]
+        if self._recovery.all_voting(others):
+            self._change("replace" if dropped else "add", view.generation, spec)
--- a/src/runkeel/state/records/recovery.py
+++ b/src/runkeel/state/records/recovery.py
@@ -83,6 +83,15 @@
                 self._copied[node_id] = result
         return self._finish_if_consistent()
 
+    def all_voting(self, node_ids: list[str]) -> bool:
+        """Ask members, in parallel, whether they vote in this replica's epoch."""
+        self._epoch, self._incarnation = self._replica.epoch, self._replica.incarnation
+        tasks = [gevent.spawn(self._ask, node_id, 0, "", 0) for node_id in node_ids]
+        gevent.joinall(tasks)
+        return all(
+            task.value is not None and task.value.status == ReplicaStatus.OK for task in tasks
+        )
+
     def _finish_if_consistent(self) -> bool:
         replica = self._replica
         if (self._epoch, self._incarnation) != (replica.epoch, replica.incarnation):
--- a/tests/records/machine.py
+++ b/tests/records/machine.py
@@ -31,6 +31,7 @@
         self.simulation = Simulation(
             nodes=self.size, options=OPTIONS, seed=seed, spares=self.spares
         )
+        self.started_at = self.simulation.now
 
     def name(self, index):
         names = list(self.simulation.zones)
@@ -119,7 +120,11 @@
             elif chance < 0.98:
                 self.wake(draw.randrange(10))
             else:
-                self.restart_recover_deliver(draw.randrange(10))
+                self.disturb(draw)
+
+    def disturb(self, draw):
+        """The rare fault of a burst."""
+        self.restart_recover_deliver(draw.randrange(10))
 
     def check_oracle(self):
         assert self.simulation.violations == [], self.simulation.violations
@@ -139,6 +144,7 @@
         simulation = self.simulation
         simulation.cut = set()
         simulation.paused.clear()
+        simulation.store.lagging.clear()
         simulation.settle()
         for name in simulation.zones:
             for key in "kl":
@@ -146,6 +152,68 @@
         simulation.settle()
 
 
+class MemberChangeMachine(RecordMachine):
+    """The same while members are replaced, after deaths and false suspicions."""
+
+    spares = 3
+
+    @rule(node=NODES)
+    def kill(self, node):
+        others = self.running_voters() - {self.name(node)}
+        if len(others) * 2 > self.size:
+            self.simulation.kill(self.name(node))
+
+    @rule(node=NODES)
+    def start(self, node):
+        if self.name(node) not in self.simulation.services:
+            self.simulation.start(self.name(node))
+
+    @rule(node=NODES)
+    def suspect(self, node):
+        self.simulation.suspected = {self.name(node)}
+
+    @rule(node=NODES)
+    def hear_nothing_of_the_store(self, node):
+        self.simulation.store.lagging = {self.name(node)}
+
+    @rule()
+    def hear_of_the_store(self):
+        self.simulation.store.lagging.clear()
+        self.simulation.store.spread()
+
+    def disturb(self, draw):
+        if draw.random() < 0.5:
+            self.replace(draw.randrange(10), draw.random() < 0.5, draw.random() < 0.5)
+        else:
+            self.start(draw.randrange(10))
+            self.simulation.cut = set()
+            self.hear_of_the_store()
+
+    @rule(node=NODES, dies=st.booleans(), cut_off=st.booleans())
+    def replace(self, node, dies, cut_off):
+        """Let one node be taken for dead for long, while votes in flight are held back.
+
+        The run stays within the retention of its records.
+        """
+        simulation = self.simulation
+        name = self.name(node)
+        if simulation.now - self.started_at > OPTIONS.retention_seconds / 2:
+            return
+        if len(self.running_voters() - {name}) * 2 <= self.size:
+            return
+        simulation.suspected = {name}
+        if dies:
+            simulation.kill(name)
+        elif cut_off:
+            simulation.cut = simulation.store.lagging = {name}
+        for _ in range(2):
+            for other in list(simulation.services):
+                simulation.recover(other, rounds=2)
+            simulation.now += OPTIONS.replace_after_seconds + 1
+        for other in list(simulation.services):
+            simulation.recover(other, rounds=2)
+
+
 class HeldBackMachine(RuleBasedStateMachine):
     """Two outside proposers race for one key while replicas restart and recover.
 
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -128,3 +128,63 @@
         accepted = simulation.decide("b", "k")
         simulation.settle()
         self.assertEqual(accepted.value, b"b2")
+
+
+class MemberChangeTest(SimulationTestCase):
+    def members(self, simulation):
+        return set(simulation.store.views[GROUP].spec.members)
+
+    def pass_replacement_time(self, simulation):
+        simulation.settle()
+        simulation.now += OPTIONS.replace_after_seconds + 1
+        simulation.settle()
+
+    def test_dead_member_is_replaced_within_its_zone_and_records_stay(self):
+        simulation = self.simulate(spares=3)
+        before = self.members(simulation)
+        dead = sorted(before)[0]
+        simulation.decide("d", "k")
+        simulation.settle()
+        simulation.kill(dead)
+        self.pass_replacement_time(simulation)
+        (new,) = self.members(simulation) - before
+        self.assertEqual(simulation.zones[new], simulation.zones[dead])
+        self.assertEqual(simulation.replica(new).phase, "voting")
+        self.assertEqual(simulation.replica(new).table.get("k").value, b"d0")
+
+    def test_member_that_was_replaced_while_cut_off_decides_nothing(self):
+        simulation = self.simulate(spares=3)
+        lost = sorted(self.members(simulation))[0]
+        simulation.suspected = simulation.cut = {lost}
+        simulation.store.lagging = {lost}
+        self.pass_replacement_time(simulation)
+        self.assertNotIn(lost, self.members(simulation))
+        self.assertEqual(simulation.replica(lost).phase, "voting")
+        simulation.cut = set()
+        stale = simulation.decide(lost, "k")
+        fresh = simulation.decide("f", "k")
+        simulation.settle()
+        self.assertFalse(stale.ready())
+        self.assertTrue(fresh.successful())
+        simulation.store.lagging = set()
+        simulation.settle()
+        self.assertEqual(stale.value, fresh.value)
+        self.assertEqual(simulation.replica(lost).phase, "outside")
+
+    def test_zone_without_a_replica_gets_one(self):
+        simulation = self.simulate(nodes=4, dead_at_start="d")
+        self.assertEqual(self.members(simulation), set("abc"))
+        simulation.decide("a", "k")
+        simulation.settle()
+        simulation.start("d")
+        self.pass_replacement_time(simulation)
+        self.assertEqual(self.members(simulation), set("abcd"))
+        self.assertEqual(simulation.replica("d").table.get("k").value, b"a0")
+
+    def test_node_that_sees_all_others_dead_changes_nothing(self):
+        simulation = self.simulate(spares=3)
+        before = self.members(simulation)
+        simulation.cut = {"a"}
+        simulation.suspected = set(simulation.zones) - {"a"}
+        self.pass_replacement_time(simulation)
+        self.assertEqual(self.members(simulation), before)
