--- a/src/runkeel/http/server.py
+++ b/src/runkeel/http/server.py
@@ -99,8 +99,12 @@
         """The address listened on, with the port that the kernel gave."""
         return Address(self._server.server_host, self._server.server_port)
 
+    def bind(self) -> None:
+        """Take the address without accepting yet. Raises OSError when it is in use."""
+        self._server.init_socket()
+
     def start(self) -> None:
-        """Start to listen. Raises OSError when the address is in use."""
+        """Start to accept connections."""
         self._server.start()
 
     def stop_accepting(self) -> None:
--- a/src/runkeel/program.py
+++ b/src/runkeel/program.py
@@ -7,7 +7,6 @@
 import sys
 
 import gevent
-import gevent.event
 from loguru import logger
 
 from runkeel.errors import RunkeelError
@@ -20,11 +19,10 @@
 def run_node(settings: Settings, link_policy: LinkPolicy | None = None) -> int:
     """Run one node until SIGTERM or SIGINT; return the process's exit code."""
     configure_logs(settings.logs, settings.node.id, settings.node.zone)
-    stop_requested = gevent.event.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, stop_requested.set)
     try:
         node = Node(settings, link_policy)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, node.stop_requested.set)
         node.start()
     except OSError as error:
         print(f"cannot listen: {error}", file=sys.stderr)
@@ -34,7 +32,7 @@
         return 2
     _print_ready_line(node)
     logger.info("node started", code="node_started")
-    while not stop_requested.wait(timeout=1.0):
+    while not node.stop_requested.wait(timeout=1.0):
         continue
     logger.info("planned stop", code="node_stopping")
     clean = node.drain_and_stop(settings.limits.stop_timeout_s)
--- a/src/runkeel_lab/linked_node.py
+++ b/src/runkeel_lab/linked_node.py
@@ -12,7 +12,6 @@
 
 from runkeel.program import run_node  # noqa: E402
 from runkeel.settings import load_settings  # noqa: E402
-
 from runkeel_lab.links import FileLinkPolicy  # noqa: E402
 
 
