--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -72,6 +72,11 @@
         """The node's name."""
         return self._settings.node.id
 
+    @property
+    def configuration(self) -> ConfigurationView:
+        """The configuration in force at this node."""
+        return self._configuration
+
     @property
     def http_address(self) -> Address:
         """Where callers, trainers and operators connect."""
--- /dev/null
+++ b/src/runkeel_lab/scale/__init__.py
@@ -0,0 +1,1 @@
+"""Scale runs: many hollow nodes and engines in few processes, beside real ones."""
