--- a/src/runkeel_lab/standins/application.py
+++ b/src/runkeel_lab/standins/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import math
 import zlib
@@ -43,6 +44,37 @@
     service_sigma: float = Field(default=0.0, ge=0)
 
 
+class _Slots:
+    """Concurrency limit of one life of the process, with its counters."""
+
+    def __init__(self, limit: int) -> None:
+        self.waiting = 0
+        self.running = 0
+        self.executions = 0
+        self._semaphore = BoundedSemaphore(limit)
+
+    @property
+    def full(self) -> bool:
+        """Whether the next request has to wait."""
+        return self._semaphore.locked()
+
+    @contextlib.contextmanager
+    def acquired(self) -> Iterator[None]:
+        """Hold a slot, waited for first."""
+        self.waiting += 1
+        try:
+            self._semaphore.acquire()
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        self.executions += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+            self._semaphore.release()
+
+
 class Application(StandIn):
     """Application over HTTP: ``/lookup/{key}``, ``/reserve``, ``/rate`` and ``/echo``.
 
@@ -66,10 +98,7 @@
 
     def reset(self) -> None:
         """Begin idle."""
-        self._slots = BoundedSemaphore(self.options.max_concurrency)
-        self._waiting = 0
-        self._running = 0
-        self._executions = 0
+        self._slots = _Slots(self.options.max_concurrency)
 
     def handle(self, request: Request) -> Response:
         """Run one request."""
@@ -81,27 +110,19 @@
         if answer is None:
             self.journal.write("refused", **fields, status=404)
             return error_response(404, "no such path")
-        if self._slots.locked() and self._waiting >= self.options.max_waiting:
+        if self._slots.full and self._slots.waiting >= self.options.max_waiting:
             self.journal.write("refused", **fields, status=503)
             return error_response(503, "too many requests", retry_after_seconds=1)
         self._run(fields, service_ms)
         return self._send(request, answer)
 
     def _run(self, fields: dict[str, str], service_ms: float) -> None:
-        self._waiting += 1
-        try:
-            self._slots.acquire()
-        finally:
-            self._waiting -= 1
-        self._running += 1
-        try:
-            self._executions += 1
+        # A crash replaces the slots while killed requests still leave the old ones.
+        slots = self._slots
+        with slots.acquired():
             self.journal.write("started", **fields)
             gevent.sleep(service_ms / 1000)
             self.journal.write("finished", **fields)
-        finally:
-            self._running -= 1
-            self._slots.release()
 
     def _service_ms(self, request: Request) -> float:
         emulated = request.header("X-Emulated-Ms")
@@ -164,9 +185,9 @@
     def fault_state(self) -> dict[str, Any]:
         """Return counts of requests."""
         return {
-            "running": self._running,
-            "waiting": self._waiting,
-            "executions": self._executions,
+            "running": self._slots.running,
+            "waiting": self._slots.waiting,
+            "executions": self._slots.executions,
         }
 
 
--- a/src/runkeel_lab/standins/faults.py
+++ b/src/runkeel_lab/standins/faults.py
@@ -15,7 +15,7 @@
     """Kinds of faults; each stand-in supports some of them."""
 
     CLEAR = "clear"
-    """Ends all active faults and restarts a stand-in that is down or crashed."""
+    """Ends the fault named by ``only``, or all; restarts a stand-in that is down or crashed."""
     DOWN = "down"
     """``mode = "refuse"`` closes the listener; ``"unavailable"`` answers 503."""
     SLOW = "slow"
@@ -51,6 +51,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     kind: FaultKind
+    only: FaultKind | None = None
     for_ms: int | None = Field(default=None, gt=0)
     mode: str = Field(default="refuse", pattern="^(refuse|unavailable)$")
     delay_ms: int = Field(default=1000, ge=0)
--- a/src/runkeel_lab/standins/scorer.py
+++ b/src/runkeel_lab/standins/scorer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import zlib
 from collections.abc import Sequence
 from typing import Any
@@ -46,6 +47,12 @@
     token_ids: list[int]
 
 
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    running: int = 0
+    scored: int = 0
+
+
 class Scorer(StandIn):
     """Scorer over HTTP."""
 
@@ -57,8 +64,7 @@
 
     def reset(self) -> None:
         """Begin idle."""
-        self._running = 0
-        self._scored = 0
+        self._counts = _Counts()
 
     def handle(self, request: Request) -> Response:
         """Answer ``POST /v1/score``."""
@@ -66,20 +72,22 @@
         if request.method != "POST" or request.segments != ["v1", "score"]:
             return error_response(404, "no such path")
         sample = _ScoreRequest.model_validate(request.json_object())
-        if self._running >= self.options.max_concurrency:
+        # A crash replaces the counts while killed requests still leave the old ones.
+        counts = self._counts
+        if counts.running >= self.options.max_concurrency:
             self.journal.write("refused", sample_id=sample.sample_id, status=429)
             return error_response(429, "too many scores", retry_after_seconds=1)
         self.journal.write("started", sample_id=sample.sample_id)
-        self._running += 1
+        counts.running += 1
         try:
             gevent.sleep(self.options.service_ms / 1000)
         finally:
-            self._running -= 1
+            counts.running -= 1
         score = expected_score(sample.prompt, sample.token_ids)
-        self._scored += 1
+        counts.scored += 1
         self.journal.write("finished", sample_id=sample.sample_id, score=score)
         return json_response(200, {"sample_id": sample.sample_id, "score": score})
 
     def fault_state(self) -> dict[str, Any]:
         """Return counts of scores."""
-        return {"running": self._running, "scored": self._scored}
+        return dataclasses.asdict(self._counts)
--- a/src/runkeel_lab/standins/server.py
+++ b/src/runkeel_lab/standins/server.py
@@ -253,7 +253,7 @@
             fault.kind is FaultKind.DOWN and fault.mode == "refuse"
         )
         if fault.kind is FaultKind.CLEAR:
-            self._bring_back()
+            self._clear(fault.only)
         elif closes and defer_crash:
             gevent.spawn_later(_CRASH_ANSWER_SECONDS, self._go_down, fault)
         elif closes:
@@ -265,6 +265,11 @@
         """Act on a fault other than ``clear``, ``crash`` and a refusing ``down``."""
         self.faults.set(fault)
 
+    def _clear(self, only: FaultKind | None) -> None:
+        if only in (None, FaultKind.DOWN, FaultKind.CRASH):
+            self._bring_back()
+        self.faults.clear(only)
+
     def _go_down(self, fault: Fault) -> None:
         self._cancel_restart()
         self._close_listener()
@@ -279,7 +284,6 @@
         if self._restart is not gevent.getcurrent():
             self._cancel_restart()
         self._restart = None
-        self.faults.clear()
         if self._reservation is not None and self._server is None:
             self._listen()
             self.journal.write("up", address=str(self.address), kind=self.kind)
