--- a/src/runkeel/platform/json_http.py
+++ b/src/runkeel/platform/json_http.py
@@ -7,13 +7,15 @@
 from typing import Any
 
 import gevent
-from geventhttpclient import HTTPClient
+from geventhttpclient import HTTPClient, HTTPParseError
 from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.response import HTTPSocketResponse
 
 from runkeel.api.machines import Address
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
+_READ_BYTES = 64 * 1024
 _JSON_HEADERS = {"Content-Type": "application/json", "Accept": "application/json"}
 
 
@@ -83,7 +85,7 @@
             if error is not timeout:
                 raise
             raise self._failure(client, f"no answer within {timeout_seconds:.1f} s") from error
-        except (OSError, ValueError, RuntimeError) as error:
+        except (OSError, ValueError, RuntimeError, HTTPParseError) as error:
             raise self._failure(client, f"{type(error).__name__}: {error}") from error
         finally:
             client.close()
@@ -92,9 +94,7 @@
         data = b"" if body is None else json.dumps(body).encode()
         response = client.request(method, path, body=data, headers=_JSON_HEADERS)
         try:
-            raw = response.read(MAX_BODY_BYTES)
-            if not response.message_complete:
-                raise ValueError("answer cut short or too large")
+            raw = _read_body(response)
             return JsonResponse(response.status_code, json.loads(raw) if raw else None)
         finally:
             response.release()
@@ -104,6 +104,15 @@
         return RunkeelError(ErrorCode.STORE_UNAVAILABLE, f"{self._address}: {detail}", verdict)
 
 
+def _read_body(response: HTTPSocketResponse) -> bytes:
+    body = bytearray()
+    while chunk := response.read(_READ_BYTES):
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            raise ValueError(f"answer of more than {MAX_BODY_BYTES} bytes")
+    return bytes(body)
+
+
 def unexpected_status(response: JsonResponse, what: str) -> RunkeelError:
     """Build the error for a status that the protocol does not foresee.
 
--- a/src/runkeel/state/changes.py
+++ b/src/runkeel/state/changes.py
@@ -210,12 +210,13 @@
     ) -> ChangeOutcome | None:
         """Settle a write whose answer was lost and whose id is not in the object."""
         unsettled = attempts.unsettled
-        if revision == unsettled.expected_revision:
-            # It may still be on its way. The same write again: only one of the two can win.
-            return self._write(command, attempts, unsettled.content, revision)
         generation = held.generation if held is not None else 0
         made = unsettled.content.generation
-        if revision < unsettled.expected_revision or not (
+        # The generation is checked too: a restored store may count the same revisions again.
+        if revision == unsettled.expected_revision and made == generation + 1:
+            # It may still be on its way. The same write again: only one of the two can win.
+            return self._write(command, attempts, unsettled.content, revision)
+        if revision <= unsettled.expected_revision or not (
             made <= generation < made + KEPT_COMMAND_IDS
         ):
             # The store was restored, or so many changes followed that the id may have gone.
--- a/src/runkeel/state/watchers.py
+++ b/src/runkeel/state/watchers.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import random
+import time
 from collections.abc import Callable, Iterable
 
 import gevent
@@ -31,6 +32,8 @@
 POLL_SPACING_SECONDS = (0.1, 0.3)
 FIRST_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 8.0
+RELIST_SECONDS = 1_800.0
+"""Lists again now and then, in case a restored store counts the same revisions again."""
 _SELECTION_RECHECK_SECONDS = 30.0
 _TOMBSTONE_PAYLOAD = canonical_json({})
 
@@ -77,6 +80,7 @@
         self._machine_list = machine_list
         self._random = random_source or random.Random()
         self._store_revision: int | None = None
+        self._list_due = 0.0
         self._list_version: int | None = None
         self._membership_changed = Event()
         self._tasks: list[gevent.Greenlet] = []
@@ -133,7 +137,7 @@
         Raises:
             RunkeelError: STORE_UNAVAILABLE.
         """
-        if self._store_revision is None:
+        if self._store_revision is None or time.monotonic() >= self._list_due:
             self._list_objects()
             return
         # Jitter keeps the watchers' long polls from falling into step.
@@ -151,6 +155,7 @@
         listed = self._store.list_objects(READ_TIMEOUT_SECONDS)
         self._take_objects(listed.items)
         self._store_revision = listed.revision
+        self._list_due = time.monotonic() + RELIST_SECONDS * self._random.uniform(0.7, 1.0)
         self._spread.mark_caught_up()
         self._repair_store(listed.items + self._missing_from(listed.items))
 
--- a/tests/state/fakes.py
+++ b/tests/state/fakes.py
@@ -93,7 +93,7 @@
 
     def call(self, node_id, message_type, message, reply_class, timeout_seconds):
         target = self._cluster.reachable(self._node_id, node_id)
-        if target is None:
+        if target is None or node_id in self._cluster.silent:
             raise not_run(ErrorCode.PEER_UNREACHABLE, node_id)
         request = serialize(message, _FACTORY)
         self._cluster.count(self._node_id, node_id, len(request))
@@ -135,6 +135,10 @@
         self.nodes: dict[str, FakeNode] = {}
         self.zones: dict[str, str] = {}
         self.isolated: set[str] = set()
+        self.silent: set[str] = set()
+        """Nodes that don't answer but are still believed alive."""
+        self.calls = 0
+        self.largest_message = 0
         self.sent_bytes: Counter[str] = Counter()
         self.received_bytes: Counter[str] = Counter()
 
@@ -157,6 +161,8 @@
             node.spread.close()
 
     def count(self, sender: str, receiver: str, size: int) -> None:
+        self.calls += 1
+        self.largest_message = max(self.largest_message, size)
         self.sent_bytes[sender] += size + _FRAME_HEADER_BYTES
         self.received_bytes[receiver] += size + _FRAME_HEADER_BYTES
 
@@ -211,6 +217,7 @@
         self.lose_answers = 0
         self.delayed_writes: list[Callable[[], None]] = []
         self.delay_writes = 0
+        self.operations_until_down: int | None = None
         self.old_reads: dict[tuple[str, str], StoredObject] = {}
         self.reads = 0
         self.reset_below = 0
@@ -219,6 +226,9 @@
     def _check(self) -> None:
         self.reads += 1
         gevent.sleep(0)
+        if self.operations_until_down is not None:
+            self.operations_until_down -= 1
+            self.down = self.down or self.operations_until_down <= 0
         if self.unreachable:
             raise not_run(ErrorCode.STORE_UNAVAILABLE, "connection refused")
         if self.down:
@@ -267,17 +277,23 @@
     def backup(self) -> dict:
         return dict(self.objects)
 
-    def restore(self, backup: dict) -> None:
-        """Put an older copy in place; revisions go on, as a restored store's do."""
-        self.revision += 1
+    def restore(self, backup: dict, rewind: bool = False) -> None:
+        """Put an older copy in place; revisions go on, or are counted again (rewind).
+
+        Requests on their way to the old store don't reach the restored one.
+        """
+        revisions = [item.revision for item in backup.values()]
+        self.revision = max(revisions, default=0) if rewind else self.revision + 1
         self.reset_below = self.revision
+        self.delayed_writes.clear()
+        self.old_reads.clear()
         self.objects = dict(backup)
         self._changed.set()
         self._changed = Event()
 
     def watch(self, since_revision: int, wait_seconds: float) -> WatchResult:
         self._check()
-        if since_revision < self.reset_below:
+        if since_revision < self.reset_below or since_revision > self.revision:
             return WatchResult(self.revision, (), True)
         if self.revision == since_revision:
             self._changed.wait(wait_seconds)
