Seed the watchers of the configuration fuzz

Cause: a run of 4,000 examples ended in FlakyStrategyDefinition, as the watchers drew from an unseeded source. Change: the machine gives them a seeded one.

--- a/tests/state/test_fuzz.py
+++ b/tests/state/test_fuzz.py
@@ -1,5 +1,6 @@
 """Stateful fuzzing of writers, spread and catch-up against a plain dictionary."""
 
+import random
 import types
 import unittest
 from unittest import mock
@@ -217,8 +218,9 @@
     @rule(node_id=NODES)
     def watch(self, node_id):
         node = self.cluster.nodes[node_id]
+        source = random.Random(1)
         watcher = watchers.Watchers(
-            node.state, node.spread, node.membership, self.store, FakeMachineList()
+            node.state, node.spread, node.membership, self.store, FakeMachineList(), source
         )
         try:
             watcher.poll_objects()
