Pass steps on to their new owner, fetch an entry's samples in one call a holder

Cause: an owner that had lost a step to a better-ranked node went on generating for it until it was idle for 30 minutes, and a planned stop made the trainer submit its steps again. An entry's samples were fetched one by one, each with its own time-out, under the step's lock. An owner paused between its check of the ages and its answer could send a sample past the bound in seconds. The fuzz machine found that a node with a forgotten open step submitted to itself but pulled from the owner; both now go to the owner.

--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -228,8 +228,11 @@
             samples: list[Sample] = []
             items: list[ManifestItem] = []
             complete = True
+            fetched = self._fetch(entry)
             for item in entry.items:
-                sample, replacement = self._sample_of(item, pull.trainer_version)
+                sample, replacement = self._sample_of(
+                    item, fetched.get(item.digest), pull.trainer_version
+                )
                 complete = complete and sample is not None
                 if sample is not None:
                     samples.append(sample)
@@ -243,17 +246,26 @@
             if all(self._staleness.is_fresh(sample, pull.trainer_version) for sample in samples):
                 return self._hand_over(pull, samples)
 
+    def _fetch(self, entry: DeliveryEntry) -> dict[bytes, Sample]:
+        """Return the entry's samples that can be had, by digest."""
+        found: dict[bytes, Sample] = {}
+        holders: dict[bytes, tuple[str, ...]] = {}
+        for item in entry.items:
+            sample = self._step.tasks[item.task_id].sample
+            if sample is not None and sample.digest == item.digest:
+                found[item.digest] = sample
+            else:
+                holders[item.digest] = item.holders
+        return found | self._replicator.fetch(self._step.key, holders)
+
     def _sample_of(
-        self, item: ManifestItem, trainer_version: int
+        self, item: ManifestItem, sample: Sample | None, trainer_version: int
     ) -> tuple[Sample | None, ManifestItem]:
         """Return the item's sample, or another one of the task if it is lost or too old.
 
         Without a usable sample the task is marked to be made again.
         """
         task = self._step.tasks[item.task_id]
-        sample = task.sample
-        if sample is None or sample.digest != item.digest:
-            sample = self._replicator.fetch(self._step.key, item.digest, item.holders)
         if sample is not None and self._staleness.is_fresh(sample, trainer_version):
             return sample, item
         candidate = task.sample
--- a/src/runkeel/rollouts/metrics.py
+++ b/src/runkeel/rollouts/metrics.py
@@ -5,6 +5,9 @@
 from prometheus_client import Counter, Gauge, Histogram
 
 STEPS_OPEN = Gauge("runkeel_rollout_steps_open", "Steps that this node owns", ["node"])
+STEPS_MOVED = Counter(
+    "runkeel_rollout_steps_moved_total", "Steps passed on to another owner", ["outcome"]
+)
 SAMPLES_STORED = Gauge("runkeel_rollout_samples_stored", "Samples held in memory", ["node"])
 GENERATIONS_IN_FLIGHT = Gauge(
     "runkeel_rollout_generations_in_flight", "Generations that run now", ["node"]
--- a/src/runkeel/rollouts/replication.py
+++ b/src/runkeel/rollouts/replication.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping, Sequence
 
 import gevent
 from gevent.pool import Group
@@ -78,19 +78,46 @@
         self._store.release(sample.step, [sample.digest])
         raise failure
 
-    def fetch(self, step: StepKey, digest: bytes, holders: Iterable[str]) -> Sample | None:
-        """Return a sample from here or one of its holders; None when none has it."""
-        sample = self._store.get(step, digest)
-        if sample is not None:
-            return sample
-        for node_id in holders:
-            if node_id == self._membership.node_id:
+    def fetch(self, step: StepKey, holders: Mapping[bytes, Sequence[str]]) -> dict[bytes, Sample]:
+        """Return the samples that can be had, by digest.
+
+        Args:
+            step: their step.
+            holders: for each digest the nodes that had a copy, in the order to ask them.
+        """
+        found: dict[bytes, Sample] = {}
+        for digest in holders:
+            sample = self._store.get(step, digest)
+            if sample is not None:
+                found[digest] = sample
+        rounds = max((len(node_ids) for node_ids in holders.values()), default=0)
+        for number in range(rounds):
+            self._fetch_round(step, holders, number, found)
+        return found
+
+    def _fetch_round(
+        self,
+        step: StepKey,
+        holders: Mapping[bytes, Sequence[str]],
+        number: int,
+        found: dict[bytes, Sample],
+    ) -> None:
+        """Ask each missing sample's holder of that number, all at the same time."""
+        missing: dict[str, list[bytes]] = {}
+        for digest, node_ids in holders.items():
+            if digest in found or number >= len(node_ids):
                 continue
-            found = self._fetch_from(node_id, step, [digest])
-            for sample in found:
-                if sample.digest == digest and sample.step == step:
-                    return self._keep(sample)
-        return None
+            if node_ids[number] != self._membership.node_id:
+                missing.setdefault(node_ids[number], []).append(digest)
+        fetches = [
+            self._tasks.spawn(self._fetch_from, node_id, step, digests)
+            for node_id, digests in missing.items()
+        ]
+        gevent.joinall(fetches)
+        for fetch in fetches:
+            for sample in fetch.value or ():
+                if sample.step == step and sample.digest in holders:
+                    found[sample.digest] = self._keep(sample)
 
     def collect_step(self, step: StepKey) -> list[tuple[Sample, tuple[str, ...]]]:
         """Return the samples of a step that this and other nodes hold, each with its holders."""
--- a/src/runkeel/rollouts/service.py
+++ b/src/runkeel/rollouts/service.py
@@ -18,7 +18,7 @@
     PeerHandlers,
     Records,
 )
-from runkeel.errors import ErrorCode, not_run
+from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.platform.scorers import ScorerClient
 from runkeel.rollouts.generation import SampleGenerator
 from runkeel.rollouts.hand_over import Batch, Pull
@@ -27,19 +27,24 @@
 from runkeel.rollouts.planner import LengthHistory, Planner
 from runkeel.rollouts.ranking import StepRanking
 from runkeel.rollouts.replication import SampleReplicator
-from runkeel.rollouts.sample import StepKey, sample_from_wire, sample_to_wire
+from runkeel.rollouts.sample import StepKey
 from runkeel.rollouts.sample_log import SampleLog
 from runkeel.rollouts.sample_store import SampleStore
 from runkeel.rollouts.scoring import SampleScorer, ScorerCaller
 from runkeel.rollouts.staleness_manager import StalenessManager
-from runkeel.rollouts.step import Step, TaskSpec
-from runkeel.rollouts.step_owner import StepOwner, Submission, SubmissionResult
+from runkeel.rollouts.step import Step, Submission, SubmissionResult
+from runkeel.rollouts.step_owner import StepOwner
+from runkeel.rollouts.step_transfer import (
+    StepTransfer,
+    batch_to_wire,
+    pull_from_wire,
+    submission_from_wire,
+)
 from runkeel.rollouts.trainer_api import TrainerApi
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.rollouts import ttypes
 
 DEFAULT_DRAIN_SECONDS = 30.0
-_FORWARD_MARGIN_SECONDS = 10.0
 
 
 class RolloutService:
@@ -85,8 +90,16 @@
         self._staleness = StalenessManager(configuration, membership, options, clock, wall_clock)
         lengths = LengthHistory()
         planner = Planner(self._staleness, lengths, options, clock)
+        self._transfer = StepTransfer(self._ranking, peers, membership.node_id, clock)
         self._owner = StepOwner(
-            records, self._replicator, self.store, self._staleness, planner, options, clock
+            records,
+            self._replicator,
+            self.store,
+            self._staleness,
+            planner,
+            self._transfer,
+            options,
+            clock,
         )
         self._pipeline = SamplePipeline(
             SampleGenerator(dispatcher, membership.node_id, options, clock, wall_clock),
@@ -115,7 +128,9 @@
         self._owner.start()
 
     def drain(self, timeout_seconds: float = DEFAULT_DRAIN_SECONDS) -> bool:
-        """Begin a planned stop: refuse new steps, finish running samples, still answer pulls.
+        """Begin a planned stop: finish running samples, then pass the steps on.
+
+        Pulls are answered meanwhile, here or by the new owners; new steps go to other nodes.
 
         Returns:
             Whether all running samples have finished in time.
@@ -135,43 +150,32 @@
 
     def submit(self, submission: Submission) -> SubmissionResult:
         """Pass a step to its owner. Raises RunkeelError."""
-        owner = self._ranking.owner(submission.key)
-        if owner == self._membership.node_id:
+        if not self._passes_on(submission.key):
             return self._owner.submit(submission)
-        reply = self._peers.call(
-            owner,
-            MessageType.STEP_SUBMIT,
-            _submission_to_wire(submission),
-            ttypes.StepSubmitReply,
-            _FORWARD_MARGIN_SECONDS,
-        )
-        return SubmissionResult(reply.tasks, reply.delivered, reply.adopted)
+        owner = self._transfer.owner(submission.key, self._owner.draining)
+        return self._transfer.submit(owner, submission, self._owner.draining)
 
     def pull(self, step: StepKey, pull: Pull) -> Batch | None:
-        """Ask a step's owner for a batch. Raises RunkeelError."""
-        owner = self._ranking.owner(step)
-        if owner == self._membership.node_id:
+        """Ask a step's owner for a batch.
+
+        Raises:
+            RunkeelError: BATCH_NOT_READY when the answer took so long that a sample has grown
+                too old on its way; else see StepOwner.pull.
+        """
+        if not self._passes_on(step):
             return self._owner.pull(step, pull)
-        # Ages in the reply count from here, which makes samples look older, never younger.
-        asked_at = self._clock()
-        reply = self._peers.call(
-            owner,
-            MessageType.STEP_PULL,
-            ttypes.StepPull(
-                step.model,
-                step.step_id,
-                pull.cursor,
-                pull.trainer_version,
-                int(pull.wait_seconds * 1000),
-                pull.maximum_samples,
-            ),
-            ttypes.StepPullReply,
-            pull.wait_seconds + _FORWARD_MARGIN_SECONDS,
-        )
-        if not reply.ready:
-            return None
-        samples = tuple(sample_from_wire(record, asked_at) for record in reply.samples or [])
-        return Batch(reply.cursor, samples, bool(reply.last))
+        owner = self._transfer.owner(step, self._owner.draining)
+        batch = self._transfer.pull(owner, step, pull, self._owner.draining)
+        samples = () if batch is None else batch.samples
+        if not all(self._staleness.is_fresh(sample, pull.trainer_version) for sample in samples):
+            raise RunkeelError(ErrorCode.BATCH_NOT_READY, "a sample became too old on its way")
+        return batch
+
+    def _passes_on(self, step: StepKey) -> bool:
+        """Return whether another node is to answer for the step."""
+        if self._owner.draining and self._owner.is_open(step):
+            return False
+        return self._transfer.owner(step, self._owner.draining) != self._membership.node_id
 
     def _register_peers(self, handlers: PeerHandlers) -> None:
         self._replicator.register(handlers)
@@ -179,43 +183,28 @@
         handlers.on_call(MessageType.STEP_PULL, ttypes.StepPull, self._on_pull)
 
     def _on_submit(self, _peer: str, request: ttypes.StepSubmit) -> tuple[int, object]:
-        result = self._owner.submit(_submission_from_wire(request))
+        submission = submission_from_wire(request)
+        if self._answers_itself(submission.key, request.moved):
+            result = self._owner.submit(submission)
+        else:
+            result = self.submit(submission)
         reply = ttypes.StepSubmitReply(result.tasks, result.delivered, result.adopted)
         return MessageType.STEP_SUBMIT_REPLY, reply
 
     def _on_pull(self, _peer: str, request: ttypes.StepPull) -> tuple[int, object]:
-        pull = Pull(
-            request.cursor,
-            request.trainer_version,
-            request.wait_ms / 1000,
-            request.max_samples,
-        )
-        batch = self._owner.pull(StepKey(request.model, request.step_id), pull)
-        if batch is None:
-            reply = ttypes.StepPullReply(pull.cursor, False, [], False)
+        asked_at = self._clock()
+        step, pull = pull_from_wire(request)
+        if self._answers_itself(step, request.moved):
+            batch = self._owner.pull(step, pull)
         else:
-            now = self._clock()
-            records = [sample_to_wire(sample, now) for sample in batch.samples]
-            reply = ttypes.StepPullReply(batch.cursor, True, records, batch.last)
+            batch = self.pull(step, pull)
+        reply = batch_to_wire(batch, pull.cursor, asked_at, self._clock())
         return MessageType.STEP_PULL_REPLY, reply
 
+    def _answers_itself(self, step: StepKey, moved: bool) -> bool:
+        """Return whether a peer's message is answered here.
 
-def _submission_to_wire(submission: Submission) -> ttypes.StepSubmit:
-    tasks = [
-        ttypes.RolloutTask(
-            task.task_id, task.group, task.prompt, task.max_tokens, task.expected_tokens
-        )
-        for task in submission.tasks
-    ]
-    key = submission.key
-    return ttypes.StepSubmit(key.model, key.step_id, tasks, submission.trainer_version)
-
-
-def _submission_from_wire(request: ttypes.StepSubmit) -> Submission:
-    tasks = tuple(
-        TaskSpec(task.task_id, task.group, task.prompt, task.max_tokens, task.expected_tokens)
-        for task in request.tasks or []
-    )
-    if not tasks:
-        raise not_run(ErrorCode.PROTOCOL_ERROR, "a step without tasks")
-    return Submission(StepKey(request.model, request.step_id), tasks, request.trainer_version)
+        Only a node that is leaving passes on what peers sent it, and only what was not passed
+        on before, so that two nodes never send a message to and fro.
+        """
+        return moved or not self._owner.draining or self._owner.is_open(step)
--- a/src/runkeel/rollouts/step.py
+++ b/src/runkeel/rollouts/step.py
@@ -30,6 +30,24 @@
     expected_tokens: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Submission:
+    """A step as a trainer submits it."""
+
+    key: StepKey
+    tasks: tuple[TaskSpec, ...]
+    trainer_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SubmissionResult:
+    """Counts of a step's tasks after its submission."""
+
+    tasks: int
+    delivered: int
+    adopted: int
+
+
 @dataclass(eq=False, slots=True)
 class Attempt:
     """One try to make the sample of a task.
@@ -107,6 +125,8 @@
         trainer_version: latest version that the trainer stated for this step.
         pulled: whether the trainer has asked for samples, so that the step is its present one.
         confirmed_cursors: entries below this cursor are confirmed.
+        moving: whether it is being passed on to another owner.
+        foreign_since: since when another node should own it; None if this one should.
         lock: held while entries are learnt, decided or assembled.
     """
 
@@ -123,12 +143,19 @@
         self.confirmed_cursors = 0
         self.finished = False
         self.closed = False
+        self.moving = False
+        self.foreign_since: float | None = None
         self.submitted_at = now
         self.last_used_at = now
         self.durations: list[float] = []
         self.lock = BoundedSemaphore(1)
         self._changed = Event()
 
+    def submission(self) -> Submission:
+        """Return the submission that opens this step elsewhere."""
+        specs = tuple(task.spec for task in self.tasks.values())
+        return Submission(self.key, specs, self.trainer_version)
+
     def notify(self) -> None:
         """Wake those that wait for a change."""
         changed = self._changed
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -8,10 +8,11 @@
 
 import gevent
 from gevent.event import Event
+from gevent.pool import Group
 from loguru import logger
 
 from runkeel.api.interfaces import Records
-from runkeel.errors import ErrorCode, not_run
+from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.rollouts import metrics
 from runkeel.rollouts.delivery import DeliveryLog
 from runkeel.rollouts.hand_over import Batch, Pull, StepDelivery, drop_sample
@@ -22,31 +23,14 @@
 from runkeel.rollouts.sample import StepKey
 from runkeel.rollouts.sample_store import SampleStore
 from runkeel.rollouts.staleness_manager import StalenessManager
-from runkeel.rollouts.step import Step, TaskSpec
+from runkeel.rollouts.step import Step, Submission, SubmissionResult
+from runkeel.rollouts.step_transfer import StepTransfer
 
 _RETRY_AFTER_SECONDS = 1.0
 _DRAIN_POLL_SECONDS = 0.02
 _MINIMUM_TURN_SECONDS = 0.002
 
 
-@dataclass(frozen=True, slots=True)
-class Submission:
-    """A step as a trainer submits it."""
-
-    key: StepKey
-    tasks: tuple[TaskSpec, ...]
-    trainer_version: int
-
-
-@dataclass(frozen=True, slots=True)
-class SubmissionResult:
-    """Counts of a step's tasks after its submission."""
-
-    tasks: int
-    delivered: int
-    adopted: int
-
-
 @dataclass(frozen=True, slots=True)
 class _OpenStep:
     step: Step
@@ -63,6 +47,7 @@
         store: SampleStore,
         staleness: StalenessManager,
         planner: Planner,
+        transfer: StepTransfer,
         options: RolloutOptions,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -71,6 +56,8 @@
         self._store = store
         self._staleness = staleness
         self._planner = planner
+        self._transfer = transfer
+        self._moves = Group()
         self._options = options
         self._clock = clock
         self._steps: dict[StepKey, _OpenStep] = {}
@@ -90,20 +77,40 @@
         self._loop = gevent.spawn(self._run)
 
     def drain(self, timeout_seconds: float) -> bool:
-        """Start nothing new, let what runs finish; return whether it has."""
+        """Start nothing new, let what runs finish, pass the steps on.
+
+        Returns:
+            Whether all that ran has finished in time.
+        """
         self._draining = True
         deadline = time.monotonic() + timeout_seconds
         while self._pipeline is not None and self._pipeline.running():
             if time.monotonic() >= deadline:
-                return False
+                break
             gevent.sleep(_DRAIN_POLL_SECONDS)
-        return True
+        finished = self._pipeline is None or not self._pipeline.running()
+        for opened in list(self._steps.values()):
+            successor = self._transfer.owner(opened.step.key, leaving=True)
+            if successor != self._replicator.node_id and not opened.step.moving:
+                self._start_move(opened.step, successor)
+        self._moves.join()
+        return finished
+
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._draining
+
+    def is_open(self, key: StepKey) -> bool:
+        """Return whether this node has the step open."""
+        return key in self._steps
 
     def stop(self) -> None:
         """Cancel everything and forget the steps."""
         self._draining = True
         if self._loop is not None:
             self._loop.kill()
+        self._moves.kill()
         for opened in list(self._steps.values()):
             opened.step.close()
         self._steps.clear()
@@ -248,11 +255,38 @@
                 metrics.SAMPLES_DROPPED.labels(step.key.model, "cancelled_too_stale").inc()
             for task in self._planner.hopeless_samples(step):
                 drop_sample(step, task, self._replicator, "too_stale")
+            self._check_ownership(step, now)
             unused = now - step.last_used_at
             if unused > self._longest_unused(step):
                 self._close(step)
         self._store.expire(lambda model: self._staleness.spec(model).max_staleness_seconds)
 
+    def _check_ownership(self, step: Step, now: float) -> None:
+        """Pass a step on when another node has been its owner for a while."""
+        owner = self._transfer.owner(step.key)
+        if owner == self._replicator.node_id or self._draining or step.finished:
+            step.foreign_since = None
+        elif step.foreign_since is None:
+            step.foreign_since = now
+        elif now - step.foreign_since >= self._options.move_after_seconds and not step.moving:
+            self._start_move(step, owner)
+
+    def _start_move(self, step: Step, successor: str) -> None:
+        step.moving = True
+        self._moves.spawn(self._move, step, successor)
+
+    def _move(self, step: Step, successor: str) -> None:
+        try:
+            self._transfer.submit(successor, step.submission(), moved=True)
+        except RunkeelError as error:
+            metrics.STEPS_MOVED.labels("failed").inc()
+            logger.info("step {} not passed on to {}", step.key.step_id, successor, code=error.code)
+            step.moving = False
+            step.foreign_since = None
+            return
+        metrics.STEPS_MOVED.labels("moved").inc()
+        self._forget(step)
+
     def _longest_unused(self, step: Step) -> float:
         """Return for how long a step is kept that nobody asks for, in s."""
         if step.undelivered_count() == 0:
@@ -260,10 +294,16 @@
             return self._options.finished_step_seconds
         return self._options.step_idle_seconds
 
-    def _close(self, step: Step) -> None:
+    def _forget(self, step: Step) -> None:
+        """Close a step; its samples stay in the store, for whoever owns it now."""
         step.close()
-        self._steps.pop(step.key, None)
+        opened = self._steps.get(step.key)
+        if opened is not None and opened.step is step:
+            del self._steps[step.key]
         self._gauge.set(len(self._steps))
+
+    def _close(self, step: Step) -> None:
+        self._forget(step)
         if not step.finished:
             logger.warning(
                 "step {} of {} forgotten: nobody asked for it",
--- a/src/runkeel/rollouts/trainer_api.py
+++ b/src/runkeel/rollouts/trainer_api.py
@@ -15,8 +15,7 @@
 from runkeel.rollouts.hand_over import Batch, Pull
 from runkeel.rollouts.options import RolloutOptions
 from runkeel.rollouts.sample import Sample, StepKey
-from runkeel.rollouts.step import TaskSpec
-from runkeel.rollouts.step_owner import Submission, SubmissionResult
+from runkeel.rollouts.step import Submission, SubmissionResult, TaskSpec
 
 _MAXIMUM_TOKENS = 1_000_000
 _MAXIMUM_VERSION = 2**62
--- a/tests/rollouts/fakes.py
+++ b/tests/rollouts/fakes.py
@@ -22,8 +22,7 @@
 from runkeel.rollouts.options import RolloutOptions
 from runkeel.rollouts.sample import StepKey
 from runkeel.rollouts.service import RolloutService
-from runkeel.rollouts.step import TaskSpec
-from runkeel.rollouts.step_owner import Submission
+from runkeel.rollouts.step import Submission, TaskSpec
 from runkeel.wire.codec import decode, encode
 from runkeel.wire.generated.requests.ttypes import TokenChunk
 
--- a/wire/rollouts.thrift
+++ b/wire/rollouts.thrift
@@ -21,6 +21,7 @@
   2: string step_id,
   3: list<RolloutTask> tasks,
   4: i64 trainer_version,
+  5: bool moved,               // passed on by a node that is leaving: not to be passed on again
 }
 
 struct StepSubmitReply {
@@ -36,6 +37,7 @@
   4: i64 trainer_version,
   5: i64 wait_ms,
   6: i32 max_samples,
+  7: bool moved,               // as in StepSubmit
 }
 
 /** ready is false when nothing could be handed over within wait_ms. */
@@ -44,6 +46,7 @@
   2: bool ready,
   3: list<SampleRecord> samples,
   4: bool last,
+  5: i64 held_ms,              // from the pull's arrival until the samples' ages were taken
 }
 
 /** A finished sample. Its digest covers all fields but the two times. */
