Forget an engine once when two refreshes meet

Cause: a scale run with 100 hollow nodes ended spread tasks with KeyError: refresh waited for killed tasks, and a second refresh ran in between. Ruled out: duplicated machines in the list. Change: the removal no longer waits; an engine that is gone already is passed over. Conclusion: ownership changes may come from several tasks at once.

--- a/src/runkeel/backends/engine_directory.py
+++ b/src/runkeel/backends/engine_directory.py
@@ -171,10 +171,14 @@
         engine.tasks.append(gevent.spawn(self._poll_cache_events, engine))
 
     def _forget(self, backend_id: str) -> None:
-        engine = self._engines.pop(backend_id)
+        engine = self._engines.pop(backend_id, None)
+        if engine is None:
+            return
         self._held.discard(backend_id)
-        # A listener may end the ownership from within a task of this engine.
-        gevent.killall([task for task in engine.tasks if task is not gevent.getcurrent()])
+        # Not waited for: another change of ownership must not come in between, and a listener
+        # may end the ownership from within a task of this engine.
+        others = [task for task in engine.tasks if task is not gevent.getcurrent()]
+        gevent.killall(others, block=False)
         engine.client.close()
         if engine.in_service:
             self._notify_service(backend_id)
--- a/src/runkeel/requests/owner_queue.py
+++ b/src/runkeel/requests/owner_queue.py
@@ -121,6 +121,8 @@
 
     def shed(self) -> None:
         """Refuse now whoever can no longer get a slot before its deadline."""
+        if not self._waiting:
+            return
         slots = self._backends.total_slots(self._pool)
         kept = 0
         for waiter in list(self._waiting):
