--- /dev/null
+++ b/src/runkeel_lab/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that measure one thing each; their figures stand in docs/measurements.md."""
