Bound the cost of reading machine lists; keep listeners from stopping a change

Cause: each reading parsed 4,600 entries to find one change, a listener that raised kept a record from being pushed, and a malformed answer could end a watcher for good.

--- a/src/runkeel/platform/json_http.py
+++ b/src/runkeel/platform/json_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,7 +17,14 @@
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
 _READ_BYTES = 64 * 1024
-_JSON_HEADERS = {"Content-Type": "application/json", "Accept": "application/json"}
+_GZIP_WINDOW_BITS = 31
+_JSON_HEADERS = {
+    "Content-Type": "application/json",
+    "Accept": "application/json",
+    "Accept-Encoding": "gzip",
+}
+
+_FAILURES = (OSError, ValueError, RuntimeError, HTTPParseError, zlib.error)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,7 +93,7 @@
             if error is not timeout:
                 raise
             raise self._failure(client, f"no answer within {timeout_seconds:.1f} s") from error
-        except (OSError, ValueError, RuntimeError, HTTPParseError) as error:
+        except _FAILURES as error:
             raise self._failure(client, f"{type(error).__name__}: {error}") from error
         finally:
             client.close()
@@ -95,6 +103,8 @@
         response = client.request(method, path, body=data, headers=_JSON_HEADERS)
         try:
             raw = _read_body(response)
+            if response.get("content-encoding", "").lower() == "gzip":
+                raw = _decompress(raw)
             return JsonResponse(response.status_code, json.loads(raw) if raw else None)
         finally:
             response.release()
@@ -113,6 +123,14 @@
     return bytes(body)
 
 
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj(_GZIP_WINDOW_BITS)
+    body = decompressor.decompress(data, MAX_BODY_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"gzip answer cut short, or of more than {MAX_BODY_BYTES} bytes")
+    return body
+
+
 def unexpected_status(response: JsonResponse, what: str) -> RunkeelError:
     """Build the error for a status that the protocol does not foresee.
 
--- a/src/runkeel/platform/machine_list.py
+++ b/src/runkeel/platform/machine_list.py
@@ -21,13 +21,28 @@
     addresses: Mapping[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class ListedMachine:
+    """An item of the list, not yet parsed: of thousands only the changed ones need to be."""
+
+    machine_id: str
+    version: int
+    body: Mapping[str, Any]
+
+    def parse(self) -> MachineEntry | None:
+        """Parse the item; None where its form is unknown."""
+        try:
+            return machine_from_json(self.machine_id, self.version, self.body)
+        except (KeyError, TypeError, ValueError, AttributeError):
+            return None
+
+
 @dataclass(frozen=True, slots=True)
 class MachineList:
-    """The whole list at a version. ``unreadable`` counts entries of an unknown form."""
+    """The whole list at a version."""
 
     version: int
-    entries: tuple[MachineEntry, ...]
-    unreadable_ids: frozenset[str] = frozenset()
+    items: tuple[ListedMachine, ...]
 
 
 class MachineListSource(Protocol):
@@ -93,12 +108,7 @@
 
 
 def _parse_list(body: Mapping[str, Any]) -> MachineList:
-    entries = []
-    unreadable = set()
-    for item in body["machines"]:
-        machine_id = str(item["id"])
-        try:
-            entries.append(machine_from_json(machine_id, int(item["version"]), item))
-        except (KeyError, TypeError, ValueError, AttributeError):
-            unreadable.add(machine_id)
-    return MachineList(int(body["version"]), tuple(entries), frozenset(unreadable))
+    items = tuple(
+        ListedMachine(str(item["id"]), int(item["version"]), item) for item in body["machines"]
+    )
+    return MachineList(int(body["version"]), items)
--- a/src/runkeel/state/anti_entropy.py
+++ b/src/runkeel/state/anti_entropy.py
@@ -90,7 +90,7 @@
         theirs = set(unpack_digests(reply.held))
         mine = {
             record.digest: record
-            for bucket in reply.covered
+            for bucket in reply.covered or ()
             for record in self._state.bucket(bucket % BUCKET_COUNT)
         }
         wanted = [digest for digest in theirs if digest not in mine]
@@ -145,7 +145,8 @@
 
     def _list_differing(self, theirs: Sequence[int], reply: StateSyncReply) -> None:
         mine = self._state.bucket_digests()
-        differing = [index for index, digest in enumerate(theirs) if mine[index] != digest]
+        pairs = zip(mine, theirs, strict=False)
+        differing = [index for index, (held, other) in enumerate(pairs) if held != other]
         reply.differing = len(differing)
         held: list[int] = []
         for index in differing:
--- a/src/runkeel/state/configuration.py
+++ b/src/runkeel/state/configuration.py
@@ -19,6 +19,7 @@
     Spec,
 )
 from runkeel.state import metrics
+from runkeel.state.listeners import notify
 from runkeel.state.replicated_state import ReplicatedState
 from runkeel.state.versioned_record import VersionedRecord
 
@@ -92,8 +93,7 @@
             except ValueError:
                 continue  # A machine, or a kind of a newer release.
             self._parse(kind, record)
-            for listener in tuple(self._listeners):
-                listener(kind, record.name)
+            notify(self._listeners, kind, record.name)
 
     def _parse(self, kind: ObjectKind, record: VersionedRecord) -> None:
         specs = self._specs[kind]
--- a/src/runkeel/state/machine_view.py
+++ b/src/runkeel/state/machine_view.py
@@ -8,6 +8,7 @@
 from runkeel.api.machines import Machine, MachineKind, MachineState
 from runkeel.platform.machine_list import MachineEntry, machine_from_json
 from runkeel.state import metrics
+from runkeel.state.listeners import notify
 from runkeel.state.replicated_state import ReplicatedState
 from runkeel.state.versioned_record import MACHINE_KIND, VersionedRecord
 
@@ -68,8 +69,7 @@
         if not machines:
             return
         self._take(machines)
-        for listener in tuple(self._listeners):
-            listener()
+        notify(self._listeners)
 
     def _take(self, records: Sequence[VersionedRecord]) -> None:
         self._sorted.clear()
--- a/src/runkeel/state/metrics.py
+++ b/src/runkeel/state/metrics.py
@@ -17,6 +17,9 @@
 )
 PUSHES = Counter("runkeel_state_pushes_total", "Pushes of records to peers", ["outcome"])
 SYNCS = Counter("runkeel_state_syncs_total", "Catch-up exchanges with a peer", ["outcome"])
+LISTENER_FAILURES = Counter(
+    "runkeel_state_listener_failures_total", "Listeners of the state that raised"
+)
 STORE_READS = Counter(
     "runkeel_state_store_reads_total", "Reads of the platform by this node", ["source", "outcome"]
 )
--- a/src/runkeel/state/ownership.py
+++ b/src/runkeel/state/ownership.py
@@ -13,6 +13,7 @@
 from runkeel.api.configuration import ObjectKind
 from runkeel.api.interfaces import Configuration, MachineView, Membership
 from runkeel.api.machines import Machine, MachineKind
+from runkeel.state.listeners import notify
 
 BACKEND_KINDS = (MachineKind.ENGINE, MachineKind.APPLICATION)
 
@@ -124,10 +125,8 @@
             table.forget_all_but(m.machine_id for m in backends if m.zone == zone)
         before = {machine.machine_id for machine in self._owned}
         self._owned = tuple(self._owned_among(backends))
-        if {machine.machine_id for machine in self._owned} == before:
-            return
-        for listener in tuple(self._listeners):
-            listener()
+        if {machine.machine_id for machine in self._owned} != before:
+            notify(self._listeners)
 
     def _owned_among(self, backends: Sequence[Machine]) -> list[Machine]:
         """Return the owned ones; no hashing for zones of which this node is no candidate."""
--- a/src/runkeel/state/replicated_state.py
+++ b/src/runkeel/state/replicated_state.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from runkeel.state import metrics
+from runkeel.state.listeners import notify
 from runkeel.state.versioned_record import BUCKET_COUNT, MACHINE_KIND, VersionedRecord, bucket_of
 
 MAX_MACHINE_TOMBSTONES = 2_048
@@ -89,7 +90,8 @@
         refused_machines = self._drop_old_tombstones()
         if taken:
             metrics.RECORDS_TAKEN.labels(source).inc(len(taken))
-            self._notify([record for record in taken if record.key not in refused_machines])
+            kept = [record for record in taken if record.key not in refused_machines]
+            notify(self._listeners, kept)
         return taken
 
     def _take(self, record: VersionedRecord) -> bool:
@@ -155,7 +157,3 @@
         del self._buckets[index][record.key]
         del self._records[record.kind][record.name]
         self._machine_tombstones.discard(record.name)
-
-    def _notify(self, taken: Sequence[VersionedRecord]) -> None:
-        for listener in tuple(self._listeners):
-            listener(taken)
--- a/src/runkeel/state/versioned_record.py
+++ b/src/runkeel/state/versioned_record.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from runkeel.errors import ErrorCode, may_have_run
 from runkeel.wire.generated.state.ttypes import StateRecord
 
 MACHINE_KIND = "machine"
@@ -92,13 +93,21 @@
 
 
 def record_from_wire(message: StateRecord) -> VersionedRecord:
-    """Convert from the thrift message."""
+    """Convert from the thrift message.
+
+    Raises:
+        RunkeelError: PROTOCOL_ERROR, a field is missing or out of range.
+    """
+    if not message.kind or not message.name or message.payload is None:
+        raise may_have_run(ErrorCode.PROTOCOL_ERROR, "a state record lacks a field")
+    if message.generation is None or message.generation < 0:
+        raise may_have_run(ErrorCode.PROTOCOL_ERROR, "a state record has no generation")
     return VersionedRecord(
         kind=message.kind,
         name=message.name,
         generation=message.generation,
         payload=message.payload,
-        deleted=message.deleted,
+        deleted=bool(message.deleted),
         command_ids=tuple(message.command_ids or ()),
         changed_by=message.changed_by or "",
     )
--- a/src/runkeel/state/watchers.py
+++ b/src/runkeel/state/watchers.py
@@ -117,7 +117,9 @@
                 continue
             try:
                 poll()
-            except RunkeelError as error:
+            except Exception as error:  # Whatever one answer brings, the next one is read.
+                if not isinstance(error, RunkeelError):
+                    logger.exception("reading {} failed", source, code="platform_read_failed")
                 metrics.STORE_READS.labels(source, "failed").inc()
                 if not failing:
                     logger.warning("{} can't be read: {}", source, error, code="platform_down")
@@ -221,17 +223,22 @@
 
 
 def machine_records(listed: MachineList, state: ReplicatedState) -> list[VersionedRecord]:
-    """Return the records of a machine list, with tombstones for machines that it lacks."""
-    records = [
-        VersionedRecord(
-            kind=MACHINE_KIND,
-            name=entry.machine.machine_id,
-            generation=entry.machine.version,
-            payload=canonical_json(machine_to_json(entry)),
-        )
-        for entry in listed.entries
-    ]
-    shown = {record.name for record in records} | listed.unreadable_ids
+    """Return the list's news: changed machines, and tombstones for those that it lacks.
+
+    An item that can't be parsed is left as it is held; it is not taken for gone.
+    """
+    records = []
+    for item in listed.items:
+        held = state.get(MACHINE_KIND, item.machine_id)
+        if held is not None and held.generation >= item.version:
+            continue
+        entry = item.parse()
+        if entry is None:
+            metrics.UNPARSABLE_RECORDS.labels(MACHINE_KIND).inc()
+            continue
+        payload = canonical_json(machine_to_json(entry))
+        records.append(VersionedRecord(MACHINE_KIND, item.machine_id, item.version, payload))
+    shown = {item.machine_id for item in listed.items}
     records.extend(
         VersionedRecord(MACHINE_KIND, held.name, listed.version, _TOMBSTONE_PAYLOAD, deleted=True)
         for held in state.records(MACHINE_KIND)
--- a/tests/platform/test_platform_clients.py
+++ b/tests/platform/test_platform_clients.py
@@ -1,3 +1,4 @@
+import gzip
 import json
 import unittest
 
@@ -105,5 +106,16 @@
         bad = {"id": "e2", "version": 5, "kind": "mystery"}
         body = {"version": 5, "machines": [good, bad]}
         listed = MachineListClient(self.serve(self.answer(200, body))).poll(0, 0.0)
-        self.assertEqual(listed.entries[0].machine.kind, MachineKind.ENGINE)
-        self.assertEqual(listed.unreadable_ids, {"e2"})
+        parsed = [item.parse() for item in listed.items]
+        self.assertEqual(parsed[0].machine.kind, MachineKind.ENGINE)
+        self.assertIsNone(parsed[1])
+
+    def test_compressed_answers_are_read_and_cut_ones_refused(self):
+        data = gzip.compress(json.dumps({"version": 5, "machines": []}).encode())
+        head = b"HTTP/1.1 200 X\r\nContent-Encoding: gzip\r\nContent-Length: %d\r\n\r\n"
+        client = MachineListClient(self.serve(head % len(data) + data))
+        self.assertEqual(client.poll(0, 0.0).version, 5)
+        for broken in (data[:-9], b"not gzip"):
+            client = MachineListClient(self.serve(head % len(broken) + broken))
+            with self.subTest(broken), self.assertRaises(RunkeelError):
+                client.poll(0, 0.0)
--- a/tests/state/fakes.py
+++ b/tests/state/fakes.py
@@ -13,7 +13,12 @@
 
 from runkeel.api.machines import Address, Machine, MachineKind, MachineState, Member, MemberStatus
 from runkeel.errors import ErrorCode, RunkeelError, may_have_run, not_run
-from runkeel.platform.machine_list import MachineEntry, MachineList
+from runkeel.platform.machine_list import (
+    ListedMachine,
+    MachineEntry,
+    MachineList,
+    machine_to_json,
+)
 from runkeel.platform.object_api import (
     ObjectContent,
     ObjectList,
@@ -37,11 +42,20 @@
     pool: str = "allocation",
     version: int = 1,
     state: MachineState = MachineState.LIVE,
+    address: Address = _ADDRESS,
 ) -> MachineEntry:
     """Build an entry of a machine list."""
-    http = Address("127.0.0.1", 8000)
-    machine = Machine(machine_id, kind, zone, pool, http, state, version)
-    return MachineEntry(machine, {"http": str(http)})
+    machine = Machine(machine_id, kind, zone, pool, address, state, version)
+    return MachineEntry(machine, {"http": str(address)})
+
+
+def machine_list(version: int, *entries: MachineEntry) -> MachineList:
+    """Build a machine list."""
+    items = (
+        ListedMachine(entry.machine.machine_id, entry.machine.version, machine_to_json(entry))
+        for entry in entries
+    )
+    return MachineList(version, tuple(items))
 
 
 class FakeMembership:
--- a/tests/state/test_spread.py
+++ b/tests/state/test_spread.py
@@ -4,10 +4,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.state import spread as spread_module
 from runkeel.state.push_tree import PAGE_BYTES, tree_children
 from runkeel.state.replicated_state import RecordSource
 from runkeel.state.versioned_record import VersionedRecord
+from runkeel.wire.generated.state.ttypes import StatePush
 from tests.state.fakes import FakeCluster
 
 
@@ -114,6 +116,14 @@
         self.assertEqual(node.membership.digest, self.nodes["b00"].membership.digest)
         self.assertNotEqual(node.membership.digest, 0)
 
+    def test_record_that_lacks_fields_is_refused_and_changes_nothing(self):
+        page = [record("tariff").to_wire()]
+        page[0].payload = None
+        with self.assertRaises(RunkeelError) as caught:
+            self.nodes["a00"].spread._serve_push("a01", StatePush(page, "a01", 1))
+        self.assertEqual(caught.exception.code, ErrorCode.PROTOCOL_ERROR)
+        self.assertEqual(len(self.nodes["a00"].state), 0)
+
     def test_peer_that_dies_during_an_exchange_is_reported(self):
         self.cluster.silent = {"a01"}
         self.assertFalse(self.nodes["a00"].spread._synchronize("a01"))
--- a/tests/state/test_views.py
+++ b/tests/state/test_views.py
@@ -45,6 +45,13 @@
         self.assertEqual(self.view.names(ObjectKind.DRAIN), ())
         self.assertEqual(heard, [(ObjectKind.DRAIN, "e1")] * 2)
 
+    def test_listener_that_raises_keeps_nobody_from_the_change(self):
+        heard = []
+        self.view.on_change(lambda _kind, _name: 1 / 0)
+        self.view.on_change(lambda _kind, name: heard.append(name))
+        put(self.state, "service", "tariff", 1, {})
+        self.assertEqual(heard, ["tariff"])
+
     def test_member_limits_fall_back_to_default_and_built_in(self):
         self.assertEqual(self.view.member_limit("x"), MemberLimitSpec())
         put(self.state, "member_limit", "default", 1, {"burst": 5})
--- a/tests/state/test_watchers.py
+++ b/tests/state/test_watchers.py
@@ -3,13 +3,13 @@
 from unittest import mock
 
 from runkeel.errors import RunkeelError
-from runkeel.platform.machine_list import MachineList
+from runkeel.platform.machine_list import ListedMachine, MachineList
 from runkeel.platform.object_api import ObjectContent, StoredObject
 from runkeel.state import watchers as watchers_module
 from runkeel.state.replicated_state import RecordSource
 from runkeel.state.versioned_record import MACHINE_KIND, VersionedRecord
 from runkeel.state.watchers import MAX_BACKOFF_SECONDS, Backoff, Watchers
-from tests.state.fakes import FakeCluster, FakeMachineList, FakeStore, machine_entry
+from tests.state.fakes import FakeCluster, FakeMachineList, FakeStore, machine_entry, machine_list
 
 
 class WatchersTest(unittest.TestCase):
@@ -92,13 +92,13 @@
 
     def test_vanished_machine_becomes_deleted_and_an_older_list_does_not_bring_it_back(self):
         engine, other = machine_entry("e1", version=1), machine_entry("e2", version=2)
-        self.machine_list.listed = MachineList(2, (engine, other))
+        self.machine_list.listed = machine_list(2, engine, other)
         self.watcher.poll_machines()
-        self.machine_list.listed = MachineList(3, (other,))
+        self.machine_list.listed = machine_list(3, other)
         self.watcher.poll_machines()
         held = self.node.state.get(MACHINE_KIND, "e1")
         self.assertEqual((held.deleted, held.generation), (True, 3))
-        self.machine_list.listed = MachineList(2, (engine, other))
+        self.machine_list.listed = machine_list(2, engine, other)
         self.watchers["n2"].poll_machines()
         self.watcher.poll_machines()
         self.cluster.settle()
@@ -107,14 +107,14 @@
     def test_machine_newer_than_an_old_list_is_not_deleted(self):
         new = VersionedRecord(MACHINE_KIND, "e9", 9, b"{}")
         self.node.state.apply([new], RecordSource.PUSH)
-        self.machine_list.listed = MachineList(8, ())
+        self.machine_list.listed = machine_list(8)
         self.watcher.poll_machines()
         self.assertFalse(self.node.state.get(MACHINE_KIND, "e9").deleted)
 
     def test_entry_that_cannot_be_read_is_not_taken_for_gone(self):
-        self.machine_list.listed = MachineList(1, (machine_entry("e1"),))
+        self.machine_list.listed = machine_list(1, machine_entry("e1"))
         self.watcher.poll_machines()
-        self.machine_list.listed = MachineList(2, (), frozenset({"e1"}))
+        self.machine_list.listed = MachineList(2, (ListedMachine("e1", 2, {"kind": "?"}),))
         self.watcher.poll_machines()
         self.assertFalse(self.node.state.get(MACHINE_KIND, "e1").deleted)
 
