--- a/src/runkeel_lab/standins/application.py
+++ b/src/runkeel_lab/standins/application.py
@@ -15,8 +15,8 @@
 
 from runkeel_lab.standins.faults import FaultKind
 from runkeel_lab.standins.http import (
-    BadRequest,
-    ConnectionAborted,
+    AnswerAbortedError,
+    BadRequestError,
     Request,
     Response,
     error_response,
@@ -130,9 +130,9 @@
             try:
                 service_ms = float(emulated)
             except ValueError as error:
-                raise BadRequest("X-Emulated-Ms must be a number") from error
+                raise BadRequestError("X-Emulated-Ms must be a number") from error
             if not 0 <= service_ms <= MAX_SERVICE_MS:
-                raise BadRequest("X-Emulated-Ms out of range")
+                raise BadRequestError("X-Emulated-Ms out of range")
             return service_ms
         sigma = self.options.service_sigma
         factor = math.exp(self.random.gauss(0.0, sigma)) if sigma else 1.0
@@ -160,7 +160,7 @@
         padding = request.header("X-Emulated-Bytes")
         if padding:
             if not padding.isdigit() or int(padding) > MAX_PADDING_BYTES:
-                raise BadRequest("X-Emulated-Bytes out of range")
+                raise BadRequestError("X-Emulated-Bytes out of range")
             answer["padding"] = "x" * int(padding)
         if self._hits(FaultKind.LOSE_ANSWERS):
             self.journal.write("answer_lost", **request.identity())
@@ -178,7 +178,7 @@
     def _cut(self, request: Request, body: bytes, sent: int) -> Response:
         if sent == 0:
             request.connection.abort()
-            raise ConnectionAborted
+            raise AnswerAbortedError
         headers = (("Content-Length", str(len(body))),)
         return Response(200, _cut_body(request, body[:sent]), headers=headers)
 
@@ -194,4 +194,4 @@
 def _cut_body(request: Request, part: bytes) -> Iterator[bytes]:
     yield part
     request.connection.abort()
-    raise ConnectionAborted
+    raise AnswerAbortedError
--- a/src/runkeel_lab/standins/control.py
+++ b/src/runkeel_lab/standins/control.py
@@ -11,7 +11,7 @@
 
 from runkeel.api.machines import Address
 from runkeel_lab.standins.http import (
-    BadRequest,
+    BadRequestError,
     Handler,
     Request,
     Response,
@@ -50,7 +50,7 @@
     def _application(self, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         try:
             response = self._respond(Request.from_environ(environ))
-        except (BadRequest, ValidationError) as error:
+        except (BadRequestError, ValidationError) as error:
             response = error_response(400, str(error))
         start_response(response.status_line(), response.all_headers())
         return [response.body] if isinstance(response.body, bytes) else response.body
--- a/src/runkeel_lab/standins/engine/batch.py
+++ b/src/runkeel_lab/standins/engine/batch.py
@@ -15,6 +15,7 @@
 from runkeel_lab.standins.engine.sequence import Sequence
 from runkeel_lab.standins.journal import Journal
 
+MAX_FINISHED_IDS = 4096
 _MAX_CATCH_UP_SECONDS = 0.1
 
 
@@ -51,6 +52,7 @@
         self._by_id: dict[str, Sequence] = {}
         self._wake = Event()
         self._stall_ms = 0.0
+        self._finished: dict[str, None] = {}
 
     @property
     def waiting_count(self) -> int:
@@ -66,6 +68,10 @@
         """Return a running or waiting sequence, or None."""
         return self._by_id.get(request_id)
 
+    def has_finished(self, request_id: str) -> bool:
+        """Return whether a sequence came to its end lately, read by its client or not."""
+        return request_id in self._finished
+
     def submit(self, sequence: Sequence) -> None:
         """Let a sequence wait for its place."""
         self._by_id[sequence.request_id] = sequence
@@ -221,6 +227,7 @@
         if sequence.position >= sequence.limit:
             sequence.emit(self._version(), sequence.limit_reason)
             self._remove(sequence)
+            self._remember_finished(sequence.request_id)
             self._write("finished", sequence, finish_reason=sequence.finish_reason)
             return
         pending = sequence.position - sequence.emitted
@@ -228,6 +235,11 @@
         if first or pending >= self._options.tokens_per_event:
             sequence.emit(self._version())
 
+    def _remember_finished(self, request_id: str) -> None:
+        self._finished[request_id] = None
+        if len(self._finished) > MAX_FINISHED_IDS:
+            del self._finished[next(iter(self._finished))]
+
     def _write(self, event: str, sequence: Sequence, **fields: object) -> None:
         self._journal.write(
             event,
--- a/src/runkeel_lab/standins/engine/kv_exports.py
+++ b/src/runkeel_lab/standins/engine/kv_exports.py
@@ -8,7 +8,7 @@
 from collections import OrderedDict
 from dataclasses import asdict, dataclass
 
-from runkeel_lab.standins.http import BadRequest
+from runkeel_lab.standins.http import BadRequestError
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +42,15 @@
         """Parse the wire form.
 
         Raises:
-            BadRequest: the bytes are no exported cache.
+            BadRequestError: the bytes are no exported cache.
         """
         try:
-            return cls(**json.loads(data))
-        except (ValueError, TypeError) as error:
-            raise BadRequest("not an exported KV cache") from error
+            fields = json.loads(data)
+            return cls(
+                str(fields["model"]), int(fields["prompt_crc32"]), int(fields["token_count"])
+            )
+        except (ValueError, TypeError, KeyError) as error:
+            raise BadRequestError("not an exported KV cache") from error
 
 
 class KvExports:
--- a/src/runkeel_lab/standins/engine/orders.py
+++ b/src/runkeel_lab/standins/engine/orders.py
@@ -36,7 +36,7 @@
     role: str = ""
 
 
-class LoadFailed(Exception):  # noqa: N818 - an outcome, kept inside this module
+class LoadError(Exception):
     """The weights could not be loaded."""
 
 
@@ -115,7 +115,7 @@
             self._load_weights(order)
             if order.adapter:
                 gevent.sleep(self._options.adapter_load_ms / 1000)
-        except LoadFailed as error:
+        except LoadError as error:
             self._fail(order, str(error))
             return
         self._take(order)
@@ -137,9 +137,9 @@
             if status == 200:
                 return
             if status == 404:
-                raise LoadFailed("unknown version")
+                raise LoadError("unknown version")
             if time.monotonic() + retry_after >= deadline:
-                raise LoadFailed("weight store gave no weights in time")
+                raise LoadError("weight store gave no weights in time")
             gevent.sleep(retry_after)
 
     def _request_load(self, model: str, version: int, deadline: float) -> tuple[int, float]:
@@ -167,7 +167,7 @@
             self._faults.set(fault.model_copy(update={"count": fault.count - 1}))
         if fault.variant is SwapFailure.HALF_SWAPPED:
             self.half_swapped = True
-        raise LoadFailed(f"injected: {fault.variant}")
+        raise LoadError(f"injected: {fault.variant}")
 
     def _fail(self, order: Order, reason: str) -> None:
         self.swap = "failed"
--- a/src/runkeel_lab/standins/engine/server.py
+++ b/src/runkeel_lab/standins/engine/server.py
@@ -20,7 +20,7 @@
 from runkeel_lab.standins.engine.tokens import prompt_token_count, stop_length, token_text
 from runkeel_lab.standins.faults import FaultKind
 from runkeel_lab.standins.http import (
-    ConnectionAborted,
+    AnswerAbortedError,
     Request,
     Response,
     error_response,
@@ -29,7 +29,6 @@
 from runkeel_lab.standins.server import StandIn
 
 MAX_WAIT_MS = 60_000
-MAX_FINISHED_IDS = 4096
 
 
 class CompletionRequest(BaseModel):
@@ -88,7 +87,6 @@
         control = self._control
         self._batch = Batch(options, self._cache, self.journal, lambda: control.weight_version)
         self._exports = KvExports(options.kv_export_entries)
-        self._finished: dict[str, None] = {}
         self._arrivals = 0
         self._report_sequence = 0
         self._boots_until = time.monotonic() + options.boot_ms / 1000
@@ -221,23 +219,17 @@
                 event = sequence.events.get()
                 if event is None:
                     request.connection.abort()
-                    raise ConnectionAborted
+                    raise AnswerAbortedError
                 yield _encode(sequence.request_id, event)
                 if event.finish_reason is not None:
-                    self._remember_finished(sequence.request_id)
                     return
         finally:
             self._batch.cancel(sequence, "disconnected")
 
-    def _remember_finished(self, request_id: str) -> None:
-        self._finished[request_id] = None
-        while len(self._finished) > MAX_FINISHED_IDS:
-            del self._finished[next(iter(self._finished))]
-
     def _cancel(self, request_id: str) -> Response:
         sequence = self._batch.find(request_id)
         if sequence is None:
-            state = "finished" if request_id in self._finished else "unknown"
+            state = "finished" if self._batch.has_finished(request_id) else "unknown"
             return json_response(200, {"state": state, "kv_handle": ""})
         handle = ""
         if sequence in self._batch.running and not sequence.prefill_remaining:
--- a/src/runkeel_lab/standins/http.py
+++ b/src/runkeel_lab/standins/http.py
@@ -18,7 +18,7 @@
 CONNECTION_KEY = "runkeel.connection"
 
 
-class BadRequest(ValueError):  # noqa: N818 - named as the status code is
+class BadRequestError(ValueError):
     """The request is answered with 400 and this text."""
 
 
@@ -38,7 +38,7 @@
             self._socket.shutdown(socket.SHUT_RDWR)
 
 
-class ConnectionAborted(OSError):  # noqa: N818 - mirrors ConnectionAbortedError
+class AnswerAbortedError(OSError):
     """Ends a handler whose connection was closed on purpose, without an answer."""
 
     def __init__(self) -> None:
@@ -74,11 +74,11 @@
         """Read a request from a WSGI environment.
 
         Raises:
-            BadRequest: the body is larger than ``MAX_BODY_BYTES``.
+            BadRequestError: the body is larger than ``MAX_BODY_BYTES``.
         """
         body = environ["wsgi.input"].read(MAX_BODY_BYTES + 1)
         if len(body) > MAX_BODY_BYTES:
-            raise BadRequest("body too large")
+            raise BadRequestError("body too large")
         return cls(
             method=environ["REQUEST_METHOD"],
             path=environ["PATH_INFO"],
@@ -113,25 +113,25 @@
         """Return an integer of the query string.
 
         Raises:
-            BadRequest: the value is no integer.
+            BadRequestError: the value is no integer.
         """
         try:
             return int(self.query.get(name, default))
         except ValueError as error:
-            raise BadRequest(f"{name} must be an integer") from error
+            raise BadRequestError(f"{name} must be an integer") from error
 
     def json_object(self) -> dict[str, Any]:
         """Return the body as a JSON object.
 
         Raises:
-            BadRequest: the body is not a JSON object.
+            BadRequestError: the body is not a JSON object.
         """
         try:
             value = json.loads(self.body)
         except ValueError as error:
-            raise BadRequest("body is not JSON") from error
+            raise BadRequestError("body is not JSON") from error
         if not isinstance(value, dict):
-            raise BadRequest("body must be a JSON object")
+            raise BadRequestError("body must be a JSON object")
         return value
 
 
--- a/src/runkeel_lab/standins/object_api.py
+++ b/src/runkeel_lab/standins/object_api.py
@@ -10,8 +10,8 @@
 
 from runkeel_lab.standins.faults import Fault, FaultKind
 from runkeel_lab.standins.http import (
-    BadRequest,
-    ConnectionAborted,
+    AnswerAbortedError,
+    BadRequestError,
     Request,
     Response,
     error_response,
@@ -49,6 +49,7 @@
         self.revision = 0
         self._next_revision = 1
         self._objects: dict[tuple[str, str], StoredObject] = {}
+        self._base: dict[tuple[str, str], StoredObject] = {}
         self._history: list[StoredObject] = []
         self._lost: list[tuple[int, int]] = []
 
@@ -78,11 +79,16 @@
         self._objects[(kind, name)] = item
         self._history.append(item)
         if len(self._history) > MAX_HISTORY:
-            del self._history[: MAX_HISTORY // 2]
+            self._compact(MAX_HISTORY // 2)
         return True
 
+    def _compact(self, count: int) -> None:
+        """Fold the oldest writes into the state that no restore goes behind."""
+        self._base.update({(item.kind, item.name): item for item in self._history[:count]})
+        del self._history[:count]
+
     def restore(self, revision: int, reuse_revisions: bool) -> None:
-        """Go back to the state at an older revision.
+        """Go back to the state at an older revision, or to the oldest one remembered.
 
         Args:
             revision: what to go back to.
@@ -91,8 +97,10 @@
         """
         last = self.revision
         self._history = [item for item in self._history if item.revision <= revision]
-        self._objects = {(item.kind, item.name): item for item in self._history}
-        self.revision = min(revision, last)
+        kept = [*self._base.values(), *self._history]
+        self._objects = {(item.kind, item.name): item for item in kept}
+        oldest = max((item.revision for item in self._base.values()), default=0)
+        self.revision = min(max(revision, oldest), last)
         if reuse_revisions:
             self._next_revision = self.revision + 1
         elif last > self.revision:
@@ -157,10 +165,10 @@
 
     def _put(self, request: Request, kind: str, name: str) -> Response:
         if "expect" not in request.query:
-            raise BadRequest("expect is required")
+            raise BadRequestError("expect is required")
         content = request.json_object().get("content")
         if not isinstance(content, dict):
-            raise BadRequest("content must be an object")
+            raise BadRequestError("content must be an object")
         self._counts["put"] += 1
         stored = self.store.put(kind, name, request.integer("expect", 0), content)
         current = self.store.get(kind, name)
@@ -193,7 +201,7 @@
         self._counts["lost_answer"] += 1
         self.journal.write("answer_lost", path=request.path)
         request.connection.abort()
-        raise ConnectionAborted
+        raise AnswerAbortedError
 
     def _watch(self, request: Request) -> Response:
         since = request.integer("since", 0)
--- a/src/runkeel_lab/standins/server.py
+++ b/src/runkeel_lab/standins/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any, ClassVar
@@ -17,7 +16,7 @@
 from runkeel.api.machines import Address
 from runkeel_lab.standins.faults import Fault, FaultBoard, FaultKind
 from runkeel_lab.standins.http import (
-    BadRequest,
+    BadRequestError,
     Connection,
     Handler,
     Request,
@@ -208,7 +207,7 @@
             if request.segments[0] == "fault":
                 return self.handle_control(request, defer_crash=True)
             return self._pass_faults(request) or self.handle(request)
-        except (BadRequest, ValidationError) as error:
+        except (BadRequestError, ValidationError) as error:
             return error_response(400, str(error))
 
     def _pass_faults(self, request: Request) -> Response | None:
@@ -244,10 +243,10 @@
             defer_crash: close the listener a little later, so that an answer can go out.
 
         Raises:
-            BadRequest: this kind of stand-in does not support the fault.
+            BadRequestError: this kind of stand-in does not support the fault.
         """
         if fault.kind is not FaultKind.CLEAR and fault.kind not in self.supported_faults:
-            raise BadRequest(f"{self.kind} does not support {fault.kind}")
+            raise BadRequestError(f"{self.kind} does not support {fault.kind}")
         self.journal.write("fault", fault=fault.model_dump(mode="json", exclude_unset=True))
         closes = fault.kind is FaultKind.CRASH or (
             fault.kind is FaultKind.DOWN and fault.mode == "refuse"
@@ -294,11 +293,6 @@
             self._restart = None
 
 
-def now_ms() -> int:
-    """Return the monotonic clock in milliseconds."""
-    return int(time.monotonic() * 1000)
-
-
 def _reserve(address: Address) -> Any:
     """Bind the port without listening.
 
--- a/src/runkeel_lab/standins/weight_store.py
+++ b/src/runkeel_lab/standins/weight_store.py
@@ -10,7 +10,7 @@
 
 from runkeel_lab.standins.faults import FaultKind
 from runkeel_lab.standins.http import (
-    BadRequest,
+    BadRequestError,
     Request,
     Response,
     error_response,
@@ -123,5 +123,5 @@
 
 def _version(text: str) -> int:
     if not text.isdigit():
-        raise BadRequest("version must be a number")
+        raise BadRequestError("version must be a number")
     return int(text)
--- a/tests/lab/test_standins_engine.py
+++ b/tests/lab/test_standins_engine.py
@@ -164,6 +164,13 @@
         self.assertEqual(prefills[0], 0)
         self.assertGreater(prefills[1], length)
 
+    def test_finished_before_its_client_has_read_it(self):
+        engine = self.engine()
+        self.complete(engine, max_tokens=3)
+        self.wait_until(lambda: self.journal("e", "finished"))
+        state = self.call(engine, "DELETE", "/v1/completions/r").json
+        self.assertEqual(state["state"], "finished")
+
     def test_states_and_evicted_handles(self):
         engine = self.engine()
         self.complete(engine, max_tokens=1).read()
@@ -172,7 +179,8 @@
         unknown = self.call(engine, "DELETE", "/v1/completions/none").json
         self.assertEqual(unknown["state"], "unknown")
         self.assertEqual(self.call(engine, "GET", "/v1/kv/none").status, 404)
-        self.assertEqual(self.call(engine, "PUT", "/v1/kv/x", b"\xff").status, 400)
+        for body in (b"\xff", {"model": "m"}, {"model": "m", "prompt_crc32": [], "token_count": 1}):
+            self.assertEqual(self.call(engine, "PUT", "/v1/kv/x", body).status, 400)
 
 
 class OrderTest(EngineTestCase):
--- a/tests/lab/test_standins_object_api.py
+++ b/tests/lab/test_standins_object_api.py
@@ -1,8 +1,9 @@
 import http.client
+from unittest import mock
 
 import gevent
 
-from runkeel_lab.standins.object_api import ObjectApi
+from runkeel_lab.standins.object_api import ObjectApi, ObjectStore
 from tests.lab.standin_fixture import StandInTestCase
 
 TARGET = "/v1/objects/service/tariff"
@@ -66,6 +67,16 @@
         self.fault(self.store, "restore_older", revision=1, reuse_revisions=True)
         self.assertEqual(self.put(1, 3).json["revision"], 2)
 
+    def test_compacted_history_keeps_every_object(self):
+        store = ObjectStore()
+        for number in range(4):
+            store.put("service", f"s{number}", 0, {})
+        with mock.patch("runkeel_lab.standins.object_api.MAX_HISTORY", 4):
+            store.put("service", "s4", 0, {})
+        store.restore(1, reuse_revisions=False)
+        self.assertEqual([item.name for item in store.changed_after(0)], ["s0", "s1"])
+        self.assertEqual(store.revision, 2)
+
     def test_down_refuses_connections_and_comes_back_with_its_objects(self):
         self.put(0, 1)
         self.fault(self.store, "down")
--- a/tests/lab/test_standins_process.py
+++ b/tests/lab/test_standins_process.py
@@ -9,6 +9,7 @@
 
 from geventhttpclient import HTTPClient
 
+from runkeel_lab.standins.benchmark import Load, write_config
 from runkeel_lab.standins.process import ProcessConfig, StandInGroup, load_config
 
 SOURCE_FOLDER = Path(__file__).parents[2] / "src"
@@ -97,6 +98,12 @@
         with self.assertRaises(ValueError):
             group.start()
 
+    def test_benchmark_writes_a_file_that_loads(self):
+        load = Load(2, 1, 1, 0.0, 8, 8.0, 1.0)
+        with tempfile.TemporaryDirectory() as folder:
+            config = load_config(write_config(load, Path(folder)))
+        self.assertEqual([entry.kind for entry in config.standin].count("engine"), 2)
+
     def test_file_without_standins_is_refused(self):
         with tempfile.NamedTemporaryFile(suffix=".toml") as file, self.assertRaises(ValueError):
             load_config(file.name)
