--- a/src/runkeel/weights/permits.py
+++ b/src/runkeel/weights/permits.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import heapq
 import time
 from collections import Counter
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from runkeel.weights import metrics
@@ -37,10 +38,6 @@
     """Wanted engines and since when."""
     holds: set[SwapKey] = field(default_factory=set)
 
-    def oldest_want(self) -> float:
-        """Return since when the engine that has waited longest waits."""
-        return min(self.wants.values(), default=0.0)
-
 
 class PermitTable:
     """Decides which engines may swap, fairly across zones and owners.
@@ -95,18 +92,16 @@
     def grant(self) -> set[str]:
         """Turn wants into holds while the limits allow; return the owners that got some."""
         self._expire()
-        usage = _Usage(self._owners.values())
+        evaluation = _Evaluation(self._owners, self._model_limit)
         store_limit = self._store_limit()
         granted: set[str] = set()
-        while len(usage.held) < store_limit:
-            choice = self._next(usage)
+        while len(evaluation.held) < store_limit:
+            choice = evaluation.next()
             if choice is None:
                 break
             owner_id, key = choice
-            owner = self._owners[owner_id]
-            del owner.wants[key]
-            owner.holds.add(key)
-            usage.add(owner, key)
+            del self._owners[owner_id].wants[key]
+            self._owners[owner_id].holds.add(key)
             metrics.PERMITS_GRANTED.inc()
             granted.add(owner_id)
         return granted
@@ -131,40 +126,65 @@
                 metrics.PERMITS_EXPIRED.inc(len(owner.holds))
                 del self._owners[owner_id]
 
-    def _next(self, usage: _Usage) -> tuple[str, SwapKey] | None:
-        """Return the want to grant next: fewest holds in its zone, then of its owner, oldest."""
-        by_need = sorted(
-            ((owner_id, owner) for owner_id, owner in self._owners.items() if owner.wants),
-            key=lambda item: (
-                usage.by_zone[item[1].zone],
-                len(item[1].holds),
-                item[1].oldest_want(),
-                item[0],
-            ),
-        )
-        for owner_id, owner in by_need:
-            for key in sorted(owner.wants, key=lambda key: (owner.wants[key], key.backend_id)):
-                full = usage.by_model[key.model] >= self._model_limit(key.model)
-                if not full and key not in usage.held:
-                    return owner_id, key
-        return None
 
+class _Evaluation:
+    """One round of grants: the zone with the fewest holds first, then the owner with the fewest.
 
-class _Usage:
-    """Counts of held permits while grants are made."""
+    Wants of a model that is full are dropped for the round. A grant costs a heap operation,
+    whatever the number of owners.
+    """
 
-    def __init__(self, owners: Iterable[_Owner]) -> None:
+    def __init__(self, owners: dict[str, _Owner], model_limit: Callable[[str], int]) -> None:
+        self._model_limit = model_limit
         self.held: set[SwapKey] = set()
-        self.by_model: Counter[str] = Counter()
-        self.by_zone: Counter[str] = Counter()
-        for owner in owners:
+        self._by_model: Counter[str] = Counter()
+        self._by_zone: Counter[str] = Counter()
+        self._pending: dict[str, list[SwapKey]] = {}
+        """Wants of each owner, the longest waiting last."""
+        self._heaps: dict[str, list[tuple[int, float, str]]] = {}
+        """Owners of each zone: holds, since when they wait, id."""
+        for owner in owners.values():
             for key in owner.holds:
-                self.add(owner, key)
+                self._count(owner.zone, key)
+        for owner_id, owner in owners.items():
+            if owner.wants:
+                self._add_wants(owner_id, owner)
+
+    def next(self) -> tuple[str, SwapKey] | None:
+        """Return the want to grant next and count it as held, or None."""
+        while self._heaps:
+            zone = min(self._heaps, key=lambda name: (self._by_zone[name], self._heaps[name][0]))
+            holds, since, owner_id = heapq.heappop(self._heaps[zone])
+            key = self._next_want(owner_id)
+            if key is not None:
+                heapq.heappush(self._heaps[zone], (holds + 1, since, owner_id))
+                self._count(zone, key)
+                return owner_id, key
+            if not self._heaps[zone]:
+                del self._heaps[zone]
+        return None
+
+    def _add_wants(self, owner_id: str, owner: _Owner) -> None:
+        wants = sorted(
+            owner.wants, key=lambda key: (owner.wants[key], key.backend_id), reverse=True
+        )
+        self._pending[owner_id] = wants
+        entry = (len(owner.holds), owner.wants[wants[-1]], owner_id)
+        heapq.heappush(self._heaps.setdefault(owner.zone, []), entry)
+
+    def _next_want(self, owner_id: str) -> SwapKey | None:
+        pending = self._pending[owner_id]
+        while pending:
+            key = pending.pop()
+            full = self._by_model[key.model] >= self._model_limit(key.model)
+            if not full and key not in self.held:
+                return key
+        return None
 
-    def add(self, owner: _Owner, key: SwapKey) -> None:
+    def _count(self, zone: str, key: SwapKey) -> None:
         """Count a held permit; an engine that two owners hold counts once."""
         if key in self.held:
             return
         self.held.add(key)
-        self.by_model[key.model] += 1
-        self.by_zone[owner.zone] += 1
+        self._by_model[key.model] += 1
+        self._by_zone[zone] += 1
--- a/src/runkeel/weights/reconciler.py
+++ b/src/runkeel/weights/reconciler.py
@@ -110,9 +110,17 @@
                 return SWAP_POLL_SECONDS
             if error.code is ErrorCode.BACKEND_REFUSED and self.target is not None:
                 return self._note_failure(self.target, str(error))
-            self.state = RolloutState.UNREACHABLE
-            self._context.permits.release(self._key)
-            return IDLE_SECONDS
+            return self._give_up_for_now()
+        except Exception as error:
+            # The engine must not be left alone for good because of one unforeseen answer.
+            self.last_error = repr(error)
+            logger.exception("reconciling {} failed", self.machine.machine_id, code="internal")
+            return self._give_up_for_now()
+
+    def _give_up_for_now(self) -> float:
+        self.state = RolloutState.UNREACHABLE
+        self._context.permits.release(self._key)
+        return IDLE_SECONDS
 
     def reconcile(self) -> float:
         """Take the next step towards the target; return how long to wait then, in s.
@@ -208,7 +216,8 @@
         )
         # Two owners that carry out the same generations in the same round send the same
         # order id, so that the engine does the work once.
-        order_id = f"{order.kind}-{target.model_generation}-{target.role_generation}-{fence.round}"
+        generations = f"{target.model_generation}-{target.role_generation}"
+        order_id = f"{order.kind}-{target.model}-{generations}-{fence.round}"
         order = EngineOrder(
             order_id,
             fence.to_number(),
--- a/src/runkeel/weights/roll_out.py
+++ b/src/runkeel/weights/roll_out.py
@@ -64,6 +64,7 @@
     def start(self) -> None:
         """Reconcile the engines owned now and from now on."""
         self._running = True
+        metrics.ENGINES_HELD.labels(self._context.membership.node_id).set_function(self._held)
         self._context.ownership.on_change(self.refresh)
         self._context.configuration.on_change(self._wake)
         self.refresh()
@@ -94,10 +95,12 @@
     def progress(self) -> list[EngineProgress]:
         """Return where the owned engines stand, sorted by id."""
         reconcilers = sorted(self._reconcilers.items())
-        held = sum(reconciler.state is RolloutState.HELD for _, (reconciler, _) in reconcilers)
-        metrics.ENGINES_HELD.labels(self._context.membership.node_id).set(held)
         return [self._progress_of(reconciler) for _, (reconciler, _) in reconcilers]
 
+    def _held(self) -> int:
+        states = [reconciler.state for reconciler, _ in self._reconcilers.values()]
+        return states.count(RolloutState.HELD)
+
     def _progress_of(self, reconciler: EngineReconciler) -> EngineProgress:
         machine = reconciler.machine
         status = self._context.monitor.status(machine.machine_id)
--- /dev/null
+++ b/src/runkeel/weights/service.py
@@ -0,0 +1,67 @@
+"""Joins the parts that report on a node's engines and roll weights out to them."""
+
+from __future__ import annotations
+
+from runkeel.api.interfaces import (
+    Configuration,
+    MachineView,
+    Membership,
+    Ownership,
+    PeerClient,
+    PeerHandlers,
+)
+from runkeel.backends.engine_directory import EngineMonitor
+from runkeel.platform.weight_store import WeightStoreClient
+from runkeel.weights.pacing import PermitClient, PermitCoordinator
+from runkeel.weights.pause import PauseDetector
+from runkeel.weights.roll_out import RollOut
+
+
+class WeightsService:
+    """The weights part of one node.
+
+    Attributes:
+        engines: the node's EngineDirectory.
+        roll_out: says where each owned engine stands.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        configuration: Configuration,
+        machines: MachineView,
+        ownership: Ownership,
+        peers: PeerClient,
+        handlers: PeerHandlers,
+        weight_store: WeightStoreClient,
+    ) -> None:
+        self.engines = EngineMonitor(ownership)
+        self._pause_detector = PauseDetector()
+        self._coordinator = PermitCoordinator(
+            membership, configuration, machines, handlers, weight_store.limits
+        )
+        self._permits = PermitClient(membership, peers)
+        self.roll_out = RollOut(
+            membership,
+            configuration,
+            machines,
+            ownership,
+            self.engines,
+            self._permits,
+            self._pause_detector,
+        )
+
+    def start(self) -> None:
+        """Start all tasks."""
+        self._pause_detector.start()
+        self.engines.start()
+        self._permits.start()
+        self.roll_out.start()
+
+    def stop(self) -> None:
+        """Stop all tasks; swaps under way go on in the engines."""
+        self.roll_out.stop()
+        self._permits.stop()
+        self._coordinator.stop()
+        self.engines.stop()
+        self._pause_detector.stop()
--- a/src/runkeel/weights/target.py
+++ b/src/runkeel/weights/target.py
@@ -14,6 +14,7 @@
     """What an engine should serve.
 
     Attributes:
+        role: empty when no operator ever set one; the engine then keeps its own.
         paused: loads stop where they stand; role changes go on.
     """
 
@@ -35,7 +36,7 @@
 
     def needs_role(self, status: EngineStatus) -> bool:
         """Return whether the reported role differs from the target."""
-        return status.role != self.role
+        return bool(self.role) and status.role != self.role
 
     def is_reached(self, status: EngineStatus) -> bool:
         """Return whether the report shows the target state."""
@@ -47,12 +48,14 @@
     model = configuration.model(machine.pool)
     if model is None:
         return None
+    role_generation = configuration.generation(ObjectKind.ENGINE_ROLE, machine.machine_id)
+    role = configuration.engine_role(machine.machine_id).role if role_generation else ""
     return TargetState(
         model=machine.pool,
         version=model.target_version,
         adapter=model.adapter,
-        role=configuration.engine_role(machine.machine_id).role,
+        role=role,
         model_generation=configuration.generation(ObjectKind.MODEL, machine.pool),
-        role_generation=configuration.generation(ObjectKind.ENGINE_ROLE, machine.machine_id),
+        role_generation=role_generation,
         paused=model.rollout_paused,
     )
--- a/tests/operators/test_commands_and_queries.py
+++ b/tests/operators/test_commands_and_queries.py
@@ -12,17 +12,15 @@
 
 from runkeel.api.configuration import ModelSpec, ObjectKind, OperatorSpec
 from runkeel.api.machines import Address, MachineKind
+from runkeel.errors import ErrorCode, not_run
 from runkeel.http.routes import RouteTable
 from runkeel.http.server import HttpServer
 from runkeel.operators.client import OperatorClient
-from runkeel.operators.commands import CommandRunner
 from runkeel.operators.ctl import ExitCode, run_ctl
 from runkeel.operators.prompt import CommandCompleter
-from runkeel.operators.queries import QueryRunner
-from runkeel.operators.routes import OperatorRoutes
-from runkeel.operators.sources import QuerySources
-from runkeel.operators.standard_sources import StandardSources
-from runkeel.operators.tokens import Authenticator, new_token
+from runkeel.operators.service import OperatorsService
+from runkeel.operators.tokens import new_token
+from runkeel.platform.weight_store import WeightVersion
 from runkeel.settings import LimitSettings
 from tests.operators.fakes import FakeWriter
 from tests.weights.fakes import Cluster, FakeWeightStore
@@ -37,12 +35,11 @@
         self.configuration.put(ObjectKind.MODEL, "allocation", ModelSpec(target_version=1))
         self.writer = FakeWriter(self.configuration)
         self.weight_store = mock.Mock()
-        self.weight_store.versions.return_value = ()
-        runners = [self.make_runners(node) for node in self.cluster.nodes.values()]
-        routes = RouteTable()
-        authenticator = Authenticator(self.configuration, open_access=True)
-        OperatorRoutes(routes, authenticator, *runners[0])
-        self.server = HttpServer(Address("127.0.0.1", 0), routes, LimitSettings())
+        self.weight_store.versions.return_value = (WeightVersion(1, 10),)
+        routes = [RouteTable() for _ in ZONES]
+        for node, table in zip(self.cluster.nodes.values(), routes, strict=True):
+            self.make_service(node, table)
+        self.server = HttpServer(Address("127.0.0.1", 0), routes[0], LimitSettings())
         self.server.start()
         self.addCleanup(self.server.stop)
         self.node_url = f"http://{self.server.address}"
@@ -51,16 +48,12 @@
             node.monitor.start()
             self.addCleanup(node.monitor.stop)
 
-    def make_runners(self, node):
-        commands = CommandRunner(self.configuration, self.writer)
-        sources = QuerySources()
-        StandardSources(
-            node.membership, self.configuration, self.cluster.machines, node.ownership,
-            node.monitor, node.roll_out, commands, self.weight_store,
-        ).register(sources)  # fmt: skip
+    def make_service(self, node, routes):
         peer = self.cluster.peers.of(node.membership.node_id)
-        queries = QueryRunner(node.membership, self.cluster.machines, peer, peer, sources)
-        return commands, queries
+        OperatorsService(
+            node.membership, self.configuration, self.cluster.machines, node.ownership, peer, peer,
+            node.monitor, node.roll_out, self.writer, self.weight_store, routes, open_access=True,
+        )  # fmt: skip
 
     def ctl(self, command, **options):
         """Run a command line; return the exit code and what it printed."""
@@ -123,6 +116,14 @@
         self.assertEqual(ExitCode.OK, self.ctl("stop node node-b")[0])
         self.assertTrue(self.configuration.spec(ObjectKind.DRAIN, "node-b").stop)
 
+    def test_slips_are_warned_of_and_nothing_is_refused_for_them(self):
+        self.assertIn('did you mean "engine-0"', self.ctl("drain backend engin-0")[1])
+        self.assertIn("does not hold version 9", self.ctl("deploy model allocation version 9")[1])
+        self.assertNotIn("warning", self.ctl("deploy model allocation version 1")[1])
+        self.weight_store.versions.side_effect = not_run(ErrorCode.STORE_UNAVAILABLE, "down")
+        code, output = self.ctl("deploy model allocation version 2")
+        self.assertEqual((ExitCode.OK, True), (code, "is not known" in output))
+
     def test_dry_run_checks_and_writes_nothing(self):
         text = "set model allocation swap_fraction 50% --dry-run"
         document = self.client.send(text).document
--- a/tests/weights/test_fuzz.py
+++ b/tests/weights/test_fuzz.py
@@ -231,7 +231,8 @@
             self.reconcile("node-b")
         spec = self.truth.model(MODEL)
         reported = (self.engine.version, self.engine.adapter, self.engine.role)
-        wanted = (spec.target_version, spec.adapter, self.truth.engine_role("engine-0").role)
+        role = self.truth.engine_role("engine-0").role
+        wanted = (spec.target_version, spec.adapter, role)
         assert reported == wanted, f"{reported} instead of {wanted}"
 
 
