--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -11,17 +11,11 @@
 
 from runkeel.api.configuration import DrainSpec, ObjectKind
 from runkeel.api.machines import Address
-from runkeel.backends.engine_directory import EngineMonitor
 from runkeel.http.monitoring import add_monitoring_routes
 from runkeel.http.routes import RouteTable
 from runkeel.http.server import HttpServer
 from runkeel.membership.gossip import GossipMembership
-from runkeel.operators.commands import CommandRunner
-from runkeel.operators.queries import QueryRunner
-from runkeel.operators.routes import OperatorRoutes
-from runkeel.operators.sources import QuerySources
-from runkeel.operators.standard_sources import StandardSources
-from runkeel.operators.tokens import Authenticator
+from runkeel.operators.service import OperatorsService
 from runkeel.platform.machine_list import MachineListClient
 from runkeel.platform.object_api import ObjectApiClient
 from runkeel.platform.weight_store import WeightStoreClient
@@ -38,9 +32,7 @@
 from runkeel.state.replicated_state import ReplicatedState
 from runkeel.state.spread import Spread
 from runkeel.state.watchers import Watchers
-from runkeel.weights.pacing import PermitClient, PermitCoordinator
-from runkeel.weights.pause import PauseDetector
-from runkeel.weights.roll_out import RollOut
+from runkeel.weights.service import WeightsService
 from runkeel.wire.links import LinkPolicy
 from runkeel.wire.network import PeerNetwork
 
@@ -97,12 +89,9 @@
         self._membership.start()
         self._spread.start()
         self._watchers.start()
-        self._pause_detector.start()
-        self._monitor.start()
         self._records.start()
         self._requests.start()
-        self._permits.start()
-        self._roll_out.start()
+        self._weights.start()
         self._rollouts.start()
         self._http.start()
 
@@ -134,12 +123,9 @@
         """End every part at once, in the reverse order of the start."""
         self._http.stop()
         self._rollouts.stop()
-        self._roll_out.stop()
-        self._permits.stop()
+        self._weights.stop()
         self._requests.stop()
         self._records.stop()
-        self._monitor.stop()
-        self._pause_detector.stop()
         self._watchers.close()
         self._spread.close()
         self._membership.stop()
@@ -198,7 +184,16 @@
 
     def _build_work(self) -> None:
         settings = self._settings
-        self._monitor = EngineMonitor(self._ownership)
+        self._weight_store = WeightStoreClient(_address_of(settings.platform.weight_store))
+        self._weights = WeightsService(
+            self._membership,
+            self._configuration,
+            self._machines,
+            self._ownership,
+            self._network,
+            self._network,
+            self._weight_store,
+        )
         self._requests = RequestService(
             self._membership,
             self._configuration,
@@ -208,7 +203,7 @@
             self._network,
             self._network,
             self._routes,
-            self._monitor,
+            self._weights.engines,
         )
         data_folder = Path(settings.node.data_folder) if settings.node.data_folder else None
         self._rollouts = RolloutService(
@@ -222,44 +217,22 @@
             data_folder=data_folder,
         )
         self._rollouts.register(self._routes)
-        self._weight_store = WeightStoreClient(_address_of(settings.platform.weight_store))
-        self._pause_detector = PauseDetector()
-        self._permits = PermitClient(self._membership, self._network)
-        self._permit_coordinator = PermitCoordinator(
-            self._membership,
-            self._configuration,
-            self._machines,
-            self._network,
-            self._weight_store.limits,
-        )
-        self._roll_out = RollOut(
-            self._membership,
-            self._configuration,
-            self._machines,
-            self._ownership,
-            self._monitor,
-            self._permits,
-            self._pause_detector,
-        )
 
     def _build_operators(self) -> None:
-        commands = CommandRunner(self._configuration, self._writer)
-        sources = QuerySources()
-        StandardSources(
+        self._operators = OperatorsService(
             self._membership,
             self._configuration,
             self._machines,
             self._ownership,
-            self._monitor,
-            self._roll_out,
-            commands,
+            self._network,
+            self._network,
+            self._weights.engines,
+            self._weights.roll_out,
+            self._writer,
             self._weight_store,
-        ).register(sources)
-        queries = QueryRunner(
-            self._membership, self._machines, self._network, self._network, sources
+            self._routes,
+            self._settings.operators.open,
         )
-        authenticator = Authenticator(self._configuration, self._settings.operators.open)
-        OperatorRoutes(self._routes, authenticator, commands, queries)
 
     def _not_ready_reasons(self) -> list[str]:
         reasons = []
