Report not ready before the machine list is known

Cause: a lookup right after the start was refused with no_backend though /readyz said ready. Change: readiness waits for the first machine list, from a peer or from the platform. Conclusion: a balancer in front of a new node sends nothing that must be refused.

--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -31,6 +31,7 @@
 from runkeel.state.records.service import RecordService
 from runkeel.state.replicated_state import ReplicatedState
 from runkeel.state.spread import Spread
+from runkeel.state.versioned_record import MACHINE_KIND
 from runkeel.state.watchers import Watchers
 from runkeel.weights.service import WeightsService
 from runkeel.wire.links import LinkPolicy
@@ -240,6 +241,8 @@
             reasons.append("stopping")
         if not self._spread.caught_up:
             reasons.append("configuration not read yet")
+        if not self._state.records(MACHINE_KIND):
+            reasons.append("machine list not read yet")
         return reasons
 
     def _note_own_drain(self, kind: ObjectKind, name: str) -> None:
