--- a/src/runkeel_lab/demo.py
+++ b/src/runkeel_lab/demo.py
@@ -24,6 +24,7 @@
 from runkeel_lab.operators import OperatorClient
 from runkeel_lab.processes import LabError
 from runkeel_lab.runner import SETTLE_SECONDS, fresh_folder
+from runkeel_lab.summary import make_console
 from runkeel_lab.trainer import Trainer
 from runkeel_lab.verify_callers import CallerVerifier
 from runkeel_lab.verify_samples import verify_trainer
@@ -265,7 +266,7 @@
 
 def run_demo(out: Path) -> bool:
     """Run the demonstration; return whether everything held."""
-    console = Console()
+    console = make_console()
     folder = fresh_folder(out)
     deployment = load_deployment(DEPLOYMENT_PATH)
     began = time.monotonic()
--- a/src/runkeel_lab/replay.py
+++ b/src/runkeel_lab/replay.py
@@ -26,6 +26,7 @@
 from runkeel_lab.operators import CommandRecord, OperatorClient
 from runkeel_lab.processes import LabError
 from runkeel_lab.runner import SETTLE_SECONDS, fresh_folder
+from runkeel_lab.summary import make_console
 from runkeel_lab.trace import Trace, TraceCall, TraceCommand, TraceFault, TraceStep, load_trace
 from runkeel_lab.trainer import Trainer
 from runkeel_lab.verify_callers import CallerVerifier
@@ -150,7 +151,7 @@
         replay = TraceReplay(trace, running)
         replay.run()
     deviations = replay.deviations(Journals.read(folder / "journals"))
-    _print_deviations(trace, deviations, Console())
+    _print_deviations(trace, deviations, make_console())
     return not deviations
 
 
--- a/src/runkeel_lab/summary.py
+++ b/src/runkeel_lab/summary.py
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 _SHOWN_VIOLATIONS = 20
+_WIDTH_WITHOUT_TERMINAL = 160
 _CALLER_COLUMNS = (
     "sent",
     "answered",
@@ -35,9 +36,15 @@
 _NODE_COLUMNS = ("cpu_percent", "rss_mb", "control_bytes_per_s")
 
 
+def make_console() -> Console:
+    """Return a console that is wide enough for the tables when it writes to a file."""
+    console = Console()
+    return console if console.is_terminal else Console(width=_WIDTH_WITHOUT_TERMINAL)
+
+
 def print_summary(report: dict[str, Any], console: Console | None = None) -> None:
     """Print callers, trainers, nodes, control times and violations."""
-    console = console or Console()
+    console = console or make_console()
     console.print(
         f"{report['experiment']} on {report['deployment']}: "
         f"{report['seconds']} s, seed {report['seed']}"
--- a/src/runkeel_lab/sweep.py
+++ b/src/runkeel_lab/sweep.py
@@ -8,18 +8,18 @@
 from pathlib import Path
 from typing import Any
 
-from rich.console import Console
 from rich.table import Table
 
 from runkeel_lab.deployment import Deployment
 from runkeel_lab.experiment import Experiment, load_experiment
 from runkeel_lab.processes import LabError
 from runkeel_lab.runner import deployment_of, fresh_folder, run_experiment
+from runkeel_lab.summary import make_console
 
 
 def run_sweep(paths: Sequence[Path], out: Path, seconds: float, seed: int, pairs: bool) -> bool:
     """Run the experiments and print a line for each; return whether nothing was violated."""
-    console = Console()
+    console = make_console()
     folder = fresh_folder(out)
     loaded = [_load(path) for path in paths]
     chosen = _pairs(loaded) if pairs else loaded
