--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -69,8 +69,7 @@
 
 
 def sweep(
-    experiments: list[Path],
-    *,
+    *experiments: Path,
     out: Path = Path("out/sweep"),
     seconds: float = 0.0,
     seed: int = 0,
