Widen the windows of the stand-ins' timed tests

Cause: some tests act while a request or load of 30 to 200 ms is under way; a paused machine could miss it. Change: the same assertions with windows of 300 ms to 1.5 s. Nothing is asserted less.

--- a/tests/lab/test_standins_application.py
+++ b/tests/lab/test_standins_application.py
@@ -32,7 +32,7 @@
         self.assertEqual([run["key"] for run in runs], ["k1", "k1"])
 
     def test_over_the_limits_is_refused_before_it_runs(self):
-        tasks = [self.background(self.post, X_Emulated_Ms="200") for _ in range(2)]
+        tasks = [self.background(self.post, X_Emulated_Ms="500") for _ in range(2)]
         self.wait_until(lambda: self.server.fault_state()["waiting"] == 1)
         self.assertEqual(self.post().status, 503)
         self.assertEqual([task.get(timeout=10).status for task in tasks], [200, 200])
--- a/tests/lab/test_standins_engine.py
+++ b/tests/lab/test_standins_engine.py
@@ -51,7 +51,7 @@
 
     def test_swap_in_mid_stream_never_mixes_versions_in_an_event(self):
         engine = self.engine(tokens_per_event=7)
-        completion = self.complete(engine, max_tokens=400)
+        completion = self.complete(engine, max_tokens=700)
         events = completion.events()
         next(events)
         self.order(engine, "o1", 1, 2)
@@ -59,13 +59,13 @@
         versions = {event["weight_version"] for event in completion.seen}
         self.assertEqual(versions, {1, 2})
         self.assertEqual(completion.wrong_tokens(), [])
-        self.assertEqual(len(completion.tokens), 400)
+        self.assertEqual(len(completion.tokens), 700)
         ranges = self.journal("e", "finished")[0]["versions"]
         self.assertEqual([part["version"] for part in ranges], [1, 2])
-        self.assertEqual(sum(part["count"] for part in ranges), 400)
+        self.assertEqual(sum(part["count"] for part in ranges), 700)
 
     def test_refusals(self):
-        engine = self.engine(kv_total_blocks=4)
+        engine = self.engine(kv_total_blocks=4, base_ms=30.0)
         self.assertEqual(self.complete(engine, model="other").status, 404)
         self.assertEqual(self.complete(engine, adapter="none").status, 404)
         self.assertEqual(self.complete(engine, minimum_version=2).status, 503)
@@ -97,12 +97,12 @@
 
     def test_equal_priority_waits_and_a_preempted_stream_loses_nothing(self):
         engine = self.engine(max_running=1)
-        low = self.background_read(engine, "low", max_tokens=60, priority=5)
+        low = self.background_read(engine, "low", max_tokens=700, priority=5)
         self.running(engine, 1)
         equal = self.background_read(engine, "equal", max_tokens=5, priority=5)
         self.wait_until(lambda: engine.fault_state()["waiting"] == 1)
         self.complete(engine, "urgent", max_tokens=5).read()
-        for task, length in ((low, 60), (equal, 5)):
+        for task, length in ((low, 700), (equal, 5)):
             completion = task.get(timeout=10)
             self.assertEqual(len(completion.tokens), length)
             self.assertEqual(completion.wrong_tokens(), [])
@@ -194,7 +194,7 @@
         self.assertEqual(len(self.journal("e", "swap_started")), 1)
 
     def test_newer_order_overtakes_a_load_under_way(self):
-        engine = self.engine(local_load_ms=50)
+        engine = self.engine(local_load_ms=500)
         self.order(engine, "o2", 1, 2)
         self.order(engine, "o3", 2, 3)
         self.loaded(engine, 3)
@@ -249,7 +249,7 @@
         self.assertEqual(engine.fault_state()["weight_version"], 2)
 
     def test_another_model_waits_for_the_running_requests(self):
-        engine = self.engine()
+        engine = self.engine(base_ms=8.0)
         task = self.background_read(engine, "r", max_tokens=100)
         self.running(engine, 1)
         self.order(engine, "o", 1, 7, model="n")
--- a/tests/lab/test_standins_platform.py
+++ b/tests/lab/test_standins_platform.py
@@ -13,7 +13,7 @@
 
 class MachineListTest(StandInTestCase):
     def test_change_shows_after_the_lag_and_wakes_the_poll(self):
-        machines = self.start(MachineList, lag_ms=30)
+        machines = self.start(MachineList, lag_ms=400)
         self.assertEqual(self.call(machines, "PUT", CONTROL, MACHINE).status, 200)
         self.assertEqual(self.call(machines, "GET", "/v1/machines").json["machines"], [])
         shown = self.call(machines, "GET", "/v1/machines?since=0&wait_ms=10000").json
@@ -40,7 +40,7 @@
 class WeightStoreTest(StandInTestCase):
     def setUp(self):
         super().setUp()
-        self.store = self.start(WeightStore, concurrent_loads=1, load_ms=50, models={"m": [1]})
+        self.store = self.start(WeightStore, concurrent_loads=1, load_ms=400, models={"m": [1]})
 
     def load(self, version: int):
         return self.call(self.store, "POST", f"/v1/models/m/versions/{version}/load")
@@ -70,7 +70,7 @@
         self.assertEqual(answer, {"sample_id": "s1", "score": expected})
 
     def test_limit_and_errors(self):
-        scorer = self.start(Scorer, service_ms=50, max_concurrency=1)
+        scorer = self.start(Scorer, service_ms=400, max_concurrency=1)
         sample = {"sample_id": "s1", "prompt": "p", "token_ids": []}
         first = gevent.spawn(self.call, scorer, "POST", "/v1/score", sample)
         self.wait_until(lambda: scorer.fault_state()["running"] == 1)
