--- a/src/runkeel_lab/measurements/callers.py
+++ b/src/runkeel_lab/measurements/callers.py
@@ -16,9 +16,9 @@
 
 import gevent  # noqa: E402
 import psutil  # noqa: E402
+
 from runkeel.api.configuration import ObjectKind  # noqa: E402
 from runkeel.api.machines import Address  # noqa: E402
-
 from runkeel_lab.deployment import (  # noqa: E402
     ConfigurationObject,
     Deployment,
@@ -53,9 +53,7 @@
                 options={"base_ms": 2.0, "per_sequence_ms": 0.0, "tokens_per_event": 1},
             ),
         ),
-        services=(
-            ServicePool(name="ledger", servers=3, options={"service_ms": 0.0}),
-        ),
+        services=(ServicePool(name="ledger", servers=3, options={"service_ms": 0.0}),),
         objects=(
             ConfigurationObject(kind=ObjectKind.SERVICE, name="ledger", spec=wide),
             ConfigurationObject(kind=ObjectKind.MODEL, name="allocation", spec=wide),
@@ -146,9 +144,7 @@
 def streamed_events(node: Address, seconds: float) -> dict[str, float]:
     """Keep some streamed completions running; one token an event."""
     events = 0
-    body = json.dumps(
-        {"prompt": "draft", "max_tokens": TOKENS_PER_STREAM, "stream": True}
-    ).encode()
+    body = json.dumps({"prompt": "draft", "max_tokens": TOKENS_PER_STREAM, "stream": True}).encode()
 
     def run() -> None:
         nonlocal events
@@ -165,9 +161,7 @@
     return {"per_s": round(events / (time.monotonic() - started), 1)}
 
 
-def _with_cpu(
-    process: psutil.Process, measure: Callable[[], dict[str, float]]
-) -> dict[str, float]:
+def _with_cpu(process: psutil.Process, measure: Callable[[], dict[str, float]]) -> dict[str, float]:
     before, started = process.cpu_times(), time.monotonic()
     result = measure()
     after, ended = process.cpu_times(), time.monotonic()
