--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -16,6 +16,7 @@
 from runkeel.http.server import HttpServer
 from runkeel.membership.gossip import GossipMembership
 from runkeel.operators.service import OperatorsService
+from runkeel.operators.work_sources import register_claims, register_steps
 from runkeel.platform.machine_list import MachineListClient
 from runkeel.platform.object_api import ObjectApiClient
 from runkeel.platform.weight_store import WeightStoreClient
@@ -233,6 +234,9 @@
             self._routes,
             self._settings.operators.open,
         )
+        sources = self._operators.sources
+        register_steps(sources, self.node_id, self._rollouts.steps)
+        register_claims(sources, self.node_id, self._requests.claims.recorded)
 
     def _not_ready_reasons(self) -> list[str]:
         reasons = []
--- a/src/runkeel/operators/client.py
+++ b/src/runkeel/operators/client.py
@@ -47,12 +47,12 @@
     """
 
     def __init__(self, node: str, token: str = "") -> None:
-        parts = urlsplit(node if "//" in node else f"http://{node}")
         try:
-            host, port = parts.hostname, parts.port
+            parts = urlsplit(node if "//" in node else f"http://{node}")
+            scheme, host, port = parts.scheme, parts.hostname, parts.port
         except ValueError:
-            host, port = None, None
-        if parts.scheme != "http" or not host:
+            scheme, host, port = "", None, None
+        if scheme != "http" or not host:
             raise not_run(ErrorCode.BAD_REQUEST, f"not a node's URL: {node!r}")
         self._host = host
         self._port = port or 80
--- a/src/runkeel/operators/commands.py
+++ b/src/runkeel/operators/commands.py
@@ -65,6 +65,7 @@
 
     Attributes:
         spec: the new spec; only of a dry run.
+        present: the present spec; only of a dry run, empty when there is none.
     """
 
     command_id: str
@@ -72,6 +73,7 @@
     generation: int
     warnings: tuple[str, ...] = ()
     spec: dict[str, Any] = field(default_factory=dict)
+    present: dict[str, Any] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,7 +182,8 @@
             if present is None:
                 raise _missing(change)
             return CommandOutcome(command_id, DRY_RUN, generation, warnings)
-        edited = edit(present.model_dump(mode="json") if present is not None else None)
+        present_fields = present.model_dump(mode="json") if present is not None else {}
+        edited = edit(dict(present_fields) if present is not None else None)
         try:
             spec = SPEC_CLASSES[change.kind].model_validate(edited)
         except ValidationError as error:
@@ -191,7 +194,12 @@
                 f"{change.kind} {change.name!r}: {location}: {problem['msg']}",
             ) from error
         return CommandOutcome(
-            command_id, DRY_RUN, generation, warnings, spec.model_dump(mode="json")
+            command_id,
+            DRY_RUN,
+            generation,
+            warnings,
+            spec.model_dump(mode="json"),
+            present_fields,
         )
 
     def _check_operators_remain(self, change: Change) -> None:
--- a/src/runkeel/operators/rendering.py
+++ b/src/runkeel/operators/rendering.py
@@ -59,8 +59,12 @@
     )
     for warning in document.get("warnings", ()):
         console.print(f"warning: {escape(warning)}")
+    present = document.get("present", {})
     for name, value in document.get("spec", {}).items():
-        console.print(f"  {name} = {escape(_text(value))}")
+        if name not in present:
+            console.print(f"  {name}: {escape(_text(value))}")
+        elif present[name] != value:
+            console.print(f"  {name}: {escape(_text(present[name]))} -> {escape(_text(value))}")
 
 
 def _text(value: Any) -> str:
--- a/src/runkeel/operators/routes.py
+++ b/src/runkeel/operators/routes.py
@@ -103,6 +103,7 @@
     }
     if outcome.spec:
         document["spec"] = outcome.spec
+        document["present"] = outcome.present
     return document
 
 
--- a/src/runkeel/operators/selection.py
+++ b/src/runkeel/operators/selection.py
@@ -8,9 +8,10 @@
 
 from runkeel.operators.diagnostics import bad_command
 from runkeel.operators.sources import QuerySource, Row
-from runkeel.operators.statements import Comparison, Condition, Scalar, ShowQuery, Word
+from runkeel.operators.statements import Comparison, Condition, Scalar, ShowQuery
 from runkeel.operators.values import parse_scalar
 
+_NULL = "null"
 _COMPARE: dict[Comparison, Callable[[Any, Any], bool]] = {
     Comparison.EQUAL: operator.eq,
     Comparison.NOT_EQUAL: operator.ne,
@@ -60,26 +61,23 @@
 
 
 def _matches(value: Scalar, condition: Condition) -> bool:
-    wanted = _wanted(value, condition.value)
+    """Return whether a value fulfils a condition; null only equals the word ``null``."""
+    text = condition.value.text
     if condition.comparison is Comparison.CONTAINS:
-        return condition.value.text in _text(value)
-    if condition.comparison is Comparison.NOT_EQUAL:
-        return value != wanted
-    if value is None or wanted is None:
-        return condition.comparison is Comparison.EQUAL and value is wanted
+        return text in _text(value)
+    if value is None or text == _NULL:
+        equal = value is None and text == _NULL
+        return (
+            equal
+            if condition.comparison is Comparison.EQUAL
+            else (condition.comparison is Comparison.NOT_EQUAL and not equal)
+        )
+    wanted = text if isinstance(value, str) else parse_scalar(text)
+    if isinstance(value, str) != isinstance(wanted, str):
+        return condition.comparison is Comparison.NOT_EQUAL
     return _COMPARE[condition.comparison](value, wanted)
 
 
-def _wanted(value: Scalar, word: Word) -> Scalar:
-    """Return the condition's value in the type of the row's value."""
-    if isinstance(value, str):
-        return word.text
-    scalar = parse_scalar(word.text)
-    if value is None or isinstance(scalar, str):
-        return None
-    return scalar
-
-
 def _text(value: Scalar) -> str:
     if isinstance(value, bool):
         return str(value).lower()
--- a/src/runkeel/operators/standard_sources.py
+++ b/src/runkeel/operators/standard_sources.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import dataclass
 
 from runkeel.api.configuration import ObjectKind
@@ -46,7 +45,7 @@
     "age_ms",
 )
 CONFIG_COLUMNS = ("kind", "name", "generation", "field", "value")
-VERSION_COLUMNS = ("model", "version", "target", "node", "engines")
+VERSION_COLUMNS = ("model", "version", "target", "node", "engines", "age_ms")
 STORED_VERSION_COLUMNS = ("model", "version", "bytes")
 ROLLOUT_COLUMNS = (
     "model",
@@ -144,15 +143,23 @@
 
     def versions(self) -> list[Row]:
         """Return how many of this node's engines serve which version."""
-        counts: Counter[tuple[str, int]] = Counter()
+        ages: dict[tuple[str, int], list[float]] = {}
         for machine in self.ownership.owned():
             status = self.engines.status(machine.machine_id)
             if status is not None:
-                counts[(machine.pool, status.weight_version)] += 1
+                key = (machine.pool, status.weight_version)
+                ages.setdefault(key, []).append(status.age_seconds)
         node_id = self.membership.node_id
         return [
-            (model, version, self._target_version(model) == version, node_id, count)
-            for (model, version), count in sorted(counts.items())
+            (
+                model,
+                version,
+                self._target_version(model) == version,
+                node_id,
+                len(seconds),
+                _milliseconds(max(seconds)),
+            )
+            for (model, version), seconds in sorted(ages.items())
         ]
 
     def stored_versions(self) -> list[Row]:
--- a/src/runkeel/requests/claim.py
+++ b/src/runkeel/requests/claim.py
@@ -91,6 +91,10 @@
         """Return a request's row, or None when it is not held (any more)."""
         return self._answers.get(request_id)
 
+    def items(self) -> list[tuple[str, RecordedAnswer]]:
+        """Return all rows with their request ids."""
+        return list(self._answers.items())
+
     def _trim(self) -> None:
         oldest_allowed = time.monotonic() - ANSWER_RETENTION_SECONDS
         for request_id, answer in list(self._answers.items()):
@@ -119,6 +123,10 @@
         self._peers = peers
         self._answers = RecordedAnswers()
 
+    def recorded(self) -> list[tuple[str, RecordedAnswer]]:
+        """Return the requests that this node has claimed lately, for queries."""
+        return self._answers.items()
+
     def register(self, handlers: PeerHandlers) -> None:
         """Register with the peers' handlers."""
         handlers.on_call(MessageType.ANSWER_LOOKUP, AnswerLookup, self.lookup)
--- a/src/runkeel/requests/service.py
+++ b/src/runkeel/requests/service.py
@@ -73,6 +73,11 @@
         """Runs requests on some back end of a pool; also used by rollouts."""
         return self._dispatcher
 
+    @property
+    def claims(self) -> Claims:
+        """Claims of requests that may run only once."""
+        return self._claims
+
     def start(self) -> None:
         """Start the part's own tasks."""
         self._pauses.start()
--- a/src/runkeel/weights/pacing.py
+++ b/src/runkeel/weights/permit_coordinator.py
@@ -1,4 +1,4 @@
-"""Pacing of weight swaps: a coordinator that any node can be, and the owners' side of it.
+"""Coordinator of swap permits: any node can be it, and one usually is.
 
 The coordinator is the node with the highest rendezvous hash among the live nodes (Thaler and
 Ravishankar, 1998). Two nodes may both believe to be it for a while, for example during a cut;
@@ -8,39 +8,26 @@
 from __future__ import annotations
 
 import hashlib
-import random
 import time
-from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
 
-from runkeel.api.interfaces import Configuration, MachineView, Membership, PeerClient, PeerHandlers
+from runkeel.api.interfaces import Configuration, MachineView, Membership, PeerHandlers
 from runkeel.api.machines import MachineKind, MachineState
-from runkeel.errors import RunkeelError
-from runkeel.platform.weight_store import StoreLimits
-from runkeel.weights import metrics
 from runkeel.weights.permits import LEASE_SECONDS, PermitTable, SwapKey
+from runkeel.weights.store_gate import ReadLimits, StoreGate
 from runkeel.wire.generated.common.ttypes import MessageType
-from runkeel.wire.generated.weights.ttypes import EngineKey, PermitReply, PermitRequest
+from runkeel.wire.generated.weights.ttypes import PermitReply, PermitRequest
 
 COORDINATOR_KEY = "weights"
 GRACE_SECONDS = 1.5
 """A new coordinator first hears what is held before it grants."""
-LIMITS_MAXIMUM_AGE_SECONDS = 10.0
-PROBE_SPACING_SECONDS = 2.0
-"""While the store can't be read, one engine at a time tries, this long after the last."""
 MAXIMUM_WAIT_MS = 1_500
-CALL_MARGIN_SECONDS = 2.0
-RETRY_SECONDS = 0.5
 GRANT_DELAY_SECONDS = 0.01
 GRANT_SECONDS = 0.05
 """Pause between evaluations while permits are wanted."""
 LIMIT_KEPT_SECONDS = 1.0
-RENEW_SECONDS = 1.5
-"""Pause between renewals of an owner that holds permits and wants none."""
-
-ReadLimits = Callable[[], StoreLimits]
 
 
 def coordinator_of(node_ids: list[str]) -> str:
@@ -64,52 +51,6 @@
     return max(1, int(fraction * len(engines)))
 
 
-class StoreGate:
-    """How many loads the weight store bears now, as its limits tell; read rarely.
-
-    While the store can't be read, only one engine at a time is let through as a probe: the
-    store may be reachable from engines though not from here, and after an outage nobody
-    rushes at it.
-    """
-
-    def __init__(
-        self, read_limits: ReadLimits, clock: Callable[[], float] = time.monotonic
-    ) -> None:
-        self._read_limits = read_limits
-        self._clock = clock
-        self._limits: StoreLimits | None = None
-        self._read_at = float("-inf")
-        self._probe_at = float("-inf")
-
-    def refresh(self) -> None:
-        """Read the limits again if they are old; blocks for the store's time-out at most."""
-        maximum_age = LIMITS_MAXIMUM_AGE_SECONDS if self._limits else PROBE_SPACING_SECONDS
-        if self._clock() - self._read_at < maximum_age:
-            return
-        self._read_at = self._clock()
-        try:
-            self._limits = self._read_limits()
-            metrics.STORE_PROBES.labels("ok").inc()
-        except RunkeelError:
-            self._limits = None
-            metrics.STORE_PROBES.labels("unavailable").inc()
-
-    def suspect(self) -> None:
-        """Note that a load failed: read the limits again before trusting them."""
-        if self._limits is not None:
-            self._read_at = float("-inf")
-
-    def limit(self) -> int:
-        """Return how many loads may run at once."""
-        if self._limits is not None:
-            return self._limits.concurrent_loads
-        return 1 if self._clock() - self._probe_at >= PROBE_SPACING_SECONDS else 0
-
-    def note_granted(self) -> None:
-        """Note that engines were let through."""
-        self._probe_at = self._clock()
-
-
 class PermitCoordinator:
     """Answers WEIGHTS_PERMIT calls while this node is the coordinator."""
 
@@ -226,105 +167,3 @@
             self._table.clear()
             self._model_limits.clear()
         self._coordinating = coordinating
-
-
-class PermitClient:
-    """Wants and holds permits for this node's engines; one task declares them."""
-
-    def __init__(self, membership: Membership, peers: PeerClient) -> None:
-        self._membership = membership
-        self._peers = peers
-        self._wants: set[SwapKey] = set()
-        self._holds: dict[SwapKey, float] = {}
-        """Held permits and when their lease ends."""
-        self._granted = Event()
-        self._dirty = Event()
-        self._sequence = 0
-        self._failures = 0
-        self._task: gevent.Greenlet | None = None
-
-    def start(self) -> None:
-        """Start declaring."""
-        self._task = gevent.spawn(self._run)
-
-    def stop(self) -> None:
-        """Stop; held permits lapse with their leases."""
-        if self._task is not None:
-            self._task.kill()
-
-    def acquire(self, key: SwapKey, timeout_seconds: float) -> bool:
-        """Wait for a permit; return whether it was granted in time."""
-        deadline = time.monotonic() + timeout_seconds
-        self._wants.add(key)
-        self._dirty.set()
-        try:
-            while not self.holds(key):
-                remaining = deadline - time.monotonic()
-                if remaining <= 0:
-                    return False
-                self._granted.wait(remaining)
-            return True
-        finally:
-            self._wants.discard(key)
-
-    def holds(self, key: SwapKey) -> bool:
-        """Return whether the permit is held and its lease has not lapsed."""
-        return self._holds.get(key, 0.0) > time.monotonic()
-
-    def release(self, key: SwapKey, failed: bool = False) -> None:
-        """Give a permit back."""
-        self._wants.discard(key)
-        self._holds.pop(key, None)
-        self._failures += int(failed)
-        self._dirty.set()
-
-    def _run(self) -> None:
-        while True:
-            if not self._wants - set(self._holds):
-                self._dirty.wait(RENEW_SECONDS if self._holds else None)
-            self._dirty.clear()
-            call = gevent.spawn(self._declare)
-            gevent.wait([call, self._dirty], count=1)
-            if call.ready() and not call.value:
-                gevent.sleep(RETRY_SECONDS * random.uniform(0.5, 1.5))
-
-    def _declare(self) -> bool:
-        """Declare once; return whether a coordinator answered."""
-        members = [member.node_id for member in self._membership.live_members()]
-        coordinator = coordinator_of(members or [self._membership.node_id])
-        self._sequence += 1
-        sequence = self._sequence
-        asked_at = time.monotonic()
-        failures, self._failures = self._failures, 0
-        request = PermitRequest(
-            incarnation=self._membership.local().incarnation,
-            sequence=sequence,
-            zone=self._membership.zone,
-            wants=[EngineKey(key.model, key.backend_id) for key in self._wants - set(self._holds)],
-            holds=[EngineKey(key.model, key.backend_id) for key in self._holds],
-            wait_ms=MAXIMUM_WAIT_MS,
-            failures=failures,
-        )
-        try:
-            reply = self._peers.call(
-                coordinator,
-                MessageType.WEIGHTS_PERMIT,
-                request,
-                PermitReply,
-                MAXIMUM_WAIT_MS / 1000 + CALL_MARGIN_SECONDS,
-            )
-        except RunkeelError:
-            self._failures += failures
-            return False
-        if reply.coordinator and sequence == self._sequence:
-            self._take(reply, asked_at)
-        return reply.coordinator
-
-    def _take(self, reply: PermitReply, asked_at: float) -> None:
-        lease_ends_at = asked_at + reply.lease_ms / 1000
-        granted = set(reply.granted)
-        for key in self._wants | set(self._holds):
-            if key.backend_id in granted:
-                self._holds[key] = lease_ends_at
-        self._granted.set()
-        self._granted.clear()
--- a/src/runkeel/weights/reconciler.py
+++ b/src/runkeel/weights/reconciler.py
@@ -18,8 +18,8 @@
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.weights import metrics
 from runkeel.weights.fences import Fence, next_fence, owner_bits
-from runkeel.weights.pacing import PermitClient
 from runkeel.weights.pause import PauseDetector
+from runkeel.weights.permit_client import PermitClient
 from runkeel.weights.permits import SwapKey
 from runkeel.weights.target import TargetState, target_of
 
--- a/src/runkeel/weights/roll_out.py
+++ b/src/runkeel/weights/roll_out.py
@@ -13,8 +13,8 @@
 from runkeel.backends.engine_directory import EngineMonitor
 from runkeel.backends.engine_orders import EngineControlClient
 from runkeel.weights import metrics
-from runkeel.weights.pacing import PermitClient
 from runkeel.weights.pause import PauseDetector
+from runkeel.weights.permit_client import PermitClient
 from runkeel.weights.reconciler import EngineReconciler, ReconcilerContext, RolloutState
 
 
--- a/src/runkeel/weights/service.py
+++ b/src/runkeel/weights/service.py
@@ -12,8 +12,9 @@
 )
 from runkeel.backends.engine_directory import EngineMonitor
 from runkeel.platform.weight_store import WeightStoreClient
-from runkeel.weights.pacing import PermitClient, PermitCoordinator
 from runkeel.weights.pause import PauseDetector
+from runkeel.weights.permit_client import PermitClient
+from runkeel.weights.permit_coordinator import PermitCoordinator
 from runkeel.weights.roll_out import RollOut
 
 
--- a/tests/operators/test_commands_and_queries.py
+++ b/tests/operators/test_commands_and_queries.py
@@ -6,8 +6,10 @@
 import tempfile
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
 from unittest import mock
 
+from gevent.event import Event
 from prompt_toolkit.document import Document
 
 from runkeel.api.configuration import ModelSpec, ObjectKind, OperatorSpec
@@ -19,11 +21,13 @@
 from runkeel.operators.ctl import ExitCode, run_ctl
 from runkeel.operators.prompt import CommandCompleter
 from runkeel.operators.service import OperatorsService
+from runkeel.operators.sources import QuerySources
 from runkeel.operators.tokens import new_token
+from runkeel.operators.work_sources import register_claims, register_steps
 from runkeel.platform.weight_store import WeightVersion
 from runkeel.settings import LimitSettings
 from tests.operators.fakes import FakeWriter
-from tests.weights.fakes import Cluster, FakeWeightStore
+from tests.weights.fakes import Cluster, FakeWeightStore, wait_until
 
 ZONES = {"node-a": "zone-1", "node-b": "zone-2", "node-c": "zone-3"}
 
@@ -47,6 +51,8 @@
         for node in self.cluster.nodes.values():
             node.monitor.start()
             self.addCleanup(node.monitor.stop)
+        engines = self.cluster.nodes["node-c"].monitor
+        self.assertTrue(wait_until(lambda: engines.in_service("engine-2")))
 
     def make_service(self, node, routes):
         peer = self.cluster.peers.of(node.membership.node_id)
@@ -71,6 +77,15 @@
         self.assertEqual(["node-c", "node-a"], [row[4] for row in rows])
         self.assertEqual(1, len(self.rows("show backends limit 1")))
 
+    def test_null_equals_only_null(self):
+        self.cluster.nodes["node-a"].monitor.stop()
+        self.assertEqual([], self.rows("show backends where role = rollout"))
+        self.assertEqual(
+            ["engine-0"], [row[0] for row in self.rows("show backends where role = null")]
+        )
+        self.assertEqual(2, len(self.rows("show backends where role != null")))
+        self.assertEqual([], self.rows("show backends where version > 5"))
+
     def test_unreachable_zone_is_named(self):
         self.cluster.peers.cut.add("node-b")
         document = self.client.send("show backends").document
@@ -102,7 +117,8 @@
         self.assertEqual(ExitCode.REFUSED, self.ctl("create model allocation")[0])
         self.assertEqual(ExitCode.USAGE, self.ctl("deploy model allocation")[0])
         self.assertEqual(ExitCode.USAGE, self.ctl("deploy model allocation version 1", watch=1)[0])
-        self.assertEqual(ExitCode.USAGE, self.ctl("show nodes", node="http://a:b")[0])
+        for url in ("http://a:b", "http://[x", "ftp://127.0.0.1:1", ""):
+            self.assertEqual(ExitCode.USAGE, self.ctl("show nodes", node=url)[0])
         unreachable = self.ctl("show nodes", node="http://127.0.0.1:1")
         self.assertEqual(ExitCode.UNREACHABLE, unreachable[0], unreachable[1])
         document = json.loads(self.ctl("show models", output_format="json")[1])
@@ -116,6 +132,28 @@
         self.assertEqual(ExitCode.OK, self.ctl("stop node node-b")[0])
         self.assertTrue(self.configuration.spec(ObjectKind.DRAIN, "node-b").stop)
 
+    def test_tables_of_work(self):
+        task = SimpleNamespace(running=[1], ready=False)
+        step = SimpleNamespace(
+            key=SimpleNamespace(model="allocation", step_id="s-1"), tasks={"t": task},
+            trainer_version=3, confirmed_cursors=2, finished=False, submitted_at=0.0,
+            last_used_at=0.0, undelivered_count=lambda: 1,
+        )  # fmt: skip
+        done, running = Event(), Event()
+        done.set()
+        claims = [
+            ("r-1", SimpleNamespace(started=0.0, done=running, error=None)),
+            ("r-2", SimpleNamespace(started=0.0, done=done, error=None)),
+            ("r-3", SimpleNamespace(started=0.0, done=done, error=not_run(ErrorCode.INTERNAL))),
+        ]
+        sources = QuerySources()
+        register_steps(sources, "node-a", lambda: [step])
+        register_claims(sources, "node-a", lambda: claims)
+        [row] = sources.get("steps").provider()
+        self.assertEqual(("s-1", "allocation", "node-a", 1, 1, 0, 1, 2, 3, False), row[:10])
+        states = [row[2] for row in sources.get("claims").provider()]
+        self.assertEqual(["running", "answered", "failed"], states)
+
     def test_slips_are_warned_of_and_nothing_is_refused_for_them(self):
         self.assertIn('did you mean "engine-0"', self.ctl("drain backend engin-0")[1])
         self.assertIn("does not hold version 9", self.ctl("deploy model allocation version 9")[1])
--- a/tests/weights/fakes.py
+++ b/tests/weights/fakes.py
@@ -24,9 +24,10 @@
 from runkeel.backends.engine_orders import EngineOrder
 from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.platform.weight_store import StoreLimits
-from runkeel.weights import pacing, reconciler
+from runkeel.weights import permit_client, permit_coordinator, reconciler, store_gate
 from runkeel.weights.fences import Fence
-from runkeel.weights.pacing import PermitClient, PermitCoordinator
+from runkeel.weights.permit_client import PermitClient
+from runkeel.weights.permit_coordinator import PermitCoordinator
 from runkeel.weights.roll_out import RollOut
 
 MODEL = "allocation"
@@ -43,13 +44,13 @@
         (reconciler, "BACKOFF_SECONDS"): 0.02,
         (reconciler, "MAXIMUM_BACKOFF_SECONDS"): 0.08,
         (reconciler, "HELD_RETRY_SECONDS"): 0.2,
-        (pacing, "GRACE_SECONDS"): 0.02,
-        (pacing, "GRANT_SECONDS"): 0.005,
-        (pacing, "LIMIT_KEPT_SECONDS"): 0.0,
-        (pacing, "PROBE_SPACING_SECONDS"): 0.05,
-        (pacing, "RETRY_SECONDS"): 0.02,
-        (pacing, "MAXIMUM_WAIT_MS"): 50,
-        (pacing, "RENEW_SECONDS"): 0.05,
+        (permit_coordinator, "GRACE_SECONDS"): 0.02,
+        (permit_coordinator, "GRANT_SECONDS"): 0.005,
+        (permit_coordinator, "LIMIT_KEPT_SECONDS"): 0.0,
+        (store_gate, "PROBE_SPACING_SECONDS"): 0.05,
+        (permit_client, "RETRY_SECONDS"): 0.02,
+        (permit_client, "DECLARATION_WAIT_MS"): 50,
+        (permit_client, "RENEW_SECONDS"): 0.05,
         (engine_directory, "POLL_SECONDS"): 0.02,
     }
     with contextlib.ExitStack() as stack:
