--- a/src/runkeel/rollouts/delivery.py
+++ b/src/runkeel/rollouts/delivery.py
@@ -87,7 +87,8 @@
         self._task_ids = {task_id: place for place, task_id in enumerate(task_ids)}
         self._node_id = node_id
         self._timeout_seconds = timeout_seconds
-        self._entered: dict[str, int] = {}
+        self._entered: set[str] = set()
+        self._entered_bits = 0
         self._entries: list[DeliveryEntry | None] = []
 
     @property
@@ -104,10 +105,6 @@
         """Return the latest known revision, or None once it was compacted."""
         return self._entries[cursor]
 
-    def cursor_of(self, task_id: str) -> int | None:
-        """Return the cursor of the entry that names the task."""
-        return self._entered.get(task_id)
-
     def learn(self) -> list[DeliveryEntry]:
         """Read the entries that follow the known ones; return them.
 
@@ -136,7 +133,7 @@
         entered = _bitmap_members(entry.entered_before, self._task_ids)
         entered += [item.task_id for item in entry.items]
         new = [task_id for task_id in entered if task_id not in self._entered]
-        self._entered.update((task_id, cursor - 1) for task_id in new)
+        self._note_entered(new)
         self._entries += [None] * (cursor - 1 - self.next_cursor) + [entry]
         return new
 
@@ -198,7 +195,7 @@
         for item in entry.items:
             if item.task_id not in self._task_ids or item.task_id in self._entered:
                 raise self._broken(f"task {item.task_id} is unknown or entered twice")
-        self._entered.update((item.task_id, entry.cursor) for item in entry.items)
+        self._note_entered(item.task_id for item in entry.items)
         self._entries.append(entry)
         return entry
 
@@ -211,11 +208,13 @@
         self._entries[cursor] = entry
         return entry
 
+    def _note_entered(self, task_ids: Iterable[str]) -> None:
+        for task_id in task_ids:
+            self._entered.add(task_id)
+            self._entered_bits |= 1 << self._task_ids[task_id]
+
     def _bitmap(self) -> bytes:
-        bits = 0
-        for task_id in self._entered:
-            bits |= 1 << self._task_ids[task_id]
-        return bits.to_bytes((len(self._task_ids) + 7) // 8, "little")
+        return self._entered_bits.to_bytes((len(self._task_ids) + 7) // 8, "little")
 
     def _broken(self, detail: str) -> RunkeelError:
         logger.error(
--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -127,7 +127,7 @@
         if cursor > self._log.next_cursor:
             skipped = self._log.skip_to(cursor)
             for task_id in skipped:
-                self._step.tasks[task_id].entry = cursor - 1
+                self._step.enter(self._step.tasks[task_id], cursor - 1)
             self._release((), skipped)
         if cursor > self._log.next_cursor:
             raise RunkeelError(
@@ -165,7 +165,7 @@
             cancel_attempts(task)
             if task.sample is not None:
                 copies.append((task.sample.digest, task.holders))
-            task.sample = None
+            self._step.take_sample(task)
         for digest, holders in copies:
             for node_id in {*holders, self._replicator.node_id}:
                 digests.setdefault(node_id, []).append(digest)
@@ -214,7 +214,7 @@
         """Note that the entry's tasks are spoken for; what still runs for them is of no use."""
         for item in entry.items:
             task = self._step.tasks[item.task_id]
-            task.entry = entry.cursor
+            self._step.enter(task, entry.cursor)
             task.remake = False
             cancel_attempts(task)
         self._step.notify()
@@ -292,7 +292,7 @@
 def drop_sample(step: Step, task: Task, replicator: SampleReplicator, reason: str) -> None:
     """Drop a task's sample, so that it is made again, and count the reason."""
     metrics.SAMPLES_DROPPED.labels(step.key.model, reason).inc()
-    sample, task.sample = task.sample, None
+    sample = step.take_sample(task)
     if sample is None:
         return
     holders = {node_id: [sample.digest] for node_id in task.holders}
--- a/src/runkeel/rollouts/pipeline.py
+++ b/src/runkeel/rollouts/pipeline.py
@@ -120,9 +120,7 @@
             return
         task.running.remove(attempt)
         cancel_attempts(task)
-        task.sample = sample
-        task.holders = holders
-        task.failures = 0
+        step.set_sample(task, sample, holders)
         step.notify()
         self._wake_planner()
 
--- a/src/runkeel/rollouts/planner.py
+++ b/src/runkeel/rollouts/planner.py
@@ -106,8 +106,19 @@
             if not self._staleness.is_fresh(task.sample, newest):
                 yield task
 
-    def _startable_tasks(self, step: Step) -> list[Task]:
-        """Return tasks without an attempt: replacements first, then groups, longest first."""
+    def _startable_tasks(self, step: Step) -> Iterator[Task]:
+        """Yield tasks without an attempt, in order; a task that is yielded must be started."""
+        now = time.monotonic()
+        if now - step.planned_at >= self._options.planner_interval_seconds:
+            step.planned_at = now
+            step.plan = self._order(step)
+        while step.plan:
+            task = step.plan.pop()
+            if task.needs_attempt and task.not_before <= self._clock():
+                yield task
+
+    def _order(self, step: Step) -> list[Task]:
+        """Return what may start, last first: replacements, then groups, the longest first."""
         now = self._clock()
         tasks = [
             task for task in step.tasks.values() if task.needs_attempt and task.not_before <= now
@@ -119,10 +130,10 @@
         return sorted(
             tasks,
             key=lambda task: (
-                not task.remake,
-                -longest[task.spec.group],
+                task.remake,
+                longest[task.spec.group],
                 task.spec.group,
-                -expected[task.spec.task_id],
+                expected[task.spec.task_id],
             ),
         )
 
@@ -132,9 +143,7 @@
         for step in steps:
             if not step.pulled or not step.durations:
                 continue
-            unfinished = [
-                task for task in step.tasks.values() if task.sample is None and task.entry is None
-            ]
+            unfinished = step.unfinished_tasks()
             if not 0 < len(unfinished) <= self._options.hedge_tasks:
                 continue
             slow = statistics.median(step.durations) * self._options.hedge_after_ratio
--- a/src/runkeel/rollouts/staleness_manager.py
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -137,5 +137,4 @@
 
 
 def _in_tail(step: Step) -> bool:
-    unfinished = sum(task.sample is None and task.entry is None for task in step.tasks.values())
-    return unfinished <= len(step.tasks) * _TAIL_FRACTION
+    return len(step.unfinished_tasks()) <= len(step.tasks) * _TAIL_FRACTION
--- a/src/runkeel/rollouts/step.py
+++ b/src/runkeel/rollouts/step.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import struct
-from collections.abc import Iterable
+from collections import Counter
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 import gevent
@@ -100,11 +102,6 @@
             return False
         return self.entry is None or self.remake
 
-    @property
-    def ready(self) -> bool:
-        """Whether the task has a sample that stands in no entry yet."""
-        return self.sample is not None and self.entry is None
-
 
 def step_digest(tasks: Iterable[TaskSpec]) -> bytes:
     """Return the digest that tells whether two submissions are the same step."""
@@ -127,6 +124,8 @@
         confirmed_cursors: entries below this cursor are confirmed.
         moving: whether it is being passed on to another owner.
         foreign_since: since when another node should own it; None if this one should.
+        plan: unstarted tasks, the next one last; see Planner.
+        planned_at: when the plan was made.
         lock: held while entries are learnt, decided or assembled.
     """
 
@@ -149,7 +148,13 @@
         self.last_used_at = now
         self.durations: list[float] = []
         self.lock = BoundedSemaphore(1)
+        self.plan: list[Task] = []
+        self.planned_at = -math.inf
         self._changed = Event()
+        self._ready: dict[str, Task] = {}
+        self._unfinished: dict[str, Task] = dict(self.tasks)
+        self._unfinished_in_group = Counter(spec.group for spec in specs)
+        self._samples = 0
 
     def submission(self) -> Submission:
         """Return the submission that opens this step elsewhere."""
@@ -172,19 +177,58 @@
         self.pulled = True
         self.last_used_at = now
 
+    def set_sample(self, task: Task, sample: Sample, holders: tuple[str, ...]) -> None:
+        """Give a task a sample that may be handed over."""
+        self._samples += task.sample is None
+        task.sample = sample
+        task.holders = holders
+        task.failures = 0
+        self._classify(task)
+
+    def take_sample(self, task: Task) -> Sample | None:
+        """Take a task's sample away and return it."""
+        sample, task.sample = task.sample, None
+        self._samples -= sample is not None
+        self._classify(task)
+        return sample
+
+    def enter(self, task: Task, cursor: int) -> None:
+        """Note that a decided entry names the task."""
+        task.entry = cursor
+        self._classify(task)
+
     def ready_tasks(self) -> list[Task]:
         """Return the tasks with a sample to hand over, whole groups first."""
-        unfinished = {
-            task.spec.group
-            for task in self.tasks.values()
-            if task.sample is None and task.entry is None
-        }
-        ready = [task for task in self.tasks.values() if task.ready]
-        return sorted(ready, key=lambda task: (task.spec.group in unfinished, task.spec.group))
+        return sorted(
+            self._ready.values(),
+            key=lambda task: (self._unfinished_in_group[task.spec.group] > 0, task.spec.group),
+        )
+
+    def unfinished_tasks(self) -> Collection[Task]:
+        """Return the tasks that have no sample and stand in no entry."""
+        return self._unfinished.values()
 
     def undelivered_count(self) -> int:
         """Return how many tasks stand in no entry."""
-        return sum(task.entry is None for task in self.tasks.values())
+        return len(self._ready) + len(self._unfinished)
+
+    def sample_count(self) -> int:
+        """Return how many tasks have a sample."""
+        return self._samples
+
+    def _classify(self, task: Task) -> None:
+        """Keep the index of ready and unfinished tasks in line with a changed task."""
+        task_id, group = task.spec.task_id, task.spec.group
+        self._ready.pop(task_id, None)
+        if self._unfinished.pop(task_id, None) is not None:
+            self._unfinished_in_group[group] -= 1
+        if task.entry is not None:
+            return
+        if task.sample is not None:
+            self._ready[task_id] = task
+        else:
+            self._unfinished[task_id] = task
+            self._unfinished_in_group[group] += 1
 
     def close(self) -> None:
         """Cancel all attempts and wake those that wait."""
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -199,8 +199,7 @@
             adopted += 1
             if self._replicator.node_id in holders and len(holders) > 1:
                 task.attempts = max(task.attempts, sample.attempt)
-                task.sample = sample
-                task.holders = holders
+                step.set_sample(task, sample, holders)
             elif self._pipeline is not None:
                 self._pipeline.adopt(step, task, sample)
         step.notify()
@@ -237,11 +236,7 @@
                 self._pipeline.start(planned.step, planned.task)
 
     def _open_samples(self) -> int:
-        waiting = sum(
-            task.sample is not None
-            for opened in self._steps.values()
-            for task in opened.step.tasks.values()
-        )
+        waiting = sum(opened.step.sample_count() for opened in self._steps.values())
         return waiting + self._pipeline.running()
 
     def sweep(self) -> None:
--- a/tests/rollouts/test_planner.py
+++ b/tests/rollouts/test_planner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 
 from runkeel.api.configuration import DeliveryPreference
 from runkeel.rollouts.planner import LengthHistory, Planner
@@ -17,10 +18,11 @@
         self.cluster = FakeCluster(node_ids=("a1",), start=False, max_staleness_versions=2)
         self.addCleanup(self.cluster.stop)
         node = self.cluster.nodes["a1"]
+        options = replace(FAST, planner_interval_seconds=0.0)
         self.staleness = StalenessManager(
             self.cluster.configuration, node, FAST, self.cluster.clock, self.cluster.clock
         )
-        self.planner = Planner(self.staleness, LengthHistory(), FAST, self.cluster.clock)
+        self.planner = Planner(self.staleness, LengthHistory(), options, self.cluster.clock)
 
     def step(self, number: int, lengths=(10, 99, 20, 30)) -> Step:
         tasks = [
@@ -52,7 +54,7 @@
         )
         self.assertEqual(len(self.planned([later, present])), 4)
         for task in present.tasks.values():
-            task.entry = 0
+            present.enter(task, 0)
         self.assertEqual(self.planned([later, present])[0], "2.1")
 
 
