Start steps ahead by the versions that pass until they are pulled

Cause: the number of steps run ahead was bounded by the number of versions allowed, though a version may last several steps: engines idled behind stragglers. Change: the owner learns how many versions pass from submission to first pull, and starts a step ahead at once if that leaves its samples within the bound, else when enough versions have passed.

--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -75,6 +75,8 @@
         Raises:
             RunkeelError: BAD_CURSOR, RECORDS_UNAVAILABLE, UNKNOWN_STEP (closed meanwhile).
         """
+        if not self._step.pulled:
+            self._staleness.note_first_pull(self._step, pull.trainer_version)
         self._step.state_version(pull.trainer_version, self._clock())
         with self._locked():
             self._open_cursor(pull.cursor)
--- a/src/runkeel/rollouts/staleness_manager.py
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -13,6 +13,7 @@
 from runkeel.api.configuration import DeliveryPreference, ModelSpec
 from runkeel.api.interfaces import Configuration, Membership
 from runkeel.rollouts.capacity import RecentMaximum, total_busy, total_slots
+from runkeel.rollouts.lookahead import LookaheadHistory
 from runkeel.rollouts.options import RolloutOptions
 from runkeel.rollouts.sample import Sample
 from runkeel.rollouts.step import Attempt, Step
@@ -22,6 +23,8 @@
 _IDLE_FRACTION = 0.5
 _LOAD_FOR_IDLE_TIME = 1.1
 _LOAD_FOR_STALENESS = 1.0
+_GENERATION_VERSIONS = 1
+"""Versions that may pass while a sample waits in the queue and is generated."""
 
 
 class StalenessManager:
@@ -40,6 +43,7 @@
         self._options = options
         self._clock = clock
         self._wall_clock = wall_clock
+        self._lookahead = LookaheadHistory()
         self._in_flight: dict[str, RecentMaximum] = {}
 
     def spec(self, model: str) -> ModelSpec:
@@ -114,12 +118,24 @@
             return _LOAD_FOR_IDLE_TIME
         return _LOAD_FOR_STALENESS
 
+    def note_first_pull(self, step: Step, trainer_version: int) -> None:
+        """Learn how many versions the step was submitted ahead."""
+        versions = max(0, trainer_version - step.submitted_version)
+        self._lookahead.note(step.key.model, versions)
+
+    def _is_due(self, step: Step) -> bool:
+        """Return whether samples made now are likely to be within the bound at the first pull."""
+        bound = self.spec(step.key.model).max_staleness_versions
+        allowed = bound - min(_GENERATION_VERSIONS, bound // 2)
+        passed = self.newest_version(step) - step.submitted_version
+        return self._lookahead.expected(step.key.model) - passed <= allowed
+
     def startable_steps(self, steps: list[Step]) -> list[Step]:
         """Return the steps of one model whose tasks may start now, most urgent first.
 
-        Steps that the trainer pulls come first. Steps submitted ahead fill what is left: as
-        many as the bound lets become useful when idle time matters most, else only while the
-        present step is in its tail, or absent, and engines would idle.
+        Steps that the trainer pulls come first. Steps submitted ahead fill what is left: all
+        whose samples can be expected to be within the bound when idle time matters most, else
+        one, while the present step is in its tail, or absent, and engines would idle.
         """
         pulled = [step for step in steps if step.pulled and not step.finished]
         ahead = [step for step in steps if not step.pulled]
@@ -129,7 +145,7 @@
             return pulled
         spec = self.spec(ahead[0].key.model)
         if spec.prefer is DeliveryPreference.IDLE_TIME:
-            return pulled + ahead[: max(1, spec.max_staleness_versions)]
+            return pulled + [step for step in ahead if self._is_due(step)]
         in_tail = all(_in_tail(step) for step in pulled)
         if in_tail and self.engines_idle(ahead[0].key.model):
             return pulled + ahead[:1]
--- a/src/runkeel/rollouts/step.py
+++ b/src/runkeel/rollouts/step.py
@@ -119,6 +119,7 @@
 
     Attributes:
         size: characters of the prompts.
+        submitted_version: version that the trainer stated when it submitted the step here.
         trainer_version: latest version that the trainer stated for this step.
         pulled: whether the trainer has asked for samples, so that the step is its present one.
         confirmed_cursors: entries below this cursor are confirmed.
@@ -137,6 +138,7 @@
         self.digest = step_digest(specs)
         self.tasks: dict[str, Task] = {spec.task_id: Task(spec) for spec in specs}
         self.size = sum(len(spec.prompt) for spec in specs)
+        self.submitted_version = trainer_version
         self.trainer_version = trainer_version
         self.pulled = False
         self.confirmed_cursors = 0
--- a/tests/rollouts/test_planner.py
+++ b/tests/rollouts/test_planner.py
@@ -57,6 +57,15 @@
             present.enter(task, 0)
         self.assertEqual(self.planned([later, present])[0], "2.1")
 
+    def test_steps_far_ahead_wait_until_their_samples_can_be_fresh(self):
+        later = self.step(2)
+        self.assertEqual(len(self.planned([later])), 4)
+        for _ in range(10):
+            self.staleness.note_first_pull(later, later.submitted_version + 3)
+        self.assertEqual(self.planned([later]), [])
+        self.cluster.dispatcher.version += 2
+        self.assertEqual(len(self.planned([later])), 4)
+
 
 if __name__ == "__main__":
     unittest.main()
