--- a/src/runkeel/state/watchers.py
+++ b/src/runkeel/state/watchers.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import random
+import time
 from collections.abc import Callable, Iterable
 
 import gevent
@@ -31,6 +32,8 @@
 POLL_SPACING_SECONDS = (0.1, 0.3)
 FIRST_BACKOFF_SECONDS = 0.25
 MAX_BACKOFF_SECONDS = 8.0
+RELIST_SECONDS = 1_800.0
+"""Lists again now and then, in case a restored store counts the same revisions again."""
 _SELECTION_RECHECK_SECONDS = 30.0
 _TOMBSTONE_PAYLOAD = canonical_json({})
 
@@ -77,6 +80,7 @@
         self._machine_list = machine_list
         self._random = random_source or random.Random()
         self._store_revision: int | None = None
+        self._list_due = 0.0
         self._list_version: int | None = None
         self._membership_changed = Event()
         self._tasks: list[gevent.Greenlet] = []
@@ -113,7 +117,9 @@
                 continue
             try:
                 poll()
-            except RunkeelError as error:
+            except Exception as error:  # Whatever one answer brings, the next one is read.
+                if not isinstance(error, RunkeelError):
+                    logger.exception("reading {} failed", source, code="platform_read_failed")
                 metrics.STORE_READS.labels(source, "failed").inc()
                 if not failing:
                     logger.warning("{} can't be read: {}", source, error, code="platform_down")
@@ -133,7 +139,7 @@
         Raises:
             RunkeelError: STORE_UNAVAILABLE.
         """
-        if self._store_revision is None:
+        if self._store_revision is None or time.monotonic() >= self._list_due:
             self._list_objects()
             return
         # Jitter keeps the watchers' long polls from falling into step.
@@ -151,6 +157,7 @@
         listed = self._store.list_objects(READ_TIMEOUT_SECONDS)
         self._take_objects(listed.items)
         self._store_revision = listed.revision
+        self._list_due = time.monotonic() + RELIST_SECONDS * self._random.uniform(0.7, 1.0)
         self._spread.mark_caught_up()
         self._repair_store(listed.items + self._missing_from(listed.items))
 
@@ -216,17 +223,22 @@
 
 
 def machine_records(listed: MachineList, state: ReplicatedState) -> list[VersionedRecord]:
-    """Return the records of a machine list, with tombstones for machines that it lacks."""
-    records = [
-        VersionedRecord(
-            kind=MACHINE_KIND,
-            name=entry.machine.machine_id,
-            generation=entry.machine.version,
-            payload=canonical_json(machine_to_json(entry)),
-        )
-        for entry in listed.entries
-    ]
-    shown = {record.name for record in records} | listed.unreadable_ids
+    """Return the list's news: changed machines, and tombstones for those that it lacks.
+
+    An item that can't be parsed is left as it is held; it is not taken for gone.
+    """
+    records = []
+    for item in listed.items:
+        held = state.get(MACHINE_KIND, item.machine_id)
+        if held is not None and held.generation >= item.version:
+            continue
+        entry = item.parse()
+        if entry is None:
+            metrics.UNPARSABLE_RECORDS.labels(MACHINE_KIND).inc()
+            continue
+        payload = canonical_json(machine_to_json(entry))
+        records.append(VersionedRecord(MACHINE_KIND, item.machine_id, item.version, payload))
+    shown = {item.machine_id for item in listed.items}
     records.extend(
         VersionedRecord(MACHINE_KIND, held.name, listed.version, _TOMBSTONE_PAYLOAD, deleted=True)
         for held in state.records(MACHINE_KIND)
