Repair a restored store after lists only, and settle commands without the store

Change: putting back happens after a list, is tried again a minute later where it failed, and lists after a reset are jittered over 2 s; held records answer outcome_of; names and specs are bounded.

--- a/src/runkeel/state/changes.py
+++ b/src/runkeel/state/changes.py
@@ -9,7 +9,7 @@
 import json
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
@@ -23,11 +23,12 @@
 from runkeel.state.replicated_state import RecordSource, ReplicatedState
 from runkeel.state.spread import Spread
 from runkeel.state.store_records import put_back, record_from_object
-from runkeel.state.versioned_record import VersionedRecord, canonical_json
+from runkeel.state.versioned_record import MACHINE_KIND, VersionedRecord, canonical_json
 
 KEPT_COMMAND_IDS = 16
 MAX_NAME_LENGTH = 200
 MAX_COMMAND_ID_LENGTH = 64
+MAX_SPEC_BYTES = 32 * 1024
 MAX_OBJECTS_PER_KIND = 20_000
 ATTEMPT_TIMEOUT_SECONDS = 2.0
 LOOK_UP_SECONDS = 0.5
@@ -157,7 +158,13 @@
         name: str | None = None,
         timeout_seconds: float = 5.0,
     ) -> ChangeOutcome | None:
-        """Look a command up in the store, in one object if kind and name are given.
+        """Look a command up, first among the held records, which come from the store only.
+
+        Args:
+            command_id: the command.
+            kind: with ``name``, reads that one object; without, the whole store is listed.
+            name: the object that the command was to change.
+            timeout_seconds: limit of the store's answer.
 
         Returns:
             The outcome, or None when the store doesn't hold the command. A write that is still
@@ -166,6 +173,9 @@
         Raises:
             RunkeelError: STORE_UNAVAILABLE.
         """
+        held = _find(command_id, self._held_records())
+        if held is not None:
+            return held
         if kind is not None and name is not None:
             stored = self._store.read(kind, name, timeout_seconds)
             items = (stored,) if stored is not None else ()
@@ -173,10 +183,11 @@
             items = self._store.list_objects(timeout_seconds).items
         records = [record for record in map(record_from_object, items) if record is not None]
         self._take(records)
-        for record in records:
-            if command_id in record.command_ids:
-                return _outcome_in(record, command_id)
-        return None
+        return _find(command_id, records)
+
+    def _held_records(self) -> list[VersionedRecord]:
+        kinds = (kind for kind in self._state.kinds() if kind != MACHINE_KIND)
+        return [record for kind in kinds for record in self._state.records(kind)]
 
     def _attempt(self, command: _Command, attempts: _Attempts) -> ChangeOutcome | None:
         """Read the object and try the change once; None: try again."""
@@ -260,7 +271,11 @@
             parsed = SPEC_CLASSES[command.kind].model_validate(edited)
         except ValidationError as error:
             raise not_run(ErrorCode.BAD_CONFIGURATION, _describe(command, error)) from error
-        return parsed.model_dump(mode="json", exclude_unset=True)
+        spec = parsed.model_dump(mode="json", exclude_unset=True)
+        if len(canonical_json(spec)) > MAX_SPEC_BYTES:
+            detail = f"{command.kind} {command.name!r}: more than {MAX_SPEC_BYTES} bytes"
+            raise not_run(ErrorCode.BAD_CONFIGURATION, detail)
+        return spec
 
     def _write(
         self, command: _Command, attempts: _Attempts, content: ObjectContent, revision: int
@@ -316,6 +331,13 @@
     return f"{command.kind} {command.name!r}, field {field}: {first['msg']}"
 
 
+def _find(command_id: str, records: Iterable[VersionedRecord]) -> ChangeOutcome | None:
+    for record in records:
+        if command_id in record.command_ids:
+            return _outcome_in(record, command_id)
+    return None
+
+
 def _outcome_in(record: VersionedRecord, command_id: str) -> ChangeOutcome:
     """Return the outcome of a command that a record lists; each id made one generation."""
     later = len(record.command_ids) - 1 - record.command_ids.index(command_id)
--- a/src/runkeel/state/watchers.py
+++ b/src/runkeel/state/watchers.py
@@ -34,6 +34,8 @@
 MAX_BACKOFF_SECONDS = 8.0
 RELIST_SECONDS = 1_800.0
 """Lists again now and then, in case a restored store counts the same revisions again."""
+REPAIR_RETRY_SECONDS = 60.0
+RESET_JITTER_SECONDS = 2.0
 _SELECTION_RECHECK_SECONDS = 30.0
 _TOMBSTONE_PAYLOAD = canonical_json({})
 
@@ -148,18 +150,20 @@
         if result.reset or result.revision < self._store_revision:
             logger.warning("the store has lost history; listing again", code="store_reset")
             self._store_revision = None
+            # All watchers hear of it at the same moment.
+            gevent.sleep(self._random.uniform(0.0, RESET_JITTER_SECONDS))
             return
         self._take_objects(result.items)
         self._store_revision = result.revision
-        self._repair_store(result.items)
 
     def _list_objects(self) -> None:
         listed = self._store.list_objects(READ_TIMEOUT_SECONDS)
         self._take_objects(listed.items)
         self._store_revision = listed.revision
-        self._list_due = time.monotonic() + RELIST_SECONDS * self._random.uniform(0.7, 1.0)
         self._spread.mark_caught_up()
-        self._repair_store(listed.items + self._missing_from(listed.items))
+        whole = self._repair_store(listed.items + self._missing_from(listed.items))
+        until_next = RELIST_SECONDS if whole else REPAIR_RETRY_SECONDS
+        self._list_due = time.monotonic() + until_next * self._random.uniform(0.7, 1.0)
 
     def _take_objects(self, items: Iterable[StoredObject]) -> None:
         records = [record_from_object(item) for item in items]
@@ -185,16 +189,28 @@
             if record.key not in listed
         )
 
-    def _repair_store(self, items: Iterable[StoredObject]) -> None:
-        """Put held records back where the store, restored from older data, is behind."""
+    def _repair_store(self, items: Iterable[StoredObject]) -> bool:
+        """Put held records back where the store, restored from older data, is behind.
+
+        Only after a list: an event of a watch is often older than what its writer has pushed.
+
+        Returns:
+            Whether every write was answered.
+        """
         behind = [item for item in items if self._is_behind(item)]
         self._random.shuffle(behind)
-        for item in behind:
-            held = self._state.get(item.kind, item.name)
-            if held is not None and put_back(
-                self._store, held, item.revision, READ_TIMEOUT_SECONDS
-            ):
-                logger.warning("put {} back into the store", held.key, code="store_repaired")
+        try:
+            for item in behind:
+                self._put_back(item)
+        except RunkeelError as error:
+            logger.warning("the store was not repaired: {}", error, code="repair_failed")
+            return False
+        return True
+
+    def _put_back(self, item: StoredObject) -> None:
+        held = self._state.get(item.kind, item.name)
+        if held is not None and put_back(self._store, held, item.revision, READ_TIMEOUT_SECONDS):
+            logger.warning("put {} back into the store", held.key, code="store_repaired")
 
     def _is_behind(self, item: StoredObject) -> bool:
         held = self._state.get(item.kind, item.name)
--- a/tests/state/test_changes.py
+++ b/tests/state/test_changes.py
@@ -74,6 +74,9 @@
         self.store.down = False
         self.store.write = write
         self.assertEqual(self.nodes[1].writer.outcome_of("c1").generation, 1)
+        self.store.down = True
+        self.assertEqual(self.nodes[1].writer.outcome_of("c1").generation, 1)
+        self.store.down = False
         self.assertIsNone(self.nodes[1].writer.outcome_of("c2"))
         self.assertEqual(self.change(100, "c1").generation, 1)
 
@@ -110,6 +113,14 @@
         self.assertIn("default_deadline_ms", error.detail)
         self.assertEqual(self.store.objects, {})
 
+    def test_names_and_specs_are_bounded(self):
+        writer, long_text = self.nodes[0].writer, "x" * 40_000
+        for name, spec in (("", {}), ("a/b", {}), ("e1", {"reason": long_text})):
+            with self.subTest(name), self.assertRaises(RunkeelError) as caught:
+                writer.change(ObjectKind.DRAIN, name, lambda _, spec=spec: spec, "c1", "ana")
+            self.assertEqual(caught.exception.code, ErrorCode.BAD_CONFIGURATION)
+        self.assertEqual(self.store.objects, {})
+
     def test_restored_store_gets_the_newer_content_back_before_a_write(self):
         self.change(100, "c1")
         backup = self.store.backup()
--- a/tests/state/test_store_http.py
+++ b/tests/state/test_store_http.py
@@ -62,6 +62,7 @@
             "FIRST_READ_JITTER_SECONDS": 0.0,
             "MAX_BACKOFF_SECONDS": 0.1,
             "CATCH_UP_SECONDS": 0.05,
+            "RESET_JITTER_SECONDS": 0.0,
         }
         for name, value in shortened.items():
             patch = mock.patch.object(watchers, name, value)
--- a/tests/state/test_watchers.py
+++ b/tests/state/test_watchers.py
@@ -14,9 +14,10 @@
 
 class WatchersTest(unittest.TestCase):
     def setUp(self):
-        patch = mock.patch.object(watchers_module, "SETTLE_SECONDS", (0.0, 0.0))
-        patch.start()
-        self.addCleanup(patch.stop)
+        for name, value in (("SETTLE_SECONDS", (0.0, 0.0)), ("RESET_JITTER_SECONDS", 0.0)):
+            patch = mock.patch.object(watchers_module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
         self.store = FakeStore()
         self.machine_list = FakeMachineList()
         self.cluster = FakeCluster(self.store)
@@ -72,6 +73,19 @@
         self.assertEqual(generations, {"tariff": 2, "lookup": 1})
         self.assertEqual(self.generation("tariff", "n0"), 2)
 
+    def test_repair_that_fails_is_tried_again_at_the_next_list(self):
+        self.put("tariff", 1)
+        self.watcher.poll_objects()
+        self.store.restore({})
+        self.watcher.poll_objects()
+        self.store.operations_until_down = 2
+        self.watcher.poll_objects()
+        self.assertEqual(self.store.objects, {})
+        self.store.operations_until_down, self.store.down = None, False
+        with mock.patch.object(watchers_module.time, "monotonic", lambda: float("inf")):
+            self.watcher.poll_objects()
+        self.assertEqual(self.store.objects[("service", "tariff")].content.generation, 1)
+
     def test_foreign_objects_are_ignored(self):
         self.store.objects[("service", "odd")] = StoredObject("service", "odd", 1, None)
         invented = ObjectContent(99, {"kind": "node"})
