--- a/src/runkeel_lab/scale/fleet.py
+++ b/src/runkeel_lab/scale/fleet.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import json
+import os
+import signal
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from runkeel.api.machines import Address
+from runkeel.settings import Settings
 from runkeel_lab.http_client import HttpClient
 from runkeel_lab.plan import to_toml
 from runkeel_lab.processes import ChildProcess, free_ports
-from runkeel_lab.scale.layout import MODELS, PlatformAddresses, ScaleLayout
+from runkeel_lab.scale.layout import MODELS, PlatformAddresses, ScaleLayout, storm_size
 
 START_TIMEOUT_SECONDS = 240.0
 _HOST = "127.0.0.1"
@@ -26,6 +29,7 @@
         nodes_per_process: hollow nodes that share a process.
         engines_per_process: hollow engines that share a process.
         restart_seconds: seconds between two unannounced restarts in each process of nodes.
+        real_nodes: nodes at the layout's end that run as node programs, a process each.
         load_ms: how long an engine takes to load weights, in ms.
         concurrent_loads: loads that the weight store bears at once.
     """
@@ -33,6 +37,7 @@
     nodes_per_process: int = 20
     engines_per_process: int = 525
     restart_seconds: float = 0.0
+    real_nodes: int = 1
     load_ms: int = 1_000
     concurrent_loads: int = 600
 
@@ -46,6 +51,7 @@
     folder: Path
     platform: PlatformAddresses = field(init=False)
     node_processes: list[ChildProcess] = field(default_factory=list)
+    real_processes: list[ChildProcess] = field(default_factory=list)
     _others: list[ChildProcess] = field(default_factory=list)
     _offsets: dict[str, int] = field(default_factory=dict)
 
@@ -64,11 +70,30 @@
     def __exit__(self, *_: object) -> None:
         self.close()
 
+    @property
+    def hollow_nodes(self) -> int:
+        """Number of nodes that share processes."""
+        return self.layout.nodes - self.options.real_nodes
+
+    @property
+    def storm_size(self) -> int:
+        """Number of nodes that :meth:`restart_some` restarts."""
+        size = self.options.nodes_per_process
+        counts = [
+            min(size, self.hollow_nodes - first) for first in range(0, self.hollow_nodes, size)
+        ]
+        return sum(storm_size(count) for count in counts)
+
     def close(self) -> None:
         """End every process."""
-        for process in [*self.node_processes, *self._others]:
+        for process in [*self.real_processes, *self.node_processes, *self._others]:
             process.kill()
 
+    def restart_some(self) -> None:
+        """Make each process of hollow nodes restart its share of 5%, all at the same time."""
+        for process in self.node_processes:
+            os.kill(process.pid, signal.SIGUSR1)
+
     def control(self, standin_id: str, method: str, target: str, content: Any = None) -> Any:
         """Call the control face of a stand-in of the platform."""
         address = Address.parse(self._others[0].ready["control"])
@@ -154,17 +179,21 @@
 
     def _start_nodes(self) -> None:
         size = self.options.nodes_per_process
-        for first in range(0, self.layout.nodes, size):
-            indexes = list(range(first, min(first + size, self.layout.nodes)))
-            self._start_node_process(first // size, indexes)
-        for process in self.node_processes:
+        for first in range(0, self.hollow_nodes, size):
+            indexes = list(range(first, min(first + size, self.hollow_nodes)))
+            self._start_hollow_process(first // size, indexes)
+        for index in range(self.hollow_nodes, self.layout.nodes):
+            self._start_real_process(index)
+        for process in [*self.node_processes, *self.real_processes]:
             process.wait_ready(START_TIMEOUT_SECONDS)
 
-    def _start_node_process(self, number: int, indexes: list[int]) -> None:
+    def _start_hollow_process(self, number: int, indexes: list[int]) -> None:
         config = {
             "layout_nodes": self.layout.nodes,
             "layout_engines": self.layout.engines,
             "record_groups": self.layout.record_groups,
+            "zones": self.layout.zones,
+            "network": self.layout.network,
             "object_api": self.platform.object_api,
             "machine_list": self.platform.machine_list,
             "weight_store": self.platform.weight_store,
@@ -178,6 +207,24 @@
         self.node_processes.append(process)
         process.start()
 
+    def _start_real_process(self, index: int) -> None:
+        settings = self.layout.node_settings(index, self.platform)
+        path = self.folder / f"{settings.node.id}.toml"
+        path.write_text(_settings_toml(settings))
+        arguments = ["-m", "runkeel", "node", "--settings", str(path)]
+        process = ChildProcess(settings.node.id, arguments, self.folder)
+        self.real_processes.append(process)
+        process.start()
+
+
+def _settings_toml(settings: Settings) -> str:
+    sections = settings.model_dump(mode="json")
+    return "\n".join(
+        line
+        for name, values in sections.items()
+        for line in [f"[{name}]", *(f"{key} = {to_toml(value)}" for key, value in values.items())]
+    )
+
 
 def _table(
     kind: str,
