Find a false not_run also where the error names no request

Cause: error answers of the nodes carry no request id (src/runkeel/http/server.py renders them without one), so the check by id saw nothing of a first attempt told not_run that had run. Change: a run that begins while only attempts proved not to run were under way is that attempt's. One test's data had its run begin before the attempt that it belongs to was sent; its time is set right and the case that it hid has a test of its own.

--- a/src/runkeel_lab/load/caller.py
+++ b/src/runkeel_lab/load/caller.py
@@ -13,14 +13,13 @@
 from runkeel_lab.http_client import Answer, HttpClient, TransportError
 from runkeel_lab.load.classes import CallKind
 from runkeel_lab.load.plans import PlannedCall
-from runkeel_lab.load.records import Attempt, CallRecord, Outcome
+from runkeel_lab.load.records import CODE_OF_UNSENT, Attempt, CallRecord, Outcome
 from runkeel_lab.tokens import VersionRange, expected_length, tokens_match
 
 _GRACE_SECONDS = 2.0
 """How much longer than its deadline a caller waits for the answer or the verdict."""
 _PROBLEM_TYPE = "application/problem+json"
 _RETRYABLE_STATUS = frozenset({429, 502, 503, 504, 0})
-_CODE_OF_UNSENT = "not_sent"
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,7 +82,7 @@
                 self._exchange(call, target, record, attempt, timeout)
         except TransportError as error:
             attempt.error = str(error)
-            attempt.code = "" if error.sent else _CODE_OF_UNSENT
+            attempt.code = "" if error.sent else CODE_OF_UNSENT
         gevent.sleep(self._delay)
         attempt.ended = time.monotonic()
         return attempt
@@ -186,7 +185,7 @@
     broken_off = attempt.status < 300 and bool(attempt.error or attempt.verdict)
     if not broken_off and attempt.status not in _RETRYABLE_STATUS:
         return False
-    if attempt.verdict == "not_run" or attempt.code == _CODE_OF_UNSENT:
+    if attempt.verdict == "not_run" or attempt.code == CODE_OF_UNSENT:
         return True
     safe = record.repeatable or bool(record.idempotency_key)
     return safe and attempt.verdict != "ran"
@@ -200,7 +199,7 @@
     if last.verdict == "ran":
         return Outcome.RAN
     told = [attempt.verdict for attempt in record.attempts]
-    unsent = [attempt.code == _CODE_OF_UNSENT for attempt in record.attempts]
+    unsent = [attempt.code == CODE_OF_UNSENT for attempt in record.attempts]
     if all(
         verdict == "not_run" or not_sent for verdict, not_sent in zip(told, unsent, strict=True)
     ):
--- a/src/runkeel_lab/load/records.py
+++ b/src/runkeel_lab/load/records.py
@@ -6,6 +6,9 @@
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
+CODE_OF_UNSENT = "not_sent"
+"""Code of an attempt whose connection was never made, so that nothing was sent."""
+
 
 class Outcome(enum.StrEnum):
     """What a caller knows in the end about its request."""
--- a/src/runkeel_lab/verify_callers.py
+++ b/src/runkeel_lab/verify_callers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Sequence
 
 from runkeel_lab.journals import Execution
-from runkeel_lab.load.records import CallRecord, Outcome
+from runkeel_lab.load.records import CODE_OF_UNSENT, Attempt, CallRecord, Outcome
 from runkeel_lab.violations import Violation, ViolationKind
 
 _NOT_RUN = "not_run"
@@ -59,19 +59,34 @@
         return found
 
     def _false_verdicts(self, record: CallRecord) -> list[Violation]:
-        """A "not run" is false if its own request ran, or if all were told so and one ran."""
+        """Find runs behind a "not run": by its request id, or begun while nothing else could run.
+
+        The latter holds while each attempt before it was proved not to run as well; after an
+        attempt of unknown outcome a run may be that one's.
+        """
         found = []
-        for attempt in record.attempts:
-            if attempt.verdict == _NOT_RUN and attempt.request_id:
-                for run in self._by_request.get(attempt.request_id, []):
-                    detail = f"request {attempt.request_id} ran on {run.standin}"
+        proved_so_far = True
+        for number, attempt in enumerate(record.attempts):
+            told_not_run = attempt.verdict == _NOT_RUN
+            proved_so_far = proved_so_far and (told_not_run or attempt.code == CODE_OF_UNSENT)
+            if not told_not_run:
+                continue
+            later = record.attempts[number + 1 :]
+            until = later[0].sent if later else float("inf")
+            for run in self._runs_of(record, attempt):
+                own = run.request_id == attempt.request_id
+                in_its_time = proved_so_far and attempt.sent <= run.started < until
+                if own or in_its_time:
+                    detail = f"attempt {number + 1} ran on {run.standin} as {run.request_id}"
                     found.append(_violation(ViolationKind.FALSE_NOT_RUN, record, detail))
-        if not found and record.outcome is Outcome.NOT_RUN:
-            for run in self._by_nonce.get(record.nonce, []):
-                detail = f"ran on {run.standin} as {run.request_id}"
-                found.append(_violation(ViolationKind.FALSE_NOT_RUN, record, detail))
         return found
 
+    def _runs_of(self, record: CallRecord, attempt: Attempt) -> list[Execution]:
+        runs = list(self._by_nonce.get(record.nonce, ()))
+        if attempt.request_id:
+            runs += [r for r in self._by_request.get(attempt.request_id, ()) if r not in runs]
+        return runs
+
 
 def _violation(kind: ViolationKind, record: CallRecord, detail: str) -> Violation:
     return Violation(kind, record.nonce, f"{record.caller_class}: {detail}")
--- a/tests/lab/test_verify.py
+++ b/tests/lab/test_verify.py
@@ -61,7 +61,21 @@
     def test_not_run_of_one_attempt_beside_an_answer_of_another(self):
         record = call(Outcome.ANSWERED, verdict="not_run", request_id="r0", status=503)
         record.attempts.append(Attempt("node-2", 10.6, 10.9, 200, request_id="r1"))
-        self.assertEqual(self._kinds(record, run("r1")), [])
+        during_the_second = Execution("ledger-1", "r1", "n1", 10.7, 10.8)
+        self.assertEqual(self._kinds(record, during_the_second), [])
+
+    def test_a_run_while_only_an_attempt_told_not_run_was_under_way(self):
+        record = call(Outcome.ANSWERED, verdict="not_run", status=503)
+        record.attempts.append(Attempt("node-2", 10.6, 10.9, 200, request_id="r2"))
+        early = Execution("ledger-1", "r1", "n1", 10.1, 10.2)
+        late = Execution("ledger-1", "r2", "n1", 10.7, 10.8)
+        self.assertEqual(self._kinds(record, late), [])
+        self.assertEqual(self._kinds(record, early, late), [ViolationKind.FALSE_NOT_RUN])
+
+    def test_a_run_that_may_be_an_earlier_attempts(self):
+        record = call(Outcome.MAY_HAVE_RUN, verdict="may_have_run", status=504)
+        record.attempts.append(Attempt("node-2", 10.6, 10.9, 503, verdict="not_run"))
+        self.assertEqual(self._kinds(record, Execution("ledger-1", "r1", "n1", 10.7, 10.8)), [])
 
     def test_lost_crossed_and_incomplete(self):
         self.assertEqual(self._kinds(call(Outcome.LOST)), [ViolationKind.LOST])
