--- a/src/runkeel_lab/verify_configuration.py
+++ b/src/runkeel_lab/verify_configuration.py
@@ -17,11 +17,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AcceptedChange:
-    """A write that the store took; ``at`` is monotonic, in s."""
+    """A write that the store took; ``at`` is monotonic, in s.
+
+    Attributes:
+        deleted: the write deleted the object, so that nodes no longer show it.
+    """
 
     at: float
     target: ObjectName
     generation: int
+    deleted: bool = False
 
 
 @dataclass(slots=True)
@@ -37,9 +42,10 @@
     changes = []
     for event in journals.of("object-api", "stored"):
         content = event.fields.get("content")
-        if event.at >= since and content and not content.get("deleted"):
+        if event.at >= since and content:
             target = (event.fields["object_kind"], event.fields["name"])
-            changes.append(AcceptedChange(event.at, target, content["generation"]))
+            deleted = bool(content.get("deleted"))
+            changes.append(AcceptedChange(event.at, target, content["generation"], deleted))
     return changes
 
 
@@ -49,33 +55,56 @@
     """Check the views of all nodes against the changes."""
     findings = ConfigurationFindings()
     for node_id, node_views in views.items():
-        _check_reversions(node_id, node_views, findings)
+        _check_reversions(node_id, node_views, changes, findings)
         for change in changes:
             _check_in_force(node_id, node_views, change, findings)
     return findings
 
 
 def _check_reversions(
-    node_id: str, views: Sequence[ConfigurationView], findings: ConfigurationFindings
+    node_id: str,
+    views: Sequence[ConfigurationView],
+    changes: Sequence[AcceptedChange],
+    findings: ConfigurationFindings,
 ) -> None:
+    """Find objects that a node holds at a lower generation than before, or without a deletion."""
     highest: dict[ObjectName, int] = {}
     life, life_began = 0, 0.0
     for view in views:
         if view.life != life:
             life, life_began = view.life, view.at
         joining = life > 1 and view.at - life_began < JOIN_SECONDS
-        for target, generation in highest.items():
+        for target, generation in list(highest.items()):
             held = view.generations.get(target)
-            if held is None and joining:
-                continue
+            if held is None:
+                deletion = _deletion(changes, target, generation, view.at)
+                highest[target] = max(generation, deletion or 0)
+                if deletion is not None or joining:
+                    continue
             if (held or 0) < generation:
                 detail = f"{node_id}: generation {generation}, later {held or 'none'}"
                 subject = "/".join(target)
                 findings.violations.append(
                     Violation(ViolationKind.CONFIGURATION_REVERTED, subject, detail)
                 )
+                del highest[target]
         for target, generation in view.generations.items():
-            highest[target] = generation
+            highest[target] = max(generation, highest.get(target, 0))
+
+
+def _deletion(
+    changes: Sequence[AcceptedChange], target: ObjectName, generation: int, before: float
+) -> int | None:
+    """Return the generation of the latest deletion at or above ``generation``, or None."""
+    found = [
+        change.generation
+        for change in changes
+        if change.target == target
+        and change.deleted
+        and change.generation >= generation
+        and change.at <= before
+    ]
+    return max(found, default=None)
 
 
 def _check_in_force(
@@ -91,7 +120,9 @@
             continue
         if view.fresh:
             since = max(since, view.at)
-        if view.generations.get(change.target, 0) >= change.generation:
+        held = view.generations.get(change.target)
+        gone = change.deleted and held is None
+        if gone or (held or 0) >= change.generation:
             findings.in_force_s = max(findings.in_force_s or 0.0, view.at - since)
             if view.at - since > IN_FORCE_BOUND_SECONDS:
                 _add_late(node_id, change, f"after {view.at - since:.1f} s", findings)
--- a/tests/lab/test_verify_configuration.py
+++ b/tests/lab/test_verify_configuration.py
@@ -50,6 +50,21 @@
         slow = (view(10.0, 2), view(12.0, 0, life=2), view(16.0, 0, life=2))
         self.assertEqual(self._kinds(*slow), [ViolationKind.CONFIGURATION_REVERTED])
 
+    def test_a_deletion_is_no_reversion_but_what_follows_may_be(self):
+        changes = [AcceptedChange(10.0, LEDGER, 3, deleted=True)]
+
+        def verify(*views: ConfigurationView):
+            return verify_configuration({"node-1": views}, changes)
+
+        findings = verify(view(9.0, 2), view(11.0, 0), view(12.0, 0))
+        self.assertEqual((findings.in_force_s, findings.violations), (1.0, []))
+        early = verify(view(8.0, 2), view(9.0, 0), view(11.0, 0)).violations
+        self.assertEqual([each.kind for each in early], [ViolationKind.CONFIGURATION_REVERTED])
+        back = verify(view(9.0, 2), view(11.0, 0), view(12.0, 2)).violations
+        self.assertEqual([each.kind for each in back], [ViolationKind.CONFIGURATION_REVERTED])
+        again = verify(view(9.0, 2), view(11.0, 0), view(12.0, 4)).violations
+        self.assertEqual(again, [])
+
 
 class RaceTest(unittest.TestCase):
     def _kinds(self, *answers: tuple[int, dict]) -> list[ViolationKind]:
