Let an earlier owner finish what runs when a step moves

Cause: a planned stop waited for all generations before it passed the steps on, so unstarted tasks stood still, and a step whose owner changed lost what ran. Change: a step moves at once and names the tasks that still run; their samples are sent to the new owner, which takes them over (SAMPLE_STORE for an open step). A failed one is named no longer.

--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -86,6 +86,8 @@
         learnt = False
         while True:
             changed = self._step.change_event()
+            if self._step.successor is not None:
+                return None
             self._check_open()
             now = time.monotonic()
             if linger_until is None and self._step.ready_tasks():
--- a/src/runkeel/rollouts/options.py
+++ b/src/runkeel/rollouts/options.py
@@ -37,6 +37,7 @@
         step_idle_seconds: an open step that nobody asks for is forgotten after this time.
         finished_step_seconds: a step that was delivered whole is forgotten after this time.
         move_after_seconds: how long another node must be a step's owner before it gets the step.
+        move_grace_seconds: how long an earlier owner goes on with what it had begun.
         planner_interval_seconds: longest time between two turns of the planner.
         first_token_allowance_seconds: assumed delay between an engine and this node.
         log_segment_bytes, log_maximum_bytes: of the sample log on disk.
@@ -69,6 +70,7 @@
     finished_step_seconds: float = 300.0
     planner_interval_seconds: float = 0.25
     move_after_seconds: float = 5.0
+    move_grace_seconds: float = 60.0
     first_token_allowance_seconds: float = 1.0
     log_segment_bytes: int = 8 * MEBIBYTE
     log_maximum_bytes: int = 256 * MEBIBYTE
--- a/src/runkeel/rollouts/pipeline.py
+++ b/src/runkeel/rollouts/pipeline.py
@@ -109,6 +109,9 @@
 
     def _replicate(self, step: Step, task: Task, attempt: Attempt, sample: Sample) -> None:
         try:
+            if step.successor is not None:
+                self._send_to_successor(step, task, attempt, sample)
+                return
             holders = self._replicator.replicate(sample)
         except RunkeelError as error:
             self._fail(step, task, attempt, error)
@@ -124,6 +127,12 @@
         step.notify()
         self._wake_planner()
 
+    def _send_to_successor(self, step: Step, task: Task, attempt: Attempt, sample: Sample) -> None:
+        self._replicator.send(step.successor, sample)
+        if attempt in task.running:
+            task.running.remove(attempt)
+            step.set_sample(task, sample, (step.successor,))
+
     def _fail(self, step: Step, task: Task, attempt: Attempt, error: Exception) -> None:
         model = step.key.model
         if isinstance(error, UnprovedOriginError):
--- a/src/runkeel/rollouts/replication.py
+++ b/src/runkeel/rollouts/replication.py
@@ -42,6 +42,7 @@
         self._options = options
         self._clock = clock
         self._tasks = Group()
+        self.on_sample: Callable[[Sample], None] | None = None
 
     @property
     def node_id(self) -> str:
@@ -78,6 +79,10 @@
         self._store.release(sample.step, [sample.digest])
         raise failure
 
+    def send(self, node_id: str, sample: Sample) -> None:
+        """Give a sample to the node that now owns its step. Raises RunkeelError."""
+        self._store_at(node_id, sample)
+
     def fetch(self, step: StepKey, holders: Mapping[bytes, Sequence[str]]) -> dict[bytes, Sample]:
         """Return the samples that can be had, by digest.
 
@@ -208,8 +213,12 @@
         held = []
         for record in request.samples or []:
             sample = sample_from_wire(record, self._clock())
-            self._store.put(sample)
+            is_new = self._store.put(sample)
             held.append(sample.digest)
+            # A sample that was here before was made here, or offered before: offering it again
+            # would let two owners send it to and fro.
+            if is_new and self.on_sample is not None:
+                self.on_sample(sample)
         return MessageType.SAMPLE_STORE_REPLY, ttypes.SampleStoreReply(held)
 
     def _on_fetch(self, _peer: str, request: ttypes.SampleFetch) -> tuple[int, object]:
--- a/src/runkeel/rollouts/sample_store.py
+++ b/src/runkeel/rollouts/sample_store.py
@@ -51,20 +51,24 @@
             or self._bytes >= self._options.maximum_stored_bytes
         )
 
-    def put(self, sample: Sample) -> None:
+    def put(self, sample: Sample) -> bool:
         """Hold a sample, and write it down if there is a journal.
 
+        Returns:
+            Whether the sample is new here.
+
         Raises:
             RunkeelError: STORAGE_FULL.
         """
         held = self._steps.get(sample.step)
         if held is not None and sample.digest in held:
-            return
+            return False
         if self.is_full:
             raise RunkeelError(ErrorCode.STORAGE_FULL, "too many samples are held")
         if self._journal is not None:
             self._journal.append(sample)
         self._insert(sample)
+        return True
 
     def restore(self, samples: Iterable[Sample]) -> None:
         """Hold samples that the journal gave back at start."""
--- a/src/runkeel/rollouts/step.py
+++ b/src/runkeel/rollouts/step.py
@@ -34,11 +34,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Submission:
-    """A step as a trainer submits it."""
+    """A step as a trainer submits it, or as an earlier owner passes it on.
+
+    Attributes:
+        running: tasks that the earlier owner still works on; it sends their samples.
+        running_seconds: for how long it may do so.
+    """
 
     key: StepKey
     tasks: tuple[TaskSpec, ...]
     trainer_version: int
+    running: tuple[str, ...] = ()
+    running_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +88,7 @@
         restarts: attempts that were cancelled as too old.
         failures: consecutive failed attempts.
         not_before: monotonic time before which no new attempt starts.
+        left_to_other: whether the step's earlier owner still works on it.
     """
 
     spec: TaskSpec
@@ -94,6 +102,7 @@
     restarts: int = 0
     failures: int = 0
     not_before: float = 0.0
+    left_to_other: bool = False
 
     @property
     def needs_attempt(self) -> bool:
@@ -124,6 +133,7 @@
         pulled: whether the trainer has asked for samples, so that the step is its present one.
         confirmed_cursors: entries below this cursor are confirmed.
         moving: whether it is being passed on to another owner.
+        successor: the node that it was passed on to; what is still made here goes there.
         foreign_since: since when another node should own it; None if this one should.
         plan: unstarted tasks, the next one last; see Planner.
         planned_at: when the plan was made.
@@ -145,6 +155,7 @@
         self.finished = False
         self.closed = False
         self.moving = False
+        self.successor: str | None = None
         self.foreign_since: float | None = None
         self.submitted_at = now
         self.last_used_at = now
@@ -158,10 +169,11 @@
         self._unfinished_in_group = Counter(spec.group for spec in specs)
         self._samples = 0
 
-    def submission(self) -> Submission:
-        """Return the submission that opens this step elsewhere."""
+    def submission(self, running_seconds: float) -> Submission:
+        """Return the submission that passes this step on while its attempts run to their end."""
         specs = tuple(task.spec for task in self.tasks.values())
-        return Submission(self.key, specs, self.trainer_version)
+        running = tuple(task_id for task_id, task in self.tasks.items() if task.running)
+        return Submission(self.key, specs, self.trainer_version, running, running_seconds)
 
     def notify(self) -> None:
         """Wake those that wait for a change."""
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -8,11 +8,10 @@
 
 import gevent
 from gevent.event import Event
-from gevent.pool import Group
 from loguru import logger
 
 from runkeel.api.interfaces import Records
-from runkeel.errors import ErrorCode, RunkeelError, not_run
+from runkeel.errors import ErrorCode, not_run
 from runkeel.rollouts import metrics
 from runkeel.rollouts.delivery import DeliveryLog
 from runkeel.rollouts.hand_over import Batch, Pull, StepDelivery, drop_sample
@@ -20,14 +19,16 @@
 from runkeel.rollouts.pipeline import SamplePipeline, cancel_attempt
 from runkeel.rollouts.planner import Planner
 from runkeel.rollouts.replication import SampleReplicator
-from runkeel.rollouts.sample import StepKey
+from runkeel.rollouts.sample import Sample, StepKey
 from runkeel.rollouts.sample_store import SampleStore
 from runkeel.rollouts.staleness_manager import StalenessManager
 from runkeel.rollouts.step import Step, Submission, SubmissionResult
+from runkeel.rollouts.step_mover import StepMover
 from runkeel.rollouts.step_transfer import StepTransfer
 
 _RETRY_AFTER_SECONDS = 1.0
 _DRAIN_POLL_SECONDS = 0.02
+_MOVE_RETRY_SECONDS = 0.5
 _MINIMUM_TURN_SECONDS = 0.002
 
 
@@ -57,7 +58,7 @@
         self._staleness = staleness
         self._planner = planner
         self._transfer = transfer
-        self._moves = Group()
+        self._mover = StepMover(transfer, replicator, self._remove)
         self._options = options
         self._clock = clock
         self._steps: dict[StepKey, _OpenStep] = {}
@@ -71,30 +72,39 @@
     def use_pipeline(self, pipeline: SamplePipeline) -> None:
         """Set the pipeline that makes the samples; called once, before anything else."""
         self._pipeline = pipeline
+        self._replicator.on_sample = self._take_sample
 
     def start(self) -> None:
         """Start planning."""
         self._loop = gevent.spawn(self._run)
 
     def drain(self, timeout_seconds: float) -> bool:
-        """Start nothing new, let what runs finish, pass the steps on.
+        """Start nothing new, pass the steps on, let what runs finish.
 
         Returns:
             Whether all that ran has finished in time.
         """
         self._draining = True
         deadline = time.monotonic() + timeout_seconds
-        while self._pipeline is not None and self._pipeline.running():
-            if time.monotonic() >= deadline:
-                break
+        next_moves = 0.0
+        while self._steps or self._mover.active or self._pipeline.running():
+            now = time.monotonic()
+            if now >= deadline:
+                return False
+            if now >= next_moves:
+                next_moves = now + _MOVE_RETRY_SECONDS
+                self._move_all(deadline - now)
             gevent.sleep(_DRAIN_POLL_SECONDS)
-        finished = self._pipeline is None or not self._pipeline.running()
+        return True
+
+    def _move_all(self, running_seconds: float) -> None:
         for opened in list(self._steps.values()):
             successor = self._transfer.owner(opened.step.key, leaving=True)
-            if successor != self._replicator.node_id and not opened.step.moving:
-                self._start_move(opened.step, successor)
-        self._moves.join()
-        return finished
+            if successor == self._replicator.node_id or opened.step.finished:
+                # Nobody to pass it on to, or nothing left of it.
+                self._forget(opened.step)
+            elif not opened.step.moving:
+                self._mover.start(opened.step, successor, running_seconds)
 
     @property
     def draining(self) -> bool:
@@ -110,7 +120,7 @@
         self._draining = True
         if self._loop is not None:
             self._loop.kill()
-        self._moves.kill()
+        self._mover.stop()
         for opened in list(self._steps.values()):
             opened.step.close()
         self._steps.clear()
@@ -141,6 +151,7 @@
             adopted = self._adopt_samples(opened.step)
         if opened.step.digest != step.digest:
             raise not_run(ErrorCode.STEP_CONFLICT, f"step {step.key.step_id} has other tasks")
+        self._leave_to_earlier_owner(opened.step, submission)
         opened.step.last_used_at = self._clock()
         opened.step.trainer_version = submission.trainer_version
         self.wake()
@@ -148,6 +159,30 @@
         delivered = sum(task.entry is not None for task in tasks)
         return SubmissionResult(len(tasks), delivered, adopted)
 
+    def _leave_to_earlier_owner(self, step: Step, submission: Submission) -> None:
+        """Let the earlier owner finish what it has begun, within the time that it has.
+
+        It submits again when an attempt of its own has failed; what it no longer names is ours.
+        """
+        now = self._clock()
+        running = set(submission.running)
+        for task_id, task in step.tasks.items():
+            if task_id in running and task.needs_attempt:
+                task.left_to_other = True
+                task.not_before = now + submission.running_seconds
+            elif task.left_to_other:
+                task.left_to_other = False
+                task.not_before = now
+
+    def _take_sample(self, sample: Sample) -> None:
+        """Take a sample that another node has sent for a step that is open here."""
+        opened = self._steps.get(sample.step)
+        if opened is None or opened.step.digest != sample.step_digest:
+            return
+        task = opened.step.tasks.get(sample.task_id)
+        if task is not None and task.sample is None and (task.entry is None or task.remake):
+            self._pipeline.adopt(opened.step, task, sample)
+
     def pull(self, key: StepKey, pull: Pull) -> Batch | None:
         """Return a batch, or None when nothing is ready in time.
 
@@ -264,23 +299,7 @@
         elif step.foreign_since is None:
             step.foreign_since = now
         elif now - step.foreign_since >= self._options.move_after_seconds and not step.moving:
-            self._start_move(step, owner)
-
-    def _start_move(self, step: Step, successor: str) -> None:
-        step.moving = True
-        self._moves.spawn(self._move, step, successor)
-
-    def _move(self, step: Step, successor: str) -> None:
-        try:
-            self._transfer.submit(successor, step.submission(), moved=True)
-        except RunkeelError as error:
-            metrics.STEPS_MOVED.labels("failed").inc()
-            logger.info("step {} not passed on to {}", step.key.step_id, successor, code=error.code)
-            step.moving = False
-            step.foreign_since = None
-            return
-        metrics.STEPS_MOVED.labels("moved").inc()
-        self._forget(step)
+            self._mover.start(step, owner, self._options.move_grace_seconds)
 
     def _longest_unused(self, step: Step) -> float:
         """Return for how long a step is kept that nobody asks for, in s."""
@@ -291,7 +310,10 @@
 
     def _forget(self, step: Step) -> None:
         """Close a step; its samples stay in the store, for whoever owns it now."""
+        self._remove(step)
         step.close()
+
+    def _remove(self, step: Step) -> None:
         opened = self._steps.get(step.key)
         if opened is not None and opened.step is step:
             del self._steps[step.key]
--- a/src/runkeel/rollouts/step_transfer.py
+++ b/src/runkeel/rollouts/step_transfer.py
@@ -85,7 +85,15 @@
         for task in submission.tasks
     ]
     key = submission.key
-    return ttypes.StepSubmit(key.model, key.step_id, tasks, submission.trainer_version, moved)
+    return ttypes.StepSubmit(
+        key.model,
+        key.step_id,
+        tasks,
+        submission.trainer_version,
+        moved,
+        list(submission.running),
+        int(submission.running_seconds * 1000),
+    )
 
 
 def submission_from_wire(message: ttypes.StepSubmit) -> Submission:
@@ -96,7 +104,13 @@
     )
     if not tasks:
         raise not_run(ErrorCode.PROTOCOL_ERROR, "a step without tasks")
-    return Submission(StepKey(message.model, message.step_id), tasks, message.trainer_version)
+    return Submission(
+        StepKey(message.model, message.step_id),
+        tasks,
+        message.trainer_version,
+        tuple(message.running or ()),
+        (message.running_ms or 0) / 1000,
+    )
 
 
 def pull_from_wire(message: ttypes.StepPull) -> tuple[StepKey, Pull]:
--- a/tests/rollouts/test_service.py
+++ b/tests/rollouts/test_service.py
@@ -150,6 +150,23 @@
             self.assertEqual(len(batch.samples), 4)
         self.assertLessEqual(len(self.cluster.dispatcher.requests), generated + 4)
 
+    def test_leaving_owner_finishes_what_runs_and_sends_it_to_the_next(self):
+        dispatcher = self.cluster.dispatcher
+        dispatcher.hold["prompt 1"] = Event()
+        self.node.submit(self.step)
+        old = self.cluster.nodes[self.cluster.owner_of(self.step.key)]
+        self.until(lambda: dispatcher.open == 1)
+        drain = gevent.spawn(old.service.drain, 5.0)
+        self.until(lambda: not old.service.steps())
+        for node in self.cluster.nodes.values():
+            node.live.discard(old.node_id)
+        others = [node for node in self.cluster.nodes.values() if node is not old]
+        self.assertEqual(len(self.pull(0, node=others[0].service).samples), 3)
+        dispatcher.hold["prompt 1"].set()
+        sample = self.pull(1, node=others[1].service).samples[0]
+        self.assertEqual((sample.task_id, len(dispatcher.requests)), ("t1", 4))
+        self.assertTrue(drain.get(timeout=5))
+
     def test_step_moves_to_a_node_that_has_become_its_owner(self):
         nodes = self.cluster.nodes
         new = nodes[self.cluster.owner_of(self.step.key)]
--- a/wire/rollouts.thrift
+++ b/wire/rollouts.thrift
@@ -21,7 +21,9 @@
   2: string step_id,
   3: list<RolloutTask> tasks,
   4: i64 trainer_version,
-  5: bool moved,               // passed on by a node that is leaving: not to be passed on again
+  5: bool moved,               // passed on by the earlier owner: not to be passed on again
+  6: list<string> running,     // tasks that the earlier owner still works on
+  7: i64 running_ms,           // for how long it may do so
 }
 
 struct StepSubmitReply {
