--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -16,6 +16,7 @@
 from runkeel.http.server import HttpServer
 from runkeel.membership.gossip import GossipMembership
 from runkeel.operators.service import OperatorsService
+from runkeel.operators.work_sources import register_claims, register_steps
 from runkeel.platform.machine_list import MachineListClient
 from runkeel.platform.object_api import ObjectApiClient
 from runkeel.platform.weight_store import WeightStoreClient
@@ -31,6 +32,7 @@
 from runkeel.state.records.service import RecordService
 from runkeel.state.replicated_state import ReplicatedState
 from runkeel.state.spread import Spread
+from runkeel.state.versioned_record import MACHINE_KIND
 from runkeel.state.watchers import Watchers
 from runkeel.weights.service import WeightsService
 from runkeel.wire.links import LinkPolicy
@@ -233,6 +235,9 @@
             self._routes,
             self._settings.operators.open,
         )
+        sources = self._operators.sources
+        register_steps(sources, self.node_id, self._rollouts.steps)
+        register_claims(sources, self.node_id, self._requests.claims.recorded)
 
     def _not_ready_reasons(self) -> list[str]:
         reasons = []
@@ -240,6 +245,8 @@
             reasons.append("stopping")
         if not self._spread.caught_up:
             reasons.append("configuration not read yet")
+        if not self._state.records(MACHINE_KIND):
+            reasons.append("machine list not read yet")
         return reasons
 
     def _note_own_drain(self, kind: ObjectKind, name: str) -> None:
