--- a/src/runkeel/operators/queries.py
+++ b/src/runkeel/operators/queries.py
@@ -8,7 +8,7 @@
 from gevent.pool import Pool
 
 from runkeel.api.interfaces import MachineView, Membership, PeerClient, PeerHandlers
-from runkeel.api.machines import MachineKind, MachineState, Member
+from runkeel.api.machines import MachineKind, MachineState, Member, MemberStatus
 from runkeel.errors import RunkeelError
 from runkeel.operators import metrics
 from runkeel.operators.diagnostics import bad_command
@@ -30,7 +30,7 @@
 
     Attributes:
         age_ms: age of the oldest thing shown.
-        unreachable_zones: zones of which no node answered.
+        unreachable_zones: zones of those nodes, if no other node there answered.
         unreachable_nodes: nodes that did not answer, or that the machine list shows and
             membership does not.
         truncated: some node had more rows than a reply holds.
@@ -147,12 +147,17 @@
             if answer.reply is not None:
                 del missing[answer.member.node_id]
         for machine in self._machines.machines(MachineKind.NODE):
-            known = self._membership.is_live(machine.machine_id)
-            if machine.state is MachineState.LIVE and not known:
+            if machine.state is MachineState.LIVE and self._is_missed(machine.machine_id):
                 missing[machine.machine_id] = machine.zone
         zones = sorted(set(missing.values()) - reached_zones)
         return tuple(sorted(missing)), tuple(zones)
 
+    def _is_missed(self, node_id: str) -> bool:
+        """Return whether a listed node should be live; one that left on purpose is not missed."""
+        member = self._membership.member(node_id)
+        left = member is not None and member.status is MemberStatus.LEFT
+        return not left and not self._membership.is_live(node_id)
+
 
 def _age_ms(columns: tuple[str, ...], rows: list[Row], started_at: float) -> int:
     """Return an upper bound of the age of what the rows show."""
--- a/src/runkeel/operators/standard_sources.py
+++ b/src/runkeel/operators/standard_sources.py
@@ -213,11 +213,12 @@
         return rows
 
     def _missing_node(self, machine: Machine) -> Row:
+        member = self.membership.member(machine.machine_id)
         return (
             machine.machine_id,
             machine.zone,
-            "unreachable",
-            0,
+            member.status.name.lower() if member else "unknown",
+            member.incarnation if member else 0,
             str(machine.http) if machine.http else "",
             self.configuration.is_draining(machine.machine_id),
             self.machines.is_leaving(machine.machine_id),
--- a/tests/operators/test_commands_and_queries.py
+++ b/tests/operators/test_commands_and_queries.py
@@ -5,6 +5,7 @@
 import json
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from unittest import mock
@@ -13,7 +14,7 @@
 from prompt_toolkit.document import Document
 
 from runkeel.api.configuration import ModelSpec, ObjectKind, OperatorSpec
-from runkeel.api.machines import Address, MachineKind
+from runkeel.api.machines import Address, Machine, MachineKind, MachineState, MemberStatus
 from runkeel.errors import ErrorCode, not_run
 from runkeel.http.routes import RouteTable
 from runkeel.http.server import HttpServer
@@ -94,6 +95,20 @@
         self.assertEqual(2, len(document["rows"]))
         self.assertIn("zones that could not be asked: zone-2", self.ctl("show backends")[1])
 
+    def test_listed_nodes_that_are_not_live_are_named_unless_they_left(self):
+        membership = self.cluster.nodes["node-a"].membership
+        for name, status in (("gone", MemberStatus.LEFT), ("lost", MemberStatus.DEAD)):
+            address = membership.local().http
+            self.cluster.machines.all.append(
+                Machine(name, MachineKind.NODE, "zone-9", "", address, MachineState.LIVE, 1)
+            )
+            membership.gone[name] = replace(membership.local(), node_id=name, status=status)
+        document = self.client.send("show versions").document
+        self.assertEqual(["lost"], document["unreachable_nodes"])
+        self.assertEqual(["zone-9"], document["unreachable_zones"])
+        statuses = {row[0]: row[2] for row in self.rows("show nodes")}
+        self.assertEqual(("left", "dead"), (statuses["gone"], statuses["lost"]))
+
     def test_every_table_answers(self):
         for (name,) in [row[:1] for row in self.rows("show resources")]:
             with self.subTest(name):
--- a/tests/weights/fakes.py
+++ b/tests/weights/fakes.py
@@ -118,6 +118,7 @@
         self.zone = zones[node_id]
         self.zones = zones
         self.engines = engines
+        self.gone: dict[str, Member] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def local(self) -> Member:
@@ -127,6 +128,9 @@
         ids = sorted(node for node in self.zones if zone in (None, self.zones[node]))
         return tuple(self._member(node_id) for node_id in ids)
 
+    def member(self, node_id: str) -> Member | None:
+        return self._member(node_id) if node_id in self.zones else self.gone.get(node_id)
+
     def is_live(self, node_id: str) -> bool:
         return node_id in self.zones
 
