--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -75,6 +75,8 @@
         Raises:
             RunkeelError: BAD_CURSOR, RECORDS_UNAVAILABLE, UNKNOWN_STEP (closed meanwhile).
         """
+        if not self._step.pulled:
+            self._staleness.note_first_pull(self._step, pull.trainer_version)
         self._step.state_version(pull.trainer_version, self._clock())
         with self._locked():
             self._open_cursor(pull.cursor)
@@ -84,6 +86,8 @@
         learnt = False
         while True:
             changed = self._step.change_event()
+            if self._step.successor is not None:
+                return None
             self._check_open()
             now = time.monotonic()
             if linger_until is None and self._step.ready_tasks():
@@ -127,7 +131,7 @@
         if cursor > self._log.next_cursor:
             skipped = self._log.skip_to(cursor)
             for task_id in skipped:
-                self._step.tasks[task_id].entry = cursor - 1
+                self._step.enter(self._step.tasks[task_id], cursor - 1)
             self._release((), skipped)
         if cursor > self._log.next_cursor:
             raise RunkeelError(
@@ -165,7 +169,7 @@
             cancel_attempts(task)
             if task.sample is not None:
                 copies.append((task.sample.digest, task.holders))
-            task.sample = None
+            self._step.take_sample(task)
         for digest, holders in copies:
             for node_id in {*holders, self._replicator.node_id}:
                 digests.setdefault(node_id, []).append(digest)
@@ -214,7 +218,7 @@
         """Note that the entry's tasks are spoken for; what still runs for them is of no use."""
         for item in entry.items:
             task = self._step.tasks[item.task_id]
-            task.entry = entry.cursor
+            self._step.enter(task, entry.cursor)
             task.remake = False
             cancel_attempts(task)
         self._step.notify()
@@ -228,8 +232,11 @@
             samples: list[Sample] = []
             items: list[ManifestItem] = []
             complete = True
+            fetched = self._fetch(entry)
             for item in entry.items:
-                sample, replacement = self._sample_of(item, pull.trainer_version)
+                sample, replacement = self._sample_of(
+                    item, fetched.get(item.digest), pull.trainer_version
+                )
                 complete = complete and sample is not None
                 if sample is not None:
                     samples.append(sample)
@@ -243,17 +250,26 @@
             if all(self._staleness.is_fresh(sample, pull.trainer_version) for sample in samples):
                 return self._hand_over(pull, samples)
 
+    def _fetch(self, entry: DeliveryEntry) -> dict[bytes, Sample]:
+        """Return the entry's samples that can be had, by digest."""
+        found: dict[bytes, Sample] = {}
+        holders: dict[bytes, tuple[str, ...]] = {}
+        for item in entry.items:
+            sample = self._step.tasks[item.task_id].sample
+            if sample is not None and sample.digest == item.digest:
+                found[item.digest] = sample
+            else:
+                holders[item.digest] = item.holders
+        return found | self._replicator.fetch(self._step.key, holders)
+
     def _sample_of(
-        self, item: ManifestItem, trainer_version: int
+        self, item: ManifestItem, sample: Sample | None, trainer_version: int
     ) -> tuple[Sample | None, ManifestItem]:
         """Return the item's sample, or another one of the task if it is lost or too old.
 
         Without a usable sample the task is marked to be made again.
         """
         task = self._step.tasks[item.task_id]
-        sample = task.sample
-        if sample is None or sample.digest != item.digest:
-            sample = self._replicator.fetch(self._step.key, item.digest, item.holders)
         if sample is not None and self._staleness.is_fresh(sample, trainer_version):
             return sample, item
         candidate = task.sample
@@ -280,7 +296,7 @@
 def drop_sample(step: Step, task: Task, replicator: SampleReplicator, reason: str) -> None:
     """Drop a task's sample, so that it is made again, and count the reason."""
     metrics.SAMPLES_DROPPED.labels(step.key.model, reason).inc()
-    sample, task.sample = task.sample, None
+    sample = step.take_sample(task)
     if sample is None:
         return
     holders = {node_id: [sample.digest] for node_id in task.holders}
--- a/tests/operators/test_commands_and_queries.py
+++ b/tests/operators/test_commands_and_queries.py
@@ -5,27 +5,30 @@
 import json
 import tempfile
 import unittest
+from dataclasses import replace
 from pathlib import Path
+from types import SimpleNamespace
 from unittest import mock
 
+from gevent.event import Event
 from prompt_toolkit.document import Document
 
 from runkeel.api.configuration import ModelSpec, ObjectKind, OperatorSpec
-from runkeel.api.machines import Address, MachineKind
+from runkeel.api.machines import Address, Machine, MachineKind, MachineState, MemberStatus
+from runkeel.errors import ErrorCode, not_run
 from runkeel.http.routes import RouteTable
 from runkeel.http.server import HttpServer
 from runkeel.operators.client import OperatorClient
-from runkeel.operators.commands import CommandRunner
 from runkeel.operators.ctl import ExitCode, run_ctl
 from runkeel.operators.prompt import CommandCompleter
-from runkeel.operators.queries import QueryRunner
-from runkeel.operators.routes import OperatorRoutes
+from runkeel.operators.service import OperatorsService
 from runkeel.operators.sources import QuerySources
-from runkeel.operators.standard_sources import StandardSources
-from runkeel.operators.tokens import Authenticator, new_token
+from runkeel.operators.tokens import new_token
+from runkeel.operators.work_sources import register_claims, register_steps
+from runkeel.platform.weight_store import WeightVersion
 from runkeel.settings import LimitSettings
 from tests.operators.fakes import FakeWriter
-from tests.weights.fakes import Cluster, FakeWeightStore
+from tests.weights.fakes import Cluster, FakeWeightStore, wait_until
 
 ZONES = {"node-a": "zone-1", "node-b": "zone-2", "node-c": "zone-3"}
 
@@ -37,12 +40,11 @@
         self.configuration.put(ObjectKind.MODEL, "allocation", ModelSpec(target_version=1))
         self.writer = FakeWriter(self.configuration)
         self.weight_store = mock.Mock()
-        self.weight_store.versions.return_value = ()
-        runners = [self.make_runners(node) for node in self.cluster.nodes.values()]
-        routes = RouteTable()
-        authenticator = Authenticator(self.configuration, open_access=True)
-        OperatorRoutes(routes, authenticator, *runners[0])
-        self.server = HttpServer(Address("127.0.0.1", 0), routes, LimitSettings())
+        self.weight_store.versions.return_value = (WeightVersion(1, 10),)
+        routes = [RouteTable() for _ in ZONES]
+        for node, table in zip(self.cluster.nodes.values(), routes, strict=True):
+            self.make_service(node, table)
+        self.server = HttpServer(Address("127.0.0.1", 0), routes[0], LimitSettings())
         self.server.start()
         self.addCleanup(self.server.stop)
         self.node_url = f"http://{self.server.address}"
@@ -50,17 +52,15 @@
         for node in self.cluster.nodes.values():
             node.monitor.start()
             self.addCleanup(node.monitor.stop)
+        engines = self.cluster.nodes["node-c"].monitor
+        self.assertTrue(wait_until(lambda: engines.in_service("engine-2")))
 
-    def make_runners(self, node):
-        commands = CommandRunner(self.configuration, self.writer)
-        sources = QuerySources()
-        StandardSources(
-            node.membership, self.configuration, self.cluster.machines, node.ownership,
-            node.monitor, node.roll_out, commands, self.weight_store,
-        ).register(sources)  # fmt: skip
+    def make_service(self, node, routes):
         peer = self.cluster.peers.of(node.membership.node_id)
-        queries = QueryRunner(node.membership, self.cluster.machines, peer, peer, sources)
-        return commands, queries
+        OperatorsService(
+            node.membership, self.configuration, self.cluster.machines, node.ownership, peer, peer,
+            node.monitor, node.roll_out, self.writer, self.weight_store, routes, open_access=True,
+        )  # fmt: skip
 
     def ctl(self, command, **options):
         """Run a command line; return the exit code and what it printed."""
@@ -78,6 +78,15 @@
         self.assertEqual(["node-c", "node-a"], [row[4] for row in rows])
         self.assertEqual(1, len(self.rows("show backends limit 1")))
 
+    def test_null_equals_only_null(self):
+        self.cluster.nodes["node-a"].monitor.stop()
+        self.assertEqual([], self.rows("show backends where role = rollout"))
+        self.assertEqual(
+            ["engine-0"], [row[0] for row in self.rows("show backends where role = null")]
+        )
+        self.assertEqual(2, len(self.rows("show backends where role != null")))
+        self.assertEqual([], self.rows("show backends where version > 5"))
+
     def test_unreachable_zone_is_named(self):
         self.cluster.peers.cut.add("node-b")
         document = self.client.send("show backends").document
@@ -86,6 +95,20 @@
         self.assertEqual(2, len(document["rows"]))
         self.assertIn("zones that could not be asked: zone-2", self.ctl("show backends")[1])
 
+    def test_listed_nodes_that_are_not_live_are_named_unless_they_left(self):
+        membership = self.cluster.nodes["node-a"].membership
+        for name, status in (("gone", MemberStatus.LEFT), ("lost", MemberStatus.DEAD)):
+            address = membership.local().http
+            self.cluster.machines.all.append(
+                Machine(name, MachineKind.NODE, "zone-9", "", address, MachineState.LIVE, 1)
+            )
+            membership.gone[name] = replace(membership.local(), node_id=name, status=status)
+        document = self.client.send("show versions").document
+        self.assertEqual(["lost"], document["unreachable_nodes"])
+        self.assertEqual(["zone-9"], document["unreachable_zones"])
+        statuses = {row[0]: row[2] for row in self.rows("show nodes")}
+        self.assertEqual(("left", "dead"), (statuses["gone"], statuses["lost"]))
+
     def test_every_table_answers(self):
         for (name,) in [row[:1] for row in self.rows("show resources")]:
             with self.subTest(name):
@@ -109,7 +132,8 @@
         self.assertEqual(ExitCode.REFUSED, self.ctl("create model allocation")[0])
         self.assertEqual(ExitCode.USAGE, self.ctl("deploy model allocation")[0])
         self.assertEqual(ExitCode.USAGE, self.ctl("deploy model allocation version 1", watch=1)[0])
-        self.assertEqual(ExitCode.USAGE, self.ctl("show nodes", node="http://a:b")[0])
+        for url in ("http://a:b", "http://[x", "ftp://127.0.0.1:1", ""):
+            self.assertEqual(ExitCode.USAGE, self.ctl("show nodes", node=url)[0])
         unreachable = self.ctl("show nodes", node="http://127.0.0.1:1")
         self.assertEqual(ExitCode.UNREACHABLE, unreachable[0], unreachable[1])
         document = json.loads(self.ctl("show models", output_format="json")[1])
@@ -123,6 +147,36 @@
         self.assertEqual(ExitCode.OK, self.ctl("stop node node-b")[0])
         self.assertTrue(self.configuration.spec(ObjectKind.DRAIN, "node-b").stop)
 
+    def test_tables_of_work(self):
+        task = SimpleNamespace(running=[1], ready=False)
+        step = SimpleNamespace(
+            key=SimpleNamespace(model="allocation", step_id="s-1"), tasks={"t": task},
+            trainer_version=3, confirmed_cursors=2, finished=False, submitted_at=0.0,
+            last_used_at=0.0, undelivered_count=lambda: 1,
+        )  # fmt: skip
+        done, running = Event(), Event()
+        done.set()
+        claims = [
+            ("r-1", SimpleNamespace(started=0.0, done=running, error=None)),
+            ("r-2", SimpleNamespace(started=0.0, done=done, error=None)),
+            ("r-3", SimpleNamespace(started=0.0, done=done, error=not_run(ErrorCode.INTERNAL))),
+        ]
+        sources = QuerySources()
+        register_steps(sources, "node-a", lambda: [step])
+        register_claims(sources, "node-a", lambda: claims)
+        [row] = sources.get("steps").provider()
+        self.assertEqual(("s-1", "allocation", "node-a", 1, 1, 0, 1, 2, 3, False), row[:10])
+        states = [row[2] for row in sources.get("claims").provider()]
+        self.assertEqual(["running", "answered", "failed"], states)
+
+    def test_slips_are_warned_of_and_nothing_is_refused_for_them(self):
+        self.assertIn('did you mean "engine-0"', self.ctl("drain backend engin-0")[1])
+        self.assertIn("does not hold version 9", self.ctl("deploy model allocation version 9")[1])
+        self.assertNotIn("warning", self.ctl("deploy model allocation version 1")[1])
+        self.weight_store.versions.side_effect = not_run(ErrorCode.STORE_UNAVAILABLE, "down")
+        code, output = self.ctl("deploy model allocation version 2")
+        self.assertEqual((ExitCode.OK, True), (code, "is not known" in output))
+
     def test_dry_run_checks_and_writes_nothing(self):
         text = "set model allocation swap_fraction 50% --dry-run"
         document = self.client.send(text).document
