--- a/src/runkeel/state/records/service.py
+++ b/src/runkeel/state/records/service.py
@@ -20,7 +20,7 @@
 from runkeel.state.records.group import GroupManager, GroupStore
 from runkeel.state.records.options import RecordOptions
 from runkeel.state.records.proposer import Proposer
-from runkeel.state.records.replica import Replica
+from runkeel.state.records.replica import Replica, ReplicaPhase
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.records.ttypes import (
     Accept,
@@ -123,6 +123,10 @@
 
         return spec
 
+    def replica_phase(self, group: str) -> ReplicaPhase:
+        """Return what this node is to a group, for status pages and readiness."""
+        return self._replica(group).phase
+
     # Tasks
 
     def start(self) -> None:
--- a/tests/records/machine.py
+++ b/tests/records/machine.py
@@ -10,7 +10,7 @@
 KEYS = st.sampled_from(["k", "k", "l"])
 INDEX = st.integers(0, 31)
 SEEDS = st.integers(0, 2**32 - 1)
-BURST_STEPS = 12
+BURST_STEPS = 25
 LONG_BURST_STEPS = 40
 NODES = st.integers(0, 9)
 
@@ -226,12 +226,13 @@
         self.simulation = Simulation(nodes=3, options=OPTIONS, spares=3)
         self.members = self.simulation.replica("a").members
         self.outside = sorted(set(self.simulation.zones) - set(self.members))[:2]
+        self.key = "k"
 
     @rule(outside=st.integers(0, 1))
     def decide(self, outside):
         name = self.outside[outside]
         if all(task.ready() for task in self.simulation.operations[name]):
-            self.simulation.decide(name, "k")
+            self.simulation.decide(name, self.key)
 
     @rule(outside=st.integers(0, 1), member=st.integers(0, 2))
     def exchange(self, outside, member):
@@ -239,16 +240,18 @@
 
     @rule(seed=SEEDS)
     def burst(self, seed):
-        """Many steps drawn evenly, which a sequence of drawn rules is not."""
+        """A race for a fresh key, in many steps drawn evenly."""
         draw = random.Random(seed)
+        self.key = f"k{len(self.simulation.proposed)}"
         for _ in range(BURST_STEPS):
             chance = draw.random()
-            if chance < 0.12:
+            if chance < 0.2:
                 self.decide(draw.randrange(2))
-            elif chance < 0.88:
+            elif chance < 0.8:
                 self.exchange(draw.randrange(2), draw.randrange(3))
             else:
                 self.restart(draw.randrange(3))
+        self.simulation.settle(rounds=3)
 
     @rule(member=st.integers(0, 2))
     def restart(self, member):
