Test verdicts of the application path and of connections to back ends

Cause: failures on the way had no tests; a request refused by every owner was told 'no live owner'. Change: scripted back ends and peers bring the failures about; the last owner's refusal is what the caller gets; after the loss of one back end its owner may be asked again; a cut generation that made progress is resumed outside the retry budget.

--- a/src/runkeel/requests/dispatch.py
+++ b/src/runkeel/requests/dispatch.py
@@ -34,10 +34,12 @@
         count: attempts begun; the number of the newest one.
         may_have_run: whether some attempt's outcome is unknown.
         tried: owner nodes not to be asked again.
+        last_error: why the newest failed attempt failed.
     """
 
     count: int = 0
     may_have_run: bool = False
+    last_error: RunkeelError | None = None
     tried: set[str] = field(default_factory=set)
 
     def begin(self) -> int:
@@ -47,6 +49,7 @@
 
     def note(self, error: RunkeelError) -> None:
         """Take an attempt's failure into account."""
+        self.last_error = error
         if error.verdict is not Verdict.NOT_RUN:
             self.may_have_run = True
 
--- a/src/runkeel/requests/dispatcher.py
+++ b/src/runkeel/requests/dispatcher.py
@@ -25,6 +25,7 @@
 )
 
 MAXIMUM_ATTEMPTS = 4
+MAXIMUM_FREE_ATTEMPTS = 16
 MAXIMUM_GENERATION_ATTEMPTS = 16
 NO_BACKEND_RETRY_AFTER_SECONDS = 1.0
 DEFAULT_RETRY_RATIO = 0.1
@@ -48,6 +49,10 @@
 """Failures after which another owner may succeed."""
 _FREE_RETRIES = frozenset({ErrorCode.NODE_LEAVING})
 """Not charged to the budget: a planned stop refuses a bounded number of requests, once."""
+_OTHER_BACKEND = frozenset(
+    {ErrorCode.BACKEND_LOST, ErrorCode.BACKEND_REFUSED, ErrorCode.TRUNCATED_ANSWER}
+)
+"""Failures of one back end, after which even the same owner may succeed with another one."""
 
 
 class RequestDispatcher:
@@ -80,8 +85,9 @@
         budget = self._budget(pool)
         attempts = Attempts()
         while True:
+            node_id = self._place(pool, attempts)
             try:
-                return self._hedged(pool, request, attempts, deadline)
+                return self._hedged(pool, node_id, request, attempts, deadline)
             except RunkeelError as error:
                 attempts.note(error)
                 if not self._may_retry(error, request.envelope.repeatable, attempts, budget):
@@ -106,30 +112,29 @@
         progress = GenerationProgress(request)
         while True:
             before = len(progress.token_ids)
+            node_id = self._place(pool, attempts, request.minimum_version or 0)
             try:
-                yield from self._generation_attempt(pool, progress, attempts, deadline)
+                yield from self._generation_attempt(pool, node_id, progress, attempts, deadline)
                 return
             except RunkeelError as error:
                 attempts.note(error)
-                if len(progress.token_ids) > before:
-                    # It made progress: only attempts in vain count towards the limit.
+                if deadline.passed:
+                    raise attempts.final(error) from error
+                progressed = len(progress.token_ids) > before
+                if progressed and self._may_resume(error, request, attempts):
                     attempts.tried.clear()
                     RESUMED_GENERATIONS.inc()
-                if (
-                    deadline.passed
-                    or attempts.count >= MAXIMUM_GENERATION_ATTEMPTS
-                    or not self._may_retry(error, request.envelope.repeatable, attempts, budget)
-                ):
+                elif not self._may_retry(error, request.envelope.repeatable, attempts, budget):
                     raise attempts.final(error) from error
 
     def _generation_attempt(
         self,
         pool: PoolId,
+        node_id: str,
         progress: GenerationProgress,
         attempts: Attempts,
         deadline: Deadline,
     ) -> Iterator[TokenChunk]:
-        node_id = self._place(pool, attempts, progress.request.minimum_version or 0)
         number = attempts.begin()
         self._placement.sent(pool, node_id)
         try:
@@ -147,32 +152,43 @@
             self._placement.ended(pool, node_id)
 
     def _place(self, pool: PoolId, attempts: Attempts, minimum_version: int = 0) -> str:
+        """Return the node for the next attempt; raise the request's final error if none is left."""
         node_id = self._placement.choose(pool, attempts.tried, minimum_version)
-        if node_id is None:
-            raise not_run(ErrorCode.NO_BACKEND, "no live owner", NO_BACKEND_RETRY_AFTER_SECONDS)
-        return node_id
+        last = attempts.last_error
+        if node_id is None and last is not None and last.code in _OTHER_BACKEND:
+            node_id = self._placement.choose(pool, (), minimum_version)
+        if node_id is not None:
+            return node_id
+        if last is None:
+            last = not_run(ErrorCode.NO_BACKEND, "no live owner", NO_BACKEND_RETRY_AFTER_SECONDS)
+        raise attempts.final(last)
 
     def _may_retry(
         self, error: RunkeelError, repeatable: bool, attempts: Attempts, budget: RetryBudget
     ) -> bool:
-        if error.code not in _ELSEWHERE or attempts.count >= MAXIMUM_ATTEMPTS * 4:
-            return False
-        if not repeatable and attempts.may_have_run:
-            return False
-        if error.code is ErrorCode.NO_BACKEND and not attempts.count:
+        """Return whether another attempt may follow, and charge the budget for it."""
+        if error.code not in _ELSEWHERE or (attempts.may_have_run and not repeatable):
             return False
         if error.code in _FREE_RETRIES:
-            return True
+            return attempts.count < MAXIMUM_FREE_ATTEMPTS
         return attempts.count < MAXIMUM_ATTEMPTS and budget.spend()
 
+    def _may_resume(self, error: RunkeelError, request: ModelRequest, attempts: Attempts) -> bool:
+        """Return whether a cut generation goes on; not charged, as no work is done twice."""
+        return (
+            error.code in _ELSEWHERE
+            and request.envelope.repeatable
+            and attempts.count < MAXIMUM_GENERATION_ATTEMPTS
+        )
+
     def _hedged(
         self,
         pool: PoolId,
+        node_id: str,
         request: ApplicationRequest,
         attempts: Attempts,
         deadline: Deadline,
     ) -> ApplicationResponse:
-        node_id = self._place(pool, attempts)
         delay = self._hedge_delay(pool, request)
         if delay is None or delay >= deadline.remaining_seconds():
             return self._attempt(pool, node_id, request, attempts.begin(), attempts, deadline)
--- a/src/runkeel/requests/retry_budget.py
+++ b/src/runkeel/requests/retry_budget.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-CAPACITY = 20.0
-INITIAL_TOKENS = 10.0
+CAPACITY = 100.0
+"""Bounds a burst of retries, as after the loss of a peer with many requests under way."""
+INITIAL_TOKENS = 50.0
 
 
 class RetryBudget:
--- /dev/null
+++ b/tests/backends/test_http_connection.py
@@ -0,0 +1,154 @@
+"""Verdicts of the connections to back ends, against scripted servers."""
+
+from __future__ import annotations
+
+import time
+import unittest
+
+from gevent.server import StreamServer
+
+from runkeel.api.machines import Address
+from runkeel.backends.http_connection import HttpConnectionPool
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+RESET = b""
+
+
+class ScriptedServer:
+    """Answers the n-th request of a connection with the n-th bytes, then closes it."""
+
+    def __init__(self, *answers: bytes) -> None:
+        self.answers = answers
+        self.connections = 0
+        self.requests: list[bytes] = []
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server.start()
+        self.address = Address("127.0.0.1", self._server.server_port)
+
+    def stop(self) -> None:
+        self._server.stop(timeout=0.005)
+
+    def _serve(self, sock, _address) -> None:
+        self.connections += 1
+        for answer in self.answers:
+            data = b""
+            while b"\r\n\r\n" not in data:
+                received = sock.recv(65_536)
+                if not received:
+                    return
+                data += received
+            self.requests.append(data)
+            sock.sendall(answer)
+
+
+class HttpConnectionPoolTest(unittest.TestCase):
+    def serve(self, *answers: bytes) -> ScriptedServer:
+        self.server = ScriptedServer(*answers)
+        self.addCleanup(self.server.stop)
+        self.pool = HttpConnectionPool(self.server.address, maximum_answer_bytes=100_000)
+        self.addCleanup(self.pool.close)
+        return self.server
+
+    def get(self, before_send=None, seconds=1.0, method="GET", target="/"):
+        deadline = time.monotonic() + seconds
+        return self.pool.request(method, target, [("A", "b")], b"", deadline, before_send)
+
+    def assert_fails(self, code: ErrorCode, verdict=Verdict.MAY_HAVE_RUN, **arguments) -> None:
+        with self.assertRaises(RunkeelError) as caught:
+            self.get(**arguments)
+        self.assertEqual((caught.exception.code, caught.exception.verdict), (code, verdict))
+
+    def test_keep_alive_connection_is_used_again(self) -> None:
+        server = self.serve(WHOLE, WHOLE, WHOLE)
+        for _ in range(3):
+            self.assertEqual(self.get().body, b"hello")
+        self.assertEqual(server.connections, 1)
+        self.assertIn(b"A: b\r\n", server.requests[0])
+
+    def test_connection_closed_while_idle_is_replaced(self) -> None:
+        server = self.serve(WHOLE)
+        self.get()
+        time.sleep(0.02)
+        self.assertEqual(self.get().body, b"hello")
+        self.assertEqual(server.connections, 2)
+
+    def test_refused_connection_proves_not_run(self) -> None:
+        self.serve(WHOLE).stop()
+        self.assert_fails(ErrorCode.BACKEND_UNREACHABLE, Verdict.NOT_RUN)
+
+    def test_refusal_before_send_writes_nothing(self) -> None:
+        server = self.serve(WHOLE)
+
+        def refuse() -> None:
+            raise not_run(ErrorCode.WITHDRAWN)
+
+        self.assert_fails(ErrorCode.WITHDRAWN, Verdict.NOT_RUN, before_send=refuse)
+        time.sleep(0.02)
+        self.assertEqual(server.requests, [])
+
+    def test_connection_lost_before_the_answer(self) -> None:
+        self.serve(RESET)
+        self.assert_fails(ErrorCode.BACKEND_LOST)
+
+    def test_reused_connection_lost_after_the_send_may_have_run(self) -> None:
+        self.serve(WHOLE, RESET)
+        self.get()
+        self.assert_fails(ErrorCode.BACKEND_LOST)
+
+    def test_truncated_bodies_are_never_a_short_success(self) -> None:
+        for answer in (
+            WHOLE[:-1],
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nhello without any length",
+        ):
+            with self.subTest(answer):
+                self.serve(answer)
+                self.assert_fails(ErrorCode.TRUNCATED_ANSWER)
+
+    def test_connection_after_a_cut_answer_is_not_used_again(self) -> None:
+        server = self.serve(WHOLE[:-1])
+        for _ in range(2):
+            self.assert_fails(ErrorCode.TRUNCATED_ANSWER)
+        self.assertEqual(server.connections, 2)
+
+    def test_bytes_after_the_answer_never_become_the_next_answer(self) -> None:
+        crossed = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nWRONG"
+        self.serve(WHOLE + crossed, WHOLE)
+        self.assert_fails(ErrorCode.BACKEND_LOST)
+        server = self.serve(WHOLE, WHOLE)
+        self.get()
+        # Unasked bytes on an idle connection make it unfit.
+        self.pool._idle[0][0].settimeout(1)
+        self.assertEqual(self.get().body, b"hello")
+        self.assertEqual(server.connections, 1)
+
+    def test_garbage_and_endless_answers(self) -> None:
+        self.serve(b"SSH-2.0-x\r\n\r\n")
+        self.assert_fails(ErrorCode.BACKEND_LOST)
+        self.serve(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 300_000)
+        self.assert_fails(ErrorCode.BACKEND_LOST)
+
+    def test_silence_until_the_deadline(self) -> None:
+        server = self.serve(b"HTTP/1.1 100 Continue\r\n\r\n", WHOLE)
+        self.assert_fails(ErrorCode.DEADLINE_EXCEEDED, seconds=0.05)
+        server.stop()
+        self.assert_fails(ErrorCode.DEADLINE_EXCEEDED, Verdict.NOT_RUN, seconds=-1)
+
+    def test_line_breaks_do_not_smuggle_headers(self) -> None:
+        self.serve(WHOLE)
+        self.assert_fails(ErrorCode.BAD_REQUEST, Verdict.NOT_RUN, target="/ HTTP/1.1\r\nX: y")
+        self.assert_fails(ErrorCode.BAD_REQUEST, Verdict.NOT_RUN, target="/\u2603")
+
+    def test_head_and_empty_answers(self) -> None:
+        self.serve(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+            b"HTTP/1.1 204 No Content\r\n\r\n",
+        )
+        self.assertEqual(self.get(method="HEAD").status, 200)
+        self.assertEqual(self.get().status, 204)
+        self.assertEqual(self.server.connections, 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -306,7 +306,7 @@
         return Address("127.0.0.1", self._server.server_port)
 
     def stop(self) -> None:
-        self._server.stop(timeout=0.1)
+        self._server.stop(timeout=0.005)
 
     def _answer(self, environ, start_response):
         request_id = environ["HTTP_X_REQUEST_ID"]
--- a/tests/requests/test_applications.py
+++ b/tests/requests/test_applications.py
@@ -5,10 +5,13 @@
 import json
 import unittest
 
-from runkeel.api.configuration import PriorityClassSpec, ServiceSpec
+import gevent
+
+from runkeel.api.configuration import MemberLimitSpec, PriorityClassSpec, ServiceSpec
 from runkeel.api.machines import MachineKind
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
-from tests.requests.fakes import FakeApplication, FakeCluster, machine
+from runkeel.wire.generated.common.ttypes import MessageType
+from tests.requests.fakes import FakeApplication, FakeCluster, LinkFaults, machine
 
 
 class ClusterCase(unittest.TestCase):
@@ -57,5 +60,189 @@
         self.assertTrue(all(sum(app.runs.values()) for app in self.applications.values()))
 
 
+class VerdictTest(ClusterCase):
+    def test_no_backend_in_service(self) -> None:
+        self.cluster.configuration.draining.update(self.applications)
+        error = self.assert_fails(ErrorCode.NO_BACKEND, Verdict.NOT_RUN)
+        self.assertIsNotNone(error.retry_after_seconds)
+        self.assertEqual(self.runs(), 0)
+
+    def test_dead_backend_is_avoided(self) -> None:
+        self.applications["app-a"].stop()
+        for _ in range(10):
+            self.assertEqual(self.node.call_service("ledger").status, 200)
+        self.assertEqual(sum(self.applications["app-b"].runs.values()), 10)
+
+    def test_deadline_in_the_queue_proves_not_run(self) -> None:
+        self.slow(0.3)
+        running = [gevent.spawn(self.node.call_service, "ledger") for _ in range(4)]
+        gevent.sleep(0.02)
+        self.assert_fails(
+            ErrorCode.DEADLINE_EXCEEDED, Verdict.NOT_RUN, **{"x_runkeel_deadline_ms": "50"}
+        )
+        gevent.joinall(running, raise_error=True)
+        self.assertEqual(self.runs(), 4)
+
+    def test_deadline_at_the_backend_may_have_run(self) -> None:
+        self.slow(0.3)
+        self.assert_fails(
+            ErrorCode.DEADLINE_EXCEEDED, Verdict.MAY_HAVE_RUN, **{"x_runkeel_deadline_ms": "50"}
+        )
+        self.assertEqual(self.runs(), 1)
+
+    def test_peer_lost_after_the_send(self) -> None:
+        faults = LinkFaults(before=["lost"])
+        self.node.peers.faults[MessageType.APPLICATION_REQUEST] = faults
+        self.assert_fails(
+            ErrorCode.PEER_LOST,
+            Verdict.MAY_HAVE_RUN,
+            x_runkeel_repeatable="false",
+            method="POST",
+        )
+        self.assertEqual(self.runs(), 1)
+
+    def test_lost_answer_of_a_repeatable_request_is_asked_for_again(self) -> None:
+        faults = LinkFaults(before=["lost"])
+        self.node.peers.faults[MessageType.APPLICATION_REQUEST] = faults
+        self.assertEqual(self.node.call_service("ledger").status, 200)
+        self.assertEqual(self.runs(), 2)
+
+    def test_unreachable_peer_proves_not_run_and_is_retried(self) -> None:
+        faults = LinkFaults(before=["unreachable"])
+        self.node.peers.faults[MessageType.APPLICATION_REQUEST] = faults
+        answer = self.node.call_service("ledger", x_runkeel_repeatable="false")
+        self.assertEqual((answer.status, self.runs()), (200, 1))
+
+    def test_owner_paused_drops_what_was_queued(self) -> None:
+        self.slow(0.1)
+        self.cluster.configuration.draining.add("app-b")
+        running = [gevent.spawn(self.node.call_service, "ledger") for _ in range(2)]
+        gevent.sleep(0.02)
+        queued = gevent.spawn(self.node.call_service, "ledger", x_runkeel_repeatable="false")
+        gevent.sleep(0.02)
+        pauses = self.node.service._pauses
+        clock = pauses._clock
+        pauses._clock = lambda: clock() + 5.0
+        gevent.joinall(running)
+        with self.assertRaises(RunkeelError) as caught:
+            queued.get()
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual(self.runs(), 2)
+
+    def test_unmeetable_deadline_is_refused_at_once(self) -> None:
+        self.slow(0.1)
+        for _ in range(4):
+            self.node.call_service("ledger")
+        running = [gevent.spawn(self.node.call_service, "ledger") for _ in range(12)]
+        gevent.sleep(0.02)
+        error = self.assert_fails(
+            ErrorCode.DEADLINE_UNREACHABLE, Verdict.NOT_RUN, **{"x_runkeel_deadline_ms": "90"}
+        )
+        self.assertGreater(error.retry_after_seconds, 0.0)
+        gevent.joinall(running, raise_error=True)
+
+    def slow(self, seconds: float) -> None:
+        for application in self.applications.values():
+            application.delay_seconds = seconds
+
+
+class PriorityTest(ClusterCase):
+    def test_urgent_requests_overtake(self) -> None:
+        self.cluster.configuration.draining.add("app-b")
+        self.applications["app-a"].delay_seconds = 0.05
+        order = []
+
+        def call(name: str, priority: str) -> None:
+            self.node.call_service("ledger", x_runkeel_priority=priority)
+            order.append(name)
+
+        first = [gevent.spawn(call, "first", "standard") for _ in range(2)]
+        gevent.sleep(0.01)
+        rest = [gevent.spawn(call, "standard", "standard") for _ in range(2)]
+        gevent.sleep(0.01)
+        rest += [gevent.spawn(call, "urgent", "urgent") for _ in range(2)]
+        gevent.joinall(first + rest, raise_error=True)
+        self.assertEqual(order[2:4], ["urgent", "urgent"])
+
+    def test_one_member_cannot_take_all(self) -> None:
+        self.cluster.configuration.limit = MemberLimitSpec(max_in_flight=1)
+        self.applications["app-a"].delay_seconds = 0.05
+        self.applications["app-b"].delay_seconds = 0.05
+        running = gevent.spawn(self.node.call_service, "ledger", x_runkeel_member="greedy")
+        gevent.sleep(0.01)
+        self.assert_fails(ErrorCode.MEMBER_LIMIT, Verdict.NOT_RUN, x_runkeel_member="greedy")
+        self.assertEqual(self.node.call_service("ledger", x_runkeel_member="b").status, 200)
+        running.get()
+
+
+class HedgingTest(ClusterCase):
+    def test_slow_lookup_is_answered_by_the_second_copy(self) -> None:
+        for _ in range(60):
+            self.node.call_service("ledger")
+        self.applications["app-a"].delay_seconds = 1.0
+        before = self.runs()
+        for _ in range(4):
+            with gevent.Timeout(0.8):
+                self.assertEqual(self.node.call_service("ledger").status, 200)
+        self.assertLessEqual(self.runs() - before, 8)
+
+    def test_not_repeatable_request_is_never_hedged(self) -> None:
+        for _ in range(60):
+            self.node.call_service("ledger")
+        for application in self.applications.values():
+            application.delay_seconds = 0.1
+        before = self.runs()
+        self.node.call_service("ledger", x_runkeel_repeatable="false")
+        self.assertEqual(self.runs() - before, 1)
+
+
+class LeavingTest(ClusterCase):
+    def test_drained_and_leaving_backends_get_no_new_work(self) -> None:
+        self.cluster.configuration.draining.add("app-a")
+        for _ in range(10):
+            self.node.call_service("ledger")
+        self.assertEqual(sum(self.applications["app-a"].runs.values()), 0)
+        self.cluster.configuration.draining.clear()
+        self.cluster.machines.leaving.add("app-b")
+        for _ in range(10):
+            self.node.call_service("ledger")
+        self.assertEqual(sum(self.applications["app-b"].runs.values()), 10)
+
+    def test_planned_stop_cuts_nothing_and_loses_nothing(self) -> None:
+        for application in self.applications.values():
+            application.delay_seconds = 0.05
+        callers = [gevent.spawn(self.node.call_service, "ledger") for _ in range(12)]
+        gevent.sleep(0.02)
+        self.assertTrue(self.other.service.drain(2.0))
+        callers += [gevent.spawn(self.node.call_service, "ledger") for _ in range(4)]
+        gevent.joinall(callers, raise_error=True)
+        self.assertEqual(self.runs(), 16)
+        self.assert_fails(ErrorCode.NODE_LEAVING, Verdict.NOT_RUN, node=self.other)
+
+
+class BadInputTest(ClusterCase):
+    def test_coded_refusals(self) -> None:
+        for code, headers in (
+            (ErrorCode.BAD_DEADLINE, {"x_runkeel_deadline_ms": "-5"}),
+            (ErrorCode.BAD_DEADLINE, {"x_runkeel_deadline_ms": "0"}),
+            (ErrorCode.BAD_DEADLINE, {"x_runkeel_deadline_ms": "1e3"}),
+            (ErrorCode.BAD_DEADLINE, {"x_runkeel_deadline_ms": "\u0665"}),
+            (ErrorCode.BAD_IDEMPOTENCY_KEY, {"idempotency_key": ""}),
+            (ErrorCode.BAD_IDEMPOTENCY_KEY, {"idempotency_key": "k" * 201}),
+            (ErrorCode.BAD_IDEMPOTENCY_KEY, {"idempotency_key": "\u00e9"}),
+            (ErrorCode.UNKNOWN_PRIORITY_CLASS, {"x_runkeel_priority": "vip"}),
+            (ErrorCode.BAD_REQUEST, {"x_runkeel_repeatable": "maybe"}),
+            (ErrorCode.BAD_REQUEST, {"x_runkeel_member": "m" * 201}),
+            (ErrorCode.BAD_REQUEST, {"path": "/caf\u00e9"}),
+            (ErrorCode.BODY_TOO_LARGE, {"body": b"x" * (8 * 1024 * 1024 + 1)}),
+        ):
+            with self.subTest(code, headers=str(headers)[:60]):
+                self.assert_fails(code, Verdict.NOT_RUN, **headers)
+        with self.assertRaises(RunkeelError) as caught:
+            self.node.call_service("nothing")
+        self.assertEqual(caught.exception.code, ErrorCode.UNKNOWN_SERVICE)
+        self.assertEqual(self.runs(), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
