--- a/src/runkeel/requests/claim.py
+++ b/src/runkeel/requests/claim.py
@@ -35,6 +35,7 @@
 ANSWER_RETENTION_SECONDS = 600.0
 MAXIMUM_LOOKUP_WAIT_SECONDS = 5.0
 _ROW_OVERHEAD_BYTES = 512
+_TRIM_STEPS = 16
 
 
 @dataclass(slots=True)
@@ -92,14 +93,20 @@
         return self._answers.get(request_id)
 
     def _trim(self) -> None:
+        """Drop the oldest outcomes that are too old or too many; a few steps a call."""
         oldest_allowed = time.monotonic() - ANSWER_RETENTION_SECONDS
-        for request_id, answer in list(self._answers.items()):
+        for _ in range(_TRIM_STEPS):
+            if not self._answers:
+                return
+            request_id, answer = next(iter(self._answers.items()))
             full = len(self._answers) >= MAXIMUM_ANSWERS or self._bytes > MAXIMUM_ANSWER_BYTES
             if answer.started > oldest_allowed and not full:
                 return
             if answer.done.is_set():
                 del self._answers[request_id]
                 self._bytes -= answer.bytes_held
+            else:
+                self._answers.move_to_end(request_id)
 
 
 @dataclass(slots=True)
--- a/src/runkeel/requests/dispatcher.py
+++ b/src/runkeel/requests/dispatcher.py
@@ -7,7 +7,7 @@
 
 from runkeel.api.interfaces import Configuration, PeerClient
 from runkeel.api.machines import MachineKind
-from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
+from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.requests.backend_choice import PoolId
 from runkeel.requests.deadline import Deadline
 from runkeel.requests.dispatch import Attempts, AttemptSender
@@ -100,7 +100,8 @@
         """Yield chunks until one carries a finish reason.
 
         A repeatable generation that was cut goes on at another engine with the tokens so far; each
-        chunk names the version that made it. Closing the iterator cancels at the engine.
+        chunk names the version that made it. Closing the iterator cancels at the engine. The
+        request id must be new at each call: an owner refuses an attempt that it has seen before.
 
         Raises:
             RunkeelError: NOT_RUN only if every attempt proved it.
@@ -122,7 +123,7 @@
                     raise attempts.final(error) from error
                 progressed = len(progress.token_ids) > before
                 if progressed and self._may_resume(error, request, attempts):
-                    attempts.tried.clear()
+                    attempts.tried = {node_id}
                     RESUMED_GENERATIONS.inc()
                 elif not self._may_retry(error, request.envelope.repeatable, attempts, budget):
                     raise attempts.final(error) from error
@@ -142,11 +143,8 @@
             for chunk in attempt.run(progress.next_request(), number, deadline):
                 progress.add(chunk)
                 yield chunk
-        except RunkeelError as error:
-            if error.code in (ErrorCode.PEER_LOST, ErrorCode.PEER_UNREACHABLE) or (
-                error.verdict is Verdict.NOT_RUN
-            ):
-                attempts.tried.add(node_id)
+        except RunkeelError:
+            attempts.tried.add(node_id)
             raise
         finally:
             self._placement.ended(pool, node_id)
--- a/src/runkeel/requests/owner.py
+++ b/src/runkeel/requests/owner.py
@@ -32,7 +32,12 @@
 TIMEOUT_FAILURE_FACTOR = 4.0
 """A time-out speaks against the back end only if it had this many mean service times."""
 _BACKEND_FAILURES = frozenset(
-    {ErrorCode.BACKEND_UNREACHABLE, ErrorCode.BACKEND_LOST, ErrorCode.TRUNCATED_ANSWER}
+    {
+        ErrorCode.BACKEND_LOST,
+        ErrorCode.BACKEND_REFUSED,
+        ErrorCode.BACKEND_UNREACHABLE,
+        ErrorCode.TRUNCATED_ANSWER,
+    }
 )
 
 
--- a/src/runkeel/requests/service.py
+++ b/src/runkeel/requests/service.py
@@ -4,6 +4,8 @@
 
 import random
 import time
+from collections.abc import Callable
+from typing import Any
 
 import gevent
 
@@ -19,8 +21,9 @@
     PeerHandlers,
     Records,
 )
+from runkeel.api.machines import Machine
 from runkeel.requests.admit import Admission
-from runkeel.requests.backend_choice import OwnedBackends
+from runkeel.requests.backend_choice import OwnedBackends, make_client
 from runkeel.requests.claim import Claims
 from runkeel.requests.dispatch import AttemptSender
 from runkeel.requests.dispatcher import RequestDispatcher
@@ -49,10 +52,11 @@
         routes: HttpRoutes,
         engines: EngineDirectory,
         generator: random.Random | None = None,
+        client_factory: Callable[[Machine], Any] = make_client,
     ) -> None:
         self._membership = membership
         self._pauses = PauseWatch()
-        self._backends = OwnedBackends(configuration, machines, ownership, engines)
+        self._backends = OwnedBackends(configuration, machines, ownership, engines, client_factory)
         self._owner = Owner(membership, configuration, self._backends, self._pauses)
         self._claims = Claims(membership, records, peer_client)
         placement = Placement(membership, machines, ownership, generator)
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -6,9 +6,10 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from socket import IPPROTO_TCP, TCP_NODELAY
 
 import gevent
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from runkeel.api.configuration import (
     EngineRoleSpec,
@@ -27,6 +28,7 @@
     MemberStatus,
 )
 from runkeel.errors import ErrorCode, may_have_run, not_run
+from runkeel.requests.backend_choice import make_client
 from runkeel.requests.service import RequestService
 from runkeel.wire.codec import decode, encode
 from runkeel.wire.handlers import HandlerRegistry
@@ -233,10 +235,17 @@
 class FakeNode:
     """One node: the real request service among fakes."""
 
-    def __init__(self, cluster: FakeCluster, node_id: str, zone: str) -> None:
+    def __init__(
+        self,
+        cluster: FakeCluster,
+        node_id: str,
+        zone: str = "zone-a",
+        peers_class: type[FakePeers] | None = None,
+        client_factory: Callable = make_client,
+    ) -> None:
         self.membership = FakeMembership(cluster, node_id, zone)
         self.ownership = FakeOwnership(cluster.machines, node_id)
-        self.peers = FakePeers(cluster, node_id)
+        self.peers = (peers_class or FakePeers)(cluster, node_id)
         self.handlers = HandlerRegistry()
         self.routes = FakeRoutes()
         self.engines = FakeEngines()
@@ -250,6 +259,7 @@
             self.handlers,
             self.routes,
             self.engines,
+            client_factory=client_factory,
         )
 
     def call_service(self, service, path="/lookup/a", method="GET", body=b"", **headers):
@@ -278,7 +288,7 @@
         self.dead: set[str] = set()
         self.nodes: dict[str, FakeNode] = {}
         for node_id in node_ids:
-            self.nodes[node_id] = FakeNode(self, node_id, "zone-a")
+            self.nodes[node_id] = FakeNode(self, node_id)
 
     def start(self) -> None:
         for node in self.nodes.values():
@@ -291,6 +301,14 @@
             node.handlers.stop()
 
 
+class _PromptHandler(WSGIHandler):
+    """Sends head and body without waiting for the client's delayed acknowledgement."""
+
+    def handle(self) -> None:
+        self.socket.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+        super().handle()
+
+
 class FakeApplication:
     """An HTTP back end that notes each request id, with faults and a service time."""
 
@@ -298,7 +316,9 @@
         self.delay_seconds = delay_seconds
         self.runs: Counter[str] = Counter()
         self.bodies: list[bytes] = []
-        self._server = WSGIServer(("127.0.0.1", 0), self._answer, log=None, error_log=None)
+        self._server = WSGIServer(
+            ("127.0.0.1", 0), self._answer, log=None, handler_class=_PromptHandler
+        )
         self._server.start()
 
     @property
--- a/tests/requests/test_applications.py
+++ b/tests/requests/test_applications.py
@@ -107,6 +107,12 @@
         self.assertEqual(self.node.call_service("ledger").status, 200)
         self.assertEqual(self.runs(), 2)
 
+    def test_one_unknown_attempt_outweighs_a_later_proof(self) -> None:
+        faults = LinkFaults(before=["lost", "unreachable"])
+        self.node.peers.faults[MessageType.APPLICATION_REQUEST] = faults
+        self.assert_fails(ErrorCode.PEER_UNREACHABLE, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(self.runs(), 1)
+
     def test_unreachable_peer_proves_not_run_and_is_retried(self) -> None:
         faults = LinkFaults(before=["unreachable"])
         self.node.peers.faults[MessageType.APPLICATION_REQUEST] = faults
