--- a/src/runkeel/rollouts/hand_over.py
+++ b/src/runkeel/rollouts/hand_over.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
-import gevent
-
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.rollouts import metrics
 from runkeel.rollouts.delivery import DeliveryEntry, DeliveryLog, ManifestItem, manifest_item
@@ -18,6 +16,8 @@
 from runkeel.rollouts.staleness_manager import StalenessManager
 from runkeel.rollouts.step import Step, Task, cancel_attempts
 
+_LOCK_PATIENCE_RATIO = 4
+
 
 @dataclass(frozen=True, slots=True)
 class Pull:
@@ -75,6 +75,8 @@
         Raises:
             RunkeelError: BAD_CURSOR, RECORDS_UNAVAILABLE, UNKNOWN_STEP (closed meanwhile).
         """
+        if not self._step.pulled:
+            self._staleness.note_first_pull(self._step, pull.trainer_version)
         self._step.state_version(pull.trainer_version, self._clock())
         with self._locked():
             self._open_cursor(pull.cursor)
@@ -106,7 +108,8 @@
 
     @contextmanager
     def _locked(self) -> Iterator[None]:
-        if not self._step.lock.acquire(timeout=self._options.records_timeout_seconds * 4):
+        patience = self._options.records_timeout_seconds * _LOCK_PATIENCE_RATIO
+        if not self._step.lock.acquire(blocking=patience > 0, timeout=patience or None):
             raise RunkeelError(ErrorCode.RECORDS_UNAVAILABLE, "the step is being worked on")
         try:
             yield
@@ -123,6 +126,11 @@
             raise RunkeelError(ErrorCode.BAD_CURSOR, f"cursor {cursor} was confirmed")
         if cursor > self._log.next_cursor:
             self._learn()
+        if cursor > self._log.next_cursor:
+            skipped = self._log.skip_to(cursor)
+            for task_id in skipped:
+                self._step.enter(self._step.tasks[task_id], cursor - 1)
+            self._release((), skipped)
         if cursor > self._log.next_cursor:
             raise RunkeelError(
                 ErrorCode.BAD_CURSOR, f"cursor {cursor} lies behind {self._log.next_cursor}"
@@ -143,26 +151,27 @@
         for confirmed in range(self._step.confirmed_cursors, cursor):
             entry = self._log.compact(confirmed)
             if entry is not None:
-                self._release(entry)
+                self._release(entry.items, [item.task_id for item in entry.items])
         self._step.confirmed_cursors = cursor
         if self._log.is_complete and cursor == self._log.next_cursor:
             self._step.finished = True
 
-    def _release(self, entry: DeliveryEntry) -> None:
+    def _release(self, items: Iterable[ManifestItem], task_ids: Iterable[str]) -> None:
+        """Drop all copies of confirmed samples, and what else was made for their tasks."""
         digests: dict[str, list[bytes]] = {}
-        for item in entry.items:
-            task = self._step.tasks[item.task_id]
+        copies = [(item.digest, item.holders) for item in items]
+        for task_id in task_ids:
+            task = self._step.tasks[task_id]
             task.confirmed = True
             task.remake = False
             cancel_attempts(task)
-            holders = {item.digest: set(item.holders)}
             if task.sample is not None:
-                holders.setdefault(task.sample.digest, set()).update(task.holders)
-            task.sample = None
-            for digest, node_ids in holders.items():
-                for node_id in node_ids | {self._replicator.node_id}:
-                    digests.setdefault(node_id, []).append(digest)
-        gevent.spawn(self._replicator.release, self._step.key, digests)
+                copies.append((task.sample.digest, task.holders))
+            self._step.take_sample(task)
+        for digest, holders in copies:
+            for node_id in {*holders, self._replicator.node_id}:
+                digests.setdefault(node_id, []).append(digest)
+        self._replicator.release_later(self._step.key, digests)
 
     def _try_batch(self, pull: Pull, patience_is_over: bool) -> Batch | None:
         if pull.cursor < self._step.confirmed_cursors:
@@ -207,7 +216,7 @@
         """Note that the entry's tasks are spoken for; what still runs for them is of no use."""
         for item in entry.items:
             task = self._step.tasks[item.task_id]
-            task.entry = entry.cursor
+            self._step.enter(task, entry.cursor)
             task.remake = False
             cancel_attempts(task)
         self._step.notify()
@@ -221,8 +230,11 @@
             samples: list[Sample] = []
             items: list[ManifestItem] = []
             complete = True
+            fetched = self._fetch(entry)
             for item in entry.items:
-                sample, replacement = self._sample_of(item, pull.trainer_version)
+                sample, replacement = self._sample_of(
+                    item, fetched.get(item.digest), pull.trainer_version
+                )
                 complete = complete and sample is not None
                 if sample is not None:
                     samples.append(sample)
@@ -236,17 +248,26 @@
             if all(self._staleness.is_fresh(sample, pull.trainer_version) for sample in samples):
                 return self._hand_over(pull, samples)
 
+    def _fetch(self, entry: DeliveryEntry) -> dict[bytes, Sample]:
+        """Return the entry's samples that can be had, by digest."""
+        found: dict[bytes, Sample] = {}
+        holders: dict[bytes, tuple[str, ...]] = {}
+        for item in entry.items:
+            sample = self._step.tasks[item.task_id].sample
+            if sample is not None and sample.digest == item.digest:
+                found[item.digest] = sample
+            else:
+                holders[item.digest] = item.holders
+        return found | self._replicator.fetch(self._step.key, holders)
+
     def _sample_of(
-        self, item: ManifestItem, trainer_version: int
+        self, item: ManifestItem, sample: Sample | None, trainer_version: int
     ) -> tuple[Sample | None, ManifestItem]:
         """Return the item's sample, or another one of the task if it is lost or too old.
 
         Without a usable sample the task is marked to be made again.
         """
         task = self._step.tasks[item.task_id]
-        sample = task.sample
-        if sample is None or sample.digest != item.digest:
-            sample = self._replicator.fetch(self._step.key, item.digest, item.holders)
         if sample is not None and self._staleness.is_fresh(sample, trainer_version):
             return sample, item
         candidate = task.sample
@@ -273,8 +294,8 @@
 def drop_sample(step: Step, task: Task, replicator: SampleReplicator, reason: str) -> None:
     """Drop a task's sample, so that it is made again, and count the reason."""
     metrics.SAMPLES_DROPPED.labels(step.key.model, reason).inc()
-    sample, task.sample = task.sample, None
+    sample = step.take_sample(task)
     if sample is None:
         return
     holders = {node_id: [sample.digest] for node_id in task.holders}
-    gevent.spawn(replicator.release, step.key, holders)
+    replicator.release_later(step.key, holders)
--- a/src/runkeel/rollouts/replication.py
+++ b/src/runkeel/rollouts/replication.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping, Sequence
+
+import gevent
+from gevent.pool import Group
 
 from runkeel.api.interfaces import Membership, PeerClient, PeerHandlers
 from runkeel.errors import ErrorCode, RunkeelError
@@ -38,6 +41,7 @@
         self._store = store
         self._options = options
         self._clock = clock
+        self._tasks = Group()
 
     @property
     def node_id(self) -> str:
@@ -74,32 +78,71 @@
         self._store.release(sample.step, [sample.digest])
         raise failure
 
-    def fetch(self, step: StepKey, digest: bytes, holders: Iterable[str]) -> Sample | None:
-        """Return a sample from here or one of its holders; None when none has it."""
-        sample = self._store.get(step, digest)
-        if sample is not None:
-            return sample
-        for node_id in holders:
-            if node_id == self._membership.node_id:
+    def fetch(self, step: StepKey, holders: Mapping[bytes, Sequence[str]]) -> dict[bytes, Sample]:
+        """Return the samples that can be had, by digest.
+
+        Args:
+            step: their step.
+            holders: for each digest the nodes that had a copy, in the order to ask them.
+        """
+        found: dict[bytes, Sample] = {}
+        for digest in holders:
+            sample = self._store.get(step, digest)
+            if sample is not None:
+                found[digest] = sample
+        rounds = max((len(node_ids) for node_ids in holders.values()), default=0)
+        for number in range(rounds):
+            self._fetch_round(step, holders, number, found)
+        return found
+
+    def _fetch_round(
+        self,
+        step: StepKey,
+        holders: Mapping[bytes, Sequence[str]],
+        number: int,
+        found: dict[bytes, Sample],
+    ) -> None:
+        """Ask each missing sample's holder of that number, all at the same time."""
+        missing: dict[str, list[bytes]] = {}
+        for digest, node_ids in holders.items():
+            if digest in found or number >= len(node_ids):
                 continue
-            found = self._fetch_from(node_id, step, [digest])
-            for sample in found:
-                if sample.digest == digest and sample.step == step:
-                    return self._keep(sample)
-        return None
+            if node_ids[number] != self._membership.node_id:
+                missing.setdefault(node_ids[number], []).append(digest)
+        fetches = [
+            self._tasks.spawn(self._fetch_from, node_id, step, digests)
+            for node_id, digests in missing.items()
+        ]
+        gevent.joinall(fetches)
+        for fetch in fetches:
+            for sample in fetch.value or ():
+                if sample.step == step and sample.digest in holders:
+                    found[sample.digest] = self._keep(sample)
 
     def collect_step(self, step: StepKey) -> list[tuple[Sample, tuple[str, ...]]]:
         """Return the samples of a step that this and other nodes hold, each with its holders."""
         samples = {sample.digest: sample for sample in self._store.of_step(step)}
         holders = {digest: [self._membership.node_id] for digest in samples}
-        for member in self._ranking.copy_holders(step):
-            for sample in self._fetch_from(member.node_id, step, []):
-                if sample.step != step:
-                    continue
-                samples.setdefault(sample.digest, sample)
-                holders.setdefault(sample.digest, []).append(member.node_id)
+        members = self._ranking.copy_holders(step)
+        fetches = [
+            self._tasks.spawn(self._fetch_from, member.node_id, step, []) for member in members
+        ]
+        gevent.joinall(fetches)
+        for member, fetch in zip(members, fetches, strict=True):
+            for sample in fetch.value or ():
+                if sample.step == step:
+                    samples.setdefault(sample.digest, sample)
+                    holders.setdefault(sample.digest, []).append(member.node_id)
         return [(sample, tuple(holders[digest])) for digest, sample in samples.items()]
 
+    def release_later(self, step: StepKey, digests_by_holder: dict[str, list[bytes]]) -> None:
+        """Drop copies like :meth:`release`, without waiting for it."""
+        self._tasks.spawn(self.release, step, digests_by_holder)
+
+    def stop(self) -> None:
+        """Cancel calls that nobody waits for."""
+        self._tasks.kill()
+
     def release(self, step: StepKey, digests_by_holder: dict[str, list[bytes]]) -> None:
         """Drop copies here and elsewhere; copies on unreachable nodes expire by age."""
         for node_id, digests in digests_by_holder.items():
--- a/src/runkeel/rollouts/staleness_manager.py
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -12,6 +12,8 @@
 
 from runkeel.api.configuration import DeliveryPreference, ModelSpec
 from runkeel.api.interfaces import Configuration, Membership
+from runkeel.rollouts.capacity import RecentMaximum, total_busy, total_slots
+from runkeel.rollouts.lookahead import LookaheadHistory
 from runkeel.rollouts.options import RolloutOptions
 from runkeel.rollouts.sample import Sample
 from runkeel.rollouts.step import Attempt, Step
@@ -19,6 +21,10 @@
 _DEFAULT_SPEC = ModelSpec()
 _TAIL_FRACTION = 0.1
 _IDLE_FRACTION = 0.5
+_LOAD_FOR_IDLE_TIME = 1.1
+_LOAD_FOR_STALENESS = 1.0
+_GENERATION_VERSIONS = 1
+"""Versions that may pass while a sample waits in the queue and is generated."""
 
 
 class StalenessManager:
@@ -37,6 +43,8 @@
         self._options = options
         self._clock = clock
         self._wall_clock = wall_clock
+        self._lookahead = LookaheadHistory()
+        self._in_flight: dict[str, RecentMaximum] = {}
 
     def spec(self, model: str) -> ModelSpec:
         """Return the model's configuration in force."""
@@ -86,26 +94,48 @@
     def capacity(self, model: str, in_flight_here: int) -> int:
         """Return how many more generations this node may start for the model."""
         summaries = self._membership.pool_summaries(model)
-        slots = sum(summary.slots for summary in summaries)
-        busy = sum(summary.in_flight + summary.queued for summary in summaries)
-        others = max(0, busy - in_flight_here)
-        share = slots * self.spec(model).rollout_share
-        allowed = max(self._options.minimum_in_flight, int(share) - others)
+        recent = self._in_flight.setdefault(model, RecentMaximum())
+        # The summaries lag: they may still count what has finished here since. Without the
+        # maximum, finished work would pass for that of others, and engines would idle.
+        counted_here = recent.note(self._clock(), in_flight_here)
+        others = max(0, total_busy(summaries) - counted_here)
+        slots = int(total_slots(summaries) * self._target_load(model))
+        allowed = max(self._options.minimum_in_flight, slots - others)
         return max(0, allowed - in_flight_here)
 
     def engines_idle(self, model: str) -> bool:
         """Return whether most slots of the model's engines are free."""
         summaries = self._membership.pool_summaries(model)
-        slots = sum(summary.slots for summary in summaries)
-        busy = sum(summary.in_flight + summary.queued for summary in summaries)
-        return busy < slots * _IDLE_FRACTION
+        return total_busy(summaries) < total_slots(summaries) * _IDLE_FRACTION
+
+    def _target_load(self, model: str) -> float:
+        """Return the work in the pool to aim at, as a multiple of its slots.
+
+        Idle time asks for a short queue, so that a slot that falls free is filled at once.
+        The share that callers must be left is the dispatcher's to enforce.
+        """
+        if self.spec(model).prefer is DeliveryPreference.IDLE_TIME:
+            return _LOAD_FOR_IDLE_TIME
+        return _LOAD_FOR_STALENESS
+
+    def note_first_pull(self, step: Step, trainer_version: int) -> None:
+        """Learn how many versions the step was submitted ahead."""
+        versions = max(0, trainer_version - step.submitted_version)
+        self._lookahead.note(step.key.model, versions)
+
+    def _is_due(self, step: Step) -> bool:
+        """Return whether samples made now are likely to be within the bound at the first pull."""
+        bound = self.spec(step.key.model).max_staleness_versions
+        allowed = bound - min(_GENERATION_VERSIONS, bound // 2)
+        passed = self.newest_version(step) - step.submitted_version
+        return self._lookahead.expected(step.key.model) - passed <= allowed
 
     def startable_steps(self, steps: list[Step]) -> list[Step]:
         """Return the steps of one model whose tasks may start now, most urgent first.
 
-        Steps that the trainer pulls come first. Steps submitted ahead fill what is left: as
-        many as the bound lets become useful when idle time matters most, else only while the
-        present step is in its tail, or absent, and engines would idle.
+        Steps that the trainer pulls come first. Steps submitted ahead fill what is left: all
+        whose samples can be expected to be within the bound when idle time matters most, else
+        one, while the present step is in its tail, or absent, and engines would idle.
         """
         pulled = [step for step in steps if step.pulled and not step.finished]
         ahead = [step for step in steps if not step.pulled]
@@ -115,7 +145,7 @@
             return pulled
         spec = self.spec(ahead[0].key.model)
         if spec.prefer is DeliveryPreference.IDLE_TIME:
-            return pulled + ahead[: max(1, spec.max_staleness_versions)]
+            return pulled + [step for step in ahead if self._is_due(step)]
         in_tail = all(_in_tail(step) for step in pulled)
         if in_tail and self.engines_idle(ahead[0].key.model):
             return pulled + ahead[:1]
@@ -123,5 +153,4 @@
 
 
 def _in_tail(step: Step) -> bool:
-    unfinished = sum(task.sample is None and task.entry is None for task in step.tasks.values())
-    return unfinished <= len(step.tasks) * _TAIL_FRACTION
+    return len(step.unfinished_tasks()) <= len(step.tasks) * _TAIL_FRACTION
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -8,10 +8,11 @@
 
 import gevent
 from gevent.event import Event
+from gevent.pool import Group
 from loguru import logger
 
 from runkeel.api.interfaces import Records
-from runkeel.errors import ErrorCode, not_run
+from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.rollouts import metrics
 from runkeel.rollouts.delivery import DeliveryLog
 from runkeel.rollouts.hand_over import Batch, Pull, StepDelivery, drop_sample
@@ -22,31 +23,14 @@
 from runkeel.rollouts.sample import StepKey
 from runkeel.rollouts.sample_store import SampleStore
 from runkeel.rollouts.staleness_manager import StalenessManager
-from runkeel.rollouts.step import Step, TaskSpec
+from runkeel.rollouts.step import Step, Submission, SubmissionResult
+from runkeel.rollouts.step_transfer import StepTransfer
 
 _RETRY_AFTER_SECONDS = 1.0
 _DRAIN_POLL_SECONDS = 0.02
 _MINIMUM_TURN_SECONDS = 0.002
 
 
-@dataclass(frozen=True, slots=True)
-class Submission:
-    """A step as a trainer submits it."""
-
-    key: StepKey
-    tasks: tuple[TaskSpec, ...]
-    trainer_version: int
-
-
-@dataclass(frozen=True, slots=True)
-class SubmissionResult:
-    """Counts of a step's tasks after its submission."""
-
-    tasks: int
-    delivered: int
-    adopted: int
-
-
 @dataclass(frozen=True, slots=True)
 class _OpenStep:
     step: Step
@@ -63,6 +47,7 @@
         store: SampleStore,
         staleness: StalenessManager,
         planner: Planner,
+        transfer: StepTransfer,
         options: RolloutOptions,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -71,6 +56,8 @@
         self._store = store
         self._staleness = staleness
         self._planner = planner
+        self._transfer = transfer
+        self._moves = Group()
         self._options = options
         self._clock = clock
         self._steps: dict[StepKey, _OpenStep] = {}
@@ -81,26 +68,49 @@
         self._next_sweep = 0.0
         self._gauge = metrics.STEPS_OPEN.labels(replicator.node_id)
 
-    def start(self, pipeline: SamplePipeline) -> None:
-        """Start planning with the pipeline that makes the samples."""
+    def use_pipeline(self, pipeline: SamplePipeline) -> None:
+        """Set the pipeline that makes the samples; called once, before anything else."""
         self._pipeline = pipeline
+
+    def start(self) -> None:
+        """Start planning."""
         self._loop = gevent.spawn(self._run)
 
     def drain(self, timeout_seconds: float) -> bool:
-        """Start nothing new, let what runs finish; return whether it has."""
+        """Start nothing new, let what runs finish, pass the steps on.
+
+        Returns:
+            Whether all that ran has finished in time.
+        """
         self._draining = True
         deadline = time.monotonic() + timeout_seconds
         while self._pipeline is not None and self._pipeline.running():
             if time.monotonic() >= deadline:
-                return False
+                break
             gevent.sleep(_DRAIN_POLL_SECONDS)
-        return True
+        finished = self._pipeline is None or not self._pipeline.running()
+        for opened in list(self._steps.values()):
+            successor = self._transfer.owner(opened.step.key, leaving=True)
+            if successor != self._replicator.node_id and not opened.step.moving:
+                self._start_move(opened.step, successor)
+        self._moves.join()
+        return finished
+
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._draining
+
+    def is_open(self, key: StepKey) -> bool:
+        """Return whether this node has the step open."""
+        return key in self._steps
 
     def stop(self) -> None:
         """Cancel everything and forget the steps."""
         self._draining = True
         if self._loop is not None:
             self._loop.kill()
+        self._moves.kill()
         for opened in list(self._steps.values()):
             opened.step.close()
         self._steps.clear()
@@ -126,7 +136,7 @@
         opened = self._steps.get(submission.key)
         adopted = 0
         if opened is None:
-            self._check_room()
+            self._check_room(step)
             opened = self._open(step)
             adopted = self._adopt_samples(opened.step)
         if opened.step.digest != step.digest:
@@ -149,10 +159,12 @@
             raise not_run(ErrorCode.UNKNOWN_STEP, f"step {key.step_id} is not open here")
         return opened.delivery.pull(pull)
 
-    def _check_room(self) -> None:
+    def _check_room(self, new: Step) -> None:
         if self._draining:
             raise not_run(ErrorCode.NODE_LEAVING, "no new steps", _RETRY_AFTER_SECONDS)
-        if len(self._steps) >= self._options.maximum_steps:
+        size = new.size + sum(opened.step.size for opened in self._steps.values())
+        too_many = len(self._steps) >= self._options.maximum_steps
+        if too_many or size > self._options.maximum_steps_bytes:
             finished = [opened.step for opened in self._steps.values() if opened.step.finished]
             if not finished:
                 raise not_run(ErrorCode.SERVICE_LIMIT, "too many open steps", _RETRY_AFTER_SECONDS)
@@ -187,8 +199,7 @@
             adopted += 1
             if self._replicator.node_id in holders and len(holders) > 1:
                 task.attempts = max(task.attempts, sample.attempt)
-                task.sample = sample
-                task.holders = holders
+                step.set_sample(task, sample, holders)
             elif self._pipeline is not None:
                 self._pipeline.adopt(step, task, sample)
         step.notify()
@@ -199,13 +210,14 @@
             self._wake.wait(self._options.planner_interval_seconds)
             self._wake.clear()
             try:
-                self._turn()
+                self.turn()
             except Exception:  # the loop must outlive a fault in one turn
                 logger.exception("planning failed", code=ErrorCode.INTERNAL)
             # Many samples that finish together cost one turn.
             gevent.sleep(_MINIMUM_TURN_SECONDS)
 
-    def _turn(self) -> None:
+    def turn(self) -> None:
+        """Look once through the steps: drop what is too old, start what there is room for."""
         now = time.monotonic()
         if now >= self._next_sweep:
             self._next_sweep = now + self._options.planner_interval_seconds
@@ -224,11 +236,7 @@
                 self._pipeline.start(planned.step, planned.task)
 
     def _open_samples(self) -> int:
-        waiting = sum(
-            task.sample is not None
-            for opened in self._steps.values()
-            for task in opened.step.tasks.values()
-        )
+        waiting = sum(opened.step.sample_count() for opened in self._steps.values())
         return waiting + self._pipeline.running()
 
     def sweep(self) -> None:
@@ -242,17 +250,55 @@
                 metrics.SAMPLES_DROPPED.labels(step.key.model, "cancelled_too_stale").inc()
             for task in self._planner.hopeless_samples(step):
                 drop_sample(step, task, self._replicator, "too_stale")
+            self._check_ownership(step, now)
             unused = now - step.last_used_at
-            if unused > self._options.step_idle_seconds or (
-                step.finished and unused > self._options.finished_step_seconds
-            ):
+            if unused > self._longest_unused(step):
                 self._close(step)
         self._store.expire(lambda model: self._staleness.spec(model).max_staleness_seconds)
 
-    def _close(self, step: Step) -> None:
+    def _check_ownership(self, step: Step, now: float) -> None:
+        """Pass a step on when another node has been its owner for a while."""
+        owner = self._transfer.owner(step.key)
+        if owner == self._replicator.node_id or self._draining or step.finished:
+            step.foreign_since = None
+        elif step.foreign_since is None:
+            step.foreign_since = now
+        elif now - step.foreign_since >= self._options.move_after_seconds and not step.moving:
+            self._start_move(step, owner)
+
+    def _start_move(self, step: Step, successor: str) -> None:
+        step.moving = True
+        self._moves.spawn(self._move, step, successor)
+
+    def _move(self, step: Step, successor: str) -> None:
+        try:
+            self._transfer.submit(successor, step.submission(), moved=True)
+        except RunkeelError as error:
+            metrics.STEPS_MOVED.labels("failed").inc()
+            logger.info("step {} not passed on to {}", step.key.step_id, successor, code=error.code)
+            step.moving = False
+            step.foreign_since = None
+            return
+        metrics.STEPS_MOVED.labels("moved").inc()
+        self._forget(step)
+
+    def _longest_unused(self, step: Step) -> float:
+        """Return for how long a step is kept that nobody asks for, in s."""
+        if step.undelivered_count() == 0:
+            # Most likely consumed, by a trainer that did not ask for the end.
+            return self._options.finished_step_seconds
+        return self._options.step_idle_seconds
+
+    def _forget(self, step: Step) -> None:
+        """Close a step; its samples stay in the store, for whoever owns it now."""
         step.close()
-        self._steps.pop(step.key, None)
+        opened = self._steps.get(step.key)
+        if opened is not None and opened.step is step:
+            del self._steps[step.key]
         self._gauge.set(len(self._steps))
+
+    def _close(self, step: Step) -> None:
+        self._forget(step)
         if not step.finished:
             logger.warning(
                 "step {} of {} forgotten: nobody asked for it",
