Test the owner's queue without timing

Change: the queue's tests set the service time and hold the slots themselves, and check more (the retry-after, refusal of a queued request, displacement).

--- /dev/null
+++ b/tests/requests/test_owner_queue.py
@@ -0,0 +1,79 @@
+"""The owner's queue: projection, refusal at once, priorities and bounds."""
+
+from __future__ import annotations
+
+from runkeel.api.configuration import ServiceSpec
+from runkeel.api.machines import MachineKind
+from runkeel.errors import ErrorCode, RunkeelError, Verdict
+from runkeel.requests.backend_choice import Demand, PoolId
+from runkeel.requests.deadline import Deadline
+from tests.requests.test_applications import ClusterCase
+
+POOL = PoolId(MachineKind.APPLICATION, "ledger")
+URGENT, STANDARD = 1, 500
+
+
+class OwnerQueueTest(ClusterCase):
+    """The queue of a node with one back end of two slots, both of them taken."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster.configuration.services["ledger"] = ServiceSpec(
+            max_in_flight_per_backend=2, max_queue_per_backend=2
+        )
+        self.queue = self.node.service._owner._queue(POOL)
+        self.demand = Demand(POOL, STANDARD)
+        self.running = [self.enter() for _ in range(2)]
+
+    def enter(self, rank: int = STANDARD, seconds: float = 60.0):
+        return self.queue.enter(Demand(POOL, rank), Deadline.after_ms(int(seconds * 1_000)))
+
+    def assert_refused(self, code: ErrorCode, call) -> RunkeelError:
+        with self.assertRaises(RunkeelError) as caught:
+            call()
+        self.assertEqual((caught.exception.code, caught.exception.verdict), (code, Verdict.NOT_RUN))
+        return caught.exception
+
+    def release(self) -> None:
+        self.queue.release(self.queue.wait(self.running.pop()), self.demand, None)
+
+    def test_unmeetable_deadline_is_refused_at_once(self) -> None:
+        self.queue._note_service_time(10.0)
+        error = self.assert_refused(ErrorCode.DEADLINE_UNREACHABLE, lambda: self.enter(seconds=9.0))
+        self.assertAlmostEqual(error.retry_after_seconds, 5.0)
+        self.assertEqual(len(self.queue), 0)
+
+    def test_queued_request_that_became_hopeless_is_told_at_once(self) -> None:
+        hopeless, hopeful = self.enter(seconds=9.0), self.enter(seconds=60.0)
+        self.queue._note_service_time(30.0)
+        self.queue.shed()
+        self.assert_refused(ErrorCode.DEADLINE_UNREACHABLE, lambda: self.queue.wait(hopeless))
+        self.release()
+        self.assertTrue(hopeful.result.successful())
+
+    def test_free_slot_is_given_whatever_the_projection_says(self) -> None:
+        self.queue._note_service_time(1_000.0)
+        self.release()
+        self.assertTrue(self.enter(seconds=0.5).result.successful())
+
+    def test_full_queue_prefers_the_urgent(self) -> None:
+        first, last = self.enter(), self.enter()
+        self.assert_refused(ErrorCode.QUEUE_FULL, self.enter)
+        urgent = self.enter(URGENT)
+        self.assert_refused(ErrorCode.QUEUE_FULL, lambda: self.queue.wait(last))
+        self.release()
+        self.assertTrue(urgent.result.successful())
+        self.assertFalse(first.result.ready())
+
+    def test_last_backend_drained_refuses_the_queue(self) -> None:
+        waiter = self.enter()
+        self.cluster.configuration.draining.add("app-a")
+        self.cluster.configuration.changed("drain", "app-a")
+        self.assert_refused(ErrorCode.NO_BACKEND, lambda: self.queue.wait(waiter))
+
+    def test_counts_return_to_zero(self) -> None:
+        self.enter()
+        self.queue.refuse_all(ErrorCode.NODE_LEAVING, "")
+        for _ in range(2):
+            self.release()
+        self.assertEqual((self.queue.in_flight, len(self.queue)), (0, 0))
