--- a/src/runkeel_lab/demo.py
+++ b/src/runkeel_lab/demo.py
@@ -163,7 +163,9 @@
         """Return what the journals prove."""
         plan = self._running.plan
         runs = journals.executions([backend.id for backend in plan.backends()])
-        found = CallerVerifier(runs).verify(self.records)
+        found = CallerVerifier(runs, self._running.deployment.configured_pools()).verify(
+            self.records
+        )
         answered = sum(record.outcome is Outcome.ANSWERED for record in self.records)
         detail = f"{answered} of {len(self.records)} answered; {len(found)} violations"
         if found:
--- a/src/runkeel_lab/deployment.py
+++ b/src/runkeel_lab/deployment.py
@@ -120,6 +120,11 @@
             for number in range(1, zone.nodes + 1)
         }
 
+    def configured_pools(self) -> frozenset[str]:
+        """Return the services and models that the object API holds at the start."""
+        kinds = (ObjectKind.SERVICE, ObjectKind.MODEL)
+        return frozenset(entry.name for entry in self.objects if entry.kind in kinds)
+
     def scaled(self, scale: float) -> Deployment:
         """Return a copy with engine and server counts multiplied by ``scale`` (at least one)."""
         models = tuple(
--- a/src/runkeel_lab/replay.py
+++ b/src/runkeel_lab/replay.py
@@ -128,7 +128,9 @@
                 stated = " or ".join(map(str, stimulus.status))
                 found.append(Deviation(stimulus.command, stated, _command_text(command)))
         records = [record for _, record in self._calls]
-        violations = CallerVerifier(runs).verify(self._judged(records))
+        violations = CallerVerifier(runs, self._running.deployment.configured_pools()).verify(
+            self._judged(records)
+        )
         violations += verify_control(self._faults.records, journals, records).violations
         for _, trainer in self._steps:
             violations += verify_trainer(trainer, lambda _: _UNBOUNDED_VERSIONS).violations
--- a/src/runkeel_lab/runner.py
+++ b/src/runkeel_lab/runner.py
@@ -96,7 +96,9 @@
         result.generator_late_s = self._generator.late_seconds
         result.faults = self._faults.records
         result.commands = self._operator.records
-        verifier = CallerVerifier(journals.executions(backends))
+        verifier = CallerVerifier(
+            journals.executions(backends), self._running.deployment.configured_pools()
+        )
         result.violations = verifier.verify(result.records)
         for trainer in self._trainers:
             bound = self._staleness_bound(trainer.spec.model)
--- a/src/runkeel_lab/verify_callers.py
+++ b/src/runkeel_lab/verify_callers.py
@@ -10,6 +10,7 @@
 from runkeel_lab.violations import Violation, ViolationKind
 
 _NOT_RUN = "not_run"
+_CODES_OF_UNKNOWN_POOL = frozenset({"unknown_service", "unknown_model"})
 
 
 class CallerVerifier:
@@ -17,9 +18,13 @@
 
     Args:
         executions: runs at all back ends.
+        configured_pools: services and models that the object API held before the load.
     """
 
-    def __init__(self, executions: Iterable[Execution]) -> None:
+    def __init__(
+        self, executions: Iterable[Execution], configured_pools: Iterable[str] = ()
+    ) -> None:
+        self._configured_pools = frozenset(configured_pools)
         self._by_nonce: dict[str, list[Execution]] = defaultdict(list)
         self._by_request: dict[str, list[Execution]] = defaultdict(list)
         for run in executions:
@@ -33,7 +38,11 @@
 
     def verify_one(self, record: CallRecord) -> list[Violation]:
         """Return the violations of one record."""
-        found = [*self._answer_faults(record), *self._false_verdicts(record)]
+        found = [
+            *self._answer_faults(record),
+            *self._false_verdicts(record),
+            *self._missing_configuration(record),
+        ]
         if record.outcome is Outcome.LOST:
             last = record.attempts[-1]
             found.append(_violation(ViolationKind.LOST, record, last.error or str(last.status)))
@@ -81,6 +90,17 @@
                     found.append(_violation(ViolationKind.FALSE_NOT_RUN, record, detail))
         return found
 
+    def _missing_configuration(self, record: CallRecord) -> list[Violation]:
+        if record.pool not in self._configured_pools:
+            return []
+        return [
+            _violation(
+                ViolationKind.CONFIGURATION_MISSING, record, f"{attempt.node} said {attempt.code}"
+            )
+            for attempt in record.attempts
+            if attempt.code in _CODES_OF_UNKNOWN_POOL
+        ]
+
     def _runs_of(self, record: CallRecord, attempt: Attempt) -> list[Execution]:
         runs = list(self._by_nonce.get(record.nonce, ()))
         if attempt.request_id:
--- a/src/runkeel_lab/violations.py
+++ b/src/runkeel_lab/violations.py
@@ -29,6 +29,8 @@
     IN_FLIGHT_CUT = "in_flight_cut"
     CONFIGURATION_REVERTED = "configuration_reverted"
     CONFIGURATION_LATE = "configuration_late"
+    CONFIGURATION_MISSING = "configuration_missing"
+    """A node said that a service or model is unknown that was configured before the run."""
     RACE_UNDECIDED = "race_undecided"
     FAULT_NOT_DONE = "fault_not_done"
     """The lab could not bring about a scheduled fault, so the run proves nothing of it."""
--- a/tests/lab/test_verify.py
+++ b/tests/lab/test_verify.py
@@ -77,6 +77,12 @@
         record.attempts.append(Attempt("node-2", 10.6, 10.9, 503, verdict="not_run"))
         self.assertEqual(self._kinds(record, Execution("ledger-1", "r1", "n1", 10.7, 10.8)), [])
 
+    def test_a_configured_service_that_a_node_does_not_know(self):
+        record = call(Outcome.NOT_RUN, code="unknown_service", verdict="not_run", status=404)
+        found = CallerVerifier([], ["ledger"]).verify([record])
+        self.assertEqual([each.kind for each in found], [ViolationKind.CONFIGURATION_MISSING])
+        self.assertEqual(CallerVerifier([], ["other"]).verify([record]), [])
+
     def test_lost_crossed_and_incomplete(self):
         self.assertEqual(self._kinds(call(Outcome.LOST)), [ViolationKind.LOST])
         record = call(Outcome.ANSWERED)
