--- a/src/runkeel/membership/bridging.py
+++ b/src/runkeel/membership/bridging.py
@@ -114,7 +114,7 @@
     def _due_loads(self, now: float, receivers: int) -> list | None:
         if now < self._loads_at or not receivers:
             return None
-        loads = self._loads.best_of_zone(self._sender.local().incarnation, now)
+        loads = self._loads.best_of_zone(now)
         cost = len(loads) * LOAD_ENTRY_BYTES * receivers
         period = min(LONGEST_LOAD_PERIOD_SECONDS, cost / LOAD_BYTES_PER_SECOND)
         self._loads_at = now + period
--- a/src/runkeel/membership/datagrams.py
+++ b/src/runkeel/membership/datagrams.py
@@ -64,7 +64,7 @@
         if not hmac.compare_digest(data[1:_PREFIX_BYTES], self._mac(body)):
             raise RunkeelError(ErrorCode.PROTOCOL_ERROR, "wrong cluster or key")
         datagram = decode(Datagram, body)
-        if datagram.kind is None or not datagram.sender or datagram.incarnation is None:
+        if datagram.kind is None or (not datagram.sender and datagram.sender_number is None):
             raise RunkeelError(ErrorCode.PROTOCOL_ERROR, "incomplete datagram")
         return datagram
 
--- a/src/runkeel/membership/digests.py
+++ b/src/runkeel/membership/digests.py
@@ -15,6 +15,11 @@
         self.own: int | None = None
         self._differences: dict[str, int] = {}
 
+    def publish(self, digest: int) -> None:
+        """Set this node's own digest, a 64-bit number with or without sign."""
+        digest &= (1 << 64) - 1
+        self.own = digest - (1 << 64) if digest >= 1 << 63 else digest
+
     def hear(self, node_id: str, digest: int) -> None:
         """Compare the digest of a node's heartbeat."""
         if self.own is None or digest == self.own:
@@ -22,10 +27,6 @@
         elif node_id in self._differences or len(self._differences) < _MAXIMUM_PEERS:
             self._differences[node_id] = self._differences.get(node_id, 0) + 1
 
-    def forget(self, node_id: str) -> None:
-        """Drop a node that is no longer live."""
-        self._differences.pop(node_id, None)
-
     def take(self) -> str | None:
         """Return a node that has differed long enough, at random, and count it anew."""
         found = [
--- a/src/runkeel/membership/gossip.py
+++ b/src/runkeel/membership/gossip.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 from collections.abc import Callable, Iterable, Sequence
 
 import gevent
@@ -12,32 +11,36 @@
 
 from runkeel.api.machines import Address, Member, MemberStatus, PoolSummary
 from runkeel.membership import metrics
+from runkeel.membership.announcer import Announcer
 from runkeel.membership.bridging import Bridging
-from runkeel.membership.datagrams import DatagramCodec, member_of, record_of, split_records
+from runkeel.membership.datagrams import DatagramCodec, member_of, record_of
 from runkeel.membership.digests import DigestMonitor
 from runkeel.membership.heartbeats import Heartbeats
+from runkeel.membership.housekeeping import Housekeeper
 from runkeel.membership.limits import TokenBucket
 from runkeel.membership.live import LiveView
 from runkeel.membership.loads import LoadTable
 from runkeel.membership.news import NewsQueue
 from runkeel.membership.notifier import Notifier
 from runkeel.membership.probing import Prober
+from runkeel.membership.suspicions import Suspicions
 from runkeel.membership.synchronizer import Synchronizer
-from runkeel.membership.table import MemberTable
+from runkeel.membership.table import MemberTable, node_number
 from runkeel.membership.transport import DatagramTransport, Traffic, monotonic
 from runkeel.membership.zones import ZoneReachability
 from runkeel.wire.generated.membership.ttypes import Datagram, DatagramKind, MemberRecord
 from runkeel.wire.links import LinkPolicy
 
 TICK_SECONDS = 0.1
-SUSPICION_SECONDS = 0.9
-"""Time in which a suspected node may prove that it is alive."""
-
 PAUSE_SECONDS = 2.5
 """A standstill of this process after which others have taken it for dead."""
 
-HOUSEKEEPING_SECONDS = 1.0
-RECONNECT_SECONDS = 5.0
+_TO_ACQUAINTANCES = (
+    DatagramKind.PING,
+    DatagramKind.ACK,
+    DatagramKind.PROBE_REQUEST,
+    DatagramKind.HEARTBEAT,
+)
 _GONE = (MemberStatus.DEAD, MemberStatus.LEFT)
 
 
@@ -70,6 +73,7 @@
     ) -> None:
         self.node_id = node_id
         self.zone = zone
+        self._number = node_number(node_id)
         self._link_policy = link_policy or LinkPolicy()
         self._local = Member(
             node_id, zone, incarnation, MemberStatus.ALIVE, http, peer, listen_address
@@ -86,16 +90,17 @@
         self._digests = DigestMonitor()
         self._notifier = Notifier()
         self._prober = Prober(node_id, zone, self._table, self._send_probe, self._suspect)
-        self._synchronizer = Synchronizer(self, self._table, tuple(seeds))
+        self._announcer = Announcer(self, self._table)
+        self._synchronizer = Synchronizer(self, self._table, tuple(seeds), self._announce_local)
         self._bridging = Bridging(self, self._table, self._zones, self._loads)
         self._heartbeats = Heartbeats(self, self._table, self._loads, self._bridging)
-        self._suspicions: dict[str, float] = {}
-        self._broadcasts = TokenBucket(rate=2.0, burst=8.0)
+        self._housekeeper = Housekeeper(
+            self, self._table, self._loads, self._digests, self._notifier
+        )
+        self._suspicions = Suspicions()
         self._accusations = TokenBucket(rate=20.0, burst=40.0)
         self._incarnation_callbacks: list[Callable[[int], None]] = []
         self._turn_at = monotonic()
-        self._housekeeping_at = 0.0
-        self._reconnect_at = 0.0
         self._stopped = Event()
         self._task: gevent.Greenlet | None = None
 
@@ -111,12 +116,15 @@
 
     def start(self) -> None:
         """Bind, and begin to join. Raises OSError when the address can't be bound."""
+        self._bind()
+        self._notifier.start()
+        self._task = gevent.spawn(self._run)
+
+    def _bind(self) -> None:
         self._local = dataclasses.replace(self._local, gossip=self._transport.bind())
         self._turn_at = monotonic()
         self._table.merge(self._local, self._turn_at)
         self._transport.start()
-        self._notifier.start()
-        self._task = gevent.spawn(self._run)
 
     def stop(self) -> None:
         """Stop without a word to the others; see :meth:`leave`."""
@@ -165,7 +173,7 @@
 
     def publish_state_digest(self, digest: int) -> None:
         """Set the 64-bit digest of the replicated state, spread with every heartbeat."""
-        self._digests.own = _signed64(digest)
+        self._digests.publish(digest)
 
     def on_state_mismatch(self, callback: Callable[[str], None]) -> None:
         """Call back with the id of a node whose digest has differed in two heartbeats."""
@@ -175,7 +183,8 @@
         """Tell the others at once that this node is leaving on purpose."""
         if self._local.status is MemberStatus.LEFT:
             return
-        targets = [member for member in self._table.live_in(self.zone) if self._is_other(member)]
+        members = self._table.live_in(self.zone)
+        targets = [member for member in members if member.node_id != self.node_id]
         targets += self._bridging.targets()
         self._set_local(dataclasses.replace(self._local, status=MemberStatus.LEFT))
         # Twice, as there is nobody to repeat it later should the datagrams be lost.
@@ -191,7 +200,13 @@
         self, kind: int, targets: list[tuple[Address, str | None]], **fields: object
     ) -> int:
         """Send a datagram to addresses, each with its zone if known. Returns its bytes."""
-        datagram = Datagram(kind, self.node_id, self._local.incarnation, **fields)
+        datagram = Datagram(kind, **fields)
+        if kind in _TO_ACQUAINTANCES and self._table.by_number(self._number) is not None:
+            datagram.sender_number = self._number
+        else:
+            datagram.sender = self.node_id
+        if kind != DatagramKind.HEARTBEAT:
+            datagram.incarnation = self._local.incarnation
         if any(zone != self.zone for _, zone in targets):
             datagram.zone = self.zone
         return self._transport.send(datagram, targets)
@@ -212,13 +227,14 @@
         if self._local.status is MemberStatus.LEFT:
             return
         self._prober.tick(now, lag)
-        self._expire_suspicions(now, lag)
+        self._suspicions.postpone(lag)
+        self._end_suspicions(now)
         self._synchronizer.tick(now)
+        self._announcer.tick(now)
         self._heartbeats.tick(now)
         self._bridging.tick(now)
         self._judge_zones(now)
-        if now >= self._housekeeping_at:
-            self._housekeep(now)
+        self._housekeeper.tick(now)
         self._after_change()
 
     def _begin_turn(self) -> tuple[float, float]:
@@ -229,23 +245,26 @@
         if gap > PAUSE_SECONDS:
             self._prober.forget()
             self._zones.forgive(now)
-            self._suspicions = {key: at + gap for key, at in self._suspicions.items()}
+            self._suspicions.postpone(gap)
             if self._local.status is not MemberStatus.LEFT:
                 self._raise_incarnation(self._local.incarnation, "pause")
         return now, max(0.0, gap - 2 * TICK_SECONDS)
 
     def _on_datagram(self, datagram: Datagram, source: Address) -> None:
         now, _ = self._begin_turn()
-        sender = self._table.get(datagram.sender)
+        sender = self._sender_of(datagram)
         zone = datagram.zone or (sender.zone if sender is not None else None)
-        if datagram.sender == self.node_id:
+        if datagram.sender == self.node_id or datagram.sender_number == self._number:
             return
         if zone is not None and zone != self.zone and self._link_policy.is_cut(zone):
             return
+        is_repeat = datagram.kind == DatagramKind.SYNC and (
+            zone == self.zone or not self._synchronizer.joined
+        )
         for record in datagram.records or ():
-            self._merge(record, now, source, zone)
-        sender = self._table.get(datagram.sender)
-        if sender is None or sender.incarnation < datagram.incarnation:
+            self._merge(record, now, source, zone, is_repeat)
+        sender = self._sender_of(datagram)
+        if sender is None or sender.incarnation < (datagram.incarnation or 0):
             self._synchronizer.ask_introduction(source, zone, now)
         elif sender.status in _GONE:
             self._accuse(sender, source, zone, now)
@@ -257,9 +276,15 @@
             self._synchronizer.on_request(datagram, source, zone, now)
         self._after_change()
 
+    def _sender_of(self, datagram: Datagram) -> Member | None:
+        if datagram.sender is not None:
+            return self._table.get(datagram.sender)
+        return self._table.by_number(datagram.sender_number)
+
     def _take(self, datagram: Datagram, sender: Member, source: Address, now: float) -> None:
         for node_load in datagram.loads or ():
-            member = self._table.get(node_load.node_id)
+            number = node_load.node_number
+            member = sender if number is None else self._table.by_number(number)
             if member is not None:
                 self._loads.merge(node_load, member, now)
         if datagram.state_digest is not None:
@@ -282,18 +307,29 @@
         if kind in (DatagramKind.BRIDGE, DatagramKind.BRIDGE_REPLY):
             self._synchronizer.on_zone_hashes(sender, datagram.zone_hashes or (), now)
 
-    def _merge(self, record: MemberRecord, now: float, source: Address, zone: str | None) -> None:
+    def _merge(
+        self, record: MemberRecord, now: float, source: Address, zone: str | None, is_repeat: bool
+    ) -> None:
+        """Take a member record; ``is_repeat`` when the zone has heard of it already."""
         if record.node_id == self.node_id:
             self._answer_accusation(record, source, zone)
             return
-        member = member_of(record, self._table.get(record.node_id))
-        if member is None or not self._table.merge(member, now):
+        known = self._table.get(record.node_id)
+        member = member_of(record, known)
+        if member is None:
             return
-        self._news.add(member)
+        if not self._table.merge(member, now):
+            if zone == self.zone and member == known:
+                self._announcer.heard(member.node_id)
+            return
+        if not is_repeat:
+            self._news.add(member)
+            if zone != self.zone:
+                self._announcer.add(member.node_id, now)
         if member.status is MemberStatus.SUSPECT and member.zone == self.zone:
-            self._suspicions.setdefault(member.node_id, now + SUSPICION_SECONDS)
+            self._suspicions.begin(member.node_id, now)
         else:
-            self._suspicions.pop(member.node_id, None)
+            self._suspicions.end(member.node_id)
 
     def _answer_accusation(self, record: MemberRecord, source: Address, zone: str | None) -> None:
         mine = (self._local.incarnation, int(self._local.status))
@@ -310,21 +346,19 @@
             "new incarnation {}", incarnation, code="incarnation", node=self.node_id, reason=reason
         )
         for callback in self._incarnation_callbacks:
-            callback(incarnation)
-        self.broadcast([record_of(self._local)])
+            try:
+                callback(incarnation)
+            except Exception as error:
+                logger.opt(exception=error).error("incarnation callback failed", code="internal")
+        self._announce_local()
 
     def _set_local(self, member: Member) -> None:
         self._local = member
         self._table.merge(member, monotonic())
         self._news.add(member)
 
-    def broadcast(self, records: list[MemberRecord]) -> None:
-        """Send records to all live nodes of the zone, if that is not done too often."""
-        if not self._broadcasts.take(monotonic()):
-            return
-        targets = [member for member in self._table.live_in(self.zone) if self._is_other(member)]
-        for chunk in split_records(records):
-            self.send(DatagramKind.NEWS, targets, records=chunk)
+    def _announce_local(self) -> None:
+        self._announcer.add_urgent(self.node_id, monotonic())
 
     def _accuse(self, sender: Member, source: Address, zone: str | None, now: float) -> None:
         """Tell a node that is thought dead, so that it takes a new incarnation."""
@@ -340,14 +374,11 @@
         suspect = dataclasses.replace(present, status=MemberStatus.SUSPECT)
         self._table.merge(suspect, now)
         self._news.add(suspect)
-        self._suspicions[suspect.node_id] = now + SUSPICION_SECONDS
-        self.broadcast([record_of(suspect)])
+        self._suspicions.begin(suspect.node_id, now)
+        self._announcer.add_urgent(suspect.node_id, now)
 
-    def _expire_suspicions(self, now: float, lag: float) -> None:
-        for node_id, expires_at in list(self._suspicions.items()):
-            if now < expires_at + lag:
-                continue
-            del self._suspicions[node_id]
+    def _end_suspicions(self, now: float) -> None:
+        for node_id in self._suspicions.take_expired(now):
             suspect = self._table.get(node_id)
             if suspect is None or suspect.status is not MemberStatus.SUSPECT:
                 continue
@@ -372,39 +403,7 @@
         bridge_ids = [member.node_id for member in self._table.bridges(self.zone)]
         self._zones.evaluate(self._table.zones(), bridge_ids, now)
 
-    def _housekeep(self, now: float) -> None:
-        self._housekeeping_at = now + HOUSEKEEPING_SECONDS
-        self._loads.drop_old(now)
-        self._table.forget_gone(now)
-        metrics.LIVE_MEMBERS.labels(self.node_id).set(len(self.live_members()))
-        if not self._notifier.mismatch_running:
-            differing = self._digests.take()
-            if differing is not None and self.is_live(differing):
-                metrics.STATE_MISMATCHES.inc()
-                self._notifier.report_mismatch(differing)
-        if now >= self._reconnect_at:
-            self._reconnect_at = now + RECONNECT_SECONDS * random.uniform(0.8, 1.2)
-            self._greet_a_dead_node()
-
-    def _greet_a_dead_node(self) -> None:
-        """Tell one dead node of the zone that it is thought dead, in case it lives."""
-        dead = [
-            member
-            for member in self._table.all()
-            if member.zone == self.zone and member.status is MemberStatus.DEAD
-        ]
-        if dead:
-            chosen = random.choice(dead)
-            self.send(DatagramKind.NEWS, [chosen], records=[record_of(chosen)])
-
     def _after_change(self) -> None:
         if self._live_view.changed():
+            metrics.LIVE_MEMBERS.labels(self.node_id).set(len(self.live_members()))
             self._notifier.report_change()
-
-    def _is_other(self, member: Member) -> bool:
-        return member.node_id != self.node_id
-
-
-def _signed64(value: int) -> int:
-    value &= (1 << 64) - 1
-    return value - (1 << 64) if value >= 1 << 63 else value
--- a/src/runkeel/membership/heartbeats.py
+++ b/src/runkeel/membership/heartbeats.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-import time
 
 from runkeel.api.machines import Member
 from runkeel.membership.bridging import Bridging
@@ -18,10 +17,10 @@
 from runkeel.wire.generated.membership.ttypes import DatagramKind
 
 SHORTEST_INTERVAL_SECONDS = 1.0
-LONGEST_INTERVAL_SECONDS = 2.4
-"""Below half of the age at which a load is dropped, so that one lost heartbeat does no harm."""
+LONGEST_INTERVAL_SECONDS = 3.5
+"""Below the age at which a load is dropped."""
 
-BYTES_PER_SECOND = 1_600
+BYTES_PER_SECOND = 1_500
 """What a node spends on heartbeats while the interval is within its bounds."""
 
 PACKET_OVERHEAD_BYTES = 28
@@ -50,11 +49,13 @@
         self._table = table
         self._loads = loads
         self._bridging = bridging
-        # Random, so that nodes that start together do not send together.
-        self._due_at = time.monotonic() + random.uniform(0.0, SHORTEST_INTERVAL_SECONDS)
+        self._due_at: float | None = None
 
     def tick(self, now: float) -> None:
         """Send a heartbeat if it is due."""
+        if self._due_at is None:
+            # Random, so that nodes that start together do not send together.
+            self._due_at = now + random.uniform(0.0, SHORTEST_INTERVAL_SECONDS)
         if now < self._due_at:
             return
         members = self._table.live_in(self._sender.zone)
@@ -69,7 +70,7 @@
 
     def _send(self, targets: list[Member], now: float) -> int:
         lost_zones = self._bridging.report(now)
-        chunks = self._loads.own_loads(self._sender.local().incarnation)
+        chunks = self._loads.own_loads()
         payload_bytes = self._sender.send(
             DatagramKind.HEARTBEAT,
             targets,
--- a/src/runkeel/membership/loads.py
+++ b/src/runkeel/membership/loads.py
@@ -8,6 +8,7 @@
 from functools import lru_cache
 
 from runkeel.api.machines import Member, PoolSummary
+from runkeel.membership.table import node_number
 from runkeel.wire.codec import encode
 from runkeel.wire.generated.membership.ttypes import NodeLoad, PoolLoad
 
@@ -21,17 +22,18 @@
 """Owners of a pool that a zone tells the other zones of: those with the shortest wait."""
 
 OWN_LOADS_BYTES = 800
-RELAYED_BYTES = 300
 BRIDGED_BYTES = 700
 MAXIMUM_POOLS = 1_024
-RELAYED_PER_DATAGRAM = 4
-RELAY_TRANSMISSIONS = 6
+RELAYED_PER_DATAGRAM = 2
+RELAY_TRANSMISSIONS = 3
+RESTART_SECONDS = 1.0
+"""A load made this much later is newer whatever its sequence: its node has restarted."""
+
 _MAXIMUM_INT32 = 2**31 - 1
 
 
 @dataclass(slots=True)
 class _Load:
-    incarnation: int
     sequence: int
     made_at: float
     zone: str
@@ -47,7 +49,7 @@
 
 
 class LoadTable:
-    """Summaries by pool and node; the newest incarnation and sequence wins."""
+    """Summaries by pool and node; the newest sequence wins."""
 
     def __init__(self, node_id: str, zone: str) -> None:
         self._node_id = node_id
@@ -63,19 +65,16 @@
         self._own_sequence = max((summary.sequence for summary in self._own), default=0)
         self._own_chunks = _split([_encode(summary) for summary in self._own])
 
-    def own_loads(self, incarnation: int) -> list[NodeLoad]:
+    def own_loads(self) -> list[NodeLoad]:
         """Return this node's summaries, a datagram's worth in each item."""
         sequence = self._own_sequence
-        return [
-            NodeLoad(self._node_id, incarnation, sequence, 0, loads) for loads in self._own_chunks
-        ]
+        return [NodeLoad(sequence=sequence, pools=loads) for loads in self._own_chunks]
 
     def merge(self, node_load: NodeLoad, member: Member, now: float) -> None:
         """Take a node's summaries where they are newer than what is known."""
         if member.node_id == self._node_id:
             return
-        made_at = now - max(0, node_load.age_ms) / 1000
-        newness = (node_load.incarnation, node_load.sequence)
+        made_at = now - max(0, node_load.age_ms or 0) / 1000
         for load in node_load.pools:
             nodes = self._pools.get(load.pool)
             if nodes is None:
@@ -83,8 +82,8 @@
                     continue
                 nodes = self._pools[load.pool] = {}
             known = nodes.get(member.node_id)
-            if known is None or newness > (known.incarnation, known.sequence):
-                nodes[member.node_id] = _Load(*newness, made_at, member.zone, load)
+            if known is None or _is_newer(node_load.sequence, made_at, known):
+                nodes[member.node_id] = _Load(node_load.sequence, made_at, member.zone, load)
 
     def summaries(
         self, pool: str, is_live: Callable[[str], bool], now: float
@@ -104,24 +103,24 @@
             if not nodes:
                 del self._pools[pool]
 
-    def best_of_zone(self, incarnation: int, now: float) -> list[NodeLoad]:
+    def best_of_zone(self, now: float) -> list[NodeLoad]:
         """Return, for other zones, each pool's owners with the shortest wait."""
         own = {load.pool: load for loads in self._own_chunks for load in loads}
         chosen = []
         for pool in {*own, *self._pools}:
             candidates = [
-                (entry.load.projected_wait_ms, node_id, entry)
+                (entry.load.projected_wait_ms or 0, node_id, entry)
                 for node_id, entry in self._pools.get(pool, {}).items()
                 if entry.zone == self._zone and self._is_fresh(entry, now)
             ]
             if pool in own:
-                entry = _Load(incarnation, self._own_sequence, now, self._zone, own[pool])
-                candidates.append((own[pool].projected_wait_ms, self._node_id, entry))
+                entry = _Load(self._own_sequence, now, self._zone, own[pool])
+                candidates.append((own[pool].projected_wait_ms or 0, self._node_id, entry))
             candidates.sort(key=lambda item: item[:2])
             chosen.extend(candidates[:OWNERS_PER_POOL])
         # The least loaded first, should they not all fit.
         chosen.sort(key=lambda item: item[:2])
-        return _fitting([(node_id, entry) for _, node_id, entry in chosen], BRIDGED_BYTES, now)
+        return _fitting([(node_id, entry) for _, node_id, entry in chosen], now)
 
     def relayed(self, now: float) -> list[NodeLoad]:
         """Return summaries of other zones that this zone has not been told of often enough."""
@@ -135,7 +134,7 @@
         chosen = [(node_id, entry) for _, node_id, entry in waiting[:RELAYED_PER_DATAGRAM]]
         for _, entry in chosen:
             entry.transmissions += 1
-        return _fitting(chosen, RELAYED_BYTES, now)
+        return [_relay(node_id, entry, now) for node_id, entry in chosen]
 
     def _is_fresh(self, entry: _Load, now: float) -> bool:
         limit = FRESH_SECONDS if entry.zone == self._zone else FRESH_SECONDS_OTHER_ZONES
@@ -155,8 +154,15 @@
     return chunks
 
 
-def _fitting(entries: list[tuple[str, _Load]], room: int, now: float) -> list[NodeLoad]:
+def _is_newer(sequence: int, made_at: float, known: _Load) -> bool:
+    if abs(made_at - known.made_at) > RESTART_SECONDS:
+        return made_at > known.made_at
+    return sequence > known.sequence
+
+
+def _fitting(entries: list[tuple[str, _Load]], now: float) -> list[NodeLoad]:
     fitting = []
+    room = BRIDGED_BYTES
     for node_id, entry in entries:
         node_load = _relay(node_id, entry, now)
         room -= len(encode(node_load))
@@ -168,7 +174,7 @@
 
 def _relay(node_id: str, entry: _Load, now: float) -> NodeLoad:
     age_ms = min(int((now - entry.made_at) * 1000), _MAXIMUM_INT32)
-    return NodeLoad(node_id, entry.incarnation, entry.sequence, age_ms, [entry.load])
+    return NodeLoad(node_number(node_id), entry.sequence, age_ms, [entry.load])
 
 
 def _encode(summary: PoolSummary) -> PoolLoad:
@@ -177,12 +183,12 @@
         summary.backends,
         summary.slots,
         summary.in_flight,
-        summary.queued,
-        min(summary.projected_wait_ms, _MAXIMUM_INT32),
+        summary.queued or None,
+        min(summary.projected_wait_ms, _MAXIMUM_INT32) or None,
     )
     if summary.maximum_version:
         load.minimum_version = summary.minimum_version
-        load.version_spread = summary.maximum_version - summary.minimum_version
+        load.version_spread = summary.maximum_version - summary.minimum_version or None
     return load
 
 
@@ -196,8 +202,8 @@
         load.backends,
         load.slots,
         load.in_flight,
-        load.queued,
-        load.projected_wait_ms,
+        load.queued or 0,
+        load.projected_wait_ms or 0,
         minimum,
         minimum + (load.version_spread or 0),
     )
--- a/src/runkeel/membership/metrics.py
+++ b/src/runkeel/membership/metrics.py
@@ -3,7 +3,7 @@
 from prometheus_client import Counter, Gauge
 
 LIVE_MEMBERS = Gauge("runkeel_members_live", "Nodes believed alive", ["node"])
-BYTES_SENT = Counter("runkeel_gossip_sent_bytes", "UDP payload bytes sent")
+BYTES_SENT = Counter("runkeel_gossip_sent_bytes", "UDP payload bytes sent", ["kind"])
 BYTES_RECEIVED = Counter("runkeel_gossip_received_bytes", "UDP payload bytes received")
 DATAGRAMS_SENT = Counter("runkeel_gossip_sent_datagrams", "Datagrams sent", ["kind"])
 DATAGRAMS_IGNORED = Counter("runkeel_gossip_ignored_datagrams", "Datagrams ignored", ["reason"])
--- a/src/runkeel/membership/news.py
+++ b/src/runkeel/membership/news.py
@@ -1,4 +1,8 @@
-"""Membership news that rides on probes, each item a limited number of times."""
+"""Membership news that rides on probes, each item a limited number of times.
+
+The second way that news takes: a datagram of :mod:`runkeel.membership.announcer` may be lost. What
+both miss is found by comparing table hashes.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +13,6 @@
 from runkeel.membership.datagrams import record_of, record_size
 from runkeel.wire.generated.membership.ttypes import MemberRecord
 
-TRANSMIT_FACTOR = 3
-"""Times the base-2 logarithm of the zone's size: how often a node repeats an item."""
-
 ITEMS_PER_DATAGRAM = 6
 NEWS_BYTES = 450
 MAXIMUM_ITEMS = 1_024
@@ -38,7 +39,7 @@
         """
         if not self._counts:
             return []
-        limit = TRANSMIT_FACTOR * math.ceil(math.log2(zone_size + 1))
+        limit = math.ceil(math.log2(zone_size + 1))
         chosen = sorted(self._counts, key=self._counts.__getitem__)[:ITEMS_PER_DATAGRAM]
         records: list[MemberRecord] = []
         room = NEWS_BYTES
--- a/src/runkeel/membership/probing.py
+++ b/src/runkeel/membership/probing.py
@@ -1,9 +1,11 @@
 """Failure detection inside a zone by direct and indirect probes.
 
-After SWIM (Das, Gupta, Motivala, 2002), with two changes. Probes go to the next nodes in an
-order that all nodes agree on, so that every node is probed each period, where random targets
-leave a third of them out; and a prober that was late itself does not blame its targets (an idea
-of Lifeguard: Dadgar, Phillips, Currey, 2017).
+After SWIM (Das, Gupta, Motivala, 2002), with two changes. One probe a period goes to the next
+node in an order that all nodes agree on, so that every node is probed each period, where random
+targets leave a third of them out; another goes to a random node, so that a node whose prober
+died with it is found, and so that news and table hashes cross the zone in few steps. And a
+prober that was late itself does not blame its targets (an idea of Lifeguard: Dadgar, Phillips,
+Currey, 2017).
 """
 
 from __future__ import annotations
@@ -19,9 +21,6 @@
 PROBE_PERIOD_SECONDS = 1.0
 INDIRECT_AFTER_SECONDS = 0.35
 PROBE_TIMEOUT_SECONDS = 0.7
-SUCCESSORS = 2
-"""Nodes that each node probes, and probers that each node has."""
-
 INDIRECT_HELPERS = 3
 MAXIMUM_RELAYS = 256
 RELAY_SECONDS = 1.0
@@ -42,7 +41,7 @@
 
 
 class Prober:
-    """Probes this node's successors and relays indirect probes of others.
+    """Probes other nodes and relays indirect probes of others.
 
     Args:
         send: sends a datagram of a kind to a member with probe number and target.
@@ -104,20 +103,22 @@
         self._probes.clear()
         self._relays.clear()
 
-    def successors(self) -> list[Member]:
-        """Return the nodes that this node probes."""
+    def _targets(self) -> list[Member]:
+        """Return the next live node by rank, and a random other one."""
         ring = self._table.ring(self._zone)
         ids = [member.node_id for member in ring]
         if self._node_id not in ids:
             return []
         start = ids.index(self._node_id)
         following = [*ring[start + 1 :], *ring[:start]]
-        return following[:SUCCESSORS]
+        if len(following) < 2:
+            return following
+        return [following[0], random.choice(following[1:])]
 
     def _start_period(self, now: float) -> None:
         for number in [key for key, relay in self._relays.items() if relay.expires_at < now]:
             del self._relays[number]
-        for target in self.successors():
+        for target in self._targets():
             number = self._number()
             self._probes[number] = _Probe(target, now)
             self._send(DatagramKind.PING, target, number=number)
--- a/src/runkeel/membership/synchronizer.py
+++ b/src/runkeel/membership/synchronizer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from runkeel.api.machines import Address, Member
@@ -48,9 +48,6 @@
     ) -> int:
         """Send a datagram to addresses with their zones; return its bytes."""
 
-    def broadcast(self, records: list) -> None:
-        """Send records to the nodes of the zone."""
-
     def state_digest(self) -> int | None:
         """Return the digest of this node's replicated state."""
 
@@ -58,23 +55,35 @@
 class Synchronizer:
     """Asks seeds and peers for what this node's table lacks, and answers such requests."""
 
-    def __init__(self, sender: Sender, table: MemberTable, seeds: tuple[Address, ...]) -> None:
+    def __init__(
+        self,
+        sender: Sender,
+        table: MemberTable,
+        seeds: tuple[Address, ...],
+        on_joined: Callable[[], None],
+    ) -> None:
         self._sender = sender
+        self._on_joined = on_joined
         self._table = table
         self._seeds = seeds[:MAXIMUM_SEEDS]
         self._join_at = 0.0
-        self._announced = False
+        self._joined = False
         self._differences = 0
         self._requests = TokenBucket(rate=1 / SYNC_SECONDS, burst=2.0)
         self._introductions = TokenBucket(rate=10.0, burst=20.0)
-        self._answers = TokenBucket(rate=40.0, burst=160.0)
+        self._answers = TokenBucket(rate=100.0, burst=200.0)
+
+    @property
+    def joined(self) -> bool:
+        """Whether this node has heard of others."""
+        return self._joined
 
     def tick(self, now: float) -> None:
         """Join, and look for a part of the cluster that was lost."""
         alone = len(self._table.all()) <= 1
-        if not alone and not self._announced:
-            self._announced = True
-            self._sender.broadcast([record_of(self._sender.local())])
+        if not alone and not self._joined:
+            self._joined = True
+            self._on_joined()
         if now < self._join_at:
             return
         wait = JOIN_SECONDS if alone else SEED_CHECK_SECONDS
--- a/src/runkeel/membership/table.py
+++ b/src/runkeel/membership/table.py
@@ -21,6 +21,11 @@
     return hashlib.blake2b(node_id.encode(), digest_size=8).digest()
 
 
+def node_number(node_id: str) -> int:
+    """Return the 32-bit number that stands for a node's id where bytes are dear."""
+    return _signed(zlib.crc32(node_id.encode()))
+
+
 class MemberTable:
     """Members by id, merged by the rules of SWIM (Das, Gupta, Motivala, 2002).
 
@@ -32,6 +37,7 @@
         self.version = 0
         self._members: dict[str, Member] = {}
         self._changed_at: dict[str, float] = {}
+        self._by_number: dict[int, list[str]] = {}
         self._by_zone: dict[str, tuple[Member, ...]] = {}
         self._rings: dict[str, tuple[Member, ...]] = {}
         self._hashes: dict[str, int] = {}
@@ -47,6 +53,7 @@
         if known is None:
             if member.status not in LIVE_STATUSES or len(self._members) >= MAXIMUM_MEMBERS:
                 return False
+            self._by_number.setdefault(node_number(member.node_id), []).append(member.node_id)
         elif (member.incarnation, member.status) <= (known.incarnation, known.status):
             return False
         self._members[member.node_id] = member
@@ -54,17 +61,25 @@
         self.version += 1
         return True
 
-    def changed_at(self, node_id: str) -> float:
-        """Return when the member's record was last replaced."""
-        return self._changed_at[node_id]
-
     def forget_gone(self, now: float) -> None:
         """Drop nodes that have been gone for long."""
         for node_id, member in list(self._members.items()):
             old = now - self._changed_at[node_id] > TOMBSTONE_SECONDS
             if old and member.status not in LIVE_STATUSES:
-                del self._members[node_id]
-                del self._changed_at[node_id]
+                self._forget(node_id)
+
+    def _forget(self, node_id: str) -> None:
+        del self._members[node_id]
+        del self._changed_at[node_id]
+        number = node_number(node_id)
+        self._by_number[number].remove(node_id)
+        if not self._by_number[number]:
+            del self._by_number[number]
+
+    def by_number(self, number: int) -> Member | None:
+        """Return the one member with a number; None when there is none or more than one."""
+        node_ids = self._by_number.get(number, ())
+        return self._members[node_ids[0]] if len(node_ids) == 1 else None
 
     def all(self) -> list[Member]:
         """Return all members, gone ones included."""
--- a/src/runkeel/membership/transport.py
+++ b/src/runkeel/membership/transport.py
@@ -8,6 +8,7 @@
 
 import gevent
 from gevent import socket
+from loguru import logger
 
 from runkeel.api.machines import Address
 from runkeel.errors import RunkeelError
@@ -88,7 +89,9 @@
             return 0
         for address, zone in targets:
             self._send_over_link(data, address, zone)
-        metrics.DATAGRAMS_SENT.labels(_KIND_NAMES[datagram.kind]).inc(len(targets))
+        kind = _KIND_NAMES[datagram.kind]
+        metrics.DATAGRAMS_SENT.labels(kind).inc(len(targets))
+        metrics.BYTES_SENT.labels(kind).inc(len(targets) * len(data))
         return len(data)
 
     def _send_over_link(self, data: bytes, address: Address, zone: str | None) -> None:
@@ -113,7 +116,6 @@
             return
         self.traffic.bytes_sent += len(data)
         self.traffic.datagrams_sent += 1
-        metrics.BYTES_SENT.inc(len(data))
 
     def _receive_all(self) -> None:
         received = 0
@@ -138,9 +140,11 @@
             self._receive(datagram, source)
         except RunkeelError:
             metrics.DATAGRAMS_IGNORED.labels("garbage").inc()
-        except (TypeError, AttributeError, ValueError):
-            # An authentic datagram that lacks a field which its kind needs.
+        except Exception as error:
+            # An authentic datagram that lacks a field which its kind needs, or a fault of ours:
+            # neither may end the receiving task.
             metrics.DATAGRAMS_IGNORED.labels("malformed").inc()
+            logger.opt(exception=error).error("datagram failed", code="internal")
 
 
 def monotonic() -> float:
--- /dev/null
+++ b/src/runkeel_lab/measurements/__init__.py
@@ -0,0 +1,1 @@
+"""Small measurements of single parts, whose figures stand in docs/design."""
--- a/wire/membership.thrift
+++ b/wire/membership.thrift
@@ -12,24 +12,24 @@
   7: optional binary gossip,
 }
 
-/** Load of one pool's back ends at one node; the pool's name is hashed. */
+/** Load of one pool's back ends at one node; the pool's name is hashed. Left out: zero. */
 struct PoolLoad {
   1: i32 pool,
   2: i32 backends,
   3: i32 slots,
   4: i32 in_flight,
-  5: i32 queued,
-  6: i32 projected_wait_ms,
+  5: optional i32 queued,
+  6: optional i32 projected_wait_ms,
   7: optional i64 minimum_version,
   8: optional i64 version_spread,
 }
 
+/** Left out: the sender's number, and age zero. */
 struct NodeLoad {
-  1: string node_id,
-  2: i64 incarnation,
-  3: i64 sequence,
-  4: i32 age_ms,
-  5: list<PoolLoad> pools,
+  1: optional i32 node_number,
+  2: i64 sequence,
+  3: optional i32 age_ms,
+  4: list<PoolLoad> pools,
 }
 
 /** Hash of a zone's live members. */
@@ -51,10 +51,11 @@
   NEWS = 10,
 }
 
+/** A sender that the receiver knows gives its number (a hash of its id) in place of its id. */
 struct Datagram {
   1: i8 kind,
-  2: string sender,
-  3: i64 incarnation,
+  2: optional string sender,
+  3: optional i64 incarnation,
   4: optional string zone,             // the sender's, where the receiver may be of another
   5: optional i32 number,              // of the probe
   6: optional string target,           // of an indirect probe
@@ -63,5 +64,6 @@
   9: optional list<ZoneHash> zone_hashes,
   10: optional list<MemberRecord> records,
   11: optional list<NodeLoad> loads,
+  13: optional i32 sender_number,
   12: optional list<string> lost_zones,        // by a bridge only: zones that it does not hear
 }
