Repair joins that were cut short, and tell equal node numbers apart

Cause: with 402 nodes joining one seed at once a node could learn of its seed's zone only; it then took itself for its zone's bridge and nobody told it of its mates. CRC numbers also collide often for names of one pattern. Change: a lasting difference of zone hashes is repaired in both directions; a join is answered with the joiner's zone first; numbers come from BLAKE2 and equal ones are told apart by address. Conclusion: a test brings about the cut-short join; it fails without the repair.

--- a/src/runkeel/membership/gossip.py
+++ b/src/runkeel/membership/gossip.py
@@ -25,7 +25,7 @@
 from runkeel.membership.probing import Prober
 from runkeel.membership.suspicions import Suspicions
 from runkeel.membership.synchronizer import Synchronizer
-from runkeel.membership.table import MemberTable, node_number
+from runkeel.membership.table import MemberTable, short_number
 from runkeel.membership.transport import DatagramTransport, Traffic, monotonic
 from runkeel.membership.zones import ZoneReachability
 from runkeel.wire.generated.membership.ttypes import Datagram, DatagramKind, MemberRecord
@@ -73,7 +73,7 @@
     ) -> None:
         self.node_id = node_id
         self.zone = zone
-        self._number = node_number(node_id)
+        self._number = short_number(node_id)
         self._link_policy = link_policy or LinkPolicy()
         self._local = Member(
             node_id, zone, incarnation, MemberStatus.ALIVE, http, peer, listen_address
@@ -201,7 +201,7 @@
     ) -> int:
         """Send a datagram to addresses, each with its zone if known. Returns its bytes."""
         datagram = Datagram(kind, **fields)
-        if kind in _TO_ACQUAINTANCES and self._table.by_number(self._number) is not None:
+        if kind in _TO_ACQUAINTANCES:
             datagram.sender_number = self._number
         else:
             datagram.sender = self.node_id
@@ -252,9 +252,9 @@
 
     def _on_datagram(self, datagram: Datagram, source: Address) -> None:
         now, _ = self._begin_turn()
-        sender = self._sender_of(datagram)
+        sender = self._sender_of(datagram, source)
         zone = datagram.zone or (sender.zone if sender is not None else None)
-        if datagram.sender == self.node_id or datagram.sender_number == self._number:
+        if datagram.sender == self.node_id or sender == self._local:
             return
         if zone is not None and zone != self.zone and self._link_policy.is_cut(zone):
             return
@@ -263,7 +263,7 @@
         )
         for record in datagram.records or ():
             self._merge(record, now, source, zone, is_repeat)
-        sender = self._sender_of(datagram)
+        sender = self._sender_of(datagram, source)
         if sender is None or sender.incarnation < (datagram.incarnation or 0):
             self._synchronizer.ask_introduction(source, zone, now)
         elif sender.status in _GONE:
@@ -276,10 +276,10 @@
             self._synchronizer.on_request(datagram, source, zone, now)
         self._after_change()
 
-    def _sender_of(self, datagram: Datagram) -> Member | None:
+    def _sender_of(self, datagram: Datagram, source: Address) -> Member | None:
         if datagram.sender is not None:
             return self._table.get(datagram.sender)
-        return self._table.by_number(datagram.sender_number)
+        return self._table.by_number(datagram.sender_number, source)
 
     def _take(self, datagram: Datagram, sender: Member, source: Address, now: float) -> None:
         for node_load in datagram.loads or ():
--- a/src/runkeel/membership/loads.py
+++ b/src/runkeel/membership/loads.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import zlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import lru_cache
 
 from runkeel.api.machines import Member, PoolSummary
-from runkeel.membership.table import node_number
+from runkeel.membership.table import short_number
 from runkeel.wire.codec import encode
 from runkeel.wire.generated.membership.ttypes import NodeLoad, PoolLoad
 
@@ -44,8 +43,7 @@
 @lru_cache(maxsize=4096)
 def pool_hash(pool: str) -> int:
     """Return the 32-bit number that stands for a pool's name in datagrams."""
-    value = zlib.crc32(pool.encode())
-    return value - (1 << 32) if value >= 1 << 31 else value
+    return short_number(pool)
 
 
 class LoadTable:
@@ -174,7 +172,7 @@
 
 def _relay(node_id: str, entry: _Load, now: float) -> NodeLoad:
     age_ms = min(int((now - entry.made_at) * 1000), _MAXIMUM_INT32)
-    return NodeLoad(node_number(node_id), entry.sequence, age_ms, [entry.load])
+    return NodeLoad(short_number(node_id), entry.sequence, age_ms, [entry.load])
 
 
 def _encode(summary: PoolSummary) -> PoolLoad:
--- a/src/runkeel/membership/synchronizer.py
+++ b/src/runkeel/membership/synchronizer.py
@@ -26,6 +26,7 @@
 
 MAXIMUM_SEEDS = 32
 MAXIMUM_ZONES = 32
+MAXIMUM_ZONE_DIFFERENCES = 256
 
 
 class Sender(Protocol):
@@ -69,7 +70,8 @@
         self._join_at = 0.0
         self._joined = False
         self._differences = 0
-        self._requests = TokenBucket(rate=1 / SYNC_SECONDS, burst=2.0)
+        self._zone_differences: dict[str, int] = {}
+        self._requests = TokenBucket(rate=1 / SYNC_SECONDS, burst=4.0)
         self._introductions = TokenBucket(rate=10.0, burst=20.0)
         self._answers = TokenBucket(rate=100.0, burst=200.0)
 
@@ -101,15 +103,13 @@
             return
         theirs = {each.zone: each.hash for each in (datagram.zone_hashes or ())[:MAXIMUM_ZONES]}
         everything = datagram.kind == DatagramKind.JOIN
-        members = [
-            member
-            for member in self._table.all()
-            if everything or self._differs(member.zone, theirs)
+        zones = [
+            zone for zone in self._table.known_zones() if everything or self._differs(zone, theirs)
         ]
-        records = [record_of(member, with_suspect_address=True) for member in members]
-        for chunk in split_records(records):
-            if self._answers.take(now):
-                self._sender.send_to(DatagramKind.SYNC, [(source, zone)], records=chunk)
+        # What a joining node needs first are its zone mates: from them it gets what is lost here.
+        zones.sort(key=lambda each: each != datagram.zone and each != zone)
+        for each in zones:
+            self._send_zone(source, zone, each, now)
 
     def ask_introduction(self, source: Address, zone: str | None, now: float) -> None:
         """Ask the unknown sender of a datagram who it is."""
@@ -127,11 +127,29 @@
             self._request(sender, self._table.zones())
 
     def on_zone_hashes(self, sender: Member, hashes: Iterable[ZoneHash], now: float) -> None:
-        """Compare a bridge's view of its own zone with ours."""
+        """Compare a bridge's view of its own zone with ours, and repair both if need be.
+
+        A bridge that knows less than others, as one cut off when it joined, must be told by
+        another zone: its own zone may not know of it.
+        """
         for each in hashes:
-            differs = each.hash != self._table.zone_hash(each.zone)
-            if each.zone == sender.zone and differs and self._requests.take(now):
+            if each.zone != sender.zone or each.hash == self._table.zone_hash(each.zone):
+                self._zone_differences.pop(sender.node_id, None)
+            elif self._requests.take(now):
+                count = self._zone_differences.get(sender.node_id, 0) + 1
                 self._request(sender, [each.zone])
+                if count > 1:
+                    self._send_zone(sender.gossip, sender.zone, sender.zone, now)
+                    count = 0
+                if len(self._zone_differences) < MAXIMUM_ZONE_DIFFERENCES:
+                    self._zone_differences[sender.node_id] = count
+
+    def _send_zone(self, target: Address, target_zone: str | None, zone: str, now: float) -> None:
+        members = [member for member in self._table.all() if member.zone == zone]
+        records = [record_of(member, with_suspect_address=True) for member in members]
+        for chunk in split_records(records):
+            if self._answers.take(now):
+                self._sender.send_to(DatagramKind.SYNC, [(target, target_zone)], records=chunk)
 
     def _request(self, target: Member, zones: list[str]) -> None:
         hashes = [ZoneHash(zone, self._table.zone_hash(zone)) for zone in zones[:MAXIMUM_ZONES]]
--- a/src/runkeel/membership/table.py
+++ b/src/runkeel/membership/table.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 import hashlib
-import zlib
 
-from runkeel.api.machines import Member, MemberStatus
+from runkeel.api.machines import Address, Member, MemberStatus
 
 MAXIMUM_MEMBERS = 4_096
 TOMBSTONE_SECONDS = 600.0
@@ -21,9 +20,13 @@
     return hashlib.blake2b(node_id.encode(), digest_size=8).digest()
 
 
-def node_number(node_id: str) -> int:
-    """Return the 32-bit number that stands for a node's id where bytes are dear."""
-    return _signed(zlib.crc32(node_id.encode()))
+def short_number(name: str) -> int:
+    """Return the signed 32-bit number that stands for a name where bytes are dear.
+
+    A cryptographic hash, as names of one pattern collide often under a CRC.
+    """
+    digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big", signed=True)
 
 
 class MemberTable:
@@ -41,6 +44,7 @@
         self._by_zone: dict[str, tuple[Member, ...]] = {}
         self._rings: dict[str, tuple[Member, ...]] = {}
         self._hashes: dict[str, int] = {}
+        self._view_hash: int | None = None
         self._cache_version = 0
 
     def get(self, node_id: str) -> Member | None:
@@ -53,7 +57,7 @@
         if known is None:
             if member.status not in LIVE_STATUSES or len(self._members) >= MAXIMUM_MEMBERS:
                 return False
-            self._by_number.setdefault(node_number(member.node_id), []).append(member.node_id)
+            self._by_number.setdefault(short_number(member.node_id), []).append(member.node_id)
         elif (member.incarnation, member.status) <= (known.incarnation, known.status):
             return False
         self._members[member.node_id] = member
@@ -71,20 +75,33 @@
     def _forget(self, node_id: str) -> None:
         del self._members[node_id]
         del self._changed_at[node_id]
-        number = node_number(node_id)
+        number = short_number(node_id)
         self._by_number[number].remove(node_id)
         if not self._by_number[number]:
             del self._by_number[number]
 
-    def by_number(self, number: int) -> Member | None:
-        """Return the one member with a number; None when there is none or more than one."""
-        node_ids = self._by_number.get(number, ())
-        return self._members[node_ids[0]] if len(node_ids) == 1 else None
+    def by_number(self, number: int, source: Address | None = None) -> Member | None:
+        """Return the member with a number.
+
+        Args:
+            source: tells apart members whose numbers are the same, by their datagram address.
+
+        Returns:
+            None when there is none, or more than one that can't be told apart.
+        """
+        members = [self._members[node_id] for node_id in self._by_number.get(number, ())]
+        if len(members) > 1:
+            members = [member for member in members if member.gossip == source]
+        return members[0] if len(members) == 1 else None
 
     def all(self) -> list[Member]:
         """Return all members, gone ones included."""
         return list(self._members.values())
 
+    def known_zones(self) -> list[str]:
+        """Return the zones that have members, gone ones included, sorted."""
+        return sorted({member.zone for member in self._members.values()})
+
     def zones(self) -> list[str]:
         """Return the zones that have live members, sorted."""
         self._refresh()
@@ -112,8 +129,10 @@
     def view_hash(self) -> int:
         """Return a 32-bit hash over the live members of all zones."""
         self._refresh()
-        text = ",".join(f"{zone}={value}" for zone, value in self._hashes.items())
-        return _signed(zlib.crc32(text.encode()))
+        if self._view_hash is None:
+            text = ",".join(f"{zone}={value}" for zone, value in self._hashes.items())
+            self._view_hash = short_number(text)
+        return self._view_hash
 
     def _refresh(self) -> None:
         if self._cache_version == self.version:
@@ -127,14 +146,10 @@
             zone: tuple(sorted(members, key=lambda member: rank(member.node_id)))
             for zone, members in self._by_zone.items()
         }
+        self._view_hash = None
         self._hashes = {zone: _hash_of(members) for zone, members in self._by_zone.items()}
         self._cache_version = self.version
 
 
 def _hash_of(members: tuple[Member, ...]) -> int:
-    text = ",".join(f"{member.node_id}:{member.incarnation}" for member in members)
-    return _signed(zlib.crc32(text.encode()))
-
-
-def _signed(value: int) -> int:
-    return value - (1 << 32) if value >= 1 << 31 else value
+    return short_number(",".join(f"{member.node_id}:{member.incarnation}" for member in members))
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -1,11 +1,14 @@
+import dataclasses
 import itertools
 import unittest
+from unittest import mock
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from runkeel.api.machines import Address, Member, MemberStatus
 from runkeel.errors import RunkeelError
+from runkeel.membership import table as table_module
 from runkeel.membership.datagrams import (
     MAXIMUM_DATAGRAM_BYTES,
     DatagramCodec,
@@ -80,6 +83,16 @@
             results.add(table.get("node"))
         self.assertEqual(len(results), 1)
 
+    def test_members_with_the_same_number_are_told_apart_by_address(self):
+        table = MemberTable()
+        other = Address("10.0.0.2", 1)
+        with mock.patch.object(table_module, "short_number", lambda name: 7):
+            table.merge(member("one"), 0.0)
+            self.assertEqual(table.by_number(7).node_id, "one")
+            table.merge(dataclasses.replace(member("two"), gossip=other), 0.0)
+            self.assertIsNone(table.by_number(7))
+            self.assertEqual(table.by_number(7, other).node_id, "two")
+
     def test_gone_nodes_are_forgotten_late_and_live_ones_never(self):
         table = MemberTable()
         for node_id in ("alive", "dead"):
--- a/tests/membership/test_simulation.py
+++ b/tests/membership/test_simulation.py
@@ -215,3 +215,14 @@
                 self.simulation.nodes[node_id].leave()
             else:
                 self.simulation.kill(node_id)
+
+    def test_node_that_lost_its_welcome_is_told_of_its_zone_by_another_zone(self):
+        self.cluster(2, 3)
+        alone = self.simulation.add("1-9", "zone-1")
+        receive = alone._transport._take
+        # Only one record arrives: the node knows the seed and takes itself for its zone's bridge.
+        alone._transport._take = lambda data, source: None
+        self.simulation.run(3.0)
+        alone._table.merge(self.simulation.nodes["0-0"].local(), self.simulation.now)
+        alone._transport._take = receive
+        self.run_until_all_see(7, 20.0)
