--- a/src/runkeel/requests/claim.py
+++ b/src/runkeel/requests/claim.py
@@ -35,6 +35,7 @@
 ANSWER_RETENTION_SECONDS = 600.0
 MAXIMUM_LOOKUP_WAIT_SECONDS = 5.0
 _ROW_OVERHEAD_BYTES = 512
+_TRIM_STEPS = 16
 
 
 @dataclass(slots=True)
@@ -91,15 +92,25 @@
         """Return a request's row, or None when it is not held (any more)."""
         return self._answers.get(request_id)
 
+    def items(self) -> list[tuple[str, RecordedAnswer]]:
+        """Return all rows with their request ids."""
+        return list(self._answers.items())
+
     def _trim(self) -> None:
+        """Drop the oldest outcomes that are too old or too many; a few steps a call."""
         oldest_allowed = time.monotonic() - ANSWER_RETENTION_SECONDS
-        for request_id, answer in list(self._answers.items()):
+        for _ in range(_TRIM_STEPS):
+            if not self._answers:
+                return
+            request_id, answer = next(iter(self._answers.items()))
             full = len(self._answers) >= MAXIMUM_ANSWERS or self._bytes > MAXIMUM_ANSWER_BYTES
             if answer.started > oldest_allowed and not full:
                 return
             if answer.done.is_set():
                 del self._answers[request_id]
                 self._bytes -= answer.bytes_held
+            else:
+                self._answers.move_to_end(request_id)
 
 
 @dataclass(slots=True)
@@ -119,6 +130,10 @@
         self._peers = peers
         self._answers = RecordedAnswers()
 
+    def recorded(self) -> list[tuple[str, RecordedAnswer]]:
+        """Return the requests that this node has claimed lately, for queries."""
+        return self._answers.items()
+
     def register(self, handlers: PeerHandlers) -> None:
         """Register with the peers' handlers."""
         handlers.on_call(MessageType.ANSWER_LOOKUP, AnswerLookup, self.lookup)
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -19,34 +19,19 @@
 from runkeel.rollouts.pipeline import SamplePipeline, cancel_attempt
 from runkeel.rollouts.planner import Planner
 from runkeel.rollouts.replication import SampleReplicator
-from runkeel.rollouts.sample import StepKey
+from runkeel.rollouts.sample import Sample, StepKey
 from runkeel.rollouts.sample_store import SampleStore
 from runkeel.rollouts.staleness_manager import StalenessManager
-from runkeel.rollouts.step import Step, TaskSpec
+from runkeel.rollouts.step import Step, Submission, SubmissionResult
+from runkeel.rollouts.step_mover import StepMover
+from runkeel.rollouts.step_transfer import StepTransfer
 
 _RETRY_AFTER_SECONDS = 1.0
 _DRAIN_POLL_SECONDS = 0.02
+_MOVE_RETRY_SECONDS = 0.5
 _MINIMUM_TURN_SECONDS = 0.002
 
 
-@dataclass(frozen=True, slots=True)
-class Submission:
-    """A step as a trainer submits it."""
-
-    key: StepKey
-    tasks: tuple[TaskSpec, ...]
-    trainer_version: int
-
-
-@dataclass(frozen=True, slots=True)
-class SubmissionResult:
-    """Counts of a step's tasks after its submission."""
-
-    tasks: int
-    delivered: int
-    adopted: int
-
-
 @dataclass(frozen=True, slots=True)
 class _OpenStep:
     step: Step
@@ -63,6 +48,7 @@
         store: SampleStore,
         staleness: StalenessManager,
         planner: Planner,
+        transfer: StepTransfer,
         options: RolloutOptions,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -71,6 +57,8 @@
         self._store = store
         self._staleness = staleness
         self._planner = planner
+        self._transfer = transfer
+        self._mover = StepMover(transfer, replicator, self._remove)
         self._options = options
         self._clock = clock
         self._steps: dict[StepKey, _OpenStep] = {}
@@ -84,26 +72,55 @@
     def use_pipeline(self, pipeline: SamplePipeline) -> None:
         """Set the pipeline that makes the samples; called once, before anything else."""
         self._pipeline = pipeline
+        self._replicator.on_sample = self._take_sample
 
     def start(self) -> None:
         """Start planning."""
         self._loop = gevent.spawn(self._run)
 
     def drain(self, timeout_seconds: float) -> bool:
-        """Start nothing new, let what runs finish; return whether it has."""
+        """Start nothing new, pass the steps on, let what runs finish.
+
+        Returns:
+            Whether all that ran has finished in time.
+        """
         self._draining = True
         deadline = time.monotonic() + timeout_seconds
-        while self._pipeline is not None and self._pipeline.running():
-            if time.monotonic() >= deadline:
+        next_moves = 0.0
+        while self._steps or self._mover.active or self._pipeline.running():
+            now = time.monotonic()
+            if now >= deadline:
                 return False
+            if now >= next_moves:
+                next_moves = now + _MOVE_RETRY_SECONDS
+                self._move_all(deadline - now)
             gevent.sleep(_DRAIN_POLL_SECONDS)
         return True
 
+    def _move_all(self, running_seconds: float) -> None:
+        for opened in list(self._steps.values()):
+            successor = self._transfer.owner(opened.step.key, leaving=True)
+            if successor == self._replicator.node_id or opened.step.finished:
+                # Nobody to pass it on to, or nothing left of it.
+                self._forget(opened.step)
+            elif not opened.step.moving:
+                self._mover.start(opened.step, successor, running_seconds)
+
+    @property
+    def draining(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self._draining
+
+    def is_open(self, key: StepKey) -> bool:
+        """Return whether this node has the step open."""
+        return key in self._steps
+
     def stop(self) -> None:
         """Cancel everything and forget the steps."""
         self._draining = True
         if self._loop is not None:
             self._loop.kill()
+        self._mover.stop()
         for opened in list(self._steps.values()):
             opened.step.close()
         self._steps.clear()
@@ -134,6 +151,7 @@
             adopted = self._adopt_samples(opened.step)
         if opened.step.digest != step.digest:
             raise not_run(ErrorCode.STEP_CONFLICT, f"step {step.key.step_id} has other tasks")
+        self._leave_to_earlier_owner(opened.step, submission)
         opened.step.last_used_at = self._clock()
         opened.step.trainer_version = submission.trainer_version
         self.wake()
@@ -141,6 +159,30 @@
         delivered = sum(task.entry is not None for task in tasks)
         return SubmissionResult(len(tasks), delivered, adopted)
 
+    def _leave_to_earlier_owner(self, step: Step, submission: Submission) -> None:
+        """Let the earlier owner finish what it has begun, within the time that it has.
+
+        It submits again when an attempt of its own has failed; what it no longer names is ours.
+        """
+        now = self._clock()
+        running = set(submission.running)
+        for task_id, task in step.tasks.items():
+            if task_id in running and task.needs_attempt:
+                task.left_to_other = True
+                task.not_before = now + submission.running_seconds
+            elif task.left_to_other:
+                task.left_to_other = False
+                task.not_before = now
+
+    def _take_sample(self, sample: Sample) -> None:
+        """Take a sample that another node has sent for a step that is open here."""
+        opened = self._steps.get(sample.step)
+        if opened is None or opened.step.digest != sample.step_digest:
+            return
+        task = opened.step.tasks.get(sample.task_id)
+        if task is not None and task.sample is None and (task.entry is None or task.remake):
+            self._pipeline.adopt(opened.step, task, sample)
+
     def pull(self, key: StepKey, pull: Pull) -> Batch | None:
         """Return a batch, or None when nothing is ready in time.
 
@@ -192,8 +234,7 @@
             adopted += 1
             if self._replicator.node_id in holders and len(holders) > 1:
                 task.attempts = max(task.attempts, sample.attempt)
-                task.sample = sample
-                task.holders = holders
+                step.set_sample(task, sample, holders)
             elif self._pipeline is not None:
                 self._pipeline.adopt(step, task, sample)
         step.notify()
@@ -230,11 +271,7 @@
                 self._pipeline.start(planned.step, planned.task)
 
     def _open_samples(self) -> int:
-        waiting = sum(
-            task.sample is not None
-            for opened in self._steps.values()
-            for task in opened.step.tasks.values()
-        )
+        waiting = sum(opened.step.sample_count() for opened in self._steps.values())
         return waiting + self._pipeline.running()
 
     def sweep(self) -> None:
@@ -248,11 +285,22 @@
                 metrics.SAMPLES_DROPPED.labels(step.key.model, "cancelled_too_stale").inc()
             for task in self._planner.hopeless_samples(step):
                 drop_sample(step, task, self._replicator, "too_stale")
+            self._check_ownership(step, now)
             unused = now - step.last_used_at
             if unused > self._longest_unused(step):
                 self._close(step)
         self._store.expire(lambda model: self._staleness.spec(model).max_staleness_seconds)
 
+    def _check_ownership(self, step: Step, now: float) -> None:
+        """Pass a step on when another node has been its owner for a while."""
+        owner = self._transfer.owner(step.key)
+        if owner == self._replicator.node_id or self._draining or step.finished:
+            step.foreign_since = None
+        elif step.foreign_since is None:
+            step.foreign_since = now
+        elif now - step.foreign_since >= self._options.move_after_seconds and not step.moving:
+            self._mover.start(step, owner, self._options.move_grace_seconds)
+
     def _longest_unused(self, step: Step) -> float:
         """Return for how long a step is kept that nobody asks for, in s."""
         if step.undelivered_count() == 0:
@@ -260,10 +308,19 @@
             return self._options.finished_step_seconds
         return self._options.step_idle_seconds
 
-    def _close(self, step: Step) -> None:
+    def _forget(self, step: Step) -> None:
+        """Close a step; its samples stay in the store, for whoever owns it now."""
+        self._remove(step)
         step.close()
-        self._steps.pop(step.key, None)
+
+    def _remove(self, step: Step) -> None:
+        opened = self._steps.get(step.key)
+        if opened is not None and opened.step is step:
+            del self._steps[step.key]
         self._gauge.set(len(self._steps))
+
+    def _close(self, step: Step) -> None:
+        self._forget(step)
         if not step.finished:
             logger.warning(
                 "step {} of {} forgotten: nobody asked for it",
--- a/src/runkeel_lab/measurements/__init__.py
+++ b/src/runkeel_lab/measurements/__init__.py
@@ -1,1 +1,1 @@
-"""Small measurements of single parts, whose figures stand in docs/design."""
+"""Programs that measure one thing each; their figures stand in docs/measurements.md."""
--- a/wire/rollouts.thrift
+++ b/wire/rollouts.thrift
@@ -21,6 +21,9 @@
   2: string step_id,
   3: list<RolloutTask> tasks,
   4: i64 trainer_version,
+  5: bool moved,               // passed on by the earlier owner: not to be passed on again
+  6: list<string> running,     // tasks that the earlier owner still works on
+  7: i64 running_ms,           // for how long it may do so
 }
 
 struct StepSubmitReply {
@@ -36,6 +39,7 @@
   4: i64 trainer_version,
   5: i64 wait_ms,
   6: i32 max_samples,
+  7: bool moved,               // as in StepSubmit
 }
 
 /** ready is false when nothing could be handed over within wait_ms. */
@@ -44,6 +48,7 @@
   2: bool ready,
   3: list<SampleRecord> samples,
   4: bool last,
+  5: i64 held_ms,              // from the pull's arrival until the samples' ages were taken
 }
 
 /** A finished sample. Its digest covers all fields but the two times. */
