Choose the permit coordinator only when the live nodes change

Cause: each permit call hashed the ids of all live nodes, on both sides: 400 hashes a call. Change: CoordinatorChoice keeps the result until membership reports a change.

--- a/src/runkeel/weights/permit_client.py
+++ b/src/runkeel/weights/permit_client.py
@@ -10,7 +10,7 @@
 
 from runkeel.api.interfaces import Membership, PeerClient
 from runkeel.errors import RunkeelError
-from runkeel.weights.permit_coordinator import coordinator_of
+from runkeel.weights.coordinator_choice import CoordinatorChoice
 from runkeel.weights.permits import SwapKey
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.weights.ttypes import EngineKey, PermitReply, PermitRequest
@@ -29,6 +29,7 @@
     def __init__(self, membership: Membership, peers: PeerClient) -> None:
         self._membership = membership
         self._peers = peers
+        self._choice = CoordinatorChoice(membership)
         self._wants: set[SwapKey] = set()
         self._holds: dict[SwapKey, float] = {}
         """Held permits and when their lease ends."""
@@ -85,8 +86,6 @@
 
     def _declare(self) -> bool:
         """Declare once; return whether a coordinator answered."""
-        members = [member.node_id for member in self._membership.live_members()]
-        coordinator = coordinator_of(members or [self._membership.node_id])
         self._sequence += 1
         sequence = self._sequence
         asked_at = time.monotonic()
@@ -102,7 +101,7 @@
         )
         try:
             reply = self._peers.call(
-                coordinator,
+                self._choice.node_id(),
                 MessageType.WEIGHTS_PERMIT,
                 request,
                 PermitReply,
--- a/src/runkeel/weights/permit_coordinator.py
+++ b/src/runkeel/weights/permit_coordinator.py
@@ -1,13 +1,7 @@
-"""Coordinator of swap permits: any node can be it, and one usually is.
-
-The coordinator is the node with the highest rendezvous hash among the live nodes (Thaler and
-Ravishankar, 1998). Two nodes may both believe to be it for a while, for example during a cut;
-that costs speed (the weight store answers 429), never correctness: orders are fenced.
-"""
+"""Coordinator of swap permits: any node can be it, and one usually is."""
 
 from __future__ import annotations
 
-import hashlib
 import time
 
 import gevent
@@ -15,12 +9,12 @@
 
 from runkeel.api.interfaces import Configuration, MachineView, Membership, PeerHandlers
 from runkeel.api.machines import MachineKind, MachineState
+from runkeel.weights.coordinator_choice import CoordinatorChoice
 from runkeel.weights.permits import LEASE_SECONDS, PermitTable, SwapKey
 from runkeel.weights.store_gate import ReadLimits, StoreGate
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.weights.ttypes import PermitReply, PermitRequest
 
-COORDINATOR_KEY = "weights"
 GRACE_SECONDS = 1.5
 """A new coordinator first hears what is held before it grants."""
 MAXIMUM_WAIT_MS = 1_500
@@ -30,15 +24,6 @@
 LIMIT_KEPT_SECONDS = 1.0
 
 
-def coordinator_of(node_ids: list[str]) -> str:
-    """Return the node that coordinates permits among the given ones."""
-
-    def weight(node_id: str) -> bytes:
-        return hashlib.blake2b(f"{COORDINATOR_KEY}|{node_id}".encode(), digest_size=8).digest()
-
-    return max(node_ids, key=weight)
-
-
 def swap_limit(model: str, configuration: Configuration, machines: MachineView) -> int:
     """Return how many engines of a model may swap at the same time; at least 1."""
     spec = configuration.model(model)
@@ -69,6 +54,7 @@
         self._model_limits: dict[str, tuple[int, float]] = {}
         """Limit of each model and until when it is kept; counting engines costs time."""
         self._table = PermitTable(self._model_limit, self._gate.limit)
+        self._choice = CoordinatorChoice(membership)
         self._coordinating = False
         self._since = 0.0
         self._waiting: dict[str, Event] = {}
@@ -96,7 +82,6 @@
 
         Keeps the call open for up to ``wait_ms`` while nothing new is granted.
         """
-        self._check_role()
         if not self._coordinating:
             return MessageType.WEIGHTS_PERMIT_REPLY, PermitReply(False, [], 0)
         holds = [SwapKey(key.model, key.backend_id) for key in request.holds]
@@ -158,9 +143,7 @@
         return limit
 
     def _check_role(self) -> None:
-        node_ids = [member.node_id for member in self._membership.live_members()]
-        own_id = self._membership.node_id
-        coordinating = coordinator_of(node_ids or [own_id]) == own_id
+        coordinating = self._choice.node_id() == self._membership.node_id
         if coordinating and not self._coordinating:
             self._since = time.monotonic()
         if coordinating != self._coordinating:
