Form a group anew after its majority died for good, cover zones after 2 s

Cause: with two of three members gone for good nobody could replace either, and a group formed by the first node alone stayed alone for 20 s a zone. Change: a survivor, else the first live node, forms the group anew when a majority has been dead for 10 minutes and as many zones are in sight; a zone without a replica gets one after 2 s.

--- a/src/runkeel/state/records/group.py
+++ b/src/runkeel/state/records/group.py
@@ -13,8 +13,13 @@
 from runkeel.api.interfaces import Membership, PeerClient
 from runkeel.errors import RunkeelError
 from runkeel.state.records import metrics
-from runkeel.state.records.member_changes import MemberChanges, choose_members
+from runkeel.state.records.member_changes import (
+    MemberChanges,
+    choose_members,
+    rendezvous_order,
+)
 from runkeel.state.records.options import RecordOptions
+from runkeel.state.records.proposer import majority
 from runkeel.state.records.recovery import Recovery, recovery_quorum
 from runkeel.state.records.replica import Replica, ReplicaPhase
 from runkeel.wire.generated.records.ttypes import ReplicaStatus
@@ -92,6 +97,8 @@
             self._join(view)
         elif self._replica.phase is ReplicaPhase.RECOVERING:
             self._recover(view)
+        elif self._changes.abandoned(view.spec) >= majority(len(view.spec.members)):
+            self._form_anew_if_first(view)
         elif self._replica.phase is ReplicaPhase.VOTING:
             self._change_member(view)
 
@@ -153,10 +160,23 @@
             return self._changes.dead_seconds(node_id) >= self._options.abandon_after_seconds
         return status == ReplicaStatus.RECOVERING
 
+    def _form_anew_if_first(self, view: GroupView) -> None:
+        """Form the group anew unless a member that lives, or a node that comes first, will."""
+        live = self._membership.live_members()
+        order = [member.node_id for member in rendezvous_order(self._replica.group, live)]
+        order.sort(key=lambda node_id: node_id not in view.spec.members)
+        if order and order[0] == self._replica.node_id:
+            self._form_anew(view)
+
     def _form_anew(self, view: GroupView) -> None:
-        """Start the next epoch with nobody joined; earlier records are forgotten."""
+        """Start the next epoch with nobody joined; earlier records are forgotten.
+
+        A node that sees fewer zones than a majority may itself be cut off, and does nothing.
+        """
         live = self._membership.live_members()
         members = choose_members(self._replica.group, live, self._options.max_members)
+        if len(members) < majority(len(view.spec.members)):
+            return
         spec = RecordGroupSpec(epoch=view.spec.epoch + 1, members=members)
         logger.warning(
             "record group lost its majority", code="record_group_lost", group=self._replica.group
--- a/src/runkeel/state/records/member_changes.py
+++ b/src/runkeel/state/records/member_changes.py
@@ -77,6 +77,13 @@
         since = self._dead_since.get(node_id)
         return 0.0 if since is None else self._clock() - since
 
+    def abandoned(self, spec: RecordGroupSpec) -> int:
+        """Return how many members have been dead for so long that their state counts as lost."""
+        return sum(
+            self.dead_seconds(node_id) >= self._options.abandon_after_seconds
+            for node_id in spec.members
+        )
+
     def propose(self, spec: RecordGroupSpec) -> tuple[RecordGroupSpec, str | None] | None:
         """Return the next spec and the member that it drops, if any; None for no change."""
         dead = [
@@ -102,18 +109,19 @@
 
     def _cover_zone(self, spec: RecordGroupSpec) -> tuple[RecordGroupSpec, str | None] | None:
         """Bring a replica into a zone that has none: add one, or move one out of a shared zone."""
+        surplus = self._member_of_shared_zone(spec)
+        if surplus is None and len(spec.members) >= self._options.max_members:
+            return None
+        wait = (
+            self._options.cover_after_seconds
+            if surplus is None
+            else self._options.replace_after_seconds
+        )
         now = self._clock()
-        ready = {
-            zone
-            for zone, since in self._uncovered_since.items()
-            if now - since >= self._options.replace_after_seconds
-        }
+        ready = {zone for zone, since in self._uncovered_since.items() if now - since >= wait}
         candidates = [member for member in self._spares(spec) if member.zone in ready]
         if not candidates:
             return None
-        surplus = self._member_of_shared_zone(spec)
-        if surplus is None and len(spec.members) >= self._options.max_members:
-            return None
         return with_member(spec, candidates[0].node_id, surplus), surplus
 
     def _member_of_shared_zone(self, spec: RecordGroupSpec) -> str | None:
--- a/src/runkeel/state/records/options.py
+++ b/src/runkeel/state/records/options.py
@@ -24,6 +24,7 @@
         recovery_page_bytes: size of one page of state sent to a recovering replica.
         step_interval_seconds: how often a group is looked after.
         formation_wait_seconds: wait for the other zones before a group is created.
+        cover_after_seconds: how long a zone with live nodes is left without a replica.
         replace_after_seconds: how long a member must be dead before it is replaced.
         abandon_after_seconds: how long a member must be dead before its state counts as lost.
         loss_rounds: consecutive observations of a lost majority before a group is formed anew.
@@ -46,6 +47,7 @@
     recovery_page_bytes: int = 128 * 1024
     step_interval_seconds: float = 0.2
     formation_wait_seconds: float = 2.0
+    cover_after_seconds: float = 2.0
     replace_after_seconds: float = 20.0
     abandon_after_seconds: float = 600.0
     loss_rounds: int = 5
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -187,4 +187,28 @@
         simulation.cut = {"a"}
         simulation.suspected = set(simulation.zones) - {"a"}
         self.pass_replacement_time(simulation)
+        simulation.now += OPTIONS.abandon_after_seconds
+        simulation.settle()
         self.assertEqual(self.members(simulation), before)
+
+    def test_group_whose_majority_died_for_good_is_formed_anew_after_long(self):
+        for deaths in (2, 3):
+            simulation = self.simulate(spares=3)
+            before = sorted(self.members(simulation))
+            for name in before[:deaths]:
+                simulation.kill(name)
+            self.pass_replacement_time(simulation)
+            self.assertEqual(self.members(simulation), set(before))
+            simulation.now += OPTIONS.abandon_after_seconds
+            simulation.settle()
+            self.assertFalse(self.members(simulation) & set(before[:deaths]))
+            self.assertEqual(
+                self.members(simulation) & set(simulation.voting()), self.members(simulation)
+            )
+            refused = simulation.decide(simulation.voting()[0], "k")
+            simulation.settle()
+            self.assertIs(refused.value.code, ErrorCode.RECORDS_UNAVAILABLE)
+            simulation.now += OPTIONS.retention_seconds
+            accepted = simulation.decide(simulation.voting()[0], "k")
+            simulation.settle()
+            self.assertTrue(isinstance(accepted.value, bytes))
