Decide in one round trip with a fast ballot that every member votes for

Change: a first attempt sends the value to all members at ballot (0, 0), named at the incarnations last seen; chosen when all accept. Any refusal or missing vote is followed by the usual rounds. State transfer and ballots move to modules of their own. Tests: a mutant that decides a fast ballot by a majority must be caught.

--- a/src/runkeel/state/records/broadcast.py
+++ b/src/runkeel/state/records/broadcast.py
@@ -38,22 +38,26 @@
         reply_class: type,
         timeout_seconds: float,
         enough: Callable[[dict[str, Any]], bool],
+        note: Callable[[str, Any], None],
     ) -> dict[str, Any]:
         """Return the replies by node id, as soon as they are enough or the time is up.
 
         Replicas that failed, or for which no task was free, are missing. Calls still running
-        end by their own time-out and their replies are dropped.
+        end by their own time-out; their replies reach only ``note``, which sees every reply.
         """
         arrivals: Queue = Queue()
         waiting = 0
         for node_id in targets:
             if node_id != self._node_id:
                 waiting += self._spawn(
-                    node_id, message_type, request, reply_class, timeout_seconds, arrivals
+                    node_id, message_type, request, reply_class, timeout_seconds, arrivals, note
                 )
         replies: dict[str, Any] = {}
         if self._node_id in targets:
             replies[self._node_id] = self._local(message_type, request)
+            note(self._node_id, replies[self._node_id])
+        if timeout_seconds <= 0:
+            return replies
         with gevent.Timeout(timeout_seconds, False):
             while waiting and not (replies and enough(replies)):
                 node_id, reply = arrivals.get()
@@ -77,6 +81,7 @@
                     reply_class,
                     self._options.call_timeout_seconds,
                     None,
+                    None,
                 )
 
     def stop(self) -> None:
@@ -91,11 +96,12 @@
         reply_class: type,
         timeout_seconds: float,
         arrivals: Queue | None,
+        note: Callable[[str, Any], None] | None,
     ) -> bool:
         if self._pool.full():
             return False
         self._pool.spawn(
-            self._call, node_id, message_type, request, reply_class, timeout_seconds, arrivals
+            self._call, node_id, message_type, request, reply_class, timeout_seconds, arrivals, note
         )
         return True
 
@@ -107,10 +113,13 @@
         reply_class: type,
         timeout_seconds: float,
         arrivals: Queue | None,
+        note: Callable[[str, Any], None] | None,
     ) -> None:
         reply = None
         try:
             reply = self._peers.call(node_id, message_type, request, reply_class, timeout_seconds)
+            if note is not None:
+                note(node_id, reply)
         except RunkeelError:
             # A replica that does not answer is missing from the quorum; nothing else follows.
             pass
--- a/src/runkeel/state/records/metrics.py
+++ b/src/runkeel/state/records/metrics.py
@@ -6,6 +6,9 @@
     "runkeel_records_proposals_total", "Calls of decide and read", ["operation", "outcome"]
 )
 ROUNDS = Counter("runkeel_records_rounds_total", "Ballots started")
+FAST_BALLOTS = Counter(
+    "runkeel_records_fast_ballots_total", "Ballots that ask every member at once", ["outcome"]
+)
 DUELS = Counter("runkeel_records_duels_total", "Ballots lost to a higher ballot")
 REFUSALS = Counter("runkeel_records_refusals_total", "Messages that a replica refused", ["status"])
 RECOVERIES = Counter("runkeel_records_recoveries_total", "Recoveries completed")
--- a/src/runkeel/state/records/options.py
+++ b/src/runkeel/state/records/options.py
@@ -19,6 +19,9 @@
         call_timeout_seconds: wait for one replica's answer.
         backoff_seconds: upper bound of the first random wait after a duel; doubles up to
             ``max_backoff_seconds``.
+        fast_ballots: whether a first attempt asks for every member's vote in one round trip.
+        fast_wait_seconds: wait for all members' votes before the usual two round trips.
+        fast_pause_seconds: no fast ballots for so long after a member did not answer one.
         max_calls: calls in flight from one node's proposers.
         max_cached_values: decided values that a proposer remembers.
         recovery_page_bytes: size of one page of state sent to a recovering replica.
@@ -42,6 +45,9 @@
     call_timeout_seconds: float = 1.0
     backoff_seconds: float = 0.01
     max_backoff_seconds: float = 0.2
+    fast_ballots: bool = True
+    fast_wait_seconds: float = 0.05
+    fast_pause_seconds: float = 2.0
     max_calls: int = 4_096
     max_cached_values: int = 10_000
     recovery_page_bytes: int = 128 * 1024
--- a/src/runkeel/state/records/proposer.py
+++ b/src/runkeel/state/records/proposer.py
@@ -4,12 +4,16 @@
 Stable Storage, DISC 2017): a promise counts only while no reply names a higher incarnation of the
 replica that gave it, and the accept quorum is made of the promising replicas at the incarnations
 of their promises.
+
+A first attempt uses the fast ballot (Lamport, Fast Paxos, 2006, with all members as its quorum):
+one round trip, if every member accepts the same value. A later ballot that finds the fast ballot's
+votes takes the value that all of its quorum voted for; if they differ, none was chosen.
 """
 
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,10 +22,14 @@
 from runkeel.api.configuration import RecordGroupSpec
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 from runkeel.state.records import metrics
+from runkeel.state.records.ballots import (
+    FAST_BALLOT,
+    BallotNumber,
+    to_ballot_number,
+    to_wire_ballot,
+)
 from runkeel.state.records.broadcast import Broadcast
 from runkeel.state.records.options import RecordOptions
-from runkeel.state.records.replica import to_ballot_number, to_wire_ballot
-from runkeel.state.records.table import BallotNumber
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.records.ttypes import (
     Accept,
@@ -35,6 +43,13 @@
 )
 
 NONCE_BITS = 62
+_NOT_VOTING = {
+    ReplicaStatus.RECOVERING,
+    ReplicaStatus.JOINING,
+    ReplicaStatus.NOT_MEMBER,
+    ReplicaStatus.WRONG_EPOCH,
+}
+Enough = Callable[[dict[str, ReplicaReply]], bool]
 _LASTING_REFUSALS = (ReplicaStatus.FULL, ReplicaStatus.RETENTION_WAIT)
 
 
@@ -81,6 +96,17 @@
     }
 
 
+def _fast_is_settled(replies: dict[str, ReplicaReply]) -> bool:
+    """Whether waiting for more votes of the fast ballot is of no use.
+
+    Refusals that last are waited for: by all members, they prove that the value was not proposed.
+    """
+    return any(
+        reply.decided or reply.status not in (ReplicaStatus.OK, *_LASTING_REFUSALS)
+        for reply in replies.values()
+    )
+
+
 class Proposer:
     """Decides and reads the keys of one group."""
 
@@ -100,6 +126,9 @@
         self._clock = clock
         self._rng = rng
         self._decided: OrderedDict[str, tuple[float, bytes]] = OrderedDict()
+        self._incarnations: dict[str, int] = {}
+        """Last known of each member; a wrong one costs a fast ballot, never a decision."""
+        self._no_fast_before = 0.0
 
     def decide(self, key: str, value: bytes, timeout_seconds: float) -> bytes:
         """Return the value decided for the key; see :class:`runkeel.api.interfaces.Records`."""
@@ -126,7 +155,7 @@
         while True:
             spec = self._spec()
             if spec is not None and spec.members:
-                result = self._round(spec, call)
+                result = self._fast_round(spec, call) or self._round(spec, call)
                 if result.decided is not None:
                     return result.decided
                 if result.empty:
@@ -155,6 +184,45 @@
 
     # One round
 
+    def _fast_round(self, spec: RecordGroupSpec, call: _Call) -> _Round | None:
+        """Try the fast ballot once; None when the usual round has to follow."""
+        if call.value is None or call.proposed or call.round or not self._may_be_fast(spec):
+            return None
+        quorum = {node_id: self._incarnations[node_id] for node_id in spec.members}
+        # Without an answer from every member it stands so.
+        call.proposed = True
+        replies = self._send_accept(spec, call, FAST_BALLOT, call.value, quorum, _fast_is_settled)
+        result = self._summary(spec, call, replies)
+        votes = len(consistent_members(replies))
+        if result.decided is None and votes >= self._fast_quorum(len(spec.members)):
+            result.decided = call.value
+            self._teach(spec, call.key, call.value)
+        if result.decided is not None:
+            metrics.FAST_BALLOTS.labels("decided").inc()
+            return result
+        metrics.FAST_BALLOTS.labels("undecided").inc()
+        self._after_failed_fast_ballot(spec, call, replies)
+        return None
+
+    def _after_failed_fast_ballot(
+        self, spec: RecordGroupSpec, call: _Call, replies: dict[str, ReplicaReply]
+    ) -> None:
+        statuses = {reply.status for reply in replies.values()}
+        if len(replies) == len(spec.members) and ReplicaStatus.OK not in statuses:
+            # Every copy of the value was refused; calls are delivered at most once.
+            call.proposed = False
+        unanswered = len(replies) < len(spec.members) and statuses <= {ReplicaStatus.OK}
+        if unanswered or statuses & _NOT_VOTING:
+            self._no_fast_before = self._clock() + self._options.fast_pause_seconds
+
+    def _may_be_fast(self, spec: RecordGroupSpec) -> bool:
+        known = all(node_id in self._incarnations for node_id in spec.members)
+        return self._options.fast_ballots and known and self._clock() >= self._no_fast_before
+
+    @staticmethod
+    def _fast_quorum(members: int) -> int:
+        return members
+
     def _round(self, spec: RecordGroupSpec, call: _Call) -> _Round:
         metrics.ROUNDS.inc()
         call.round += 1
@@ -191,6 +259,24 @@
         value: bytes,
         quorum: dict[str, int],
     ) -> _Round:
+        replies = self._send_accept(spec, call, ballot, value, quorum)
+        result = self._summary(spec, call, replies)
+        accepted = consistent_members(replies)
+        if result.decided is None and len(accepted) >= majority(len(spec.members)):
+            result.decided = value
+            result.refused = None
+            self._teach(spec, call.key, value)
+        return result
+
+    def _send_accept(
+        self,
+        spec: RecordGroupSpec,
+        call: _Call,
+        ballot: BallotNumber,
+        value: bytes,
+        quorum: dict[str, int],
+        enough: Enough | None = None,
+    ) -> dict[str, ReplicaReply]:
         request = Accept(
             group=self._group,
             epoch=spec.epoch,
@@ -202,14 +288,7 @@
                 for node_id, incarnation in quorum.items()
             ],
         )
-        replies = self._gather(spec, call, MessageType.RECORD_ACCEPT, request, tuple(quorum))
-        result = self._summary(spec, call, replies)
-        accepted = consistent_members(replies)
-        if result.decided is None and len(accepted) >= majority(len(spec.members)):
-            result.decided = value
-            result.refused = None
-            self._teach(spec, call.key, value)
-        return result
+        return self._gather(spec, call, MessageType.RECORD_ACCEPT, request, tuple(quorum), enough)
 
     def _read_quorum(self, spec: RecordGroupSpec, call: _Call) -> _Round:
         request = Read(group=self._group, epoch=spec.epoch, key=call.key)
@@ -227,6 +306,7 @@
         message_type: int,
         request: object,
         targets: tuple[str, ...],
+        fast_enough: Enough | None = None,
     ) -> dict[str, ReplicaReply]:
         needed = majority(len(spec.members))
 
@@ -235,10 +315,22 @@
                 return True
             return len(consistent_members(replies)) >= needed
 
-        timeout = min(self._options.call_timeout_seconds, call.deadline - self._clock())
-        return self._broadcast.gather(
-            targets, message_type, request, ReplicaReply, max(timeout, 0.0), enough
+        longest = self._options.call_timeout_seconds
+        if fast_enough is not None:
+            longest = self._options.fast_wait_seconds
+        timeout = max(min(longest, call.deadline - self._clock()), 0.0)
+        replies = self._broadcast.gather(
+            targets,
+            message_type,
+            request,
+            ReplicaReply,
+            timeout,
+            fast_enough or enough,
+            self._note_incarnation,
         )
+        for node_id in [one for one in self._incarnations if one not in spec.members]:
+            del self._incarnations[node_id]
+        return replies
 
     def _summary(
         self, spec: RecordGroupSpec, call: _Call, replies: dict[str, ReplicaReply]
@@ -259,12 +351,19 @@
             result.refused = refusals[0]
         return result
 
+    def _note_incarnation(self, node_id: str, reply: ReplicaReply) -> None:
+        known = self._incarnations.get(node_id, 0)
+        self._incarnations[node_id] = max(known, reply.incarnation)
+
     @staticmethod
     def _highest_accepted(replies: list[ReplicaReply]) -> bytes | None:
         accepted = [reply for reply in replies if reply.accepted is not None]
         if not accepted:
             return None
-        return max(accepted, key=lambda reply: to_ballot_number(reply.accepted)).value
+        highest = max(to_ballot_number(reply.accepted) for reply in accepted)
+        values = [reply.value for reply in accepted if to_ballot_number(reply.accepted) == highest]
+        # Only the fast ballot can have several; then none was chosen, and any will do.
+        return Counter(values).most_common(1)[0][0]
 
     # Decided values
 
--- a/src/runkeel/state/records/replica.py
+++ b/src/runkeel/state/records/replica.py
@@ -14,11 +14,12 @@
 
 from runkeel.api.configuration import RecordGroupSpec
 from runkeel.state.records import metrics
+from runkeel.state.records.ballots import FAST_BALLOT, to_ballot_number, to_wire_ballot
 from runkeel.state.records.options import RecordOptions
-from runkeel.state.records.table import BUCKETS, BallotNumber, Record, RecordTable
+from runkeel.state.records.table import Record, RecordTable
+from runkeel.state.records.transfer import fill_page, merge_record, remaining_ms
 from runkeel.wire.generated.records.ttypes import (
     Accept,
-    Ballot,
     Learn,
     LearnReply,
     MemberIncarnation,
@@ -64,16 +65,6 @@
     return int(entry.rpartition("@")[2])
 
 
-def to_ballot_number(ballot: Ballot | None) -> BallotNumber | None:
-    """Convert from the wire."""
-    return None if ballot is None else BallotNumber(ballot.round, ballot.nonce)
-
-
-def to_wire_ballot(ballot: BallotNumber | None) -> Ballot | None:
-    """Convert to the wire."""
-    return None if ballot is None else Ballot(round=ballot.round, nonce=ballot.nonce)
-
-
 class Replica:
     """Acceptor state of one group on one node."""
 
@@ -257,10 +248,12 @@
         if self.phase is not ReplicaPhase.VOTING or self._names_older_incarnation(request.quorum):
             return self._reply(ReplicaStatus.STALE_INCARNATION)
         record = self.table.get(request.key)
+        ballot = to_ballot_number(request.ballot)
+        if ballot == FAST_BALLOT:
+            return self._accept_fast(request, record)
         if record is None:
             # The promise has expired: as if it had been forgotten in a crash.
             return self._reply(ReplicaStatus.STALE_INCARNATION)
-        ballot = to_ballot_number(request.ballot)
         if record.decided:
             return self._reply(ReplicaStatus.OK, record)
         if ballot < record.promised:
@@ -271,6 +264,21 @@
         record.accepted = ballot
         return self._reply(ReplicaStatus.OK)
 
+    def _accept_fast(self, request: Accept, record: Record | None) -> ReplicaReply:
+        """Accept the first value heard of, if every member was asked and nothing was promised."""
+        if {entry.node_id for entry in request.quorum} != set(self.members):
+            return self._reply(ReplicaStatus.STALE_INCARNATION)
+        if record is not None:
+            repeated = record.promised == FAST_BALLOT and record.value == request.value
+            if record.decided or (repeated and record.accepted == FAST_BALLOT):
+                return self._reply(ReplicaStatus.OK, record if record.decided else None)
+            return self._reply(ReplicaStatus.HIGHER_BALLOT, record)
+        record = self.table.create(request.key, self._expiry())
+        if record is None or not self.table.set_value(record, request.value):
+            return self._reply(ReplicaStatus.FULL)
+        record.accepted = FAST_BALLOT
+        return self._reply(ReplicaStatus.OK)
+
     def read(self, request: Read) -> ReplicaReply:
         """Report the state of a key without a promise."""
         refusal = self._refusal(request.epoch)
@@ -303,55 +311,12 @@
             return self._recover_reply(ReplicaStatus.STALE_INCARNATION)
         reply = self._recover_reply(ReplicaStatus.OK)
         if request.limit_bytes > 0:
-            self._fill_page(reply, request)
+            fill_page(self.table, reply, request, self._clock())
         return reply
 
-    def _fill_page(self, reply: RecoverReply, request: Recover) -> None:
-        self.table.expire()
-        room = request.limit_bytes
-        after_key = request.after_key
-        for bucket in range(request.bucket, BUCKETS):
-            for record in self.table.page(bucket, after_key):
-                reply.records.append(self._record_state(record))
-                room -= record.size
-                if room <= 0:
-                    reply.bucket, reply.after_key = bucket, record.key
-                    return
-            after_key = ""
-        reply.done = True
-
     def merge_record(self, state: RecordState) -> bool:
         """Take over a member's state of one key; False when there is no room."""
-        expires_at = self._clock() + state.remaining_ms / 1000
-        record = self.table.get(state.key) or self.table.create(state.key, expires_at)
-        if record is None:
-            return False
-        record.expires_at = max(record.expires_at, expires_at)
-        record.promised = max(record.promised, to_ballot_number(state.promised))
-        if record.decided:
-            return True
-        accepted = to_ballot_number(state.accepted)
-        if state.decided or (
-            accepted is not None and (record.accepted is None or accepted > record.accepted)
-        ):
-            if not self.table.set_value(record, state.value):
-                return False
-            record.accepted = accepted
-            record.decided = state.decided
-        return True
-
-    def _record_state(self, record: Record) -> RecordState:
-        return RecordState(
-            key=record.key,
-            promised=to_wire_ballot(record.promised),
-            accepted=to_wire_ballot(record.accepted),
-            value=record.value,
-            decided=record.decided,
-            remaining_ms=self._remaining_ms(record),
-        )
-
-    def _remaining_ms(self, record: Record) -> int:
-        return math.ceil((record.expires_at - self._clock()) * 1000)
+        return merge_record(self.table, state, self._clock())
 
     # Replies
 
@@ -388,7 +353,7 @@
             reply.accepted = to_wire_ballot(record.accepted)
             reply.value = record.value
             reply.decided = record.decided
-            reply.remaining_ms = self._remaining_ms(record)
+            reply.remaining_ms = remaining_ms(record, self._clock())
         return reply
 
     def _recover_reply(self, status: int) -> RecoverReply:
--- a/src/runkeel/state/records/table.py
+++ b/src/runkeel/state/records/table.py
@@ -6,23 +6,14 @@
 import zlib
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import NamedTuple
+
+from runkeel.state.records.ballots import NO_BALLOT, BallotNumber
 
 BUCKETS = 256
 RECORD_OVERHEAD_BYTES = 64
 """Counted for each record besides its key and value."""
 
 
-class BallotNumber(NamedTuple):
-    """A ballot; ordered by round, then by the random nonce of the attempt."""
-
-    round: int
-    nonce: int
-
-
-NO_BALLOT = BallotNumber(0, 0)
-
-
 @dataclass(slots=True)
 class Record:
     """One key's acceptor state (Paxos Made Simple, section 2.2)."""
--- a/tests/records/machine.py
+++ b/tests/records/machine.py
@@ -1,6 +1,7 @@
 """Stateful fuzzing of the record service against a dictionary (hypothesis)."""
 
 import random
+from dataclasses import replace
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
@@ -15,6 +16,16 @@
 NODES = st.integers(0, 9)
 
 
+FAST_OPTIONS = st.sampled_from(
+    [
+        replace(OPTIONS, fast_ballots=False),
+        OPTIONS,
+        # Does not wait for the votes: its fast ballots race with its own next ballots.
+        replace(OPTIONS, fast_wait_seconds=0.0, fast_pause_seconds=0.0),
+    ]
+)
+
+
 class RecordMachine(RuleBasedStateMachine):
     """Faults and operations in any order; the oracle is checked after each step."""
 
@@ -26,10 +37,10 @@
         super().__init__()
         self.simulation = None
 
-    @initialize(seed=st.integers(0, 1000))
-    def form(self, seed):
+    @initialize(seed=st.integers(0, 1000), options=FAST_OPTIONS)
+    def form(self, seed, options):
         self.simulation = Simulation(
-            nodes=self.size, options=OPTIONS, seed=seed, spares=self.spares
+            nodes=self.size, options=options, seed=seed, spares=self.spares
         )
         self.started_at = self.simulation.now
 
@@ -223,10 +234,14 @@
 
     def __init__(self):
         super().__init__()
-        self.simulation = Simulation(nodes=3, options=OPTIONS, spares=3)
+        self.simulation = None
+        self.key = "k"
+
+    @initialize(options=FAST_OPTIONS)
+    def form(self, options):
+        self.simulation = Simulation(nodes=3, options=options, spares=3)
         self.members = self.simulation.replica("a").members
         self.outside = sorted(set(self.simulation.zones) - set(self.members))[:2]
-        self.key = "k"
 
     @rule(outside=st.integers(0, 1))
     def decide(self, outside):
@@ -241,13 +256,22 @@
     @rule(seed=SEEDS)
     def burst(self, seed):
         """A race for a fresh key, in many steps drawn evenly."""
-        draw = random.Random(seed)
+        self.race(random.Random(seed), restart_chance=0.2)
+
+    @rule(seed=SEEDS)
+    def burst_without_restarts(self, seed):
+        """The same among replicas that stay; only then do fast ballots often succeed."""
+        self.race(random.Random(seed), restart_chance=0.0)
+
+    def race(self, draw, restart_chance):
         self.key = f"k{len(self.simulation.proposed)}"
         for _ in range(BURST_STEPS):
             chance = draw.random()
             if chance < 0.2:
                 self.decide(draw.randrange(2))
-            elif chance < 0.8:
+            elif chance < 0.25:
+                self.simulation.lose(draw.randrange(1000))
+            elif chance < 1 - restart_chance:
                 self.exchange(draw.randrange(2), draw.randrange(3))
             else:
                 self.restart(draw.randrange(3))
@@ -260,6 +284,8 @@
             self.simulation.recover(self.members[member])
 
     def teardown(self):
+        if self.simulation is None:
+            return
         try:
             self.simulation.settle()
             assert self.simulation.violations == [], self.simulation.violations
--- a/tests/records/simulation.py
+++ b/tests/records/simulation.py
@@ -28,6 +28,7 @@
     call_timeout_seconds=FOREVER,
     backoff_seconds=0.0,
     max_backoff_seconds=0.0,
+    fast_wait_seconds=FOREVER,
     step_interval_seconds=FOREVER,
     formation_wait_seconds=FOREVER,
     loss_rounds=3,
--- a/tests/records/test_fuzz.py
+++ b/tests/records/test_fuzz.py
@@ -85,6 +85,10 @@
         with mock.patch.object(GroupManager, "_recover", vote_at_once):
             self.assert_found(MemberChangeMachine)
 
+    def test_fast_ballot_decided_by_a_majority(self):
+        with mock.patch.object(proposer.Proposer, "_fast_quorum", staticmethod(proposer.majority)):
+            self.assert_found()
+
     def test_crash_vector_check_skipped(self):
         with (
             mock.patch.object(Replica, "_names_older_incarnation", return_value=False),
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from runkeel.errors import ErrorCode, Verdict
+from runkeel.wire.generated.common.ttypes import MessageType
 from tests.records.simulation import GROUP, OPTIONS, Simulation
 
 
@@ -41,6 +42,30 @@
         simulation.settle(rounds=40)
         self.assertEqual(len({task.value for task in tasks}), 1)
 
+    def test_second_decision_takes_one_round_trip(self):
+        simulation = self.simulate()
+        simulation.decide("a", "k")
+        simulation.settle()
+        task = simulation.decide("a", "l")
+        asked = {call.message_type for call in simulation.pending}
+        simulation.settle()
+        self.assertEqual(asked, {MessageType.RECORD_ACCEPT})
+        self.assertEqual(task.value, b"a1")
+
+    def test_missing_vote_of_a_fast_ballot_costs_a_second_round_only(self):
+        simulation = self.simulate()
+        simulation.decide("a", "k")
+        simulation.settle()
+        simulation.kill("c")
+        task = simulation.decide("a", "l")
+        simulation.settle()
+        self.assertEqual(task.value, b"a1")
+        simulation.decide("a", "m")
+        self.assertIn(
+            MessageType.RECORD_PREPARE, {call.message_type for call in simulation.pending}
+        )
+        simulation.settle()
+
     def test_one_dead_zone_does_not_stop_decisions(self):
         simulation = self.simulate()
         simulation.kill("c")
