Give the mutants of the delivery fuzz test more examples

Cause: what a derandomized run draws depends on which modules are loaded, so a mutant found late could be missed after an unrelated change. Change: 1,500 examples at most; a run ends at the first find.

--- a/tests/rollouts/test_fuzz.py
+++ b/tests/rollouts/test_fuzz.py
@@ -16,7 +16,7 @@
 from tests.rollouts.fuzz_machine import RolloutMachine
 
 EXAMPLES = int(os.environ.get("RUNKEEL_FUZZ_EXAMPLES", "150"))
-MUTANT_EXAMPLES = 400
+MUTANT_EXAMPLES = 1_500
 STEPS = 40
 
 
