Checkpoint long samples on a second node, so that the next owner goes on from them

Cause: when a step's owner died, its generations began anew. Change: unfinished samples are sent to the node of the second copies when they have grown by a quarter; a new owner fetches them and resumes with prior tokens and their versions. An attempt that failed at the dispatcher goes on from what it had.

--- a/src/runkeel/rollouts/generation.py
+++ b/src/runkeel/rollouts/generation.py
@@ -29,11 +29,11 @@
 class TokenAccumulator:
     """Collects chunks and refuses those that leave a gap, overlap or belong to another request."""
 
-    def __init__(self, request_id: str, max_tokens: int) -> None:
+    def __init__(self, request_id: str, max_tokens: int, prior: Sample | None = None) -> None:
         self._request_id = request_id
         self._max_tokens = max_tokens
-        self.token_ids: list[int] = []
-        self.versions: list[VersionRange] = []
+        self.token_ids: list[int] = [] if prior is None else prior.token_ids
+        self.versions: list[VersionRange] = [] if prior is None else list(prior.versions)
         self.finish_reason = ""
 
     def add(self, chunk: TokenChunk) -> None:
@@ -92,7 +92,7 @@
         self._wall_clock = wall_clock
 
     def generate(self, step: Step, task: Task, attempt: Attempt, minimum_version: int) -> Sample:
-        """Return the task's sample, not yet scored.
+        """Return the task's sample, not yet scored. Goes on from the task's checkpoint.
 
         The attempt's oldest version and first token time are kept up to date on the way.
         Being killed closes the dispatcher's iterator, which cancels the generation.
@@ -101,8 +101,12 @@
             UnprovedOriginError: the tokens' origin can't be proved.
             RunkeelError: the dispatcher gave up.
         """
-        request = self._request(step, task, attempt, minimum_version)
-        accumulator = TokenAccumulator(request.envelope.request_id, task.spec.max_tokens)
+        prior = self._take_checkpoint(task, attempt)
+        request = self._request(step, task, prior, minimum_version)
+        request_id = request.envelope.request_id
+        accumulator = TokenAccumulator(request_id, task.spec.max_tokens, prior)
+        attempt.progress = accumulator
+        attempt.token_count = attempt.checkpointed = len(accumulator.token_ids)
         with contextlib.closing(_as_closable(self._dispatcher.generate(request))) as chunks:
             for chunk in chunks:
                 accumulator.add(chunk)
@@ -110,8 +114,22 @@
         accumulator.check_whole()
         return self._sample(step, task, attempt, accumulator)
 
+    def checkpoint(self, step: Step, task: Task, attempt: Attempt) -> Sample | None:
+        """Return the tokens of an attempt so far; None if none can be gone on from."""
+        accumulator = attempt.progress
+        if accumulator is None or accumulator.finish_reason or not accumulator.token_ids:
+            return None
+        return self._sample(step, task, attempt, accumulator)
+
+    def _take_checkpoint(self, task: Task, attempt: Attempt) -> Sample | None:
+        checkpoint, task.checkpoint = task.checkpoint, None
+        if checkpoint is not None:
+            attempt.oldest_version = checkpoint.oldest_version
+            attempt.first_token_at = checkpoint.first_token_at
+        return checkpoint
+
     def _request(
-        self, step: Step, task: Task, attempt: Attempt, minimum_version: int
+        self, step: Step, task: Task, prior: Sample | None, minimum_version: int
     ) -> ModelRequest:
         envelope = RequestEnvelope(
             request_id=uuid.uuid4().hex,
@@ -127,7 +145,7 @@
         return ModelRequest(
             envelope=envelope,
             prompt=task.spec.prompt,
-            prior_token_ids=[],
+            prior_token_ids=[] if prior is None else prior.token_ids,
             max_tokens=task.spec.max_tokens,
             minimum_version=minimum_version,
             adapter="",
@@ -138,6 +156,7 @@
     def _note_progress(self, attempt: Attempt, accumulator: TokenAccumulator) -> None:
         if not accumulator.versions:
             return
+        attempt.token_count = len(accumulator.token_ids)
         attempt.oldest_version = min(part.version for part in accumulator.versions)
         if attempt.first_token_at is None:
             # The token was made before it arrived here, but not before the attempt began.
--- a/src/runkeel/rollouts/options.py
+++ b/src/runkeel/rollouts/options.py
@@ -34,6 +34,11 @@
         scoring_attempts: calls for one sample before the attempt counts as failed.
         hedge_tasks: a step's last tasks that may be run twice when engines idle; 0 turns it off.
         hedge_after_ratio: a task is duplicated after this multiple of the median duration.
+        checkpoint_interval_seconds: how often checkpoints of long samples are sent.
+        checkpoint_minimum_tokens: least length of a checkpoint.
+        checkpoint_growth: a further checkpoint is this many times as long as the last.
+        maximum_checkpoints: checkpoints held for other nodes.
+        maximum_checkpoint_bytes: their token ids together, in bytes.
         step_idle_seconds: an open step that nobody asks for is forgotten after this time.
         finished_step_seconds: a step that was delivered whole is forgotten after this time.
         move_after_seconds: how long another node must be a step's owner before it gets the step.
@@ -66,6 +71,11 @@
     scoring_attempts: int = 6
     hedge_tasks: int = 4
     hedge_after_ratio: float = 3.0
+    checkpoint_interval_seconds: float = 1.0
+    checkpoint_minimum_tokens: int = 64
+    checkpoint_growth: float = 1.25
+    maximum_checkpoints: int = 4_096
+    maximum_checkpoint_bytes: int = 16 * MEBIBYTE
     step_idle_seconds: float = 1_800.0
     finished_step_seconds: float = 300.0
     planner_interval_seconds: float = 0.25
--- a/src/runkeel/rollouts/pipeline.py
+++ b/src/runkeel/rollouts/pipeline.py
@@ -139,12 +139,19 @@
             metrics.SAMPLES_DROPPED.labels(model, error.reason).inc()
         else:
             metrics.ATTEMPTS_FAILED.labels(model, error.code).inc()
+            self._keep_progress(step, task, attempt)
         if attempt in task.running:
             task.running.remove(attempt)
         task.failures += 1
         task.not_before = self._clock() + self._backoff(task.failures, error)
         self._wake_planner()
 
+    def _keep_progress(self, step: Step, task: Task, attempt: Attempt) -> None:
+        """Let the next attempt go on where this one failed."""
+        checkpoint = self._generator.checkpoint(step, task, attempt)
+        if checkpoint is not None and attempt.token_count < task.spec.max_tokens:
+            task.checkpoint = checkpoint
+
     def _backoff(self, failures: int, error: Exception) -> float:
         exponent = min(failures - 1, _BACKOFF_EXPONENT_LIMIT)
         longest = min(
--- a/src/runkeel/rollouts/replication.py
+++ b/src/runkeel/rollouts/replication.py
@@ -11,6 +11,7 @@
 from runkeel.api.interfaces import Membership, PeerClient, PeerHandlers
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.rollouts import metrics
+from runkeel.rollouts.checkpoints import CheckpointStore
 from runkeel.rollouts.options import MEBIBYTE, RolloutOptions
 from runkeel.rollouts.ranking import StepRanking
 from runkeel.rollouts.sample import Sample, StepKey, sample_from_wire, sample_to_wire
@@ -21,6 +22,7 @@
 _PAGE_BYTES = MEBIBYTE
 _MAXIMUM_PAGES = 256
 _MAXIMUM_CANDIDATES = 4
+_CHECKPOINT_CANDIDATES = 2
 
 
 class SampleReplicator:
@@ -32,6 +34,7 @@
         peers: PeerClient,
         ranking: StepRanking,
         store: SampleStore,
+        checkpoints: CheckpointStore,
         options: RolloutOptions,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -39,6 +42,7 @@
         self._peers = peers
         self._ranking = ranking
         self._store = store
+        self._checkpoints = checkpoints
         self._options = options
         self._clock = clock
         self._tasks = Group()
@@ -140,6 +144,41 @@
                     holders.setdefault(sample.digest, []).append(member.node_id)
         return [(sample, tuple(holders[digest])) for digest, sample in samples.items()]
 
+    def send_checkpoints(self, step: StepKey, checkpoints: list[Sample]) -> None:
+        """Hold unfinished samples on the node that gets the step's second copies.
+
+        Raises:
+            RunkeelError: neither of the two best candidates took them.
+        """
+        candidates = self._ranking.replica_candidates(step)[:_CHECKPOINT_CANDIDATES]
+        now = self._clock()
+        message = ttypes.SampleStore([], [sample_to_wire(sample, now) for sample in checkpoints])
+        failure: RunkeelError | None = None
+        for member in candidates:
+            try:
+                self._call_store(member.node_id, message)
+            except RunkeelError as error:
+                failure = error
+            else:
+                return
+        if failure is not None:
+            raise failure
+
+    def collect_checkpoints(self, step: StepKey) -> dict[str, Sample]:
+        """Return the longest checkpoint of each task that this and other nodes hold."""
+        found = {sample.task_id: sample for sample in self._checkpoints.of_step(step)}
+        fetches = [
+            self._tasks.spawn(self._fetch_from, member.node_id, step, [], checkpoints=True)
+            for member in self._ranking.copy_holders(step)
+        ]
+        gevent.joinall(fetches)
+        for fetch in fetches:
+            for sample in fetch.value or ():
+                held = found.get(sample.task_id)
+                if sample.step == step and (held is None or held.size < sample.size):
+                    found[sample.task_id] = sample
+        return found
+
     def release_later(self, step: StepKey, digests_by_holder: dict[str, list[bytes]]) -> None:
         """Drop copies like :meth:`release`, without waiting for it."""
         self._tasks.spawn(self.release, step, digests_by_holder)
@@ -174,17 +213,23 @@
         return sample
 
     def _store_at(self, node_id: str, sample: Sample) -> None:
-        reply = self._peers.call(
+        message = ttypes.SampleStore([sample_to_wire(sample, self._clock())], [])
+        reply = self._call_store(node_id, message)
+        if sample.digest not in (reply.digests or []):
+            raise RunkeelError(ErrorCode.STORAGE_FULL, f"{node_id} did not take a sample")
+
+    def _call_store(self, node_id: str, message: ttypes.SampleStore) -> ttypes.SampleStoreReply:
+        return self._peers.call(
             node_id,
             MessageType.SAMPLE_STORE,
-            ttypes.SampleStore([sample_to_wire(sample, self._clock())]),
+            message,
             ttypes.SampleStoreReply,
             self._options.peer_timeout_seconds,
         )
-        if sample.digest not in (reply.digests or []):
-            raise RunkeelError(ErrorCode.STORAGE_FULL, f"{node_id} did not take a sample")
 
-    def _fetch_from(self, node_id: str, step: StepKey, digests: list[bytes]) -> list[Sample]:
+    def _fetch_from(
+        self, node_id: str, step: StepKey, digests: list[bytes], checkpoints: bool = False
+    ) -> list[Sample]:
         found: list[Sample] = []
         after = b""
         for _ in range(_MAXIMUM_PAGES):
@@ -195,7 +240,7 @@
                 reply = self._peers.call(
                     node_id,
                     MessageType.SAMPLE_FETCH,
-                    ttypes.SampleFetch(step.model, step.step_id, digests, after),
+                    ttypes.SampleFetch(step.model, step.step_id, digests, after, checkpoints),
                     ttypes.SampleFetchReply,
                     self._options.peer_timeout_seconds,
                 )
@@ -214,11 +259,14 @@
         for record in request.samples or []:
             sample = sample_from_wire(record, self._clock())
             is_new = self._store.put(sample)
+            self._checkpoints.drop(sample.step, sample.task_id)
             held.append(sample.digest)
             # A sample that was here before was made here, or offered before: offering it again
             # would let two owners send it to and fro.
             if is_new and self.on_sample is not None:
                 self.on_sample(sample)
+        for record in request.checkpoints or []:
+            self._checkpoints.put(sample_from_wire(record, self._clock()))
         return MessageType.SAMPLE_STORE_REPLY, ttypes.SampleStoreReply(held)
 
     def _on_fetch(self, _peer: str, request: ttypes.SampleFetch) -> tuple[int, object]:
@@ -227,7 +275,8 @@
         after = request.after or b""
         page: list[ttypes.SampleRecord] = []
         size = 0
-        for sample in self._store.of_step(step):
+        source = self._checkpoints if request.checkpoints else self._store
+        for sample in source.of_step(step):
             if sample.digest <= after or (wanted and sample.digest not in wanted):
                 continue
             if page and size + sample.size > _PAGE_BYTES:
--- a/src/runkeel/rollouts/service.py
+++ b/src/runkeel/rollouts/service.py
@@ -20,6 +20,7 @@
 )
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.platform.scorers import ScorerClient
+from runkeel.rollouts.checkpoints import Checkpointer, CheckpointStore
 from runkeel.rollouts.generation import SampleGenerator
 from runkeel.rollouts.hand_over import Batch, Pull
 from runkeel.rollouts.options import RolloutOptions
@@ -83,9 +84,10 @@
             if data_folder is not None
             else None
         )
+        checkpoints = CheckpointStore(options, clock)
         self.store = SampleStore(membership.node_id, options, self._log, clock)
         self._replicator = SampleReplicator(
-            membership, peers, self._ranking, self.store, options, clock
+            membership, peers, self._ranking, self.store, checkpoints, options, clock
         )
         self._staleness = StalenessManager(configuration, membership, options, clock, wall_clock)
         lengths = LengthHistory()
@@ -95,14 +97,19 @@
             records,
             self._replicator,
             self.store,
+            checkpoints,
             self._staleness,
             planner,
             self._transfer,
             options,
             clock,
         )
+        generator = SampleGenerator(dispatcher, membership.node_id, options, clock, wall_clock)
+        self.checkpointer = Checkpointer(
+            generator, self._owner.steps, self._replicator.send_checkpoints, options
+        )
         self._pipeline = SamplePipeline(
-            SampleGenerator(dispatcher, membership.node_id, options, clock, wall_clock),
+            generator,
             SampleScorer(machines, scorer_caller or ScorerClient(), options),
             self._replicator,
             self._staleness,
@@ -126,6 +133,7 @@
             self.store.restore(samples)
             logger.info("recovered {} samples", len(samples), code="samples_recovered")
         self._owner.start()
+        self.checkpointer.start()
 
     def drain(self, timeout_seconds: float = DEFAULT_DRAIN_SECONDS) -> bool:
         """Begin a planned stop: finish running samples, then pass the steps on.
@@ -139,6 +147,7 @@
 
     def stop(self) -> None:
         """Cancel everything that runs."""
+        self.checkpointer.stop()
         self._owner.stop()
         self._replicator.stop()
         if self._log is not None:
--- a/src/runkeel/rollouts/staleness_manager.py
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -50,6 +50,10 @@
         """Return the model's configuration in force."""
         return self._configuration.model(model) or _DEFAULT_SPEC
 
+    def longest_age(self, model: str) -> float:
+        """Return the age past which a sample of the model is of no use, in s."""
+        return self.spec(model).max_staleness_seconds
+
     def is_fresh(self, sample: Sample, trainer_version: int) -> bool:
         """Return whether a sample may be handed to a trainer at that version, now."""
         spec = self.spec(sample.step.model)
--- a/src/runkeel/rollouts/step.py
+++ b/src/runkeel/rollouts/step.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 import gevent
 from gevent.event import Event
@@ -65,6 +66,9 @@
         generating: whether it occupies an engine, as opposed to being scored or replicated.
         oldest_version: lowest version reported so far; None before the first token.
         first_token_at: monotonic clock, in s; None before the first token.
+        token_count: tokens so far.
+        checkpointed: tokens in the last checkpoint.
+        progress: the generator's tokens and versions so far.
     """
 
     number: int
@@ -72,6 +76,9 @@
     generating: bool = True
     oldest_version: int | None = None
     first_token_at: float | None = None
+    token_count: int = 0
+    checkpointed: int = 0
+    progress: Any = None
     greenlet: gevent.Greenlet | None = None
 
 
@@ -88,6 +95,7 @@
         restarts: attempts that were cancelled as too old.
         failures: consecutive failed attempts.
         not_before: monotonic time before which no new attempt starts.
+        checkpoint: unfinished sample from which the next attempt goes on.
         left_to_other: whether the step's earlier owner still works on it.
     """
 
@@ -103,6 +111,7 @@
     failures: int = 0
     not_before: float = 0.0
     left_to_other: bool = False
+    checkpoint: Sample | None = None
 
     @property
     def needs_attempt(self) -> bool:
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -13,6 +13,7 @@
 from runkeel.api.interfaces import Records
 from runkeel.errors import ErrorCode, not_run
 from runkeel.rollouts import metrics
+from runkeel.rollouts.checkpoints import CheckpointStore
 from runkeel.rollouts.delivery import DeliveryLog
 from runkeel.rollouts.hand_over import Batch, Pull, StepDelivery, drop_sample
 from runkeel.rollouts.options import RolloutOptions
@@ -22,7 +23,7 @@
 from runkeel.rollouts.sample import Sample, StepKey
 from runkeel.rollouts.sample_store import SampleStore
 from runkeel.rollouts.staleness_manager import StalenessManager
-from runkeel.rollouts.step import Step, Submission, SubmissionResult
+from runkeel.rollouts.step import Step, Submission, SubmissionResult, Task
 from runkeel.rollouts.step_mover import StepMover
 from runkeel.rollouts.step_transfer import StepTransfer
 
@@ -46,6 +47,7 @@
         records: Records,
         replicator: SampleReplicator,
         store: SampleStore,
+        checkpoints: CheckpointStore,
         staleness: StalenessManager,
         planner: Planner,
         transfer: StepTransfer,
@@ -55,6 +57,7 @@
         self._records = records
         self._replicator = replicator
         self._store = store
+        self._checkpoints = checkpoints
         self._staleness = staleness
         self._planner = planner
         self._transfer = transfer
@@ -225,11 +228,16 @@
 
     def _adopt_samples(self, step: Step) -> int:
         adopted = 0
+        newest = self._staleness.newest_version(step)
+        for task_id, checkpoint in self._replicator.collect_checkpoints(step.key).items():
+            task = step.tasks.get(task_id)
+            if task is not None and self._can_go_on(step, task, checkpoint, newest):
+                task.checkpoint = checkpoint
         for sample, holders in self._replicator.collect_step(step.key):
             task = step.tasks.get(sample.task_id)
             if task is None or sample.step_digest != step.digest or not task.needs_attempt:
                 continue
-            if not self._staleness.is_fresh(sample, self._staleness.newest_version(step)):
+            if not self._staleness.is_fresh(sample, newest):
                 continue
             adopted += 1
             if self._replicator.node_id in holders and len(holders) > 1:
@@ -240,6 +248,14 @@
         step.notify()
         return adopted
 
+    def _can_go_on(self, step: Step, task: Task, checkpoint: Sample, newest: int) -> bool:
+        """Return whether a checkpoint of an earlier owner is of use."""
+        return (
+            checkpoint.step_digest == step.digest
+            and len(checkpoint.token_ids) < task.spec.max_tokens
+            and self._staleness.is_fresh(checkpoint, newest)
+        )
+
     def _run(self) -> None:
         while True:
             self._wake.wait(self._options.planner_interval_seconds)
@@ -289,7 +305,8 @@
             unused = now - step.last_used_at
             if unused > self._longest_unused(step):
                 self._close(step)
-        self._store.expire(lambda model: self._staleness.spec(model).max_staleness_seconds)
+        self._store.expire(self._staleness.longest_age)
+        self._checkpoints.expire(self._staleness.longest_age)
 
     def _check_ownership(self, step: Step, now: float) -> None:
         """Pass a step on when another node has been its owner for a while."""
--- a/tests/rollouts/fakes.py
+++ b/tests/rollouts/fakes.py
@@ -35,6 +35,8 @@
     planner_interval_seconds=0.002,
     first_token_allowance_seconds=0.0,
     hedge_tasks=0,
+    checkpoint_interval_seconds=0.002,
+    checkpoint_minimum_tokens=1,
 )
 
 
@@ -125,8 +127,9 @@
         fault = self.faults.pop(prompt, "")
         if fault == "lost":
             raise RunkeelError(ErrorCode.BACKEND_LOST)
-        for position in range(0, length, 2):
-            if position and prompt in self.hold:
+        start = len(request.prior_token_ids)
+        for position in range(start, length, 2):
+            if position > start and prompt in self.hold:
                 self.hold[prompt].wait()
             version = self.version
             shift = {"gap": 1, "overlap": -1}.get(fault, 0) if position else 0
--- a/tests/rollouts/test_service.py
+++ b/tests/rollouts/test_service.py
@@ -117,6 +117,26 @@
         self.assertEqual(sorted(self.drain_step()), ["t0", "t1", "t2", "t3"])
         self.assertEqual(len(self.cluster.dispatcher.requests), generated)
 
+    def test_next_owner_goes_on_from_the_checkpoint_of_a_long_sample(self):
+        dispatcher = self.cluster.dispatcher
+        dispatcher.hold["prompt 1"] = Event()
+        self.node.submit(self.step)
+        owner = self.cluster.nodes[self.cluster.owner_of(self.step.key)]
+        others = [node for node in self.cluster.nodes.values() if node is not owner]
+        stores = [node.service._replicator._checkpoints for node in others]
+        self.until(lambda: any(store.of_step(self.step.key) for store in stores))
+        self.cluster.crash(owner.node_id)
+        for node in others:
+            node.live.discard(owner.node_id)
+        dispatcher.version = 2
+        others[0].service.submit(self.step)
+        service = others[0].service
+        samples = self.pull(0, version=2, most=3, node=service).samples
+        samples += self.pull(1, version=2, node=service).samples
+        versions = [[(p.version, p.first, p.count) for p in s.versions] for s in samples]
+        self.assertIn([(1, 0, 2), (2, 2, 2)], versions)
+        self.assertEqual([len(r.prior_token_ids) for r in dispatcher.requests].count(2), 1)
+
     def test_last_task_is_hedged_when_engines_idle(self):
         self.cluster.options = replace(FAST, hedge_tasks=1)
         for node_id in self.cluster.nodes:
--- a/wire/rollouts.thrift
+++ b/wire/rollouts.thrift
@@ -70,6 +70,7 @@
 /** Stores second copies; the reply names those that are held. */
 struct SampleStore {
   1: list<SampleRecord> samples,
+  2: list<SampleRecord> checkpoints,  // unfinished: without finish reason and score
 }
 
 struct SampleStoreReply {
@@ -82,6 +83,7 @@
   2: string step_id,
   3: list<binary> digests,
   4: binary after,
+  5: bool checkpoints,         // the unfinished samples in place of the finished ones
 }
 
 struct SampleFetchReply {
