Hold the contract at 1.5 times capacity

Cause: at 1.5 times capacity 373 of 4,302 requests ran past their deadline and 10% of the refusals came late. Queued work was refused only when its wait alone no longer fitted, not its service time; the projection left out more urgent work that overtakes; hedges added copies to full owners. Ruled out: the load generator (0.0 s late), slow servers. Change: queued work is refused when wait plus service no longer fit; the projection follows the share of overtaking grants; a margin of 1.3 at admission; hedges go only to owners with room to spare.

--- a/src/runkeel/requests/dispatcher.py
+++ b/src/runkeel/requests/dispatcher.py
@@ -203,10 +203,11 @@
 
     def _place_hedge(self, pool: PoolId, first: str, attempts: Attempts) -> str | None:
         """Return the node for a second copy: another owner, else the same one's other back end."""
-        if not self._budget_of(pool).spend():
+        other = self._placement.choose_spare(pool, attempts.tried | {first})
+        chosen = other or self._placement.choose_spare(pool, attempts.tried)
+        if chosen is None or not self._budget_of(pool).spend():
             return None
-        other = self._placement.choose(pool, attempts.tried | {first})
-        return other or first
+        return chosen
 
     def _attempt(
         self,
--- a/src/runkeel/requests/owner_queue.py
+++ b/src/runkeel/requests/owner_queue.py
@@ -17,11 +17,19 @@
 from runkeel.requests.backend_choice import Backend, Demand, OwnedBackends, PoolId
 from runkeel.requests.deadline import Deadline
 
-SERVICE_TIME_WEIGHT = 0.05
+SERVICE_TIME_WEIGHT = 0.02
 """Weight of the newest sample in the moving average of service times."""
 CALLERS_PRESENT_SECONDS = 5.0
 """Rollouts keep to their share for so long after a caller's last request."""
 MINIMUM_RETRY_AFTER_SECONDS = 0.1
+ADMISSION_MARGIN = 1.3
+"""Projected time times this must fit into the deadline of a request that comes in.
+
+What is admitted should not have to be refused later because service times vary.
+"""
+OVERTAKING_WEIGHT = 0.02
+"""Weight of the newest grant in the moving average of overtaking grants."""
+MAXIMUM_OVERTAKING = 0.9
 
 
 @dataclass(slots=True, eq=False)
@@ -41,6 +49,8 @@
         self._backends = backends
         self._waiting: list[Waiter] = []
         self._service_seconds = 0.0
+        self._overtaking_fraction = 0.0
+        self._overtaking_rank = 0
         self._last_caller_at = -CALLERS_PRESENT_SECONDS
         self.in_flight = 0
 
@@ -52,7 +62,7 @@
         slots = self._backends.total_slots(self._pool)
         if self.in_flight + len(self._waiting) < slots:
             return 0.0
-        return self._wait_seconds(self._position(rank), slots)
+        return self._wait_seconds(self._position(rank), slots, rank)
 
     def enter(self, demand: Demand, deadline: Deadline) -> Waiter:
         """Take a slot or a place in the queue; wait for the outcome with :meth:`wait`.
@@ -115,6 +125,7 @@
         for waiter in list(self._waiting):
             if self._grant(waiter):
                 self._waiting.remove(waiter)
+                self._note_grant(waiter.demand.rank)
             elif not waiter.demand.is_rollout and not waiter.demand.minimum_version:
                 # Nobody behind it can use a slot that the most urgent caller can't use.
                 return
@@ -126,10 +137,10 @@
         slots = self._backends.total_slots(self._pool)
         kept = 0
         for waiter in list(self._waiting):
-            wait = self._wait_seconds(kept, slots)
+            wait = self._wait_seconds(kept, slots, waiter.demand.rank)
             if not self._backends.could_serve(waiter.demand):
                 self.refuse(waiter, not_run(ErrorCode.NO_BACKEND, "no back end in service"))
-            elif wait > waiter.deadline.remaining_seconds():
+            elif wait + self._service_seconds > waiter.deadline.remaining_seconds():
                 self.refuse(waiter, _unreachable(wait))
             else:
                 kept += 1
@@ -159,13 +170,27 @@
     def _position(self, rank: int) -> int:
         return bisect.bisect_right(self._waiting, rank, key=lambda waiter: waiter.demand.rank)
 
-    def _wait_seconds(self, ahead: int, slots: int) -> float:
-        return (ahead + 1) * self._service_seconds / max(1, slots)
+    def _wait_seconds(self, ahead: int, slots: int, rank: int) -> float:
+        wait = (ahead + 1) * self._service_seconds / max(1, slots)
+        if rank <= self._overtaking_rank:
+            return wait
+        return wait / (1.0 - min(MAXIMUM_OVERTAKING, self._overtaking_fraction))
+
+    def _note_grant(self, rank: int) -> None:
+        """Follow which share of the slots goes to more urgent work than what waits last."""
+        if not self._waiting:
+            return
+        overtaking = self._waiting[-1].demand.rank > rank
+        if overtaking:
+            self._overtaking_rank = rank
+        self._overtaking_fraction += OVERTAKING_WEIGHT * (overtaking - self._overtaking_fraction)
 
     def _refuse_if_late(self, waiter: Waiter) -> None:
         slots = self._backends.total_slots(self._pool)
-        wait = self._wait_seconds(self._position(waiter.demand.rank), slots)
-        if wait + self._service_seconds > waiter.deadline.remaining_seconds():
+        rank = waiter.demand.rank
+        wait = self._wait_seconds(self._position(rank), slots, rank)
+        projected = ADMISSION_MARGIN * (wait + self._service_seconds)
+        if projected > waiter.deadline.remaining_seconds():
             raise _unreachable(wait)
 
     def _make_room(self, demand: Demand) -> None:
--- a/src/runkeel/requests/place.py
+++ b/src/runkeel/requests/place.py
@@ -19,6 +19,10 @@
 """Another zone is chosen when it would save at least so much waiting."""
 
 
+SPARE_LOAD = 0.75
+"""An owner with less of its slots taken or waited for has room for a hedge."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Candidate:
     node_id: str
@@ -63,6 +67,16 @@
             chosen = best_near
         return chosen.node_id
 
+    def choose_spare(self, pool: PoolId, exclude: Collection[str] = ()) -> str | None:
+        """Return an owner with room to spare, or None: extra copies must not add to an overload."""
+        spare = [
+            candidate
+            for candidate in self._candidates(pool, exclude, minimum_version=0)
+            if candidate.load < SPARE_LOAD
+        ]
+        best = self._best_of_two(spare)
+        return best.node_id if best is not None else None
+
     def sent(self, pool: PoolId, node_id: str) -> None:
         """Count an attempt under way."""
         key = (pool.name, node_id)
--- a/tests/requests/test_owner_queue.py
+++ b/tests/requests/test_owner_queue.py
@@ -51,6 +51,23 @@
         self.release()
         self.assertTrue(hopeful.result.successful())
 
+    def test_queued_request_that_could_only_start_in_time_is_told_at_once(self) -> None:
+        waiter = self.enter(seconds=60.0)
+        self.queue._note_service_time(50.0)
+        self.queue.shed()
+        self.assert_refused(ErrorCode.DEADLINE_UNREACHABLE, lambda: self.queue.wait(waiter))
+
+    def test_work_that_keeps_being_overtaken_is_projected_to_wait_longer(self) -> None:
+        self.queue._note_service_time(1.0)
+        self.enter()
+        before = self.queue.projected_wait_seconds(STANDARD)
+        for _ in range(50):
+            urgent = self.enter(URGENT)
+            self.queue.release(self.queue.wait(self.running.pop()), self.demand, None)
+            self.running.append(urgent)
+        self.assertGreater(self.queue.projected_wait_seconds(STANDARD), 1.5 * before)
+        self.assertAlmostEqual(self.queue.projected_wait_seconds(URGENT), 0.5)
+
     def test_free_slot_is_given_whatever_the_projection_says(self) -> None:
         self.queue._note_service_time(1_000.0)
         self.release()
