--- a/src/runkeel_lab/experiment.py
+++ b/src/runkeel_lab/experiment.py
@@ -40,6 +40,10 @@
     """Publish new weights after so many steps; 0: never."""
     steps_ahead: int = Field(1, ge=0)
     """Steps submitted before the present one is trained on."""
+    steps_pulled: int = Field(1, ge=1)
+    """Steps pulled at once; with more than 1, stragglers are trained on with the next step."""
+    warm_up_steps: int = Field(1, ge=0)
+    """Steps at the start that the idle fraction leaves out."""
     maximum_steps: int = Field(0, ge=0)
     """Stop after so many steps; 0: go on until the run ends."""
     pull_maximum: int = Field(64, ge=1)
--- a/src/runkeel_lab/report.py
+++ b/src/runkeel_lab/report.py
@@ -125,13 +125,15 @@
 
 
 def _trainer(result: RunResult, trainer: Trainer, findings: TrainerFindings) -> dict[str, Any]:
-    total = trainer.waited_seconds + trainer.trained_seconds
     return {
-        "idle_fraction": _rounded(trainer.waited_seconds / total) if total else None,
+        "idle_fraction": _rounded(trainer.time.idle_fraction),
         "idle_lower_bound": _rounded(_idle_lower_bound(result.deployment, trainer)),
         "staleness_versions": {
             str(versions): count for versions, count in sorted(findings.staleness_versions.items())
         },
+        "staleness_when_trained": {
+            str(versions): count for versions, count in sorted(trainer.time.staleness.items())
+        },
         "too_stale": findings.count(ViolationKind.SAMPLE_TOO_STALE),
         "missing": findings.count(ViolationKind.SAMPLE_MISSING),
         "duplicated": findings.count(ViolationKind.SAMPLE_DUPLICATED),
@@ -161,13 +163,11 @@
     Training needs ``T`` and generation at full capacity ``G`` seconds; overlapped perfectly the
     steps take ``max(T, G)``, so that the trainer idles ``1 - T / max(T, G)``.
     """
-    steps = trainer.steps[1:]
     capacity = tokens_per_second(deployment, trainer.spec.model)
-    if not steps or not capacity:
+    if not trainer.time.steps or not capacity:
         return None
-    tokens = sum(len(sample.token_ids) for step in steps for sample in step.samples)
-    generating = tokens / capacity
-    training = trainer.spec.train_ms / 1000.0 * len(steps)
+    generating = trainer.time.tokens / capacity
+    training = trainer.spec.train_ms / 1000.0 * trainer.time.steps
     return max(0.0, 1.0 - training / max(training, generating, 1e-9))
 
 
--- a/src/runkeel_lab/summary.py
+++ b/src/runkeel_lab/summary.py
@@ -55,12 +55,13 @@
         ("nodes", "nodes", _NODE_COLUMNS),
     ):
         if report[key]:
-            console.print(_table(title, report[key], columns))
-    console.print(_table("control", {"all": report["control"]}, tuple(report["control"])))
+            console.print(make_table(title, report[key], columns))
+    console.print(make_table("control", {"all": report["control"]}, tuple(report["control"])))
     _print_violations(report["violations"], console)
 
 
-def _table(title: str, rows: dict[str, dict[str, Any]], columns: tuple[str, ...]) -> Table:
+def make_table(title: str, rows: dict[str, dict[str, Any]], columns: tuple[str, ...]) -> Table:
+    """Return a table with a line for each row."""
     table = Table(title=title, title_justify="left")
     table.add_column("")
     for column in columns:
--- a/src/runkeel_lab/trainer.py
+++ b/src/runkeel_lab/trainer.py
@@ -2,73 +2,76 @@
 
 from __future__ import annotations
 
-import json
 import random
 import time
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Any
 
 import gevent
+from gevent.event import Event
 
 from runkeel_lab.experiment import TrainerSpec
-from runkeel_lab.http_client import TransportError
 from runkeel_lab.load.caller import NodeTarget
 from runkeel_lab.load.plans import make_prompt
 from runkeel_lab.tokens import VersionRange
+from runkeel_lab.trainer_client import SampleRecord, StepRecord, Task, TrainerClient
 
-_RETRY_SECONDS = 0.2
-_PULL_GRACE_SECONDS = 5.0
 _SHARED_PREFIXES = 16
+_POLL_SECONDS = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class Task:
-    """One task of a step."""
-
-    task_id: str
-    group: str
-    prompt: str
-    max_tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class SampleRecord:
-    """One sample as a trainer consumed it.
+@dataclass(slots=True)
+class TrainingTime:
+    """What the trainer did with its time, in whole steps' worth of samples.
 
     Attributes:
-        trainer_version: version stated in the pull that delivered it.
-        received: monotonic time, in s.
+        began, ended: monotonic times of the counted span, in s; 0 while nothing is counted.
+        waited_seconds: time without samples to train on.
+        trained_seconds: time spent training.
+        steps: steps' worth of samples that were trained on.
+        tokens: tokens of those samples.
+        staleness: number of samples by versions behind the trainer when it trained on them.
     """
 
-    step_id: str
-    cursor: int
-    task_id: str
-    token_ids: tuple[int, ...]
-    versions: tuple[VersionRange, ...]
-    score: float | None
-    trainer_version: int
-    received: float
-
+    began: float = 0.0
+    ended: float = 0.0
+    waited_seconds: float = 0.0
+    trained_seconds: float = 0.0
+    steps: int = 0
+    tokens: int = 0
+    staleness: Counter[int] = field(default_factory=Counter)
 
-@dataclass(slots=True)
-class StepRecord:
-    """One step: its tasks and when it was whole."""
+    @property
+    def idle_fraction(self) -> float | None:
+        """Share of the time that the trainer waited, or None when nothing was counted."""
+        total = self.waited_seconds + self.trained_seconds
+        return self.waited_seconds / total if total else None
 
-    step_id: str
-    tasks: tuple[Task, ...]
-    submitted: float = 0.0
-    whole: float = 0.0
-    samples: list[SampleRecord] = field(default_factory=list)
+    def add(self, other: TrainingTime) -> None:
+        """Add a later span."""
+        self.began = self.began or other.began
+        self.ended = other.ended
+        self.waited_seconds += other.waited_seconds
+        self.trained_seconds += other.trained_seconds
+        self.steps += other.steps
+        self.tokens += other.tokens
+        self.staleness += other.staleness
 
 
 class Trainer:
     """One emulated trainer.
 
+    One task an open step pulls batches into a short queue; the trainer itself takes minibatches
+    from it. It counts ``tasks_per_step`` samples as a step, whichever steps they are of, so that
+    with several steps pulled at once the stragglers of one are trained on with the next.
+
     Attributes:
         version: weights that it trains on; the next published is one higher.
-        waited_seconds: time without samples to train on, after the first step.
-        trained_seconds: time spent training, after the first step.
+        steps: steps that came whole, in that order.
+        unfinished: steps that it began to pull and did not get whole.
+        time: the counted time: without the first steps, and without the end of the run, when
+            no new step is begun.
     """
 
     def __init__(
@@ -82,41 +85,80 @@
         self.spec = spec
         self.version = version
         self.steps: list[StepRecord] = []
-        self.waited_seconds = 0.0
-        self.trained_seconds = 0.0
-        self.errors: dict[str, int] = {}
-        self.unfinished: StepRecord | None = None
-        self._targets = targets
+        self.unfinished: list[StepRecord] = []
+        self.time = TrainingTime()
         self._publish = publish
         self._random = random.Random(f"{seed}/{spec.name}")
         self._run_name = f"{spec.name}-{seed}"
-        self._target_number = self._random.randrange(len(targets))
+        self._client = TrainerClient(spec.model, targets, self._random.randrange(len(targets)))
         self._submitted: list[StepRecord] = []
+        self._begun = 0
+        self._trained_steps = 0
+        self._arrived: deque[SampleRecord] = deque()
+        self._changed = Event()
+        self._stopping = False
+        self._deadline = 0.0
+        self._pullers: dict[str, gevent.Greenlet] = {}
+
+    @property
+    def errors(self) -> dict[str, int]:
+        """Failed calls by code."""
+        return self._client.errors
 
     def run(self, until: float, grace_seconds: float) -> None:
-        """Train until the monotonic time ``until``, then finish the step within the grace."""
-        number = 0
-        while time.monotonic() < until and not self._enough(number):
-            self._submit_through(number + self.spec.steps_ahead)
-            step = self._submitted[number]
-            self.unfinished = step
-            if not self._train_step(step, until + grace_seconds, count=number > 0):
-                return
-            self.unfinished = None
-            self.steps.append(step)
-            number += 1
-            if self.spec.steps_per_version and number % self.spec.steps_per_version == 0:
-                self.version += 1
-                self._publish(self.spec.model, self.version)
+        """Train until the monotonic time ``until``, then finish what is begun within the grace."""
+        self._deadline = until + grace_seconds
+        opener = gevent.spawn(self._open_steps)
+        try:
+            while self._train_step():
+                self._stopping = self._stopping or time.monotonic() >= until
+                self._publish_if_due(self._trained_steps + 1)
+                self._trained_steps += 1
+                self._notify()
+        finally:
+            gevent.killall([opener, *self._pullers.values()])
+
+    def _publish_if_due(self, steps: int) -> None:
+        if self.spec.steps_per_version and steps % self.spec.steps_per_version == 0:
+            self.version += 1
+            self._publish(self.spec.model, self.version)
+
+    # Opening steps
+
+    def _open_steps(self) -> None:
+        """Keep as many steps submitted and pulled as the specification says."""
+        spec = self.spec
+        while not self._stopping:
+            wanted = self._begun - len(self._pullers) + spec.steps_pulled + spec.steps_ahead
+            if len(self._submitted) < wanted and not self._enough(len(self._submitted)):
+                self._submit_next()
+                continue
+            if self._may_begin():
+                self._begin_next()
+                continue
+            self._changed.wait(_POLL_SECONDS)
+
+    def _may_begin(self) -> bool:
+        if self._begun == len(self._submitted) or len(self._pullers) >= self.spec.steps_pulled:
+            return False
+        # One step at a time: the next is begun with the weights that this one gives.
+        in_order = self.spec.steps_pulled == 1
+        return not in_order or self._begun == self._trained_steps
+
+    def _begin_next(self) -> None:
+        step = self._submitted[self._begun]
+        self._begun += 1
+        self.unfinished.append(step)
+        self._pullers[step.step_id] = gevent.spawn(self._pull_step, step)
 
     def _enough(self, number: int) -> bool:
         return bool(self.spec.maximum_steps) and number >= self.spec.maximum_steps
 
-    def _submit_through(self, number: int) -> None:
-        while len(self._submitted) <= number:
-            step = self._make_step(len(self._submitted))
-            self._submit(step)
-            self._submitted.append(step)
+    def _submit_next(self) -> None:
+        step = self._make_step(len(self._submitted))
+        step.submitted = time.monotonic()
+        self._client.submit(step, self.version)
+        self._submitted.append(step)
 
     def _make_step(self, number: int) -> StepRecord:
         step_id = f"{self._run_name}-step-{number}"
@@ -128,118 +170,121 @@
         spec = self.spec
         task_id = f"{step_id}-task-{index}"
         group = index // spec.group_size
+        # A group is several samples of one prompt; only the id and the emulated length differ.
+        group_random = random.Random(f"{step_id}/{group}")
         prompt = make_prompt(
-            self._random,
+            group_random,
             task_id,
             group % _SHARED_PREFIXES,
-            spec.prompt_words.draw_count(self._random, 500),
+            spec.prompt_words.draw_count(group_random, 500),
             spec.tokens.draw_count(self._random, spec.max_tokens),
         )
         return Task(task_id, f"{step_id}-group-{group}", prompt, spec.max_tokens)
 
-    def _submit(self, step: StepRecord) -> None:
-        content = {
-            "step_id": step.step_id,
-            "version": self.version,
-            "tasks": [
-                {
-                    "task_id": task.task_id,
-                    "group": task.group,
-                    "prompt": task.prompt,
-                    "max_tokens": task.max_tokens,
-                }
-                for task in step.tasks
-            ],
-        }
-        body = json.dumps(content).encode()
-        target = f"/v1/models/{self.spec.model}/steps"
-        step.submitted = step.submitted or time.monotonic()
-        while self._call("POST", target, body, _PULL_GRACE_SECONDS)[0] != 200:
-            gevent.sleep(_RETRY_SECONDS)
-
-    def _train_step(self, step: StepRecord, deadline: float, count: bool) -> bool:
-        """Pull and train on one step; return whether it was whole before the deadline."""
-        cursor, last, waiting_since, untrained = 0, False, time.monotonic(), 0
+    # Pulling
+
+    def _pull_step(self, step: StepRecord) -> None:
+        try:
+            if self._pull_batches(step):
+                step.whole = time.monotonic()
+                self.unfinished.remove(step)
+                self.steps.append(step)
+        finally:
+            del self._pullers[step.step_id]
+            self._notify()
+
+    def _pull_batches(self, step: StepRecord) -> bool:
+        """Pull one step; return whether it came whole before the deadline."""
+        cursor, last = 0, False
         while not last:
-            batch = self._pull(step, cursor)
+            version = self.version
+            batch = self._client.pull(
+                step, cursor, version, self.spec.pull_wait_ms, self.spec.pull_maximum
+            )
             if batch is None:
-                if time.monotonic() > deadline:
+                if time.monotonic() > self._deadline:
+                    self._stopping = True
                     return False
                 continue
-            untrained += self._take(step, cursor, batch)
+            self._take(step, cursor, version, batch["samples"])
             last = bool(batch.get("last"))
             cursor += 1
-            if last or (self.spec.minibatch and untrained >= self.spec.minibatch):
-                if last:
-                    step.whole = time.monotonic()
-                self._train(untrained, time.monotonic() - waiting_since, count)
-                waiting_since, untrained = time.monotonic(), 0
-        self._pull(step, cursor, wait_ms=0)
+            if not last:
+                self._wait_for_room()
+        self._client.pull(step, cursor, self.version, 0, self.spec.pull_maximum)
         return True
 
-    def _train(self, samples: int, waited: float, count: bool) -> None:
-        seconds = self.spec.train_ms / 1000.0 * samples / self.spec.tasks_per_step
-        began = time.monotonic()
-        gevent.sleep(seconds)
-        if count:
-            self.waited_seconds += waited
-            self.trained_seconds += time.monotonic() - began
-
-    def _pull(
-        self, step: StepRecord, cursor: int, wait_ms: int | None = None
-    ) -> dict[str, Any] | None:
-        """Ask for a batch, which confirms the one before; None when there is none yet."""
-        spec = self.spec
-        wait_ms = spec.pull_wait_ms if wait_ms is None else wait_ms
-        target = (
-            f"/v1/models/{spec.model}/steps/{step.step_id}/batches/{cursor}"
-            f"?version={self.version}&wait_ms={wait_ms}&max={spec.pull_maximum}"
-        )
-        timeout = wait_ms / 1000.0 + _PULL_GRACE_SECONDS
-        status, content = self._call("GET", target, None, timeout)
-        if status == 200:
-            return content
-        if status == 404 and content.get("code") == "unknown_step":
-            self._submit(step)
-        elif status != 202:
-            gevent.sleep(_RETRY_SECONDS)
-        return None
-
-    def _take(self, step: StepRecord, cursor: int, batch: dict[str, Any]) -> int:
+    def _wait_for_room(self) -> None:
+        """Don't pull ahead of the training: samples would grow stale in the queue."""
+        while len(self._arrived) >= self._minibatch_samples():
+            self._changed.wait(_POLL_SECONDS)
+
+    def _take(
+        self, step: StepRecord, cursor: int, version: int, samples: list[dict[str, object]]
+    ) -> None:
         now = time.monotonic()
-        for sample in batch["samples"]:
-            step.samples.append(
-                SampleRecord(
-                    step.step_id,
-                    cursor,
-                    sample["task_id"],
-                    tuple(sample["token_ids"]),
-                    VersionRange.parse_all(sample["versions"]),
-                    sample.get("score"),
-                    self.version,
-                    now,
-                )
+        for sample in samples:
+            record = SampleRecord(
+                step.step_id,
+                cursor,
+                sample["task_id"],
+                tuple(sample["token_ids"]),
+                VersionRange.parse_all(sample["versions"]),
+                sample.get("score"),
+                version,
+                now,
             )
-        return len(batch["samples"])
-
-    def _call(
-        self, method: str, target: str, body: bytes | None, timeout: float
-    ) -> tuple[int, dict[str, Any]]:
-        """Call the present node; after an error the next one is used."""
-        client = self._targets[self._target_number % len(self._targets)].client
-        headers = {"Content-Type": "application/json"}
-        try:
-            with gevent.Timeout(timeout, TransportError("no answer in time", True)):
-                answer = client.request(method, target, body, headers, timeout)
-        except TransportError as error:
-            self._note_error(type(error).__name__)
-            return 0, {}
-        content = answer.json()
-        if answer.status >= 400:
-            code = content.get("code", "") if isinstance(content, dict) else ""
-            self._note_error(code or str(answer.status))
-        return answer.status, content if isinstance(content, dict) else {}
-
-    def _note_error(self, code: str) -> None:
-        self.errors[code] = self.errors.get(code, 0) + 1
-        self._target_number += 1
+            step.samples.append(record)
+            self._arrived.append(record)
+        self._notify()
+
+    def _notify(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    # Training
+
+    def _minibatch_samples(self) -> int:
+        return self.spec.minibatch or self.spec.tasks_per_step
+
+    def _train_step(self) -> bool:
+        """Train on a step's worth of samples; return whether there were so many."""
+        span = TrainingTime(began=time.monotonic())
+        left = self.spec.tasks_per_step
+        while left:
+            waiting_since = time.monotonic()
+            samples = self._next_minibatch(min(left, self._minibatch_samples()))
+            if not samples:
+                return False
+            span.waited_seconds += time.monotonic() - waiting_since
+            self._train(samples, span)
+            left -= len(samples)
+        span.ended = time.monotonic()
+        span.steps = 1
+        # While no step is begun any more, the trainer waits for the last stragglers alone.
+        if self._trained_steps >= self.spec.warm_up_steps and not self._stopping:
+            self.time.add(span)
+        return True
+
+    def _next_minibatch(self, size: int) -> list[SampleRecord]:
+        """Wait for so many samples; return fewer when no more will come."""
+        while len(self._arrived) < size and not self._is_exhausted():
+            self._changed.wait(_POLL_SECONDS)
+        size = min(size, len(self._arrived))
+        samples = [self._arrived.popleft() for _ in range(size)]
+        self._notify()
+        return samples
+
+    def _is_exhausted(self) -> bool:
+        no_more = self._stopping or (
+            self._begun == len(self._submitted) and self._enough(self._begun)
+        )
+        return no_more and not self._pullers
+
+    def _train(self, samples: Sequence[SampleRecord], span: TrainingTime) -> None:
+        seconds = self.spec.train_ms / 1000.0 * len(samples) / self.spec.tasks_per_step
+        span.tokens += sum(len(sample.token_ids) for sample in samples)
+        span.staleness.update(max(0, self.version - sample.oldest_version) for sample in samples)
+        began = time.monotonic()
+        gevent.sleep(seconds)
+        span.trained_seconds += time.monotonic() - began
--- a/src/runkeel_lab/verify_samples.py
+++ b/src/runkeel_lab/verify_samples.py
@@ -8,7 +8,8 @@
 
 from runkeel_lab.standins.scorer import expected_score
 from runkeel_lab.tokens import expected_length, tokens_match
-from runkeel_lab.trainer import SampleRecord, StepRecord, Task, Trainer
+from runkeel_lab.trainer import Trainer
+from runkeel_lab.trainer_client import SampleRecord, StepRecord, Task
 from runkeel_lab.violations import Violation, ViolationKind
 
 StalenessBound = Callable[[float], int]
@@ -36,10 +37,7 @@
 def verify_trainer(trainer: Trainer, bound: StalenessBound) -> TrainerFindings:
     """Check all steps of a trainer; a step that never was whole lacks samples."""
     findings = TrainerFindings()
-    steps = list(trainer.steps)
-    if trainer.unfinished is not None:
-        steps.append(trainer.unfinished)
-    for step in steps:
+    for step in [*trainer.steps, *trainer.unfinished]:
         tasks = {task.task_id: task for task in step.tasks}
         for sample in step.samples:
             findings.samples += 1
@@ -47,8 +45,8 @@
             findings.violations.extend(
                 _check_sample(trainer.spec.model, sample, tasks.get(sample.task_id), bound)
             )
-            oldest = min((entry.version for entry in sample.versions), default=0)
-            findings.staleness_versions[max(0, sample.trainer_version - oldest)] += 1
+            behind = sample.trainer_version - sample.oldest_version
+            findings.staleness_versions[max(0, behind)] += 1
         findings.violations.extend(_check_step(step))
     return findings
 
@@ -75,8 +73,7 @@
     if not tokens_match(model, task.prompt, sample.token_ids, sample.versions):
         detail = ", ".join(f"{e.version}:{e.first}+{e.count}" for e in sample.versions)
         yield Violation(ViolationKind.SAMPLE_WRONG_VERSION, sample.task_id, detail)
-    oldest = min((entry.version for entry in sample.versions), default=0)
-    behind = sample.trainer_version - oldest
+    behind = sample.trainer_version - sample.oldest_version
     if behind > bound(sample.received):
         detail = f"{behind} versions behind {sample.trainer_version}"
         yield Violation(ViolationKind.SAMPLE_TOO_STALE, sample.task_id, detail)
--- a/tests/lab/test_verify.py
+++ b/tests/lab/test_verify.py
@@ -11,7 +11,8 @@
 from runkeel_lab.load.records import Attempt, CallRecord, Outcome
 from runkeel_lab.standins.scorer import expected_score
 from runkeel_lab.tokens import VersionRange, token_at
-from runkeel_lab.trainer import SampleRecord, StepRecord, Task, Trainer
+from runkeel_lab.trainer import Trainer
+from runkeel_lab.trainer_client import SampleRecord, StepRecord, Task
 from runkeel_lab.verify_callers import CallerVerifier
 from runkeel_lab.verify_control import verify_control
 from runkeel_lab.verify_samples import verify_trainer
@@ -122,7 +123,7 @@
 
     def test_an_unfinished_step_lacks_its_samples(self):
         trainer = Trainer(TrainerSpec(name="t", model="m"), [None], lambda *_: None, 1)
-        trainer.unfinished = StepRecord("s", (Task("t1", "g", PROMPT, 9),))
+        trainer.unfinished = [StepRecord("s", (Task("t1", "g", PROMPT, 9),))]
         found = verify_trainer(trainer, lambda _: 0).violations
         self.assertEqual([each.kind for each in found], [ViolationKind.SAMPLE_MISSING])
 
