Place rollouts by load, not by the callers' projected wait

Cause: engines of other zones stood still while 64 rollouts waited at the owner of the step's own zone. Placement compared the projected wait of the summaries, which is a caller's: rollouts queue behind callers, so that it stays near 0 however long the queue of rollouts is. Change: a rollout goes to the owner of least load (work per slot, own work under way included) in any zone. Callers are placed as before.

--- a/src/runkeel/requests/dispatcher.py
+++ b/src/runkeel/requests/dispatcher.py
@@ -8,7 +8,7 @@
 from runkeel.api.interfaces import Configuration, PeerClient
 from runkeel.api.machines import MachineKind
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
-from runkeel.requests.backend_choice import PoolId
+from runkeel.requests.backend_choice import ROLLOUT_RANK, PoolId
 from runkeel.requests.deadline import Deadline
 from runkeel.requests.dispatch import Attempts, AttemptSender
 from runkeel.requests.generation import GenerationAttempt, GenerationProgress
@@ -129,7 +129,13 @@
         attempts: Attempts,
         deadline: Deadline,
     ) -> Iterator[TokenChunk]:
-        node_id = self._place(pool, attempts, progress.request.minimum_version or 0)
+        request = progress.request
+        node_id = self._place(
+            pool,
+            attempts,
+            request.minimum_version or 0,
+            request.envelope.priority_rank >= ROLLOUT_RANK,
+        )
         number = attempts.begin()
         self._placement.sent(pool, node_id)
         try:
@@ -146,8 +152,14 @@
         finally:
             self._placement.ended(pool, node_id)
 
-    def _place(self, pool: PoolId, attempts: Attempts, minimum_version: int = 0) -> str:
-        node_id = self._placement.choose(pool, attempts.tried, minimum_version)
+    def _place(
+        self,
+        pool: PoolId,
+        attempts: Attempts,
+        minimum_version: int = 0,
+        is_rollout: bool = False,
+    ) -> str:
+        node_id = self._placement.choose(pool, attempts.tried, minimum_version, is_rollout)
         if node_id is None:
             raise not_run(ErrorCode.NO_BACKEND, "no live owner", NO_BACKEND_RETRY_AFTER_SECONDS)
         return node_id
--- a/src/runkeel/requests/place.py
+++ b/src/runkeel/requests/place.py
@@ -45,12 +45,22 @@
         self._outstanding: dict[tuple[str, str], int] = {}
 
     def choose(
-        self, pool: PoolId, exclude: Collection[str] = (), minimum_version: int = 0
+        self,
+        pool: PoolId,
+        exclude: Collection[str] = (),
+        minimum_version: int = 0,
+        is_rollout: bool = False,
     ) -> str | None:
-        """Return the node id of an owner of the pool, or None when no live node owns one."""
+        """Return the node id of an owner of the pool, or None when no live node owns one.
+
+        The projected wait of the summaries is a caller's; rollouts queue behind callers. They go
+        to the owner of least load, wherever it is: to them slots count, not the way there.
+        """
         candidates = self._candidates(pool, exclude, minimum_version)
         if not candidates:
             return self._choose_by_ownership(pool, exclude)
+        if is_rollout:
+            return min(candidates, key=lambda each: (each.load, self._random.random())).node_id
         near = [candidate for candidate in candidates if candidate.in_zone]
         far = [candidate for candidate in candidates if not candidate.in_zone]
         best_near = self._best_of_two(near)
--- /dev/null
+++ b/tests/requests/test_place.py
@@ -0,0 +1,51 @@
+"""Tests of the choice of an owner node."""
+
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+
+from runkeel.api.machines import MachineKind, PoolSummary
+from runkeel.requests.backend_choice import PoolId
+from runkeel.requests.place import Placement
+
+POOL = PoolId(MachineKind.ENGINE, "m")
+
+
+class FakeMembership:
+    zone = "a"
+
+    def __init__(self, *summaries: PoolSummary) -> None:
+        self._summaries = summaries
+
+    def pool_summaries(self, _pool):
+        return self._summaries
+
+    def is_live(self, _node_id):
+        return True
+
+    def member(self, node_id):
+        return SimpleNamespace(zone=node_id[0])
+
+
+def summary(node_id: str, slots: int, queued: int = 0) -> PoolSummary:
+    return PoolSummary(node_id, "m", 1, 1, slots, 0, queued, 0, 1, 1)
+
+
+class PlacementTest(unittest.TestCase):
+    def test_a_caller_stays_in_its_zone(self):
+        placement = Placement(FakeMembership(summary("a1", 4, 3), summary("b1", 4)), None, None)
+        self.assertEqual(placement.choose(POOL), "a1")
+
+    def test_rollouts_fill_the_slots_of_all_zones_evenly(self):
+        owners = (summary("a1", 8), summary("b1", 4), summary("c1", 4))
+        placement = Placement(FakeMembership(*owners), None, None)
+        chosen = []
+        for _ in range(16):
+            chosen.append(placement.choose(POOL, is_rollout=True))
+            placement.sent(POOL, chosen[-1])
+        self.assertEqual([chosen.count(node) for node in ("a1", "b1", "c1")], [8, 4, 4])
+
+    def test_rollouts_avoid_an_owner_with_a_queue(self):
+        placement = Placement(FakeMembership(summary("a1", 4, 8), summary("b1", 4)), None, None)
+        self.assertEqual(placement.choose(POOL, is_rollout=True), "b1")
