Let a step owner fill the pool beside other owners, up to a queue of bounded length

Cause: after a step of one owner had ended, the slots stood free for 1 to 3 s: the owner of the next step took the summaries, which lag and come from other zones about once a second, for the truth and held back. Change: a node may have its own full load in flight while the work of others, its own left out, does not exceed the slots once over: a queue of at most about one more load.

--- a/src/runkeel/rollouts/staleness_manager.py
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -23,6 +23,8 @@
 _IDLE_FRACTION = 0.5
 _LOAD_FOR_IDLE_TIME = 1.1
 _LOAD_FOR_STALENESS = 1.0
+_LOAD_OF_OTHERS = 1.0
+"""Work of other nodes, as a multiple of the slots, that may wait in queues beside this node's."""
 _GENERATION_VERSIONS = 1
 """Versions that may pass while a sample waits in the queue and is generated."""
 
@@ -92,15 +94,21 @@
         return self._clock() - attempt.first_token_at > spec.max_staleness_seconds
 
     def capacity(self, model: str, in_flight_here: int) -> int:
-        """Return how many more generations this node may start for the model."""
+        """Return how many more generations this node may start for the model.
+
+        Alone, a node fills the pool. Beside others it still may, up to a queue of bounded length:
+        a step that ends elsewhere frees its slots long before the summaries say so.
+        """
         summaries = self._membership.pool_summaries(model)
         recent = self._in_flight.setdefault(model, RecentMaximum())
         # The summaries lag: they may still count what has finished here since. Without the
         # maximum, finished work would pass for that of others, and engines would idle.
         counted_here = recent.note(self._clock(), in_flight_here)
         others = max(0, total_busy(summaries) - counted_here)
-        slots = int(total_slots(summaries) * self._target_load(model))
-        allowed = max(self._options.minimum_in_flight, slots - others)
+        slots = total_slots(summaries)
+        load = self._target_load(model)
+        alone, shared = int(slots * load), int(slots * (load + _LOAD_OF_OTHERS))
+        allowed = max(self._options.minimum_in_flight, min(alone, shared - others))
         return max(0, allowed - in_flight_here)
 
     def engines_idle(self, model: str) -> bool:
--- a/tests/rollouts/fakes.py
+++ b/tests/rollouts/fakes.py
@@ -163,7 +163,8 @@
 
     def pool_summaries(self, pool):
         version = self.cluster.dispatcher.version
-        return (PoolSummary("a1", pool, 1, 1, 64, 0, 0, 0, version, version),)
+        busy = self.cluster.pool_busy
+        return (PoolSummary("a1", pool, 1, 1, 64, busy, 0, 0, version, version),)
 
     def on_call(self, message_type, request_class, handler) -> None:
         self.handlers[message_type] = (request_class, handler)
@@ -193,6 +194,7 @@
         self.clock = FakeClock()
         self.gate = gate or (lambda node_id, when: None)
         self.down: set[str] = set()
+        self.pool_busy = 0
         self.nodes = {node_id: FakeNode(node_id, node_id[0], self) for node_id in node_ids}
         for node in self.nodes.values():
             node.live = set(node_ids)
