Let a few rollouts wait at the engine, callers not behind rollouts

A caller, on the other hand, waited in the owner's queue while rollouts held all slots, though the engine preempts them by priority. Change: while no callers are about, an engine may have two rollouts more than slots; callers count callers only against the slots. The emulated trainer begins its next step when fewer than begin_below samples are missing: steps begun together all came down to their stragglers together. Steps of this size need longer than 30 s to come whole after the run's end (1,792 samples at 125 a second and then a straggler of 14 s), so that the time for it is the experiment's finish_seconds; the default stays.

--- a/src/runkeel/requests/backend_choice.py
+++ b/src/runkeel/requests/backend_choice.py
@@ -21,6 +21,8 @@
 from runkeel.requests.prefix_cache import PrefixBelief
 
 ROLLOUT_RANK = 1_000
+ROLLOUTS_WAITING_PER_ENGINE = 2
+"""Rollouts beyond an engine's slots, so that one begins in the step after another has ended."""
 PREFIX_BONUS = 0.3
 """How much more loaded, as a fraction of its slots, an engine may be to be chosen for its cache."""
 FOREIGN_LOAD_WEIGHT = 0.5
@@ -277,8 +279,12 @@
 def _has_room(
     backend: Backend, demand: Demand, slots: int, rollout_share: float, callers_present: bool
 ) -> bool:
-    if backend.in_flight >= slots:
-        return False
-    if not demand.is_rollout or not callers_present:
-        return True
-    return backend.rollouts < math.floor(slots * rollout_share)
+    """Return whether the back end may get the request now.
+
+    A caller doesn't wait for rollouts: the engine preempts them by priority.
+    """
+    if not demand.is_rollout:
+        return backend.callers < slots
+    if callers_present:
+        return backend.in_flight < slots and backend.rollouts < math.floor(slots * rollout_share)
+    return backend.in_flight < slots + ROLLOUTS_WAITING_PER_ENGINE
--- a/src/runkeel_lab/experiment.py
+++ b/src/runkeel_lab/experiment.py
@@ -42,6 +42,10 @@
     """Steps submitted before the present one is trained on."""
     steps_pulled: int = Field(1, ge=1)
     """Steps pulled at once; with more than 1, stragglers are trained on with the next step."""
+    begin_below: int = Field(0, ge=0)
+    """With several steps pulled, begin one when fewer samples than this are missing; 0: at once."""
+    finish_seconds: float = Field(30.0, gt=0)
+    """Time after the run's end in which the steps that were begun must come whole."""
     warm_up_steps: int = Field(1, ge=0)
     """Steps at the start that the idle fraction leaves out."""
     maximum_steps: int = Field(0, ge=0)
--- a/src/runkeel_lab/runner.py
+++ b/src/runkeel_lab/runner.py
@@ -30,7 +30,6 @@
 
 SETTLE_SECONDS = 3.0
 """Between the nodes' readiness and the load: the machine list and load reports lag."""
-TRAINER_GRACE_SECONDS = 30.0
 _DEPLOY_RETRY_SECONDS = 20.0
 
 
@@ -73,7 +72,7 @@
             gevent.spawn(self._generator.run),
             gevent.spawn(self._faults.run, result.experiment.faults, result.started),
             *(
-                gevent.spawn(trainer.run, until, TRAINER_GRACE_SECONDS)
+                gevent.spawn(trainer.run, until, trainer.spec.finish_seconds)
                 for trainer in self._trainers
             ),
         ]
--- a/src/runkeel_lab/trainer.py
+++ b/src/runkeel_lab/trainer.py
@@ -141,9 +141,12 @@
     def _may_begin(self) -> bool:
         if self._begun == len(self._submitted) or len(self._pullers) >= self.spec.steps_pulled:
             return False
-        # One step at a time: the next is begun with the weights that this one gives.
-        in_order = self.spec.steps_pulled == 1
-        return not in_order or self._begun == self._trained_steps
+        if self.spec.steps_pulled == 1:
+            # One step at a time: the next is begun with the weights that this one gives.
+            return self._begun == self._trained_steps
+        # Steps begun together would all come down to their stragglers together.
+        missing = sum(len(step.tasks) - len(step.samples) for step in self.unfinished)
+        return not self.spec.begin_below or missing < self.spec.begin_below
 
     def _begin_next(self) -> None:
         step = self._submitted[self._begun]
