Let stragglers run on to the bound, also where staleness is preferred

Cause: a model that prefers staleness gave up a straggler past half the bound, once a task. With a bound of 2 versions and samples that take 14 s beside steps of 8 s, these were stragglers at 700 to 1,270 of their 1,280 tokens; 62 in 75 s, with 5.7% of all tokens generated. They were then made again, no fresher than before: the age of a sample at hand-over is that of its first token. Change: in flight work is dropped when it can't be handed over within the bound, whatever is preferred. A new test holds this for both preferences. measurements.rollouts also shows how long weights took to all engines.

--- a/src/runkeel/rollouts/planner.py
+++ b/src/runkeel/rollouts/planner.py
@@ -93,7 +93,7 @@
         model = step.key.model
         for task in step.tasks.values():
             for attempt in list(task.running):
-                if self._staleness.attempt_is_hopeless(model, attempt, task.restarts, newest):
+                if self._staleness.attempt_is_hopeless(model, attempt, newest):
                     yield task, attempt
 
     def hopeless_samples(self, step: Step) -> Iterator[Task]:
--- a/src/runkeel/rollouts/staleness_manager.py
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -75,21 +75,12 @@
         spec = self.spec(step.key.model)
         return max(0, step.trainer_version - spec.max_staleness_versions)
 
-    def attempt_is_hopeless(
-        self, model: str, attempt: Attempt, restarts: int, newest_version: int
-    ) -> bool:
-        """Return whether a running attempt can no longer be handed over within the bound.
-
-        A model that prefers staleness also gives up stragglers past half the bound, once for
-        each task: a task longer than that must still be able to finish.
-        """
+    def attempt_is_hopeless(self, model: str, attempt: Attempt, newest_version: int) -> bool:
+        """Return whether a running attempt can no longer be handed over within the bound."""
         if attempt.oldest_version is None or attempt.first_token_at is None:
             return False
         spec = self.spec(model)
-        bound = spec.max_staleness_versions
-        if spec.prefer is DeliveryPreference.STALENESS and restarts == 0 and attempt.generating:
-            bound = bound // 2
-        if newest_version - attempt.oldest_version > bound:
+        if newest_version - attempt.oldest_version > spec.max_staleness_versions:
             return True
         return self._clock() - attempt.first_token_at > spec.max_staleness_seconds
 
--- a/src/runkeel/rollouts/step.py
+++ b/src/runkeel/rollouts/step.py
@@ -85,7 +85,6 @@
         entry: cursor of the delivery entry that names this task.
         confirmed: whether the trainer has confirmed that entry.
         remake: whether the sample that the entry names must be replaced.
-        restarts: attempts that were cancelled as too old.
         failures: consecutive failed attempts.
         not_before: monotonic time before which no new attempt starts.
         left_to_other: whether the step's earlier owner still works on it.
@@ -99,7 +98,6 @@
     entry: int | None = None
     confirmed: bool = False
     remake: bool = False
-    restarts: int = 0
     failures: int = 0
     not_before: float = 0.0
     left_to_other: bool = False
--- a/src/runkeel/rollouts/step_owner.py
+++ b/src/runkeel/rollouts/step_owner.py
@@ -281,7 +281,6 @@
             step = opened.step
             for task, attempt in self._planner.hopeless_attempts(step):
                 cancel_attempt(task, attempt)
-                task.restarts += 1
                 metrics.SAMPLES_DROPPED.labels(step.key.model, "cancelled_too_stale").inc()
             for task in self._planner.hopeless_samples(step):
                 drop_sample(step, task, self._replicator, "too_stale")
--- a/src/runkeel_lab/measurements/rollouts.py
+++ b/src/runkeel_lab/measurements/rollouts.py
@@ -18,7 +18,6 @@
 
 import gevent  # noqa: E402
 
-from runkeel_lab.deployment import Deployment  # noqa: E402
 from runkeel_lab.experiment import load_experiment  # noqa: E402
 from runkeel_lab.journals import Journals  # noqa: E402
 from runkeel_lab.launcher import EmulatedDeployment  # noqa: E402
@@ -36,7 +35,11 @@
     deployment_of,
     fresh_folder,
 )
+from runkeel_lab.standins.engine.options import EngineOptions  # noqa: E402
 from runkeel_lab.summary import make_console, make_table  # noqa: E402
+from runkeel_lab.trainer import Trainer  # noqa: E402
+
+MAXIMUM_RUNNING = EngineOptions.model_fields["max_running"].default
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,28 +52,31 @@
         median_staleness_trained: versions behind when the trainer trained on the sample.
         slots_percent: engine slots that held a sequence.
         capacity_percent: tokens generated, of what full batches without prefill generate.
+        weights_seconds: longest time from a version's publication until all engines had it or
+            a newer one.
         load_average: of the machine over the last minute, at the end of the run.
     """
 
     experiment: str
     trainer: str
-    steps: int
-    seconds_a_step: float | None
-    idle_fraction: float | None
-    idle_lower_bound: float | None
-    idle_ratio: float | None
-    median_staleness: int | None
-    largest_staleness: int | None
-    median_staleness_trained: int | None
-    too_stale: int
-    missing: int
-    duplicated: int
-    wrong_version: int
-    slots_percent: float | None
-    capacity_percent: float | None
     caller_p99_ms: dict[str, float | None]
     violations: int
     load_average: float
+    steps: int = 0
+    seconds_a_step: float | None = None
+    idle_fraction: float | None = None
+    idle_lower_bound: float | None = None
+    idle_ratio: float | None = None
+    median_staleness: int | None = None
+    largest_staleness: int | None = None
+    median_staleness_trained: int | None = None
+    too_stale: int = 0
+    missing: int = 0
+    duplicated: int = 0
+    wrong_version: int = 0
+    slots_percent: float | None = None
+    capacity_percent: float | None = None
+    weights_seconds: float | None = None
 
 
 def main() -> None:
@@ -111,6 +117,10 @@
     write_report(report, folder)
     write_records(run.result.records, folder)
     journals = Journals.read(folder / "journals")
+    if not run.result.trainers:
+        p99 = _caller_p99(report)
+        violations = len(report["violations"])
+        return [RolloutFigures(experiment.name, "no trainer", p99, violations, load_average)]
     return [
         _figures(run.result, report, journals, number, load_average)
         for number in range(len(run.result.trainers))
@@ -124,7 +134,7 @@
     row = report["trainers"][trainer.spec.name]
     time = trainer.time
     idle, bound = row["idle_fraction"], row["idle_lower_bound"]
-    use = _use(result.deployment, journals, trainer.spec.model, time.began, time.ended)
+    use = _use(result, trainer, journals)
     capacity = tokens_per_second(result.deployment, trainer.spec.model)
     span = time.ended - time.began
     return RolloutFigures(
@@ -144,19 +154,51 @@
         wrong_version=row["wrong_version"],
         slots_percent=round(100 * use.slot_seconds / (use.slots * span), 2) if span else None,
         capacity_percent=round(100 * use.tokens / (capacity * span), 2) if span else None,
-        caller_p99_ms={name: each["p99_ms"] for name, each in report["callers"].items()},
+        weights_seconds=_weights_seconds(journals, trainer.spec.model, _engines(result, trainer)),
+        caller_p99_ms=_caller_p99(report),
         violations=len(report["violations"]),
         load_average=round(load_average, 1),
     )
 
 
-def _use(
-    deployment: Deployment, journals: Journals, model: str, began: float, ended: float
-) -> EngineUse:
-    pool = next(pool for pool in deployment.models if pool.name == model)
-    engines = [f"{model}-{number}" for number in range(1, pool.engines + 1)]
-    slots = pool.engines * int(pool.options.get("max_running", 32))
-    return engine_use(journals, engines, slots, began, ended)
+def _caller_p99(report: dict) -> dict[str, float | None]:
+    return {name: each["p99_ms"] for name, each in report["callers"].items()}
+
+
+def _engines(result: RunResult, trainer: Trainer) -> list[str]:
+    """Return the ids of the engines that serve a trainer's model."""
+    model = trainer.spec.model
+    pool = next(pool for pool in result.deployment.models if pool.name == model)
+    return [f"{model}-{number}" for number in range(1, pool.engines + 1)]
+
+
+def _use(result: RunResult, trainer: Trainer, journals: Journals) -> EngineUse:
+    engines = _engines(result, trainer)
+    pool = next(pool for pool in result.deployment.models if pool.name == trainer.spec.model)
+    slots = pool.engines * int(pool.options.get("max_running", MAXIMUM_RUNNING))
+    return engine_use(journals, engines, slots, trainer.time.began, trainer.time.ended)
+
+
+def _weights_seconds(journals: Journals, model: str, engines: list[str]) -> float | None:
+    """Return the longest time that a published version took to all engines; None without any.
+
+    A version that came so late that the run ended first is left out.
+    """
+    longest = None
+    for published in journals.of("weight-store", "published"):
+        if published.fields["model"] != model:
+            continue
+        version = published.fields["version"]
+        swapped = [
+            next(
+                (e.at for e in journals.of(engine, "swapped") if e.fields["version"] >= version),
+                None,
+            )
+            for engine in engines
+        ]
+        if None not in swapped:
+            longest = max(longest or 0.0, max(swapped) - published.at)
+    return None if longest is None else round(longest, 3)
 
 
 def _median(counts: Counter[int]) -> int | None:
--- a/tests/rollouts/test_planner.py
+++ b/tests/rollouts/test_planner.py
@@ -9,7 +9,7 @@
 from runkeel.rollouts.planner import LengthHistory, Planner
 from runkeel.rollouts.sample import StepKey
 from runkeel.rollouts.staleness_manager import StalenessManager
-from runkeel.rollouts.step import Step, TaskSpec
+from runkeel.rollouts.step import Attempt, Step, TaskSpec
 from tests.rollouts.fakes import FAST, MODEL, FakeCluster
 
 
@@ -53,6 +53,18 @@
         self.cluster.pool_busy = 1_000
         self.assertEqual(len(self.planned([self.step(3, lengths=range(1, 200))])), 4)
 
+    def test_stragglers_are_given_up_past_the_bound_only_whatever_is_preferred(self):
+        step = self.step(1)
+        attempt = Attempt(1, 0.0, oldest_version=1, first_token_at=self.cluster.clock())
+        next(iter(step.tasks.values())).running.append(attempt)
+        spec = self.cluster.configuration.spec
+        for prefer in DeliveryPreference:
+            self.cluster.configuration.spec = spec.model_copy(update={"prefer": prefer})
+            for version, given_up in ((3, 0), (4, 1)):
+                step.state_version(version, 0.0)
+                with self.subTest(prefer=prefer, version=version):
+                    self.assertEqual(len(list(self.planner.hopeless_attempts(step))), given_up)
+
     def test_idle_time_runs_steps_ahead_and_staleness_waits_for_the_tail(self):
         present, later = self.step(1), self.step(2)
         present.pulled = True
