--- a/src/runkeel/membership/gossip.py
+++ b/src/runkeel/membership/gossip.py
@@ -17,13 +17,12 @@
 from runkeel.membership.digests import DigestMonitor
 from runkeel.membership.heartbeats import Heartbeats
 from runkeel.membership.housekeeping import Housekeeper
-from runkeel.membership.limits import TokenBucket
 from runkeel.membership.live import LiveView
 from runkeel.membership.loads import LoadTable
 from runkeel.membership.news import NewsQueue
 from runkeel.membership.notifier import Notifier
-from runkeel.membership.probing import Prober
-from runkeel.membership.suspicions import Suspicions
+from runkeel.membership.probing import PROBE_TIMEOUT_SECONDS, Prober
+from runkeel.membership.suspicions import SUSPICION_SECONDS, Suspicions
 from runkeel.membership.synchronizer import Synchronizer
 from runkeel.membership.table import MemberTable, short_number
 from runkeel.membership.transport import DatagramTransport, Traffic, monotonic
@@ -32,8 +31,8 @@
 from runkeel.wire.links import LinkPolicy
 
 TICK_SECONDS = 0.1
-PAUSE_SECONDS = 2.5
-"""A standstill of this process after which others have taken it for dead."""
+PAUSE_SECONDS = PROBE_TIMEOUT_SECONDS + SUSPICION_SECONDS
+"""A standstill of this process after which others may have taken it for dead."""
 
 _TO_ACQUAINTANCES = (
     DatagramKind.PING,
@@ -98,7 +97,6 @@
             self, self._table, self._loads, self._digests, self._notifier
         )
         self._suspicions = Suspicions()
-        self._accusations = TokenBucket(rate=20.0, burst=40.0)
         self._incarnation_callbacks: list[Callable[[int], None]] = []
         self._turn_at = monotonic()
         self._stopped = Event()
@@ -267,7 +265,7 @@
         if sender is None or sender.incarnation < (datagram.incarnation or 0):
             self._synchronizer.ask_introduction(source, zone, now)
         elif sender.status in _GONE:
-            self._accuse(sender, source, zone, now)
+            self._synchronizer.accuse(sender, source, zone, now)
         if zone is not None and zone != self.zone:
             self._zones.hear(zone, now)
         if sender is not None:
@@ -360,11 +358,6 @@
     def _announce_local(self) -> None:
         self._announcer.add_urgent(self.node_id, monotonic())
 
-    def _accuse(self, sender: Member, source: Address, zone: str | None, now: float) -> None:
-        """Tell a node that is thought dead, so that it takes a new incarnation."""
-        if sender.status is MemberStatus.DEAD and self._accusations.take(now):
-            self.send_to(DatagramKind.NEWS, [(source, zone)], records=[record_of(sender)])
-
     def _suspect(self, target: Member) -> None:
         now = monotonic()
         present = self._table.get(target.node_id)
--- a/src/runkeel/membership/suspicions.py
+++ b/src/runkeel/membership/suspicions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 SUSPICION_SECONDS = 0.9
+"""Time in which a suspected node may prove that it is alive."""
 
 
 class Suspicions:
--- a/src/runkeel/membership/synchronizer.py
+++ b/src/runkeel/membership/synchronizer.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from runkeel.api.machines import Address, Member
+from runkeel.api.machines import Address, Member, MemberStatus
 from runkeel.membership.datagrams import record_of, split_records
 from runkeel.membership.limits import TokenBucket
 from runkeel.membership.table import MemberTable
@@ -73,6 +73,7 @@
         self._zone_differences: dict[str, int] = {}
         self._requests = TokenBucket(rate=1 / SYNC_SECONDS, burst=4.0)
         self._introductions = TokenBucket(rate=10.0, burst=20.0)
+        self._accusations = TokenBucket(rate=20.0, burst=40.0)
         self._answers = TokenBucket(rate=100.0, burst=200.0)
 
     @property
@@ -116,6 +117,11 @@
         if self._introductions.take(now):
             self._sender.send_to(DatagramKind.SYNC_REQUEST, [(source, zone)])
 
+    def accuse(self, dead: Member, source: Address, zone: str | None, now: float) -> None:
+        """Tell a node that is thought dead, so that it takes a new incarnation."""
+        if dead.status is MemberStatus.DEAD and self._accusations.take(now):
+            self._sender.send_to(DatagramKind.NEWS, [(source, zone)], records=[record_of(dead)])
+
     def on_view_hash(self, sender: Member, view_hash: int, now: float) -> None:
         """Compare a zone mate's view of the whole cluster with ours."""
         if sender.zone != self._sender.zone or view_hash == self._table.view_hash():
