Heal what membership fuzzing found, and pace the loads of other zones

Change: a record of this node with another address counts as an accusation; bridges compare one other zone's hash in turn; the interval of loads between zones follows what probes can relay.

--- a/src/runkeel/membership/bridging.py
+++ b/src/runkeel/membership/bridging.py
@@ -9,18 +9,17 @@
 import random
 
 from runkeel.api.machines import Member, MemberStatus
-from runkeel.membership.loads import LoadTable
+from runkeel.membership.loads import RELAY_TRANSMISSIONS, LoadTable
 from runkeel.membership.synchronizer import Sender
 from runkeel.membership.table import MemberTable
 from runkeel.membership.zones import ZoneReachability
 from runkeel.wire.generated.membership.ttypes import DatagramKind, ZoneHash
 
 BRIDGE_PERIOD_SECONDS = 1.0
-LOAD_BYTES_PER_SECOND = 600
-"""Bounds how often a bridge tells the other zones of its zone's loads."""
+RELAYED_PER_SECOND = 8
+"""Loads of other zones that a node passes on: two on each probe and on each answer to one."""
 
-LOAD_ENTRY_BYTES = 45
-LONGEST_LOAD_PERIOD_SECONDS = 5.0
+LONGEST_LOAD_PERIOD_SECONDS = 10.0
 
 
 class Bridging:
@@ -39,6 +38,7 @@
         self._loads = loads
         self._period_at = 0.0
         self._loads_at = 0.0
+        self._turn = 0
         self._was_bridge = False
         self._reported: list[str] | None = None
 
@@ -52,7 +52,7 @@
             return
         self._period_at = now + BRIDGE_PERIOD_SECONDS * random.uniform(0.95, 1.05)
         bridges, others = self._choose_targets(index)
-        loads = self._due_loads(now, len(bridges))
+        loads = self._due_loads(now) if bridges else None
         self._send(DatagramKind.BRIDGE, bridges, loads)
         self._send(DatagramKind.BRIDGE, others, None)
 
@@ -111,17 +111,38 @@
         ]
         return [random.choice(lost)] if lost else []
 
-    def _due_loads(self, now: float, receivers: int) -> list | None:
-        if now < self._loads_at or not receivers:
+    def _due_loads(self, now: float) -> list | None:
+        if now < self._loads_at:
             return None
         loads = self._loads.best_of_zone(now)
-        cost = len(loads) * LOAD_ENTRY_BYTES * receivers
-        period = min(LONGEST_LOAD_PERIOD_SECONDS, cost / LOAD_BYTES_PER_SECOND)
-        self._loads_at = now + period
+        self._loads_at = now + self._load_period(len(loads))
         return loads or None
 
+    def _load_period(self, entries: int) -> float:
+        """Return the time between two reports of loads.
+
+        Inside the receiving zone each node relays an entry a few times, with its probes. More
+        entries than fit these would displace each other, and then reach hardly any node.
+        """
+        zones = self._table.zones()
+        largest_zone = max(len(self._table.live_in(zone)) for zone in zones)
+        relays = min(RELAY_TRANSMISSIONS, largest_zone - 1)
+        bridges = len(self._table.bridges(self._sender.zone))
+        relayed = entries * (len(zones) - 1) * bridges * relays
+        wanted = relayed / RELAYED_PER_SECOND
+        return min(LONGEST_LOAD_PERIOD_SECONDS, max(BRIDGE_PERIOD_SECONDS, wanted))
+
+    def _next_other_zone(self) -> list[str]:
+        """Return another zone in turn: zones that never hear each other are told by a third."""
+        others = [zone for zone in self._table.zones() if zone != self._sender.zone]
+        if not others:
+            return []
+        self._turn += 1
+        return [others[self._turn % len(others)]]
+
     def _send(self, kind: int, targets: list[Member], loads: list | None) -> None:
         zone = self._sender.zone
-        hashes = [ZoneHash(zone, self._table.zone_hash(zone))]
+        zones = [zone, *self._next_other_zone()]
+        hashes = [ZoneHash(each, self._table.zone_hash(each)) for each in zones]
         digest = self._sender.state_digest()
         self._sender.send(kind, targets, zone_hashes=hashes, state_digest=digest, loads=loads)
--- a/src/runkeel/membership/gossip.py
+++ b/src/runkeel/membership/gossip.py
@@ -320,10 +320,10 @@
             if zone == self.zone and member == known:
                 self._announcer.heard(member.node_id)
             return
-        if not is_repeat:
+        if zone != self.zone and not is_repeat:
+            self._announcer.add(member.node_id, now)
+        elif not is_repeat:
             self._news.add(member)
-            if zone != self.zone:
-                self._announcer.add(member.node_id, now)
         if member.status is MemberStatus.SUSPECT and member.zone == self.zone:
             self._suspicions.begin(member.node_id, now)
         else:
@@ -331,7 +331,10 @@
 
     def _answer_accusation(self, record: MemberRecord, source: Address, zone: str | None) -> None:
         mine = (self._local.incarnation, int(self._local.status))
-        if (record.incarnation, record.status) <= mine:
+        theirs = (record.incarnation, record.status)
+        # An earlier life may have had this incarnation, and others its address.
+        is_earlier_life = theirs == mine and record.gossip != record_of(self._local).gossip
+        if theirs < mine or (theirs == mine and not is_earlier_life):
             return
         self._raise_incarnation(record.incarnation, "accused")
         self.send_to(DatagramKind.NEWS, [(source, zone)], records=[record_of(self._local)])
--- a/src/runkeel/membership/synchronizer.py
+++ b/src/runkeel/membership/synchronizer.py
@@ -70,7 +70,7 @@
         self._join_at = 0.0
         self._joined = False
         self._differences = 0
-        self._zone_differences: dict[str, int] = {}
+        self._zone_differences: dict[tuple[str, str], int] = {}
         self._requests = TokenBucket(rate=1 / SYNC_SECONDS, burst=4.0)
         self._introductions = TokenBucket(rate=10.0, burst=20.0)
         self._accusations = TokenBucket(rate=20.0, burst=40.0)
@@ -133,22 +133,35 @@
             self._request(sender, self._table.zones())
 
     def on_zone_hashes(self, sender: Member, hashes: Iterable[ZoneHash], now: float) -> None:
-        """Compare a bridge's view of its own zone with ours, and repair both if need be.
-
-        A bridge that knows less than others, as one cut off when it joined, must be told by
-        another zone: its own zone may not know of it.
-        """
+        """Compare a bridge's view of its own zone, and of another one, with ours."""
         for each in hashes:
-            if each.zone != sender.zone or each.hash == self._table.zone_hash(each.zone):
-                self._zone_differences.pop(sender.node_id, None)
-            elif self._requests.take(now):
-                count = self._zone_differences.get(sender.node_id, 0) + 1
-                self._request(sender, [each.zone])
-                if count > 1:
-                    self._send_zone(sender.gossip, sender.zone, sender.zone, now)
-                    count = 0
-                if len(self._zone_differences) < MAXIMUM_ZONE_DIFFERENCES:
-                    self._zone_differences[sender.node_id] = count
+            key = (sender.node_id, each.zone)
+            if each.hash == self._table.zone_hash(each.zone):
+                self._zone_differences.pop(key, None)
+                continue
+            count = self._zone_differences.get(key, 0) + 1
+            if len(self._zone_differences) < MAXIMUM_ZONE_DIFFERENCES:
+                self._zone_differences[key] = count
+            self._repair_zone(sender, each.zone, count, now)
+
+    def _repair_zone(self, sender: Member, zone: str, differences: int, now: float) -> None:
+        """Ask a bridge for what it knows of a zone.
+
+        Of its own zone it knows best, so it is asked at once. If the difference stays, it may
+        know too little, like a node that was cut off when it joined, and is told in turn: its
+        own zone may not know of it. Of another zone it is asked late, when that zone itself
+        has not told us.
+        """
+        is_own = zone == sender.zone
+        if not is_own and differences < DIFFERENCES_BEFORE_SYNC:
+            return
+        if not self._requests.take(now):
+            return
+        self._request(sender, [zone])
+        if is_own and differences > 1:
+            self._send_zone(sender.gossip, sender.zone, zone, now)
+        if differences > 1:
+            self._zone_differences.pop((sender.node_id, zone), None)
 
     def _send_zone(self, target: Address, target_zone: str | None, zone: str, now: float) -> None:
         members = [member for member in self._table.all() if member.zone == zone]
