--- a/src/runkeel_lab/processes.py
+++ b/src/runkeel_lab/processes.py
@@ -5,6 +5,7 @@
 import atexit
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -18,6 +19,9 @@
 READY_TIMEOUT_SECONDS = 20.0
 STOP_TIMEOUT_SECONDS = 15.0
 _POLL_SECONDS = 0.02
+_LOWEST_PORT = 12_000
+_HIGHEST_PORT = 32_000
+_TRIES_PER_PORT = 100
 
 
 class LabError(Exception):
@@ -27,28 +31,31 @@
 def free_ports(count: int) -> list[int]:
     """Return ports that are free for both TCP and UDP on 127.0.0.1.
 
-    All are held open until the last one is found, so that none is returned twice. Another
-    process may still take one before it is used; a start that fails on that says so.
+    They lie below the kernel's usual range for outgoing connections, so that none of those
+    takes the port of a process that is started later, or started again.
+
+    Raises:
+        LabError: too few are free.
     """
-    held: list[socket.socket] = []
-    ports: list[int] = []
+    source = random.SystemRandom()
+    ports: set[int] = set()
+    for _ in range(count * _TRIES_PER_PORT):
+        if len(ports) == count:
+            return sorted(ports)
+        port = source.randrange(_LOWEST_PORT, _HIGHEST_PORT)
+        if port not in ports and _is_free(port):
+            ports.add(port)
+    raise LabError(f"found {len(ports)} free ports of {count}")
+
+
+def _is_free(port: int) -> bool:
     try:
-        while len(ports) < count:
-            stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            held.append(stream)
-            stream.bind(("127.0.0.1", 0))
-            port = stream.getsockname()[1]
-            datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            held.append(datagram)
-            try:
-                datagram.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            ports.append(port)
-    finally:
-        for each in held:
-            each.close()
-    return ports
+        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+            with socket.socket(socket.AF_INET, kind) as probe:
+                probe.bind(("127.0.0.1", port))
+    except OSError:
+        return False
+    return True
 
 
 class ChildProcess:
--- a/tests/lab/test_deployment.py
+++ b/tests/lab/test_deployment.py
@@ -1,6 +1,7 @@
 """Deployment files, the plan of processes, and the links' rules."""
 
 import json
+import socket
 import tempfile
 import tomllib
 import unittest
@@ -11,6 +12,7 @@
 from runkeel_lab.deployment import Deployment, load_deployment
 from runkeel_lab.links import LinkRules
 from runkeel_lab.plan import plan_deployment, to_toml
+from runkeel_lab.processes import free_ports
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 
@@ -66,6 +68,16 @@
         self.assertEqual(tomllib.loads(f"value = {to_toml(value)}")["value"], value)
 
 
+class FreePortsTest(unittest.TestCase):
+    def test_distinct_free_and_out_of_the_way_of_outgoing_connections(self):
+        ports = free_ports(50)
+        self.assertEqual(len(set(ports)), 50)
+        self.assertLess(max(ports), 32_768)
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", ports[0]))
+            self.assertNotIn(ports[0], free_ports(200))
+
+
 class LinkRulesTest(unittest.TestCase):
     def test_rules_are_read_back_and_replaced_whole(self):
         rules = LinkRules({("a", "b"): 1.5, ("b", "a"): 1.5}, frozenset({("a", "b")}))
