Answer callers only once the configuration has been read

Change: Node.start waits up to 5 s for the configuration before the HTTP face accepts; earlier connections wait in the listener's backlog.

--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -38,6 +38,8 @@
 from runkeel.wire.links import LinkPolicy
 from runkeel.wire.network import PeerNetwork
 
+CONFIGURATION_WAIT_SECONDS = 5.0
+
 
 class Node:
     """One node: every role, on one set of listeners.
@@ -95,6 +97,9 @@
         self._requests.start()
         self._weights.start()
         self._rollouts.start()
+        # Callers that come earlier would be told that their service is unknown; until then their
+        # connections wait in the listener's backlog. Without store and peers it starts anyway.
+        self._spread.wait_caught_up(CONFIGURATION_WAIT_SECONDS)
         self._http.start()
 
     def drain_and_stop(self, timeout_seconds: float) -> bool:
--- a/src/runkeel_lab/monitor.py
+++ b/src/runkeel_lab/monitor.py
@@ -15,7 +15,7 @@
 _INTERVAL_SECONDS = 1.0
 _MEGABYTE = 1024 * 1024
 _CONTROL_BYTES = re.compile(
-    r"^runkeel_(?:gossip|control)_(?:sent_)?bytes_total(?:\{[^}]*\})? ([0-9.e+]+)$", re.MULTILINE
+    r"^runkeel_gossip_sent_bytes_total(?:\{[^}]*\})? ([0-9.e+]+)$", re.MULTILINE
 )
 
 
@@ -24,8 +24,8 @@
     """What one node used; a node that was restarted counts its lives together.
 
     Attributes:
-        control_bytes_per_s: bytes a second of heartbeats and control traffic that the node
-            counts itself; None when it counts none. A cost figure, never used for violations.
+        control_bytes: bytes of heartbeats and what they carry that the node has counted as sent.
+            A cost figure, never used for violations.
     """
 
     cpu_seconds: float = 0.0
