--- a/tests/rollouts/test_fuzz.py
+++ b/tests/rollouts/test_fuzz.py
@@ -17,7 +17,7 @@
 from tests.rollouts.fuzz_machine import RolloutMachine
 
 EXAMPLES = int(os.environ.get("RUNKEEL_FUZZ_EXAMPLES", "150"))
-MUTANT_EXAMPLES = 400
+MUTANT_EXAMPLES = 1_500
 STEPS = 40
 
 
