Work owners out anew only when candidates have changed

Cause: each change of the live nodes, a mere new incarnation included, walked all back ends. Change: compare the candidates of each zone first. Conclusion: a storm of refutations no longer multiplies its cost by the fleet's size.

--- a/src/runkeel/state/ownership.py
+++ b/src/runkeel/state/ownership.py
@@ -77,7 +77,7 @@
         self._owned: tuple[Machine, ...] = ()
         self._listeners: list[Callable[[], None]] = []
         self._refresh()
-        membership.on_change(self._refresh)
+        membership.on_change(self._on_members)
         machines.on_change(self._refresh)
         configuration.on_change(self._on_configuration)
 
@@ -96,6 +96,12 @@
         """Call back after the set of owned back ends has changed."""
         self._listeners.append(callback)
 
+    def _on_members(self) -> None:
+        # Most changes are new incarnations of nodes that were never gone; in a storm of them
+        # the owners must not be worked out anew each time.
+        if any(table.candidates != self._candidates(zone) for zone, table in self._tables.items()):
+            self._refresh()
+
     def _on_configuration(self, kind: ObjectKind, _name: str) -> None:
         if kind is ObjectKind.DRAIN:
             self._refresh()
--- a/tests/state/test_views.py
+++ b/tests/state/test_views.py
@@ -1,5 +1,6 @@
 import random
 import unittest
+from unittest import mock
 
 from runkeel.api.configuration import MemberLimitSpec, ObjectKind
 from runkeel.api.machines import MachineKind, MachineState
@@ -129,6 +130,20 @@
             self.cluster.membership_changed()
             self.assertEqual(self.owners(), self.owners(self.new_ownership("a0")))
 
+    def test_change_of_members_that_are_no_candidates_costs_nothing(self):
+        machines = ReplicatedMachineView(self.state)
+        membership = self.cluster.nodes["a0"].membership
+        RendezvousOwnership(membership, machines, ConfigurationView(self.state))
+        put(self.state, "drain", "a1", 1, {})
+        with mock.patch.object(machines, "machines", wraps=machines.machines) as listed:
+            self.cluster.membership_changed()
+            self.cluster.remove("a1")
+            self.cluster.membership_changed()
+            listed.assert_not_called()
+            self.cluster.remove("a2")
+            self.cluster.membership_changed()
+            listed.assert_called()
+
     def test_draining_and_leaving_nodes_own_nothing(self):
         put(self.state, "drain", "a1", 1, {})
         put_machine(self.state, "a2", kind=MachineKind.NODE, pool="", state=MachineState.LEAVING)
