--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -109,6 +109,7 @@
     engines_per_node: list[float] = [10.5],  # noqa: B006
     seconds: float = 30.0,
     zones: int = 6,
+    nodes_per_process: int = 20,
     restart_seconds: float = 0.0,
     storm: bool = False,
     outage_seconds: float = 0.0,
@@ -122,6 +123,7 @@
     :param engines_per_node: emulated engines for each node.
     :param seconds: length of each measurement in s.
     :param zones: zones that the nodes are spread over, up to 6.
+    :param nodes_per_process: hollow nodes that share a process.
     :param restart_seconds: s between unannounced restarts in each process of nodes; 0 for none.
     :param storm: restart 5% of the nodes at once after the measurement.
     :param outage_seconds: s that the object API is down after the measurement; 0 for none.
@@ -136,7 +138,7 @@
         engines_per_node,
         out,
         ScaleOptions(seconds=seconds, storm=storm, outage_seconds=outage_seconds),
-        FleetOptions(restart_seconds=restart_seconds),
+        FleetOptions(nodes_per_process=nodes_per_process, restart_seconds=restart_seconds),
         zones,
     )
     return EXIT_OK if all(holds(result) for result in results) else EXIT_VIOLATED
