Count the bytes of orders and status questions as control traffic

Cause: only load reports and cache events were counted, not what the reconcilers ask during swaps. Change: the client counts each exchange. Conclusion: the counter stands for all that a node and its engines exchange for control.

--- a/src/runkeel/backends/engine_directory.py
+++ b/src/runkeel/backends/engine_directory.py
@@ -202,7 +202,6 @@
             gevent.sleep(interval * random.uniform(1 - JITTER, 1 + JITTER))
 
     def _count_bytes(self, poll_bytes: int) -> None:
-        metrics.ENGINE_POLL_BYTES.inc(poll_bytes)
         self._bytes_per_poll += (poll_bytes - self._bytes_per_poll) / 8
 
     def _poll_cache_events(self, engine: _Engine) -> None:
@@ -210,12 +209,10 @@
         since = 0
         try:
             while True:
-                bytes_before = client.exchanged_bytes
                 try:
                     since, events = client.cache_events(since, CACHE_EVENT_WAIT_MS)
                 except RunkeelError:
                     events = []
-                metrics.ENGINE_POLL_BYTES.inc(client.exchanged_bytes - bytes_before)
                 if events:
                     for listener in tuple(self._cache_listeners):
                         listener(engine.machine.machine_id, events)
--- a/src/runkeel/backends/engine_orders.py
+++ b/src/runkeel/backends/engine_orders.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from runkeel.api.machines import Address, EngineStatus
+from runkeel.backends import engine_metrics
 from runkeel.backends.http_connection import HttpConnectionPool
 from runkeel.errors import ErrorCode, RunkeelError
 
@@ -152,6 +153,8 @@
         deadline = time.monotonic() + self._timeout_seconds
         answer = self._pool.request(method, target, headers, body, deadline)
         header_bytes = sum(len(name) + len(value) + 4 for name, value in answer.headers)
-        self.exchanged_bytes += _REQUEST_OVERHEAD_BYTES + len(target) + len(body)
-        self.exchanged_bytes += header_bytes + len(answer.body) + _TCP_SEGMENT_BYTES
+        sent_bytes = _REQUEST_OVERHEAD_BYTES + len(target) + len(body)
+        received_bytes = header_bytes + len(answer.body) + _TCP_SEGMENT_BYTES
+        self.exchanged_bytes += sent_bytes + received_bytes
+        engine_metrics.ENGINE_POLL_BYTES.inc(sent_bytes + received_bytes)
         return answer.status, answer.body
