Tick the owner's queues only while something waits

Cause: an idle node woke 20 times a second to look at empty queues. Change: the task waits until a request waits for a slot, a second at most.

--- a/src/runkeel/requests/owner.py
+++ b/src/runkeel/requests/owner.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from gevent.event import Event
+
 from runkeel.api.interfaces import Configuration, Membership, PeerHandlers, PeerStream
 from runkeel.api.machines import MachineKind, PoolSummary
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
@@ -68,6 +70,7 @@
         self._pauses = pauses
         self._accepted = accepted or AcceptedRequests()
         self._queues: dict[PoolId, PoolQueue] = {}
+        self._queued = Event()
         self._leaving = False
         self._summary_sequence = 0
 
@@ -143,6 +146,12 @@
             queue.shed()
             queue.pump()
 
+    def wait_for_queued(self, timeout_seconds: float) -> None:
+        """Return once a request waits for a slot, or after the time-out."""
+        if not any(self._queues.values()):
+            self._queued.clear()
+            self._queued.wait(timeout_seconds)
+
     def tick(self) -> None:
         """Refuse what has become hopeless; call some times a second."""
         for queue in self._queues.values():
@@ -238,6 +247,8 @@
     def _acquire(self, run: _Run, demand: Demand) -> Backend:
         queue = self._queue(demand.pool)
         waiter = queue.enter(demand, run.deadline)
+        if not waiter.result.ready():
+            self._queued.set()
         run.row.on_withdraw = lambda: queue.refuse(
             waiter, not_run(ErrorCode.WITHDRAWN, "the request was withdrawn")
         )
--- a/src/runkeel/requests/service.py
+++ b/src/runkeel/requests/service.py
@@ -34,6 +34,8 @@
 
 SUMMARY_INTERVAL_SECONDS = 0.5
 TICK_INTERVAL_SECONDS = 0.05
+IDLE_TICK_SECONDS = 1.0
+"""Between two ticks while no request waits."""
 DRAIN_POLL_SECONDS = 0.02
 
 
@@ -118,5 +120,6 @@
 
     def _tick(self) -> None:
         while True:
+            self._owner.wait_for_queued(IDLE_TICK_SECONDS)
             gevent.sleep(TICK_INTERVAL_SECONDS)
             self._owner.tick()
--- a/tests/requests/test_owner_queue.py
+++ b/tests/requests/test_owner_queue.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from unittest import mock
+
+import gevent
+
 from runkeel.api.configuration import ServiceSpec
 from runkeel.api.machines import MachineKind
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
@@ -71,6 +75,17 @@
         self.cluster.configuration.changed("drain", "app-a")
         self.assert_refused(ErrorCode.NO_BACKEND, lambda: self.queue.wait(waiter))
 
+    def test_idle_owner_wakes_for_the_first_request_that_waits(self) -> None:
+        owner = self.node.service._owner
+        idle = gevent.spawn(owner.wait_for_queued, 60.0)
+        gevent.sleep(0)
+        self.assertFalse(idle.ready())
+        run = mock.Mock(deadline=Deadline.after_ms(60_000))
+        waiter = gevent.spawn(owner._acquire, run, self.demand)
+        self.addCleanup(waiter.kill)
+        idle.join(10.0)
+        self.assertTrue(idle.successful())
+
     def test_counts_return_to_zero(self) -> None:
         self.enter()
         self.queue.refuse_all(ErrorCode.NODE_LEAVING, "")
