--- a/src/runkeel_lab/scale/results.py
+++ b/src/runkeel_lab/scale/results.py
@@ -115,7 +115,8 @@
             all 0 when nodes had time enough to answer each other.
         changes: accepted configuration changes.
         refused_changes: changes refused or unanswered.
-        in_force_s: seconds from a change's acceptance to the last hollow node, for each change.
+        in_force_s: seconds from a change's acceptance to the last hollow node, for each change
+            accepted after the fleet had settled.
         not_in_force: changes that some hollow node never took.
         real_lacking: objects that a real node had not in the last accepted generation at the end.
         engines_on_new_version_s: seconds from a deploy's first command until as many loads as
--- a/src/runkeel_lab/scale/run.py
+++ b/src/runkeel_lab/scale/run.py
@@ -69,6 +69,7 @@
         self._usage: dict[str, list[Usage]] = defaultdict(list)
         self._restarts = Restarts()
         self._changes = 0
+        self._measured_from = 0.0
         self.result = ScaleResult(layout.nodes, layout.engines, layout.zones, options.seconds)
 
     def measure(self) -> ScaleResult:
@@ -77,6 +78,7 @@
         gevent.sleep(self._options.settle_seconds)
         self._collect()
         self._usage.clear()
+        self._measured_from = time.monotonic()
         self._measure_cost()
         if self._options.storm:
             self._storm()
@@ -249,7 +251,13 @@
         moments = self._seconds_to_all()
         self.result.changes = len(moments)
         self.result.not_in_force = moments.count(None)
-        self.result.in_force_s = [round(each, 4) for each in moments if each is not None]
+        # Those of the start, when not all nodes are there yet, must come into force as well, but
+        # say nothing about how long it takes.
+        self.result.in_force_s = [
+            round(seconds, 4)
+            for change, seconds in zip(self._spread.changes, moments, strict=True)
+            if seconds is not None and change.accepted_at >= self._measured_from
+        ]
 
     def _lacking(self, index: int) -> int:
         """Return how many services a real node has not in their last accepted generation."""
