Let members take turns and callers pass rollouts in the owner's queue

Change: start-time fair queueing within a rank; a caller counts against callers' slots only, as the engine lets urgent work pre-empt; service times of callers and rollouts are averaged apart; the request id is in each problem document; what is loaded at start is frozen out of collections.

--- a/src/runkeel/errors.py
+++ b/src/runkeel/errors.py
@@ -124,12 +124,14 @@
         verdict: whether the request may have run. ``MAY_HAVE_RUN`` unless the
             raiser holds proof of something stronger.
         retry_after_seconds: when the client should come back, if known.
+        request_id: id of the request that failed, if it has one.
     """
 
     code: ErrorCode
     detail: str = ""
     verdict: Verdict = Verdict.MAY_HAVE_RUN
     retry_after_seconds: float | None = None
+    request_id: str = ""
 
     def __post_init__(self) -> None:
         super().__init__(f"{self.code}: {self.detail}")
--- a/src/runkeel/http/server.py
+++ b/src/runkeel/http/server.py
@@ -150,7 +150,7 @@
             request.parameters = match.parameters
             return match.handler(request)
         except RunkeelError as error:
-            return problem_response(error)
+            return problem_response(error, error.request_id)
         except Exception as error:
             UNEXPECTED_ERRORS.inc()
             logger.opt(exception=error).error("unexpected error", code="internal")
--- a/src/runkeel/program.py
+++ b/src/runkeel/program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import signal
 import sys
@@ -30,6 +31,10 @@
     except RunkeelError as error:
         print(f"cannot start: {error}", file=sys.stderr)
         return 2
+    # What has been loaded so far lives for ever: keep it out of full collections, which would
+    # stop the process for tens of milliseconds.
+    gc.collect()
+    gc.freeze()
     _print_ready_line(node)
     logger.info("node started", code="node_started")
     while not node.stop_requested.wait(timeout=1.0):
--- a/src/runkeel/requests/backend_choice.py
+++ b/src/runkeel/requests/backend_choice.py
@@ -51,12 +51,14 @@
 
     Attributes:
         rank: priority rank, 0 the most urgent; rollouts have 1000.
+        member: whose request it is; members share a queue fairly.
         avoid: back end to use only if there is no other.
         prefix: key of the prompt's prefix, or None.
     """
 
     pool: PoolId
     rank: int
+    member: str = ""
     avoid: str = ""
     minimum_version: int = 0
     prefix: int | None = None
@@ -277,8 +279,9 @@
 def _has_room(
     backend: Backend, demand: Demand, slots: int, rollout_share: float, callers_present: bool
 ) -> bool:
+    if not demand.is_rollout:
+        # Rollouts don't take a caller's slot: the engine lets urgent work pre-empt them.
+        return backend.callers < slots
     if backend.in_flight >= slots:
         return False
-    if not demand.is_rollout or not callers_present:
-        return True
-    return backend.rollouts < math.floor(slots * rollout_share)
+    return not callers_present or backend.rollouts < math.floor(slots * rollout_share)
--- a/src/runkeel/requests/entry.py
+++ b/src/runkeel/requests/entry.py
@@ -251,6 +251,7 @@
         try:
             self._admission.enter(envelope.member, envelope.pool, self._pool_limit)
         except RunkeelError as error:
+            error.request_id = envelope.request_id
             REQUESTS.labels(self._kind, error.code.value).inc()
             raise
         self._entry.in_flight += 1
@@ -260,8 +261,11 @@
         self._entry.in_flight -= 1
         self._admission.leave(self._envelope.member, self._envelope.pool)
         outcome = "answered"
-        if error is not None:
-            outcome = error.code.value if isinstance(error, RunkeelError) else "aborted"
+        if isinstance(error, RunkeelError):
+            error.request_id = self._envelope.request_id
+            outcome = error.code.value
+        elif error is not None:
+            outcome = "aborted"
         REQUESTS.labels(self._kind, outcome).inc()
         seconds = time.monotonic() - self._started
         REQUEST_SECONDS.labels(self._kind, self._envelope.priority_class).observe(seconds)
--- a/src/runkeel/requests/owner.py
+++ b/src/runkeel/requests/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -82,7 +83,7 @@
     ) -> tuple[int, ApplicationResponse]:
         """Run an application request and return the back end's whole answer."""
         pool = PoolId(MachineKind.APPLICATION, request.envelope.pool)
-        demand = Demand(pool, request.envelope.priority_rank)
+        demand = Demand(pool, request.envelope.priority_rank, request.envelope.member or "")
 
         def attempt(run: _Run, backend: Backend) -> ApplicationResponse:
             return backend.client.run(
@@ -97,6 +98,7 @@
         demand = Demand(
             PoolId(MachineKind.ENGINE, request.envelope.pool),
             request.envelope.priority_rank,
+            request.envelope.member or "",
             request.avoid_backend or "",
             request.minimum_version or 0,
             prefix_key(request.prompt),
@@ -226,13 +228,7 @@
                 unreachable = error.code is ErrorCode.BACKEND_UNREACHABLE
                 if not (unreachable and error.verdict is Verdict.NOT_RUN and tries_left):
                     raise
-            demand = Demand(
-                demand.pool,
-                demand.rank,
-                backend.backend_id,
-                demand.minimum_version,
-                demand.prefix,
-            )
+            demand = dataclasses.replace(demand, avoid=backend.backend_id)
         raise AssertionError("unreachable: the last try returns or raises")
 
     def _acquire(self, run: _Run, demand: Demand) -> Backend:
@@ -260,7 +256,8 @@
             return response
         except RunkeelError as error:
             waited = time.monotonic() - started
-            slow = waited > TIMEOUT_FAILURE_FACTOR * queue.mean_service_seconds > 0
+            mean = queue.mean_service_seconds(demand)
+            slow = waited > TIMEOUT_FAILURE_FACTOR * mean > 0
             timed_out = error.code is ErrorCode.DEADLINE_EXCEEDED and slow
             if error.code in _BACKEND_FAILURES or timed_out:
                 backend.outlier.record_failure(time.monotonic())
--- a/src/runkeel/requests/owner_queue.py
+++ b/src/runkeel/requests/owner_queue.py
@@ -1,7 +1,9 @@
 """Queue of one pool at the owner of its back ends.
 
-Requests wait by priority rank, first come first served within a rank. What can't meet its deadline
-by the projected wait is refused at once, when it comes or as soon as the projection shows it.
+Requests wait by priority rank; within a rank the members take turns, first come first served among
+the requests of one member (start-time fair queueing, Goyal, Vin and Cheng, 1996). What can't meet
+its deadline by the projected wait is refused at once, when it comes or as soon as the projection
+shows it.
 """
 
 from __future__ import annotations
@@ -26,10 +28,16 @@
 
 @dataclass(slots=True, eq=False)
 class Waiter:
-    """A request in the queue."""
+    """A request in the queue.
+
+    Attributes:
+        turn: place among the requests of the same rank; the n-th waiting request of a member
+            comes after the first ones of all others.
+    """
 
     demand: Demand
     deadline: Deadline
+    turn: float = 0.0
     result: AsyncResult = field(default_factory=AsyncResult)
 
 
@@ -40,8 +48,11 @@
         self._pool = pool
         self._backends = backends
         self._waiting: list[Waiter] = []
-        self._service_seconds = 0.0
+        self._service_seconds = {False: 0.0, True: 0.0}
+        self._turn = 0.0
+        self._last_turns: dict[tuple[int, str], float] = {}
         self._last_caller_at = -CALLERS_PRESENT_SECONDS
+        self._callers_in_flight = 0
         self.in_flight = 0
 
     def __len__(self) -> int:
@@ -50,9 +61,12 @@
     def projected_wait_seconds(self, rank: int) -> float:
         """Return how long a new request of this rank would wait for a slot."""
         slots = self._backends.total_slots(self._pool)
-        if self.in_flight + len(self._waiting) < slots:
+        waiter = Waiter(Demand(self._pool, rank), Deadline(0.0), turn=self._turn + 1.0)
+        ahead = self._position(waiter)
+        running = self.in_flight if waiter.demand.is_rollout else self._callers_in_flight
+        if running + ahead < slots:
             return 0.0
-        return self._wait_seconds(self._position(rank), slots)
+        return self._wait_seconds(waiter.demand, ahead, slots)
 
     def enter(self, demand: Demand, deadline: Deadline) -> Waiter:
         """Take a slot or a place in the queue; wait for the outcome with :meth:`wait`.
@@ -62,14 +76,15 @@
         """
         if not demand.is_rollout:
             self._last_caller_at = time.monotonic()
-        waiter = Waiter(demand, deadline)
+        waiter = Waiter(demand, deadline, self._next_turn(demand))
         if not self._waiting and self._grant(waiter):
             return waiter
         if not self._backends.could_serve(demand):
             raise not_run(ErrorCode.NO_BACKEND, "no back end in service", retry_after_seconds=1.0)
         self._refuse_if_late(waiter)
-        self._make_room(demand)
-        self._waiting.insert(self._position(demand.rank), waiter)
+        self._make_room(waiter)
+        self._last_turns[demand.rank, demand.member] = waiter.turn
+        self._waiting.insert(self._position(waiter), waiter)
         self.pump()
         return waiter
 
@@ -106,8 +121,9 @@
         """Give a slot back. ``service_seconds`` is None for a request that was not answered."""
         self._backends.give_back(backend, demand)
         self.in_flight -= 1
+        self._callers_in_flight -= not demand.is_rollout
         if service_seconds is not None:
-            self._note_service_time(service_seconds)
+            self._note_service_time(demand, service_seconds)
         self.pump()
 
     def pump(self) -> None:
@@ -126,7 +142,7 @@
         slots = self._backends.total_slots(self._pool)
         kept = 0
         for waiter in list(self._waiting):
-            wait = self._wait_seconds(kept, slots)
+            wait = self._wait_seconds(waiter.demand, kept, slots)
             if not self._backends.could_serve(waiter.demand):
                 self.refuse(waiter, not_run(ErrorCode.NO_BACKEND, "no back end in service"))
             elif wait > waiter.deadline.remaining_seconds():
@@ -134,10 +150,9 @@
             else:
                 kept += 1
 
-    @property
-    def mean_service_seconds(self) -> float:
-        """Moving average of the service times; 0 before the first answer."""
-        return self._service_seconds
+    def mean_service_seconds(self, demand: Demand) -> float:
+        """Return the moving average for such requests; 0 before the first answer."""
+        return self._service_seconds[demand.is_rollout]
 
     def _grant(self, waiter: Waiter) -> bool:
         callers_present = time.monotonic() - self._last_caller_at < CALLERS_PRESENT_SECONDS
@@ -146,6 +161,8 @@
             return False
         self._backends.take(backend, waiter.demand)
         self.in_flight += 1
+        self._callers_in_flight += not waiter.demand.is_rollout
+        self._turn = max(self._turn, waiter.turn - 1.0)
         waiter.result.set(backend)
         return True
 
@@ -156,19 +173,26 @@
         elif waiter.result.successful():
             self.release(waiter.result.value, waiter.demand, None)
 
-    def _position(self, rank: int) -> int:
-        return bisect.bisect_right(self._waiting, rank, key=lambda waiter: waiter.demand.rank)
+    def _next_turn(self, demand: Demand) -> float:
+        if not self._waiting:
+            self._last_turns.clear()
+        last = self._last_turns.get((demand.rank, demand.member), 0.0)
+        return max(self._turn, last) + 1.0
+
+    def _position(self, waiter: Waiter) -> int:
+        return bisect.bisect_right(self._waiting, _order(waiter), key=_order)
 
-    def _wait_seconds(self, ahead: int, slots: int) -> float:
-        return (ahead + 1) * self._service_seconds / max(1, slots)
+    def _wait_seconds(self, demand: Demand, ahead: int, slots: int) -> float:
+        return (ahead + 1) * self.mean_service_seconds(demand) / max(1, slots)
 
     def _refuse_if_late(self, waiter: Waiter) -> None:
         slots = self._backends.total_slots(self._pool)
-        wait = self._wait_seconds(self._position(waiter.demand.rank), slots)
-        if wait + self._service_seconds > waiter.deadline.remaining_seconds():
+        wait = self._wait_seconds(waiter.demand, self._position(waiter), slots)
+        needed = wait + self.mean_service_seconds(waiter.demand)
+        if needed > waiter.deadline.remaining_seconds():
             raise _unreachable(wait)
 
-    def _make_room(self, demand: Demand) -> None:
+    def _make_room(self, waiter: Waiter) -> None:
         limits = self._backends.limits(self._pool)
         backends = len(self._backends.eligible(self._pool))
         if limits is not None and len(self._waiting) < limits.max_queue * max(1, backends):
@@ -176,16 +200,20 @@
         full = not_run(
             ErrorCode.QUEUE_FULL,
             "the queue is full",
-            max(MINIMUM_RETRY_AFTER_SECONDS, self.projected_wait_seconds(demand.rank)),
+            max(MINIMUM_RETRY_AFTER_SECONDS, self.projected_wait_seconds(waiter.demand.rank)),
         )
-        if not self._waiting or self._waiting[-1].demand.rank <= demand.rank:
+        if not self._waiting or _order(self._waiting[-1]) <= _order(waiter):
             raise full
         self.refuse(self._waiting[-1], full)
 
-    def _note_service_time(self, seconds: float) -> None:
-        if not self._service_seconds:
-            self._service_seconds = seconds
-        self._service_seconds += SERVICE_TIME_WEIGHT * (seconds - self._service_seconds)
+    def _note_service_time(self, demand: Demand, seconds: float) -> None:
+        mean = self._service_seconds[demand.is_rollout] or seconds
+        mean += SERVICE_TIME_WEIGHT * (seconds - mean)
+        self._service_seconds[demand.is_rollout] = mean
+
+
+def _order(waiter: Waiter) -> tuple[int, float]:
+    return waiter.demand.rank, waiter.turn
 
 
 def _unreachable(wait_seconds: float) -> RunkeelError:
--- a/tests/requests/test_applications.py
+++ b/tests/requests/test_applications.py
@@ -65,6 +65,7 @@
         self.cluster.configuration.draining.update(self.applications)
         error = self.assert_fails(ErrorCode.NO_BACKEND, Verdict.NOT_RUN)
         self.assertIsNotNone(error.retry_after_seconds)
+        self.assertTrue(error.request_id)
         self.assertEqual(self.runs(), 0)
 
     def test_dead_backend_is_avoided(self) -> None:
--- a/tests/requests/test_generations.py
+++ b/tests/requests/test_generations.py
@@ -12,6 +12,7 @@
 from runkeel.api.configuration import EngineRoleSpec, ModelSpec
 from runkeel.api.machines import Address, EngineStatus, MachineKind
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
+from runkeel.requests.backend_choice import Demand, PoolId
 from runkeel.wire.generated.requests.ttypes import ModelRequest, RequestEnvelope
 from tests.requests.fakes import FakeCluster, machine
 
@@ -210,10 +211,9 @@
             list(dispatcher.generate(request))
         self.assertEqual(caught.exception.code, ErrorCode.NO_BACKEND)
 
-    def test_rollouts_leave_slots_for_callers(self) -> None:
+    def test_rollouts_fill_the_slack_and_callers_do_not_wait_for_them(self) -> None:
         engine = self.only("engine-a")
-        engine.step_seconds = 0.01
-        self.complete()
+        engine.step_seconds = 0.02
         dispatcher = self.node.service.dispatcher
 
         def roll_out(number: int) -> None:
@@ -222,12 +222,24 @@
             list(dispatcher.generate(request))
 
         rollouts = [gevent.spawn(roll_out, number) for number in range(8)]
-        gevent.sleep(0.02)
-        self.assertEqual(self.node.service._owner.in_flight, 3)
-        caller = gevent.spawn(self.complete)
-        gevent.sleep(0.02)
-        self.assertEqual(self.node.service._owner.in_flight, 4)
-        gevent.joinall([caller, *rollouts], raise_error=True)
+        with gevent.Timeout(5.0):
+            while len(engine.priorities) < 4:
+                gevent.sleep(0.005)
+        self.complete()
+        self.assertEqual(engine.priorities[:5], [1_000] * 4 + [500])
+        gevent.joinall(rollouts, raise_error=True)
+
+    def test_rollouts_keep_to_their_share_while_callers_are_present(self) -> None:
+        backends = self.node.service._backends
+        pool = PoolId(MachineKind.ENGINE, "draft")
+        rollout, caller = Demand(pool, 1_000), Demand(pool, 500)
+        for _ in range(3):
+            backends.take(backends.choose(rollout, callers_present=True), rollout)
+        self.assertIsNone(backends.choose(rollout, callers_present=True))
+        self.assertIsNotNone(backends.choose(rollout, callers_present=False))
+        for _ in range(4):
+            backends.take(backends.choose(caller, callers_present=True), caller)
+        self.assertIsNone(backends.choose(caller, callers_present=True))
 
     def test_bad_completions(self) -> None:
         for content in (
--- a/tests/requests/test_owner_queue.py
+++ b/tests/requests/test_owner_queue.py
@@ -25,8 +25,8 @@
         self.demand = Demand(POOL, STANDARD)
         self.running = [self.enter() for _ in range(2)]
 
-    def enter(self, rank: int = STANDARD, seconds: float = 60.0):
-        return self.queue.enter(Demand(POOL, rank), Deadline.after_ms(int(seconds * 1_000)))
+    def enter(self, rank: int = STANDARD, seconds: float = 60.0, member: str = ""):
+        return self.queue.enter(Demand(POOL, rank, member), Deadline.after_ms(int(seconds * 1_000)))
 
     def assert_refused(self, code: ErrorCode, call) -> RunkeelError:
         with self.assertRaises(RunkeelError) as caught:
@@ -38,21 +38,21 @@
         self.queue.release(self.queue.wait(self.running.pop()), self.demand, None)
 
     def test_unmeetable_deadline_is_refused_at_once(self) -> None:
-        self.queue._note_service_time(10.0)
+        self.queue._note_service_time(self.demand, 10.0)
         error = self.assert_refused(ErrorCode.DEADLINE_UNREACHABLE, lambda: self.enter(seconds=9.0))
         self.assertAlmostEqual(error.retry_after_seconds, 5.0)
         self.assertEqual(len(self.queue), 0)
 
     def test_queued_request_that_became_hopeless_is_told_at_once(self) -> None:
         hopeless, hopeful = self.enter(seconds=9.0), self.enter(seconds=60.0)
-        self.queue._note_service_time(30.0)
+        self.queue._note_service_time(self.demand, 30.0)
         self.queue.shed()
         self.assert_refused(ErrorCode.DEADLINE_UNREACHABLE, lambda: self.queue.wait(hopeless))
         self.release()
         self.assertTrue(hopeful.result.successful())
 
     def test_free_slot_is_given_whatever_the_projection_says(self) -> None:
-        self.queue._note_service_time(1_000.0)
+        self.queue._note_service_time(self.demand, 1_000.0)
         self.release()
         self.assertTrue(self.enter(seconds=0.5).result.successful())
 
@@ -65,6 +65,15 @@
         self.assertTrue(urgent.result.successful())
         self.assertFalse(first.result.ready())
 
+    def test_flood_of_one_member_does_not_delay_another(self) -> None:
+        flood = [self.enter(member="flood") for _ in range(2)]
+        other = self.enter(member="other")
+        self.assert_refused(ErrorCode.QUEUE_FULL, lambda: self.queue.wait(flood[1]))
+        self.assert_refused(ErrorCode.QUEUE_FULL, lambda: self.enter(member="flood"))
+        self.release()
+        self.release()
+        self.assertTrue(flood[0].result.successful() and other.result.successful())
+
     def test_last_backend_drained_refuses_the_queue(self) -> None:
         waiter = self.enter()
         self.cluster.configuration.draining.add("app-a")
