--- a/src/runkeel/errors.py
+++ b/src/runkeel/errors.py
@@ -45,6 +45,7 @@
     DEADLINE_EXCEEDED = "deadline_exceeded"
     NO_BACKEND = "no_backend"
     NODE_LEAVING = "node_leaving"
+    NODE_NOT_READY = "node_not_ready"
     OWNER_PAUSED = "owner_paused"
     WITHDRAWN = "withdrawn"
     PEER_UNREACHABLE = "peer_unreachable"
--- a/src/runkeel/requests/dispatch.py
+++ b/src/runkeel/requests/dispatch.py
@@ -6,6 +6,8 @@
 from copy import copy
 from dataclasses import dataclass, field
 
+import gevent
+
 from runkeel.api.interfaces import Membership, PeerClient
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run, not_run
 from runkeel.requests.accepted import UPTIME_MARGIN_SECONDS, RequestState
@@ -114,6 +116,10 @@
         """Try to turn an unknown outcome into a proof by withdrawing the attempt."""
         if error.verdict is not Verdict.MAY_HAVE_RUN or error.code not in _WITHDRAWABLE:
             return error
+        if envelope.repeatable and error.code is ErrorCode.PEER_LOST:
+            # It may be retried without a proof; the wait for one would only cost time.
+            gevent.spawn(self.withdraw, node_id, envelope.request_id, envelope.attempt, started)
+            return error
         state = self.withdraw(node_id, envelope.request_id, envelope.attempt, started)
         if state is RequestState.WITHDRAWN:
             return not_run(error.code, error.detail, error.retry_after_seconds)
--- a/src/runkeel/requests/entry.py
+++ b/src/runkeel/requests/entry.py
@@ -51,11 +51,13 @@
         admission: Admission,
         claims: Claims,
         dispatcher: Dispatcher,
+        is_ready: Callable[[], bool] = lambda: True,
     ) -> None:
         self._configuration = configuration
         self._admission = admission
         self._claims = claims
         self._dispatcher = dispatcher
+        self._is_ready = is_ready
         self._leaving = False
         self.in_flight = 0
 
@@ -73,7 +75,7 @@
         name = request.parameters["service"]
         spec = self._configuration.service(name)
         if spec is None:
-            raise not_run(ErrorCode.UNKNOWN_SERVICE, "no such service")
+            raise self._unknown(ErrorCode.UNKNOWN_SERVICE, "no such service")
         self._check_accepting(request)
         envelope = self._envelope(
             request, name, spec.default_deadline_ms, spec.default_priority_class, spec.repeatable
@@ -93,7 +95,7 @@
         name = request.parameters["model"]
         spec = self._configuration.model(name)
         if spec is None:
-            raise not_run(ErrorCode.UNKNOWN_MODEL, "no such model")
+            raise self._unknown(ErrorCode.UNKNOWN_MODEL, "no such model")
         self._check_accepting(request)
         envelope = self._envelope(
             request, name, spec.default_deadline_ms, spec.default_priority_class, True
@@ -194,6 +196,12 @@
         ]
         return HttpResponse(200, headers, body)
 
+    def _unknown(self, code: ErrorCode, detail: str) -> RunkeelError:
+        """Build the error for a missing name; a node that has just started may not know it yet."""
+        if self._is_ready():
+            return not_run(code, detail)
+        return not_run(ErrorCode.NODE_NOT_READY, "the node has just started", 1.0)
+
     def _check_accepting(self, request: HttpRequest) -> None:
         if self._leaving:
             raise not_run(ErrorCode.NODE_LEAVING, "the node is leaving", retry_after_seconds=0.0)
--- a/src/runkeel/requests/hedging.py
+++ b/src/runkeel/requests/hedging.py
@@ -13,7 +13,7 @@
 import gevent
 from gevent.queue import Empty, Queue
 
-from runkeel.errors import RunkeelError
+from runkeel.errors import ErrorCode, RunkeelError, may_have_run
 from runkeel.requests.metrics import DROPPED_ANSWERS, HEDGES, HEDGES_WON
 from runkeel.wire.generated.requests.ttypes import ApplicationResponse
 
@@ -27,6 +27,7 @@
     started: float
     response: ApplicationResponse | None = None
     error: RunkeelError | None = None
+    done: bool = False
 
 
 class HedgedRace:
@@ -90,14 +91,19 @@
 
     def _compete(self, contestant: Contestant) -> None:
         """Run one copy; it ends by its deadline, so it needs no other limit."""
+        contestant.error = may_have_run(ErrorCode.INTERNAL, "unexpected error")
         try:
             contestant.response = self._run(contestant.node_id, contestant.number)
+            contestant.error = None
         except RunkeelError as error:
             contestant.error = error
+        finally:
+            # Also after an unexpected error: the race waits for each copy that it started.
+            contestant.done = True
+            self._results.put(contestant)
         if self._decided:
             DROPPED_ANSWERS.labels("late").inc()
-        self._results.put(contestant)
 
     def _cancel_loser(self, loser: Contestant) -> None:
-        if loser.response is None and loser.error is None:
+        if not loser.done:
             gevent.spawn(self._withdraw, loser.node_id, loser.number, loser.started)
--- a/src/runkeel/requests/service.py
+++ b/src/runkeel/requests/service.py
@@ -53,6 +53,7 @@
         engines: EngineDirectory,
         generator: random.Random | None = None,
         client_factory: Callable[[Machine], Any] = make_client,
+        is_ready: Callable[[], bool] = lambda: True,
     ) -> None:
         self._membership = membership
         self._pauses = PauseWatch()
@@ -63,7 +64,7 @@
         sender = AttemptSender(membership, peer_client, self._pauses)
         self._dispatcher = RequestDispatcher(configuration, placement, sender, peer_client)
         admission = Admission(configuration)
-        self._entry = Entry(configuration, admission, self._claims, self._dispatcher)
+        self._entry = Entry(configuration, admission, self._claims, self._dispatcher, is_ready)
         self._tasks: list[gevent.Greenlet] = []
         self._owner.register(peer_handlers)
         self._claims.register(peer_handlers)
--- a/tests/requests/test_applications.py
+++ b/tests/requests/test_applications.py
@@ -236,6 +236,10 @@
         with self.assertRaises(RunkeelError) as caught:
             self.node.call_service("nothing")
         self.assertEqual(caught.exception.code, ErrorCode.UNKNOWN_SERVICE)
+        self.node.service._entry._is_ready = lambda: False
+        with self.assertRaises(RunkeelError) as caught:
+            self.node.call_service("nothing")
+        self.assertEqual(caught.exception.code, ErrorCode.NODE_NOT_READY)
         self.assertEqual(self.runs(), 0)
 
 
