--- a/src/runkeel/requests/dispatcher.py
+++ b/src/runkeel/requests/dispatcher.py
@@ -8,7 +8,7 @@
 from runkeel.api.interfaces import Configuration, PeerClient
 from runkeel.api.machines import MachineKind
 from runkeel.errors import ErrorCode, RunkeelError, not_run
-from runkeel.requests.backend_choice import PoolId
+from runkeel.requests.backend_choice import ROLLOUT_RANK, PoolId
 from runkeel.requests.deadline import Deadline
 from runkeel.requests.dispatch import Attempts, AttemptSender
 from runkeel.requests.generation import GenerationAttempt, GenerationProgress
@@ -111,9 +111,10 @@
         budget = self._budget(pool)
         attempts = Attempts()
         progress = GenerationProgress(request)
+        is_rollout = request.envelope.priority_rank >= ROLLOUT_RANK
         while True:
             before = len(progress.token_ids)
-            node_id = self._place(pool, attempts, request.minimum_version or 0)
+            node_id = self._place(pool, attempts, request.minimum_version or 0, is_rollout)
             try:
                 yield from self._generation_attempt(pool, node_id, progress, attempts, deadline)
                 return
@@ -149,12 +150,18 @@
         finally:
             self._placement.ended(pool, node_id)
 
-    def _place(self, pool: PoolId, attempts: Attempts, minimum_version: int = 0) -> str:
+    def _place(
+        self,
+        pool: PoolId,
+        attempts: Attempts,
+        minimum_version: int = 0,
+        is_rollout: bool = False,
+    ) -> str:
         """Return the node for the next attempt; raise the request's final error if none is left."""
-        node_id = self._placement.choose(pool, attempts.tried, minimum_version)
+        node_id = self._placement.choose(pool, attempts.tried, minimum_version, is_rollout)
         last = attempts.last_error
         if node_id is None and last is not None and last.code in _OTHER_BACKEND:
-            node_id = self._placement.choose(pool, (), minimum_version)
+            node_id = self._placement.choose(pool, (), minimum_version, is_rollout)
         if node_id is not None:
             return node_id
         if last is None:
--- a/tests/requests/test_generations.py
+++ b/tests/requests/test_generations.py
@@ -12,7 +12,7 @@
 from runkeel.api.configuration import EngineRoleSpec, ModelSpec
 from runkeel.api.machines import Address, EngineStatus, MachineKind
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
-from runkeel.requests.backend_choice import Demand, PoolId
+from runkeel.requests.backend_choice import ROLLOUTS_WAITING_PER_ENGINE, Demand, PoolId
 from runkeel.wire.generated.requests.ttypes import ModelRequest, RequestEnvelope
 from tests.requests.fakes import FakeCluster, machine
 
@@ -223,10 +223,10 @@
 
         rollouts = [gevent.spawn(roll_out, number) for number in range(8)]
         with gevent.Timeout(5.0):
-            while len(engine.priorities) < 4:
+            while len(engine.priorities) < 4 + ROLLOUTS_WAITING_PER_ENGINE:
                 gevent.sleep(0.005)
         self.complete()
-        self.assertEqual(engine.priorities[:5], [1_000] * 4 + [500])
+        self.assertEqual(engine.priorities[:7], [1_000] * 6 + [500])
         gevent.joinall(rollouts, raise_error=True)
 
     def test_rollouts_keep_to_their_share_while_callers_are_present(self) -> None:
