Never relay a load that is too old

Cause: nodes dropped loads of other zones after 15 s, but took them back from nodes that had not yet; they went round for ever (59 s old ones were seen) and took the place of fresh ones. Members of other zones were repeated on probes long after all knew them. Change: too old loads are neither taken nor relayed; probes repeat news of the own zone only. Conclusion: a test holds it.

--- a/src/runkeel/membership/gossip.py
+++ b/src/runkeel/membership/gossip.py
@@ -322,7 +322,7 @@
             return
         if zone != self.zone and not is_repeat:
             self._announcer.add(member.node_id, now)
-        elif not is_repeat:
+        elif member.zone == self.zone and not is_repeat:
             self._news.add(member)
         if member.status is MemberStatus.SUSPECT and member.zone == self.zone:
             self._suspicions.begin(member.node_id, now)
--- a/src/runkeel/membership/loads.py
+++ b/src/runkeel/membership/loads.py
@@ -73,6 +73,9 @@
         if member.node_id == self._node_id:
             return
         made_at = now - max(0, node_load.age_ms or 0) / 1000
+        if now - made_at > self._freshness(member.zone):
+            # Or it would go round for ever between nodes that have just dropped it.
+            return
         for load in node_load.pools:
             nodes = self._pools.get(load.pool)
             if nodes is None:
@@ -126,7 +129,9 @@
             (entry.transmissions, node_id, entry)
             for nodes in self._pools.values()
             for node_id, entry in nodes.items()
-            if entry.zone != self._zone and entry.transmissions < RELAY_TRANSMISSIONS
+            if entry.zone != self._zone
+            and entry.transmissions < RELAY_TRANSMISSIONS
+            and self._is_fresh(entry, now)
         ]
         waiting.sort(key=lambda item: item[0])
         chosen = [(node_id, entry) for _, node_id, entry in waiting[:RELAYED_PER_DATAGRAM]]
@@ -135,8 +140,10 @@
         return [_relay(node_id, entry, now) for node_id, entry in chosen]
 
     def _is_fresh(self, entry: _Load, now: float) -> bool:
-        limit = FRESH_SECONDS if entry.zone == self._zone else FRESH_SECONDS_OTHER_ZONES
-        return now - entry.made_at <= limit
+        return now - entry.made_at <= self._freshness(entry.zone)
+
+    def _freshness(self, zone: str) -> float:
+        return FRESH_SECONDS if zone == self._zone else FRESH_SECONDS_OTHER_ZONES
 
 
 def _split(loads: list[PoolLoad]) -> list[list[PoolLoad]]:
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -18,7 +18,7 @@
 )
 from runkeel.membership.digests import DigestMonitor
 from runkeel.membership.heartbeats import LONGEST_INTERVAL_SECONDS, interval_seconds
-from runkeel.membership.loads import FRESH_SECONDS, LoadTable
+from runkeel.membership.loads import FRESH_SECONDS, FRESH_SECONDS_OTHER_ZONES, LoadTable
 from runkeel.membership.table import MemberTable
 from runkeel.wire.generated.membership.ttypes import Datagram, DatagramKind, MemberRecord
 from tests.membership.simulation import summary
@@ -134,6 +134,21 @@
         self.assertEqual(self.sequences(1.0, live=False), [])
         self.assertEqual(self.sequences(FRESH_SECONDS + 0.1), [])
 
+    def test_relayed_load_grows_old_and_is_not_taken_back(self):
+        there = LoadTable("there", "other zone")
+        there.publish([summary("there")])
+        self.loads.merge(there.own_loads()[0], member("there", "other zone"), 0.0)
+        relayed = self.loads.relayed(FRESH_SECONDS_OTHER_ZONES)
+        self.assertEqual([each.age_ms for each in relayed], [15_000])
+        mate = LoadTable("mate", "zone")
+        mate.merge(relayed[0], member("there", "other zone"), 100.0)
+        self.assertEqual(len(mate.relayed(100.0)), 1)
+        self.assertEqual(mate.relayed(100.1), [])
+        late = LoadTable("late", "zone")
+        relayed[0].age_ms += 100
+        late.merge(relayed[0], member("there", "other zone"), 100.0)
+        self.assertEqual(late.relayed(100.0), [])
+
     def test_many_pools_are_split_over_datagrams(self):
         self.loads.publish([summary("here", pool=f"pool-{n}", wait=n) for n in range(200)])
         chunks = self.loads.own_loads()
