Send the checkpoints of other steps when those of one can't be sent

Cause: one unreachable node kept back the checkpoints of all steps of that turn. Change: the failure is counted for its step, and the turn goes on.

--- a/src/runkeel/rollouts/checkpoints.py
+++ b/src/runkeel/rollouts/checkpoints.py
@@ -103,8 +103,11 @@
                 for attempt in task.running
                 if (checkpoint := self._grown(step, task, attempt)) is not None
             ]
-            if checkpoints:
-                self._send(step.key, checkpoints)
+            try:
+                if checkpoints:
+                    self._send(step.key, checkpoints)
+            except RunkeelError as error:
+                metrics.REPLICATION_FAILURES.labels(error.code).inc()
 
     def _grown(self, step: Step, task: Task, attempt: Attempt) -> Sample | None:
         tokens = attempt.token_count
@@ -121,7 +124,5 @@
             gevent.sleep(self._options.checkpoint_interval_seconds)
             try:
                 self.run_once()
-            except RunkeelError as error:
-                metrics.REPLICATION_FAILURES.labels(error.code).inc()
             except Exception:  # the loop must outlive a fault in one turn
                 logger.exception("checkpoints failed", code=ErrorCode.INTERNAL)
--- a/tests/rollouts/fuzz_machine.py
+++ b/tests/rollouts/fuzz_machine.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from dataclasses import dataclass, replace
 
 import gevent
@@ -227,8 +226,7 @@
         self.settle()
         for node_id, node in self.cluster.nodes.items():
             if node_id not in self.cluster.down:
-                with contextlib.suppress(RunkeelError):
-                    node.service.checkpointer.run_once()
+                node.service.checkpointer.run_once()
 
     def deploy(self, version: int) -> None:
         dispatcher = self.cluster.dispatcher
