--- a/src/runkeel/requests/owner.py
+++ b/src/runkeel/requests/owner.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from gevent.event import Event
+
 from runkeel.api.interfaces import Configuration, Membership, PeerHandlers, PeerStream
 from runkeel.api.machines import MachineKind, PoolSummary
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
@@ -68,6 +71,7 @@
         self._pauses = pauses
         self._accepted = accepted or AcceptedRequests()
         self._queues: dict[PoolId, PoolQueue] = {}
+        self._queued = Event()
         self._leaving = False
         self._summary_sequence = 0
 
@@ -82,7 +86,7 @@
     ) -> tuple[int, ApplicationResponse]:
         """Run an application request and return the back end's whole answer."""
         pool = PoolId(MachineKind.APPLICATION, request.envelope.pool)
-        demand = Demand(pool, request.envelope.priority_rank)
+        demand = Demand(pool, request.envelope.priority_rank, request.envelope.member or "")
 
         def attempt(run: _Run, backend: Backend) -> ApplicationResponse:
             return backend.client.run(
@@ -97,6 +101,7 @@
         demand = Demand(
             PoolId(MachineKind.ENGINE, request.envelope.pool),
             request.envelope.priority_rank,
+            request.envelope.member or "",
             request.avoid_backend or "",
             request.minimum_version or 0,
             prefix_key(request.prompt),
@@ -143,6 +148,12 @@
             queue.shed()
             queue.pump()
 
+    def wait_for_queued(self, timeout_seconds: float) -> None:
+        """Return once a request waits for a slot, or after the time-out."""
+        if not any(self._queues.values()):
+            self._queued.clear()
+            self._queued.wait(timeout_seconds)
+
     def tick(self) -> None:
         """Refuse what has become hopeless; call some times a second."""
         for queue in self._queues.values():
@@ -226,18 +237,14 @@
                 unreachable = error.code is ErrorCode.BACKEND_UNREACHABLE
                 if not (unreachable and error.verdict is Verdict.NOT_RUN and tries_left):
                     raise
-            demand = Demand(
-                demand.pool,
-                demand.rank,
-                backend.backend_id,
-                demand.minimum_version,
-                demand.prefix,
-            )
+            demand = dataclasses.replace(demand, avoid=backend.backend_id)
         raise AssertionError("unreachable: the last try returns or raises")
 
     def _acquire(self, run: _Run, demand: Demand) -> Backend:
         queue = self._queue(demand.pool)
         waiter = queue.enter(demand, run.deadline)
+        if not waiter.result.ready():
+            self._queued.set()
         run.row.on_withdraw = lambda: queue.refuse(
             waiter, not_run(ErrorCode.WITHDRAWN, "the request was withdrawn")
         )
@@ -260,7 +267,8 @@
             return response
         except RunkeelError as error:
             waited = time.monotonic() - started
-            slow = waited > TIMEOUT_FAILURE_FACTOR * queue.mean_service_seconds > 0
+            mean = queue.mean_service_seconds(demand)
+            slow = waited > TIMEOUT_FAILURE_FACTOR * mean > 0
             timed_out = error.code is ErrorCode.DEADLINE_EXCEEDED and slow
             if error.code in _BACKEND_FAILURES or timed_out:
                 backend.outlier.record_failure(time.monotonic())
