--- a/src/runkeel/membership/gossip.py
+++ b/src/runkeel/membership/gossip.py
@@ -17,13 +17,12 @@
 from runkeel.membership.digests import DigestMonitor
 from runkeel.membership.heartbeats import Heartbeats
 from runkeel.membership.housekeeping import Housekeeper
-from runkeel.membership.limits import TokenBucket
 from runkeel.membership.live import LiveView
 from runkeel.membership.loads import LoadTable
 from runkeel.membership.news import NewsQueue
 from runkeel.membership.notifier import Notifier
-from runkeel.membership.probing import Prober
-from runkeel.membership.suspicions import Suspicions
+from runkeel.membership.probing import PROBE_TIMEOUT_SECONDS, Prober
+from runkeel.membership.suspicions import SUSPICION_SECONDS, Suspicions
 from runkeel.membership.synchronizer import Synchronizer
 from runkeel.membership.table import MemberTable, short_number
 from runkeel.membership.transport import DatagramTransport, Traffic, monotonic
@@ -32,8 +31,8 @@
 from runkeel.wire.links import LinkPolicy
 
 TICK_SECONDS = 0.1
-PAUSE_SECONDS = 2.5
-"""A standstill of this process after which others have taken it for dead."""
+PAUSE_SECONDS = PROBE_TIMEOUT_SECONDS + SUSPICION_SECONDS
+"""A standstill of this process after which others may have taken it for dead."""
 
 _TO_ACQUAINTANCES = (
     DatagramKind.PING,
@@ -98,7 +97,6 @@
             self, self._table, self._loads, self._digests, self._notifier
         )
         self._suspicions = Suspicions()
-        self._accusations = TokenBucket(rate=20.0, burst=40.0)
         self._incarnation_callbacks: list[Callable[[int], None]] = []
         self._turn_at = monotonic()
         self._stopped = Event()
@@ -172,11 +170,11 @@
         self._loads.publish(summaries)
 
     def publish_state_digest(self, digest: int) -> None:
-        """Set the 64-bit digest of the replicated state, spread with every heartbeat."""
+        """Set the 64-bit digest of the replicated state, spread with heartbeats and probes."""
         self._digests.publish(digest)
 
     def on_state_mismatch(self, callback: Callable[[str], None]) -> None:
-        """Call back with the id of a node whose digest has differed in two heartbeats."""
+        """Call back with the id of a node whose digest has differed twice in a row."""
         self._notifier.on_mismatch(callback)
 
     def leave(self) -> None:
@@ -267,7 +265,7 @@
         if sender is None or sender.incarnation < (datagram.incarnation or 0):
             self._synchronizer.ask_introduction(source, zone, now)
         elif sender.status in _GONE:
-            self._accuse(sender, source, zone, now)
+            self._synchronizer.accuse(sender, source, zone, now)
         if zone is not None and zone != self.zone:
             self._zones.hear(zone, now)
         if sender is not None:
@@ -322,10 +320,10 @@
             if zone == self.zone and member == known:
                 self._announcer.heard(member.node_id)
             return
-        if not is_repeat:
+        if zone != self.zone and not is_repeat:
+            self._announcer.add(member.node_id, now)
+        elif member.zone == self.zone and not is_repeat:
             self._news.add(member)
-            if zone != self.zone:
-                self._announcer.add(member.node_id, now)
         if member.status is MemberStatus.SUSPECT and member.zone == self.zone:
             self._suspicions.begin(member.node_id, now)
         else:
@@ -333,7 +331,10 @@
 
     def _answer_accusation(self, record: MemberRecord, source: Address, zone: str | None) -> None:
         mine = (self._local.incarnation, int(self._local.status))
-        if (record.incarnation, record.status) <= mine:
+        theirs = (record.incarnation, record.status)
+        # An earlier life may have had this incarnation, and others its address.
+        is_earlier_life = theirs == mine and record.gossip != record_of(self._local).gossip
+        if theirs < mine or (theirs == mine and not is_earlier_life):
             return
         self._raise_incarnation(record.incarnation, "accused")
         self.send_to(DatagramKind.NEWS, [(source, zone)], records=[record_of(self._local)])
@@ -360,11 +361,6 @@
     def _announce_local(self) -> None:
         self._announcer.add_urgent(self.node_id, monotonic())
 
-    def _accuse(self, sender: Member, source: Address, zone: str | None, now: float) -> None:
-        """Tell a node that is thought dead, so that it takes a new incarnation."""
-        if sender.status is MemberStatus.DEAD and self._accusations.take(now):
-            self.send_to(DatagramKind.NEWS, [(source, zone)], records=[record_of(sender)])
-
     def _suspect(self, target: Member) -> None:
         now = monotonic()
         present = self._table.get(target.node_id)
@@ -395,6 +391,10 @@
         if kind != DatagramKind.PROBE_REQUEST:
             fields["view_hash"] = self._table.view_hash()
             fields["loads"] = self._loads.relayed(monotonic()) or None
+        if kind == DatagramKind.PING:
+            # The same node pings each second, so what a lost push left behind is noticed long
+            # before two heartbeats of a large zone have come.
+            fields["state_digest"] = self._digests.own
         self.send(kind, [receiver], records=records or None, **fields)
 
     def _judge_zones(self, now: float) -> None:
--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -38,6 +38,8 @@
 from runkeel.wire.links import LinkPolicy
 from runkeel.wire.network import PeerNetwork
 
+CONFIGURATION_WAIT_SECONDS = 5.0
+
 
 class Node:
     """One node: every role, on one set of listeners.
@@ -95,6 +97,9 @@
         self._requests.start()
         self._weights.start()
         self._rollouts.start()
+        # Callers that come earlier would be told that their service is unknown; until then their
+        # connections wait in the listener's backlog. Without store and peers it starts anyway.
+        self._spread.wait_caught_up(CONFIGURATION_WAIT_SECONDS)
         self._http.start()
 
     def drain_and_stop(self, timeout_seconds: float) -> bool:
@@ -206,6 +211,7 @@
             self._network,
             self._routes,
             self._weights.engines,
+            is_ready=lambda: self._spread.caught_up,
         )
         data_folder = Path(settings.node.data_folder) if settings.node.data_folder else None
         self._rollouts = RolloutService(
--- a/src/runkeel/requests/place.py
+++ b/src/runkeel/requests/place.py
@@ -19,6 +19,10 @@
 """Another zone is chosen when it would save at least so much waiting."""
 
 
+SPARE_LOAD = 0.75
+"""An owner with less of its slots taken or waited for has room for a hedge."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Candidate:
     node_id: str
@@ -45,12 +49,22 @@
         self._outstanding: dict[tuple[str, str], int] = {}
 
     def choose(
-        self, pool: PoolId, exclude: Collection[str] = (), minimum_version: int = 0
+        self,
+        pool: PoolId,
+        exclude: Collection[str] = (),
+        minimum_version: int = 0,
+        is_rollout: bool = False,
     ) -> str | None:
-        """Return the node id of an owner of the pool, or None when no live node owns one."""
+        """Return the node id of an owner of the pool, or None when no live node owns one.
+
+        The projected wait of the summaries is a caller's; rollouts queue behind callers. They go
+        to the owner of least load, wherever it is: to them slots count, not the way there.
+        """
         candidates = self._candidates(pool, exclude, minimum_version)
         if not candidates:
             return self._choose_by_ownership(pool, exclude)
+        if is_rollout:
+            return min(candidates, key=lambda each: (each.load, self._random.random())).node_id
         near = [candidate for candidate in candidates if candidate.in_zone]
         far = [candidate for candidate in candidates if not candidate.in_zone]
         best_near = self._best_of_two(near)
@@ -63,6 +77,16 @@
             chosen = best_near
         return chosen.node_id
 
+    def choose_spare(self, pool: PoolId, exclude: Collection[str] = ()) -> str | None:
+        """Return an owner with room to spare, or None: extra copies must not add to an overload."""
+        spare = [
+            candidate
+            for candidate in self._candidates(pool, exclude, minimum_version=0)
+            if candidate.load < SPARE_LOAD
+        ]
+        best = self._best_of_two(spare)
+        return best.node_id if best is not None else None
+
     def sent(self, pool: PoolId, node_id: str) -> None:
         """Count an attempt under way."""
         key = (pool.name, node_id)
--- a/src/runkeel/requests/service.py
+++ b/src/runkeel/requests/service.py
@@ -34,6 +34,8 @@
 
 SUMMARY_INTERVAL_SECONDS = 0.5
 TICK_INTERVAL_SECONDS = 0.05
+IDLE_TICK_SECONDS = 1.0
+"""Between two ticks while no request waits."""
 DRAIN_POLL_SECONDS = 0.02
 
 
@@ -53,6 +55,7 @@
         engines: EngineDirectory,
         generator: random.Random | None = None,
         client_factory: Callable[[Machine], Any] = make_client,
+        is_ready: Callable[[], bool] = lambda: True,
     ) -> None:
         self._membership = membership
         self._pauses = PauseWatch()
@@ -63,7 +66,7 @@
         sender = AttemptSender(membership, peer_client, self._pauses)
         self._dispatcher = RequestDispatcher(configuration, placement, sender, peer_client)
         admission = Admission(configuration)
-        self._entry = Entry(configuration, admission, self._claims, self._dispatcher)
+        self._entry = Entry(configuration, admission, self._claims, self._dispatcher, is_ready)
         self._tasks: list[gevent.Greenlet] = []
         self._owner.register(peer_handlers)
         self._claims.register(peer_handlers)
@@ -118,5 +121,6 @@
 
     def _tick(self) -> None:
         while True:
+            self._owner.wait_for_queued(IDLE_TICK_SECONDS)
             gevent.sleep(TICK_INTERVAL_SECONDS)
             self._owner.tick()
--- a/tests/rollouts/fakes.py
+++ b/tests/rollouts/fakes.py
@@ -35,6 +35,8 @@
     planner_interval_seconds=0.002,
     first_token_allowance_seconds=0.0,
     hedge_tasks=0,
+    checkpoint_interval_seconds=0.002,
+    checkpoint_minimum_tokens=1,
 )
 
 
@@ -125,8 +127,9 @@
         fault = self.faults.pop(prompt, "")
         if fault == "lost":
             raise RunkeelError(ErrorCode.BACKEND_LOST)
-        for position in range(0, length, 2):
-            if position and prompt in self.hold:
+        start = len(request.prior_token_ids)
+        for position in range(start, length, 2):
+            if position > start and prompt in self.hold:
                 self.hold[prompt].wait()
             version = self.version
             shift = {"gap": 1, "overlap": -1}.get(fault, 0) if position else 0
@@ -163,7 +166,8 @@
 
     def pool_summaries(self, pool):
         version = self.cluster.dispatcher.version
-        return (PoolSummary("a1", pool, 1, 1, 64, 0, 0, 0, version, version),)
+        busy = self.cluster.pool_busy
+        return (PoolSummary("a1", pool, 1, 1, 64, busy, 0, 0, version, version),)
 
     def on_call(self, message_type, request_class, handler) -> None:
         self.handlers[message_type] = (request_class, handler)
@@ -193,6 +197,7 @@
         self.clock = FakeClock()
         self.gate = gate or (lambda node_id, when: None)
         self.down: set[str] = set()
+        self.pool_busy = 0
         self.nodes = {node_id: FakeNode(node_id, node_id[0], self) for node_id in node_ids}
         for node in self.nodes.values():
             node.live = set(node_ids)
--- a/tests/rollouts/fuzz_machine.py
+++ b/tests/rollouts/fuzz_machine.py
@@ -224,6 +224,9 @@
         for node in self.cluster.nodes.values():
             node.service._owner.turn()
         self.settle()
+        for node_id, node in self.cluster.nodes.items():
+            if node_id not in self.cluster.down:
+                node.service.checkpointer.run_once()
 
     def deploy(self, version: int) -> None:
         dispatcher = self.cluster.dispatcher
