Aim at the same load whatever is preferred

Cause: with staleness preferred a step owner that was alone kept as many generations in flight as the pool has slots. Change: 120% of the slots for both. Work that waits in an owner's queue grows no older.

--- a/src/runkeel/rollouts/staleness_manager.py
+++ b/src/runkeel/rollouts/staleness_manager.py
@@ -21,8 +21,10 @@
 _DEFAULT_SPEC = ModelSpec()
 _TAIL_FRACTION = 0.1
 _IDLE_FRACTION = 0.5
-_LOAD_FOR_IDLE_TIME = 1.1
-_LOAD_FOR_STALENESS = 1.0
+_OWN_LOAD = 1.2
+"""Work that a node aims at, as a multiple of the pool's slots: a short queue, so that a slot that
+falls free is filled at once whichever engine it is at. Samples take their version when an engine
+begins them, so that waiting there makes them no staler."""
 _LOAD_OF_OTHERS = 1.0
 """Work of other nodes, as a multiple of the slots, that may wait in queues beside this node's."""
 _GENERATION_VERSIONS = 1
@@ -101,8 +103,7 @@
         counted_here = recent.note(self._clock(), in_flight_here)
         others = max(0, total_busy(summaries) - counted_here)
         slots = total_slots(summaries)
-        load = self._target_load(model)
-        alone, shared = int(slots * load), int(slots * (load + _LOAD_OF_OTHERS))
+        alone, shared = int(slots * _OWN_LOAD), int(slots * (_OWN_LOAD + _LOAD_OF_OTHERS))
         allowed = max(self._options.minimum_in_flight, min(alone, shared - others))
         return max(0, allowed - in_flight_here)
 
@@ -111,16 +112,6 @@
         summaries = self._membership.pool_summaries(model)
         return total_busy(summaries) < total_slots(summaries) * _IDLE_FRACTION
 
-    def _target_load(self, model: str) -> float:
-        """Return the work in the pool to aim at, as a multiple of its slots.
-
-        Idle time asks for a short queue, so that a slot that falls free is filled at once.
-        The share that callers must be left is the dispatcher's to enforce.
-        """
-        if self.spec(model).prefer is DeliveryPreference.IDLE_TIME:
-            return _LOAD_FOR_IDLE_TIME
-        return _LOAD_FOR_STALENESS
-
     def note_first_pull(self, step: Step, trainer_version: int) -> None:
         """Learn how many versions the step was submitted ahead."""
         versions = max(0, trainer_version - step.submitted_version)
