--- a/src/runkeel/requests/backend_choice.py
+++ b/src/runkeel/requests/backend_choice.py
@@ -53,12 +53,14 @@
 
     Attributes:
         rank: priority rank, 0 the most urgent; rollouts have 1000.
+        member: whose request it is; members share a queue fairly.
         avoid: back end to use only if there is no other.
         prefix: key of the prompt's prefix, or None.
     """
 
     pool: PoolId
     rank: int
+    member: str = ""
     avoid: str = ""
     minimum_version: int = 0
     prefix: int | None = None
