Try an operator's command of a fault for as long as the store may be down

Cause: in food-bank-store-down+drain the drain was given up after 10 s while the store was down for 15 s: fault_not_done. Change: 30 s.

--- a/src/runkeel_lab/faults.py
+++ b/src/runkeel_lab/faults.py
@@ -14,7 +14,7 @@
 from runkeel_lab.operators import CommandRecord, OperatorClient
 from runkeel_lab.processes import LabError
 
-_UNDRAIN_SECONDS = 10.0
+_COMMAND_RETRY_SECONDS = 30.0
 _DEFAULT_SLOW_MS = 1_000
 _DEFAULT_LAG_MS = 2_000
 
@@ -151,7 +151,7 @@
         self.races.append(self._operator.race(spec.commands))
 
     def _command(self, text: str) -> None:
-        record = self._operator.command(text, retry_seconds=_UNDRAIN_SECONDS)
+        record = self._operator.command(text, retry_seconds=_COMMAND_RETRY_SECONDS)
         if not record.accepted:
             raise LabError(f"not accepted: {text}: {record.status} {record.content}")
 
