--- a/tests/requests/test_place.py
+++ b/tests/requests/test_place.py
@@ -49,3 +49,16 @@
     def test_rollouts_avoid_an_owner_with_a_queue(self):
         placement = Placement(FakeMembership(summary("a1", 4, 8), summary("b1", 4)), None, None)
         self.assertEqual(placement.choose(POOL, is_rollout=True), "b1")
+
+    def test_busy_owners_get_no_hedge(self):
+        placement = Placement(
+            FakeMembership(summary("a1", 10, 8), summary("b1", 10, 10)), None, None
+        )
+        self.assertIsNone(placement.choose_spare(POOL))
+
+    def test_an_owner_with_room_gets_the_hedge(self):
+        placement = Placement(
+            FakeMembership(summary("a1", 10, 8), summary("b1", 10, 2)), None, None
+        )
+        self.assertEqual(placement.choose_spare(POOL), "b1")
+        self.assertIsNone(placement.choose_spare(POOL, {"b1"}))
