Keep callers off owners whose back ends are all ejected; outlast scorers; count answers whole

(2) A scorer's outage threw finished generations away after six tries. (3) The HTTP face counted an answer as finished before its bytes had left, so that a planned stop could cut a slow reader. Change: an owner publishes no slots while all back ends of a pool are ejected; a finished sample waits for the scorers until it is cancelled or stale; an answer is in flight until its last byte is written. A test that expected head and body of an answer in one packet reads on now.

--- a/src/runkeel/http/server.py
+++ b/src/runkeel/http/server.py
@@ -54,6 +54,14 @@
         finally:
             OPEN_CONNECTIONS.dec()
 
+    def handle_one_response(self) -> None:
+        """Answer one request, counted until its last byte is with the kernel."""
+        self.server.in_flight += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.in_flight -= 1
+
     def handle_one_request(self) -> Any:
         """Answer one request; requests that cannot be parsed get a problem document as well."""
         result = super().handle_one_request()
@@ -73,6 +81,7 @@
     handler_class = _Handler
     idle_connection_seconds: float
     stopping = False
+    in_flight = 0
 
 
 class HttpServer:
@@ -91,8 +100,6 @@
             backlog=_BACKLOG,
         )
         self._server.idle_connection_seconds = limits.idle_connection_s
-        self.in_flight = 0
-        """Requests being answered."""
 
     @property
     def address(self) -> Address:
@@ -103,6 +110,11 @@
         """Take the address without accepting yet. Raises OSError when it is in use."""
         self._server.init_socket()
 
+    @property
+    def in_flight(self) -> int:
+        """Requests being answered, from their last header to the last byte of the answer."""
+        return self._server.in_flight
+
     def start(self) -> None:
         """Start to accept connections."""
         self._server.start()
@@ -128,14 +140,8 @@
     def _application(
         self, environment: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
-        self.in_flight += 1
-        try:
-            response = self._answer(environment)
-        except BaseException:
-            self.in_flight -= 1
-            raise
+        response = self._answer(environment)
         if isinstance(response.body, bytes):
-            self.in_flight -= 1
             if response.status not in _NO_BODY_STATUSES:
                 response.headers.append(("Content-Length", str(len(response.body))))
             start_response(_status_line(response.status), response.headers)
@@ -163,7 +169,6 @@
             ABORTED_RESPONSES.inc()
             raise
         finally:
-            self.in_flight -= 1
             close = getattr(body, "close", None)
             if close is not None:
                 close()
--- a/src/runkeel/requests/owner.py
+++ b/src/runkeel/requests/owner.py
@@ -174,7 +174,7 @@
             pool=pool.name,
             sequence=self._summary_sequence,
             backends=len(self._backends.eligible(pool)),
-            slots=self._backends.total_slots(pool),
+            slots=self._backends.offered_slots(pool),
             in_flight=queue.in_flight,
             queued=len(queue),
             projected_wait_ms=int(wait * 1_000),
--- a/src/runkeel/rollouts/pipeline.py
+++ b/src/runkeel/rollouts/pipeline.py
@@ -100,12 +100,25 @@
             return
         metrics.SAMPLES_GENERATED.labels(step.key.model).inc()
         self._note_generated(step, attempt, sample)
-        try:
-            sample = self._scorer.score(sample, task.spec.prompt)
-        except RunkeelError as error:
-            self._fail(step, task, attempt, error)
-            return
-        self._replicate(step, task, attempt, sample)
+        scored = self._score(step, task, attempt, sample)
+        if scored is not None:
+            self._replicate(step, task, attempt, scored)
+
+    def _score(self, step: Step, task: Task, attempt: Attempt, sample: Sample) -> Sample | None:
+        """Score a sample however long the scorers are down; None once nobody waits for it.
+
+        The generation is worth more than the wait. The attempt is cancelled from outside when the
+        sample has become too stale.
+        """
+        failures = 0
+        while attempt in task.running and not step.closed:
+            try:
+                return self._scorer.score(sample, task.spec.prompt)
+            except RunkeelError as error:
+                failures += 1
+                metrics.ATTEMPTS_FAILED.labels(step.key.model, error.code).inc()
+                gevent.sleep(self._backoff(failures, error))
+        return None
 
     def _replicate(self, step: Step, task: Task, attempt: Attempt, sample: Sample) -> None:
         try:
--- a/tests/base/test_http_server.py
+++ b/tests/base/test_http_server.py
@@ -28,7 +28,7 @@
 
 class HttpServerTest(unittest.TestCase):
     def setUp(self):
-        routes = RouteTable()
+        self.routes = routes = RouteTable()
         routes.add(
             "POST",
             "/echo/{name}",
@@ -108,11 +108,26 @@
         self.exchange(b"GET /rest/x HTTP/1.1\r\nHost:")
         self.exchange(b"POST /echo/n HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab")
 
+    def test_large_answer_to_a_slow_reader_counts_as_in_flight_to_its_end(self):
+        size = 16 * 1024 * 1024
+        self.routes.add("GET", "/large", lambda r: HttpResponse(body=b"x" * size))
+        address = self.server.address
+        with socket.create_connection((address.host, address.port), timeout=5) as connection:
+            connection.sendall(b"GET /large HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            received = len(connection.recv(1_000))
+            self.assertFalse(self.server.wait_idle(0.05))
+            while part := connection.recv(1_000_000):
+                received += len(part)
+        self.assertGreater(received, size)
+        self.assertTrue(self.server.wait_idle(5))
+
     def test_stop_accepting_closes_kept_connections_after_their_answer(self):
         address = self.server.address
         with socket.create_connection((address.host, address.port), timeout=5) as connection:
             connection.sendall(b"GET /rest/1 HTTP/1.1\r\nHost: a\r\n\r\n")
-            self.assertIn(b"/rest/1", connection.recv(65536))
+            first = b""
+            while not first.endswith(b"/rest/1"):
+                first += connection.recv(65536)
             self.server.stop_accepting()
             connection.sendall(b"GET /rest/2 HTTP/1.1\r\nHost: a\r\n\r\n")
             answer = b""
--- a/tests/requests/test_owner_queue.py
+++ b/tests/requests/test_owner_queue.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from unittest import mock
 
 import gevent
@@ -11,6 +12,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 from runkeel.requests.backend_choice import Demand, PoolId
 from runkeel.requests.deadline import Deadline
+from runkeel.requests.outliers import FAILURES_TO_EJECT
 from tests.requests.test_applications import ClusterCase
 
 POOL = PoolId(MachineKind.APPLICATION, "ledger")
@@ -111,6 +113,14 @@
         idle.join(10.0)
         self.assertTrue(idle.successful())
 
+    def test_owner_of_ejected_back_ends_offers_no_slots_but_still_serves(self) -> None:
+        owner = self.node.service._owner
+        backend = self.queue.wait(self.running[0])
+        for _ in range(FAILURES_TO_EJECT):
+            backend.outlier.record_failure(time.monotonic())
+        self.assertEqual([summary.slots for summary in owner.summaries()], [0])
+        self.assertTrue(owner._backends.could_serve(self.demand))
+
     def test_counts_return_to_zero(self) -> None:
         self.enter()
         self.queue.refuse_all(ErrorCode.NODE_LEAVING, "")
--- a/tests/rollouts/fakes.py
+++ b/tests/rollouts/fakes.py
@@ -78,9 +78,14 @@
 
 
 class FakeScorer:
-    """Scores by length."""
+    """Scores by length; fails the first ``failures`` calls."""
+
+    failures = 0
 
     def score(self, address, sample_id, prompt, token_ids, timeout_seconds) -> float:
+        if self.failures > 0:
+            self.failures -= 1
+            raise RunkeelError(ErrorCode.SCORER_FAILED)
         return float(len(token_ids))
 
 
@@ -193,6 +198,7 @@
         self.options = options
         self.records = FakeRecords()
         self.dispatcher = FakeDispatcher()
+        self.scorer = FakeScorer()
         self.configuration = FakeConfiguration(**spec)
         self.clock = FakeClock()
         self.gate = gate or (lambda node_id, when: None)
@@ -217,7 +223,7 @@
             dispatcher=self.dispatcher,
             options=self.options,
             data_folder=data_folder,
-            scorer_caller=FakeScorer(),
+            scorer_caller=self.scorer,
             clock=self.clock,
             wall_clock=self.clock,
         )
--- a/tests/rollouts/test_service.py
+++ b/tests/rollouts/test_service.py
@@ -51,6 +51,12 @@
             sorted([s.task_id for s in first.samples] + rest), ["t0", "t1", "t2", "t3"]
         )
 
+    def test_samples_outlast_scorers_that_are_down(self):
+        self.cluster.scorer.failures = 5 * len(self.step.tasks) * FAST.scoring_attempts
+        self.node.submit(self.step)
+        self.assertEqual(sorted(self.drain_step()), ["t0", "t1", "t2", "t3"])
+        self.assertEqual(len(self.cluster.dispatcher.requests), len(self.step.tasks))
+
     def test_confirmed_cursor_and_unknown_cursor_are_refused(self):
         self.node.submit(self.step)
         self.pull(0, most=2)
