--- a/src/runkeel/requests/backend_choice.py
+++ b/src/runkeel/requests/backend_choice.py
@@ -177,9 +177,11 @@
     def eligible(self, pool: PoolId) -> list[Backend]:
         """Return the pool's back ends that may get work; ejected ones only if all are ejected."""
         working = [b for b in self._by_pool.get(pool, ()) if self.accepts_work(b)]
-        now = time.monotonic()
-        healthy = [backend for backend in working if not backend.outlier.is_ejected(now)]
-        return healthy or working
+        return _not_ejected(working) or working
+
+    def healthy(self, pool: PoolId) -> list[Backend]:
+        """Return the pool's back ends that may get work and are not ejected; maybe none."""
+        return _not_ejected(self.eligible(pool))
 
     def slots(self, backend: Backend, limits: PoolLimits) -> int:
         """Return how many requests the back end may hold now."""
@@ -196,6 +198,13 @@
             return 0
         return sum(self.slots(backend, limits) for backend in self.eligible(pool))
 
+    def healthy_slots(self, pool: PoolId) -> int:
+        """Return the slots of the back ends that are not ejected."""
+        limits = self.limits(pool)
+        if limits is None:
+            return 0
+        return sum(self.slots(backend, limits) for backend in self.healthy(pool))
+
     def could_serve(self, demand: Demand) -> bool:
         """Return whether some back end may run such a request, now or after others end."""
         return any(self._fits(backend, demand) for backend in self.eligible(demand.pool))
@@ -278,6 +287,11 @@
         return score
 
 
+def _not_ejected(backends: list[Backend]) -> list[Backend]:
+    now = time.monotonic()
+    return [backend for backend in backends if not backend.outlier.is_ejected(now)]
+
+
 def _has_room(
     backend: Backend, demand: Demand, slots: int, rollout_share: float, callers_present: bool
 ) -> bool:
--- a/src/runkeel/requests/owner.py
+++ b/src/runkeel/requests/owner.py
@@ -164,8 +164,9 @@
             node_id=self._membership.node_id,
             pool=pool.name,
             sequence=self._summary_sequence,
-            backends=len(self._backends.eligible(pool)),
-            slots=self._backends.total_slots(pool),
+            # Ejected back ends don't count: entry nodes shall go to other owners instead.
+            backends=len(self._backends.healthy(pool)),
+            slots=self._backends.healthy_slots(pool),
             in_flight=queue.in_flight,
             queued=len(queue),
             projected_wait_ms=int(wait * 1_000),
--- a/tests/requests/test_applications.py
+++ b/tests/requests/test_applications.py
@@ -74,6 +74,19 @@
             self.assertEqual(self.node.call_service("ledger").status, 200)
         self.assertEqual(sum(self.applications["app-b"].runs.values()), 10)
 
+    def test_owner_whose_only_backend_is_ejected_offers_no_slots(self) -> None:
+        owner = self.node.service._owner
+        self.assertEqual([summary.slots for summary in owner.summaries()], [2])
+        self.applications["app-a"].stop()
+        with gevent.Timeout(5.0):
+            while any(summary.slots for summary in owner.summaries()):
+                self.assertEqual(self.node.call_service("ledger").status, 200)
+        self.node.membership.publish_summaries(owner.summaries())
+        asked = self.node.peers.calls[MessageType.APPLICATION_REQUEST]
+        for _ in range(10):
+            self.node.call_service("ledger")
+        self.assertEqual(self.node.peers.calls[MessageType.APPLICATION_REQUEST] - asked, 10)
+
     def test_deadline_in_the_queue_proves_not_run(self) -> None:
         self.slow(0.3)
         running = [gevent.spawn(self.node.call_service, "ledger") for _ in range(4)]
