--- a/src/runkeel/requests/backend_choice.py
+++ b/src/runkeel/requests/backend_choice.py
@@ -177,7 +177,11 @@
     def eligible(self, pool: PoolId) -> list[Backend]:
         """Return the pool's back ends that may get work; ejected ones only if all are ejected."""
         working = [b for b in self._by_pool.get(pool, ()) if self.accepts_work(b)]
-        return _healthy(working) or working
+        return _not_ejected(working) or working
+
+    def healthy(self, pool: PoolId) -> list[Backend]:
+        """Return the pool's back ends that may get work and are not ejected; maybe none."""
+        return _not_ejected(self.eligible(pool))
 
     def slots(self, backend: Backend, limits: PoolLimits) -> int:
         """Return how many requests the back end may hold now."""
@@ -194,15 +198,12 @@
             return 0
         return sum(self.slots(backend, limits) for backend in self.eligible(pool))
 
-    def offered_slots(self, pool: PoolId) -> int:
-        """Return the slots to publish: none while every back end of the pool is ejected.
-
-        Entries then prefer other owners; where there is none they still come here.
-        """
+    def healthy_slots(self, pool: PoolId) -> int:
+        """Return the slots of the back ends that are not ejected."""
         limits = self.limits(pool)
         if limits is None:
             return 0
-        return sum(self.slots(backend, limits) for backend in _healthy(self.eligible(pool)))
+        return sum(self.slots(backend, limits) for backend in self.healthy(pool))
 
     def could_serve(self, demand: Demand) -> bool:
         """Return whether some back end may run such a request, now or after others end."""
@@ -286,7 +287,7 @@
         return score
 
 
-def _healthy(backends: list[Backend]) -> list[Backend]:
+def _not_ejected(backends: list[Backend]) -> list[Backend]:
     now = time.monotonic()
     return [backend for backend in backends if not backend.outlier.is_ejected(now)]
 
