Form replica groups once every known zone is in sight

Cause: a node that was alone for 2 s after its start formed a group of one, so that the death of that one node before the others had joined lost all records. Change: the setting cluster.zones names the zones that have nodes; formation waits for them, 30 s at most. Conclusion: a group covers its zones from its first record.

--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from pathlib import Path
 
 import gevent
@@ -184,9 +185,7 @@
             self._network,
             self._membership,
             ConfigurationGroupStore(settings.node.id, self._configuration, self._writer),
-            RecordOptions(
-                groups=settings.records.groups, retention_seconds=settings.records.retention_s
-            ),
+            _record_options(settings),
         )
 
     def _build_work(self) -> None:
@@ -264,5 +263,18 @@
             self.stop_requested.set()
 
 
+def _record_options(settings: Settings) -> RecordOptions:
+    options = RecordOptions(
+        groups=settings.records.groups, retention_seconds=settings.records.retention_s
+    )
+    if not settings.cluster.zones:
+        return options
+    return replace(
+        options,
+        expected_zones=settings.cluster.zones,
+        formation_wait_seconds=settings.cluster.zones_wait_s,
+    )
+
+
 def _address_of(url: str) -> Address:
     return Address.parse(url.removeprefix("http://"))
--- a/src/runkeel/settings.py
+++ b/src/runkeel/settings.py
@@ -92,6 +92,10 @@
     """Shared secret that authenticates nodes to each other."""
     seeds: tuple[str, ...] = ()
     """Gossip addresses of some nodes to join through."""
+    zones: tuple[str, ...] = ()
+    """All zones that have nodes. A replica group is formed once every one of them is in sight."""
+    zones_wait_s: float = Field(30.0, gt=0)
+    """After so long a group is formed without the zones that are missing, in s."""
 
     @field_validator("seeds")
     @classmethod
--- a/src/runkeel_lab/launcher.py
+++ b/src/runkeel_lab/launcher.py
@@ -202,7 +202,12 @@
                 "peer": str(node.peer),
                 "gossip": str(node.gossip),
             },
-            "cluster": {"name": self.deployment.name, "key": CLUSTER_KEY, "seeds": seeds},
+            "cluster": {
+                "name": self.deployment.name,
+                "key": CLUSTER_KEY,
+                "seeds": seeds,
+                "zones": [zone.name for zone in self.deployment.zones if zone.nodes],
+            },
             "platform": {
                 "object_api": f"http://{plan.object_api.address}",
                 "machine_list": f"http://{plan.machine_list.address}",
--- a/src/runkeel_lab/scale/layout.py
+++ b/src/runkeel_lab/scale/layout.py
@@ -116,7 +116,9 @@
                 peer=f"{host}:{PEER_PORT}",
                 gossip=f"{host}:{GOSSIP_PORT}",
             ),
-            cluster=ClusterSettings(name="scale", key="scale run", seeds=seeds),
+            cluster=ClusterSettings(
+                name="scale", key="scale run", seeds=seeds, zones=ZONES[: self.zones]
+            ),
             platform=PlatformSettings(
                 object_api=platform.object_api,
                 machine_list=platform.machine_list,
