Poll a failing engine fast only to confirm its failure

Cause: a poll that failed was repeated after 0.3 s for as long as it failed. In a scale run with 192 nodes and 2,016 engines on a busy machine the engines' processes were slow, their polls timed out, and each was then polled over a new connection 12 times as often as a good one: 60% of the nodes' processor time went into connecting, and the fleet did not settle. Change: the short pause holds only until the failure is confirmed and the engine is out of service. Conclusion: a slow engine is asked less, not more; it returns to service at the normal interval.

--- a/src/runkeel/backends/engine_directory.py
+++ b/src/runkeel/backends/engine_directory.py
@@ -25,7 +25,7 @@
 FAILED_POLLS = 2
 """So is one that fails this many polls in a row; a refused connection counts for all."""
 RETRY_SECONDS = 0.3
-"""Pause after a failed poll."""
+"""Pause after a failed poll that leaves the engine in service."""
 POLL_TIMEOUT_SECONDS = 1.0
 JITTER = 0.2
 CACHE_EVENT_WAIT_MS = 500
@@ -193,7 +193,10 @@
                 metrics.ENGINE_POLLS.labels(str(error.code)).inc()
                 refused = error.code is ErrorCode.BACKEND_UNREACHABLE
                 engine.failed_polls += FAILED_POLLS if refused else 1
-                interval = min(interval, RETRY_SECONDS)
+                # Only to confirm a failure: polled on at this pace, engines that are merely slow
+                # would get the more polls and new connections the slower they are.
+                if engine.failed_polls < FAILED_POLLS:
+                    interval = min(interval, RETRY_SECONDS)
                 self._note_service(engine)
             else:
                 metrics.ENGINE_POLLS.labels("ok").inc()
