--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -110,6 +110,7 @@
     seconds: float = 30.0,
     zones: int = 6,
     nodes_per_process: int = 20,
+    settle_seconds: float = 20.0,
     restart_seconds: float = 0.0,
     storm: bool = False,
     outage_seconds: float = 0.0,
@@ -124,6 +125,7 @@
     :param seconds: length of each measurement in s.
     :param zones: zones that the nodes are spread over, up to 6.
     :param nodes_per_process: hollow nodes that share a process.
+    :param settle_seconds: s between the start of a fleet and its measurement.
     :param restart_seconds: s between unannounced restarts in each process of nodes; 0 for none.
     :param storm: restart 5% of the nodes at once after the measurement.
     :param outage_seconds: s that the object API is down after the measurement; 0 for none.
@@ -137,7 +139,7 @@
         nodes,
         engines_per_node,
         out,
-        ScaleOptions(seconds=seconds, storm=storm, outage_seconds=outage_seconds),
+        ScaleOptions(seconds, settle_seconds, outage_seconds, storm),
         FleetOptions(nodes_per_process=nodes_per_process, restart_seconds=restart_seconds),
         zones,
     )
