Bound the share of time that changes of membership may take

Cause: in a trial with 400 nodes on a saturated machine half of the processor time went into working out owners anew, once for each change; late answers made more suspicions, which are changes. Change: the callbacks are followed by a pause of four times what they took, 0.5 s at most; the changes of that while are taken together.

--- a/src/runkeel/membership/notifier.py
+++ b/src/runkeel/membership/notifier.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
 from loguru import logger
 
+PAUSE_RATIO = 4.0
+"""The callbacks of changes are followed by a pause of so many times what they took."""
+
+LONGEST_PAUSE_SECONDS = 0.5
+
+
+def pause_seconds(elapsed: float) -> float:
+    """Return the pause after callbacks that have taken ``elapsed`` seconds."""
+    return min(LONGEST_PAUSE_SECONDS, PAUSE_RATIO * elapsed)
+
 
 class Notifier:
     """Calls back about changes, coalesced, and about one state mismatch at a time."""
@@ -54,7 +65,11 @@
         while True:
             self._changed.wait()
             self._changed.clear()
+            started_at = time.monotonic()
             self._call(self._change_callbacks)
+            # In a storm of changes, as when a large zone starts, the callbacks must leave the
+            # time to answer probes: else this node is suspected, which is one change more.
+            gevent.sleep(pause_seconds(time.monotonic() - started_at))
 
     def _call(self, callbacks: list[Callable[..., None]], *arguments: str) -> None:
         for callback in callbacks:
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -3,11 +3,13 @@
 import unittest
 from unittest import mock
 
+import gevent
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from runkeel.api.machines import Address, Member, MemberStatus
 from runkeel.errors import RunkeelError
+from runkeel.membership import notifier as notifier_module
 from runkeel.membership import table as table_module
 from runkeel.membership.datagrams import (
     MAXIMUM_DATAGRAM_BYTES,
@@ -19,6 +21,7 @@
 from runkeel.membership.digests import DigestMonitor
 from runkeel.membership.heartbeats import LONGEST_INTERVAL_SECONDS, interval_seconds
 from runkeel.membership.loads import FRESH_SECONDS, FRESH_SECONDS_OTHER_ZONES, LoadTable
+from runkeel.membership.notifier import LONGEST_PAUSE_SECONDS, Notifier, pause_seconds
 from runkeel.membership.table import MemberTable
 from runkeel.wire.generated.membership.ttypes import Datagram, DatagramKind, MemberRecord
 from tests.membership.simulation import summary
@@ -170,6 +173,23 @@
         self.assertEqual(monitor.take(), "node")
         self.assertIsNone(monitor.take())
 
+    def test_changes_in_a_storm_wait_for_the_pause_and_are_taken_together(self):
+        self.assertEqual(pause_seconds(60.0), LONGEST_PAUSE_SECONDS)
+        self.assertGreater(pause_seconds(0.01), 0.01)
+        calls = []
+        for pause, wanted in ((60.0, 1), (0.0, 2)):
+            notifier = Notifier()
+            self.addCleanup(notifier.stop)
+            notifier.on_change(lambda: calls.append(1))
+            calls.clear()
+            with mock.patch.object(notifier_module, "pause_seconds", return_value=pause):
+                notifier.start()
+                for _ in range(2):
+                    notifier.report_change()
+                    notifier.report_change()
+                    gevent.sleep(0.01)
+            self.assertEqual(len(calls), wanted)
+
     def test_heartbeat_interval_grows_with_the_zone_within_bounds(self):
         intervals = [interval_seconds(count, 60) for count in range(0, 200, 10)]
         self.assertEqual(intervals, sorted(intervals))
