Let a member of a record group stop only while the group keeps its majority

Cause: members forget their votes when they end. Three planned stops 7 s apart, or two at once, took a second member away while the first was down or still recovering; the group was formed anew and refused claims for the retention (900 s). A node that came back could also not copy from one that was draining, since it does not hear of nodes that have left.

Change: before it leaves the membership, a member commits, asks the others, and goes once enough of them vote without having committed; the lowest id goes first; it hands its seat to a live node that is no member, if there is one. It goes after half of the stop's time-out at the latest, counted and logged. `show record_groups` and the notices of /readyz tell of recoveries and of the remaining wait after a loss; records_unavailable always carries Retry-After. The lab waits up to 60 s for a planned stop's end, as a stop may now wait for another one (15 s before, which was less than the node's own bound of 120 s).

--- a/src/runkeel/http/monitoring.py
+++ b/src/runkeel/http/monitoring.py
@@ -12,12 +12,18 @@
 _JSON_HEADERS = (("Content-Type", "application/json"),)
 
 
-def add_monitoring_routes(routes: HttpRoutes, not_ready_reasons: Callable[[], list[str]]) -> None:
+def add_monitoring_routes(
+    routes: HttpRoutes,
+    not_ready_reasons: Callable[[], list[str]],
+    notices: Callable[[], list[str]] = list,
+) -> None:
     """Register ``/healthz``, ``/readyz`` and ``/metrics``.
 
     Args:
         routes: where to register.
         not_ready_reasons: tells why the node should get no requests; empty when it is ready.
+        notices: what an operator should know although the node can serve requests, such as that
+            non-repeatable ones are refused for a time.
     """
 
     def health(request: HttpRequest) -> HttpResponse:
@@ -25,7 +31,7 @@
 
     def readiness(request: HttpRequest) -> HttpResponse:
         reasons = not_ready_reasons()
-        body = json.dumps({"ready": not reasons, "reasons": reasons}).encode()
+        body = json.dumps({"ready": not reasons, "reasons": reasons, "notices": notices()}).encode()
         return HttpResponse(503 if reasons else 200, list(_JSON_HEADERS), body)
 
     def metrics(request: HttpRequest) -> HttpResponse:
--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -17,7 +17,7 @@
 from runkeel.http.server import HttpServer
 from runkeel.membership.gossip import GossipMembership
 from runkeel.operators.service import OperatorsService
-from runkeel.operators.work_sources import register_claims, register_steps
+from runkeel.operators.work_sources import register_claims, register_record_groups, register_steps
 from runkeel.platform.machine_list import MachineListClient
 from runkeel.platform.object_api import ObjectApiClient
 from runkeel.platform.weight_store import WeightStoreClient
@@ -40,6 +40,8 @@
 from runkeel.wire.network import PeerNetwork
 
 CONFIGURATION_WAIT_SECONDS = 5.0
+RECORDS_SHARE_OF_STOP = 0.5
+"""Share of a planned stop's time that leaving the record groups may take."""
 
 
 class Node:
@@ -62,7 +64,7 @@
         self._build_state()
         self._build_work()
         self._build_operators()
-        add_monitoring_routes(self._routes, self._not_ready_reasons)
+        add_monitoring_routes(self._routes, self._not_ready_reasons, self._notices)
 
     @property
     def node_id(self) -> str:
@@ -114,18 +116,25 @@
         """
         deadline = time.monotonic() + timeout_seconds
         self._stopping = True
+        # First, and as a node like any other: a member of the record groups that comes back
+        # meanwhile has to find this one, and does not hear of nodes that have left.
+        self._records.leave(timeout_seconds * RECORDS_SHARE_OF_STOP)
         self._membership.leave()
         self._http.stop_accepting()
+        clean = self._finish_work(max(0.0, deadline - time.monotonic()))
+        self.stop()
+        return clean
+
+    def _finish_work(self, timeout_seconds: float) -> bool:
+        """Wait for work in flight; return whether all of it was finished in time."""
+        deadline = time.monotonic() + timeout_seconds
         drains = [
             gevent.spawn(self._requests.drain, timeout_seconds),
             gevent.spawn(self._rollouts.drain, timeout_seconds),
         ]
         gevent.joinall(drains, timeout=timeout_seconds)
-        remaining_seconds = max(0.0, deadline - time.monotonic())
-        idle = self._http.wait_idle(remaining_seconds)
-        clean = idle and all(drain.value for drain in drains)
-        self.stop()
-        return clean
+        idle = self._http.wait_idle(max(0.0, deadline - time.monotonic()))
+        return idle and all(drain.value for drain in drains)
 
     def stop(self) -> None:
         """End every part at once, in the reverse order of the start."""
@@ -243,6 +252,7 @@
         sources = self._operators.sources
         register_steps(sources, self.node_id, self._rollouts.steps)
         register_claims(sources, self.node_id, self._requests.claims.recorded)
+        register_record_groups(sources, self.node_id, self._records.statuses)
 
     def _not_ready_reasons(self) -> list[str]:
         reasons = []
@@ -254,6 +264,10 @@
             reasons.append("machine list not read yet")
         return reasons
 
+    def _notices(self) -> list[str]:
+        notices = [status.notice() for status in self._records.statuses()]
+        return [notice for notice in notices if notice is not None]
+
     def _note_own_drain(self, kind: ObjectKind, name: str) -> None:
         if kind is not ObjectKind.DRAIN or name != self.node_id:
             return
--- a/src/runkeel/operators/work_sources.py
+++ b/src/runkeel/operators/work_sources.py
@@ -1,7 +1,8 @@
-"""Tables of the work that a node answers for: open steps of trainers, and claimed requests."""
+"""Tables of what a node answers for: open steps, claimed requests, record groups."""
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, Protocol
@@ -22,6 +23,17 @@
     "opened_ms_ago",
     "used_ms_ago",
 )
+RECORD_GROUP_COLUMNS = (
+    "group",
+    "node",
+    "phase",
+    "epoch",
+    "members",
+    "records",
+    "bytes",
+    "refuses_ms",
+    "leaving",
+)
 CLAIM_COLUMNS = ("request", "owner", "state", "error", "claimed_ms_ago")
 
 
@@ -50,6 +62,19 @@
         """Return how many tasks were not handed over yet."""
 
 
+class RecordGroup(Protocol):
+    """What is read of a node's part in a record group."""
+
+    group: str
+    phase: str
+    epoch: int
+    members: tuple[str, ...]
+    records: int
+    bytes: int
+    refuses_seconds: float
+    leaving: bool
+
+
 class ClaimedRequest(Protocol):
     """What is read of a claimed request; ``done`` is set once its outcome is known."""
 
@@ -80,6 +105,31 @@
     sources.add("claims", CLAIM_COLUMNS, rows, everywhere=True)
 
 
+def register_record_groups(
+    sources: QuerySources, node_id: str, groups: Callable[[], Iterable[RecordGroup]]
+) -> None:
+    """Add the table of the record groups, as each node takes part in them."""
+
+    def rows() -> list[Row]:
+        return [_record_group_row(node_id, group) for group in groups()]
+
+    sources.add("record_groups", RECORD_GROUP_COLUMNS, rows, everywhere=True)
+
+
+def _record_group_row(node_id: str, group: RecordGroup) -> Row:
+    return (
+        group.group,
+        node_id,
+        str(group.phase),
+        group.epoch,
+        " ".join(group.members),
+        group.records,
+        group.bytes,
+        math.ceil(group.refuses_seconds * 1000),
+        group.leaving,
+    )
+
+
 def _step_row(node_id: str, step: OpenStep) -> Row:
     tasks = step.tasks.values()
     return (
--- a/src/runkeel/state/records/group.py
+++ b/src/runkeel/state/records/group.py
@@ -13,6 +13,7 @@
 from runkeel.api.interfaces import Membership, PeerClient
 from runkeel.errors import RunkeelError
 from runkeel.state.records import metrics
+from runkeel.state.records.departure import PlannedDeparture
 from runkeel.state.records.member_changes import (
     MemberChanges,
     choose_members,
@@ -73,6 +74,7 @@
         self._clock = clock
         self._rng = rng
         self._recovery = Recovery(replica, peers, options)
+        self.departure = PlannedDeparture(replica, Recovery(replica, peers, options))
         self._started_at = clock()
         self._loss_rounds = 0
         self._changes = MemberChanges(replica.group, membership, options, clock)
@@ -102,6 +104,22 @@
         elif self._replica.phase is ReplicaPhase.VOTING:
             self._change_member(view)
 
+    def hand_over(self) -> None:
+        """Let a live node that is no member take this leaving member's place, if there is one.
+
+        The caller has committed the departure: enough others vote, whether this succeeds or not.
+        """
+        view = self._store.group(self._replica.group)
+        if view is None or self._replica.phase is not ReplicaPhase.VOTING:
+            return
+        self._changes.observe(view.spec)
+        proposal = self._changes.replace(view.spec, self._replica.node_id)
+        if proposal is None or self._replica.epoch != view.spec.epoch:
+            return
+        others = [node_id for node_id in view.spec.members if node_id != self._replica.node_id]
+        if self.departure.all_vote(others):
+            self._change("hand_over", view.generation, proposal[0])
+
     # Formation
 
     def _create(self) -> None:
--- a/src/runkeel/state/records/member_changes.py
+++ b/src/runkeel/state/records/member_changes.py
@@ -92,20 +92,21 @@
             if self.dead_seconds(node_id) >= self._options.replace_after_seconds
         ]
         if dead:
-            return self._replace_dead(spec, dead[0])
+            return self.replace(spec, dead[0])
         return self._cover_zone(spec)
 
-    def _replace_dead(
-        self, spec: RecordGroupSpec, dead: str
+    def replace(
+        self, spec: RecordGroupSpec, leaving: str
     ) -> tuple[RecordGroupSpec, str | None] | None:
+        """Return the next spec with a live node in the place of a member; None without one."""
         spares = self._spares(spec)
-        zone = self._zone_of(dead)
+        zone = self._zone_of(leaving)
         same_zone = [member for member in spares if member.zone == zone]
         uncovered = [member for member in spares if member.zone in self._uncovered_since]
         candidates = same_zone or uncovered or spares
         if not candidates:
             return None
-        return with_member(spec, candidates[0].node_id, dead), dead
+        return with_member(spec, candidates[0].node_id, leaving), leaving
 
     def _cover_zone(self, spec: RecordGroupSpec) -> tuple[RecordGroupSpec, str | None] | None:
         """Bring a replica into a zone that has none: add one, or move one out of a shared zone."""
--- a/src/runkeel/state/records/metrics.py
+++ b/src/runkeel/state/records/metrics.py
@@ -24,3 +24,6 @@
     "Time of successful decide calls",
     buckets=(0.001, 0.002, 0.004, 0.006, 0.008, 0.012, 0.02, 0.05, 0.1, 0.5, 1, 5),
 )
+DEPARTURES = Counter(
+    "runkeel_records_departures_total", "Planned stops, by what allowed them", ["outcome"]
+)
--- a/src/runkeel/state/records/options.py
+++ b/src/runkeel/state/records/options.py
@@ -31,6 +31,7 @@
         replace_after_seconds: how long a member must be dead before it is replaced.
         abandon_after_seconds: how long a member must be dead before its state counts as lost.
         loss_rounds: consecutive observations of a lost majority before a group is formed anew.
+        departure_interval_seconds: how often a member that wants to stop asks the others.
         store_timeout_seconds: wait for one write to the object API.
     """
 
@@ -57,4 +58,5 @@
     replace_after_seconds: float = 20.0
     abandon_after_seconds: float = 600.0
     loss_rounds: int = 5
+    departure_interval_seconds: float = 0.1
     store_timeout_seconds: float = 2.0
--- a/src/runkeel/state/records/proposer.py
+++ b/src/runkeel/state/records/proposer.py
@@ -50,6 +50,8 @@
     ReplicaStatus.WRONG_EPOCH,
 }
 Enough = Callable[[dict[str, ReplicaReply]], bool]
+RETRY_AFTER_SECONDS = 1.0
+"""When a caller should come back, unless the group says that it takes longer."""
 _LASTING_REFUSALS = (ReplicaStatus.FULL, ReplicaStatus.RETENTION_WAIT)
 
 
@@ -175,11 +177,11 @@
     def _unavailable(self, call: _Call, refusal: ReplicaReply | None) -> RunkeelError:
         verdict = Verdict.MAY_HAVE_RUN if call.proposed else Verdict.NOT_RUN
         detail = f"no majority of group {self._group} answered in time"
-        retry_after = None
+        retry_after = RETRY_AFTER_SECONDS
         if refusal is not None:
             name = ReplicaStatus._VALUES_TO_NAMES[refusal.status].lower()
             detail = f"group {self._group} refuses: {name}"
-            retry_after = refusal.wait_ms / 1000 if refusal.wait_ms else None
+            retry_after = max(refusal.wait_ms / 1000, RETRY_AFTER_SECONDS)
         return RunkeelError(ErrorCode.RECORDS_UNAVAILABLE, detail, verdict, retry_after)
 
     # One round
@@ -348,7 +350,7 @@
             if reply.status in _LASTING_REFUSALS:
                 refusals.append(reply)
         if len(refusals) > len(spec.members) - majority(len(spec.members)):
-            result.refused = refusals[0]
+            result.refused = max(refusals, key=lambda reply: reply.wait_ms)
         return result
 
     def _note_incarnation(self, node_id: str, reply: ReplicaReply) -> None:
--- a/src/runkeel/state/records/recovery.py
+++ b/src/runkeel/state/records/recovery.py
@@ -83,13 +83,19 @@
                 self._copied[node_id] = result
         return self._finish_if_consistent()
 
-    def all_voting(self, node_ids: list[str]) -> bool:
-        """Ask members, in parallel, whether they vote in this replica's epoch."""
+    def ask_all(self, node_ids: list[str]) -> dict[str, RecoverReply]:
+        """Ask members, in parallel, for their status; who does not answer is missing."""
         self._epoch, self._incarnation = self._replica.epoch, self._replica.incarnation
-        tasks = [gevent.spawn(self._ask, node_id, 0, "", 0) for node_id in node_ids]
-        gevent.joinall(tasks)
+        tasks = {node_id: gevent.spawn(self._ask, node_id, 0, "", 0) for node_id in node_ids}
+        gevent.joinall(tasks.values())
+        return {node_id: task.value for node_id, task in tasks.items() if task.value is not None}
+
+    def all_voting(self, node_ids: list[str]) -> bool:
+        """Ask members whether they vote in this replica's epoch."""
+        replies = self.ask_all(node_ids)
         return all(
-            task.value is not None and task.value.status == ReplicaStatus.OK for task in tasks
+            node_id in replies and replies[node_id].status == ReplicaStatus.OK
+            for node_id in node_ids
         )
 
     def _finish_if_consistent(self) -> bool:
--- a/src/runkeel/state/records/replica.py
+++ b/src/runkeel/state/records/replica.py
@@ -20,6 +20,7 @@
 from runkeel.state.records.transfer import fill_page, merge_record, remaining_ms
 from runkeel.wire.generated.records.ttypes import (
     Accept,
+    Departure,
     Learn,
     LearnReply,
     MemberIncarnation,
@@ -85,6 +86,8 @@
         self.vector: dict[str, int] = {}
         self.table = RecordTable(options.max_records, options.max_bytes, clock)
         self.retention_until = 0.0
+        self.departure = Departure.NONE
+        """Told to whoever asks for this replica's status; see :mod:`.departure`."""
         self._options = options
         self._clock = clock
         self._wall_clock = wall_clock
@@ -367,4 +370,5 @@
             after_key="",
             done=False,
             wait_ms=math.ceil(self.retention_wait_seconds() * 1000),
+            departure=self.departure,
         )
--- a/src/runkeel/state/records/service.py
+++ b/src/runkeel/state/records/service.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 import zlib
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -17,6 +19,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.state.records import metrics
 from runkeel.state.records.broadcast import Broadcast
+from runkeel.state.records.departure import commit_in_order
 from runkeel.state.records.group import GroupManager, GroupStore
 from runkeel.state.records.options import RecordOptions
 from runkeel.state.records.proposer import Proposer
@@ -24,6 +27,7 @@
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.records.ttypes import (
     Accept,
+    Departure,
     Learn,
     Prepare,
     Read,
@@ -31,6 +35,34 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class RecordGroupStatus:
+    """What this node is to a group, for queries and readiness.
+
+    Attributes:
+        refuses_seconds: how long votes are still refused after the group was formed anew.
+        leaving: whether this node waits to leave, or has leave to.
+    """
+
+    group: str
+    phase: ReplicaPhase
+    epoch: int
+    members: tuple[str, ...]
+    records: int
+    bytes: int
+    refuses_seconds: float
+    leaving: bool
+
+    def notice(self) -> str | None:
+        """Return what an operator should know before touching another node, or None."""
+        if self.refuses_seconds > 0:
+            seconds = math.ceil(self.refuses_seconds)
+            return f"{self.group} was formed anew and refuses new records for {seconds} s"
+        if self.phase in (ReplicaPhase.JOINING, ReplicaPhase.RECOVERING):
+            return f"{self.group}: this node's replica is {self.phase.value}"
+        return None
+
+
 class RecordService:
     """Implements :class:`runkeel.api.interfaces.Records`."""
 
@@ -127,6 +159,22 @@
         """Return what this node is to a group, for status pages and readiness."""
         return self._replica(group).phase
 
+    def statuses(self) -> tuple[RecordGroupStatus, ...]:
+        """Return what this node is to each group."""
+        return tuple(
+            RecordGroupStatus(
+                name,
+                replica.phase,
+                replica.epoch,
+                replica.members,
+                replica.table.count,
+                replica.table.bytes,
+                replica.retention_wait_seconds(),
+                replica.departure != Departure.NONE,
+            )
+            for name, replica in self._replicas.items()
+        )
+
     # Tasks
 
     def start(self) -> None:
@@ -134,6 +182,33 @@
         for name in self._managers:
             self._tasks.append(gevent.spawn(self._look_after, name))
 
+    def leave(self, timeout_seconds: float) -> bool:
+        """Wait until every group keeps a majority without this node, then hand its seats over.
+
+        The replicas go on voting until :meth:`stop`. Until this process has ended and come back,
+        no other member of its groups may leave.
+
+        Returns:
+            Whether the node may go; False when the time has passed and it goes nevertheless.
+        """
+        allowed = self._wait_for_departure(timeout_seconds)
+        if not allowed:
+            logger.warning(
+                "record groups may lose their majority by this stop", code="record_stop_unsafe"
+            )
+        metrics.DEPARTURES.labels("allowed" if allowed else "timed_out").inc()
+        if allowed:
+            gevent.joinall([gevent.spawn(one.hand_over) for one in self._managers.values()])
+        return allowed
+
+    def _wait_for_departure(self, timeout_seconds: float) -> bool:
+        departures = [manager.departure for manager in self._managers.values()]
+        with gevent.Timeout(timeout_seconds, False):
+            while not commit_in_order(departures):
+                gevent.sleep(self._options.departure_interval_seconds)
+            return True
+        return False
+
     def stop(self) -> None:
         """Stop all tasks; calls in flight fail."""
         gevent.killall(self._tasks, timeout=1.0)
--- a/src/runkeel_lab/faults.py
+++ b/src/runkeel_lab/faults.py
@@ -15,6 +15,8 @@
 from runkeel_lab.processes import LabError
 
 _COMMAND_RETRY_SECONDS = 30.0
+_PLANNED_STOP_SECONDS = 60.0
+"""Half of a node's own bound: it may wait for another one that stops, then for work in flight."""
 _DEFAULT_SLOW_MS = 1_000
 _DEFAULT_LAG_MS = 2_000
 
@@ -139,7 +141,7 @@
             self._set(spec.target, "clear")
 
     def _restart_after_stop(self, spec: FaultSpec) -> None:
-        if not self._deployment.processes[spec.target].wait_end():
+        if not self._deployment.processes[spec.target].wait_end(_PLANNED_STOP_SECONDS):
             raise LabError(f"{spec.target}: did not end after SIGTERM")
         self._deployment.restart_node(spec.target)
 
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -237,3 +237,40 @@
             accepted = simulation.decide(simulation.voting()[0], "k")
             simulation.settle()
             self.assertTrue(isinstance(accepted.value, bytes))
+
+
+class RetentionWaitTest(SimulationTestCase):
+    """A group whose majority was lost says how long it refuses."""
+
+    def setUp(self):
+        self.simulation = self.simulate()
+        for name in "abc":
+            self.simulation.kill(name)
+        for name in "abc":
+            self.simulation.start(name)
+        self.simulation.settle()
+
+    def test_refusal_names_the_longest_remaining_wait(self):
+        self.simulation.now += 100
+        refused = self.simulation.decide("a", "k")
+        self.simulation.settle()
+        self.assertIs(refused.value.verdict, Verdict.NOT_RUN)
+        self.assertEqual(refused.value.retry_after_seconds, OPTIONS.retention_seconds - 100)
+
+    def test_read_is_refused_with_the_same_wait(self):
+        refused = self.simulation.read("a", "k")
+        self.simulation.settle()
+        self.assertIs(refused.value.code, ErrorCode.RECORDS_UNAVAILABLE)
+        self.assertEqual(refused.value.retry_after_seconds, OPTIONS.retention_seconds)
+
+    def test_status_tells_it_until_it_is_over(self):
+        status = self.simulation.services["b"].statuses()[0]
+        self.assertEqual(status.refuses_seconds, OPTIONS.retention_seconds)
+        self.assertIn("refuses new records for 900 s", status.notice())
+        self.simulation.now += OPTIONS.retention_seconds
+        self.assertIsNone(self.simulation.services["b"].statuses()[0].notice())
+
+    def test_status_tells_of_a_recovery(self):
+        self.simulation.now += OPTIONS.retention_seconds
+        self.simulation.restart("c")
+        self.assertIn("recovering", self.simulation.services["c"].statuses()[0].notice())
--- a/wire/records.thrift
+++ b/wire/records.thrift
@@ -14,6 +14,13 @@
   RETENTION_WAIT = 9,      // the group was formed anew; see wait_ms
 }
 
+/** Whether a member is about to end as planned; crosses the wire as i32. */
+enum Departure {
+  NONE = 0,
+  WAITING = 1,     // wants to go, and does not go before it has asked again
+  COMMITTED = 2,   // may go at any moment: nobody may count on it
+}
+
 /** Entry of a crash vector: the highest incarnation known of a member. */
 struct MemberIncarnation {
   1: string node_id,
@@ -106,4 +113,5 @@
   7: string after_key,
   8: bool done,
   9: i64 wait_ms,
+  10: i32 departure,
 }
