--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -18,6 +18,7 @@
 from runkeel.membership.gossip import GossipMembership
 from runkeel.operators.service import OperatorsService
 from runkeel.operators.work_sources import register_claims, register_steps
+from runkeel.pauses import PauseDetector
 from runkeel.platform.machine_list import MachineListClient
 from runkeel.platform.object_api import ObjectApiClient
 from runkeel.platform.weight_store import WeightStoreClient
@@ -96,6 +97,7 @@
         self._watchers.start()
         self._records.start()
         self._requests.start()
+        self._pauses.start()
         self._weights.start()
         self._rollouts.start()
         # Callers that come earlier would be told that their service is unknown; until then their
@@ -132,6 +134,7 @@
         self._http.stop()
         self._rollouts.stop()
         self._weights.stop()
+        self._pauses.stop()
         self._requests.stop()
         self._records.stop()
         self._watchers.close()
@@ -191,6 +194,7 @@
     def _build_work(self) -> None:
         settings = self._settings
         self._weight_store = WeightStoreClient(_address_of(settings.platform.weight_store))
+        self._pauses = PauseDetector()
         self._weights = WeightsService(
             self._membership,
             self._configuration,
@@ -199,6 +203,7 @@
             self._network,
             self._network,
             self._weight_store,
+            self._pauses,
         )
         self._requests = RequestService(
             self._membership,
@@ -210,6 +215,7 @@
             self._network,
             self._routes,
             self._weights.engines,
+            self._pauses,
             is_ready=lambda: self._spread.caught_up,
         )
         data_folder = Path(settings.node.data_folder) if settings.node.data_folder else None
--- a/src/runkeel/requests/dispatch.py
+++ b/src/runkeel/requests/dispatch.py
@@ -10,10 +10,10 @@
 
 from runkeel.api.interfaces import Membership, PeerClient
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run, not_run
+from runkeel.pauses import PauseDetector
 from runkeel.requests.accepted import UPTIME_MARGIN_SECONDS, RequestState
 from runkeel.requests.deadline import Deadline
 from runkeel.requests.metrics import DROPPED_ANSWERS, WITHDRAWALS
-from runkeel.requests.pauses import PauseWatch
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.requests.ttypes import (
     ApplicationRequest,
@@ -67,7 +67,7 @@
 class AttemptSender:
     """Sends single attempts to owner nodes."""
 
-    def __init__(self, membership: Membership, peers: PeerClient, pauses: PauseWatch) -> None:
+    def __init__(self, membership: Membership, peers: PeerClient, pauses: PauseDetector) -> None:
         self._membership = membership
         self._peers = peers
         self._pauses = pauses
--- a/src/runkeel/requests/metrics.py
+++ b/src/runkeel/requests/metrics.py
@@ -20,7 +20,6 @@
     "runkeel_owner_refusals_total", "Requests that an owner refused without a run", ["code"]
 )
 EJECTIONS = Counter("runkeel_backend_ejections_total", "Back ends ejected as outliers")
-PAUSES = Counter("runkeel_process_pauses_total", "Pauses of the process that were noticed")
 RESUMED_GENERATIONS = Counter(
     "runkeel_generations_resumed_total", "Generations that went on at another engine"
 )
--- a/src/runkeel/requests/owner.py
+++ b/src/runkeel/requests/owner.py
@@ -12,13 +12,13 @@
 from runkeel.api.interfaces import Configuration, Membership, PeerHandlers, PeerStream
 from runkeel.api.machines import MachineKind, PoolSummary
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
+from runkeel.pauses import PauseDetector
 from runkeel.requests.accepted import AcceptedRequest, AcceptedRequests, RequestKey
 from runkeel.requests.backend_choice import Backend, Demand, OwnedBackends, PoolId
 from runkeel.requests.deadline import Deadline
 from runkeel.requests.generation_run import GenerationRun
 from runkeel.requests.metrics import OWNER_REFUSALS
 from runkeel.requests.owner_queue import PoolQueue
-from runkeel.requests.pauses import PauseWatch
 from runkeel.requests.prefix_cache import prefix_key
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.requests.ttypes import (
@@ -32,6 +32,8 @@
 
 MAXIMUM_BACKEND_TRIES = 3
 LOWEST_CALLER_RANK = 999
+SETTLING_SECONDS = 0.1
+"""After a pause, what is read from sockets may have waited there through the pause."""
 TIMEOUT_FAILURE_FACTOR = 4.0
 """A time-out speaks against the back end only if it had this many mean service times."""
 _BACKEND_FAILURES = frozenset(
@@ -62,7 +64,7 @@
         membership: Membership,
         configuration: Configuration,
         backends: OwnedBackends,
-        pauses: PauseWatch,
+        pauses: PauseDetector,
         accepted: AcceptedRequests | None = None,
     ) -> None:
         self._membership = membership
@@ -217,7 +219,7 @@
     def _check_in_service(self, pool: PoolId) -> None:
         if self._leaving:
             raise not_run(ErrorCode.NODE_LEAVING, "the node is leaving")
-        if self._pauses.settling():
+        if not self._pauses.settled(SETTLING_SECONDS):
             raise not_run(ErrorCode.OWNER_PAUSED, "the owner has just been paused")
         if pool not in self._backends.pools():
             # Refused before a queue is made for it, so that queues stay bounded.
--- a/src/runkeel/requests/service.py
+++ b/src/runkeel/requests/service.py
@@ -22,6 +22,7 @@
     Records,
 )
 from runkeel.api.machines import Machine
+from runkeel.pauses import PauseDetector
 from runkeel.requests.admit import Admission
 from runkeel.requests.backend_choice import OwnedBackends, make_client
 from runkeel.requests.claim import Claims
@@ -29,7 +30,6 @@
 from runkeel.requests.dispatcher import RequestDispatcher
 from runkeel.requests.entry import Entry
 from runkeel.requests.owner import Owner
-from runkeel.requests.pauses import PauseWatch
 from runkeel.requests.place import Placement
 
 SUMMARY_INTERVAL_SECONDS = 0.5
@@ -53,17 +53,17 @@
         peer_handlers: PeerHandlers,
         routes: HttpRoutes,
         engines: EngineDirectory,
+        pauses: PauseDetector,
         generator: random.Random | None = None,
         client_factory: Callable[[Machine], Any] = make_client,
         is_ready: Callable[[], bool] = lambda: True,
     ) -> None:
         self._membership = membership
-        self._pauses = PauseWatch()
         self._backends = OwnedBackends(configuration, machines, ownership, engines, client_factory)
-        self._owner = Owner(membership, configuration, self._backends, self._pauses)
+        self._owner = Owner(membership, configuration, self._backends, pauses)
         self._claims = Claims(membership, records, peer_client)
         placement = Placement(membership, machines, ownership, generator)
-        sender = AttemptSender(membership, peer_client, self._pauses)
+        sender = AttemptSender(membership, peer_client, pauses)
         self._dispatcher = RequestDispatcher(configuration, placement, sender, peer_client)
         admission = Admission(configuration)
         self._entry = Entry(configuration, admission, self._claims, self._dispatcher, is_ready)
@@ -87,7 +87,6 @@
 
     def start(self) -> None:
         """Start the part's own tasks."""
-        self._pauses.start()
         self._owner.backends_changed()
         self._tasks = [gevent.spawn(self._publish), gevent.spawn(self._tick)]
 
@@ -95,7 +94,6 @@
         """Stop the tasks and close the connections to back ends."""
         gevent.killall(self._tasks)
         self._tasks = []
-        self._pauses.stop()
         self._backends.close()
 
     def drain(self, timeout_seconds: float) -> bool:
--- a/src/runkeel/weights/reconciler.py
+++ b/src/runkeel/weights/reconciler.py
@@ -16,14 +16,16 @@
 from runkeel.backends.engine_directory import EngineMonitor
 from runkeel.backends.engine_orders import EngineControlClient, EngineOrder
 from runkeel.errors import ErrorCode, RunkeelError
+from runkeel.pauses import PauseDetector
 from runkeel.weights import metrics
 from runkeel.weights.fences import Fence, next_fence, owner_bits
-from runkeel.weights.pause import PauseDetector
 from runkeel.weights.permit_client import PermitClient
 from runkeel.weights.permits import SwapKey
 from runkeel.weights.target import TargetState, target_of
 
 IDLE_SECONDS = 1.0
+SETTLE_SECONDS = 2.0
+"""After a pause, how long membership and configuration need to catch up."""
 PERMIT_WAIT_SECONDS = 5.0
 SWAP_POLL_SECONDS = 0.25
 SWAP_TIMEOUT_SECONDS = 60.0
@@ -241,7 +243,7 @@
     def _may_order(self, kind: str, target: TargetState) -> bool:
         """Validate once more, right before an order, what may have changed during a pause."""
         reason = ""
-        if not self._context.pause_detector.settled():
+        if not self._context.pause_detector.settled(SETTLE_SECONDS):
             reason = "paused"
         elif not self._is_owner():
             reason = "not_owner"
--- a/src/runkeel/weights/roll_out.py
+++ b/src/runkeel/weights/roll_out.py
@@ -12,8 +12,8 @@
 from runkeel.api.machines import Address, Machine, MachineKind
 from runkeel.backends.engine_directory import EngineMonitor
 from runkeel.backends.engine_orders import EngineControlClient
+from runkeel.pauses import PauseDetector
 from runkeel.weights import metrics
-from runkeel.weights.pause import PauseDetector
 from runkeel.weights.permit_client import PermitClient
 from runkeel.weights.reconciler import EngineReconciler, ReconcilerContext, RolloutState
 
--- a/src/runkeel/weights/service.py
+++ b/src/runkeel/weights/service.py
@@ -11,8 +11,8 @@
     PeerHandlers,
 )
 from runkeel.backends.engine_directory import EngineMonitor
+from runkeel.pauses import PauseDetector
 from runkeel.platform.weight_store import WeightStoreClient
-from runkeel.weights.pause import PauseDetector
 from runkeel.weights.permit_client import PermitClient
 from runkeel.weights.permit_coordinator import PermitCoordinator
 from runkeel.weights.roll_out import RollOut
@@ -35,9 +35,9 @@
         peers: PeerClient,
         handlers: PeerHandlers,
         weight_store: WeightStoreClient,
+        pauses: PauseDetector,
     ) -> None:
         self.engines = EngineMonitor(ownership)
-        self._pause_detector = PauseDetector()
         self._coordinator = PermitCoordinator(
             membership, configuration, machines, handlers, weight_store.limits
         )
@@ -49,12 +49,11 @@
             ownership,
             self.engines,
             self._permits,
-            self._pause_detector,
+            pauses,
         )
 
     def start(self) -> None:
         """Start all tasks."""
-        self._pause_detector.start()
         self.engines.start()
         self._permits.start()
         self.roll_out.start()
@@ -65,4 +64,3 @@
         self._permits.stop()
         self._coordinator.stop()
         self.engines.stop()
-        self._pause_detector.stop()
--- a/tests/requests/fakes.py
+++ b/tests/requests/fakes.py
@@ -28,6 +28,7 @@
     MemberStatus,
 )
 from runkeel.errors import ErrorCode, may_have_run, not_run
+from runkeel.pauses import PauseDetector
 from runkeel.requests.backend_choice import make_client
 from runkeel.requests.service import RequestService
 from runkeel.wire.codec import decode, encode
@@ -249,6 +250,7 @@
         self.handlers = HandlerRegistry()
         self.routes = FakeRoutes()
         self.engines = FakeEngines()
+        self.pauses = PauseDetector()
         self.service = RequestService(
             self.membership,
             cluster.configuration,
@@ -259,6 +261,7 @@
             self.handlers,
             self.routes,
             self.engines,
+            self.pauses,
             client_factory=client_factory,
         )
 
@@ -292,12 +295,14 @@
 
     def start(self) -> None:
         for node in self.nodes.values():
+            node.pauses.start()
             node.service.start()
         gevent.sleep(0.01)
 
     def stop(self) -> None:
         for node in self.nodes.values():
             node.service.stop()
+            node.pauses.stop()
             node.handlers.stop()
 
 
