--- a/tests/records/test_cluster.py
+++ b/tests/records/test_cluster.py
@@ -55,3 +55,16 @@
         self.kill("a")
         self.assertEqual(self.decide("b", "claim", b"b"), b"a")
         self.assertEqual(self.services["c"].read("claim", PATIENCE_SECONDS), b"a")
+
+    def test_of_two_that_stop_at_once_the_second_goes_when_the_first_is_back(self):
+        self.decide("c", "k", b"v")
+        leaving = {name: gevent.spawn(self.services[name].leave, PATIENCE_SECONDS) for name in "ab"}
+        self.assertTrue(leaving["a"].get(timeout=PATIENCE_SECONDS))
+        self.kill("a")
+        self.assertEqual(self.decide("b", "l", b"v"), b"v")
+        self.assertFalse(leaving["b"].ready())
+        self.start("a")
+        self.assertTrue(leaving["b"].get(timeout=PATIENCE_SECONDS))
+        self.assertEqual(self.voting(), {"a", "b", "c"})
+        self.kill("b")
+        self.assertEqual(self.decide("a", "k", b"w"), b"v")
