Name the request to a back end by one type

Cause: method, target, headers and body went as four parameters through three functions. Change: OutgoingRequest.

--- a/src/runkeel/backends/application.py
+++ b/src/runkeel/backends/application.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from runkeel.api.machines import Machine
-from runkeel.backends.http_connection import HttpConnectionPool
+from runkeel.backends.http_connection import HttpConnectionPool, OutgoingRequest
 from runkeel.wire.generated.common.ttypes import HttpHeader
 from runkeel.wire.generated.requests.ttypes import ApplicationRequest, ApplicationResponse
 
@@ -55,9 +55,8 @@
         headers = [(header.name, header.value) for header in request.headers]
         headers.append(("X-Request-Id", envelope.request_id))
         headers.append(("X-Deadline-Ms", str(remaining_ms)))
-        answer = self._pool.request(
-            request.method, request.path, headers, request.body, deadline, before_send
-        )
+        outgoing = OutgoingRequest(request.method, request.path, headers, request.body)
+        answer = self._pool.request(outgoing, deadline, before_send)
         return ApplicationResponse(
             request_id=envelope.request_id,
             attempt=envelope.attempt,
--- a/src/runkeel/backends/engine.py
+++ b/src/runkeel/backends/engine.py
@@ -9,7 +9,12 @@
 from urllib.parse import quote
 
 from runkeel.api.machines import Machine
-from runkeel.backends.http_connection import HttpAnswerStream, HttpConnectionPool
+from runkeel.backends.http_connection import (
+    HttpAnswer,
+    HttpAnswerStream,
+    HttpConnectionPool,
+    OutgoingRequest,
+)
 from runkeel.errors import ErrorCode, may_have_run
 
 HTTP_OK = 200
@@ -140,9 +145,8 @@
             RunkeelError: BACKEND_UNREACHABLE (NOT_RUN); BACKEND_REFUSED when the engine answers
                 with an error; else as :meth:`HttpConnectionPool.open_stream`.
         """
-        stream = self._pool.open_stream(
-            "POST", "/v1/completions", _JSON_HEADERS, request.to_json(), deadline, before_send
-        )
+        outgoing = OutgoingRequest("POST", "/v1/completions", _JSON_HEADERS, request.to_json())
+        stream = self._pool.open_stream(outgoing, deadline, before_send)
         if stream.status != HTTP_OK:
             stream.close()
             raise may_have_run(ErrorCode.BACKEND_REFUSED, f"the engine answered {stream.status}")
@@ -151,7 +155,7 @@
     def cancel(self, request_id: str, timeout_seconds: float) -> CancelResult:
         """Cancel a generation. Raises like :meth:`HttpConnectionPool.request`."""
         target = f"/v1/completions/{quote(request_id, safe='')}"
-        answer = self._pool.request("DELETE", target, [], b"", time.monotonic() + timeout_seconds)
+        answer = self._request(OutgoingRequest("DELETE", target), timeout_seconds)
         try:
             content = json.loads(answer.body)
             return CancelResult(str(content["state"]), str(content.get("kv_handle", "")))
@@ -160,17 +164,16 @@
 
     def export_kv(self, handle: str, timeout_seconds: float) -> bytes | None:
         """Return an exported KV cache, or None when the engine holds it no more."""
-        answer = self._pool.request(
-            "GET", _kv_target(handle), [], b"", time.monotonic() + timeout_seconds
-        )
+        answer = self._request(OutgoingRequest("GET", _kv_target(handle)), timeout_seconds)
         return answer.body if answer.status == HTTP_OK else None
 
     def import_kv(self, handle: str, content: bytes, timeout_seconds: float) -> bool:
         """Import a KV cache; return whether the engine took it."""
-        answer = self._pool.request(
-            "PUT", _kv_target(handle), [], content, time.monotonic() + timeout_seconds
-        )
-        return answer.status == HTTP_OK
+        outgoing = OutgoingRequest("PUT", _kv_target(handle), body=content)
+        return self._request(outgoing, timeout_seconds).status == HTTP_OK
+
+    def _request(self, outgoing: OutgoingRequest, timeout_seconds: float) -> HttpAnswer:
+        return self._pool.request(outgoing, time.monotonic() + timeout_seconds)
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/src/runkeel/backends/engine_orders.py
+++ b/src/runkeel/backends/engine_orders.py
@@ -9,7 +9,7 @@
 
 from runkeel.api.machines import Address, EngineStatus
 from runkeel.backends import engine_metrics
-from runkeel.backends.http_connection import HttpConnectionPool
+from runkeel.backends.http_connection import HttpConnectionPool, OutgoingRequest
 from runkeel.errors import ErrorCode, RunkeelError
 
 DEFAULT_TIMEOUT_SECONDS = 2.0
@@ -151,7 +151,7 @@
     def _exchange(self, method: str, target: str, body: bytes) -> tuple[int, bytes]:
         headers = _JSON_HEADERS if body else []
         deadline = time.monotonic() + self._timeout_seconds
-        answer = self._pool.request(method, target, headers, body, deadline)
+        answer = self._pool.request(OutgoingRequest(method, target, headers, body), deadline)
         header_bytes = sum(len(name) + len(value) + 4 for name, value in answer.headers)
         sent_bytes = _REQUEST_OVERHEAD_BYTES + len(target) + len(body)
         received_bytes = header_bytes + len(answer.body) + _TCP_SEGMENT_BYTES
--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -8,7 +8,7 @@
 
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import gevent.socket
 from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPResponse
@@ -54,6 +54,16 @@
         return len(self._body_buffer)
 
 
+@dataclass(frozen=True, slots=True)
+class OutgoingRequest:
+    """A request for a back end; ``target`` is the path with the query."""
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+
+
 @dataclass(slots=True)
 class HttpAnswer:
     """A whole answer of a back end."""
@@ -107,10 +117,7 @@
 
     def request(
         self,
-        method: str,
-        target: str,
-        headers: list[tuple[str, str]],
-        body: bytes,
+        request: OutgoingRequest,
         deadline: float,
         before_send: Callable[[], None] | None = None,
     ) -> HttpAnswer:
@@ -125,7 +132,7 @@
             RunkeelError: BACKEND_UNREACHABLE (NOT_RUN: no byte was sent); BACKEND_LOST,
                 TRUNCATED_ANSWER or DEADLINE_EXCEEDED (MAY_HAVE_RUN).
         """
-        sock, answer = self._exchange_headers(method, target, headers, body, deadline, before_send)
+        sock, answer = self._exchange_headers(request, deadline, before_send)
         try:
             while not answer.finished:
                 if answer.buffered_bytes > self._maximum_answer_bytes:
@@ -137,15 +144,12 @@
 
     def open_stream(
         self,
-        method: str,
-        target: str,
-        headers: list[tuple[str, str]],
-        body: bytes,
+        request: OutgoingRequest,
         deadline: float,
         before_send: Callable[[], None] | None = None,
     ) -> HttpAnswerStream:
         """Send a request and return after the answer's headers. Raises like :meth:`request`."""
-        sock, answer = self._exchange_headers(method, target, headers, body, deadline, before_send)
+        sock, answer = self._exchange_headers(request, deadline, before_send)
         return HttpAnswerStream(self, sock, answer)
 
     def give_back(self, sock: gevent.socket.socket, answer: _Answer) -> None:
@@ -164,20 +168,17 @@
 
     def _exchange_headers(
         self,
-        method: str,
-        target: str,
-        headers: list[tuple[str, str]],
-        body: bytes,
+        request: OutgoingRequest,
         deadline: float,
         before_send: Callable[[], None] | None,
     ) -> tuple[gevent.socket.socket, _Answer]:
-        head = _encode_head(method, target, self._host, headers, len(body))
+        head = _encode_head(request, self._host)
         sock = self._connection(deadline)
-        answer = _Answer(method)
+        answer = _Answer(request.method)
         try:
             if before_send is not None:
                 before_send()
-            _send(sock, head + body, deadline)
+            _send(sock, head + request.body, deadline)
             while not answer.final_headers_complete:
                 _receive_into(sock, answer, deadline)
         except BaseException:
@@ -211,13 +212,11 @@
         return sock
 
 
-def _encode_head(
-    method: str, target: str, host: str, headers: list[tuple[str, str]], body_bytes: int
-) -> bytes:
-    lines = [f"{method} {target} HTTP/1.1", f"Host: {host}"]
-    lines.extend(f"{name}: {value}" for name, value in headers)
-    if body_bytes or method not in ("GET", "HEAD", "DELETE"):
-        lines.append(f"Content-Length: {body_bytes}")
+def _encode_head(request: OutgoingRequest, host: str) -> bytes:
+    lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {host}"]
+    lines.extend(f"{name}: {value}" for name, value in request.headers)
+    if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+        lines.append(f"Content-Length: {len(request.body)}")
     text = "\r\n".join(lines)
     if text.count("\r") != len(lines) - 1 or text.count("\n") != len(lines) - 1:
         raise not_run(ErrorCode.BAD_REQUEST, "line break in the request's head")
--- a/tests/backends/test_http_connection.py
+++ b/tests/backends/test_http_connection.py
@@ -8,7 +8,7 @@
 from gevent.server import StreamServer
 
 from runkeel.api.machines import Address
-from runkeel.backends.http_connection import HttpConnectionPool
+from runkeel.backends.http_connection import HttpConnectionPool, OutgoingRequest
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
@@ -52,7 +52,9 @@
 
     def get(self, before_send=None, seconds=1.0, method="GET", target="/"):
         deadline = time.monotonic() + seconds
-        return self.pool.request(method, target, [("A", "b")], b"", deadline, before_send)
+        return self.pool.request(
+            OutgoingRequest(method, target, [("A", "b")]), deadline, before_send
+        )
 
     def assert_fails(self, code: ErrorCode, verdict=Verdict.MAY_HAVE_RUN, **arguments) -> None:
         with self.assertRaises(RunkeelError) as caught:
