Compute a node's rank once

Cause: each change of the member table hashed the ids of all members anew for the rings. Change: a cache of as many ranks as there may be members.

--- a/src/runkeel/membership/table.py
+++ b/src/runkeel/membership/table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from functools import lru_cache
 
 from runkeel.api.machines import Address, Member, MemberStatus
 
@@ -15,6 +16,7 @@
 LIVE_STATUSES = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
 
+@lru_cache(maxsize=MAXIMUM_MEMBERS)
 def rank(node_id: str) -> bytes:
     """Return a node's place in the order that all nodes agree on without messages."""
     return hashlib.blake2b(node_id.encode(), digest_size=8).digest()
