--- a/tests/records/machine.py
+++ b/tests/records/machine.py
@@ -297,3 +297,26 @@
     """The same with five replicas."""
 
     size = 5
+
+
+class HandOverMachine(MemberChangeMachine):
+    """The same while members give up their seats on purpose, and then end or stay."""
+
+    @rule(node=NODES, ends=st.booleans())
+    def hand_over(self, node, ends):
+        simulation = self.simulation
+        name = self.name(node)
+        if len(self.running_voters() - {name}) * 2 <= self.size:
+            return
+        simulation.hand_over(name)
+        simulation.recover(name, rounds=2)
+        if ends:
+            simulation.kill(name)
+        for other in list(simulation.services):
+            simulation.recover(other, rounds=2)
+
+    def disturb(self, draw):
+        if draw.random() < 0.5:
+            self.hand_over(draw.randrange(10), draw.random() < 0.5)
+        else:
+            super().disturb(draw)
--- a/tests/records/simulation.py
+++ b/tests/records/simulation.py
@@ -328,6 +328,12 @@
         self.proposed.setdefault(key, set()).add(value)
         return self._spawn(name, self._decide, self.services[name], key, value)
 
+    def hand_over(self, name):
+        """Let a node give up its seat to one outside the group, whatever the others do."""
+        if name not in self.services:
+            return None
+        return self._spawn(name, self.services[name]._managers[GROUP].hand_over)
+
     def read(self, name, key):
         """Begin a read."""
         if name not in self.services:
--- a/tests/records/test_fuzz.py
+++ b/tests/records/test_fuzz.py
@@ -13,6 +13,7 @@
 from runkeel.wire.generated.records.ttypes import ReplicaStatus
 from tests.records.machine import (
     FiveRecordMachine,
+    HandOverMachine,
     HeldBackMachine,
     MemberChangeMachine,
     RecordMachine,
@@ -62,6 +63,11 @@
             MemberChangeMachine, settings=fuzz_settings(EXAMPLES, not FREE_RUNNING)
         )
 
+    def test_hand_overs(self):
+        run_state_machine_as_test(
+            HandOverMachine, settings=fuzz_settings(EXAMPLES, not FREE_RUNNING)
+        )
+
     def test_five_replicas(self):
         run_state_machine_as_test(
             FiveRecordMachine, settings=fuzz_settings(EXAMPLES, not FREE_RUNNING)
@@ -85,6 +91,10 @@
         with mock.patch.object(GroupManager, "_recover", vote_at_once):
             self.assert_found(MemberChangeMachine)
 
+    def test_recovery_skipped_after_a_hand_over(self):
+        with mock.patch.object(GroupManager, "_recover", vote_at_once):
+            self.assert_found(HandOverMachine)
+
     def test_fast_ballot_decided_by_a_majority(self):
         with mock.patch.object(proposer.Proposer, "_fast_quorum", staticmethod(proposer.majority)):
             self.assert_found()
--- a/tests/rollouts/test_trainer_api.py
+++ b/tests/rollouts/test_trainer_api.py
@@ -6,7 +6,8 @@
 import unittest
 
 from runkeel.api.http import HttpRequest
-from runkeel.errors import ErrorCode, RunkeelError, Verdict
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
+from runkeel.http.problems import problem_response
 from tests.rollouts.fakes import MODEL, FakeCluster
 
 TASK = {"task_id": "t1", "group": "g", "prompt": "p", "max_tokens": 2}
@@ -15,7 +16,8 @@
 
 class TrainerApiTest(unittest.TestCase):
     def setUp(self) -> None:
-        cluster = FakeCluster()
+        self.records_error: RunkeelError | None = None
+        cluster = FakeCluster(gate=self.fail_records)
         self.addCleanup(cluster.stop)
         self.routes = {}
         cluster.nodes["b1"].service.register(self)
@@ -23,6 +25,10 @@
     def add(self, method, pattern, handler) -> None:
         self.routes[method] = handler
 
+    def fail_records(self, _node_id, _when) -> None:
+        if self.records_error is not None:
+            raise self.records_error
+
     def submit(self, body, model=MODEL):
         body = body if isinstance(body, bytes) else json.dumps(body).encode()
         return self.routes["POST"](HttpRequest("POST", "", "", {}, {}, body, {"model": model}))
@@ -47,6 +53,18 @@
         end = json.loads(self.pull("1", version="1").body)
         self.assertEqual(end, {"cursor": 1, "samples": [], "last": True})
 
+    def test_pull_tells_for_how_long_the_records_refuse(self):
+        self.submit(STEP)
+        self.records_error = not_run(ErrorCode.RECORDS_UNAVAILABLE, "retention wait", 42.0)
+        with self.assertRaises(RunkeelError) as caught:
+            self.pull(version="1", wait_ms="5000")
+        answer = problem_response(caught.exception)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(("Retry-After", "42"), answer.headers)
+        self.assertEqual(json.loads(answer.body)["code"], "records_unavailable")
+        self.records_error = None
+        self.assertEqual(len(json.loads(self.pull(version="1", wait_ms="5000").body)["samples"]), 1)
+
     def test_broken_submissions_are_refused(self):
         broken = [
             b"\xff",
