--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -212,6 +212,7 @@
             self._routes,
             self._weights.engines,
             is_ready=lambda: self._spread.caught_up,
+            policy=settings.requests.placement,
         )
         data_folder = Path(settings.node.data_folder) if settings.node.data_folder else None
         self._rollouts = RolloutService(
--- a/src/runkeel/requests/backend_choice.py
+++ b/src/runkeel/requests/backend_choice.py
@@ -16,6 +16,7 @@
 from runkeel.api.machines import EngineStatus, Machine, MachineKind
 from runkeel.backends.application import ApplicationClient
 from runkeel.backends.engine import EngineClient
+from runkeel.requests.baselines import Baseline
 from runkeel.requests.metrics import PREFIX_HITS
 from runkeel.requests.outliers import OutlierState
 from runkeel.requests.prefix_cache import PrefixBelief
@@ -111,12 +112,14 @@
         ownership: Ownership,
         engines: EngineDirectory,
         client_factory: Callable[[Machine], Any] = make_client,
+        baseline: Baseline | None = None,
     ) -> None:
         self._configuration = configuration
         self._machines = machines
         self._ownership = ownership
         self._engines = engines
         self._client_factory = client_factory
+        self._baseline = baseline
         self._by_id: dict[str, Backend] = {}
         self._by_pool: dict[PoolId, list[Backend]] = {}
         self._uses = 0
@@ -218,18 +221,21 @@
         limits = self.limits(demand.pool)
         if limits is None:
             return None
-        best: Backend | None = None
-        best_score = (math.inf, 0)
+        with_room: dict[Backend, int] = {}
         for backend in self.eligible(demand.pool):
-            if not self._fits(backend, demand):
-                continue
             slots = self.slots(backend, limits)
-            if not _has_room(backend, demand, slots, limits.rollout_share, callers_present):
-                continue
-            score = (self._score(backend, demand, slots), backend.last_used)
-            if score < best_score:
-                best, best_score = backend, score
-        return best
+            if self._fits(backend, demand) and _has_room(
+                backend, demand, slots, limits.rollout_share, callers_present
+            ):
+                with_room[backend] = slots
+        if not with_room:
+            return None
+        if self._baseline is not None and not demand.is_rollout:
+            return _choose_by_baseline(self._baseline, demand, with_room)
+        return min(
+            with_room,
+            key=lambda each: (self._score(each, demand, with_room[each]), each.last_used),
+        )
 
     def take(self, backend: Backend, demand: Demand) -> None:
         """Count a request against the back end."""
@@ -304,3 +310,13 @@
     if callers_present:
         return backend.in_flight < slots and backend.rollouts < math.floor(slots * rollout_share)
     return backend.in_flight < slots + ROLLOUTS_WAITING_PER_ENGINE
+
+
+def _choose_by_baseline(
+    baseline: Baseline, demand: Demand, with_room: dict[Backend, int]
+) -> Backend:
+    """Return a back end chosen by the slots of those with room, whatever their load."""
+    others = [each for each in with_room if each.backend_id != demand.avoid]
+    by_id = {each.backend_id: each for each in others or with_room}
+    weights = {backend_id: with_room[each] for backend_id, each in by_id.items()}
+    return by_id[baseline.choose(demand.pool, weights)]
--- a/src/runkeel/requests/place.py
+++ b/src/runkeel/requests/place.py
@@ -14,6 +14,7 @@
 from runkeel.api.interfaces import MachineView, Membership, Ownership
 from runkeel.api.machines import PoolSummary
 from runkeel.requests.backend_choice import PoolId
+from runkeel.requests.baselines import Baseline
 
 OVERFLOW_MARGIN_MS = 20
 """Another zone is chosen when it would save at least so much waiting."""
@@ -41,11 +42,13 @@
         machines: MachineView,
         ownership: Ownership,
         generator: random.Random | None = None,
+        baseline: Baseline | None = None,
     ) -> None:
         self._membership = membership
         self._machines = machines
         self._ownership = ownership
         self._random = generator or random.Random()
+        self._baseline = baseline
         self._outstanding: dict[tuple[str, str], int] = {}
 
     def choose(
@@ -65,6 +68,8 @@
             return self._choose_by_ownership(pool, exclude)
         if is_rollout:
             return min(candidates, key=lambda each: (each.load, self._random.random())).node_id
+        if self._baseline is not None:
+            return self._choose_by_baseline(self._baseline, pool, candidates)
         near = [candidate for candidate in candidates if candidate.in_zone]
         far = [candidate for candidate in candidates if not candidate.in_zone]
         best_near = self._best_of_two(near)
@@ -84,6 +89,8 @@
             for candidate in self._candidates(pool, exclude, minimum_version=0)
             if candidate.load < SPARE_LOAD
         ]
+        if spare and self._baseline is not None:
+            return self._choose_by_baseline(self._baseline, pool, spare)
         best = self._best_of_two(spare)
         return best.node_id if best is not None else None
 
@@ -131,6 +138,11 @@
             candidates = candidates[::-1]
         return min(candidates, key=lambda candidate: (candidate.load, candidate.wait_ms))
 
+    def _choose_by_baseline(
+        self, baseline: Baseline, pool: PoolId, candidates: list[_Candidate]
+    ) -> str:
+        return baseline.choose(pool, {each.node_id: each.slots for each in candidates})
+
     def _choose_by_ownership(self, pool: PoolId, exclude: Collection[str]) -> str | None:
         """Fall back to the ownership rule while no summary is known, as after a start."""
         owners = {
--- a/src/runkeel/requests/service.py
+++ b/src/runkeel/requests/service.py
@@ -22,8 +22,10 @@
     Records,
 )
 from runkeel.api.machines import Machine
+from runkeel.api.placement import PlacementPolicy
 from runkeel.requests.admit import Admission
 from runkeel.requests.backend_choice import OwnedBackends, make_client
+from runkeel.requests.baselines import make_baseline
 from runkeel.requests.claim import Claims
 from runkeel.requests.dispatch import AttemptSender
 from runkeel.requests.dispatcher import RequestDispatcher
@@ -56,13 +58,24 @@
         generator: random.Random | None = None,
         client_factory: Callable[[Machine], Any] = make_client,
         is_ready: Callable[[], bool] = lambda: True,
+        policy: PlacementPolicy = PlacementPolicy.LEAST_LOADED,
     ) -> None:
         self._membership = membership
         self._pauses = PauseWatch()
-        self._backends = OwnedBackends(configuration, machines, ownership, engines, client_factory)
+        generator = generator or random.Random()
+        self._backends = OwnedBackends(
+            configuration,
+            machines,
+            ownership,
+            engines,
+            client_factory,
+            make_baseline(policy, generator),
+        )
         self._owner = Owner(membership, configuration, self._backends, self._pauses)
         self._claims = Claims(membership, records, peer_client)
-        placement = Placement(membership, machines, ownership, generator)
+        placement = Placement(
+            membership, machines, ownership, generator, make_baseline(policy, generator)
+        )
         sender = AttemptSender(membership, peer_client, self._pauses)
         self._dispatcher = RequestDispatcher(configuration, placement, sender, peer_client)
         admission = Admission(configuration)
--- a/src/runkeel/settings.py
+++ b/src/runkeel/settings.py
@@ -18,6 +18,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 
 from runkeel.api.machines import Address
+from runkeel.api.placement import PlacementPolicy
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 
 ENVIRONMENT_PREFIX = "RUNKEEL_"
@@ -137,6 +138,13 @@
     """How long a decided record is kept, in s."""
 
 
+class RequestSettings(_Section):
+    """Callers' requests."""
+
+    placement: PlacementPolicy = PlacementPolicy.LEAST_LOADED
+    """The same on every node; all but ``least_loaded`` are baselines for measurement."""
+
+
 class OperatorSettings(_Section):
     """Operators' access."""
 
@@ -154,6 +162,7 @@
     logs: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
     records: RecordSettings = RecordSettings()
+    requests: RequestSettings = RequestSettings()
     operators: OperatorSettings = OperatorSettings()
 
 
--- a/tests/base/test_settings.py
+++ b/tests/base/test_settings.py
@@ -3,6 +3,7 @@
 import unittest
 from pathlib import Path
 
+from runkeel.api.placement import PlacementPolicy
 from runkeel.errors import ErrorCode
 from runkeel.settings import SettingsError, load_settings
 
@@ -54,6 +55,14 @@
             GOOD, "limits.max_connections", "'many'", overrides=["limits.max_connections=many"]
         )
 
+    def test_placement_is_least_loaded_unless_a_baseline_is_named(self):
+        self.assertEqual(self.load(GOOD).requests.placement, PlacementPolicy.LEAST_LOADED)
+        settings = self.load(GOOD, ["requests.placement=round_robin"])
+        self.assertEqual(settings.requests.placement, PlacementPolicy.ROUND_ROBIN)
+        self.assert_refused(
+            GOOD, "requests.placement", "'fastest'", overrides=["requests.placement=fastest"]
+        )
+
     def test_missing_key(self):
         self.assert_refused(GOOD.replace('zone = "recife-galpao"', ""), "node.zone", "missing")
 
--- a/tests/requests/test_place.py
+++ b/tests/requests/test_place.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from types import SimpleNamespace
 
 from runkeel.api.machines import MachineKind, PoolSummary
+from runkeel.api.placement import PlacementPolicy
 from runkeel.requests.backend_choice import PoolId
+from runkeel.requests.baselines import make_baseline
 from runkeel.requests.place import Placement
 
 POOL = PoolId(MachineKind.ENGINE, "m")
@@ -62,3 +65,19 @@
         )
         self.assertEqual(placement.choose_spare(POOL), "b1")
         self.assertIsNone(placement.choose_spare(POOL, {"b1"}))
+
+    def test_baselines_follow_slots_and_ignore_zone_and_load(self):
+        owners = FakeMembership(summary("a1", 2, 50), summary("b1", 4), summary("c1", 2))
+        for policy, tolerance in ((PlacementPolicy.ROUND_ROBIN, 0), (PlacementPolicy.RANDOM, 40)):
+            baseline = make_baseline(policy, random.Random(1))
+            placement = Placement(owners, None, None, baseline=baseline)
+            chosen = [placement.choose(POOL) for _ in range(800)]
+            for node_id, share in (("a1", 200), ("b1", 400), ("c1", 200)):
+                self.assertAlmostEqual(chosen.count(node_id), share, delta=tolerance)
+
+    def test_baselines_avoid_owners_that_were_tried(self):
+        for policy in (PlacementPolicy.ROUND_ROBIN, PlacementPolicy.RANDOM):
+            baseline = make_baseline(policy, random.Random(1))
+            owners = FakeMembership(summary("a1", 4), summary("b1", 4))
+            placement = Placement(owners, None, None, baseline=baseline)
+            self.assertEqual({placement.choose(POOL, {"a1"}) for _ in range(20)}, {"b1"})
