Keep the mutant of the fences as a test

Cause: that the fuzz of orders finds fences without configuration generations was shown once by hand only.

--- a/tests/weights/test_fuzz.py
+++ b/tests/weights/test_fuzz.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from hypothesis import settings
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -13,8 +13,10 @@
 from runkeel.backends.engine_directory import EngineMonitor
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.weights import reconciler
+from runkeel.weights.fences import Fence
 from runkeel.weights.permits import LEASE_SECONDS, PermitTable, SwapKey
 from runkeel.weights.reconciler import EngineReconciler, ReconcilerContext
+from tests.fuzzing import find_violation
 from tests.weights.fakes import (
     MODEL,
     FakeConfiguration,
@@ -291,6 +293,18 @@
         assert self.table.holds_of(owner) == {SwapKey("x", f"{owner}-x0")}
 
 
+def fence_without_generations(seen, sent, _model_generation, _role_generation, owner):
+    """The mutant of next_fence: the highest number seen, plus one."""
+    return Fence(0, 0, max(seen.round, sent.round) + 1, owner)
+
+
+class MutantTest(unittest.TestCase):
+    def test_fences_without_generations(self):
+        options = settings(STEPS, phases=[Phase.generate], report_multiple_bugs=False)
+        with mock.patch.object(reconciler, "next_fence", fence_without_generations):
+            self.assertIsNotNone(find_violation(OrderMachine, options))
+
+
 class FairnessTest(unittest.TestCase):
     def test_zones_share_alike_whoever_asks_first(self):
         table = PermitTable(lambda model: 100, lambda: 6, lambda: 0.0)
