--- a/src/runkeel/cli.py
+++ b/src/runkeel/cli.py
@@ -76,7 +76,10 @@
     """Run the command line and exit with its code."""
     try:
         code = defopt.run(
-            [node, check_settings, ctl], version=f"runkeel {runkeel.__version__}", short={}
+            [node, check_settings, ctl],
+            version=f"runkeel {runkeel.__version__}",
+            short={},
+            argparse_kwargs={"prog": "runkeel"},
         )
     except SettingsError as error:
         print(error.detail, file=sys.stderr)
--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -155,6 +155,7 @@
             [standins, demo, run, sweep, replay, scale],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
+            argparse_kwargs={"prog": "runkeel-lab"},
         )
     except (LabError, OSError, ValueError) as error:
         print(f"runkeel-lab: {error}", file=sys.stderr)
