Let four rollouts wait at an engine instead of two

Cause: with the machine's load average at 27 (12 cores) the slots of the two engines whose owner node had the most to do were held 76% to 98% of the time, the others' 95% to 100%. An engine ends about 30 rollouts a second, so that two waiting ones last for 66 ms; the node was scheduled later than that. Change: four. They run after callers, and their version is that of the engine when it begins them.

--- a/src/runkeel/requests/backend_choice.py
+++ b/src/runkeel/requests/backend_choice.py
@@ -21,7 +21,7 @@
 from runkeel.requests.prefix_cache import PrefixBelief
 
 ROLLOUT_RANK = 1_000
-ROLLOUTS_WAITING_PER_ENGINE = 2
+ROLLOUTS_WAITING_PER_ENGINE = 4
 """Rollouts beyond an engine's slots, so that one begins in the step after another has ended."""
 PREFIX_BONUS = 0.3
 """How much more loaded, as a fraction of its slots, an engine may be to be chosen for its cache."""
