Run steps ahead at a lower rank than those that the trainer pulls

Cause: with idle_time preferred, steps submitted ahead took engine slots from the steps that the trainer waited for whenever another node owned them: owners order their own steps only. Change: generations of steps that are not pulled have rank 1001 instead of 1000, so that owners' queues and engines run them last. The emulated trainer also submitted up to five steps ahead when it might pull six at once; it submits steps_ahead now, as its specification says.

--- a/src/runkeel/rollouts/generation.py
+++ b/src/runkeel/rollouts/generation.py
@@ -15,6 +15,9 @@
 from runkeel.wire.generated.requests.ttypes import ModelRequest, RequestEnvelope, TokenChunk
 
 ROLLOUT_PRIORITY_RANK = 1_000
+AHEAD_PRIORITY_RANK = 1_001
+"""Of steps that the trainer does not pull yet, so that they take only what the others leave free
+also where the steps have different owners."""
 ROLLOUT_PRIORITY_CLASS = "rollout"
 FINISH_REASONS = frozenset({"stop", "length"})
 
@@ -135,7 +138,7 @@
             request_id=uuid.uuid4().hex,
             attempt=1,
             remaining_ms=int(self._options.generation_timeout_seconds * 1000),
-            priority_rank=ROLLOUT_PRIORITY_RANK,
+            priority_rank=ROLLOUT_PRIORITY_RANK if step.pulled else AHEAD_PRIORITY_RANK,
             priority_class=ROLLOUT_PRIORITY_CLASS,
             repeatable=True,
             member="",
--- a/src/runkeel_lab/trainer.py
+++ b/src/runkeel_lab/trainer.py
@@ -127,23 +127,22 @@
 
     def _open_steps(self) -> None:
         """Keep as many steps submitted and pulled as the specification says."""
-        spec = self.spec
         while not self._stopping:
-            wanted = self._begun - len(self._pullers) + spec.steps_pulled + spec.steps_ahead
-            if len(self._submitted) < wanted and not self._enough(len(self._submitted)):
-                self._submit_next()
-                continue
-            if self._may_begin():
+            wanted = self._begun + self.spec.steps_ahead + self._wants_step()
+            if self._wants_step() and self._begun < len(self._submitted):
                 self._begin_next()
-                continue
-            self._changed.wait(_POLL_SECONDS)
+            elif len(self._submitted) < wanted and not self._enough(len(self._submitted)):
+                self._submit_next()
+            else:
+                self._changed.wait(_POLL_SECONDS)
 
-    def _may_begin(self) -> bool:
-        if self._begun == len(self._submitted) or len(self._pullers) >= self.spec.steps_pulled:
-            return False
+    def _wants_step(self) -> bool:
+        """Return whether the next step is to be pulled now."""
         if self.spec.steps_pulled == 1:
             # One step at a time: the next is begun with the weights that this one gives.
-            return self._begun == self._trained_steps
+            return not self._pullers and self._begun == self._trained_steps
+        if len(self._pullers) >= self.spec.steps_pulled:
+            return False
         # Steps begun together would all come down to their stragglers together.
         missing = sum(len(step.tasks) - len(step.samples) for step in self.unfinished)
         return not self.spec.begin_below or missing < self.spec.begin_below
--- a/tests/rollouts/test_service.py
+++ b/tests/rollouts/test_service.py
@@ -10,6 +10,7 @@
 
 from runkeel.api.configuration import ModelSpec
 from runkeel.errors import ErrorCode, RunkeelError
+from runkeel.rollouts.generation import AHEAD_PRIORITY_RANK, ROLLOUT_PRIORITY_RANK
 from runkeel.rollouts.hand_over import Pull
 from tests.rollouts.fakes import FAST, FakeCluster, submission, token
 
@@ -82,6 +83,16 @@
         versions = {s.task_id: [(p.version, p.first, p.count) for p in s.versions] for s in samples}
         self.assertEqual(versions["t1"], [(1, 0, 2), (3, 2, 2)])
 
+    def test_steps_ahead_run_after_those_that_the_trainer_pulls(self):
+        requests, tasks = self.cluster.dispatcher.requests, len(self.step.tasks)
+        self.node.submit(self.step)
+        self.until(lambda: len(requests) == tasks)
+        self.cluster.dispatcher.version = 9
+        self.pull(0, version=9)
+        ranks = [request.envelope.priority_rank for request in requests]
+        self.assertEqual(set(ranks[:tasks]), {AHEAD_PRIORITY_RANK})
+        self.assertEqual(set(ranks[tasks:]), {ROLLOUT_PRIORITY_RANK})
+
     def test_straggler_past_the_bound_is_cancelled_and_made_again(self):
         dispatcher = self.cluster.dispatcher
         dispatcher.hold["prompt 1"] = Event()
