Give all rollouts one priority at the engine

Cause: with steps ahead at a lower rank, engines preempted them for others 5,434 times in 75 s; each preemption costs the prefill of prompt and tokens again, 836,000 tokens in all, 4.5% of five engines' time.

--- a/src/runkeel/requests/generation_run.py
+++ b/src/runkeel/requests/generation_run.py
@@ -14,6 +14,7 @@
     EngineClient,
 )
 from runkeel.errors import ErrorCode, RunkeelError, may_have_run
+from runkeel.requests.backend_choice import ROLLOUT_RANK
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.requests.ttypes import ModelRequest, TokenChunk
 
@@ -110,7 +111,8 @@
             prompt=request.prompt,
             prior_token_ids=list(request.prior_token_ids or ()),
             max_tokens=request.max_tokens,
-            priority=request.envelope.priority_rank,
+            # Rollouts don't preempt each other at the engine: each time costs a prefill.
+            priority=min(request.envelope.priority_rank, ROLLOUT_RANK),
             adapter=request.adapter or "",
             minimum_version=request.minimum_version or 0,
             kv_handle=request.kv_handle or "",
