Take the number of waiting rollouts from its constant in the test of generations

Cause: the test said 6 and 7 for four slots and two waiting rollouts. Four wait now, so that the caller came ninth and not seventh. It is no other fault: the test failed each time. Change: the same statement with the constant: all rollouts that fit, then the caller, before the two rollouts that still wait in the owner's queue.

--- a/tests/requests/test_generations.py
+++ b/tests/requests/test_generations.py
@@ -221,12 +221,13 @@
             request.envelope.request_id = f"rollout-{number}"
             list(dispatcher.generate(request))
 
-        rollouts = [gevent.spawn(roll_out, number) for number in range(8)]
+        at_engine = 4 + ROLLOUTS_WAITING_PER_ENGINE
+        rollouts = [gevent.spawn(roll_out, number) for number in range(at_engine + 2)]
         with gevent.Timeout(5.0):
-            while len(engine.priorities) < 4 + ROLLOUTS_WAITING_PER_ENGINE:
+            while len(engine.priorities) < at_engine:
                 gevent.sleep(0.005)
         self.complete()
-        self.assertEqual(engine.priorities[:7], [1_000] * 6 + [500])
+        self.assertEqual(engine.priorities[: at_engine + 1], [1_000] * at_engine + [500])
         gevent.joinall(rollouts, raise_error=True)
 
     def test_rollouts_keep_to_their_share_while_callers_are_present(self) -> None:
