--- a/src/runkeel/node.py
+++ b/src/runkeel/node.py
@@ -226,6 +226,7 @@
             self._weights.engines,
             self._pauses,
             is_ready=lambda: self._spread.caught_up,
+            policy=settings.requests.placement,
         )
         data_folder = Path(settings.node.data_folder) if settings.node.data_folder else None
         self._rollouts = RolloutService(
