Leave a full zone by the entry's own counts, not by stale waits

Cause: a zone was left only once the published wait was 20 ms longer than another's. Summaries are 0.5 s to some seconds old, so callers queued behind full slots and then all left together. Change: what the entry has sent, less what has ended, since it first saw an owner's summary is added to it; the own zone is used while it has a free slot, then other zones with one, and if all are full the published waits decide as before.

--- a/tests/requests/test_place.py
+++ b/tests/requests/test_place.py
@@ -21,6 +21,9 @@
     def __init__(self, *summaries: PoolSummary) -> None:
         self._summaries = summaries
 
+    def replace(self, *summaries: PoolSummary) -> None:
+        self._summaries = summaries
+
     def pool_summaries(self, _pool):
         return self._summaries
 
@@ -31,8 +34,8 @@
         return SimpleNamespace(zone=node_id[0])
 
 
-def summary(node_id: str, slots: int, queued: int = 0) -> PoolSummary:
-    return PoolSummary(node_id, "m", 1, 1, slots, 0, queued, 0, 1, 1)
+def summary(node_id: str, slots: int, queued: int = 0, sequence: int = 1) -> PoolSummary:
+    return PoolSummary(node_id, "m", sequence, 1, slots, 0, queued, 0, 1, 1)
 
 
 class PlacementTest(unittest.TestCase):
@@ -40,6 +43,36 @@
         placement = Placement(FakeMembership(summary("a1", 4, 3), summary("b1", 4)), None, None)
         self.assertEqual(placement.choose(POOL), "a1")
 
+    def test_callers_leave_a_zone_that_they_have_filled_since_its_summary(self):
+        placement = Placement(FakeMembership(summary("a1", 4, 2), summary("b1", 8)), None, None)
+        chosen = []
+        for _ in range(4):
+            chosen.append(placement.choose(POOL))
+            placement.sent(POOL, chosen[-1])
+        self.assertEqual(chosen, ["a1", "a1", "b1", "b1"])
+        placement.ended(POOL, "a1")
+        self.assertEqual(placement.choose(POOL), "a1")
+
+    def test_what_a_newer_summary_counts_is_not_added_again(self):
+        membership = FakeMembership(summary("a1", 4), summary("b1", 4))
+        placement = Placement(membership, None, None)
+        for _ in range(3):
+            placement.sent(POOL, placement.choose(POOL))
+        membership.replace(summary("a1", 4, 3, sequence=2), summary("b1", 4))
+        self.assertEqual(placement.choose(POOL), "a1")
+
+    def test_callers_stay_in_a_full_zone_when_the_others_are_full_too(self):
+        placement = Placement(FakeMembership(summary("a1", 4, 4), summary("b1", 4, 4)), None, None)
+        self.assertEqual({placement.choose(POOL) for _ in range(20)}, {"a1"})
+
+    def test_summaries_of_owners_that_are_gone_are_forgotten(self):
+        membership = FakeMembership()
+        placement = Placement(membership, None, None)
+        for number in range(100):
+            membership.replace(summary(f"a{number}", 4))
+            placement.choose(POOL)
+        self.assertLess(len(placement._seen[POOL.name]), 30)
+
     def test_rollouts_fill_the_slots_of_all_zones_evenly(self):
         owners = (summary("a1", 8), summary("b1", 4), summary("c1", 4))
         placement = Placement(FakeMembership(*owners), None, None)
