Refuse earlier what members with fewer requests will overtake

Cause: at 1.5 times capacity 612 of 2,113 refusals came after more than 50 ms, p99 1,373 ms: requests were admitted by their place in the queue, then overtaken by members with fewer waiting, as fair queueing has it, and refused late. Ruled out: load of the machine (4.9), the generator (not late). Change: admission counts the turns that other members will have first; service times are averaged over 50 instead of 20; the margin on the wait is 1.5 instead of 1.3.

--- a/src/runkeel/requests/owner_queue.py
+++ b/src/runkeel/requests/owner_queue.py
@@ -20,7 +20,7 @@
 from runkeel.requests.backend_choice import Backend, Demand, OwnedBackends, PoolId
 from runkeel.requests.deadline import Deadline
 
-SERVICE_TIME_WEIGHT = 0.05
+SERVICE_TIME_WEIGHT = 0.02
 """Weight of the newest sample in the moving average of service times."""
 CALLERS_PRESENT_SECONDS = 5.0
 """Rollouts keep to their share for so long after a caller's last request."""
@@ -28,7 +28,7 @@
 GRANT_HISTORY = 64
 MINIMUM_SHARE = 0.1
 """Share of the slots that the projection leaves a rank, however much urgent work there is."""
-ADMISSION_MARGIN = 1.3
+ADMISSION_MARGIN = 1.5
 """A new request must fit with a longer wait than projected, so that few are refused later on."""
 SERVICE_MARGIN = 1.1
 RETURN_MARGIN_SECONDS = 0.005
@@ -196,6 +196,19 @@
     def _position(self, waiter: Waiter) -> int:
         return bisect.bisect_right(self._waiting, _order(waiter), key=_order)
 
+    def _expected_ahead(self, waiter: Waiter) -> int:
+        """Return how many requests will go before: present ones, and later ones of other members.
+
+        A member with fewer waiting overtakes until it has had as many turns.
+        """
+        rank = waiter.demand.rank
+        members = sum(
+            key_rank == rank and turn > self._turn
+            for (key_rank, _member), turn in self._last_turns.items()
+        )
+        turns_before = int(waiter.turn - self._turn) - 1
+        return max(self._position(waiter), turns_before * members)
+
     def _wait_seconds(self, demand: Demand, ahead: int, slots: int) -> float:
         """Return the projected wait; more urgent work keeps its recent share of the slots."""
         urgent = sum(rank < demand.rank for rank in self._granted_ranks)
@@ -210,7 +223,7 @@
 
     def _refuse_if_late(self, waiter: Waiter) -> None:
         slots = self._backends.total_slots(self._pool)
-        wait = self._wait_seconds(waiter.demand, self._position(waiter), slots)
+        wait = self._wait_seconds(waiter.demand, self._expected_ahead(waiter), slots)
         if self._is_hopeless(waiter, wait * ADMISSION_MARGIN):
             raise _unreachable(wait)
 
