--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -21,7 +22,10 @@
 MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
 MAXIMUM_IDLE_CONNECTIONS = 32
 MAXIMUM_IDLE_SECONDS = 20.0
+KEEP_ALIVE_MARGIN_SECONDS = 0.7
+"""An idle connection is given up so long before the server would close it."""
 _FIRST_FINAL_STATUS = 200
+_KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
 
 class _Answer(HTTPResponse):
@@ -48,6 +52,25 @@
         self._body_buffer.clear()
         return body
 
+    def end_of_input(self) -> bool:
+        """Take the connection's end; True when that ends the answer (it had no length)."""
+        delimited = "content-length" in self or "transfer-encoding" in self
+        if not self.final_headers_complete or delimited:
+            return False
+        self.message_complete = True
+        self.closed_by_peer = True
+        return True
+
+    closed_by_peer = False
+
+    @property
+    def idle_seconds(self) -> float:
+        """How long the server keeps the connection open when nothing is sent on it."""
+        match = _KEEP_ALIVE_TIMEOUT.search(str(self.get("keep-alive") or ""))
+        if match is None:
+            return MAXIMUM_IDLE_SECONDS
+        return min(MAXIMUM_IDLE_SECONDS, int(match[1]) - KEEP_ALIVE_MARGIN_SECONDS)
+
     @property
     def buffered_bytes(self) -> int:
         """Body bytes parsed and not yet taken."""
@@ -62,6 +85,12 @@
     target: str
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: bytes = b""
+    host: str = ""
+    """Value of the Host header; the back end's address when empty."""
+
+
+AnswerCheck = Callable[[int, list[tuple[str, str]]], bool]
+"""Tells from status and headers whether an answer belongs to the request."""
 
 
 @dataclass(slots=True)
@@ -81,6 +110,7 @@
         self._sock: gevent.socket.socket | None = sock
         self._answer = answer
         self.status = answer.get_code()
+        self.headers = list(answer.items())
 
     def chunks(self, deadline: float) -> Iterator[bytes]:
         """Yield body bytes as they arrive, until the answer's end.
@@ -88,12 +118,20 @@
         Raises:
             RunkeelError: TRUNCATED_ANSWER, BACKEND_LOST or DEADLINE_EXCEEDED (MAY_HAVE_RUN).
         """
+        while (body := self.read_chunk(deadline)) is not None:
+            yield body
+
+    def read_chunk(self, deadline: float) -> bytes | None:
+        """Return the next body bytes, None at the answer's end; raises like :meth:`chunks`.
+
+        After DEADLINE_EXCEEDED it may be called again.
+        """
         while True:
             body = self._answer.take_body()
             if body:
-                yield body
+                return body
             if self._answer.finished:
-                return
+                return None
             if self._sock is None:
                 raise may_have_run(ErrorCode.CANCELLED, "the stream was closed")
             _receive_into(self._sock, self._answer, deadline)
@@ -104,6 +142,12 @@
         if sock is not None:
             self._pool.give_back(sock, self._answer)
 
+    def abort(self) -> None:
+        """Close the connection now; a task that reads the answer gets BACKEND_LOST."""
+        sock, self._sock = self._sock, None
+        if sock is not None:
+            sock.close()
+
 
 class HttpConnectionPool:
     """Connections to one back end."""
@@ -120,6 +164,7 @@
         request: OutgoingRequest,
         deadline: float,
         before_send: Callable[[], None] | None = None,
+        accept: AnswerCheck | None = None,
     ) -> HttpAnswer:
         """Send a request and return the whole answer.
 
@@ -127,6 +172,7 @@
             deadline: monotonic time at which to give up.
             before_send: called once, right before the first byte is written; if it raises,
                 nothing is sent.
+            accept: an answer for which it returns False is dropped with its connection.
 
         Raises:
             RunkeelError: BACKEND_UNREACHABLE (NOT_RUN: no byte was sent); BACKEND_LOST,
@@ -134,6 +180,9 @@
         """
         sock, answer = self._exchange_headers(request, deadline, before_send)
         try:
+            if accept is not None and not accept(answer.get_code(), list(answer.items())):
+                answer.message_complete = False
+                raise may_have_run(ErrorCode.BACKEND_LOST, "the answer is not to this request")
             while not answer.finished:
                 if answer.buffered_bytes > self._maximum_answer_bytes:
                     raise may_have_run(ErrorCode.BACKEND_LOST, "the answer is too large")
@@ -154,11 +203,16 @@
 
     def give_back(self, sock: gevent.socket.socket, answer: _Answer) -> None:
         """Keep a connection whose answer ended cleanly; close any other."""
-        reusable = answer.finished and not answer.should_close()
+        reusable = answer.finished and not answer.closed_by_peer and not answer.should_close()
         if self._closed or not reusable or len(self._idle) >= MAXIMUM_IDLE_CONNECTIONS:
             sock.close()
             return
-        self._idle.append((sock, time.monotonic()))
+        self._idle.append((sock, time.monotonic() + answer.idle_seconds))
+
+    @property
+    def idle_connections(self) -> int:
+        """Connections that are open and not in use."""
+        return len(self._idle)
 
     def close(self) -> None:
         """Close the idle connections; connections in use are closed when given back."""
@@ -189,8 +243,8 @@
     def _connection(self, deadline: float) -> gevent.socket.socket:
         now = time.monotonic()
         while self._idle:
-            sock, idle_since = self._idle.pop()
-            if now - idle_since < MAXIMUM_IDLE_SECONDS and _is_quiet(sock):
+            sock, usable_until = self._idle.pop()
+            if now < usable_until and _is_quiet(sock):
                 return sock
             sock.close()
         return self._connect(deadline - now)
@@ -213,7 +267,7 @@
 
 
 def _encode_head(request: OutgoingRequest, host: str) -> bytes:
-    lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {host}"]
+    lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host or host}"]
     lines.extend(f"{name}: {value}" for name, value in request.headers)
     if request.body or request.method not in ("GET", "HEAD", "DELETE"):
         lines.append(f"Content-Length: {len(request.body)}")
@@ -257,6 +311,8 @@
     except OSError as error:
         raise _cut(answer, str(error)) from error
     if not data:
+        if answer.end_of_input():
+            return
         raise _cut(answer, "connection closed")
     try:
         answer.feed(data)
--- /dev/null
+++ b/src/runkeel/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Who coordinates a service: election through the store, succession, weight versions."""
--- /dev/null
+++ b/src/runkeel/coordination/election.py
@@ -0,0 +1,270 @@
+"""Elects the coordinator through the store and arranges its succession.
+
+Every node follows the coordinator's document and pings the coordinator. The coordinator ranks the
+nodes that ping it; when it falls silent, or says that it has lost the store, the first in rank
+replaces it by compare-and-swap. Two nodes may believe to coordinate for a moment: results and
+orders are guarded by their own conditions in the store.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from loguru import logger
+
+from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
+from runkeel.api.machines import Address
+from runkeel.errors import RunkeelError
+from runkeel.metrics import COORDINATING
+from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.jobs.ttypes import CoordinatorPing, CoordinatorPong
+from runkeel.wire.network import PeerNetwork
+
+PING_SECONDS = 0.5
+SLOW_PING_SECONDS = 3.0
+PING_TIMEOUT_SECONDS = 0.5
+SILENCE_SECONDS = 1.3
+RANK_SECONDS = 0.5
+LAST_RANK = 3
+"""Nodes beyond this rank ping seldom and step in late."""
+
+STORE_LOST_SECONDS = 1.0
+START_SPREAD_SECONDS = 0.3
+PREFERENCE_SECONDS = 1.5
+"""So much longer a node that isn't preferred waits at a start without a coordinator."""
+
+_CLAIM_RETRY_SECONDS = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Coordinator:
+    """Who coordinates, as the store says."""
+
+    node_id: str
+    address: Address
+    zone: str
+    epoch: int
+    revision: int
+
+
+@dataclass(slots=True)
+class _Peer:
+    """A node that pings this coordinator."""
+
+    preferred: bool
+    seen_at: float = 0.0
+
+
+class Election:
+    """Follows and, when it is this node's turn, takes the coordinator's place.
+
+    Args:
+        preferred: this node should coordinate rather than one that is not preferred.
+        on_gained: called with the epoch when this node becomes coordinator.
+        on_lost: called when another node has.
+    """
+
+    def __init__(
+        self,
+        store: DocumentStore,
+        network: PeerNetwork,
+        shard: str,
+        node_id: str,
+        zone: str,
+        peer_address: Address,
+        preferred: bool,
+        on_gained: Callable[[int], None],
+        on_lost: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._network = network
+        self._shard = shard
+        self._node_id = node_id
+        self._zone = zone
+        self._peer_address = peer_address
+        self._preferred = preferred
+        self._on_gained = on_gained
+        self._on_lost = on_lost
+        self._watcher = DocumentWatcher(store, DocumentKind.COORDINATOR, self._changed)
+        self._coordinator: Coordinator | None = None
+        self._epoch = 0
+        """Epoch in which this node coordinates, 0 when it does not."""
+        self._peers: dict[str, _Peer] = {}
+        self._rank = LAST_RANK
+        self._stopping = False
+        self._lost_store_at = 0.0
+        self._task: gevent.Greenlet | None = None
+        network.on_call(MessageType.COORDINATOR_PING, CoordinatorPing, self._answer_ping)
+
+    @property
+    def node_id(self) -> str:
+        """This node's name."""
+        return self._node_id
+
+    @property
+    def coordinator(self) -> Coordinator | None:
+        """The coordinator as this node knows it."""
+        return self._coordinator
+
+    @property
+    def coordinating(self) -> bool:
+        """Whether this node is the coordinator."""
+        return self._epoch > 0
+
+    def peer_address(self, node_id: str) -> tuple[Address, str] | None:
+        """Return the address and zone of the coordinator's node, for the peer network."""
+        known = self._coordinator
+        if known is None or known.node_id != node_id:
+            return None
+        return known.address, known.zone
+
+    def start(self) -> None:
+        """Start to follow and to ping."""
+        self._watcher.start()
+        self._task = gevent.spawn(self._run)
+
+    def leave(self) -> None:
+        """Stop coordinating as planned, so that a successor steps in at once."""
+        self._stopping = True
+        self._step_down("this node stops")
+
+    def stop(self) -> None:
+        """End the tasks."""
+        self._watcher.stop()
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def _changed(self, document: Document, removed: bool) -> None:
+        if removed or document.name != self._shard:
+            return
+        content = document.content
+        self._coordinator = Coordinator(
+            content["node"],
+            Address.parse(content["address"]),
+            content["zone"],
+            int(content["epoch"]),
+            document.revision,
+        )
+        if self._epoch and self._coordinator.epoch > self._epoch:
+            self._step_down(f"{content['node']} took over")
+
+    def _run(self) -> None:
+        self._watcher.listed.wait()
+        gevent.sleep(random.uniform(0.0, START_SPREAD_SECONDS))
+        if not self._preferred and self._coordinator is None:
+            gevent.sleep(PREFERENCE_SECONDS)
+        last_contact = time.monotonic()
+        seen_epoch = 0
+        while True:
+            known = self._coordinator
+            if self._stopping or self.coordinating:
+                last_contact = time.monotonic()
+                gevent.sleep(PING_SECONDS)
+                continue
+            if known is None or known.node_id == self._node_id:
+                self._claim("no other coordinator")
+                continue
+            if known.epoch != seen_epoch:
+                seen_epoch = known.epoch
+                last_contact = time.monotonic()
+            pause = PING_SECONDS
+            pong = self._ping(known)
+            if pong is not None:
+                pause = pong.interval_ms / 1000.0
+                self._rank = pong.rank
+                if self._serves(pong):
+                    last_contact = time.monotonic()
+            silent = time.monotonic() - last_contact
+            if silent > SILENCE_SECONDS + RANK_SECONDS * self._rank and self._watcher.reachable:
+                self._claim(f"{known.node_id} silent for {silent:.1f} s")
+                continue
+            gevent.sleep(min(pause, PING_SECONDS) if pong is None else pause)
+
+    def _serves(self, pong: CoordinatorPong) -> bool:
+        """Return whether the coordinator does its work; note how long it has lost the store."""
+        now = time.monotonic()
+        if pong.store_reachable:
+            self._lost_store_at = 0.0
+        elif not self._lost_store_at:
+            self._lost_store_at = now
+        lost = self._lost_store_at and now - self._lost_store_at > STORE_LOST_SECONDS
+        return pong.coordinator and not (lost and self._watcher.reachable)
+
+    def _ping(self, known: Coordinator) -> CoordinatorPong | None:
+        message = CoordinatorPing(self._shard, known.epoch, self._preferred)
+        try:
+            return self._network.call(
+                known.node_id,
+                MessageType.COORDINATOR_PING,
+                message,
+                CoordinatorPong,
+                PING_TIMEOUT_SECONDS,
+            )
+        except RunkeelError:
+            return None
+
+    def _answer_ping(self, peer: str, ping: CoordinatorPing) -> tuple[int, CoordinatorPong]:
+        if self._epoch and ping.epoch > self._epoch:
+            self._step_down(f"{peer} knows epoch {ping.epoch}")
+        rank = self._rank_of(peer, ping.preferred)
+        interval = SLOW_PING_SECONDS if rank == LAST_RANK else PING_SECONDS
+        pong = CoordinatorPong(
+            self.coordinating, rank, int(interval * 1000), self._watcher.reachable
+        )
+        return MessageType.COORDINATOR_PONG, pong
+
+    def _rank_of(self, peer: str, preferred: bool) -> int:
+        """Return a peer's place: preferred nodes first, in the order of their first ping."""
+        now = time.monotonic()
+        self._peers.setdefault(peer, _Peer(preferred)).seen_at = now
+        live = [
+            (not known.preferred, index, name)
+            for index, (name, known) in enumerate(self._peers.items())
+            if now - known.seen_at < 3 * SLOW_PING_SECONDS
+        ]
+        names = [name for _, _, name in sorted(live)]
+        return LAST_RANK if not preferred else min(names.index(peer), LAST_RANK)
+
+    def _claim(self, reason: str) -> None:
+        known = self._coordinator
+        epoch = (known.epoch if known else 0) + 1
+        content = {
+            "node": self._node_id,
+            "address": str(self._peer_address),
+            "zone": self._zone,
+            "epoch": epoch,
+        }
+        try:
+            if known is None:
+                self._store.create(DocumentKind.COORDINATOR, self._shard, content)
+            else:
+                self._store.replace(DocumentKind.COORDINATOR, self._shard, content, known.revision)
+        except DocumentConflictError as conflict:
+            if conflict.current is not None:
+                self._changed(conflict.current, removed=False)
+            gevent.sleep(random.uniform(0.0, _CLAIM_RETRY_SECONDS))
+            return
+        except RunkeelError:
+            gevent.sleep(_CLAIM_RETRY_SECONDS)
+            return
+        self._gain(epoch, reason)
+
+    def _gain(self, epoch: int, reason: str) -> None:
+        self._epoch = epoch
+        self._peers.clear()
+        COORDINATING.labels(self._shard).set(1)
+        logger.info("coordinating", code="coordinator_gained", epoch=epoch, reason=reason)
+        self._on_gained(epoch)
+
+    def _step_down(self, reason: str) -> None:
+        if not self._epoch:
+            return
+        logger.info("not coordinating", code="coordinator_lost", epoch=self._epoch, reason=reason)
+        self._epoch = 0
+        COORDINATING.labels(self._shard).set(0)
+        self._on_lost()
--- /dev/null
+++ b/src/runkeel/coordination/version_rollout.py
@@ -0,0 +1,256 @@
+"""Moves engines to the weight versions that trainers name: target against actual state.
+
+One loop compares what every engine reports with the newest version of each model and orders the
+next engines to change. An order without an answer is not repeated before the engine's own report
+has shown what became of it.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from runkeel.api.backend_protocol import (
+    BackendProtocol,
+    EngineOrderOutcome,
+    EngineReport,
+    VersionOrder,
+)
+from runkeel.api.fleet import RoutingConfiguration
+from runkeel.coordination.order_lease import OrderLease
+from runkeel.errors import RunkeelError
+from runkeel.gateway.backends import BackendDirectory, BackendState
+from runkeel.metrics import VERSION_ORDERS
+
+IDLE_CHECK_SECONDS = 0.5
+EXPECTED_LOAD_SECONDS = 0.9
+REPORT_INTERVAL_SECONDS = 0.15
+UNANSWERED_SECONDS = 1.5
+"""After so long an order that shows no effect is taken as lost."""
+
+LONGEST_LOAD_SECONDS = 6.0
+CALL_SECONDS = 1.0
+CONCURRENT_LOADS = 2
+CONCURRENT_SHARE = 1 / 3
+
+
+@dataclass(slots=True)
+class _Change:
+    """An engine that is under way to a version."""
+
+    model: str
+    version: int
+    started: float
+
+
+class VersionRollout:
+    """Reconciles the engines' versions while this node coordinates.
+
+    Args:
+        configuration: the configuration in force.
+        versions: newest version by model, as named by trainers.
+        on_version: called with back end, model and version when an engine has changed.
+        running_at: items running at an engine; the least busy ones change first.
+    """
+
+    def __init__(
+        self,
+        directory: BackendDirectory,
+        protocol: BackendProtocol,
+        lease: OrderLease,
+        holder: str,
+        configuration: Callable[[], RoutingConfiguration | None],
+        versions: dict[str, int],
+        on_version: Callable[[str, str, int], None],
+        running_at: Callable[[str], int],
+    ) -> None:
+        self._directory = directory
+        self._protocol = protocol
+        self._lease = lease
+        self._holder = holder
+        self._configuration = configuration
+        self._targets = versions
+        self._on_version = on_version
+        self._running_at = running_at
+        self._changing: dict[str, _Change] = {}
+        self._actual: dict[tuple[str, str], int] = {}
+        self._retry_at: dict[str, float] = {}
+        self._wake = Event()
+        self._loop: gevent.Greenlet | None = None
+        self._tasks: set[gevent.Greenlet] = set()
+
+    def start(self) -> None:
+        """Start to reconcile."""
+        self._loop = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Send no further order."""
+        for task in [self._loop, *self._tasks]:
+            if task is not None:
+                task.kill(block=False)
+        self._changing.clear()
+
+    def wake(self) -> None:
+        """Compare again: a version was named or an engine changed."""
+        self._wake.set()
+
+    def is_loading(self, backend_id: str) -> bool:
+        """Return whether an engine is under way to another version."""
+        return backend_id in self._changing
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait(IDLE_CHECK_SECONDS)
+            self._wake.clear()
+            try:
+                self._reconcile()
+            except RunkeelError as error:
+                logger.info(
+                    "no orders for now",
+                    code="orders_held",
+                    reason=str(error.code),
+                    detail=error.detail,
+                )
+                gevent.sleep(IDLE_CHECK_SECONDS)
+
+    def _reconcile(self) -> None:
+        due = self._due()
+        if not due:
+            return
+        self._lease.confirm()
+        wait = self._lease.seconds_until_orders()
+        if wait > 0:
+            gevent.sleep(min(wait, IDLE_CHECK_SECONDS))
+            self._wake.set()
+            return
+        for state, model, version in due:
+            self._changing[state.backend_id] = _Change(model, version, time.monotonic())
+            task = gevent.spawn(self._change, state, model, version)
+            self._tasks.add(task)
+            task.rawlink(self._tasks.discard)
+
+    def _due(self) -> list[tuple[BackendState, str, int]]:
+        """Return the engines to order now, the least busy first."""
+        configuration = self._configuration()
+        if configuration is None:
+            return []
+        due: list[tuple[BackendState, str, int]] = []
+        for service in configuration.services.values():
+            due.extend(self._due_of_service(service.name, service.models))
+        return due
+
+    def _due_of_service(
+        self, service: str, models: tuple[str, ...]
+    ) -> list[tuple[BackendState, str, int]]:
+        engines = self._directory.of_service(service) if models else []
+        now = time.monotonic()
+        loading = sum(1 for state in engines if state.backend_id in self._changing)
+        room = max(CONCURRENT_LOADS, int(len(engines) * CONCURRENT_SHARE)) - loading
+        behind: list[tuple[int, BackendState, str, int]] = []
+        for state in engines:
+            backend_id = state.backend_id
+            if backend_id in self._changing or now < self._retry_at.get(backend_id, 0.0):
+                continue
+            for model in models:
+                target = self._targets.get(model, 0)
+                if target > self._version(state, model):
+                    behind.append((self._running_at(backend_id), state, model, target))
+                    break
+        behind.sort(key=lambda entry: entry[0])
+        return [(state, model, target) for _, state, model, target in behind[: max(0, room)]]
+
+    def _version(self, state: BackendState, model: str) -> int:
+        reported = state.backend.model_versions.get(model, 0)
+        return max(reported, self._actual.get((state.backend_id, model), 0))
+
+    def _change(self, state: BackendState, model: str, version: int) -> None:
+        """Order one engine and wait for the effect."""
+        started = time.monotonic()
+        reached = False
+        try:
+            report = self._report(state)
+            if report is None:
+                return
+            if report.model_versions.get(model, 0) < version:
+                outcome = self._order(state, model, version, report.sequence)
+                if outcome not in (EngineOrderOutcome.ACCEPTED, EngineOrderOutcome.IN_FORCE, None):
+                    return
+                reached = self._await_version(state, model, version, outcome)
+            else:
+                reached = True
+        finally:
+            self._changing.pop(state.backend_id, None)
+            if reached:
+                self._actual[(state.backend_id, model)] = version
+                self._on_version(state.backend_id, model, version)
+            else:
+                self._retry_at[state.backend_id] = time.monotonic() + REPORT_INTERVAL_SECONDS
+            logger.info(
+                "engine change ended",
+                code="engine_version",
+                backend=state.backend_id,
+                model=model,
+                version=version,
+                reached=reached,
+                ms=int((time.monotonic() - started) * 1000),
+            )
+            self._wake.set()
+
+    def _order(
+        self, state: BackendState, model: str, version: int, sequence: int
+    ) -> EngineOrderOutcome | None:
+        """Send an order; None when its answer was lost, so that it may still be carried out."""
+        order = VersionOrder(
+            model, version, self._holder, self._lease.token, expected_sequence=sequence
+        )
+        outgoing = self._protocol.encode_order(order, state.backend)
+        deadline = time.monotonic() + CALL_SECONDS
+        outcome: EngineOrderOutcome | None = None
+        try:
+            answer = state.pool.request(outgoing, deadline, before_send=self._lease.check)
+            outcome = self._protocol.order_outcome(answer.status)
+        except RunkeelError as error:
+            if error.verdict.name == "NOT_RUN":
+                outcome = EngineOrderOutcome.REFUSED
+        VERSION_ORDERS.labels(outcome.value if outcome else "unanswered").inc()
+        logger.info(
+            "order sent",
+            code="engine_order",
+            backend=state.backend_id,
+            model=model,
+            version=version,
+            token=order.fencing_token,
+            sequence=sequence,
+            outcome=outcome.value if outcome else "unanswered",
+        )
+        return outcome
+
+    def _await_version(
+        self, state: BackendState, model: str, version: int, outcome: EngineOrderOutcome | None
+    ) -> bool:
+        if outcome is EngineOrderOutcome.IN_FORCE:
+            return True
+        started = time.monotonic()
+        gevent.sleep(EXPECTED_LOAD_SECONDS)
+        while time.monotonic() - started < LONGEST_LOAD_SECONDS:
+            report = self._report(state)
+            if report is not None and report.model_versions.get(model, 0) >= version:
+                return True
+            idle = report is not None and not report.busy
+            if idle and time.monotonic() - started > UNANSWERED_SECONDS:
+                return False
+            gevent.sleep(REPORT_INTERVAL_SECONDS)
+        return False
+
+    def _report(self, state: BackendState) -> EngineReport | None:
+        outgoing = self._protocol.encode_report_query(state.backend)
+        try:
+            answer = state.pool.request(outgoing, time.monotonic() + CALL_SECONDS)
+            return self._protocol.parse_report(answer.body) if answer.status == 200 else None
+        except (RunkeelError, ValueError, KeyError):
+            return None
--- /dev/null
+++ b/src/runkeel/fleet_node.py
@@ -0,0 +1,244 @@
+"""The composition root of a node that serves clients in front of a platform's servers.
+
+Every node runs the same parts: it passes requests on and accepts batch jobs. One of them, elected
+through the store, coordinates the batch jobs and the weight versions besides.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import gevent
+from loguru import logger
+
+from runkeel.api.backend_protocol import BackendProtocol
+from runkeel.api.documents import Document, DocumentKind, DocumentStore, DocumentTranslator
+from runkeel.api.machines import Address
+from runkeel.coordination.election import Election
+from runkeel.coordination.order_lease import OrderLease
+from runkeel.coordination.version_rollout import VersionRollout
+from runkeel.errors import RunkeelError
+from runkeel.gateway.backends import BackendDirectory
+from runkeel.gateway.forwarder import Forwarder
+from runkeel.gateway.routing import RoutingTable
+from runkeel.jobs.coordinator import JobCoordinator
+from runkeel.jobs.scheduler import Scheduler
+from runkeel.jobs.scorer import Scorer
+from runkeel.jobs.service import JobService
+from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.wire.network import PeerNetwork
+
+SHARD = "fleet"
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """What a fleet node must know at its start.
+
+    Attributes:
+        cluster_key: secret shared by the nodes.
+        order_pause_seconds: least time between the orders of two nodes to engines.
+        preferred_coordinator: this node coordinates rather than one that serves clients.
+    """
+
+    node_id: str
+    zone: str
+    peer_address: Address
+    cluster_name: str
+    cluster_key: bytes
+    incarnation: int
+    order_pause_seconds: float = 3.0
+    preferred_coordinator: bool = False
+
+
+class FleetNode:
+    """One node; the adapter of the platform's client protocol sits on top of it."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        store: DocumentStore,
+        translator: DocumentTranslator,
+        protocol: BackendProtocol,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._translator = translator
+        self._protocol = protocol
+        self.routing = RoutingTable()
+        self.directory = BackendDirectory()
+        self.forwarder = Forwarder(self.directory, protocol, settings.zone)
+        self._network = PeerNetwork(
+            settings.node_id,
+            settings.zone,
+            settings.cluster_name,
+            settings.cluster_key,
+            settings.incarnation,
+            settings.peer_address,
+            lambda node_id: self._election.peer_address(node_id),
+        )
+        self._election = Election(
+            store,
+            self._network,
+            SHARD,
+            settings.node_id,
+            settings.zone,
+            settings.peer_address,
+            settings.preferred_coordinator,
+            self._start_term,
+            self._end_term,
+        )
+        self.jobs = JobService(store, self._network, self._election, SHARD)
+        self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
+        self._watchers = [
+            DocumentWatcher(store, DocumentKind.ROUTING, self._routing_changed),
+            DocumentWatcher(store, DocumentKind.BACKEND, self._backend_changed),
+        ]
+        self._term: _Term | None = None
+        self.directory.on_change(self._directory_changed)
+
+    @property
+    def configured(self) -> bool:
+        """Whether this node knows a configuration and the servers."""
+        listed = all(watcher.listed.is_set() for watcher in self._watchers)
+        return self.routing.configuration is not None and listed
+
+    def start(self) -> None:
+        """Start every part. Raises OSError when the peer address is in use."""
+        self._network.start()
+        for watcher in self._watchers:
+            watcher.start()
+        self._election.start()
+
+    def leave(self) -> None:
+        """Hand the coordinator's place over, before this node stops."""
+        self._election.leave()
+
+    def stop(self) -> None:
+        """End every part."""
+        self._end_term()
+        self._election.stop()
+        for watcher in self._watchers:
+            watcher.stop()
+        self._network.stop()
+
+    def _routing_changed(self, document: Document, removed: bool) -> None:
+        if not removed:
+            self.routing.apply(self._translator.routing_configuration(document))
+
+    def _backend_changed(self, document: Document, removed: bool) -> None:
+        if removed:
+            self.directory.remove(document.name)
+        else:
+            self.directory.put(self._translator.backend(document))
+
+    def _directory_changed(self, service: str) -> None:
+        if self._term is not None:
+            self._term.wake()
+
+    def _start_term(self, epoch: int) -> None:
+        self._term = _Term(self, epoch)
+        self.jobs.local = self._term.jobs
+        self._term.start()
+
+    def _end_term(self) -> None:
+        term, self._term = self._term, None
+        self.jobs.local = None
+        if term is not None:
+            term.stop()
+        self._lease.forget()
+
+
+class _Term:
+    """The coordinator's parts, from the moment that this node is elected until it is replaced."""
+
+    def __init__(self, node: FleetNode, epoch: int) -> None:
+        self.epoch = epoch
+        self._node_id = node._settings.node_id
+        self._leave = node.leave
+        self._store = node._store
+        self._translator = node._translator
+        self._targets: dict[str, int] = {}
+        self._scheduler = Scheduler(
+            node.directory,
+            node.routing,
+            node._protocol,
+            Scorer(node.forwarder, node.routing, node._protocol),
+            lambda backend_id: self._rollout.is_loading(backend_id),
+        )
+        self._rollout = VersionRollout(
+            node.directory,
+            node._protocol,
+            node._lease,
+            node._settings.node_id,
+            lambda: node.routing.configuration,
+            self._targets,
+            self._version_reached,
+            self._scheduler.running_at,
+        )
+        self.jobs = JobCoordinator(node._store, self._scheduler)
+        self._watchers = [
+            DocumentWatcher(node._store, DocumentKind.MODEL_VERSION, self._version_named),
+            DocumentWatcher(node._store, DocumentKind.RETIREMENT, self._retirement_asked),
+        ]
+
+    def start(self) -> None:
+        """Start to coordinate."""
+        for watcher in self._watchers:
+            watcher.start()
+        self._rollout.start()
+        self.jobs.start()
+
+    def stop(self) -> None:
+        """Stop to coordinate at once."""
+        self._rollout.stop()
+        self.jobs.stop()
+        for watcher in self._watchers:
+            watcher.stop()
+
+    def wake(self) -> None:
+        """Look again at engines and items."""
+        self._rollout.wake()
+        self._scheduler.wake()
+
+    def _version_named(self, document: Document, removed: bool) -> None:
+        if removed:
+            return
+        model, version = self._translator.model_version(document)
+        if version <= self._targets.get(model, 0):
+            return
+        self._targets[model] = version
+        logger.info(
+            "version named",
+            code="version_named",
+            model=model,
+            version=version,
+            revision=document.revision,
+        )
+        self._rollout.wake()
+
+    def _version_reached(self, backend_id: str, model: str, version: int) -> None:
+        self._scheduler.versions[(backend_id, model)] = version
+        self._scheduler.wake()
+
+    def _retirement_asked(self, document: Document, removed: bool) -> None:
+        """No machine keeps data of its own, so a machine is empty as soon as it is asked."""
+        if not removed:
+            gevent.spawn(self._retire, document.name)
+
+    def _retire(self, name: str) -> None:
+        if name == self._node_id:
+            # The machine goes at once when its retirement is completed: the successor says so.
+            self._leave()
+            return
+        self._complete_retirement(name)
+
+    def _complete_retirement(self, name: str) -> None:
+        status = self._translator.retirement_status(completed=True)
+        while True:
+            try:
+                self._store.set_status(DocumentKind.RETIREMENT, name, status)
+                logger.info("machine is empty", code="retirement", machine=name)
+                return
+            except RunkeelError:
+                gevent.sleep(0.3)
--- /dev/null
+++ b/src/runkeel/gateway/backends.py
@@ -0,0 +1,140 @@
+"""The servers that this node knows, its connections to them, and which to use next."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+
+from runkeel.api.fleet import Backend
+from runkeel.backends.http_connection import HttpConnectionPool
+
+FIRST_EJECTION_SECONDS = 0.5
+LONGEST_EJECTION_SECONDS = 4.0
+REFUSAL_PAUSE_SECONDS = 0.05
+LATENCY_WEIGHT = 0.2
+
+
+class BackendState:
+    """A server and what this node knows of it from its own requests."""
+
+    def __init__(self, backend: Backend) -> None:
+        self.backend = backend
+        self.pool = HttpConnectionPool(backend.address)
+        self.in_flight = 0
+        self.failures = 0
+        self.avoid_until = 0.0
+        self.latency_seconds = 0.0
+
+    @property
+    def backend_id(self) -> str:
+        """The server's id."""
+        return self.backend.backend_id
+
+    def succeeded(self, seconds: float) -> None:
+        """Note an answer and how long it took."""
+        self.failures = 0
+        self.avoid_until = 0.0
+        if not self.latency_seconds:
+            self.latency_seconds = seconds
+        self.latency_seconds += LATENCY_WEIGHT * (seconds - self.latency_seconds)
+
+    def refused(self) -> None:
+        """Note that the server was full."""
+        self.avoid_until = max(self.avoid_until, time.monotonic() + REFUSAL_PAUSE_SECONDS)
+
+    def failed(self) -> None:
+        """Note a lost connection or answer; repeated ones take the server out for longer."""
+        self.failures += 1
+        pause = min(LONGEST_EJECTION_SECONDS, FIRST_EJECTION_SECONDS * 2 ** (self.failures - 1))
+        self.avoid_until = time.monotonic() + pause
+
+    def avoided(self, now: float) -> bool:
+        """Return whether requests should go elsewhere for the moment."""
+        return now < self.avoid_until
+
+
+class BackendDirectory:
+    """All servers by id; replaced entries keep their connections."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, BackendState] = {}
+        self._listeners: list[Callable[[str], None]] = []
+
+    def on_change(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with the service's name whenever one of its servers changes."""
+        self._listeners.append(listener)
+
+    def put(self, backend: Backend) -> None:
+        """Add a server or take its new state."""
+        state = self._states.get(backend.backend_id)
+        if state is None:
+            self._states[backend.backend_id] = BackendState(backend)
+        else:
+            state.backend = backend
+        self._log("server", backend)
+        self._notify(backend.service)
+
+    def remove(self, backend_id: str) -> None:
+        """Forget a server that has left."""
+        state = self._states.pop(backend_id, None)
+        if state is None:
+            return
+        state.pool.close()
+        self._log("server gone", state.backend)
+        self._notify(state.backend.service)
+
+    def get(self, backend_id: str) -> BackendState | None:
+        """Return a server's state."""
+        return self._states.get(backend_id)
+
+    def of_service(self, service: str) -> list[BackendState]:
+        """Return the servers of a service that take new work."""
+        return [
+            state
+            for state in self._states.values()
+            if state.backend.service == service and not state.backend.draining
+        ]
+
+    def _log(self, message: str, backend: Backend) -> None:
+        logger.info(
+            message,
+            code="backend",
+            backend=backend.backend_id,
+            service=backend.service,
+            address=str(backend.address),
+            draining=backend.draining,
+            versions=dict(backend.model_versions),
+        )
+
+    def _notify(self, service: str) -> None:
+        for listener in self._listeners:
+            listener(service)
+
+
+def choose_backend(
+    candidates: Iterable[BackendState], tried: set[str], zone: str, attempt: int = 0
+) -> BackendState | None:
+    """Choose the server with the most room among those not yet tried.
+
+    Servers that failed lately come last; among equals, one with an open connection, then one of
+    this zone.
+    """
+    now = time.monotonic()
+    untried = [state for state in candidates if state.backend_id not in tried]
+    if not untried:
+        return None
+
+    def order(state: BackendState) -> tuple[bool, float, bool, bool, float]:
+        load = state.in_flight / max(1, state.backend.slots)
+        return (
+            state.avoided(now),
+            round(load, 1),
+            state.pool.idle_connections == 0,
+            state.backend.zone != zone,
+            random.random(),
+        )
+
+    return min(untried, key=order)
--- /dev/null
+++ b/src/runkeel/gateway/forwarder.py
@@ -0,0 +1,240 @@
+"""Passes a request on to servers of its service: attempts, retries, hedges, deadlines."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import Event
+from gevent.queue import Empty, Queue
+from loguru import logger
+
+from runkeel.api.backend_protocol import AnswerClass, BackendProtocol, PlainRequest
+from runkeel.api.fleet import Route
+from runkeel.backends.http_connection import HttpAnswer
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
+from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
+from runkeel.metrics import ATTEMPTS
+
+HEDGE_SHARE = 0.5
+"""Share of the target latency after which a second server is asked too."""
+
+RETRY_AFTER_SECONDS = 0.1
+MINIMUM_ATTEMPT_SECONDS = 0.005
+_GONE = object()
+
+
+@dataclass(slots=True)
+class _Outcome:
+    """How one attempt ended; exactly one of answer and error is set."""
+
+    state: BackendState
+    answer_class: AnswerClass | None = None
+    answer: HttpAnswer | None = None
+    error: RunkeelError | None = None
+
+    @property
+    def label(self) -> str:
+        return self.answer_class.value if self.answer_class else str(self.error.code)
+
+    @property
+    def ran(self) -> bool:
+        """Whether a server may have run the request."""
+        if self.error is not None:
+            return self.error.verdict is not Verdict.NOT_RUN
+        return self.answer_class in (AnswerClass.SUCCESS, AnswerClass.FAILURE)
+
+
+@dataclass(slots=True)
+class _Progress:
+    """One request's attempts."""
+
+    request: PlainRequest
+    route: Route
+    service: str
+    deadline: float
+    started: float
+    results: Queue = field(default_factory=Queue)
+    tasks: list[gevent.Greenlet] = field(default_factory=list)
+    tried: set[str] = field(default_factory=set)
+    running: int = 0
+    sent: int = 0
+    """Attempts that may have run, those still under way included."""
+    failure: _Outcome | None = None
+
+
+class Forwarder:
+    """Passes requests on; an answer is returned whole or not at all."""
+
+    def __init__(self, directory: BackendDirectory, protocol: BackendProtocol, zone: str) -> None:
+        self._directory = directory
+        self._protocol = protocol
+        self._zone = zone
+
+    def forward(
+        self,
+        request: PlainRequest,
+        route: Route,
+        service: str,
+        deadline: float,
+        gone: Event | None = None,
+    ) -> HttpAnswer:
+        """Return the answer of a server of the service.
+
+        Args:
+            deadline: monotonic time at which the answer is due.
+            gone: set when the client has left; the attempts are then ended.
+
+        Raises:
+            RunkeelError: with verdict NOT_RUN only when no server runs the request.
+        """
+        progress = _Progress(request, route, service, deadline, time.monotonic())
+        leaver = gevent.spawn(_report_gone, gone, progress.results) if gone is not None else None
+        try:
+            return self._drive(progress)
+        finally:
+            if leaver is not None:
+                leaver.kill(block=False)
+            gevent.killall(progress.tasks, block=False)
+
+    def _drive(self, progress: _Progress) -> HttpAnswer:
+        self._start_attempt(progress)
+        while progress.running:
+            try:
+                outcome = progress.results.get(timeout=self._patience(progress))
+            except Empty:
+                if time.monotonic() >= progress.deadline:
+                    raise self._given_up(progress, ErrorCode.DEADLINE_EXCEEDED) from None
+                self._start_attempt(progress, "hedge")
+                continue
+            if outcome is _GONE:
+                raise self._given_up(progress, ErrorCode.CANCELLED)
+            answer = self._take(progress, outcome)
+            if answer is not None:
+                return answer
+            if not progress.running or not progress.route.repeatable:
+                self._start_attempt(progress, "retry")
+        return self._finish(progress)
+
+    def _take(self, progress: _Progress, outcome: _Outcome) -> HttpAnswer | None:
+        progress.running -= 1
+        ATTEMPTS.labels(progress.service, outcome.label).inc()
+        if outcome.answer_class is AnswerClass.SUCCESS:
+            return outcome.answer
+        if not outcome.ran:
+            progress.sent -= 1
+        else:
+            if outcome.answer is not None or progress.failure is None:
+                progress.failure = outcome
+            if not progress.route.repeatable:
+                return self._finish(progress)
+        self._log_attempt(progress, outcome)
+        return None
+
+    def _finish(self, progress: _Progress) -> HttpAnswer:
+        failure = progress.failure
+        if failure is None:
+            code = ErrorCode.QUEUE_FULL if progress.tried else ErrorCode.NO_BACKEND
+            raise not_run(code, progress.service, RETRY_AFTER_SECONDS)
+        if failure.answer is not None:
+            return failure.answer
+        raise failure.error
+
+    def _patience(self, progress: _Progress) -> float:
+        now = time.monotonic()
+        remaining = max(0.0, progress.deadline - now)
+        if not self._may_hedge(progress):
+            return remaining
+        hedge_after = progress.route.target_latency_seconds * HEDGE_SHARE * len(progress.tried)
+        return min(remaining, max(0.0, progress.started + hedge_after - now))
+
+    def _may_hedge(self, progress: _Progress) -> bool:
+        if not progress.route.repeatable or progress.sent >= progress.route.maximum_attempts:
+            return False
+        if progress.deadline - time.monotonic() < MINIMUM_ATTEMPT_SECONDS:
+            return False
+        candidates = self._directory.of_service(progress.service)
+        return any(state.backend_id not in progress.tried for state in candidates)
+
+    def _start_attempt(self, progress: _Progress, reason: str = "first") -> None:
+        if progress.sent >= progress.route.maximum_attempts:
+            return
+        if progress.deadline - time.monotonic() < MINIMUM_ATTEMPT_SECONDS:
+            return
+        candidates = self._directory.of_service(progress.service)
+        state = choose_backend(candidates, progress.tried, self._zone)
+        if state is None:
+            return
+        progress.tried.add(state.backend_id)
+        progress.running += 1
+        progress.sent += 1
+        progress.tasks.append(gevent.spawn(self._attempt, progress, state))
+        if reason != "first":
+            logger.info(
+                "another attempt",
+                code="attempt",
+                request=progress.request.request_id,
+                reason=reason,
+                backend=state.backend_id,
+                attempts=len(progress.tried),
+                age_ms=int((time.monotonic() - progress.started) * 1000),
+            )
+
+    def _attempt(self, progress: _Progress, state: BackendState) -> None:
+        started = time.monotonic()
+        state.in_flight += 1
+        try:
+            outcome = self._exchange(progress, state)
+        finally:
+            state.in_flight -= 1
+        _judge(state, outcome, time.monotonic() - started)
+        progress.results.put(outcome)
+
+    def _exchange(self, progress: _Progress, state: BackendState) -> _Outcome:
+        request = progress.request
+        remaining = progress.deadline - time.monotonic()
+        seen: list[AnswerClass] = []
+
+        def accept(status: int, headers: list[tuple[str, str]]) -> bool:
+            seen.append(self._protocol.classify(request.request_id, status, headers))
+            return seen[-1] is not AnswerClass.FOREIGN
+
+        try:
+            outgoing = self._protocol.encode_plain(request, state.backend, remaining)
+            answer = state.pool.request(outgoing, progress.deadline, accept=accept)
+        except RunkeelError as error:
+            return _Outcome(state, error=error)
+        return _Outcome(state, answer_class=seen[-1], answer=answer)
+
+    def _given_up(self, progress: _Progress, code: ErrorCode) -> RunkeelError:
+        verdict = Verdict.MAY_HAVE_RUN if progress.sent else Verdict.NOT_RUN
+        if verdict is Verdict.NOT_RUN:
+            code = ErrorCode.QUEUE_FULL
+        return RunkeelError(code, progress.service, verdict, RETRY_AFTER_SECONDS)
+
+    def _log_attempt(self, progress: _Progress, outcome: _Outcome) -> None:
+        logger.info(
+            "attempt failed",
+            code="attempt",
+            request=progress.request.request_id,
+            backend=outcome.state.backend_id,
+            outcome=outcome.label,
+            detail=outcome.error.detail if outcome.error else "",
+            age_ms=int((time.monotonic() - progress.started) * 1000),
+        )
+
+
+def _judge(state: BackendState, outcome: _Outcome, seconds: float) -> None:
+    """Note in the server's state how an attempt went."""
+    if outcome.answer_class is AnswerClass.SUCCESS:
+        state.succeeded(seconds)
+    elif outcome.answer_class is AnswerClass.REFUSED:
+        state.refused()
+    elif outcome.error is not None or outcome.answer_class is AnswerClass.MISDIRECTED:
+        state.failed()
+
+
+def _report_gone(gone: Event, results: Queue) -> None:
+    gone.wait()
+    results.put(_GONE)
--- /dev/null
+++ b/src/runkeel/gateway/routing.py
@@ -0,0 +1,66 @@
+"""Finds the route of a request and the service that gets it."""
+
+from __future__ import annotations
+
+import hashlib
+
+from loguru import logger
+
+from runkeel.api.fleet import Route, RoutingConfiguration
+
+_HASH_SPAN = float(1 << 32)
+
+
+class RoutingTable:
+    """The configuration in force at this node; it never goes back to an older version."""
+
+    def __init__(self) -> None:
+        self._configuration: RoutingConfiguration | None = None
+        self._routes: dict[str, list[Route]] = {}
+
+    @property
+    def configuration(self) -> RoutingConfiguration | None:
+        """The configuration in force, None before the first one."""
+        return self._configuration
+
+    def apply(self, configuration: RoutingConfiguration) -> bool:
+        """Put a configuration in force; False when it is not newer."""
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return False
+        routes: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            routes.setdefault(route.host, []).append(route)
+        for of_host in routes.values():
+            of_host.sort(key=lambda route: -len(route.path_prefix))
+        self._routes = routes
+        self._configuration = configuration
+        logger.info(
+            "configuration in force",
+            code="configuration",
+            version=configuration.version,
+            previous=current.version if current else 0,
+            routes=len(configuration.routes),
+        )
+        return True
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, None when there is none."""
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def choose_service(route: Route, request_id: str) -> str:
+    """Choose one of a route's services by weight; the same for the same request id."""
+    shares = [share for share in route.shares if share.weight > 0] or list(route.shares)
+    if len(shares) == 1:
+        return shares[0].service
+    digest = hashlib.blake2b(request_id.encode(), digest_size=4).digest()
+    point = int.from_bytes(digest, "big") / _HASH_SPAN * sum(share.weight for share in shares)
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return shares[-1].service
--- /dev/null
+++ b/src/runkeel/gateway/streams.py
@@ -0,0 +1,235 @@
+"""Relays streams of events, and continues a broken one at another server where that is allowed."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from runkeel.api.backend_protocol import AnswerClass, BackendProtocol, PlainRequest
+from runkeel.api.fleet import Route
+from runkeel.backends.http_connection import HttpAnswerStream
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
+from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
+from runkeel.http.frontend import AnswerBrokenOffError
+from runkeel.metrics import ATTEMPTS
+
+RETRY_AFTER_SECONDS = 0.2
+LONGEST_SILENCE_SECONDS = 3.0
+"""After so long without a byte a resumable stream is continued elsewhere."""
+
+_EVENT_END = b"\n\n"
+
+
+@dataclass(slots=True)
+class OpenedStream:
+    """An answer whose body is relayed as it comes."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterator[bytes] | bytes
+
+
+@dataclass(slots=True)
+class _Relay:
+    """One client stream and its runs at servers."""
+
+    request: PlainRequest
+    route: Route
+    service: str
+    deadline: float
+    gone: Event
+    tried: set[str] = field(default_factory=set)
+    sent: int = 0
+    state: BackendState | None = None
+    stream: HttpAnswerStream | None = None
+    last_event_id: str | None = None
+
+
+class StreamForwarder:
+    """Passes streams on."""
+
+    def __init__(self, directory: BackendDirectory, protocol: BackendProtocol, zone: str) -> None:
+        self._directory = directory
+        self._protocol = protocol
+        self._zone = zone
+
+    def open(
+        self, request: PlainRequest, route: Route, service: str, deadline: float, gone: Event
+    ) -> OpenedStream:
+        """Return a stream once a server has begun to answer.
+
+        Raises:
+            RunkeelError: with verdict NOT_RUN only when no server runs the request.
+        """
+        relay = _Relay(request, route, service, deadline, gone)
+        relay.last_event_id = request.resume_after
+        failure = self._connect(relay)
+        if failure is not None:
+            return failure
+        return OpenedStream(relay.stream.status, relay.stream.headers, self._relay(relay))
+
+    def _connect(self, relay: _Relay) -> OpenedStream | None:
+        """Open a run at a server; returns a server's own failure answer if there is no better."""
+        failure: OpenedStream | None = None
+        error = not_run(ErrorCode.QUEUE_FULL, relay.service, RETRY_AFTER_SECONDS)
+        while time.monotonic() < relay.deadline and not relay.gone.is_set():
+            if relay.sent >= relay.route.maximum_attempts:
+                break
+            candidates = self._directory.of_service(relay.service)
+            state = choose_backend(candidates, relay.tried, self._zone)
+            if state is None:
+                break
+            relay.tried.add(state.backend_id)
+            try:
+                outcome = self._try(relay, state)
+            except RunkeelError as caught:
+                ATTEMPTS.labels(relay.service, str(caught.code)).inc()
+                state.failed()
+                if caught.verdict is Verdict.NOT_RUN:
+                    continue
+                relay.sent += 1
+                error = caught
+                if not relay.route.repeatable:
+                    raise
+                continue
+            if outcome is None:
+                return None
+            if outcome.status:
+                failure = outcome
+                if not relay.route.repeatable:
+                    return failure
+        if failure is not None:
+            return failure
+        raise error
+
+    def _try(self, relay: _Relay, state: BackendState) -> OpenedStream | None:
+        """Send the request to one server.
+
+        Returns:
+            None when its stream is open, an answer without status when it refused, else its
+            failure.
+        """
+        remaining = relay.deadline - time.monotonic()
+        request = replace(relay.request, resume_after=relay.last_event_id)
+        outgoing = self._protocol.encode_plain(request, state.backend, remaining)
+        state.in_flight += 1
+        stream: HttpAnswerStream | None = None
+        leaver = gevent.spawn(_close_when_gone, relay.gone, gevent.getcurrent())
+        try:
+            stream = state.pool.open_stream(outgoing, relay.deadline)
+        finally:
+            leaver.kill(block=False)
+            if stream is None:
+                state.in_flight -= 1
+        answer_class = self._protocol.classify(request.request_id, stream.status, stream.headers)
+        ATTEMPTS.labels(relay.service, answer_class.value).inc()
+        if answer_class is AnswerClass.SUCCESS:
+            relay.sent += 1
+            relay.state, relay.stream = state, stream
+            return None
+        return self._read_failure(relay, state, stream, answer_class)
+
+    def _read_failure(
+        self,
+        relay: _Relay,
+        state: BackendState,
+        stream: HttpAnswerStream,
+        answer_class: AnswerClass,
+    ) -> OpenedStream:
+        try:
+            body = b"".join(stream.chunks(relay.deadline))
+        finally:
+            stream.close()
+            state.in_flight -= 1
+        if answer_class in (AnswerClass.REFUSED, AnswerClass.MISDIRECTED):
+            state.refused()
+            return OpenedStream(0, [], b"")
+        relay.sent += 1
+        if answer_class is AnswerClass.FOREIGN:
+            raise RunkeelError(ErrorCode.BACKEND_LOST, "the answer is not to this request")
+        return OpenedStream(stream.status, stream.headers, body)
+
+    def _relay(self, relay: _Relay) -> Iterator[bytes]:
+        closer = gevent.spawn(_close_stream_when_gone, relay)
+        try:
+            while True:
+                error = yield from self._relay_run(relay)
+                if error is None:
+                    return
+                self._resume(relay, error)
+        finally:
+            closer.kill(block=False)
+            self._release(relay)
+
+    def _relay_run(self, relay: _Relay) -> Iterator[bytes]:
+        """Relay one run; the generator's value is the error that broke it off, or None."""
+        buffer = b""
+        while True:
+            limit = time.monotonic() + LONGEST_SILENCE_SECONDS
+            patience = min(relay.deadline, limit) if relay.route.resumable else relay.deadline
+            try:
+                chunk = relay.stream.read_chunk(patience)
+            except RunkeelError as error:
+                return error
+            if chunk is None:
+                if buffer:
+                    yield buffer
+                return None
+            if not relay.route.resumable:
+                yield chunk
+                continue
+            buffer += chunk
+            whole, separator, buffer = buffer.rpartition(_EVENT_END)
+            if separator:
+                self._note_last_event(relay, whole)
+                yield whole + separator
+
+    def _note_last_event(self, relay: _Relay, events: bytes) -> None:
+        event = self._protocol.parse_event(events.rpartition(_EVENT_END)[2])
+        if event.event_id:
+            relay.last_event_id = event.event_id
+
+    def _resume(self, relay: _Relay, error: RunkeelError) -> None:
+        """Continue at another server. Raises AnswerBrokenOffError when that can't be."""
+        logger.info(
+            "stream broken",
+            code="stream_broken",
+            request=relay.request.request_id,
+            backend=relay.state.backend_id,
+            after=relay.last_event_id,
+            error=error.detail,
+            resumable=relay.route.resumable,
+        )
+        relay.state.failed()
+        self._release(relay)
+        if not relay.route.resumable or relay.gone.is_set():
+            raise AnswerBrokenOffError(error.detail)
+        try:
+            failure = self._connect(relay)
+        except RunkeelError as caught:
+            raise AnswerBrokenOffError(caught.detail) from caught
+        if failure is not None:
+            raise AnswerBrokenOffError(f"status {failure.status}")
+
+    def _release(self, relay: _Relay) -> None:
+        stream, relay.stream = relay.stream, None
+        if stream is not None:
+            stream.close()
+            relay.state.in_flight -= 1
+
+
+def _close_when_gone(gone: Event, waiting: gevent.Greenlet) -> None:
+    gone.wait()
+    gevent.kill(waiting, RunkeelError(ErrorCode.CANCELLED, "the client has left"))
+
+
+def _close_stream_when_gone(relay: _Relay) -> None:
+    relay.gone.wait()
+    stream = relay.stream
+    if stream is not None:
+        stream.abort()
--- /dev/null
+++ b/src/runkeel/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs: accepted, stored, run on engines, scored, listed and ended."""
--- /dev/null
+++ b/src/runkeel/jobs/coordinator.py
@@ -0,0 +1,177 @@
+"""The coordinator's batch jobs: follows the store's jobs and ends, runs items, lists results."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+from loguru import logger
+
+from runkeel.api.documents import Document, DocumentKind, DocumentStore
+from runkeel.api.jobs import ResultPage
+from runkeel.errors import RunkeelError
+from runkeel.jobs.job_documents import decode_job, decode_results, segment_name
+from runkeel.jobs.job_state import JobState
+from runkeel.jobs.result_writer import ResultWriter
+from runkeel.jobs.scheduler import Scheduler
+from runkeel.metrics import JOBS
+from runkeel.state.document_watcher import DocumentWatcher
+
+LOAD_RETRY_SECONDS = 0.2
+RETENTION_SECONDS = 150.0
+"""Jobs are removed from the store so long after their submission, once they have ended."""
+
+SWEEP_SECONDS = 10.0
+
+
+class JobCoordinator:
+    """Drives all batch jobs while this node coordinates; made anew for each term."""
+
+    def __init__(self, store: DocumentStore, scheduler: Scheduler) -> None:
+        self._store = store
+        self._scheduler = scheduler
+        self._jobs: dict[str, JobState] = {}
+        self._ended: set[str] = set()
+        self._tasks: set[gevent.Greenlet] = set()
+        self._ends = DocumentWatcher(store, DocumentKind.JOB_END, self._end_changed)
+        self._submissions = DocumentWatcher(store, DocumentKind.JOB, self._job_changed)
+
+    def start(self) -> None:
+        """Load what the store holds and follow it. Ends are read before jobs."""
+        self._scheduler.start()
+        self._spawn(self._start_watchers)
+        self._spawn(self._sweep)
+
+    def stop(self) -> None:
+        """End every run; what is listed stays."""
+        self._ends.stop()
+        self._submissions.stop()
+        for task in list(self._tasks):
+            task.kill(block=False)
+        self._scheduler.stop()
+
+    def job(self, job_id: str) -> JobState | None:
+        """Return a job that is fully loaded."""
+        return self._jobs.get(job_id)
+
+    def end(self, job_id: str) -> None:
+        """Take note that a job has been ended; its end stands in the store."""
+        self._ended.add(job_id)
+        state = self._jobs.get(job_id)
+        if state is None or state.ended:
+            return
+        state.end()
+        self._scheduler.drop(state)
+        JOBS.labels("ended").inc()
+        logger.info(
+            "job ended",
+            code="job_ended",
+            job=job_id,
+            listed=len(state.results),
+            total=len(state.items),
+            age_ms=int((time.time() - state.job.submitted_at) * 1000),
+        )
+
+    def page(self, state: JobState, position: int, wait: float, maximum_bytes: int) -> ResultPage:
+        """Return results of a job, waiting for one at the position."""
+        if wait > 0:
+            state.wait_beyond(position, wait)
+        return state.page(position, maximum_bytes)
+
+    def _spawn(self, function, *arguments) -> None:
+        task = gevent.spawn(function, *arguments)
+        self._tasks.add(task)
+        task.rawlink(self._tasks.discard)
+
+    def _start_watchers(self) -> None:
+        self._ends.start()
+        self._ends.listed.wait()
+        self._submissions.start()
+
+    def _end_changed(self, document: Document, removed: bool) -> None:
+        if not removed:
+            self.end(document.name)
+
+    def _job_changed(self, document: Document, removed: bool) -> None:
+        if removed:
+            self._jobs.pop(document.name, None)
+            return
+        if document.name not in self._jobs and document.name not in self._ended:
+            # Who asks for a job that had ended before this term is answered from the store.
+            self._spawn(self._load, document)
+        # The body is kept in the job's state; the watcher's copy would hold it twice.
+        self._submissions.documents[document.name] = Document(
+            document.kind, document.name, document.revision, None
+        )
+
+    def _load(self, document: Document) -> None:
+        """Read what is already listed, then run the rest."""
+        state = JobState(decode_job(document.name, document.content))
+        while not self._load_results(state):
+            gevent.sleep(LOAD_RETRY_SECONDS)
+        self._jobs[document.name] = state
+        JOBS.labels("loaded").inc()
+        ended = document.name in self._ended
+        logger.info(
+            "job loaded",
+            code="job_loaded",
+            job=document.name,
+            items=len(state.items),
+            listed=len(state.results),
+            ended=ended,
+            model=state.job.model,
+            minimum_version=state.job.minimum_version,
+            step=state.job.step,
+            age_ms=int((time.time() - state.job.submitted_at) * 1000),
+        )
+        if ended:
+            state.end()
+        elif not state.complete:
+            self._scheduler.add(state)
+        if not state.complete:
+            writer = ResultWriter(self._store, state, self._listed)
+            self._spawn(writer.run)
+
+    def _load_results(self, state: JobState) -> bool:
+        """Read the segments that are not read yet; False when the store gave no answer."""
+        fresh = time.time() - state.job.submitted_at < LOAD_RETRY_SECONDS
+        if fresh and not state.segments:
+            return True
+        try:
+            while not state.complete:
+                name = segment_name(state.job.job_id, state.segments)
+                document = self._store.get(DocumentKind.JOB_RESULTS, name)
+                if document is None:
+                    return True
+                state.take_segment(decode_results(document.content))
+        except RunkeelError:
+            return False
+        return True
+
+    def _listed(self, state: JobState) -> None:
+        if state.complete:
+            JOBS.labels("complete").inc()
+            self._scheduler.wake()
+
+    def _sweep(self) -> None:
+        """Remove from the store what nobody may ask for any more."""
+        while True:
+            gevent.sleep(SWEEP_SECONDS)
+            now = time.time()
+            for job_id, state in list(self._jobs.items()):
+                old = now - state.job.submitted_at > RETENTION_SECONDS
+                if old and state.ended:
+                    self._remove(job_id, state)
+
+    def _remove(self, job_id: str, state: JobState) -> None:
+        try:
+            self._store.delete(DocumentKind.JOB, job_id)
+            for number in range(state.segments):
+                self._store.delete(DocumentKind.JOB_RESULTS, segment_name(job_id, number))
+            self._store.delete(DocumentKind.JOB_END, job_id)
+        except RunkeelError as error:
+            logger.info("job not removed", code="job_kept", job=job_id, error=str(error.code))
+            return
+        self._jobs.pop(job_id, None)
+        self._ended.discard(job_id)
+        logger.info("job removed", code="job_removed", job=job_id)
--- /dev/null
+++ b/src/runkeel/jobs/generation_run.py
@@ -0,0 +1,188 @@
+"""Runs one generation at one engine, from its start or from where an earlier run broke off."""
+
+from __future__ import annotations
+
+import enum
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from runkeel.api.backend_protocol import AnswerClass, BackendProtocol, GenerationRequest
+from runkeel.backends.http_connection import HttpAnswerStream
+from runkeel.errors import ErrorCode, RunkeelError, Verdict
+from runkeel.gateway.backends import BackendState
+
+FIRST_EVENT_SECONDS = 2.0
+STALL_SECONDS = 1.2
+LOADING_STALL_SECONDS = 4.0
+"""A stream may pause for so long while its engine loads a version."""
+
+_UNPROCESSABLE = 422
+
+
+class RunOutcome(enum.Enum):
+    """How a run ended."""
+
+    COMPLETE = "complete"
+    BROKEN = "broken"
+    """The engine or the connection broke off; what was received stands."""
+    REFUSED = "refused"
+    """The engine did not run it."""
+    FAILED = "failed"
+    """The engine ran it and answered that it failed."""
+    IMPOSSIBLE = "impossible"
+    """The engine says that it can never be done."""
+    OLD_VERSION = "old_version"
+    """The engine's weights are older than the job allows."""
+
+
+@dataclass(slots=True)
+class PartialText:
+    """What has been received of a generation.
+
+    Attributes:
+        versions: weight versions that made events of the text, in order of appearance.
+        whole: the generation's end was received.
+    """
+
+    pieces: list[str] = field(default_factory=list)
+    last_event_id: str | None = None
+    versions: list[int] = field(default_factory=list)
+    whole: bool = False
+
+    def clear(self) -> None:
+        """Forget everything, to start again."""
+        self.pieces.clear()
+        self.versions.clear()
+        self.last_event_id = None
+        self.whole = False
+
+    def fits(self, minimum_version: int, single_version: bool) -> bool:
+        """Return whether the text may be used where these versions are allowed."""
+        if any(version < minimum_version for version in self.versions):
+            return False
+        return not single_version or len(self.versions) <= 1
+
+
+class GenerationRun:
+    """One run; its text grows as events arrive.
+
+    Args:
+        partial: text of earlier runs, continued in place.
+        minimum_version: oldest version that may make an event.
+    """
+
+    def __init__(
+        self,
+        protocol: BackendProtocol,
+        state: BackendState,
+        request: GenerationRequest,
+        partial: PartialText,
+        minimum_version: int,
+        single_version: bool,
+    ) -> None:
+        self._protocol = protocol
+        self._state = state
+        self._request = request
+        self._partial = partial
+        self._minimum_version = minimum_version
+        self._single_version = single_version
+        self.loading: Callable[[], bool] = lambda: False
+        """Tells whether the engine is loading a version, so that a pause is expected."""
+        self.events = 0
+        self.first_event_at = 0.0
+        self.last_event_at = 0.0
+        self.detail = ""
+
+    def run(self, deadline: float) -> RunOutcome:
+        """Run until the end; see :class:`RunOutcome`."""
+        remaining = deadline - time.monotonic()
+        outgoing = self._protocol.encode_generation(self._request, self._state.backend, remaining)
+        self.last_event_at = time.monotonic()
+        try:
+            first_deadline = min(deadline, time.monotonic() + FIRST_EVENT_SECONDS)
+            stream = self._state.pool.open_stream(outgoing, first_deadline)
+        except RunkeelError as error:
+            self.detail = error.detail
+            return RunOutcome.REFUSED if error.verdict is Verdict.NOT_RUN else RunOutcome.BROKEN
+        try:
+            return self._read(stream, deadline)
+        finally:
+            stream.close()
+
+    def _read(self, stream: HttpAnswerStream, deadline: float) -> RunOutcome:
+        request_id = self._request.request_id
+        answer_class = self._protocol.classify(request_id, stream.status, stream.headers)
+        if stream.status == _UNPROCESSABLE and answer_class is AnswerClass.FAILURE:
+            return RunOutcome.IMPOSSIBLE
+        if answer_class is not AnswerClass.SUCCESS:
+            return self._drain_failure(stream, answer_class)
+        version = self._protocol.weight_version(stream.headers)
+        if version and version < self._minimum_version:
+            return RunOutcome.OLD_VERSION
+        try:
+            return self._read_events(stream, version, deadline)
+        except RunkeelError as error:
+            self.detail = error.detail
+            return RunOutcome.BROKEN
+
+    def _drain_failure(self, stream: HttpAnswerStream, answer_class: AnswerClass) -> RunOutcome:
+        self.detail = f"status {stream.status}"
+        try:
+            for _ in stream.chunks(time.monotonic() + STALL_SECONDS):
+                pass
+        except RunkeelError as error:
+            self.detail += f", {error.detail}"
+        if answer_class in (AnswerClass.REFUSED, AnswerClass.MISDIRECTED):
+            return RunOutcome.REFUSED
+        if answer_class is AnswerClass.FAILURE and stream.status >= 500:
+            return RunOutcome.FAILED
+        return RunOutcome.BROKEN
+
+    def _read_events(self, stream: HttpAnswerStream, version: int, deadline: float) -> RunOutcome:
+        buffer = b""
+        while (chunk := self._next_chunk(stream, deadline)) is not None:
+            buffer += chunk
+            *blocks, buffer = buffer.split(b"\n\n")
+            for block in blocks:
+                version = self._take(block, version)
+                if version < 0:
+                    return RunOutcome.OLD_VERSION
+        self._partial.whole = True
+        return RunOutcome.COMPLETE
+
+    def _next_chunk(self, stream: HttpAnswerStream, deadline: float) -> bytes | None:
+        """Return the next bytes. Raises RunkeelError when the engine has stalled."""
+        while True:
+            limit = LOADING_STALL_SECONDS if self.loading() else STALL_SECONDS
+            patience = min(deadline, self.last_event_at + limit)
+            try:
+                return stream.read_chunk(patience)
+            except RunkeelError as error:
+                timed_out = error.code is ErrorCode.DEADLINE_EXCEEDED
+                if not timed_out or time.monotonic() >= deadline or not self.loading():
+                    raise
+                if time.monotonic() >= self.last_event_at + LOADING_STALL_SECONDS:
+                    raise
+
+    def _take(self, block: bytes, version: int) -> int:
+        """Add one event; returns the version in force, or -1 when it isn't allowed."""
+        event = self._protocol.parse_event(block)
+        version = event.version or version
+        if not event.has_data:
+            return version
+        versions = self._partial.versions
+        if version and version < self._minimum_version:
+            return -1
+        if version and version not in versions:
+            if versions and self._single_version:
+                return -1
+            versions.append(version)
+        self._partial.pieces.append(event.data)
+        if event.event_id:
+            self._partial.last_event_id = event.event_id
+        now = time.monotonic()
+        self.events += 1
+        self.first_event_at = self.first_event_at or now
+        self.last_event_at = now
+        return version
--- /dev/null
+++ b/src/runkeel/jobs/job_state.py
@@ -0,0 +1,96 @@
+"""What the coordinator holds of one batch job."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import gevent
+from gevent.event import Event
+
+from runkeel.api.jobs import BatchJob, ItemResult, JobItem, ResultPage
+
+
+class JobState:
+    """A job, its listed results and what is still to be listed.
+
+    Attributes:
+        results: listed results in order; they stand in the store.
+        segments: number of results segments in the store.
+        unlisted: results that are ready but not in the store yet.
+        ended: the trainer has ended the job.
+    """
+
+    def __init__(self, job: BatchJob) -> None:
+        self.job = job
+        self.items = {item.item_id: item for item in job.items}
+        self.results: list[ItemResult] = []
+        self.segments = 0
+        self.unlisted: list[ItemResult] = []
+        self.ended = False
+        self.ready = Event()
+        """Set while there are results to be listed."""
+        self._listed: set[str] = set()
+        self._changed = Event()
+
+    @property
+    def complete(self) -> bool:
+        """Whether every item is listed."""
+        return len(self._listed) >= len(self.items)
+
+    def is_listed(self, item_id: str) -> bool:
+        """Return whether an item's result is listed."""
+        return item_id in self._listed
+
+    def open_items(self) -> list[JobItem]:
+        """Return the items without a listed result."""
+        return [item for item in self.job.items if item.item_id not in self._listed]
+
+    def add_unlisted(self, result: ItemResult) -> None:
+        """Take a result that is to be listed; the first one of an item counts."""
+        known = self._listed | {other.item_id for other in self.unlisted}
+        if result.item_id in known:
+            return
+        self.unlisted.append(result)
+        self.ready.set()
+
+    def take_segment(self, results: Iterable[ItemResult]) -> None:
+        """Append the results of the next segment, which stands in the store."""
+        for result in results:
+            self.results.append(result)
+            self._listed.add(result.item_id)
+        self.segments += 1
+        self.unlisted = [one for one in self.unlisted if one.item_id not in self._listed]
+        if not self.unlisted:
+            self.ready.clear()
+        self._wake_readers()
+
+    def end(self) -> None:
+        """Note that the trainer has ended the job."""
+        self.ended = True
+        self._wake_readers()
+
+    def page(self, position: int, maximum_bytes: int) -> ResultPage:
+        """Return results from a position on; at least one if there is one."""
+        return page_of(self.results, len(self.items), position, maximum_bytes)
+
+    def wait_beyond(self, position: int, wait_seconds: float) -> None:
+        """Wait until there is a result at a position, the job has ended, or time runs out."""
+        with gevent.Timeout(wait_seconds, False):
+            while len(self.results) <= position and not self.ended and not self.complete:
+                self._changed.wait()
+
+    def _wake_readers(self) -> None:
+        self._changed.set()
+        self._changed = Event()
+
+
+def page_of(results: list[ItemResult], total: int, position: int, maximum_bytes: int) -> ResultPage:
+    """Return the results from a position on, within a size."""
+    page: list[ItemResult] = []
+    size = 0
+    for result in results[position:]:
+        size += len(result.text) + len(result.score) + 200
+        if page and size > maximum_bytes:
+            break
+        page.append(result)
+    return ResultPage(total, position, tuple(page))
--- /dev/null
+++ b/src/runkeel/jobs/result_writer.py
@@ -0,0 +1,103 @@
+"""Lists results: writes them to the store in segments, then shows them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import gevent
+from loguru import logger
+
+from runkeel.api.documents import DocumentConflictError, DocumentKind, DocumentStore
+from runkeel.api.jobs import ItemResult
+from runkeel.errors import RunkeelError
+from runkeel.jobs.job_documents import decode_results, encode_results, segment_name
+from runkeel.jobs.job_state import JobState
+
+GATHER_SECONDS = 0.2
+RETRY_SECONDS = 0.15
+MAXIMUM_SEGMENT_BYTES = 800_000
+"""Bound on the text of a segment; the store takes a megabyte."""
+
+
+class ResultWriter:
+    """Writes one job's results until all are listed; one task a job."""
+
+    def __init__(
+        self, store: DocumentStore, state: JobState, on_listed: Callable[[JobState], None]
+    ) -> None:
+        self._store = store
+        self._state = state
+        self._on_listed = on_listed
+
+    def run(self) -> None:
+        """Write until every item is listed."""
+        state = self._state
+        while not state.complete:
+            state.ready.wait()
+            if len(state.results) + len(state.unlisted) < len(state.items):
+                gevent.sleep(GATHER_SECONDS)
+            self._write_segment(_within_size(state.unlisted))
+            self._on_listed(state)
+
+    def _write_segment(self, batch: list[ItemResult]) -> None:
+        """Write a batch as the next segment, or take the segment that another node wrote."""
+        state = self._state
+        name = segment_name(state.job.job_id, state.segments)
+        content = encode_results(batch)
+        while batch:
+            try:
+                self._store.create(DocumentKind.JOB_RESULTS, name, content)
+            except DocumentConflictError as conflict:
+                if self._take_existing(name, conflict):
+                    return
+            except RunkeelError as error:
+                logger.info(
+                    "results not stored yet",
+                    code="results_delayed",
+                    job=state.job.job_id,
+                    segment=state.segments,
+                    error=str(error.code),
+                )
+            else:
+                state.take_segment(batch)
+                self._log_listed(batch, own=True)
+                return
+            gevent.sleep(RETRY_SECONDS)
+
+    def _take_existing(self, name: str, conflict: DocumentConflictError) -> bool:
+        document = conflict.current
+        try:
+            if document is None or document.content is None:
+                document = self._store.get(DocumentKind.JOB_RESULTS, name)
+        except RunkeelError:
+            return False
+        if document is None:
+            return False
+        results = decode_results(document.content)
+        self._state.take_segment(results)
+        self._log_listed(results, own=False)
+        return True
+
+    def _log_listed(self, results: list[ItemResult], own: bool) -> None:
+        state = self._state
+        logger.info(
+            "results listed",
+            code="results_listed",
+            job=state.job.job_id,
+            own=own,
+            segment=state.segments - 1,
+            count=len(results),
+            listed=len(state.results),
+            total=len(state.items),
+        )
+
+
+def _within_size(results: list[ItemResult]) -> list[ItemResult]:
+    batch: list[ItemResult] = []
+    size = 0
+    for result in results:
+        size += len(result.text)
+        if batch and size > MAXIMUM_SEGMENT_BYTES:
+            break
+        batch.append(result)
+    return batch
--- /dev/null
+++ b/src/runkeel/jobs/scheduler.py
@@ -0,0 +1,355 @@
+"""Decides which engine runs which item of the batch jobs, and sees each item to its end."""
+
+from __future__ import annotations
+
+import base64
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from runkeel.api.backend_protocol import BackendProtocol, GenerationRequest
+from runkeel.api.fleet import Route
+from runkeel.api.jobs import ItemResult, JobItem, ResultState
+from runkeel.gateway.backends import BackendDirectory, BackendState
+from runkeel.gateway.routing import RoutingTable, choose_service
+from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
+from runkeel.jobs.job_state import JobState
+from runkeel.jobs.scorer import Scorer, ScoringFailedError
+from runkeel.metrics import ITEM_RUNS
+
+MAXIMUM_IMPOSSIBLE_ANSWERS = 1
+IDLE_CHECK_SECONDS = 0.25
+REQUEUE_SECONDS = 0.05
+GROUP_BONUS = 0.2
+"""How much fuller, as a share of its slots, an engine may be that has run the same group."""
+
+MAXIMUM_KEPT_TEXTS = 2_000
+
+
+@dataclass(slots=True)
+class ItemTask:
+    """One open item of a job.
+
+    Attributes:
+        failures: runs that an engine answered with a failure.
+        not_before: monotonic time before which it isn't run again.
+    """
+
+    state: JobState
+    item: JobItem
+    partial: PartialText = field(default_factory=PartialText)
+    failures: int = 0
+    not_before: float = 0.0
+    engine: BackendState | None = None
+    run: GenerationRun | None = None
+    task: gevent.Greenlet | None = None
+    carried: bool = False
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Names the task."""
+        return self.state.job.job_id, self.item.item_id
+
+
+class EngineLoads(dict):
+    """Items running at each engine, by back end id."""
+
+    def __missing__(self, backend_id: str) -> int:
+        return 0
+
+
+class Scheduler:
+    """Runs the open items of all jobs on the engines; one task an item that runs.
+
+    Args:
+        is_loading: tells whether an engine takes no new items because it loads a version.
+    """
+
+    def __init__(
+        self,
+        directory: BackendDirectory,
+        routing: RoutingTable,
+        protocol: BackendProtocol,
+        scorer: Scorer,
+        is_loading: Callable[[str], bool],
+    ) -> None:
+        self._directory = directory
+        self._routing = routing
+        self._protocol = protocol
+        self._scorer = scorer
+        self._is_loading = is_loading
+        self._queue: list[ItemTask] = []
+        self._running: dict[tuple[str, str], ItemTask] = {}
+        self._loads = EngineLoads()
+        self._groups: dict[tuple[str, str], str] = {}
+        self._kept: dict[str, PartialText] = {}
+        self._wake = Event()
+        self._loop: gevent.Greenlet | None = None
+        self.versions: dict[tuple[str, str], int] = {}
+        """Latest known version by engine and model, from reports, answers and orders."""
+
+    def start(self) -> None:
+        """Start to place items."""
+        self._loop = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop placing and end every run."""
+        if self._loop is not None:
+            self._loop.kill(block=False)
+        for task in list(self._running.values()):
+            if task.task is not None:
+                task.task.kill(block=False)
+        self._queue.clear()
+        self._running.clear()
+
+    def wake(self) -> None:
+        """Look again whether an item can be placed."""
+        self._wake.set()
+
+    def add(self, state: JobState) -> None:
+        """Take the open items of a job."""
+        for item in state.open_items():
+            task = ItemTask(state, item)
+            kept = self._kept.pop(item.item_id, None)
+            if kept is not None:
+                task.carried = True
+                route = self._route(task)
+                if kept.fits(state.job.minimum_version, bool(route and route.single_version)):
+                    task.partial = kept
+            self._queue.append(task)
+        self.wake()
+
+    def drop(self, state: JobState) -> None:
+        """End the runs of a job and forget its items; their text is kept for a later job."""
+        self._queue = [task for task in self._queue if not self._drop_task(task, state)]
+        for key in [key for key in self._running if key[0] == state.job.job_id]:
+            task = self._running[key]
+            self._keep(task)
+            if task.task is not None:
+                task.task.kill(block=False)
+
+    def running_at(self, backend_id: str) -> int:
+        """Return the number of items that run at an engine."""
+        return self._loads[backend_id]
+
+    def running_tasks(self) -> Iterable[ItemTask]:
+        """Return the items that are generating."""
+        return list(self._running.values())
+
+    def _drop_task(self, task: ItemTask, state: JobState) -> bool:
+        if task.state is not state:
+            return False
+        self._keep(task)
+        return True
+
+    def _keep(self, task: ItemTask) -> None:
+        if task.partial.pieces:
+            self._kept[task.item.item_id] = task.partial
+            while len(self._kept) > MAXIMUM_KEPT_TEXTS:
+                self._kept.pop(next(iter(self._kept)))
+
+    def _run(self) -> None:
+        while True:
+            self._wake.wait(IDLE_CHECK_SECONDS)
+            self._wake.clear()
+            self._place_all()
+
+    def _place_all(self) -> None:
+        now = time.monotonic()
+        waiting: list[ItemTask] = []
+        for task in sorted(self._queue, key=self._order):
+            if task.state.ended or task.state.is_listed(task.item.item_id):
+                continue
+            if not self._place(task, now):
+                waiting.append(task)
+        self._queue = waiting
+
+    def _order(self, task: ItemTask) -> tuple[int, float, bool, str]:
+        route = self._route(task)
+        rank = route.rank if route else 9
+        return rank, task.state.job.submitted_at, not task.carried, task.item.group
+
+    def _route(self, task: ItemTask) -> Route | None:
+        return self._routing.match(task.state.job.host, task.item.path.partition("?")[0])
+
+    def _place(self, task: ItemTask, now: float) -> bool:
+        """Start an item if it can run now; True when it no longer waits."""
+        if now < task.not_before:
+            return False
+        route = self._route(task)
+        if route is None:
+            self._finish(task, ResultState.FAILED, detail="no route")
+            return True
+        if time.time() > task.state.job.submitted_at + route.maximum_queue_seconds > 0:
+            self._finish(task, ResultState.FAILED, detail="waited too long")
+            return True
+        if task.partial.whole:
+            self._start(task, route, None)
+            return True
+        engine = self._choose_engine(task, choose_service(route, task.item.item_id))
+        if engine is None:
+            return False
+        self._start(task, route, engine)
+        return True
+
+    def _choose_engine(self, task: ItemTask, service: str) -> BackendState | None:
+        now = time.monotonic()
+        best: BackendState | None = None
+        best_cost = 0.0
+        home = self._groups.get((task.state.job.job_id, task.item.group))
+        for state in self._directory.of_service(service):
+            slots = max(1, state.backend.slots)
+            load = self._loads[state.backend_id]
+            if load >= slots or state.avoided(now) or not self._usable(task, state):
+                continue
+            cost = load / slots - (GROUP_BONUS if state.backend_id == home else 0.0)
+            if best is None or cost < best_cost:
+                best, best_cost = state, cost
+        return best
+
+    def _usable(self, task: ItemTask, state: BackendState) -> bool:
+        if self._is_loading(state.backend_id):
+            return False
+        model = task.state.job.model
+        if not model:
+            return True
+        return self.version_of(state, model) >= task.state.job.minimum_version
+
+    def version_of(self, state: BackendState, model: str) -> int:
+        """Return the latest known version of a model at an engine."""
+        reported = state.backend.model_versions.get(model, 0)
+        return max(reported, self.versions.get((state.backend_id, model), 0))
+
+    def _start(self, task: ItemTask, route: Route, engine: BackendState | None) -> None:
+        task.engine = engine
+        if engine is not None:
+            self._loads[engine.backend_id] += 1
+            self._groups[(task.state.job.job_id, task.item.group)] = engine.backend_id
+        self._running[task.key] = task
+        task.task = gevent.spawn(self._run_item, task, route)
+
+    def _run_item(self, task: ItemTask, route: Route) -> None:
+        try:
+            if task.engine is not None:
+                outcome = self._generate(task, route)
+                if outcome is not RunOutcome.COMPLETE:
+                    self._after_break(task, route, outcome)
+                    return
+            self._score(task, route)
+        finally:
+            self._running.pop(task.key, None)
+            self.wake()
+
+    def _generate(self, task: ItemTask, route: Route) -> RunOutcome:
+        engine = task.engine
+        job = task.state.job
+        request = GenerationRequest(
+            request_id=task.item.item_id,
+            path=task.item.path,
+            host=job.host,
+            headers=task.item.headers,
+            body=base64.b64decode(task.item.body),
+            urgency=min(9, route.rank),
+            resume_after=task.partial.last_event_id,
+        )
+        run = GenerationRun(
+            self._protocol,
+            engine,
+            request,
+            task.partial,
+            job.minimum_version,
+            route.single_version,
+        )
+        run.loading = lambda: self._is_loading(engine.backend_id)
+        task.run = run
+        started = time.monotonic()
+        try:
+            outcome = run.run(started + self._seconds_left(task, route))
+        finally:
+            self._loads[engine.backend_id] -= 1
+            task.run = None
+        self._judge(engine, outcome)
+        ITEM_RUNS.labels(outcome.value).inc()
+        logger.info(
+            "item run ended",
+            code="item_run",
+            request=task.item.item_id,
+            job=job.job_id,
+            backend=engine.backend_id,
+            outcome=outcome.value,
+            detail=run.detail,
+            events=run.events,
+            versions=list(task.partial.versions),
+            resumed_after=request.resume_after,
+            ms=int((time.monotonic() - started) * 1000),
+        )
+        return outcome
+
+    def _judge(self, engine: BackendState, outcome: RunOutcome) -> None:
+        if outcome is RunOutcome.COMPLETE:
+            engine.failures = 0
+        elif outcome is RunOutcome.BROKEN:
+            engine.failed()
+        elif outcome is RunOutcome.REFUSED:
+            engine.refused()
+
+    def _after_break(self, task: ItemTask, route: Route, outcome: RunOutcome) -> None:
+        job = task.state.job
+        if outcome is RunOutcome.FAILED:
+            task.failures += 1
+        if outcome is RunOutcome.IMPOSSIBLE or task.failures >= route.maximum_attempts:
+            self._finish(task, ResultState.FAILED, detail=outcome.value)
+            return
+        if outcome is RunOutcome.OLD_VERSION:
+            self.versions.pop((task.engine.backend_id, job.model), None)
+        if not task.partial.fits(job.minimum_version, route.single_version):
+            task.partial.clear()
+        task.not_before = time.monotonic() + REQUEUE_SECONDS
+        task.engine = None
+        if not task.state.ended:
+            self._queue.append(task)
+
+    def _score(self, task: ItemTask, route: Route) -> None:
+        score = ""
+        if task.item.scorer is not None:
+            deadline = time.monotonic() + self._seconds_left(task, route)
+            try:
+                score = self._scorer.score(task.item.scorer, deadline)
+            except ScoringFailedError as error:
+                self._finish(task, ResultState.FAILED, detail=f"scoring: {error}")
+                return
+        self._finish(task, ResultState.COMPLETED, score)
+
+    def _finish(
+        self, task: ItemTask, state: ResultState, score: str = "", detail: str = ""
+    ) -> None:
+        completed = state is ResultState.COMPLETED
+        result = ItemResult(
+            task.item.item_id,
+            state,
+            "\n".join(task.partial.pieces) if completed else "",
+            tuple(sorted(task.partial.versions)) if completed else (),
+            score,
+        )
+        if completed:
+            self._keep(task)
+        if detail:
+            logger.info(
+                "item given up",
+                code="item_failed",
+                request=task.item.item_id,
+                job=task.state.job.job_id,
+                reason=detail,
+                failures=task.failures,
+            )
+        task.state.add_unlisted(result)
+
+    def _seconds_left(self, task: ItemTask, route: Route) -> float:
+        if route.maximum_queue_seconds <= 0:
+            return route.timeout_seconds
+        end = task.state.job.submitted_at + route.maximum_queue_seconds
+        return max(0.1, end - time.time())
--- /dev/null
+++ b/src/runkeel/jobs/scorer.py
@@ -0,0 +1,86 @@
+"""Has a generated text scored by the service that its item names."""
+
+from __future__ import annotations
+
+import base64
+import time
+from dataclasses import replace
+
+import gevent
+from loguru import logger
+
+from runkeel.api.backend_protocol import AnswerClass, BackendProtocol
+from runkeel.api.fleet import Route
+from runkeel.api.jobs import ScorerCall
+from runkeel.errors import RunkeelError
+from runkeel.gateway.forwarder import Forwarder
+from runkeel.gateway.routing import RoutingTable, choose_service
+
+CALL_SECONDS = 1.0
+"""Longest wait for one answer; a call may be repeated."""
+
+RETRY_SECONDS = 0.1
+
+
+class ScoringFailedError(Exception):
+    """The scorer answered with as many failures as its route allows attempts."""
+
+
+class Scorer:
+    """Calls scorers until one answers with success."""
+
+    def __init__(
+        self, forwarder: Forwarder, routing: RoutingTable, protocol: BackendProtocol
+    ) -> None:
+        self._forwarder = forwarder
+        self._routing = routing
+        self._protocol = protocol
+
+    def score(self, call: ScorerCall, deadline: float) -> str:
+        """Return the stamp of a successful answer.
+
+        Raises:
+            ScoringFailedError: the route's attempts are used up by failures, or time ran out.
+        """
+        failures = 0
+        while time.monotonic() < deadline:
+            route = self._routing.match(call.host.lower(), call.path.partition("?")[0])
+            if route is not None:
+                stamp, failed = self._call_once(call, route, deadline)
+                if stamp:
+                    return stamp
+                failures += failed
+                if failures >= route.maximum_attempts:
+                    raise ScoringFailedError(f"{failures} failures")
+            gevent.sleep(RETRY_SECONDS)
+        raise ScoringFailedError("out of time")
+
+    def _call_once(self, call: ScorerCall, route: Route, deadline: float) -> tuple[str, int]:
+        """Return the stamp (empty: none) and the number of failures answered."""
+        request = self._protocol.score_request(
+            call.request_id, call.host, call.path, base64.b64decode(call.body)
+        )
+        single = replace(route, maximum_attempts=1)
+        service = choose_service(route, call.request_id)
+        call_deadline = min(deadline, time.monotonic() + CALL_SECONDS)
+        try:
+            answer = self._forwarder.forward(request, single, service, call_deadline)
+        except RunkeelError as error:
+            logger.info(
+                "scorer call failed",
+                code="score",
+                request=call.request_id,
+                error=str(error.code),
+                detail=error.detail,
+            )
+            return "", 0
+        answer_class = self._protocol.classify(call.request_id, answer.status, answer.headers)
+        if answer_class is AnswerClass.SUCCESS:
+            return self._protocol.stamp(answer.headers), 0
+        logger.info(
+            "scorer answered with failure",
+            code="score",
+            request=call.request_id,
+            status=answer.status,
+        )
+        return "", 1
--- /dev/null
+++ b/src/runkeel/jobs/service.py
@@ -0,0 +1,288 @@
+"""Batch jobs as every node serves them: accept, read, end; asks the coordinator, else the store."""
+
+from __future__ import annotations
+
+import time
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+import gevent
+from loguru import logger
+
+from runkeel.api.documents import DocumentConflictError, DocumentKind, DocumentStore
+from runkeel.api.jobs import BatchJob, ItemResult, ResultPage, ResultState
+from runkeel.coordination.election import Election
+from runkeel.errors import RunkeelError, Verdict
+from runkeel.jobs.coordinator import JobCoordinator
+from runkeel.jobs.job_documents import decode_job, decode_results, encode_job, segment_name
+from runkeel.jobs.job_state import page_of
+from runkeel.metrics import JOBS
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.jobs.ttypes import (
+    JobEnded,
+    JobEndedReply,
+    JobItemRead,
+    JobItemReadReply,
+    JobLookup,
+    JobRead,
+    JobReadReply,
+    JobResult,
+)
+from runkeel.wire.network import PeerNetwork
+
+PEER_SECONDS = 0.6
+"""How long the coordinator's answer is waited for, beside the wait that was asked for."""
+
+STORE_RETRY_SECONDS = 0.1
+RETRY_AFTER_SECONDS = 0.3
+MAXIMUM_PAGE_BYTES = 900_000
+MAXIMUM_CACHED_JOBS = 64
+
+
+@dataclass(slots=True)
+class _CachedJob:
+    """A job as read from the store; its results never change."""
+
+    job: BatchJob
+    results: list[ItemResult] = field(default_factory=list)
+    segments: int = 0
+
+
+class JobService:
+    """Accepts, reads and ends batch jobs at this node."""
+
+    def __init__(
+        self, store: DocumentStore, network: PeerNetwork, election: Election, shard: str
+    ) -> None:
+        self._store = store
+        self._network = network
+        self._election = election
+        self._shard = shard
+        self._cache: OrderedDict[str, _CachedJob] = OrderedDict()
+        self.local: JobCoordinator | None = None
+        """The coordinator's part, while this node coordinates."""
+        network.on_call(MessageType.JOB_READ, JobRead, self._serve_read)
+        network.on_call(MessageType.JOB_ENDED, JobEnded, self._serve_end)
+        network.on_call(MessageType.JOB_ITEM_READ, JobItemRead, self._serve_item)
+
+    def accept(self, job: BatchJob, deadline: float) -> None:
+        """Store a job; when this returns it is the system's to keep.
+
+        Raises:
+            RunkeelError: NOT_RUN when it is certain that the job was not taken.
+        """
+        content = encode_job(job)
+        verdict = Verdict.NOT_RUN
+        while True:
+            try:
+                self._store.create(DocumentKind.JOB, job.job_id, content)
+            except DocumentConflictError:
+                logger.info("job known already", code="job_repeated", job=job.job_id)
+                return
+            except RunkeelError as error:
+                if error.verdict is not Verdict.NOT_RUN:
+                    verdict = Verdict.MAY_HAVE_RUN
+                if verdict is Verdict.NOT_RUN or time.monotonic() > deadline:
+                    self._refuse(job, error, verdict)
+                gevent.sleep(STORE_RETRY_SECONDS)
+            else:
+                JOBS.labels("accepted").inc()
+                logger.info(
+                    "job accepted",
+                    code="job_accepted",
+                    job=job.job_id,
+                    items=len(job.items),
+                    model=job.model,
+                    minimum_version=job.minimum_version,
+                    step=job.step,
+                )
+                return
+
+    def read(self, job_id: str, position: int, wait_seconds: float) -> ResultPage | None:
+        """Return results from a position on; None when it is certain that there is no such job.
+
+        Raises:
+            RunkeelError: neither the coordinator nor the store gave an answer.
+        """
+        page = self._read_from_coordinator(job_id, position, wait_seconds)
+        if page is not None:
+            return page
+        return self._read_from_store(job_id, position)
+
+    def item_body(self, job_id: str, item_id: str) -> str | None:
+        """Return an item's body in base64; None when it is certain that there is none."""
+        body = self._item_from_coordinator(job_id, item_id)
+        if body is not None:
+            return body
+        cached = self._cached(job_id)
+        if cached is None:
+            return None
+        return next((item.body for item in cached.job.items if item.item_id == item_id), None)
+
+    def end(self, job_id: str, deadline: float) -> bool:
+        """End a job for good; False when it is certain that there is no such job."""
+        if not self._known(job_id):
+            return False
+        while True:
+            try:
+                self._store.create(DocumentKind.JOB_END, job_id, {"ended_at": time.time()})
+            except DocumentConflictError:
+                break
+            except RunkeelError as error:
+                if time.monotonic() > deadline:
+                    raise RunkeelError(
+                        error.code, error.detail, Verdict.MAY_HAVE_RUN, RETRY_AFTER_SECONDS
+                    ) from error
+                gevent.sleep(STORE_RETRY_SECONDS)
+            else:
+                break
+        logger.info("job end stored", code="job_end", job=job_id)
+        self._tell_end(job_id)
+        return True
+
+    def _refuse(self, job: BatchJob, error: RunkeelError, verdict: Verdict) -> None:
+        logger.warning(
+            "job not accepted",
+            code="job_refused",
+            job=job.job_id,
+            verdict=verdict.name,
+            error=error.detail,
+        )
+        raise RunkeelError(error.code, error.detail, verdict, RETRY_AFTER_SECONDS) from error
+
+    def _known(self, job_id: str) -> bool:
+        if self.local is not None and self.local.job(job_id) is not None:
+            return True
+        return self._item_from_coordinator(job_id, "") is not None or (
+            self._cached(job_id) is not None
+        )
+
+    def _tell_end(self, job_id: str) -> None:
+        if self.local is not None:
+            self.local.end(job_id)
+            return
+        message = JobEnded(self._shard, job_id)
+        self._ask(MessageType.JOB_ENDED, message, JobEndedReply, PEER_SECONDS)
+
+    def _ask(self, message_type: int, message, reply_class, timeout: float):
+        """Ask the coordinator; None when there is none or it gave no answer."""
+        coordinator = self._election.coordinator
+        if coordinator is None or coordinator.node_id == self._election.node_id:
+            return None
+        try:
+            return self._network.call(
+                coordinator.node_id, message_type, message, reply_class, timeout
+            )
+        except RunkeelError as error:
+            logger.info(
+                "coordinator not reached",
+                code="coordinator_unreached",
+                coordinator=coordinator.node_id,
+                epoch=coordinator.epoch,
+                error=str(error.code),
+            )
+            return None
+
+    def _read_from_coordinator(
+        self, job_id: str, position: int, wait_seconds: float
+    ) -> ResultPage | None:
+        if self.local is not None:
+            state = self.local.job(job_id)
+            if state is None:
+                return None
+            return self.local.page(state, position, wait_seconds, MAXIMUM_PAGE_BYTES)
+        message = JobRead(
+            self._shard, job_id, position, int(wait_seconds * 1000), MAXIMUM_PAGE_BYTES
+        )
+        timeout = wait_seconds + PEER_SECONDS
+        reply = self._ask(MessageType.JOB_READ, message, JobReadReply, timeout)
+        if reply is None or reply.lookup != JobLookup.FOUND:
+            return None
+        results = tuple(_from_wire(result) for result in reply.results)
+        return ResultPage(reply.total, position, results)
+
+    def _item_from_coordinator(self, job_id: str, item_id: str) -> str | None:
+        if self.local is not None:
+            state = self.local.job(job_id)
+            item = state.items.get(item_id) if state else None
+            return item.body if item else None
+        message = JobItemRead(self._shard, job_id, item_id)
+        reply = self._ask(MessageType.JOB_ITEM_READ, message, JobItemReadReply, PEER_SECONDS)
+        if reply is None or reply.lookup != JobLookup.FOUND:
+            return None
+        return reply.body if reply.known_item or not item_id else None
+
+    def _read_from_store(self, job_id: str, position: int) -> ResultPage | None:
+        cached = self._cached(job_id)
+        if cached is None:
+            return None
+        while len(cached.results) < len(cached.job.items):
+            name = segment_name(job_id, cached.segments)
+            document = self._store.get(DocumentKind.JOB_RESULTS, name)
+            if document is None:
+                break
+            cached.results.extend(decode_results(document.content))
+            cached.segments += 1
+        return page_of(cached.results, len(cached.job.items), position, MAXIMUM_PAGE_BYTES)
+
+    def _cached(self, job_id: str) -> _CachedJob | None:
+        cached = self._cache.get(job_id)
+        if cached is not None:
+            return cached
+        document = self._store.get(DocumentKind.JOB, job_id)
+        if document is None:
+            return None
+        cached = _CachedJob(decode_job(job_id, document.content))
+        self._cache[job_id] = cached
+        while len(self._cache) > MAXIMUM_CACHED_JOBS:
+            self._cache.popitem(last=False)
+        return cached
+
+    def _serve_read(self, peer: str, message: JobRead) -> tuple[int, JobReadReply]:
+        local = self.local
+        if local is None:
+            reply = JobReadReply(JobLookup.NOT_COORDINATOR, 0, 0, [])
+            return MessageType.JOB_READ_REPLY, reply
+        state = local.job(message.job_id)
+        if state is None:
+            return MessageType.JOB_READ_REPLY, JobReadReply(JobLookup.UNKNOWN, 0, 0, [])
+        page = local.page(state, message.position, message.wait_ms / 1000.0, message.maximum_bytes)
+        results = [_to_wire(result) for result in page.results]
+        reply = JobReadReply(JobLookup.FOUND, page.total, page.position, results)
+        return MessageType.JOB_READ_REPLY, reply
+
+    def _serve_end(self, peer: str, message: JobEnded) -> tuple[int, JobEndedReply]:
+        if self.local is None:
+            return MessageType.JOB_ENDED_REPLY, JobEndedReply(JobLookup.NOT_COORDINATOR)
+        self.local.end(message.job_id)
+        return MessageType.JOB_ENDED_REPLY, JobEndedReply(JobLookup.FOUND)
+
+    def _serve_item(self, peer: str, message: JobItemRead) -> tuple[int, JobItemReadReply]:
+        local = self.local
+        if local is None:
+            reply = JobItemReadReply(JobLookup.NOT_COORDINATOR, False, "")
+            return MessageType.JOB_ITEM_READ_REPLY, reply
+        state = local.job(message.job_id)
+        if state is None:
+            reply = JobItemReadReply(JobLookup.UNKNOWN, False, "")
+            return MessageType.JOB_ITEM_READ_REPLY, reply
+        item = state.items.get(message.item_id)
+        body = item.body if item is not None else ""
+        reply = JobItemReadReply(JobLookup.FOUND, item is not None, body)
+        return MessageType.JOB_ITEM_READ_REPLY, reply
+
+
+def _to_wire(result: ItemResult) -> JobResult:
+    return JobResult(
+        result.item_id, result.state.value, result.text, list(result.versions), result.score
+    )
+
+
+def _from_wire(result: JobResult) -> ItemResult:
+    return ItemResult(
+        result.item_id,
+        ResultState(result.state),
+        result.text,
+        tuple(result.versions),
+        result.score,
+    )
--- /dev/null
+++ b/src/runkeel/metrics.py
@@ -0,0 +1,23 @@
+"""Counters and latency histograms of the gateway, the coordinators and the store."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter, Gauge, Histogram
+
+_LATENCY_BUCKETS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 1.0, 3.0, 10.0)
+
+REQUESTS = Counter(
+    "runkeel_gateway_requests_total", "Answers to clients", ["route", "status", "code"]
+)
+REQUEST_SECONDS = Histogram(
+    "runkeel_gateway_request_seconds", "Time to the answer", ["route"], buckets=_LATENCY_BUCKETS
+)
+ATTEMPTS = Counter("runkeel_gateway_attempts_total", "Attempts at servers", ["service", "outcome"])
+STORE_CALL_SECONDS = Histogram(
+    "runkeel_store_call_seconds", "Calls to the store", ["call", "outcome"], buckets=(0.01, 0.1, 1)
+)
+ITEM_RUNS = Counter("runkeel_job_item_runs_total", "Runs of batch job items", ["outcome"])
+JOBS = Counter("runkeel_jobs_total", "Batch jobs", ["event"])
+COORDINATING = Gauge("runkeel_coordinating", "1 while this node coordinates", ["service"])
+VERSION_ORDERS = Counter("runkeel_version_orders_total", "Orders to engines", ["outcome"])
+LOG_LINES_DROPPED = Counter("runkeel_log_lines_dropped_total", "Log lines left out", ["reason"])
--- /dev/null
+++ b/src/runkeel/state/document_watcher.py
@@ -0,0 +1,132 @@
+"""Keeps a copy of all documents of a kind, by a list and a watch on the store."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from runkeel.api.documents import Document, DocumentKind, DocumentStore, HistoryLostError
+from runkeel.errors import RunkeelError
+
+WATCH_SECONDS = 25.0
+FIRST_RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 0.8
+
+ChangeListener = Callable[[Document, bool], None]
+"""Called with a document and whether it was removed."""
+
+
+class DocumentWatcher:
+    """Follows one kind of documents.
+
+    A document never goes back to an older revision. Nothing is forgotten while the store can't
+    be reached.
+
+    Attributes:
+        documents: the copy, by name.
+        listed: set once the first list has been read.
+        fresh_at: monotonic time of the store's last answer.
+    """
+
+    def __init__(self, store: DocumentStore, kind: DocumentKind, on_change: ChangeListener) -> None:
+        self._store = store
+        self._kind = kind
+        self._on_change = on_change
+        self._revision: int | None = None
+        self._failures = 0
+        self._task: gevent.Greenlet | None = None
+        self.documents: dict[str, Document] = {}
+        self.listed = Event()
+        self.fresh_at = 0.0
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the store answered the last call."""
+        return self._failures == 0
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to follow."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            try:
+                self._step()
+                self._succeeded()
+            except HistoryLostError:
+                self._revision = None
+            except RunkeelError as error:
+                self._failed(error)
+                gevent.sleep(self._retry_delay())
+
+    def _step(self) -> None:
+        if self._revision is None:
+            self._relist()
+            return
+        changes = self._store.watch(self._kind, self._revision, WATCH_SECONDS)
+        for change in changes.changes:
+            self._apply(change.document, change.removed)
+        self._revision = max(self._revision, changes.revision)
+
+    def _relist(self) -> None:
+        listing = self._store.list(self._kind)
+        names = {document.name for document in listing.documents}
+        for name in [name for name in self.documents if name not in names]:
+            self._apply(self.documents[name], removed=True)
+        for document in listing.documents:
+            self._apply(document, removed=False)
+        self._revision = listing.revision
+        self.listed.set()
+
+    def _apply(self, document: Document, removed: bool) -> None:
+        known = self.documents.get(document.name)
+        if removed:
+            if known is None or document.revision < known.revision:
+                return
+            del self.documents[document.name]
+        else:
+            if known is not None and known.revision >= document.revision:
+                return
+            self.documents[document.name] = document
+        try:
+            self._on_change(document, removed)
+        except (KeyError, TypeError, ValueError) as error:
+            logger.warning(
+                "document ignored",
+                code="bad_document",
+                document=document.name,
+                kind=str(self._kind),
+                revision=document.revision,
+                error=repr(error),
+            )
+
+    def _succeeded(self) -> None:
+        if self._failures:
+            logger.info("store regained", code="store_regained", kind=str(self._kind))
+        self._failures = 0
+        self.fresh_at = time.monotonic()
+
+    def _failed(self, error: RunkeelError) -> None:
+        if not self._failures:
+            logger.warning(
+                "store lost",
+                code="store_lost",
+                kind=str(self._kind),
+                error=error.detail,
+                revision=self._revision,
+            )
+        self._failures += 1
+
+    def _retry_delay(self) -> float:
+        delay = min(LONGEST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2 ** min(self._failures, 5))
+        return delay * random.uniform(0.7, 1.0)
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -53,6 +53,15 @@
 
   WEIGHTS_PERMIT = 600,
   WEIGHTS_PERMIT_REPLY = 601,
+
+  COORDINATOR_PING = 700,
+  COORDINATOR_PONG = 701,
+  JOB_READ = 702,
+  JOB_READ_REPLY = 703,
+  JOB_ENDED = 704,
+  JOB_ENDED_REPLY = 705,
+  JOB_ITEM_READ = 706,
+  JOB_ITEM_READ_REPLY = 707,
 }
 
 /** An error sent to a peer; verdict is runkeel.errors.Verdict. */
--- /dev/null
+++ b/wire/jobs.thrift
@@ -0,0 +1,67 @@
+/** The coordinator of batch jobs and weight versions, and the nodes that ask it. */
+namespace py runkeel.wire.generated.jobs
+
+/** Sent by every node to the coordinator. */
+struct CoordinatorPing {
+  1: string shard,
+  2: i64 epoch,             // the highest that the sender knows; an older coordinator steps down
+  3: bool preferred,        // the sender should succeed before nodes that are not preferred
+}
+
+struct CoordinatorPong {
+  1: bool coordinator,      // false: this node is not the coordinator
+  2: i32 rank,              // the receiver's place in the order of succession, from 0
+  3: i64 interval_ms,       // when to ping again
+  4: bool store_reachable,  // false: a successor that reaches the store should take over
+}
+
+enum JobLookup {
+  FOUND = 1,
+  UNKNOWN = 2,           // this coordinator does not hold the job
+  NOT_COORDINATOR = 3,
+}
+
+struct JobRead {
+  1: string shard,
+  2: string job_id,
+  3: i32 position,
+  4: i64 wait_ms,           // how long the reply may be held until a result exists
+  5: i32 maximum_bytes,
+}
+
+struct JobResult {
+  1: string item_id,
+  2: string state,
+  3: string text,
+  4: list<i64> versions,
+  5: string score,
+}
+
+struct JobReadReply {
+  1: i32 lookup,
+  2: i32 total,
+  3: i32 position,
+  4: list<JobResult> results,
+}
+
+/** A batch job was ended; the end already stands in the store. */
+struct JobEnded {
+  1: string shard,
+  2: string job_id,
+}
+
+struct JobEndedReply {
+  1: i32 lookup,
+}
+
+struct JobItemRead {
+  1: string shard,
+  2: string job_id,
+  3: string item_id,
+}
+
+struct JobItemReadReply {
+  1: i32 lookup,
+  2: bool known_item,
+  3: string body,           // in base64
+}
