Keep results in one order when two tasks read the same segment; notice a silent store

A watch that hung through an outage left a node believing the store lost (coordinator handed over 7.8 s late).

Ruled out: two coordinators writing one segment (names are made once; the loser takes the winner's).

Change: a segment is added only by the task that still expects its number; an item is given up for a missing route only after the route has been gone for 5 s from a known configuration; after a failure the watch asks for an answer at once; TCP keep-alive probes; back end changes gathered.

--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -24,6 +24,11 @@
 MAXIMUM_IDLE_SECONDS = 20.0
 KEEP_ALIVE_MARGIN_SECONDS = 0.7
 """An idle connection is given up so long before the server would close it."""
+KEEP_ALIVE_PROBE_SECONDS = 1
+KEEP_ALIVE_PROBES = 2
+UNACKNOWLEDGED_MILLISECONDS = 3_000
+"""A peer that acknowledges nothing for so long is taken as gone."""
+
 _FIRST_FINAL_STATUS = 200
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
@@ -256,7 +261,7 @@
         try:
             sock.settimeout(min(CONNECT_TIMEOUT_SECONDS, remaining_seconds))
             sock.connect(self._address)
-            sock.setsockopt(gevent.socket.IPPROTO_TCP, gevent.socket.TCP_NODELAY, 1)
+            _set_options(sock)
         except OSError as error:
             sock.close()
             raise not_run(ErrorCode.BACKEND_UNREACHABLE, f"{self._host}: {error}") from error
@@ -266,6 +271,17 @@
         return sock
 
 
+def _set_options(sock: gevent.socket.socket) -> None:
+    """Send small requests at once, and notice a peer that has fallen silent."""
+    tcp = gevent.socket.IPPROTO_TCP
+    sock.setsockopt(tcp, gevent.socket.TCP_NODELAY, 1)
+    sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, gevent.socket.TCP_KEEPIDLE, KEEP_ALIVE_PROBE_SECONDS)
+    sock.setsockopt(tcp, gevent.socket.TCP_KEEPINTVL, KEEP_ALIVE_PROBE_SECONDS)
+    sock.setsockopt(tcp, gevent.socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    sock.setsockopt(tcp, gevent.socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS)
+
+
 def _encode_head(request: OutgoingRequest, host: str) -> bytes:
     lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host or host}"]
     lines.extend(f"{name}: {value}" for name, value in request.headers)
--- a/src/runkeel/decision_log.py
+++ b/src/runkeel/decision_log.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import sys
@@ -54,10 +55,8 @@
         self._budget = budget
         self._rest = b""
         self._dropped = 0
-        try:
+        with contextlib.suppress(OSError):
             os.set_blocking(descriptor, False)
-        except OSError:
-            pass
 
     def write(self, line: dict[str, Any], important: bool) -> None:
         """Write a line, or count it as left out."""
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -30,6 +30,11 @@
 
 SHARD = "fleet"
 
+BACKEND_GATHER_SECONDS = 0.9
+"""Changes of back ends are gathered for so long; well below the time allowed for a drain."""
+
+COORDINATOR_GATHER_SECONDS = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class FleetSettings:
@@ -92,7 +97,14 @@
         self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
         self._watchers = [
             DocumentWatcher(store, DocumentKind.ROUTING, self._routing_changed),
-            DocumentWatcher(store, DocumentKind.BACKEND, self._backend_changed),
+            DocumentWatcher(
+                store,
+                DocumentKind.BACKEND,
+                self._backend_changed,
+                COORDINATOR_GATHER_SECONDS
+                if settings.preferred_coordinator
+                else BACKEND_GATHER_SECONDS,
+            ),
         ]
         self._term: _Term | None = None
         self.directory.on_change(self._directory_changed)
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -27,6 +27,9 @@
 GROUP_BONUS = 0.2
 """How much fuller, as a share of its slots, an engine may be that has run the same group."""
 
+MISSING_ROUTE_SECONDS = 5.0
+"""An item whose route has left the configuration is given up after so long."""
+
 MAXIMUM_KEPT_TEXTS = 2_000
 
 
@@ -48,6 +51,7 @@
     run: GenerationRun | None = None
     task: gevent.Greenlet | None = None
     carried: bool = False
+    route_missing_since: float = 0.0
 
     @property
     def key(self) -> tuple[str, str]:
@@ -182,8 +186,7 @@
             return False
         route = self._route(task)
         if route is None:
-            self._finish(task, ResultState.FAILED, detail="no route")
-            return True
+            return self._without_route(task, now)
         if time.time() > task.state.job.submitted_at + route.maximum_queue_seconds > 0:
             self._finish(task, ResultState.FAILED, detail="waited too long")
             return True
@@ -196,6 +199,16 @@
         self._start(task, route, engine)
         return True
 
+    def _without_route(self, task: ItemTask, now: float) -> bool:
+        """Give an item up once its route has been gone from the configuration for a while."""
+        if self._routing.configuration is None:
+            return False
+        task.route_missing_since = task.route_missing_since or now
+        if now - task.route_missing_since < MISSING_ROUTE_SECONDS:
+            return False
+        self._finish(task, ResultState.FAILED, detail="no route")
+        return True
+
     def _choose_engine(self, task: ItemTask, service: str) -> BackendState | None:
         now = time.monotonic()
         best: BackendState | None = None
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -217,12 +217,14 @@
         if cached is None:
             return None
         while len(cached.results) < len(cached.job.items):
-            name = segment_name(job_id, cached.segments)
-            document = self._store.get(DocumentKind.JOB_RESULTS, name)
+            number = cached.segments
+            document = self._store.get(DocumentKind.JOB_RESULTS, segment_name(job_id, number))
             if document is None:
                 break
-            cached.results.extend(decode_results(document.content))
-            cached.segments += 1
+            if cached.segments == number:
+                # Another task may have read the same segment meanwhile.
+                cached.results.extend(decode_results(document.content))
+                cached.segments += 1
         return page_of(cached.results, len(cached.job.items), position, MAXIMUM_PAGE_BYTES)
 
     def _cached(self, job_id: str) -> _CachedJob | None:
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -27,16 +27,26 @@
     A document never goes back to an older revision. Nothing is forgotten while the store can't
     be reached.
 
+    Args:
+        pause_seconds: changes are gathered for so long; each answer of the store has its price.
+
     Attributes:
         documents: the copy, by name.
         listed: set once the first list has been read.
         fresh_at: monotonic time of the store's last answer.
     """
 
-    def __init__(self, store: DocumentStore, kind: DocumentKind, on_change: ChangeListener) -> None:
+    def __init__(
+        self,
+        store: DocumentStore,
+        kind: DocumentKind,
+        on_change: ChangeListener,
+        pause_seconds: float = 0.0,
+    ) -> None:
         self._store = store
         self._kind = kind
         self._on_change = on_change
+        self._pause_seconds = pause_seconds
         self._revision: int | None = None
         self._failures = 0
         self._task: gevent.Greenlet | None = None
@@ -73,10 +83,14 @@
         if self._revision is None:
             self._relist()
             return
-        changes = self._store.watch(self._kind, self._revision, WATCH_SECONDS)
+        # After a failure an answer is wanted at once: it shows that the store is back.
+        wait_seconds = 0.0 if self._failures else WATCH_SECONDS
+        changes = self._store.watch(self._kind, self._revision, wait_seconds)
         for change in changes.changes:
             self._apply(change.document, change.removed)
         self._revision = max(self._revision, changes.revision)
+        if changes.changes:
+            gevent.sleep(self._pause_seconds)
 
     def _relist(self) -> None:
         listing = self._store.list(self._kind)
