Hand the coordinator's place over once, and let a load hold up its own model only

Ruled out: a lost lease (no order went out under two tokens), slow store calls.

Change: a claim is made against the coordinator that was found silent; before it, other nodes are asked whether they reach it; a successor counts the pause from the last confirmed order that it was told of; a replaced coordinator without the store is told by its successor; loading is per model.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -22,7 +22,13 @@
 from runkeel.metrics import COORDINATING
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.wire.generated.common.ttypes import MessageType
-from runkeel.wire.generated.jobs.ttypes import CoordinatorPing, CoordinatorPong
+from runkeel.wire.generated.jobs.ttypes import (
+    CoordinatorPing,
+    CoordinatorPong,
+    CoordinatorWitness,
+    CoordinatorWitnessReply,
+    NodeAddress,
+)
 from runkeel.wire.network import PeerNetwork
 
 PING_SECONDS = 0.5
@@ -34,6 +40,11 @@
 """Nodes beyond this rank ping seldom and step in late."""
 
 STORE_LOST_SECONDS = 1.0
+WITNESS_SECONDS = 0.8
+PREDECESSOR_PINGS = 30
+WITNESSES = 4
+"""Nodes that a successor asks whether they reach the coordinator."""
+
 START_SPREAD_SECONDS = 0.3
 PREFERENCE_SECONDS = 1.5
 """So much longer a node that isn't preferred waits at a start without a coordinator."""
@@ -57,6 +68,7 @@
     """A node that pings this coordinator."""
 
     preferred: bool
+    address: NodeAddress
     seen_at: float = 0.0
 
 
@@ -65,6 +77,8 @@
 
     Args:
         preferred: this node should coordinate rather than one that is not preferred.
+        lease_confirmation: revision and age of this node's last confirmed order lease.
+        on_lease_seen: called with what the coordinator told of its order lease.
         on_gained: called with the epoch when this node becomes coordinator.
         on_lost: called when another node has.
     """
@@ -78,6 +92,8 @@
         zone: str,
         peer_address: Address,
         preferred: bool,
+        lease_confirmation: Callable[[], tuple[int, float]],
+        on_lease_seen: Callable[[int, float], None],
         on_gained: Callable[[int], None],
         on_lost: Callable[[], None],
     ) -> None:
@@ -86,8 +102,10 @@
         self._shard = shard
         self._node_id = node_id
         self._zone = zone
-        self._peer_address = peer_address
+        self._own_address = NodeAddress(node_id, str(peer_address), zone)
         self._preferred = preferred
+        self._lease_confirmation = lease_confirmation
+        self._on_lease_seen = on_lease_seen
         self._on_gained = on_gained
         self._on_lost = on_lost
         self._watcher = DocumentWatcher(store, DocumentKind.COORDINATOR, self._changed)
@@ -96,10 +114,14 @@
         """Epoch in which this node coordinates, 0 when it does not."""
         self._peers: dict[str, _Peer] = {}
         self._rank = LAST_RANK
+        self._predecessor: Coordinator | None = None
+        self._witnesses: dict[str, NodeAddress] = {}
         self._stopping = False
+        self._last_contact = 0.0
         self._lost_store_at = 0.0
         self._task: gevent.Greenlet | None = None
         network.on_call(MessageType.COORDINATOR_PING, CoordinatorPing, self._answer_ping)
+        network.on_call(MessageType.COORDINATOR_WITNESS, CoordinatorWitness, self._answer_witness)
 
     @property
     def node_id(self) -> str:
@@ -117,11 +139,17 @@
         return self._epoch > 0
 
     def peer_address(self, node_id: str) -> tuple[Address, str] | None:
-        """Return the address and zone of the coordinator's node, for the peer network."""
+        """Return the address and zone of a node, for the peer network."""
         known = self._coordinator
-        if known is None or known.node_id != node_id:
+        if known is not None and known.node_id == node_id:
+            return known.address, known.zone
+        before = self._predecessor
+        if before is not None and before.node_id == node_id:
+            return before.address, before.zone
+        witness = self._witnesses.get(node_id)
+        if witness is None:
             return None
-        return known.address, known.zone
+        return Address.parse(witness.address), witness.zone
 
     def start(self) -> None:
         """Start to follow and to ping."""
@@ -158,32 +186,83 @@
         gevent.sleep(random.uniform(0.0, START_SPREAD_SECONDS))
         if not self._preferred and self._coordinator is None:
             gevent.sleep(PREFERENCE_SECONDS)
-        last_contact = time.monotonic()
+        self._last_contact = time.monotonic()
         seen_epoch = 0
         while True:
             known = self._coordinator
             if self._stopping or self.coordinating:
-                last_contact = time.monotonic()
+                self._last_contact = time.monotonic()
                 gevent.sleep(PING_SECONDS)
                 continue
             if known is None or known.node_id == self._node_id:
-                self._claim("no other coordinator")
+                self._claim(known, "no other coordinator")
                 continue
             if known.epoch != seen_epoch:
                 seen_epoch = known.epoch
-                last_contact = time.monotonic()
-            pause = PING_SECONDS
+                self._last_contact = time.monotonic()
+                self._lost_store_at = 0.0
+            gevent.sleep(self._follow(known))
+
+    def _follow(self, known: Coordinator) -> float:
+        """Ping the coordinator, replace it if that is due; returns when to ping again."""
+        pong = self._ping(known)
+        pause = PING_SECONDS
+        if pong is not None:
+            pause = pong.interval_ms / 1000.0
+            self._rank = pong.rank
+            self._on_lease_seen(pong.lease_revision, pong.lease_age_ms / 1000.0)
+            if pong.witnesses:
+                self._witnesses = {one.node_id: one for one in pong.witnesses}
+            if self._serves(pong):
+                self._last_contact = time.monotonic()
+        silent = time.monotonic() - self._last_contact
+        if silent <= SILENCE_SECONDS + RANK_SECONDS * self._rank or not self._watcher.reachable:
+            return pause if silent < SILENCE_SECONDS else PING_SECONDS
+        if pong is None and self._witnessed(known):
+            logger.info(
+                "coordinator reached by others",
+                code="coordinator_witnessed",
+                coordinator=known.node_id,
+                epoch=known.epoch,
+                silent_ms=int(silent * 1000),
+            )
+            self._last_contact = time.monotonic()
+            return PING_SECONDS
+        if self._coordinator is known:
+            self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
+        return 0.0
+
+    def _witnessed(self, known: Coordinator) -> bool:
+        """Ask other nodes, all at once, whether they reach the coordinator."""
+        others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
+        asked = [gevent.spawn(self._ask_witness, one, known.epoch) for one in others]
+        gevent.joinall(asked, timeout=WITNESS_SECONDS)
+        return any(task.value for task in asked)
+
+    def _ask_witness(self, node_id: str, epoch: int) -> bool:
+        message = CoordinatorWitness(self._shard, epoch)
+        try:
+            reply = self._network.call(
+                node_id,
+                MessageType.COORDINATOR_WITNESS,
+                message,
+                CoordinatorWitnessReply,
+                WITNESS_SECONDS,
+            )
+        except RunkeelError:
+            return False
+        return bool(reply.serving)
+
+    def _answer_witness(
+        self, peer: str, message: CoordinatorWitness
+    ) -> tuple[int, CoordinatorWitnessReply]:
+        known = self._coordinator
+        serving = self.coordinating
+        if known is not None and known.epoch >= message.epoch and not serving:
             pong = self._ping(known)
-            if pong is not None:
-                pause = pong.interval_ms / 1000.0
-                self._rank = pong.rank
-                if self._serves(pong):
-                    last_contact = time.monotonic()
-            silent = time.monotonic() - last_contact
-            if silent > SILENCE_SECONDS + RANK_SECONDS * self._rank and self._watcher.reachable:
-                self._claim(f"{known.node_id} silent for {silent:.1f} s")
-                continue
-            gevent.sleep(min(pause, PING_SECONDS) if pong is None else pause)
+            serving = pong is not None and self._serves(pong)
+        reply = CoordinatorWitnessReply(serving)
+        return MessageType.COORDINATOR_WITNESS_REPLY, reply
 
     def _serves(self, pong: CoordinatorPong) -> bool:
         """Return whether the coordinator does its work; note how long it has lost the store."""
@@ -196,10 +275,13 @@
         return pong.coordinator and not (lost and self._watcher.reachable)
 
     def _ping(self, known: Coordinator) -> CoordinatorPong | None:
-        message = CoordinatorPing(self._shard, known.epoch, self._preferred)
+        message = CoordinatorPing(self._shard, known.epoch, self._preferred, self._own_address)
+        return self._call_ping(known.node_id, message)
+
+    def _call_ping(self, node_id: str, message: CoordinatorPing) -> CoordinatorPong | None:
         try:
             return self._network.call(
-                known.node_id,
+                node_id,
                 MessageType.COORDINATOR_PING,
                 message,
                 CoordinatorPong,
@@ -211,31 +293,50 @@
     def _answer_ping(self, peer: str, ping: CoordinatorPing) -> tuple[int, CoordinatorPong]:
         if self._epoch and ping.epoch > self._epoch:
             self._step_down(f"{peer} knows epoch {ping.epoch}")
-        rank = self._rank_of(peer, ping.preferred)
+        rank = self._rank_of(peer, ping)
         interval = SLOW_PING_SECONDS if rank == LAST_RANK else PING_SECONDS
+        lease_revision, lease_age = self._lease_confirmation()
         pong = CoordinatorPong(
-            self.coordinating, rank, int(interval * 1000), self._watcher.reachable
+            self.coordinating,
+            rank,
+            int(interval * 1000),
+            self._watcher.reachable,
+            self._witnesses_for(peer),
+            lease_revision,
+            int(lease_age * 1000),
         )
         return MessageType.COORDINATOR_PONG, pong
 
-    def _rank_of(self, peer: str, preferred: bool) -> int:
+    def _rank_of(self, peer: str, ping: CoordinatorPing) -> int:
         """Return a peer's place: preferred nodes first, in the order of their first ping."""
+        known = self._peers.setdefault(peer, _Peer(ping.preferred, ping.sender))
+        known.address = ping.sender
+        known.seen_at = time.monotonic()
+        if not ping.preferred:
+            return LAST_RANK
+        names = [name for name, one in self._live_peers() if one.preferred]
+        return min(names.index(peer), LAST_RANK)
+
+    def _live_peers(self) -> list[tuple[str, _Peer]]:
         now = time.monotonic()
-        self._peers.setdefault(peer, _Peer(preferred)).seen_at = now
-        live = [
-            (not known.preferred, index, name)
-            for index, (name, known) in enumerate(self._peers.items())
+        return [
+            (name, known)
+            for name, known in self._peers.items()
             if now - known.seen_at < 3 * SLOW_PING_SECONDS
         ]
-        names = [name for _, _, name in sorted(live)]
-        return LAST_RANK if not preferred else min(names.index(peer), LAST_RANK)
 
-    def _claim(self, reason: str) -> None:
-        known = self._coordinator
+    def _witnesses_for(self, peer: str) -> list[NodeAddress]:
+        """Return some other nodes, those that don't coordinate themselves first."""
+        others = [known for name, known in self._live_peers() if name != peer]
+        others.sort(key=lambda known: known.preferred)
+        return [known.address for known in others[:WITNESSES]]
+
+    def _claim(self, known: Coordinator | None, reason: str) -> None:
+        """Take the place of the coordinator that was found wanting, not of a later one."""
         epoch = (known.epoch if known else 0) + 1
         content = {
             "node": self._node_id,
-            "address": str(self._peer_address),
+            "address": self._own_address.address,
             "zone": self._zone,
             "epoch": epoch,
         }
@@ -253,6 +354,9 @@
             gevent.sleep(_CLAIM_RETRY_SECONDS)
             return
         self._gain(epoch, reason)
+        if known is not None and known.node_id != self._node_id:
+            self._predecessor = known
+            gevent.spawn(self._tell_predecessor, known, epoch)
 
     def _gain(self, epoch: int, reason: str) -> None:
         self._epoch = epoch
@@ -261,6 +365,16 @@
         logger.info("coordinating", code="coordinator_gained", epoch=epoch, reason=reason)
         self._on_gained(epoch)
 
+    def _tell_predecessor(self, predecessor: Coordinator, epoch: int) -> None:
+        """Ping the node before with the new epoch, in case it doesn't hear of it by the store."""
+        for _ in range(PREDECESSOR_PINGS):
+            if self._epoch != epoch:
+                return
+            message = CoordinatorPing(self._shard, epoch, self._preferred, self._own_address)
+            if self._call_ping(predecessor.node_id, message) is not None:
+                return
+            gevent.sleep(PING_SECONDS)
+
     def _step_down(self, reason: str) -> None:
         if not self._epoch:
             return
--- a/src/runkeel/coordination/order_lease.py
+++ b/src/runkeel/coordination/order_lease.py
@@ -17,8 +17,8 @@
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.errors import ErrorCode, not_run
 
-VALIDITY_SECONDS = 0.8
-MARGIN_SECONDS = 0.3
+VALIDITY_SECONDS = 0.6
+MARGIN_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +45,7 @@
         self._holder = holder
         self._pause_seconds = pause_seconds
         self._claim: _Claim | None = None
+        self._observed = (0, 0.0)
         self._unsettled = False
         """A write that takes the lease from another holder is on its way or just done."""
 
@@ -63,17 +64,19 @@
         if self._claim is None:
             self._take(started)
             return
+        claim = self._claim
+        content = claim.content
+        if content["pause"] and started >= claim.orders_from:
+            # Told in the lease, so that this node need not wait again after a restart.
+            content = {**content, "pause": 0.0}
         try:
             stored = self._store.replace(
-                DocumentKind.ORDER_LEASE,
-                self._name,
-                self._claim.content,
-                self._claim.revision,
+                DocumentKind.ORDER_LEASE, self._name, content, claim.revision
             )
         except DocumentConflictError as conflict:
             self._settle(conflict, started)
             return
-        self._claim = _Claim(self._claim.content, stored.revision, started, self._claim.orders_from)
+        self._claim = _Claim(content, stored.revision, started, claim.orders_from)
 
     def seconds_until_orders(self) -> float:
         """Return how long this node has to wait before its first order."""
@@ -90,6 +93,21 @@
         if now > claim.confirmed_at + VALIDITY_SECONDS:
             raise not_run(ErrorCode.STALE_FENCE, "the order lease was not confirmed lately")
 
+    @property
+    def confirmation(self) -> tuple[int, float]:
+        """Revision of the last confirmation and the seconds since before it; revision 0: none."""
+        if self._claim is None:
+            return 0, 0.0
+        return self._claim.revision, time.monotonic() - self._claim.confirmed_at
+
+    def observe(self, revision: int, age_seconds: float) -> None:
+        """Note what another holder told of its last confirmation, at the receipt of its word.
+
+        A successor that finds the lease at this revision knows since when no order was sent.
+        """
+        if revision:
+            self._observed = (revision, time.monotonic() - age_seconds)
+
     def forget(self) -> None:
         """Give up the lease; nothing is written."""
         self._claim = None
@@ -97,7 +115,7 @@
     def _take(self, started: float) -> None:
         current = self._store.get(DocumentKind.ORDER_LEASE, self._name)
         if current is None:
-            content = self._content(1)
+            content = self._content(1, 0.0)
             stored = self._store.create(DocumentKind.ORDER_LEASE, self._name, content)
             self._accept(stored, content, started)
             return
@@ -127,19 +145,25 @@
         if own and not self._unsettled:
             new_content = dict(content)
         else:
-            new_content = self._content(int(content["token"]) + (not own))
+            pause = self._pause_after(current)
+            new_content = self._content(int(content["token"]) + (not own), pause)
         self._unsettled = self._unsettled or not own
         stored = self._store.replace(
             DocumentKind.ORDER_LEASE, self._name, new_content, current.revision
         )
         self._accept(stored, new_content, started)
 
+    def _pause_after(self, current: Document) -> float:
+        """Return how long after the last holder's last possible order this node may begin."""
+        pause = VALIDITY_SECONDS + self._pause_seconds + MARGIN_SECONDS
+        revision, confirmed_at = self._observed
+        if revision != current.revision or self._unsettled:
+            return pause
+        return max(0.0, confirmed_at + pause - time.monotonic())
+
     def _accept(self, stored: Document, content: dict[str, Any], started: float) -> None:
-        held_for = max(0.0, time.time() - float(content["taken_at"]))
-        pause = max(0.0, float(content["pause"]) - held_for)
-        if self._unsettled:
-            pause = float(content["pause"])
-            self._unsettled = False
+        pause = float(content["pause"])
+        self._unsettled = False
         self._claim = _Claim(content, stored.revision, started, time.monotonic() + pause)
         logger.info(
             "order lease taken",
@@ -149,11 +173,9 @@
             orders_in_ms=int(pause * 1000),
         )
 
-    def _content(self, token: int) -> dict[str, Any]:
-        pause = VALIDITY_SECONDS + self._pause_seconds + MARGIN_SECONDS if token > 1 else 0.0
+    def _content(self, token: int, pause: float) -> dict[str, Any]:
         return {
             "holder": self._holder,
             "token": token,
-            "taken_at": time.time(),
             "pause": pause,
         }
--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -99,9 +99,10 @@
         """Compare again: a version was named or an engine changed."""
         self._wake.set()
 
-    def is_loading(self, backend_id: str) -> bool:
-        """Return whether an engine is under way to another version."""
-        return backend_id in self._changing
+    def is_loading(self, backend_id: str, model: str) -> bool:
+        """Return whether an engine is under way to another version of a model."""
+        change = self._changing.get(backend_id)
+        return change is not None and change.model == model
 
     def _run(self) -> None:
         while True:
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -82,6 +82,7 @@
             settings.peer_address,
             lambda node_id: self._election.peer_address(node_id),
         )
+        self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
         self._election = Election(
             store,
             self._network,
@@ -90,11 +91,12 @@
             settings.zone,
             settings.peer_address,
             settings.preferred_coordinator,
+            lambda: self._lease.confirmation,
+            self._lease.observe,
             self._start_term,
             self._end_term,
         )
         self.jobs = JobService(store, self._network, self._election, SHARD)
-        self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
         self._watchers = [
             DocumentWatcher(store, DocumentKind.ROUTING, self._routing_changed),
             DocumentWatcher(
@@ -176,7 +178,7 @@
             node.routing,
             node._protocol,
             Scorer(node.forwarder, node.routing, node._protocol),
-            lambda backend_id: self._rollout.is_loading(backend_id),
+            lambda backend_id, model: self._rollout.is_loading(backend_id, model),
         )
         self._rollout = VersionRollout(
             node.directory,
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -70,7 +70,7 @@
     """Runs the open items of all jobs on the engines; one task an item that runs.
 
     Args:
-        is_loading: tells whether an engine takes no new items because it loads a version.
+        is_loading: tells whether an engine takes no items of a model because it loads a version.
     """
 
     def __init__(
@@ -79,7 +79,7 @@
         routing: RoutingTable,
         protocol: BackendProtocol,
         scorer: Scorer,
-        is_loading: Callable[[str], bool],
+        is_loading: Callable[[str, str], bool],
     ) -> None:
         self._directory = directory
         self._routing = routing
@@ -225,11 +225,11 @@
         return best
 
     def _usable(self, task: ItemTask, state: BackendState) -> bool:
-        if self._is_loading(state.backend_id):
-            return False
         model = task.state.job.model
         if not model:
             return True
+        if self._is_loading(state.backend_id, model):
+            return False
         return self.version_of(state, model) >= task.state.job.minimum_version
 
     def version_of(self, state: BackendState, model: str) -> int:
@@ -277,7 +277,7 @@
             job.minimum_version,
             route.single_version,
         )
-        run.loading = lambda: self._is_loading(engine.backend_id)
+        run.loading = lambda: self._is_loading(engine.backend_id, job.model)
         task.run = run
         started = time.monotonic()
         try:
--- /dev/null
+++ b/tests/coordination/test_election.py
@@ -0,0 +1,150 @@
+"""Election and succession of the coordinator, with the times cut to a tenth."""
+
+import time
+import unittest
+from unittest import mock
+
+import gevent
+
+from runkeel.api.machines import Address
+from runkeel.coordination import election as election_module
+from runkeel.coordination.election import Election
+from runkeel.state import document_watcher
+from runkeel_lab.standins.document_store import MemoryDocumentStore
+from runkeel_lab.standins.peer_network import MemoryNetwork
+
+SCALED = (
+    "PING_SECONDS",
+    "SLOW_PING_SECONDS",
+    "PING_TIMEOUT_SECONDS",
+    "SILENCE_SECONDS",
+    "RANK_SECONDS",
+    "STORE_LOST_SECONDS",
+    "START_SPREAD_SECONDS",
+    "PREFERENCE_SECONDS",
+    "WITNESS_SECONDS",
+)
+SCALE = 0.1
+LONGEST_WAIT_SECONDS = 10.0
+SETTLE_SECONDS = 1.0
+
+
+class CutStore:
+    """A store that one node can be cut from."""
+
+    def __init__(self, store):
+        self._store = store
+        self.cut = False
+
+    def __getattr__(self, name):
+        method = getattr(self._store, name)
+
+        def call(*arguments, **named):
+            if self.cut:
+                raise document_watcher.RunkeelError("store_unavailable", "cut")
+            return method(*arguments, **named)
+
+        return call
+
+
+class ElectionTest(unittest.TestCase):
+    def setUp(self):
+        for name in SCALED:
+            value = getattr(election_module, name) * SCALE
+            patch = mock.patch.object(election_module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        watch = mock.patch.object(document_watcher, "WATCH_SECONDS", 0.1)
+        watch.start()
+        self.addCleanup(watch.stop)
+        self.store = MemoryDocumentStore()
+        self.network = MemoryNetwork()
+        self.terms = []
+        self.stores = {}
+
+    def _node(self, name, preferred=True):
+        self.stores[name] = CutStore(self.store)
+        node = Election(
+            self.stores[name],
+            self.network.node(name),
+            "fleet",
+            name,
+            "zone",
+            Address("127.0.0.1", 1),
+            preferred,
+            lambda: (0, 0.0),
+            lambda revision, age: None,
+            lambda epoch: self.terms.append((name, epoch)),
+            lambda: None,
+        )
+        node.start()
+        self.addCleanup(node.stop)
+        return node
+
+    def _nodes(self, *names, preferred=True):
+        return [self._node(name, preferred) for name in names]
+
+    def _wait(self, condition):
+        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, f"terms so far: {self.terms}")
+            gevent.sleep(0.01)
+
+    def _coordinator(self, nodes):
+        self._wait(lambda: sum(node.coordinating for node in nodes) == 1)
+        gevent.sleep(SETTLE_SECONDS / 2)
+        return next(node for node in nodes if node.coordinating)
+
+    def test_one_of_several_is_elected(self):
+        nodes = self._nodes("a", "b", "c")
+        self._coordinator(nodes)
+        self.assertEqual(len(self.terms), 1)
+
+    def test_preferred_node_comes_first(self):
+        nodes = [*self._nodes("edge-1", "edge-2", preferred=False), *self._nodes("disk-1")]
+        self.assertEqual(self._coordinator(nodes).node_id, "disk-1")
+
+    def test_dead_coordinator_is_replaced_once(self):
+        """sirca trouble-2: three nodes took over within 0.4 s, each from the one before."""
+        nodes = self._nodes("a", "b", "c", "d")
+        first = self._coordinator(nodes)
+        self.network.silent.add(first.node_id)
+        first.stop()
+        others = [node for node in nodes if node is not first]
+        self._coordinator(others)
+        gevent.sleep(SETTLE_SECONDS)
+        self.assertEqual(len(self.terms), 2, self.terms)
+
+    def test_nodes_cut_from_the_coordinator_ask_others_first(self):
+        """sirca trouble-2: a cut between two nodes made them take over in turn."""
+        nodes = [*self._nodes("a", "b"), *self._nodes("e", "f", preferred=False)]
+        first = self._coordinator(nodes)
+        other = next(node for node in nodes[:2] if node is not first)
+        gevent.sleep(SETTLE_SECONDS)
+        self.network.cut(first.node_id, other.node_id)
+        gevent.sleep(2 * SETTLE_SECONDS)
+        self.assertEqual(len(self.terms), 1, self.terms)
+
+    def test_coordinator_cut_from_the_store_is_replaced(self):
+        nodes = self._nodes("a", "b", "c")
+        first = self._coordinator(nodes)
+        self.stores[first.node_id].cut = True
+        self._wait(lambda: any(node.coordinating for node in nodes if node is not first))
+        self._wait(lambda: not first.coordinating)
+
+    def test_planned_stop_hands_over(self):
+        nodes = self._nodes("a", "b")
+        first = self._coordinator(nodes)
+        first.leave()
+        self._wait(lambda: any(node.coordinating for node in nodes if node is not first))
+
+    def test_nobody_takes_over_while_the_store_is_down(self):
+        nodes = self._nodes("a", "b", "c")
+        self._coordinator(nodes)
+        self.store.down = True
+        gevent.sleep(2 * SETTLE_SECONDS)
+        self.assertEqual(len(self.terms), 1, self.terms)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -62,6 +62,8 @@
   JOB_ENDED_REPLY = 705,
   JOB_ITEM_READ = 706,
   JOB_ITEM_READ_REPLY = 707,
+  COORDINATOR_WITNESS = 708,
+  COORDINATOR_WITNESS_REPLY = 709,
 }
 
 /** An error sent to a peer; verdict is runkeel.errors.Verdict. */
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -1,11 +1,18 @@
 /** The coordinator of batch jobs and weight versions, and the nodes that ask it. */
 namespace py runkeel.wire.generated.jobs
 
+struct NodeAddress {
+  1: string node_id,
+  2: string address,        // of its peer listener, ip:port
+  3: string zone,
+}
+
 /** Sent by every node to the coordinator. */
 struct CoordinatorPing {
   1: string shard,
   2: i64 epoch,             // the highest that the sender knows; an older coordinator steps down
   3: bool preferred,        // the sender should succeed before nodes that are not preferred
+  4: NodeAddress sender,
 }
 
 struct CoordinatorPong {
@@ -13,6 +20,19 @@
   2: i32 rank,              // the receiver's place in the order of succession, from 0
   3: i64 interval_ms,       // when to ping again
   4: bool store_reachable,  // false: a successor that reaches the store should take over
+  5: list<NodeAddress> witnesses, // nodes to ask before taking over
+  6: i64 lease_revision,    // of the order lease's last confirmation; 0: none is known
+  7: i64 lease_age_ms,      // time since before that confirmation
+}
+
+/** Asked of other nodes by one that can't reach the coordinator. */
+struct CoordinatorWitness {
+  1: string shard,
+  2: i64 epoch,
+}
+
+struct CoordinatorWitnessReply {
+  1: bool serving,          // the coordinator of this epoch, or a later one, answers this node
 }
 
 enum JobLookup {
