Move only the share of engines that the jobs' slack asks for; fewer calls to the store

Change: at a version, engines that the jobs no longer accept are moved, and of the rest the oldest share; the watch gathers changes for 1.4 s (0.3 s at the coordinator); results are gathered for 0.4 s; a repeated end is answered from the coordinator's knowledge.

--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -48,12 +48,26 @@
     started: float
 
 
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """What batch jobs accept of a model.
+
+    Attributes:
+        minimum_version: oldest version that every open job accepts.
+        slack: versions behind the newest that the latest job accepts.
+    """
+
+    minimum_version: int = 0
+    slack: int = 0
+
+
 class VersionRollout:
     """Reconciles the engines' versions while this node coordinates.
 
     Args:
         configuration: the configuration in force.
         versions: newest version by model, as named by trainers.
+        demand: what the batch jobs need of a model.
         on_version: called with back end, model and version when an engine has changed.
         running_at: items running at an engine; the least busy ones change first.
     """
@@ -66,6 +80,7 @@
         holder: str,
         configuration: Callable[[], RoutingConfiguration | None],
         versions: dict[str, int],
+        demand: Callable[[str], ModelDemand],
         on_version: Callable[[str, str, int], None],
         running_at: Callable[[str], int],
     ) -> None:
@@ -75,6 +90,7 @@
         self._holder = holder
         self._configuration = configuration
         self._targets = versions
+        self._demand = demand
         self._on_version = on_version
         self._running_at = running_at
         self._changing: dict[str, _Change] = {}
@@ -149,21 +165,54 @@
         self, service: str, models: tuple[str, ...]
     ) -> list[tuple[BackendState, str, int]]:
         engines = self._directory.of_service(service) if models else []
-        now = time.monotonic()
         loading = sum(1 for state in engines if state.backend_id in self._changing)
         room = max(CONCURRENT_LOADS, int(len(engines) * CONCURRENT_SHARE)) - loading
-        behind: list[tuple[int, BackendState, str, int]] = []
+        due: dict[str, tuple[BackendState, str, int]] = {}
+        wanted = [entry for model in models for entry in self._due_of_model(engines, model)]
+        wanted.sort(key=lambda entry: (not entry[0], entry[1]))
+        for _, _, state, model in wanted:
+            if len(due) >= room:
+                break
+            due.setdefault(state.backend_id, (state, model, self._targets[model]))
+        return list(due.values())
+
+    def _due_of_model(
+        self, engines: list[BackendState], model: str
+    ) -> list[tuple[bool, int, BackendState, str]]:
+        """Return the engines to move to a model's newest version, with urgency and load.
+
+        Jobs accept versions that are some way behind the newest. So at each version only a part
+        of the engines is moved: those that the jobs no longer accept, and of the rest the oldest,
+        so many that after as many versions as the jobs accept every engine has had its turn.
+        """
+        target = self._targets.get(model, 0)
+        demand = self._demand(model)
+        floor = max(target - demand.slack, demand.minimum_version)
+        share = -(-len(engines) // (demand.slack + 1))
+        behind: list[tuple[int, int, BackendState]] = []
         for state in engines:
-            backend_id = state.backend_id
-            if backend_id in self._changing or now < self._retry_at.get(backend_id, 0.0):
-                continue
-            for model in models:
-                target = self._targets.get(model, 0)
-                if target > self._version(state, model):
-                    behind.append((self._running_at(backend_id), state, model, target))
-                    break
-        behind.sort(key=lambda entry: entry[0])
-        return [(state, model, target) for _, state, model, target in behind[: max(0, room)]]
+            change = self._changing.get(state.backend_id)
+            version = self._version(state, model)
+            if change is not None and change.model == model:
+                version = max(version, change.version)
+            if version >= target:
+                share -= 1
+            else:
+                behind.append((version, self._running_at(state.backend_id), state))
+        behind.sort(key=lambda entry: entry[:2])
+        due = []
+        for version, running, state in behind:
+            if version >= floor and share <= 0:
+                break
+            share -= 1
+            if self._may_change(state):
+                due.append((version < floor, running, state, model))
+        return due
+
+    def _may_change(self, state: BackendState) -> bool:
+        if state.backend_id in self._changing:
+            return False
+        return time.monotonic() >= self._retry_at.get(state.backend_id, 0.0)
 
     def _version(self, state: BackendState, model: str) -> int:
         reported = state.backend.model_versions.get(model, 0)
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -30,10 +30,10 @@
 
 SHARD = "fleet"
 
-BACKEND_GATHER_SECONDS = 0.9
+BACKEND_GATHER_SECONDS = 1.4
 """Changes of back ends are gathered for so long; well below the time allowed for a drain."""
 
-COORDINATOR_GATHER_SECONDS = 0.1
+COORDINATOR_GATHER_SECONDS = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,9 +103,7 @@
                 store,
                 DocumentKind.BACKEND,
                 self._backend_changed,
-                COORDINATOR_GATHER_SECONDS
-                if settings.preferred_coordinator
-                else BACKEND_GATHER_SECONDS,
+                self._backend_gather_seconds,
             ),
         ]
         self._term: _Term | None = None
@@ -136,6 +134,9 @@
             watcher.stop()
         self._network.stop()
 
+    def _backend_gather_seconds(self) -> float:
+        return COORDINATOR_GATHER_SECONDS if self._term is not None else BACKEND_GATHER_SECONDS
+
     def _routing_changed(self, document: Document, removed: bool) -> None:
         if not removed:
             self.routing.apply(self._translator.routing_configuration(document))
@@ -187,10 +188,13 @@
             node._settings.node_id,
             lambda: node.routing.configuration,
             self._targets,
+            lambda model: self.jobs.demand(model, self._targets.get(model, 0)),
             self._version_reached,
             self._scheduler.running_at,
         )
-        self.jobs = JobCoordinator(node._store, self._scheduler)
+        self.jobs = JobCoordinator(
+            node._store, self._scheduler, lambda model: self._targets.get(model, 0)
+        )
         self._watchers = [
             DocumentWatcher(node._store, DocumentKind.MODEL_VERSION, self._version_named),
             DocumentWatcher(node._store, DocumentKind.RETIREMENT, self._retirement_asked),
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentKind, DocumentStore
-from runkeel.api.jobs import ResultPage
+from runkeel.api.jobs import BatchJob, ResultPage
+from runkeel.coordination.version_rollout import ModelDemand
 from runkeel.errors import RunkeelError
 from runkeel.jobs.job_documents import decode_job, decode_results, segment_name
 from runkeel.jobs.job_state import JobState
@@ -24,11 +27,27 @@
 SWEEP_SECONDS = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Acceptance:
+    """What a job accepted when it came, and the newest version by then."""
+
+    submitted_at: float
+    minimum_version: int
+    newest_version: int
+
+
 class JobCoordinator:
     """Drives all batch jobs while this node coordinates; made anew for each term."""
 
-    def __init__(self, store: DocumentStore, scheduler: Scheduler) -> None:
+    def __init__(
+        self,
+        store: DocumentStore,
+        scheduler: Scheduler,
+        newest_version: Callable[[str], int],
+    ) -> None:
         self._store = store
+        self._newest_version = newest_version
+        self._latest_minimum: dict[str, _Acceptance] = {}
         self._scheduler = scheduler
         self._jobs: dict[str, JobState] = {}
         self._ended: set[str] = set()
@@ -72,13 +91,24 @@
             age_ms=int((time.time() - state.job.submitted_at) * 1000),
         )
 
+    def demand(self, model: str, newest_version: int) -> ModelDemand:
+        """Return what the jobs accept of a model whose newest version is given."""
+        open_jobs = [
+            state.job.minimum_version
+            for state in self._jobs.values()
+            if state.job.model == model and not state.ended and not state.complete
+        ]
+        latest = self._latest_minimum.get(model)
+        slack = 0 if latest is None else max(0, latest.newest_version - latest.minimum_version)
+        return ModelDemand(max(open_jobs, default=0), slack)
+
     def page(self, state: JobState, position: int, wait: float, maximum_bytes: int) -> ResultPage:
         """Return results of a job, waiting for one at the position."""
         if wait > 0:
             state.wait_beyond(position, wait)
         return state.page(position, maximum_bytes)
 
-    def _spawn(self, function, *arguments) -> None:
+    def _spawn(self, function: Callable[..., None], *arguments: object) -> None:
         task = gevent.spawn(function, *arguments)
         self._tasks.add(task)
         task.rawlink(self._tasks.discard)
@@ -124,6 +154,7 @@
             step=state.job.step,
             age_ms=int((time.time() - state.job.submitted_at) * 1000),
         )
+        self._note_acceptance(state.job)
         if ended:
             state.end()
         elif not state.complete:
@@ -132,6 +163,16 @@
             writer = ResultWriter(self._store, state, self._listed)
             self._spawn(writer.run)
 
+    def _note_acceptance(self, job: BatchJob) -> None:
+        known = self._latest_minimum.get(job.model)
+        if known is not None and known.submitted_at >= job.submitted_at:
+            return
+        newest = self._newest_version(job.model)
+        if newest:
+            self._latest_minimum[job.model] = _Acceptance(
+                job.submitted_at, job.minimum_version, newest
+            )
+
     def _load_results(self, state: JobState) -> bool:
         """Read the segments that are not read yet; False when the store gave no answer."""
         fresh = time.time() - state.job.submitted_at < LOAD_RETRY_SECONDS
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -13,7 +13,7 @@
 from runkeel.jobs.job_documents import decode_results, encode_results, segment_name
 from runkeel.jobs.job_state import JobState
 
-GATHER_SECONDS = 0.2
+GATHER_SECONDS = 0.4
 RETRY_SECONDS = 0.15
 MAXIMUM_SEGMENT_BYTES = 800_000
 """Bound on the text of a segment; the store takes a megabyte."""
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -121,7 +121,10 @@
 
     def end(self, job_id: str, deadline: float) -> bool:
         """End a job for good; False when it is certain that there is no such job."""
-        if not self._known(job_id):
+        ended = self._ended_at_coordinator(job_id)
+        if ended:
+            return True
+        if ended is None and self._cached(job_id) is None:
             return False
         while True:
             try:
@@ -150,12 +153,16 @@
         )
         raise RunkeelError(error.code, error.detail, verdict, RETRY_AFTER_SECONDS) from error
 
-    def _known(self, job_id: str) -> bool:
-        if self.local is not None and self.local.job(job_id) is not None:
-            return True
-        return self._item_from_coordinator(job_id, "") is not None or (
-            self._cached(job_id) is not None
-        )
+    def _ended_at_coordinator(self, job_id: str) -> bool | None:
+        """Return whether the coordinator knows a job as ended; None when it doesn't know it."""
+        if self.local is not None:
+            state = self.local.job(job_id)
+            return None if state is None else state.ended
+        message = JobItemRead(self._shard, job_id, "")
+        reply = self._ask(MessageType.JOB_ITEM_READ, message, JobItemReadReply, PEER_SECONDS)
+        if reply is None or reply.lookup != JobLookup.FOUND:
+            return None
+        return reply.ended
 
     def _tell_end(self, job_id: str) -> None:
         if self.local is not None:
@@ -210,7 +217,7 @@
         reply = self._ask(MessageType.JOB_ITEM_READ, message, JobItemReadReply, PEER_SECONDS)
         if reply is None or reply.lookup != JobLookup.FOUND:
             return None
-        return reply.body if reply.known_item or not item_id else None
+        return reply.body if reply.known_item else None
 
     def _read_from_store(self, job_id: str, position: int) -> ResultPage | None:
         cached = self._cached(job_id)
@@ -262,15 +269,15 @@
     def _serve_item(self, peer: str, message: JobItemRead) -> tuple[int, JobItemReadReply]:
         local = self.local
         if local is None:
-            reply = JobItemReadReply(JobLookup.NOT_COORDINATOR, False, "")
+            reply = JobItemReadReply(JobLookup.NOT_COORDINATOR, False, "", False)
             return MessageType.JOB_ITEM_READ_REPLY, reply
         state = local.job(message.job_id)
         if state is None:
-            reply = JobItemReadReply(JobLookup.UNKNOWN, False, "")
+            reply = JobItemReadReply(JobLookup.UNKNOWN, False, "", False)
             return MessageType.JOB_ITEM_READ_REPLY, reply
         item = state.items.get(message.item_id)
         body = item.body if item is not None else ""
-        reply = JobItemReadReply(JobLookup.FOUND, item is not None, body)
+        reply = JobItemReadReply(JobLookup.FOUND, item is not None, body, state.ended)
         return MessageType.JOB_ITEM_READ_REPLY, reply
 
 
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -41,7 +41,7 @@
         store: DocumentStore,
         kind: DocumentKind,
         on_change: ChangeListener,
-        pause_seconds: float = 0.0,
+        pause_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -90,7 +90,7 @@
             self._apply(change.document, change.removed)
         self._revision = max(self._revision, changes.revision)
         if changes.changes:
-            gevent.sleep(self._pause_seconds)
+            gevent.sleep(self._pause_seconds())
 
     def _relist(self) -> None:
         listing = self._store.list(self._kind)
--- /dev/null
+++ b/tests/coordination/test_version_rollout.py
@@ -0,0 +1,194 @@
+"""Which engines are moved to a new version, and how orders without an answer are settled."""
+
+import json
+import time
+import unittest
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from runkeel.api.backend_protocol import EngineOrderOutcome, EngineReport
+from runkeel.api.fleet import Backend, RoutingConfiguration, ServiceDescription
+from runkeel.api.machines import Address
+from runkeel.backends.http_connection import OutgoingRequest
+from runkeel.coordination.order_lease import OrderLease
+from runkeel.coordination.version_rollout import ModelDemand, VersionRollout
+from runkeel.gateway.backends import BackendDirectory
+from runkeel_lab.standins.document_store import MemoryDocumentStore
+
+SERVICE = "models"
+LONGEST_WAIT_SECONDS = 15.0
+
+
+class OrderProtocol:
+    """Orders and reports as JSON, for the engine below."""
+
+    def encode_order(self, order, backend):
+        body = {
+            "model": order.model,
+            "version": order.version,
+            "holder": order.holder,
+            "token": order.fencing_token,
+            "sequence": order.expected_sequence,
+        }
+        return OutgoingRequest("POST", "/order", [], json.dumps(body).encode())
+
+    def order_outcome(self, status):
+        outcomes = {202: EngineOrderOutcome.ACCEPTED, 409: EngineOrderOutcome.CONFLICT}
+        return outcomes.get(status, EngineOrderOutcome.REFUSED)
+
+    def encode_report_query(self, backend):
+        return OutgoingRequest("GET", "/report")
+
+    def parse_report(self, body):
+        report = json.loads(body)
+        return EngineReport(report["sequence"], report["busy"], 0, 0, report["versions"])
+
+
+class Engine:
+    """An engine that takes orders; it can leave some unanswered and carry them out late."""
+
+    def __init__(self, backend_id, models, load_seconds=0.05):
+        self.backend_id = backend_id
+        self.versions = dict.fromkeys(models, 1)
+        self.sequence = 0
+        self.busy = False
+        self.orders = []
+        self.load_seconds = load_seconds
+        self.lose = 0
+        self.late_seconds = 0.0
+        self.server = WSGIServer(("127.0.0.1", 0), self._answer, log=None)
+        self.server.start()
+
+    @property
+    def backend(self):
+        address = Address("127.0.0.1", self.server.server_port)
+        return Backend(self.backend_id, SERVICE, address, "zone", 8, False, {})
+
+    def _answer(self, environment, start_response):
+        if environment["PATH_INFO"] == "/report":
+            report = {
+                "sequence": self.sequence,
+                "busy": self.busy,
+                "versions": self.versions,
+            }
+            start_response("200 OK", [])
+            return [json.dumps(report).encode()]
+        order = json.loads(environment["wsgi.input"].read())
+        self.orders.append(order)
+        if self.lose:
+            self.lose -= 1
+            gevent.spawn_later(self.late_seconds, self._take, order)
+            gevent.sleep(5.0)
+            start_response("500 Lost", [])
+            return [b""]
+        status = "202 Accepted" if self._take(order) else "409 Conflict"
+        start_response(status, [])
+        return [b""]
+
+    def _take(self, order):
+        if self.busy or order["sequence"] != self.sequence:
+            return False
+        self.sequence += 1
+        self.busy = True
+        gevent.spawn_later(self.load_seconds, self._loaded, order)
+        return True
+
+    def _loaded(self, order):
+        self.busy = False
+        self.versions[order["model"]] = order["version"]
+
+
+class VersionRolloutTest(unittest.TestCase):
+    def _start(self, count, models=("m",), slack=0):
+        self.engines = [Engine(f"engine-{n}", models) for n in range(count)]
+        self.directory = BackendDirectory()
+        for engine in self.engines:
+            self.addCleanup(engine.server.stop, 0)
+            self.directory.put(engine.backend)
+        description = ServiceDescription(SERVICE, models=tuple(models), slots=8)
+        configuration = RoutingConfiguration(1, (), {SERVICE: description})
+        self.targets = {}
+        self.minimum = {}
+        self.reached = []
+        lease = OrderLease(MemoryDocumentStore(), "fleet", "node", 3.0)
+        self.rollout = VersionRollout(
+            self.directory,
+            OrderProtocol(),
+            lease,
+            "node",
+            lambda: configuration,
+            self.targets,
+            lambda model: ModelDemand(self.minimum.get(model, 0), slack),
+            lambda backend_id, model, version: self.reached.append((backend_id, version)),
+            lambda backend_id: 0,
+        )
+        self.rollout.start()
+        self.addCleanup(self.rollout.stop)
+
+    def _name(self, version, model="m"):
+        self.targets[model] = version
+        self.rollout.wake()
+
+    def _versions(self, model="m"):
+        return sorted(engine.versions[model] for engine in self.engines)
+
+    def _wait_versions(self, *expected):
+        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        while self._versions() != sorted(expected):
+            self.assertLess(time.monotonic(), deadline, self._versions())
+            gevent.sleep(0.02)
+        gevent.sleep(0.3)
+        self.assertEqual(self._versions(), sorted(expected))
+
+    def test_without_slack_every_engine_is_moved(self):
+        self._start(4)
+        self._name(2)
+        self._wait_versions(2, 2, 2, 2)
+        self.assertEqual([len(engine.orders) for engine in self.engines], [1, 1, 1, 1])
+
+    def test_with_slack_half_of_the_engines_are_moved_in_turn(self):
+        self._start(4, slack=1)
+        self._name(2)
+        self._wait_versions(1, 1, 2, 2)
+        self._name(3)
+        self._wait_versions(2, 2, 3, 3)
+        self._name(4)
+        self._wait_versions(3, 3, 4, 4)
+        self.assertEqual(sum(len(engine.orders) for engine in self.engines), 6)
+
+    def test_engines_that_jobs_no_longer_accept_are_moved(self):
+        self._start(4, slack=1)
+        self.minimum["m"] = 2
+        self._name(2)
+        self._wait_versions(2, 2, 2, 2)
+
+    def test_lost_order_is_settled_by_the_report(self):
+        """An order carried out late doesn't follow a second one for the same change."""
+        self._start(1)
+        self.engines[0].lose = 1
+        self.engines[0].late_seconds = 0.2
+        self._name(2)
+        self._wait_versions(2)
+        self.assertEqual(len(self.engines[0].orders), 1)
+
+    def test_lost_order_without_effect_is_sent_again(self):
+        self._start(1)
+        self.engines[0].lose = 1
+        self.engines[0].late_seconds = 60.0
+        self._name(2)
+        self._wait_versions(2)
+        orders = self.engines[0].orders
+        self.assertEqual([order["sequence"] for order in orders], [0, 0])
+
+    def test_engine_is_loading_for_its_own_model_only(self):
+        self._start(1, models=("m", "other"))
+        self.engines[0].load_seconds = 0.6
+        self._name(2)
+        gevent.sleep(0.3)
+        self.assertTrue(self.rollout.is_loading("engine-0", "m"))
+        self.assertFalse(self.rollout.is_loading("engine-0", "other"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -84,4 +84,5 @@
   1: i32 lookup,
   2: bool known_item,
   3: string body,           // in base64
+  4: bool ended,            // the job's end stands in the store
 }
