Let items leave slow engines; let a cut-off former coordinator ask others before it claims

Ruled out: store calls (none refused), a full service (engines had free slots).

Change: seconds per event are estimated for each engine; items go on elsewhere with the event id where an engine with a free slot is 1.8 times as fast; placement counts slowness. A successor is ranked by how long its pings fail. The store counts as lost when any call of the node failed last.

Tests: engine speeds, election; the new election test fails without the witnesses of a former coordinator.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -34,7 +34,9 @@
 PING_SECONDS = 0.5
 SLOW_PING_SECONDS = 3.0
 PING_TIMEOUT_SECONDS = 0.5
-SILENCE_SECONDS = 1.3
+SILENCE_SECONDS = 0.9
+"""Pings fail for so long before the first in rank replaces the coordinator."""
+
 RANK_SECONDS = 0.5
 LAST_RANK = 3
 """Nodes beyond this rank ping seldom and step in late."""
@@ -42,7 +44,8 @@
 STORE_LOST_SECONDS = 1.0
 WITNESS_SECONDS = 0.8
 PREDECESSOR_PINGS = 30
-WITNESSES = 4
+WITNESSES = 6
+WITNESSES_PER_ZONE = 2
 """Nodes that a successor asks whether they reach the coordinator."""
 
 START_SPREAD_SECONDS = 0.3
@@ -77,6 +80,7 @@
 
     Args:
         preferred: this node should coordinate rather than one that is not preferred.
+        store_reachable: whether the store has answered this node's last call.
         lease_confirmation: revision and age of this node's last confirmed order lease.
         on_lease_seen: called with what the coordinator told of its order lease.
         on_gained: called with the epoch when this node becomes coordinator.
@@ -92,6 +96,7 @@
         zone: str,
         peer_address: Address,
         preferred: bool,
+        store_reachable: Callable[[], bool],
         lease_confirmation: Callable[[], tuple[int, float]],
         on_lease_seen: Callable[[int, float], None],
         on_gained: Callable[[int], None],
@@ -104,6 +109,7 @@
         self._zone = zone
         self._own_address = NodeAddress(node_id, str(peer_address), zone)
         self._preferred = preferred
+        self._store_reachable = store_reachable
         self._lease_confirmation = lease_confirmation
         self._on_lease_seen = on_lease_seen
         self._on_gained = on_gained
@@ -118,6 +124,7 @@
         self._witnesses: dict[str, NodeAddress] = {}
         self._stopping = False
         self._last_contact = 0.0
+        self._failing_since = 0.0
         self._lost_store_at = 0.0
         self._task: gevent.Greenlet | None = None
         network.on_call(MessageType.COORDINATOR_PING, CoordinatorPing, self._answer_ping)
@@ -200,6 +207,7 @@
             if known.epoch != seen_epoch:
                 seen_epoch = known.epoch
                 self._last_contact = time.monotonic()
+                self._failing_since = 0.0
                 self._lost_store_at = 0.0
             gevent.sleep(self._follow(known))
 
@@ -215,9 +223,14 @@
                 self._witnesses = {one.node_id: one for one in pong.witnesses}
             if self._serves(pong):
                 self._last_contact = time.monotonic()
-        silent = time.monotonic() - self._last_contact
-        if silent <= SILENCE_SECONDS + RANK_SECONDS * self._rank or not self._watcher.reachable:
-            return pause if silent < SILENCE_SECONDS else PING_SECONDS
+                self._failing_since = 0.0
+                return pause
+        now = time.monotonic()
+        self._failing_since = self._failing_since or now
+        silent = now - self._last_contact
+        failing = now - self._failing_since
+        if failing <= SILENCE_SECONDS + RANK_SECONDS * self._rank or not self._reaches_store():
+            return PING_SECONDS / 2
         if pong is None and self._witnessed(known):
             logger.info(
                 "coordinator reached by others",
@@ -227,6 +240,7 @@
                 silent_ms=int(silent * 1000),
             )
             self._last_contact = time.monotonic()
+            self._failing_since = 0.0
             return PING_SECONDS
         if self._coordinator is known:
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
@@ -272,7 +286,10 @@
         elif not self._lost_store_at:
             self._lost_store_at = now
         lost = self._lost_store_at and now - self._lost_store_at > STORE_LOST_SECONDS
-        return pong.coordinator and not (lost and self._watcher.reachable)
+        return pong.coordinator and not (lost and self._reaches_store())
+
+    def _reaches_store(self) -> bool:
+        return self._watcher.reachable and self._store_reachable()
 
     def _ping(self, known: Coordinator) -> CoordinatorPong | None:
         message = CoordinatorPing(self._shard, known.epoch, self._preferred, self._own_address)
@@ -300,7 +317,7 @@
             self.coordinating,
             rank,
             int(interval * 1000),
-            self._watcher.reachable,
+            self._reaches_store(),
             self._witnesses_for(peer),
             lease_revision,
             int(lease_age * 1000),
@@ -326,10 +343,17 @@
         ]
 
     def _witnesses_for(self, peer: str) -> list[NodeAddress]:
-        """Return some other nodes, those that don't coordinate themselves first."""
+        """Return some other nodes of all zones, in each those that are not preferred first."""
         others = [known for name, known in self._live_peers() if name != peer]
         others.sort(key=lambda known: known.preferred)
-        return [known.address for known in others[:WITNESSES]]
+        of_zone: dict[str, int] = {}
+        chosen = []
+        for known in others:
+            zone = known.address.zone
+            of_zone[zone] = of_zone.get(zone, 0) + 1
+            if of_zone[zone] <= WITNESSES_PER_ZONE:
+                chosen.append(known.address)
+        return chosen[:WITNESSES]
 
     def _claim(self, known: Coordinator | None, reason: str) -> None:
         """Take the place of the coordinator that was found wanting, not of a later one."""
@@ -380,5 +404,6 @@
             return
         logger.info("not coordinating", code="coordinator_lost", epoch=self._epoch, reason=reason)
         self._epoch = 0
+        self._witnesses = {one.node_id: one for one in self._witnesses_for(self._node_id)}
         COORDINATING.labels(self._shard).set(0)
         self._on_lost()
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -26,6 +26,7 @@
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
 from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.state.observed_store import ObservedStore
 from runkeel.wire.network import PeerNetwork
 
 SHARD = "fleet"
@@ -67,6 +68,7 @@
         protocol: BackendProtocol,
     ) -> None:
         self._settings = settings
+        store = ObservedStore(store)
         self._store = store
         self._translator = translator
         self._protocol = protocol
@@ -91,6 +93,7 @@
             settings.zone,
             settings.peer_address,
             settings.preferred_coordinator,
+            lambda: store.reachable,
             lambda: self._lease.confirmation,
             self._lease.observe,
             self._start_term,
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -32,6 +32,8 @@
     """The engine ran it and answered that it failed."""
     IMPOSSIBLE = "impossible"
     """The engine says that it can never be done."""
+    MOVED = "moved"
+    """Ended on purpose, to be continued at another engine."""
     OLD_VERSION = "old_version"
     """The engine's weights are older than the job allows."""
 
@@ -93,6 +95,14 @@
         self.first_event_at = 0.0
         self.last_event_at = 0.0
         self.detail = ""
+        self._stream: HttpAnswerStream | None = None
+        self._moved = False
+
+    def move_away(self) -> None:
+        """End the run; its outcome is MOVED."""
+        self._moved = True
+        if self._stream is not None:
+            self._stream.abort()
 
     def run(self, deadline: float) -> RunOutcome:
         """Run until the end; see :class:`RunOutcome`."""
@@ -105,9 +115,11 @@
         except RunkeelError as error:
             self.detail = error.detail
             return RunOutcome.REFUSED if error.verdict is Verdict.NOT_RUN else RunOutcome.BROKEN
+        self._stream = stream
         try:
             return self._read(stream, deadline)
         finally:
+            self._stream = None
             stream.close()
 
     def _read(self, stream: HttpAnswerStream, deadline: float) -> RunOutcome:
@@ -124,7 +136,7 @@
             return self._read_events(stream, version, deadline)
         except RunkeelError as error:
             self.detail = error.detail
-            return RunOutcome.BROKEN
+            return RunOutcome.MOVED if self._moved else RunOutcome.BROKEN
 
     def _drain_failure(self, stream: HttpAnswerStream, answer_class: AnswerClass) -> RunOutcome:
         self.detail = f"status {stream.status}"
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -16,6 +16,7 @@
 from runkeel.api.jobs import ItemResult, JobItem, ResultState
 from runkeel.gateway.backends import BackendDirectory, BackendState
 from runkeel.gateway.routing import RoutingTable, choose_service
+from runkeel.jobs.engine_speeds import EngineSpeeds, RunSample
 from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
@@ -30,6 +31,14 @@
 MISSING_ROUTE_SECONDS = 5.0
 """An item whose route has left the configuration is given up after so long."""
 
+SLOWNESS_COST = 0.5
+"""Cost of an engine that is twice as slow as the fastest, as a share of its slots."""
+
+SLOW_ENGINE = 1.8
+"""Items leave an engine that is so many times slower than one with a free slot."""
+
+LEAST_SECONDS_BEFORE_MOVE = 0.6
+
 MAXIMUM_KEPT_TEXTS = 2_000
 
 
@@ -52,6 +61,8 @@
     task: gevent.Greenlet | None = None
     carried: bool = False
     route_missing_since: float = 0.0
+    next_engine: BackendState | None = None
+    """Engine with a slot kept for this item, which is leaving a slow one."""
 
     @property
     def key(self) -> tuple[str, str]:
@@ -91,6 +102,8 @@
         self._loads = EngineLoads()
         self._groups: dict[tuple[str, str], str] = {}
         self._kept: dict[str, PartialText] = {}
+        self._speeds = EngineSpeeds()
+        self._checked_at = 0.0
         self._wake = Event()
         self._loop: gevent.Greenlet | None = None
         self.versions: dict[tuple[str, str], int] = {}
@@ -161,6 +174,7 @@
             self._wake.wait(IDLE_CHECK_SECONDS)
             self._wake.clear()
             self._place_all()
+            self._move_from_slow_engines()
 
     def _place_all(self) -> None:
         now = time.monotonic()
@@ -193,6 +207,12 @@
         if task.partial.whole:
             self._start(task, route, None)
             return True
+        reserved, task.next_engine = task.next_engine, None
+        if reserved is not None:
+            self._loads[reserved.backend_id] -= 1
+            if self._usable(task, reserved):
+                self._start(task, route, reserved)
+                return True
         engine = self._choose_engine(task, choose_service(route, task.item.item_id))
         if engine is None:
             return False
@@ -220,6 +240,7 @@
             if load >= slots or state.avoided(now) or not self._usable(task, state):
                 continue
             cost = load / slots - (GROUP_BONUS if state.backend_id == home else 0.0)
+            cost += SLOWNESS_COST * (self._speeds.slowness(state.backend_id) - 1.0)
             if best is None or cost < best_cost:
                 best, best_cost = state, cost
         return best
@@ -237,6 +258,52 @@
         reported = state.backend.model_versions.get(model, 0)
         return max(reported, self.versions.get((state.backend_id, model), 0))
 
+    def _move_from_slow_engines(self) -> None:
+        """Let items continue elsewhere when their engine is much slower than one with room."""
+        now = time.monotonic()
+        if now - self._checked_at < IDLE_CHECK_SECONDS:
+            return
+        self._checked_at = now
+        generating = [
+            task
+            for task in self._running.values()
+            if task.run is not None and task.run.events and not task.run.loading()
+        ]
+        self._speeds.observe(
+            (
+                RunSample(task.engine.backend_id, id(task.run), task.run.events)
+                for task in generating
+            ),
+            now,
+        )
+        for task in generating:
+            self._move_if_slow(task, now)
+
+    def _move_if_slow(self, task: ItemTask, now: float) -> None:
+        slowness = self._speeds.slowness(task.engine.backend_id)
+        young = now - task.run.first_event_at < LEAST_SECONDS_BEFORE_MOVE
+        route = self._route(task)
+        if slowness < SLOW_ENGINE or young or route is None:
+            return
+        other = self._choose_engine(task, choose_service(route, task.item.item_id))
+        if other is None or other is task.engine:
+            return
+        if slowness < SLOW_ENGINE * self._speeds.slowness(other.backend_id):
+            return
+        logger.info(
+            "item leaves a slow engine",
+            code="item_moved",
+            request=task.item.item_id,
+            backend=task.engine.backend_id,
+            to=other.backend_id,
+            slowness=round(slowness, 2),
+            events=task.run.events,
+        )
+        # Counted at once, so that not all items choose the same free slot.
+        self._loads[other.backend_id] += 1
+        task.next_engine = other
+        task.run.move_away()
+
     def _start(self, task: ItemTask, route: Route, engine: BackendState | None) -> None:
         task.engine = engine
         if engine is not None:
@@ -254,6 +321,9 @@
                     return
             self._score(task, route)
         finally:
+            if task.next_engine is not None and task not in self._queue:
+                self._loads[task.next_engine.backend_id] -= 1
+                task.next_engine = None
             self._running.pop(task.key, None)
             self.wake()
 
@@ -321,7 +391,8 @@
             self.versions.pop((task.engine.backend_id, job.model), None)
         if not task.partial.fits(job.minimum_version, route.single_version):
             task.partial.clear()
-        task.not_before = time.monotonic() + REQUEUE_SECONDS
+        if outcome is not RunOutcome.MOVED:
+            task.not_before = time.monotonic() + REQUEUE_SECONDS
         task.engine = None
         if not task.state.ended:
             self._queue.append(task)
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -72,6 +72,7 @@
             "zone",
             Address("127.0.0.1", 1),
             preferred,
+            lambda: not self.stores[name].cut,
             lambda: (0, 0.0),
             lambda revision, age: None,
             lambda epoch: self.terms.append((name, epoch)),
@@ -125,6 +126,20 @@
         gevent.sleep(2 * SETTLE_SECONDS)
         self.assertEqual(len(self.terms), 1, self.terms)
 
+    def test_replaced_coordinator_that_is_cut_off_does_not_come_back(self):
+        """sirca trouble-3: a node cut from other zones took its place back 3.5 s later."""
+        nodes = [*self._nodes("a", "b"), *self._nodes("e", "f", preferred=False)]
+        first = self._coordinator(nodes)
+        other = next(node for node in nodes[:2] if node is not first)
+        gevent.sleep(SETTLE_SECONDS)
+        self.stores[first.node_id].cut = True
+        self.network.cut(first.node_id, "e")
+        self._wait(lambda: other.coordinating and not first.coordinating)
+        self.network.cut(first.node_id, other.node_id)
+        self.stores[first.node_id].cut = False
+        gevent.sleep(2 * SETTLE_SECONDS)
+        self.assertEqual(len(self.terms), 2, self.terms)
+
     def test_coordinator_cut_from_the_store_is_replaced(self):
         nodes = self._nodes("a", "b", "c")
         first = self._coordinator(nodes)
--- /dev/null
+++ b/tests/jobs/test_engine_speeds.py
@@ -0,0 +1,49 @@
+"""Estimates of how fast engines generate."""
+
+import unittest
+
+from runkeel.jobs.engine_speeds import FORGET_SECONDS, LARGEST_SLOWNESS, EngineSpeeds, RunSample
+
+
+class EngineSpeedsTest(unittest.TestCase):
+    def _observe(self, speeds, now, **events):
+        samples = [
+            RunSample(backend_id, index, count)
+            for index, (backend_id, count) in enumerate(events.items())
+        ]
+        speeds.observe(samples, now)
+
+    def test_unknown_engine_counts_as_fast(self):
+        self.assertEqual(EngineSpeeds().slowness("a"), 1.0)
+
+    def test_slow_engine_is_told_from_a_fast_one(self):
+        speeds = EngineSpeeds()
+        self._observe(speeds, 1.0, fast=0, slow=0)
+        self._observe(speeds, 2.0, fast=30, slow=10)
+        self.assertAlmostEqual(speeds.slowness("slow"), 3.0)
+        self.assertEqual(speeds.slowness("fast"), 1.0)
+
+    def test_engine_without_events_is_slow(self):
+        speeds = EngineSpeeds()
+        self._observe(speeds, 1.0, fast=0, stuck=3)
+        self._observe(speeds, 2.0, fast=30, stuck=3)
+        self.assertEqual(speeds.slowness("stuck"), LARGEST_SLOWNESS)
+
+    def test_recovered_engine_is_used_again(self):
+        speeds = EngineSpeeds()
+        self._observe(speeds, 1.0, fast=0, slow=0)
+        self._observe(speeds, 2.0, fast=30, slow=10)
+        for second in range(3, 9):
+            self._observe(speeds, float(second), fast=30 * second, slow=30 * second)
+        self.assertLess(speeds.slowness("slow"), 1.2)
+
+    def test_estimate_is_forgotten(self):
+        speeds = EngineSpeeds()
+        self._observe(speeds, 1.0, fast=0, slow=0)
+        self._observe(speeds, 2.0, fast=30, slow=10)
+        self._observe(speeds, 2.1 + FORGET_SECONDS)
+        self.assertEqual(speeds.slowness("slow"), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
