--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -94,7 +94,6 @@
         shard: str,
         node_id: str,
         zone: str,
-        peer_address: Address,
         preferred: bool,
         store_reachable: Callable[[], bool],
         lease_confirmation: Callable[[], tuple[int, float]],
@@ -107,7 +106,7 @@
         self._shard = shard
         self._node_id = node_id
         self._zone = zone
-        self._own_address = NodeAddress(node_id, str(peer_address), zone)
+        self._own_address = NodeAddress(node_id, "", zone)
         self._preferred = preferred
         self._store_reachable = store_reachable
         self._lease_confirmation = lease_confirmation
@@ -158,8 +157,9 @@
             return None
         return Address.parse(witness.address), witness.zone
 
-    def start(self) -> None:
-        """Start to follow and to ping."""
+    def start(self, peer_address: Address) -> None:
+        """Start to follow and to ping; ``peer_address`` is where this node is reached."""
+        self._own_address = NodeAddress(self._node_id, str(peer_address), self._zone)
         self._watcher.start()
         self._task = gevent.spawn(self._run)
 
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -91,7 +91,6 @@
             SHARD,
             settings.node_id,
             settings.zone,
-            settings.peer_address,
             settings.preferred_coordinator,
             lambda: store.reachable,
             lambda: self._lease.confirmation,
@@ -112,6 +111,28 @@
         self._term: _Term | None = None
         self.directory.on_change(self._directory_changed)
 
+    @property
+    def coordinating(self) -> bool:
+        """Whether this node coordinates batch jobs and weight versions."""
+        return self._term is not None
+
+    def describe(self) -> dict[str, object]:
+        """Return what this node believes, for an operator."""
+        configuration = self.routing.configuration
+        coordinator = self._election.coordinator
+        described: dict[str, object] = {
+            "node": self._settings.node_id,
+            "zone": self._settings.zone,
+            "configuration": configuration.version if configuration else 0,
+            "coordinator": coordinator.node_id if coordinator else "",
+            "epoch": coordinator.epoch if coordinator else 0,
+            "coordinating": self.coordinating,
+            "backends": self.directory.describe(),
+        }
+        if self._term is not None:
+            described.update(self._term.describe())
+        return described
+
     @property
     def configured(self) -> bool:
         """Whether this node knows a configuration and the servers."""
@@ -123,7 +144,7 @@
         self._network.start()
         for watcher in self._watchers:
             watcher.start()
-        self._election.start()
+        self._election.start(self._network.address)
 
     def leave(self) -> None:
         """Hand the coordinator's place over, before this node stops."""
@@ -222,6 +243,10 @@
         self._rollout.wake()
         self._scheduler.wake()
 
+    def describe(self) -> dict[str, object]:
+        """Return the state of the term, for an operator."""
+        return {"versions": dict(self._targets), "jobs": self.jobs.describe()}
+
     def _version_named(self, document: Document, removed: bool) -> None:
         if removed:
             return
--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -98,6 +98,20 @@
             if state.backend.service == service and not state.backend.draining
         ]
 
+    def describe(self) -> dict[str, dict[str, object]]:
+        """Return what this node knows of each server, for an operator."""
+        return {
+            backend_id: {
+                "service": state.backend.service,
+                "address": str(state.backend.address),
+                "draining": state.backend.draining,
+                "in_flight": state.in_flight,
+                "failures": state.failures,
+                "versions": dict(state.backend.model_versions),
+            }
+            for backend_id, state in self._states.items()
+        }
+
     def _log(self, message: str, backend: Backend) -> None:
         logger.info(
             message,
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -70,7 +70,6 @@
             "fleet",
             name,
             "zone",
-            Address("127.0.0.1", 1),
             preferred,
             lambda: not self.stores[name].cut,
             lambda: (0, 0.0),
@@ -78,7 +77,7 @@
             lambda epoch: self.terms.append((name, epoch)),
             lambda: None,
         )
-        node.start()
+        node.start(Address("127.0.0.1", 1))
         self.addCleanup(node.stop)
         return node
 
