--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -146,13 +146,27 @@
     return EXIT_OK if all(holds(result) for result in results) else EXIT_VIOLATED
 
 
+def soak(*, seed: int = 1, runs: int = 1, seconds: float = 20.0) -> int:
+    """Disturb deployments on the stand-in of the users' platform and check what was acknowledged.
+
+    Example: ``runkeel-lab soak --seed 100 --runs 20``
+
+    :param seed: seed of the first run; each further one takes the next seed.
+    :param runs: number of runs, one after another.
+    :param seconds: length of the disturbed part of each run in s.
+    """
+    from runkeel_lab.users_platform.soak import run_soaks
+
+    return EXIT_OK if run_soaks(seed, runs, seconds) else EXIT_VIOLATED
+
+
 def main() -> None:
     """Run the command line and exit with its code."""
     from runkeel_lab.processes import LabError
 
     try:
         code = defopt.run(
-            [standins, demo, run, sweep, replay, scale],
+            [standins, demo, run, sweep, replay, scale, soak],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
             argparse_kwargs={"prog": "runkeel-lab"},
--- a/src/runkeel_lab/standins/document_store.py
+++ b/src/runkeel_lab/standins/document_store.py
@@ -68,7 +68,7 @@
 
     def names(self, kind: DocumentKind) -> list[str]:
         """Return the names of a kind's documents, sorted."""
-        return sorted(name for of_kind, name in self._documents if of_kind is kind)
+        return sorted(name for of_kind, name in self._documents if of_kind == kind)
 
     def put(self, kind: DocumentKind, name: str, content: Any) -> Document:
         """Write without a condition, as an operator would."""
@@ -166,7 +166,7 @@
         if revision < self._compacted:
             raise HistoryLostError(kind, revision)
         return [
-            change for at, change in self._history if at > revision and change.document.kind is kind
+            change for at, change in self._history if at > revision and change.document.kind == kind
         ]
 
     def _call(self, method: str, writes: bool = False) -> StoreFault | None:
--- /dev/null
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -0,0 +1,256 @@
+"""A whole deployment on the stand-in of the platform: nodes, servers, clients and trainers."""
+
+from __future__ import annotations
+
+import base64
+import json
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+
+from runkeel.api.machines import Address
+from runkeel.backends.http_connection import HttpAnswer, HttpConnectionPool, OutgoingRequest
+from runkeel.errors import RunkeelError
+from runkeel.fleet_node import FleetSettings
+from runkeel_lab.users_platform import use_adapter
+from runkeel_lab.users_platform.servers import PlatformEngine, PlatformServer
+from runkeel_lab.users_platform.store_server import StoreServer
+
+use_adapter()
+
+from runkeel_platform.process import NodeProcess  # noqa: E402  (the adapter's path is set above)
+from runkeel_platform.settings import ProcessSettings  # noqa: E402
+
+HOST = "pantry.example"
+MODEL = "allocation"
+ENGINES = "engines"
+APPLICATION = "ledger"
+COUNT_PREFIX = "/count/"
+RESERVE_PREFIX = "/reserve/"
+DRAFT_PREFIX = "/draft/"
+CHAT_PREFIX = "/chat/"
+ZONES = ("a", "b", "c")
+_LOOPBACK = Address("127.0.0.1", 0)
+_CALL_SECONDS = 3.0
+
+
+def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    """Build a route of the operator's configuration."""
+    return {
+        "Name": name,
+        "Host": HOST,
+        "PathPrefix": prefix,
+        "RouteType": kind,
+        "Service": service,
+        "TimeoutMs": 2_000,
+        "TargetLatencyMs": 200,
+        "Priority": 1,
+        "MaxAttempts": 3,
+        **more,
+    }
+
+
+def configuration(version: int, more_routes: tuple[dict[str, Any], ...] = ()) -> dict[str, Any]:
+    """Build a configuration with a route of each kind."""
+    routes = [
+        route("count", COUNT_PREFIX, "idempotent", APPLICATION),
+        route("reserve", RESERVE_PREFIX, "non_idempotent", APPLICATION),
+        route("draft", DRAFT_PREFIX, "rollout", ENGINES, ResultDeadlineMs=20_000, MaxQueueS=60.0),
+        route("chat", CHAT_PREFIX, "streaming", ENGINES, Resumable=True, TimeoutMs=10_000),
+        *more_routes,
+    ]
+    services = [
+        {"Name": ENGINES, "Engine": {"Slots": 8, "Models": [{"Name": MODEL}]}},
+        {"Name": APPLICATION},
+    ]
+    return {"Version": version, "Routes": routes, "Services": services, "Limits": {}}
+
+
+@dataclass(slots=True)
+class _Slot:
+    """A machine: its settings and the process that runs on it."""
+
+    settings: ProcessSettings
+    process: NodeProcess | None = None
+
+
+class Deployment:
+    """Nodes in one process; each can be killed and started again.
+
+    Args:
+        order_pause_seconds: least time between the orders of two nodes.
+    """
+
+    def __init__(
+        self,
+        seed: int = 1,
+        edges: int = 2,
+        disks: int = 1,
+        engines: int = 2,
+        applications: int = 2,
+        order_pause_seconds: float = 0.5,
+    ) -> None:
+        self.store = StoreServer(seed)
+        self.store.start()
+        self.engines = [
+            PlatformEngine(f"e{n}", ENGINES, ZONES[n % 3], self.store, seed, (MODEL,))
+            for n in range(engines)
+        ]
+        self.applications = [
+            PlatformServer(f"a{n}", APPLICATION, ZONES[n % 3], self.store, seed)
+            for n in range(applications)
+        ]
+        self._order_pause_seconds = order_pause_seconds
+        self._machines: dict[str, _Slot] = {}
+        for number in range(edges):
+            self._add_machine(f"edge-{number}", ZONES[number % 3], serves_clients=True)
+        for number in range(disks):
+            self._add_machine(f"disk-{number}", ZONES[number % 3], serves_clients=False)
+
+    def start(self) -> None:
+        """Put the configuration in place, start the servers and the nodes."""
+        self.configure(configuration(1))
+        for server in [*self.engines, *self.applications]:
+            server.start()
+        for name in self._machines:
+            self.start_node(name)
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for name in self._machines:
+            self.kill_node(name)
+        for server in [*self.engines, *self.applications]:
+            server.stop()
+        self.store.stop()
+
+    def configure(self, content: dict[str, Any]) -> None:
+        """Write a configuration, as the operator does."""
+        self.store.objects.put("config", "main", content)
+
+    def name_version(self, version: int, model: str = MODEL) -> None:
+        """Name a weight version, as a trainer does."""
+        self.store.objects.put("versions", model, {"Model": model, "Version": version})
+
+    @property
+    def node_names(self) -> list[str]:
+        """All machines."""
+        return list(self._machines)
+
+    @property
+    def edge_names(self) -> list[str]:
+        """Machines that serve clients."""
+        return [name for name, slot in self._machines.items() if slot.settings.frontend]
+
+    def node(self, name: str) -> NodeProcess | None:
+        """Return the process on a machine, None while it is down."""
+        return self._machines[name].process
+
+    def coordinators(self) -> list[str]:
+        """Return the machines that believe to coordinate."""
+        running = [(name, slot.process) for name, slot in self._machines.items() if slot.process]
+        return [name for name, process in running if process.node.coordinating]
+
+    def start_node(self, name: str) -> None:
+        """Start the process of a machine."""
+        slot = self._machines[name]
+        slot.process = NodeProcess(slot.settings)
+        slot.process.start()
+
+    def kill_node(self, name: str) -> None:
+        """End a machine's process without warning."""
+        slot = self._machines[name]
+        process, slot.process = slot.process, None
+        if process is not None:
+            process.kill()
+
+    def wait_ready(self, seconds: float = 10.0) -> None:
+        """Wait until every running node knows the configuration and one coordinates."""
+        with gevent.Timeout(seconds):
+            while not self.coordinators() or not all(
+                slot.process.node.configured for slot in self._machines.values() if slot.process
+            ):
+                gevent.sleep(0.02)
+
+    def call(
+        self,
+        edge: str,
+        method: str,
+        target: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        seconds: float = _CALL_SECONDS,
+    ) -> HttpAnswer | None:
+        """Send a client's request to an edge node; None when it gave no answer."""
+        process = self._machines[edge].process
+        if process is None:
+            return None
+        pool = HttpConnectionPool(process.frontend_address)
+        request = OutgoingRequest(method, target, list((headers or {}).items()), body, host=HOST)
+        try:
+            return pool.request(request, time.monotonic() + seconds)
+        except RunkeelError:
+            return None
+        finally:
+            pool.close()
+
+    def submit(self, edge: str, job_id: str, items: list[str], minimum_version: int = 1) -> int:
+        """Submit a batch job; returns the status, 0 without an answer."""
+        body = {
+            "Step": 0,
+            "Model": MODEL,
+            "MinVersion": minimum_version,
+            "DesiredCount": 1,
+            "Items": [_item(item_id) for item_id in items],
+        }
+        headers = {"Attempt-Id": job_id, "Content-Type": "application/json"}
+        answer = self.call(
+            edge, "POST", f"{DRAFT_PREFIX}{job_id}", headers, json.dumps(body).encode()
+        )
+        return answer.status if answer is not None else 0
+
+    def results(self, edge: str, job_id: str, position: int = 0) -> list[dict[str, Any]] | None:
+        """Read a job's results; None without an answer of status 200."""
+        target = f"/runkeel/lots/{job_id}?AfterRevision={position}"
+        answer = self.call(edge, "GET", target, {"Wait-Ms": "200"})
+        if answer is None or answer.status != 200:
+            return None
+        return json.loads(answer.body)["Results"]
+
+    def end(self, edge: str, job_id: str) -> int:
+        """End a job; returns the status, 0 without an answer."""
+        answer = self.call(edge, "DELETE", f"/runkeel/lots/{job_id}")
+        return answer.status if answer is not None else 0
+
+    def _add_machine(self, name: str, zone: str, serves_clients: bool) -> None:
+        fleet = FleetSettings(
+            node_id=name,
+            zone=zone,
+            peer_address=_LOOPBACK,
+            cluster_name="lab",
+            cluster_key=b"lab secret",
+            incarnation=1,
+            order_pause_seconds=self._order_pause_seconds,
+            preferred_coordinator=not serves_clients,
+        )
+        listener = _LOOPBACK if serves_clients else None
+        settings = ProcessSettings(fleet, listener, listener, self.store.address, None, 8.0)
+        self._machines[name] = _Slot(settings)
+
+
+def _item(item_id: str) -> dict[str, Any]:
+    return {
+        "Id": item_id,
+        "Path": f"{DRAFT_PREFIX}{item_id}",
+        "Headers": {"Model": MODEL},
+        "Body": base64.b64encode(f"body {item_id}".encode()).decode(),
+        "TokenCount": 10,
+        "Group": item_id.rpartition("-")[0],
+        "Scorer": {
+            "Id": f"score-{item_id}",
+            "Host": HOST,
+            "Path": f"{COUNT_PREFIX}{item_id}",
+            "Body": base64.b64encode(b"score").decode(),
+        },
+    }
--- /dev/null
+++ b/src/runkeel_lab/users_platform/soak.py
@@ -0,0 +1,273 @@
+"""A fault soak: random faults on a deployment, checked against what was acknowledged.
+
+The oracle is small: a job that was accepted is read whole in the end, each item once, with the text
+that its generation has, the same at every node and never changed after it was first read; a request
+that can't be repeated runs at most once; orders to an engine come from one node at a time.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+from loguru import logger
+
+from runkeel_lab.users_platform.deployment import COUNT_PREFIX, RESERVE_PREFIX, Deployment
+from runkeel_lab.users_platform.servers import PlatformServer, whole_text
+
+_JOB_SECONDS = 1.0
+_REQUEST_SECONDS = 0.15
+_FAULT_SECONDS = 0.8
+_READ_SECONDS = 0.3
+_ITEMS = 12
+_SETTLE_SECONDS = 60.0
+_ORDER_PAUSE_SECONDS = 0.5
+
+
+@dataclass(slots=True)
+class SoakReport:
+    """What a soak did and what did not hold."""
+
+    accepted: int = 0
+    completed_items: int = 0
+    failed_items: int = 0
+    answered: int = 0
+    faults: dict[str, int] = field(default_factory=dict)
+    violations: list[str] = field(default_factory=list)
+
+
+class Soak:
+    """One soak with a seed; the same seed gives the same plan of faults."""
+
+    def __init__(self, seed: int, seconds: float) -> None:
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._deployment = Deployment(
+            seed,
+            edges=3,
+            disks=2,
+            engines=3,
+            applications=3,
+            order_pause_seconds=_ORDER_PAUSE_SECONDS,
+        )
+        self._report = SoakReport()
+        self._accepted: dict[str, list[str]] = {}
+        self._seen: dict[str, list[dict[str, Any]]] = {}
+        self._version = 1
+
+    def run(self) -> SoakReport:
+        """Run to the end and return the report."""
+        deployment = self._deployment
+        deployment.start()
+        try:
+            deployment.wait_ready()
+            end = time.monotonic() + self._seconds
+            tasks = [
+                gevent.spawn(self._repeat, end, _JOB_SECONDS, self._submit),
+                gevent.spawn(self._repeat, end, _REQUEST_SECONDS, self._request),
+                gevent.spawn(self._repeat, end, _READ_SECONDS, self._read_some),
+                gevent.spawn(self._repeat, end, _FAULT_SECONDS, self._disturb),
+            ]
+            gevent.joinall(tasks)
+            self._heal()
+            self._check_jobs()
+            self._check_runs()
+            self._check_orders()
+        finally:
+            deployment.stop()
+        return self._report
+
+    def _repeat(self, end: float, pause: float, action: Any) -> None:
+        while time.monotonic() < end:
+            action()
+            gevent.sleep(pause)
+
+    def _edge(self) -> str:
+        return self._random.choice(self._deployment.edge_names)
+
+    def _submit(self) -> None:
+        job_id = f"job{len(self._accepted)}-{self._random.randrange(1 << 30)}"
+        items = [f"{job_id}-g{n // 4}-{n}" for n in range(_ITEMS)]
+        status = self._deployment.submit(self._edge(), job_id, items)
+        if status == 202:
+            self._accepted[job_id] = items
+            self._report.accepted += 1
+
+    def _request(self) -> None:
+        prefix = self._random.choice((COUNT_PREFIX, RESERVE_PREFIX))
+        request_id = f"{prefix.strip('/')}-{self._random.randrange(1 << 40)}"
+        headers = {"Attempt-Id": request_id, "Deadline-Ms": "1000"}
+        gevent.spawn(self._send, prefix, headers)
+
+    def _send(self, prefix: str, headers: dict[str, str]) -> None:
+        body = headers["Attempt-Id"].encode()
+        answer = self._deployment.call(self._edge(), "POST", f"{prefix}x", headers, body)
+        if answer is None or answer.status != 200:
+            return
+        self._report.answered += 1
+        if answer.body != b"echo " + body:
+            self._violated(f"{body!r} got the answer {answer.body!r}")
+
+    def _read_some(self) -> None:
+        if self._accepted:
+            self._read(self._random.choice(list(self._accepted)), self._edge())
+
+    def _read(self, job_id: str, edge: str) -> list[dict[str, Any]] | None:
+        """Read a job; what was read before must come again."""
+        results = self._deployment.results(edge, job_id)
+        if results is None:
+            return None
+        seen = self._seen.get(job_id, [])
+        common = min(len(seen), len(results))
+        if results[:common] != seen[:common]:
+            self._violated(f"{job_id}: results changed at {edge}")
+        if len(results) > len(seen):
+            self._seen[job_id] = results
+        return results
+
+    def _disturb(self) -> None:
+        fault = self._random.choice(
+            (
+                self._kill_node,
+                self._kill_coordinator,
+                self._lose_store_answers,
+                self._refuse_at_the_store,
+                self._slow_store,
+                self._compact,
+                self._break_engine,
+                self._break_application,
+                self._lose_orders,
+                self._name_version,
+            )
+        )
+        name = fault.__name__.removeprefix("_")
+        self._report.faults[name] = self._report.faults.get(name, 0) + 1
+        logger.info("fault", code="fault", fault=name)
+        fault()
+
+    def _kill_node(self) -> None:
+        self._restart(self._random.choice(self._deployment.node_names))
+
+    def _kill_coordinator(self) -> None:
+        for name in self._deployment.coordinators()[:1]:
+            self._restart(name)
+
+    def _restart(self, name: str) -> None:
+        if self._deployment.node(name) is None:
+            return
+        self._deployment.kill_node(name)
+        gevent.spawn_later(self._random.uniform(0.05, 2.0), self._start_again, name)
+
+    def _start_again(self, name: str) -> None:
+        if self._deployment.node(name) is None:
+            self._deployment.start_node(name)
+
+    def _for_a_while(self, target: Any, attribute: str, value: Any, normal: Any) -> None:
+        setattr(target, attribute, value)
+        seconds = self._random.uniform(0.3, 2.0)
+        gevent.spawn_later(seconds, setattr, target, attribute, normal)
+
+    def _lose_store_answers(self) -> None:
+        self._for_a_while(self._deployment.store, "lost_share", 0.4, 0.0)
+
+    def _refuse_at_the_store(self) -> None:
+        self._for_a_while(self._deployment.store, "refused", True, False)
+
+    def _slow_store(self) -> None:
+        self._for_a_while(self._deployment.store, "slow_seconds", 0.15, 0.0)
+
+    def _compact(self) -> None:
+        self._deployment.store.objects.compact()
+
+    def _break_engine(self) -> None:
+        self._break(self._random.choice(self._deployment.engines))
+
+    def _break_application(self) -> None:
+        self._break(self._random.choice(self._deployment.applications))
+
+    def _break(self, server: PlatformServer) -> None:
+        attribute, value, normal = self._random.choice(
+            (("lost_share", 0.5, 0.0), ("failed_share", 0.3, 0.0), ("slow_factor", 8.0, 1.0))
+        )
+        self._for_a_while(server.faults, attribute, value, normal)
+
+    def _lose_orders(self) -> None:
+        engine = self._random.choice(self._deployment.engines)
+        self._for_a_while(engine.faults, "unanswered_orders", 0.7, 0.0)
+
+    def _name_version(self) -> None:
+        self._version += 1
+        self._deployment.name_version(self._version)
+
+    def _heal(self) -> None:
+        gevent.sleep(2.1)
+        for name in self._deployment.node_names:
+            self._start_again(name)
+
+    def _check_jobs(self) -> None:
+        deadline = time.monotonic() + _SETTLE_SECONDS
+        for job_id, items in self._accepted.items():
+            while len(self._read(job_id, self._edge()) or ()) < len(items):
+                if time.monotonic() > deadline:
+                    self._violated(f"{job_id}: not whole at the end")
+                    break
+                gevent.sleep(0.05)
+            for edge in self._deployment.edge_names:
+                self._read(job_id, edge)
+            self._check_results(job_id, items)
+
+    def _check_results(self, job_id: str, items: list[str]) -> None:
+        results = self._seen.get(job_id, [])
+        if sorted(result["Id"] for result in results) != sorted(items):
+            self._violated(f"{job_id}: items {[result['Id'] for result in results]}")
+        for result in results:
+            if result["State"] != "completed":
+                self._report.failed_items += 1
+                continue
+            self._report.completed_items += 1
+            if result["Text"] != whole_text(result["Id"]):
+                self._violated(f"{result['Id']}: text {result['Text']!r}")
+            if not result.get("Score", "").endswith(f".score-{result['Id']}"):
+                self._violated(f"{result['Id']}: score {result.get('Score')!r}")
+
+    def _check_runs(self) -> None:
+        runs: dict[str, int] = {}
+        for server in self._deployment.applications:
+            for run in server.runs:
+                if run.path.startswith(RESERVE_PREFIX):
+                    runs[run.request_id] = runs.get(run.request_id, 0) + 1
+        for request_id, count in runs.items():
+            if count > 1:
+                self._violated(f"{request_id} ran {count} times")
+
+    def _check_orders(self) -> None:
+        for engine in self._deployment.engines:
+            orders = [order for order in engine.orders if order.accepted]
+            for before, after in zip(orders, orders[1:], strict=False):
+                if after.token < before.token:
+                    self._violated(f"{engine.server_id}: token {after.token} after {before.token}")
+
+    def _violated(self, text: str) -> None:
+        self._report.violations.append(text)
+
+
+def run_soaks(seed: int, runs: int, seconds: float) -> bool:
+    """Run several soaks and print a line for each; True when nothing was violated."""
+    logger.remove()
+    holds = True
+    for number in range(seed, seed + runs):
+        report = Soak(number, seconds).run()
+        holds = holds and not report.violations
+        faults = sum(report.faults.values())
+        print(
+            f"seed {number}: {report.accepted} jobs, {report.completed_items} items completed, "
+            f"{report.failed_items} failed, {report.answered} requests answered, {faults} faults, "
+            f"{len(report.violations)} violations",
+            flush=True,
+        )
+        for violation in report.violations[:5]:
+            print(f"  {violation}", flush=True)
+    return holds
--- /dev/null
+++ b/src/runkeel_lab/users_platform/store_server.py
@@ -0,0 +1,132 @@
+"""The platform's metadata store over HTTP, with outages, refusals and lost answers."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections.abc import Callable, Iterable
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from runkeel.api.documents import Document, DocumentConflictError, HistoryLostError
+from runkeel.api.machines import Address
+from runkeel.errors import RunkeelError
+from runkeel_lab.standins.document_store import MemoryDocumentStore
+from runkeel_lab.standins.http import AnswerAbortedError, Handler
+
+_COLLECTION = "/runkeel/objects/"
+_CONNECTION = "runkeel.connection"
+_WRITES = ("POST", "PUT", "DELETE")
+_STATUSES = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 503: "Unavailable"}
+
+
+class StoreServer:
+    """Serves a document store in the platform's HTTP form.
+
+    Attributes:
+        objects: the stored objects; kinds are the platform's names.
+        lost_share: share of the writes that are done and not answered.
+        refused: every call is answered 503 and nothing is done.
+        slow_seconds: added to every call.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.objects = MemoryDocumentStore()
+        self.lost_share = 0.0
+        self.refused = False
+        self.slow_seconds = 0.0
+        self._random = random.Random(seed)
+        self._server = WSGIServer(("127.0.0.1", 0), self._answer, log=None, handler_class=Handler)
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return Address("127.0.0.1", self._server.server_port)
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close the listener and every connection."""
+        self._server.stop(timeout=0)
+
+    def _answer(
+        self, environment: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        method = environment["REQUEST_METHOD"]
+        body = environment["wsgi.input"].read()
+        if self.slow_seconds:
+            gevent.sleep(self.slow_seconds)
+        if self.refused:
+            status, answer = 503, None
+        else:
+            status, answer = self._handle(method, environment, json.loads(body) if body else {})
+        if method in _WRITES and self._random.random() < self.lost_share:
+            environment[_CONNECTION].abort()
+            raise AnswerAbortedError
+        start_response(f"{status} {_STATUSES[status]}", [("Content-Type", "application/json")])
+        return [json.dumps(answer).encode()]
+
+    def _handle(
+        self, method: str, environment: dict[str, Any], body: dict[str, Any]
+    ) -> tuple[int, Any]:
+        path = environment["PATH_INFO"].removeprefix(_COLLECTION)
+        kind, _, rest = path.partition("/")
+        name, _, part = rest.partition("/")
+        query = {key: values[0] for key, values in parse_qs(environment["QUERY_STRING"]).items()}
+        try:
+            if method == "GET":
+                return self._read(kind, unquote(name), query)
+            return self._write(method, kind, unquote(name), part, body)
+        except DocumentConflictError as conflict:
+            return 409, None if conflict.current is None else _object(conflict.current)
+        except HistoryLostError:
+            return 410, None
+        except RunkeelError:
+            return 503, None
+
+    def _read(self, kind: str, name: str, query: dict[str, str]) -> tuple[int, Any]:
+        if "watch" in query:
+            wait = float(query.get("WaitMs", 0)) / 1000.0
+            changes = self.objects.watch(kind, int(query["watch"]), wait)
+            events = [
+                {"object": _object(change.document), "gone": change.removed}
+                for change in changes.changes
+            ]
+            return 200, {"events": events, "at": changes.revision}
+        if name:
+            document = self.objects.get(kind, name)
+            return (404, None) if document is None else (200, _object(document))
+        listing = self.objects.list(kind)
+        items = [_object(document) for document in listing.documents]
+        return 200, {"Items": items, "more": False, "at": listing.revision}
+
+    def _write(
+        self, method: str, kind: str, name: str, part: str, body: dict[str, Any]
+    ) -> tuple[int, Any]:
+        metadata = body.get("Metadata") or {}
+        if method == "POST":
+            return 200, _object(self.objects.create(kind, metadata["Name"], body.get("Spec")))
+        if method == "DELETE":
+            self.objects.delete(kind, name)
+            return 200, None
+        if part == "status":
+            self.objects.set_status(kind, name, body.get("Status"))
+            return 200, None
+        current = self.objects.get(kind, name)
+        if current is None:
+            return 404, None
+        revision = int(metadata.get("Revision", current.revision))
+        return 200, _object(self.objects.replace(kind, name, body.get("Spec"), revision))
+
+
+def _object(document: Document) -> dict[str, Any]:
+    return {
+        "Metadata": {"Name": document.name, "Revision": document.revision},
+        "Spec": document.content,
+        "Status": document.status,
+    }
