--- a/src/runkeel/api/backend_protocol.py
+++ b/src/runkeel/api/backend_protocol.py
@@ -38,7 +38,12 @@
 
 @dataclass(frozen=True, slots=True)
 class PlainRequest:
-    """A client's request as it is passed on; ``resume_after`` is an event id."""
+    """A client's request as it is passed on.
+
+    Attributes:
+        resume_after: id of the last event that the client has of a stream.
+        urgency: rank at an engine, 0 first; None where the client's own word stands.
+    """
 
     request_id: str
     method: str
@@ -47,6 +52,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     resume_after: str | None = None
+    urgency: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/runkeel/decision_log.py
+++ b/src/runkeel/decision_log.py
@@ -21,6 +21,7 @@
 BYTES_PER_SECOND = 60_000.0
 BURST_BYTES = 240_000.0
 WARNING_RESERVE_BYTES = 60_000.0
+COMMON_LINE_BYTES = 300
 _WARNING_LEVEL = 30
 
 
@@ -34,18 +35,26 @@
         self._available = burst
         self._updated = time.monotonic()
 
+    def has_room(self, important: bool) -> bool:
+        """Return whether a line of common size would be taken; asked before it is built."""
+        self._refill()
+        return self._available - COMMON_LINE_BYTES >= (0.0 if important else self._reserve)
+
     def take(self, size: int, important: bool) -> bool:
         """Take bytes for a line; False when the line has to be left out."""
-        now = time.monotonic()
-        self._available += (now - self._updated) * self._rate
-        self._available = min(self._burst, self._available)
-        self._updated = now
+        self._refill()
         floor = 0.0 if important else self._reserve
         if self._available - size < floor:
             return False
         self._available -= size
         return True
 
+    def _refill(self) -> None:
+        now = time.monotonic()
+        self._available += (now - self._updated) * self._rate
+        self._available = min(self._burst, self._available)
+        self._updated = now
+
 
 class LineWriter:
     """Writes lines to a descriptor without ever waiting for its reader."""
@@ -60,17 +69,23 @@
 
     def write(self, line: dict[str, Any], important: bool) -> None:
         """Write a line, or count it as left out."""
+        if not self._flush_rest() or not self._budget.has_room(important):
+            self._drop()
+            return
         if self._dropped:
             line["dropped_before"] = self._dropped
         data = json.dumps(line, default=str).encode() + b"\n"
-        if not self._flush_rest() or not self._budget.take(len(data), important):
-            self._dropped += 1
-            LOG_LINES_DROPPED.labels("budget").inc()
+        if not self._budget.take(len(data), important):
+            self._drop()
             return
         self._dropped = 0
         self._rest = data
         self._flush_rest()
 
+    def _drop(self) -> None:
+        self._dropped += 1
+        LOG_LINES_DROPPED.inc()
+
     def _flush_rest(self) -> bool:
         """Write what is left of the last line; False while the reader does not take it."""
         while self._rest:
--- a/src/runkeel/metrics.py
+++ b/src/runkeel/metrics.py
@@ -20,4 +20,4 @@
 JOBS = Counter("runkeel_jobs_total", "Batch jobs", ["event"])
 COORDINATING = Gauge("runkeel_coordinating", "1 while this node coordinates", ["service"])
 VERSION_ORDERS = Counter("runkeel_version_orders_total", "Orders to engines", ["outcome"])
-LOG_LINES_DROPPED = Counter("runkeel_log_lines_dropped_total", "Log lines left out", ["reason"])
+LOG_LINES_DROPPED = Counter("runkeel_log_lines_dropped_total", "Log lines left out")
