--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -35,6 +35,10 @@
 
 LONGEST_LOAD_SECONDS = 6.0
 CALL_SECONDS = 1.0
+SPARE_ENGINES = 1
+SPARE_FACTOR = 2.0
+"""Engines are kept at a model's versions for so many times its open items, and some more."""
+
 CONCURRENT_LOADS = 2
 CONCURRENT_SHARE = 1 / 3
 
@@ -55,10 +59,12 @@
     Attributes:
         minimum_version: oldest version that every open job accepts.
         slack: versions behind the newest that the latest job accepts.
+        items: most items that were open at once lately; None when no job has come yet.
     """
 
     minimum_version: int = 0
     slack: int = 0
+    items: int | None = None
 
 
 class VersionRollout:
@@ -184,17 +190,16 @@
         Jobs accept versions that are some way behind the newest. So at each version only a part
         of the engines is moved: those that the jobs no longer accept, and of the rest the oldest,
         so many that after as many versions as the jobs accept every engine has had its turn.
+        In a large fleet only as many engines take part as the jobs can fill.
         """
+        engines = self._engines_in_use(engines, model)
         target = self._targets.get(model, 0)
         demand = self._demand(model)
         floor = max(target - demand.slack, demand.minimum_version)
         share = -(-len(engines) // (demand.slack + 1))
         behind: list[tuple[int, int, BackendState]] = []
         for state in engines:
-            change = self._changing.get(state.backend_id)
-            version = self._version(state, model)
-            if change is not None and change.model == model:
-                version = max(version, change.version)
+            version = self._version_ahead(state, model)
             if version >= target:
                 share -= 1
             else:
@@ -209,6 +214,26 @@
                 due.append((version < floor, running, state, model))
         return due
 
+    def _engines_in_use(self, engines: list[BackendState], model: str) -> list[BackendState]:
+        """Return as many engines as the model's jobs can fill, those that are furthest first."""
+        items = self._demand(model).items
+        if items is None:
+            return engines
+        slots = max((state.backend.slots for state in engines), default=1)
+        needed = SPARE_ENGINES + -(-int(items * SPARE_FACTOR) // max(1, slots))
+        furthest = sorted(
+            engines, key=lambda state: (-self._version_ahead(state, model), state.backend_id)
+        )
+        return furthest[:needed]
+
+    def _version_ahead(self, state: BackendState, model: str) -> int:
+        """Return the version that an engine has or is under way to."""
+        version = self._version(state, model)
+        change = self._changing.get(state.backend_id)
+        if change is not None and change.model == model:
+            version = max(version, change.version)
+        return version
+
     def _may_change(self, state: BackendState) -> bool:
         if state.backend_id in self._changing:
             return False
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -26,6 +27,9 @@
 
 SWEEP_SECONDS = 10.0
 
+RECENT_JOBS = 6
+"""Jobs of a model by which the engines that it needs are counted."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Acceptance:
@@ -47,6 +51,7 @@
     ) -> None:
         self._store = store
         self._newest_version = newest_version
+        self._recent_items: dict[str, deque[int]] = {}
         self._latest_minimum: dict[str, _Acceptance] = {}
         self._scheduler = scheduler
         self._jobs: dict[str, JobState] = {}
@@ -115,7 +120,8 @@
         ]
         latest = self._latest_minimum.get(model)
         slack = 0 if latest is None else max(0, latest.newest_version - latest.minimum_version)
-        return ModelDemand(max(open_jobs, default=0), slack)
+        items = max(self._recent_items.get(model, ()), default=None)
+        return ModelDemand(max(open_jobs, default=0), slack, items)
 
     def page(self, state: JobState, position: int, wait: float, maximum_bytes: int) -> ResultPage:
         """Return results of a job, waiting for one at the position."""
@@ -144,6 +150,8 @@
         if document.name not in self._jobs and document.name not in self._ended:
             # Who asks for a job that had ended before this term is answered from the store.
             self._spawn(self._load, document)
+        elif document.name in self._ended:
+            self._note_acceptance(decode_job(document.name, document.content))
         # The body is kept in the job's state; the watcher's copy would hold it twice.
         self._submissions.documents[document.name] = Document(
             document.kind, document.name, document.revision, None
@@ -179,6 +187,7 @@
             self._spawn(writer.run)
 
     def _note_acceptance(self, job: BatchJob) -> None:
+        self._note_items(job)
         known = self._latest_minimum.get(job.model)
         if known is not None and known.submitted_at >= job.submitted_at:
             return
@@ -188,6 +197,16 @@
                 job.submitted_at, job.minimum_version, newest
             )
 
+    def _note_items(self, job: BatchJob) -> None:
+        """Keep how many items of the model were open when a job came, for the latest jobs."""
+        others = sum(
+            len(state.items) - len(state.results)
+            for state in self._jobs.values()
+            if state.job.model == job.model and state.job.job_id != job.job_id and not state.ended
+        )
+        recent = self._recent_items.setdefault(job.model, deque(maxlen=RECENT_JOBS))
+        recent.append(len(job.items) + others)
+
     def _load_results(self, state: JobState) -> bool:
         """Read the segments that are not read yet; False when the store gave no answer."""
         fresh = time.time() - state.job.submitted_at < LOAD_RETRY_SECONDS
--- a/tests/coordination/test_version_rollout.py
+++ b/tests/coordination/test_version_rollout.py
@@ -110,6 +110,7 @@
         configuration = RoutingConfiguration(1, (), {SERVICE: description})
         self.targets = {}
         self.minimum = {}
+        self.items = None
         self.reached = []
         lease = OrderLease(MemoryDocumentStore(), "fleet", "node", 3.0)
         self.rollout = VersionRollout(
@@ -119,7 +120,7 @@
             "node",
             lambda: configuration,
             self.targets,
-            lambda model: ModelDemand(self.minimum.get(model, 0), slack),
+            lambda model: ModelDemand(self.minimum.get(model, 0), slack, self.items),
             lambda backend_id, model, version: self.reached.append((backend_id, version)),
             lambda backend_id: 0,
         )
@@ -163,6 +164,18 @@
         self._name(2)
         self._wait_versions(2, 2, 2, 2)
 
+    def test_only_the_engines_that_the_jobs_can_fill_are_moved(self):
+        """The sweep's 3,000 engines took 1,456 orders for jobs of a few items."""
+        self._start(6)
+        self.items = 4
+        self._name(2)
+        self._wait_versions(1, 1, 1, 1, 2, 2)
+        self._name(3)
+        self._wait_versions(1, 1, 1, 1, 3, 3)
+        self.items = 16
+        self._name(4)
+        self._wait_versions(1, 4, 4, 4, 4, 4)
+
     def test_lost_order_is_settled_by_the_report(self):
         """An order carried out late doesn't follow a second one for the same change."""
         self._start(1)
