Copy the text of running items to the coordinator's successor; let only the platform's answers end with their connection

Ruled out: waiting for a slot (the stragglers ran from the start).

Change: what running items have added goes to the successor each 0.4 s; it continues them after the last event it has. Answers that end with their connection are taken only where the pool is told so; the old test stands as it was.

--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -60,13 +60,14 @@
     def end_of_input(self) -> bool:
         """Take the connection's end; True when that ends the answer (it had no length)."""
         delimited = "content-length" in self or "transfer-encoding" in self
-        if not self.final_headers_complete or delimited:
+        if not self.ends_with_connection or not self.final_headers_complete or delimited:
             return False
         self.message_complete = True
         self.closed_by_peer = True
         return True
 
     closed_by_peer = False
+    ends_with_connection = False
 
     @property
     def idle_seconds(self) -> float:
@@ -155,12 +156,23 @@
 
 
 class HttpConnectionPool:
-    """Connections to one back end."""
+    """Connections to one back end.
 
-    def __init__(self, address: Address, maximum_answer_bytes: int = MAXIMUM_ANSWER_BYTES) -> None:
+    Args:
+        ends_with_connection: an answer without a length ends where its connection ends in
+            order; without this it counts as truncated, as back ends are asked to tell lengths.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        maximum_answer_bytes: int = MAXIMUM_ANSWER_BYTES,
+        ends_with_connection: bool = False,
+    ) -> None:
         self._address = (address.host, address.port)
         self._host = str(address)
         self._maximum_answer_bytes = maximum_answer_bytes
+        self._ends_with_connection = ends_with_connection
         self._idle: list[tuple[gevent.socket.socket, float]] = []
         self._closed = False
 
@@ -234,6 +246,7 @@
         head = _encode_head(request, self._host)
         sock = self._connection(deadline)
         answer = _Answer(request.method)
+        answer.ends_with_connection = self._ends_with_connection
         try:
             if before_send is not None:
                 before_send()
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -144,6 +144,17 @@
         """Whether this node is the coordinator."""
         return self._epoch > 0
 
+    @property
+    def epoch(self) -> int:
+        """Epoch in which this node coordinates, 0 when it does not."""
+        return self._epoch
+
+    @property
+    def successor(self) -> str | None:
+        """The node that would replace this coordinator, None when there is none in sight."""
+        live = sorted(self._live_peers(), key=lambda entry: not entry[1].preferred)
+        return live[0][0] if self._epoch and live else None
+
     def peer_address(self, node_id: str) -> tuple[Address, str] | None:
         """Return the address and zone of a node, for the peer network."""
         known = self._coordinator
@@ -152,7 +163,8 @@
         before = self._predecessor
         if before is not None and before.node_id == node_id:
             return before.address, before.zone
-        witness = self._witnesses.get(node_id)
+        pinging = self._peers.get(node_id)
+        witness = pinging.address if pinging is not None else self._witnesses.get(node_id)
         if witness is None:
             return None
         return Address.parse(witness.address), witness.zone
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -22,9 +22,11 @@
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.coordinator import JobCoordinator
+from runkeel.jobs.generation_run import PartialText
 from runkeel.jobs.scheduler import Scheduler
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
+from runkeel.jobs.text_replication import TextCopies, TextSender
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
 from runkeel.wire.network import PeerNetwork
@@ -108,6 +110,7 @@
                 self._backend_gather_seconds,
             ),
         ]
+        self._copies = TextCopies(self._network)
         self._term: _Term | None = None
         self.directory.on_change(self._directory_changed)
 
@@ -176,7 +179,7 @@
             self._term.wake()
 
     def _start_term(self, epoch: int) -> None:
-        self._term = _Term(self, epoch)
+        self._term = _Term(self, epoch, self._copies.take())
         self.jobs.local = self._term.jobs
         self._term.start()
 
@@ -191,7 +194,7 @@
 class _Term:
     """The coordinator's parts, from the moment that this node is elected until it is replaced."""
 
-    def __init__(self, node: FleetNode, epoch: int) -> None:
+    def __init__(self, node: FleetNode, epoch: int, texts: dict[str, PartialText]) -> None:
         self.epoch = epoch
         self._node_id = node._settings.node_id
         self._leave = node.leave
@@ -205,6 +208,14 @@
             Scorer(node.forwarder, node.routing, node._protocol),
             lambda backend_id, model: self._rollout.is_loading(backend_id, model),
         )
+        self._scheduler.keep_texts(texts)
+        self._sender = TextSender(
+            node._network,
+            SHARD,
+            epoch,
+            self._scheduler.open_texts,
+            lambda: node._election.successor,
+        )
         self._rollout = VersionRollout(
             node.directory,
             node._protocol,
@@ -230,9 +241,11 @@
             watcher.start()
         self._rollout.start()
         self.jobs.start()
+        self._sender.start()
 
     def stop(self) -> None:
         """Stop to coordinate at once."""
+        self._sender.stop()
         self._rollout.stop()
         self.jobs.stop()
         for watcher in self._watchers:
--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -22,7 +22,7 @@
 
     def __init__(self, backend: Backend) -> None:
         self.backend = backend
-        self.pool = HttpConnectionPool(backend.address)
+        self.pool = HttpConnectionPool(backend.address, ends_with_connection=True)
         self.in_flight = 0
         self.failures = 0
         self.avoid_until = 0.0
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -45,12 +45,14 @@
     Attributes:
         versions: weight versions that made events of the text, in order of appearance.
         whole: the generation's end was received.
+        generation: grows each time the text is started anew.
     """
 
     pieces: list[str] = field(default_factory=list)
     last_event_id: str | None = None
     versions: list[int] = field(default_factory=list)
     whole: bool = False
+    generation: int = 0
 
     def clear(self) -> None:
         """Forget everything, to start again."""
@@ -58,6 +60,7 @@
         self.versions.clear()
         self.last_event_id = None
         self.whole = False
+        self.generation += 1
 
     def fits(self, minimum_version: int, single_version: bool) -> bool:
         """Return whether the text may be used where these versions are allowed."""
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -123,6 +123,15 @@
         self._queue.clear()
         self._running.clear()
 
+    def keep_texts(self, texts: dict[str, PartialText]) -> None:
+        """Take texts of an earlier coordinator's runs; jobs that are added continue them."""
+        self._kept.update(texts)
+
+    def open_texts(self) -> dict[str, PartialText]:
+        """Return the texts of the items that are running, waiting or being scored."""
+        tasks = [*self._running.values(), *self._queue]
+        return {task.item.item_id: task.partial for task in tasks if task.partial.pieces}
+
     def wake(self) -> None:
         """Look again whether an item can be placed."""
         self._wake.set()
--- /dev/null
+++ b/src/runkeel/jobs/text_replication.py
@@ -0,0 +1,196 @@
+"""Copies the text of running generations to the coordinator's successor.
+
+The coordinator sends what has been added, a few times a second, to the node that would replace it.
+When that node becomes coordinator, it continues each generation after the last event that it has,
+instead of running it anew. A lost copy costs time, never a result.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from loguru import logger
+
+from runkeel.errors import RunkeelError
+from runkeel.jobs.generation_run import PartialText
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.jobs.ttypes import TextReplication, TextReplicationReply, TextUpdate
+from runkeel.wire.network import PeerNetwork
+
+INTERVAL_SECONDS = 0.4
+CALL_SECONDS = 1.0
+KEPT_SECONDS = 30.0
+"""A copy that is not updated for so long is dropped."""
+
+MAXIMUM_COPIES = 4_000
+
+
+@dataclass(slots=True)
+class _Sent:
+    """What the successor has of a text."""
+
+    generation: int
+    pieces: int
+    whole: bool
+
+
+class TextSender:
+    """Sends the texts of one term to the successor; one task."""
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        shard: str,
+        epoch: int,
+        texts: Callable[[], dict[str, PartialText]],
+        successor: Callable[[], str | None],
+    ) -> None:
+        self._network = network
+        self._shard = shard
+        self._epoch = epoch
+        self._texts = texts
+        self._successor = successor
+        self._receiver: str | None = None
+        self._sent: dict[str, _Sent] = {}
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start to send."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to send."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            gevent.sleep(INTERVAL_SECONDS)
+            self.send_once()
+
+    def send_once(self) -> None:
+        """Send what the successor does not have yet."""
+        receiver = self._successor()
+        if receiver != self._receiver:
+            self._receiver = receiver
+            self._sent.clear()
+        if receiver is None:
+            return
+        texts = self._texts()
+        self._sent = {item_id: sent for item_id, sent in self._sent.items() if item_id in texts}
+        updates = [
+            update
+            for item_id, text in texts.items()
+            if (update := self._update(item_id, text)) is not None
+        ]
+        if updates:
+            self._send(receiver, updates)
+
+    def _update(self, item_id: str, text: PartialText) -> TextUpdate | None:
+        sent = self._sent.get(item_id)
+        first = sent.pieces if sent is not None and sent.generation == text.generation else 0
+        if sent is not None and first == len(text.pieces) and sent.whole == text.whole:
+            return None
+        return TextUpdate(
+            item_id,
+            text.generation,
+            first,
+            list(text.pieces[first:]),
+            text.last_event_id or "",
+            list(text.versions),
+            text.whole,
+        )
+
+    def _send(self, receiver: str, updates: list[TextUpdate]) -> None:
+        message = TextReplication(self._shard, self._epoch, updates)
+        try:
+            reply = self._network.call(
+                receiver,
+                MessageType.TEXT_REPLICATION,
+                message,
+                TextReplicationReply,
+                CALL_SECONDS,
+            )
+        except RunkeelError:
+            # What arrived is unknown: everything is sent again.
+            self._sent.clear()
+            return
+        for update in updates:
+            pieces = update.first_piece + len(update.pieces)
+            self._sent[update.item_id] = _Sent(update.generation, pieces, update.whole)
+        for item_id in reply.missing:
+            self._sent.pop(item_id, None)
+
+
+@dataclass(slots=True)
+class _Copy:
+    text: PartialText
+    updated_at: float
+
+
+class TextCopies:
+    """The successor's copies; always ready to receive."""
+
+    def __init__(self, network: PeerNetwork) -> None:
+        self._copies: dict[str, _Copy] = {}
+        self._epoch = 0
+        network.on_call(MessageType.TEXT_REPLICATION, TextReplication, self._receive)
+
+    def take(self) -> dict[str, PartialText]:
+        """Return the copies that are still fresh and forget them all."""
+        oldest = time.monotonic() - KEPT_SECONDS
+        texts = {
+            item_id: copy.text
+            for item_id, copy in self._copies.items()
+            if copy.updated_at >= oldest
+        }
+        self._copies.clear()
+        if texts:
+            logger.info(
+                "texts taken over",
+                code="texts_taken",
+                items=len(texts),
+                events=sum(len(text.pieces) for text in texts.values()),
+                epoch=self._epoch,
+            )
+        return texts
+
+    def _receive(self, peer: str, message: TextReplication) -> tuple[int, TextReplicationReply]:
+        missing: list[str] = []
+        if message.epoch >= self._epoch:
+            if message.epoch > self._epoch:
+                self._copies.clear()
+                self._epoch = message.epoch
+            missing = [one.item_id for one in message.updates if not self._apply(one)]
+            self._forget_old()
+        return MessageType.TEXT_REPLICATION_REPLY, TextReplicationReply(missing)
+
+    def _apply(self, update: TextUpdate) -> bool:
+        """Add an update to its copy; False when earlier pieces are missing."""
+        copy = self._copies.get(update.item_id)
+        if update.first_piece == 0:
+            copy = _Copy(PartialText(generation=update.generation), 0.0)
+            self._copies[update.item_id] = copy
+        elif copy is None or not _continues(copy.text, update):
+            return False
+        copy.text.pieces.extend(update.pieces)
+        copy.text.last_event_id = update.last_event_id or None
+        copy.text.versions = list(update.versions)
+        copy.text.whole = update.whole
+        copy.updated_at = time.monotonic()
+        return True
+
+    def _forget_old(self) -> None:
+        oldest = time.monotonic() - KEPT_SECONDS
+        for item_id in [one for one, copy in self._copies.items() if copy.updated_at < oldest]:
+            del self._copies[item_id]
+        while len(self._copies) > MAXIMUM_COPIES:
+            self._copies.pop(next(iter(self._copies)))
+
+
+def _continues(text: PartialText, update: TextUpdate) -> bool:
+    """Return whether an update begins where a copy ends."""
+    return text.generation == update.generation and len(text.pieces) == update.first_piece
--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -160,13 +160,28 @@
     return EXIT_OK if run_soaks(seed, runs, seconds) else EXIT_VIOLATED
 
 
+def story(wanted: str, *logs: Path) -> int:
+    """Print what the nodes' logs tell of a request, an item or a batch job.
+
+    Example: ``runkeel-lab story 7c41e09b52d6a3f8 logs/*.log``
+
+    :param wanted: id of the request, item or batch job.
+    :param logs: files with the nodes' log lines, in any order.
+    """
+    from runkeel_lab.story import format_story, read_lines, story_of
+
+    found = story_of(read_lines(logs), wanted)
+    print(format_story(found))
+    return EXIT_OK if found else EXIT_VIOLATED
+
+
 def main() -> None:
     """Run the command line and exit with its code."""
     from runkeel_lab.processes import LabError
 
     try:
         code = defopt.run(
-            [standins, demo, run, sweep, replay, scale, soak],
+            [standins, demo, run, sweep, replay, scale, soak, story],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
             argparse_kwargs={"prog": "runkeel-lab"},
--- a/tests/backends/test_http_connection.py
+++ b/tests/backends/test_http_connection.py
@@ -50,10 +50,10 @@
         self.addCleanup(self.pool.close)
         return self.server
 
-    def get(self, before_send=None, seconds=1.0, method="GET", target="/"):
+    def get(self, before_send=None, seconds=1.0, method="GET", target="/", accept=None):
         deadline = time.monotonic() + seconds
         return self.pool.request(
-            OutgoingRequest(method, target, [("A", "b")]), deadline, before_send
+            OutgoingRequest(method, target, [("A", "b")]), deadline, before_send, accept
         )
 
     def assert_fails(self, code: ErrorCode, verdict=Verdict.MAY_HAVE_RUN, **arguments) -> None:
@@ -108,6 +108,31 @@
                 self.serve(answer)
                 self.assert_fails(ErrorCode.TRUNCATED_ANSWER)
 
+    def test_answer_may_end_with_its_connection_where_that_is_allowed(self) -> None:
+        server = self.serve(b"HTTP/1.1 200 OK\r\n\r\nhello without any length")
+        self.pool = HttpConnectionPool(server.address, ends_with_connection=True)
+        for _ in range(2):
+            self.assertEqual(self.get().body, b"hello without any length")
+        self.assertEqual(server.connections, 2)
+
+    def test_reset_answer_without_a_length_is_not_whole(self) -> None:
+        server = self.serve(WHOLE[:-1])
+        self.pool = HttpConnectionPool(server.address, ends_with_connection=True)
+        self.assert_fails(ErrorCode.TRUNCATED_ANSWER)
+
+    def test_answer_to_another_request_is_dropped_with_its_connection(self) -> None:
+        server = self.serve(WHOLE)
+        for _ in range(2):
+            self.assert_fails(ErrorCode.BACKEND_LOST, accept=lambda status, headers: False)
+        self.assertEqual(server.connections, 2)
+
+    def test_idle_connection_is_given_up_before_the_server_closes_it(self) -> None:
+        answer = WHOLE.replace(b"OK\r\n", b"OK\r\nKeep-Alive: timeout=0\r\n", 1)
+        server = self.serve(answer, answer)
+        self.get()
+        self.get()
+        self.assertEqual(server.connections, 2)
+
     def test_connection_after_a_cut_answer_is_not_used_again(self) -> None:
         server = self.serve(WHOLE[:-1])
         for _ in range(2):
--- /dev/null
+++ b/tests/jobs/test_text_replication.py
@@ -0,0 +1,101 @@
+"""Texts of running generations reach the coordinator's successor."""
+
+import unittest
+
+from runkeel.errors import RunkeelError, Verdict
+from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.text_replication import TextCopies, TextSender
+from runkeel_lab.standins.peer_network import MemoryNetwork
+
+
+def make_text(*pieces, versions=(1,), whole=False):
+    return PartialText(list(pieces), str(len(pieces)), list(versions), whole)
+
+
+class TextReplicationTest(unittest.TestCase):
+    def setUp(self):
+        self.network = MemoryNetwork()
+        self.copies = TextCopies(self.network.node("b"))
+        self.texts = {}
+        self.successor = "b"
+        self.sender = self._sender(1)
+
+    def _sender(self, epoch):
+        return TextSender(
+            self.network.node("a"), "fleet", epoch, lambda: self.texts, lambda: self.successor
+        )
+
+    def test_successor_has_the_text(self):
+        self.texts["i"] = make_text("x", "y", versions=(1, 2))
+        self.sender.send_once()
+        self.texts["i"].pieces.append("z")
+        self.texts["i"].last_event_id = "3"
+        self.sender.send_once()
+        copy = self.copies.take()["i"]
+        self.assertEqual(copy.pieces, ["x", "y", "z"])
+        self.assertEqual((copy.last_event_id, copy.versions), ("3", [1, 2]))
+
+    def test_text_started_anew_replaces_the_copy(self):
+        text = self.texts["i"] = make_text("x", "y")
+        self.sender.send_once()
+        text.clear()
+        text.pieces.extend(["p", "q", "r"])
+        text.versions.append(2)
+        self.sender.send_once()
+        copy = self.copies.take()["i"]
+        self.assertEqual((copy.pieces, copy.versions), (["p", "q", "r"], [2]))
+
+    def test_end_of_a_text_is_told(self):
+        text = self.texts["i"] = make_text("x")
+        self.sender.send_once()
+        text.whole = True
+        self.sender.send_once()
+        self.assertTrue(self.copies.take()["i"].whole)
+
+    def test_lost_update_is_made_good(self):
+        text = self.texts["i"] = make_text("x")
+        self.sender.send_once()
+        self.network.silent.add("b")
+        text.pieces.append("y")
+        self.sender.send_once()
+        self.network.silent.clear()
+        text.pieces.append("z")
+        self.sender.send_once()
+        self.assertEqual(self.copies.take()["i"].pieces, ["x", "y", "z"])
+
+    def test_restarted_successor_asks_for_the_whole_text(self):
+        text = self.texts["i"] = make_text("x")
+        self.sender.send_once()
+        self.copies = TextCopies(self.network.node("b"))
+        text.pieces.append("y")
+        self.sender.send_once()
+        self.assertEqual(self.copies.take(), {})
+        self.sender.send_once()
+        self.assertEqual(self.copies.take()["i"].pieces, ["x", "y"])
+
+    def test_new_successor_gets_everything(self):
+        other = TextCopies(self.network.node("c"))
+        self.texts["i"] = make_text("x", "y")
+        self.sender.send_once()
+        self.successor = "c"
+        self.sender.send_once()
+        self.assertEqual(other.take()["i"].pieces, ["x", "y"])
+
+    def test_older_coordinator_changes_nothing(self):
+        self.texts["i"] = make_text("new")
+        self._sender(2).send_once()
+        self.texts["i"] = make_text("old", "old")
+        self.sender.send_once()
+        self.assertEqual(self.copies.take()["i"].pieces, ["new"])
+
+    def test_unreachable_successor_is_no_error(self):
+        self.network.silent.add("b")
+        self.texts["i"] = make_text("x")
+        self.sender.send_once()
+        with self.assertRaises(RunkeelError) as caught:
+            self.network.call("a", "b", 1, None)
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -286,6 +286,20 @@
         self.check_results(results, items)
         self.assertEqual(results[: len(seen)], seen)
 
+    def test_successor_continues_long_items(self):
+        """sirca trouble-1: the longest items ran anew after a take-over, past their deadline."""
+        deployment = self.start(disks=2, engines=2)
+        for engine in deployment.engines:
+            engine.event_seconds = 0.05
+        items = [f"j11-g{n}-{n}" for n in range(200) if event_count(f"j11-g{n}-{n}") > 40][:3]
+        deployment.submit("edge-0", "j11", items)
+        gevent.sleep(1.5)
+        deployment.kill_node(deployment.coordinators()[0])
+        results = self.whole_job(deployment, "edge-1", "j11", len(items))
+        self.check_results(results, items)
+        resumed = [run for engine in deployment.engines for run in engine.runs if run.resumed_after]
+        self.assertEqual({run.request_id for run in resumed}, set(items))
+
     def test_everything_dies_after_the_acceptance(self):
         deployment = self.start()
         items = self.items("j7", 12)
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -64,6 +64,8 @@
   JOB_ITEM_READ_REPLY = 707,
   COORDINATOR_WITNESS = 708,
   COORDINATOR_WITNESS_REPLY = 709,
+  TEXT_REPLICATION = 710,
+  TEXT_REPLICATION_REPLY = 711,
 }
 
 /** An error sent to a peer; verdict is runkeel.errors.Verdict. */
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -86,3 +86,25 @@
   3: string body,           // in base64
   4: bool ended,            // the job's end stands in the store
 }
+
+/** What a generation has added to its text since the last update. */
+struct TextUpdate {
+  1: string item_id,
+  2: i32 generation,        // grows each time the text is started anew
+  3: i32 first_piece,       // number of pieces that the receiver should have already
+  4: list<string> pieces,
+  5: string last_event_id,
+  6: list<i64> versions,
+  7: bool whole,
+}
+
+/** Sent by the coordinator to its successor. */
+struct TextReplication {
+  1: string shard,
+  2: i64 epoch,
+  3: list<TextUpdate> updates,
+}
+
+struct TextReplicationReply {
+  1: list<string> missing,  // items whose whole text is wanted
+}
