Notice watches that have gone mute by comparing with the coordinator

The coordinator sent orders to an address that had been given to another server each 0.5 s meanwhile.

Ruled out: the gathering of changes (1.4 s at the time; configuration, which isn't gathered, was late too).

Change: the coordinator's watches of routes, servers and versions wait 2 s; its pongs carry digests of what it knows, and a node whose own stay different begins its watch anew; nodes out of rank ping each second; accepted jobs are told to the coordinator, which fetches what its watch doesn't bring; an engine that turns out to be another server is left alone for a while.

Figures: new tests of mute watches fail before (6 s bound; 27 s needed).

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -32,7 +32,13 @@
 from runkeel.wire.network import PeerNetwork
 
 PING_SECONDS = 0.5
-SLOW_PING_SECONDS = 3.0
+SLOW_PING_SECONDS = 1.0
+PINGS_PER_SECOND = 60
+"""Nodes out of rank ping less often when there are so many that more pings would come."""
+
+PEER_SECONDS = 12.0
+"""A node that has not pinged for so long is no longer counted."""
+
 PING_TIMEOUT_SECONDS = 0.5
 SILENCE_SECONDS = 0.9
 """Pings fail for so long before the first in rank replaces the coordinator."""
@@ -81,6 +87,9 @@
     Args:
         preferred: this node should coordinate rather than one that is not preferred.
         store_reachable: whether the store has answered this node's last call.
+        digests: digests of the routing and back end documents that this node knows.
+        on_digests: called with those of a coordinator that reaches the store; says whether this
+            node's differ.
         lease_confirmation: revision and age of this node's last confirmed order lease.
         on_lease_seen: called with what the coordinator told of its order lease.
         on_gained: called with the epoch when this node becomes coordinator.
@@ -96,6 +105,8 @@
         zone: str,
         preferred: bool,
         store_reachable: Callable[[], bool],
+        digests: Callable[[], tuple[int, int]],
+        on_digests: Callable[[tuple[int, int]], bool],
         lease_confirmation: Callable[[], tuple[int, float]],
         on_lease_seen: Callable[[int, float], None],
         on_gained: Callable[[int], None],
@@ -109,6 +120,8 @@
         self._own_address = NodeAddress(node_id, "", zone)
         self._preferred = preferred
         self._store_reachable = store_reachable
+        self._digests = digests
+        self._on_digests = on_digests
         self._lease_confirmation = lease_confirmation
         self._on_lease_seen = on_lease_seen
         self._on_gained = on_gained
@@ -236,7 +249,7 @@
             if self._serves(pong):
                 self._last_contact = time.monotonic()
                 self._failing_since = 0.0
-                return pause
+                return min(pause, self._compare_digests(pong))
         now = time.monotonic()
         self._failing_since = self._failing_since or now
         silent = now - self._last_contact
@@ -258,6 +271,13 @@
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
+    def _compare_digests(self, pong: CoordinatorPong) -> float:
+        """Compare what both nodes know; returns when to ping again at the latest."""
+        if not pong.store_reachable:
+            return SLOW_PING_SECONDS
+        differs = self._on_digests((pong.routing_digest, pong.backend_digest))
+        return PING_SECONDS if differs else SLOW_PING_SECONDS
+
     def _witnessed(self, known: Coordinator) -> bool:
         """Ask other nodes, all at once, whether they reach the coordinator."""
         others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
@@ -323,7 +343,9 @@
         if self._epoch and ping.epoch > self._epoch:
             self._step_down(f"{peer} knows epoch {ping.epoch}")
         rank = self._rank_of(peer, ping)
-        interval = SLOW_PING_SECONDS if rank == LAST_RANK else PING_SECONDS
+        interval = PING_SECONDS
+        if rank == LAST_RANK:
+            interval = max(SLOW_PING_SECONDS, len(self._peers) / PINGS_PER_SECOND)
         lease_revision, lease_age = self._lease_confirmation()
         pong = CoordinatorPong(
             self.coordinating,
@@ -333,6 +355,7 @@
             self._witnesses_for(peer),
             lease_revision,
             int(lease_age * 1000),
+            *self._digests(),
         )
         return MessageType.COORDINATOR_PONG, pong
 
@@ -351,7 +374,7 @@
         return [
             (name, known)
             for name, known in self._peers.items()
-            if now - known.seen_at < 3 * SLOW_PING_SECONDS
+            if now - known.seen_at < PEER_SECONDS
         ]
 
     def _witnesses_for(self, peer: str) -> list[NodeAddress]:
--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -34,6 +34,9 @@
 """After so long an order that shows no effect is taken as lost."""
 
 LONGEST_LOAD_SECONDS = 6.0
+RETRY_SECONDS = 0.6
+"""An engine that could not be moved is left alone for so long."""
+
 CALL_SECONDS = 1.0
 SPARE_ENGINES = 1
 SPARE_FACTOR = 2.0
@@ -237,7 +240,8 @@
     def _may_change(self, state: BackendState) -> bool:
         if state.backend_id in self._changing:
             return False
-        return time.monotonic() >= self._retry_at.get(state.backend_id, 0.0)
+        now = time.monotonic()
+        return now >= self._retry_at.get(state.backend_id, 0.0) and not state.avoided(now)
 
     def _version(self, state: BackendState, model: str) -> int:
         reported = state.backend.model_versions.get(model, 0)
@@ -253,6 +257,8 @@
                 return
             if report.model_versions.get(model, 0) < version:
                 outcome = self._order(state, model, version, report.sequence)
+                if outcome is EngineOrderOutcome.WRONG_SERVER:
+                    state.failed()
                 if outcome not in (EngineOrderOutcome.ACCEPTED, EngineOrderOutcome.IN_FORCE, None):
                     return
                 reached = self._await_version(state, model, version, outcome)
@@ -264,7 +270,7 @@
                 self._actual[(state.backend_id, model)] = version
                 self._on_version(state.backend_id, model, version)
             else:
-                self._retry_at[state.backend_id] = time.monotonic() + REPORT_INTERVAL_SECONDS
+                self._retry_at[state.backend_id] = time.monotonic() + RETRY_SECONDS
             logger.info(
                 "engine change ended",
                 code="engine_version",
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -27,16 +27,21 @@
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
 from runkeel.jobs.text_replication import TextCopies, TextSender
-from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.state.document_watcher import WATCH_SECONDS, DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
 from runkeel.wire.network import PeerNetwork
 
 SHARD = "fleet"
 
-BACKEND_GATHER_SECONDS = 1.4
-"""Changes of back ends are gathered for so long; well below the time allowed for a drain."""
+BACKEND_GATHER_SECONDS = 1.3
+"""Changes of back ends are gathered for so long; below the time allowed for a drain.
 
-COORDINATOR_GATHER_SECONDS = 0.3
+A store whose watches hear nothing for a second adds nothing: the watch is made anew after it.
+"""
+
+COORDINATOR_GATHER_SECONDS = 0.6
+COORDINATOR_WATCH_SECONDS = 2.0
+"""The coordinator's watches are short: all nodes compare what they know with what it knows."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +91,21 @@
             settings.peer_address,
             lambda node_id: self._election.peer_address(node_id),
         )
+        self._routing_watcher = DocumentWatcher(
+            store,
+            DocumentKind.ROUTING,
+            self._routing_changed,
+            watch_seconds=self._watch_seconds,
+        )
+        self._backend_watcher = DocumentWatcher(
+            store,
+            DocumentKind.BACKEND,
+            self._backend_changed,
+            self._backend_gather_seconds,
+            self._watch_seconds,
+        )
+        self._watchers = [self._routing_watcher, self._backend_watcher]
+        self._seen_digests: tuple[tuple[int, int], tuple[int, int]] | None = None
         self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
         self._election = Election(
             store,
@@ -95,21 +115,14 @@
             settings.zone,
             settings.preferred_coordinator,
             lambda: store.reachable,
+            self._digests,
+            self._compare_digests,
             lambda: self._lease.confirmation,
             self._lease.observe,
             self._start_term,
             self._end_term,
         )
         self.jobs = JobService(store, self._network, self._election, SHARD)
-        self._watchers = [
-            DocumentWatcher(store, DocumentKind.ROUTING, self._routing_changed),
-            DocumentWatcher(
-                store,
-                DocumentKind.BACKEND,
-                self._backend_changed,
-                self._backend_gather_seconds,
-            ),
-        ]
         self._copies = TextCopies(self._network)
         self._term: _Term | None = None
         self.directory.on_change(self._directory_changed)
@@ -161,6 +174,27 @@
             watcher.stop()
         self._network.stop()
 
+    def _watch_seconds(self) -> float:
+        return COORDINATOR_WATCH_SECONDS if self._term is not None else WATCH_SECONDS
+
+    def _digests(self) -> tuple[int, int]:
+        return self._routing_watcher.digest, self._backend_watcher.digest
+
+    def _compare_digests(self, coordinators: tuple[int, int]) -> bool:
+        """Refresh a watch whose documents stay different from the coordinator's."""
+        own = self._digests()
+        if own == coordinators:
+            self._seen_digests = None
+            return False
+        if self._seen_digests == (own, coordinators):
+            self._seen_digests = None
+            for watcher, mine, theirs in zip(self._watchers, own, coordinators, strict=True):
+                if mine != theirs:
+                    watcher.refresh("differs from the coordinator's")
+            return False
+        self._seen_digests = (own, coordinators)
+        return True
+
     def _backend_gather_seconds(self) -> float:
         return COORDINATOR_GATHER_SECONDS if self._term is not None else BACKEND_GATHER_SECONDS
 
@@ -182,6 +216,8 @@
         self._term = _Term(self, epoch, self._copies.take())
         self.jobs.local = self._term.jobs
         self._term.start()
+        for watcher in self._watchers:
+            watcher.rewatch()
 
     def _end_term(self) -> None:
         term, self._term = self._term, None
@@ -231,7 +267,12 @@
             node._store, self._scheduler, lambda model: self._targets.get(model, 0)
         )
         self._watchers = [
-            DocumentWatcher(node._store, DocumentKind.MODEL_VERSION, self._version_named),
+            DocumentWatcher(
+                node._store,
+                DocumentKind.MODEL_VERSION,
+                self._version_named,
+                watch_seconds=lambda: COORDINATOR_WATCH_SECONDS,
+            ),
             DocumentWatcher(node._store, DocumentKind.RETIREMENT, self._retirement_asked),
         ]
 
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -22,6 +22,9 @@
 from runkeel.state.document_watcher import DocumentWatcher
 
 LOAD_RETRY_SECONDS = 0.2
+WATCH_GRACE_SECONDS = 0.3
+"""The watch has so long to bring a job that a node has told of."""
+
 RETENTION_SECONDS = 150.0
 """Jobs are removed from the store so long after their submission, once they have ended."""
 
@@ -56,6 +59,7 @@
         self._scheduler = scheduler
         self._jobs: dict[str, JobState] = {}
         self._ended: set[str] = set()
+        self._loading: set[str] = set()
         self._tasks: set[gevent.Greenlet] = set()
         self._ends = DocumentWatcher(store, DocumentKind.JOB_END, self._end_changed)
         self._submissions = DocumentWatcher(store, DocumentKind.JOB, self._job_changed)
@@ -78,6 +82,11 @@
         """Return a job that is fully loaded."""
         return self._jobs.get(job_id)
 
+    def accepted(self, job_id: str) -> None:
+        """Take note that a job stands in the store; it is fetched if the watch doesn't bring it."""
+        if job_id not in self._jobs and job_id not in self._ended:
+            self._spawn(self._fetch, job_id)
+
     def end(self, job_id: str) -> None:
         """Take note that a job has been ended; its end stands in the store."""
         self._ended.add(job_id)
@@ -147,22 +156,44 @@
         if removed:
             self._jobs.pop(document.name, None)
             return
-        if document.name not in self._jobs and document.name not in self._ended:
-            # Who asks for a job that had ended before this term is answered from the store.
-            self._spawn(self._load, document)
-        elif document.name in self._ended:
+        # Who asks for a job that had ended before this term is answered from the store.
+        self._load_once(document)
+        if document.name in self._ended and document.name not in self._jobs:
             self._note_acceptance(decode_job(document.name, document.content))
         # The body is kept in the job's state; the watcher's copy would hold it twice.
         self._submissions.documents[document.name] = Document(
             document.kind, document.name, document.revision, None
         )
 
+    def _fetch(self, job_id: str) -> None:
+        gevent.sleep(WATCH_GRACE_SECONDS)
+        while job_id not in self._submissions.documents and job_id not in self._loading:
+            try:
+                document = self._store.get(DocumentKind.JOB, job_id)
+            except RunkeelError:
+                gevent.sleep(LOAD_RETRY_SECONDS)
+                continue
+            if document is not None:
+                logger.info("job fetched", code="job_fetched", job=job_id)
+                self._submissions.refresh("a job was not told")
+                self._load_once(document)
+            return
+
+    def _load_once(self, document: Document) -> None:
+        """Load a job unless it is loaded or being loaded."""
+        name = document.name
+        if name in self._jobs or name in self._ended or name in self._loading:
+            return
+        self._loading.add(name)
+        self._spawn(self._load, document)
+
     def _load(self, document: Document) -> None:
         """Read what is already listed, then run the rest."""
         state = JobState(decode_job(document.name, document.content))
         while not self._load_results(state):
             gevent.sleep(LOAD_RETRY_SECONDS)
         self._jobs[document.name] = state
+        self._loading.discard(document.name)
         JOBS.labels("loaded").inc()
         ended = document.name in self._ended
         logger.info(
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -19,6 +19,8 @@
 from runkeel.metrics import JOBS
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import (
+    JobAccepted,
+    JobAcceptedReply,
     JobEnded,
     JobEndedReply,
     JobItemRead,
@@ -62,6 +64,7 @@
         self.local: JobCoordinator | None = None
         """The coordinator's part, while this node coordinates."""
         network.on_call(MessageType.JOB_READ, JobRead, self._serve_read)
+        network.on_call(MessageType.JOB_ACCEPTED, JobAccepted, self._serve_accepted)
         network.on_call(MessageType.JOB_ENDED, JobEnded, self._serve_end)
         network.on_call(MessageType.JOB_ITEM_READ, JobItemRead, self._serve_item)
 
@@ -96,6 +99,7 @@
                     minimum_version=job.minimum_version,
                     step=job.step,
                 )
+                gevent.spawn(self._tell_accepted, job.job_id)
                 return
 
     def read(self, job_id: str, position: int, wait_seconds: float) -> ResultPage | None:
@@ -164,6 +168,13 @@
             return None
         return reply.ended
 
+    def _tell_accepted(self, job_id: str) -> None:
+        if self.local is not None:
+            self.local.accepted(job_id)
+            return
+        message = JobAccepted(self._shard, job_id)
+        self._ask(MessageType.JOB_ACCEPTED, message, JobAcceptedReply, PEER_SECONDS)
+
     def _tell_end(self, job_id: str) -> None:
         if self.local is not None:
             self.local.end(job_id)
@@ -260,6 +271,12 @@
         reply = JobReadReply(JobLookup.FOUND, page.total, page.position, results)
         return MessageType.JOB_READ_REPLY, reply
 
+    def _serve_accepted(self, peer: str, message: JobAccepted) -> tuple[int, JobAcceptedReply]:
+        if self.local is None:
+            return MessageType.JOB_ACCEPTED_REPLY, JobAcceptedReply(JobLookup.NOT_COORDINATOR)
+        self.local.accepted(message.job_id)
+        return MessageType.JOB_ACCEPTED_REPLY, JobAcceptedReply(JobLookup.FOUND)
+
     def _serve_end(self, peer: str, message: JobEnded) -> tuple[int, JobEndedReply]:
         if self.local is None:
             return MessageType.JOB_ENDED_REPLY, JobEndedReply(JobLookup.NOT_COORDINATOR)
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -17,6 +17,8 @@
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 0.8
 
+_COUNT_BITS = 16
+
 ChangeListener = Callable[[Document, bool], None]
 """Called with a document and whether it was removed."""
 
@@ -29,6 +31,8 @@
 
     Args:
         pause_seconds: changes are gathered for so long; each answer of the store has its price.
+        watch_seconds: longest time that one watch waits. A watch whose answer was lost is mute
+            until then.
 
     Attributes:
         documents: the copy, by name.
@@ -42,11 +46,13 @@
         kind: DocumentKind,
         on_change: ChangeListener,
         pause_seconds: Callable[[], float] = lambda: 0.0,
+        watch_seconds: Callable[[], float] = lambda: WATCH_SECONDS,
     ) -> None:
         self._store = store
         self._kind = kind
         self._on_change = on_change
         self._pause_seconds = pause_seconds
+        self._watch_seconds = watch_seconds
         self._revision: int | None = None
         self._failures = 0
         self._task: gevent.Greenlet | None = None
@@ -63,6 +69,33 @@
         """Start to follow."""
         self._task = gevent.spawn(self._run)
 
+    @property
+    def digest(self) -> int:
+        """Tells apart two sets of documents; equal for equal sets."""
+        revisions = sum(document.revision for document in self.documents.values())
+        return (revisions << _COUNT_BITS) + len(self.documents)
+
+    def refresh(self, reason: str) -> None:
+        """Give up the pending watch, which may be mute, and list again."""
+        if self._task is None or not self.listed.is_set():
+            return
+        logger.info(
+            "watch given up",
+            code="watch_refreshed",
+            kind=str(self._kind),
+            reason=reason,
+            revision=self._revision,
+        )
+        self.stop()
+        self._revision = None
+        self.start()
+
+    def rewatch(self) -> None:
+        """Begin the pending watch anew, with the waiting time that holds now."""
+        if self._task is not None and self.listed.is_set():
+            self.stop()
+            self.start()
+
     def stop(self) -> None:
         """Stop to follow."""
         if self._task is not None:
@@ -84,7 +117,7 @@
             self._relist()
             return
         # After a failure an answer is wanted at once: it shows that the store is back.
-        wait_seconds = 0.0 if self._failures else WATCH_SECONDS
+        wait_seconds = 0.0 if self._failures else self._watch_seconds()
         changes = self._store.watch(self._kind, self._revision, wait_seconds)
         for change in changes.changes:
             self._apply(change.document, change.removed)
--- a/src/runkeel_lab/users_platform/store_server.py
+++ b/src/runkeel_lab/users_platform/store_server.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -19,6 +20,7 @@
 
 _COLLECTION = "/runkeel/objects/"
 _CONNECTION = "runkeel.connection"
+_MUTE_SECONDS = 60.0
 _WRITES = ("POST", "PUT", "DELETE")
 _STATUSES = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 503: "Unavailable"}
 
@@ -38,6 +40,7 @@
         self.lost_share = 0.0
         self.refused = False
         self.slow_seconds = 0.0
+        self._muted_at: dict[str, float] = {}
         self._random = random.Random(seed)
         self._server = WSGIServer(("127.0.0.1", 0), self._answer, log=None, handler_class=Handler)
 
@@ -46,6 +49,10 @@
         """Where it listens."""
         return Address("127.0.0.1", self._server.server_port)
 
+    def mute_watches(self, kind: str) -> None:
+        """Lose the answers of the watches that wait now; their connections stay open."""
+        self._muted_at[kind] = time.monotonic()
+
     def start(self) -> None:
         """Listen."""
         self._server.start()
@@ -92,7 +99,10 @@
     def _read(self, kind: str, name: str, query: dict[str, str]) -> tuple[int, Any]:
         if "watch" in query:
             wait = float(query.get("WaitMs", 0)) / 1000.0
+            started = time.monotonic()
             changes = self.objects.watch(kind, int(query["watch"]), wait)
+            if started < self._muted_at.get(kind, 0.0):
+                gevent.sleep(_MUTE_SECONDS)
             events = [
                 {"object": _object(change.document), "gone": change.removed}
                 for change in changes.changes
--- /dev/null
+++ b/tests/base/test_document_watcher.py
@@ -0,0 +1,105 @@
+"""The copy of a kind of documents: compaction, outages, mute watches, no way back."""
+
+import time
+import unittest
+
+import gevent
+
+from runkeel.api.documents import Document, DocumentKind
+from runkeel.state.document_watcher import DocumentWatcher
+from runkeel_lab.standins.document_store import MemoryDocumentStore
+
+KIND = DocumentKind.BACKEND
+LONGEST_WAIT_SECONDS = 10.0
+
+
+class DocumentWatcherTest(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryDocumentStore()
+        self.changes = []
+        self.watcher = DocumentWatcher(self.store, KIND, self._note)
+        self.addCleanup(self.watcher.stop)
+
+    def _note(self, document, removed):
+        self.changes.append((document.name, removed))
+
+    def _wait(self, condition):
+        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, self.changes)
+            gevent.sleep(0.01)
+
+    def test_list_then_changes(self):
+        self.store.put(KIND, "a", 1)
+        self.watcher.start()
+        self._wait(lambda: self.changes == [("a", False)])
+        self.store.put(KIND, "b", 1)
+        self.store.remove(KIND, "a")
+        self._wait(lambda: self.changes[1:] == [("b", False), ("a", True)])
+
+    def test_compaction_is_made_good_by_a_list(self):
+        self.store.put(KIND, "a", 1)
+        self.watcher.start()
+        self._wait(lambda: self.changes)
+        self.store.remove(KIND, "a")
+        self.store.put(KIND, "b", 1)
+        self.store.compact()
+        self._wait(lambda: sorted(self.watcher.documents) == ["b"])
+        self.assertIn(("a", True), self.changes)
+
+    def test_outage_forgets_nothing(self):
+        self.store.put(KIND, "a", 1)
+        self.watcher.start()
+        self._wait(lambda: self.changes)
+        self.store.down = True
+        self.store.compact()
+        self._wait(lambda: not self.watcher.reachable)
+        self.assertEqual(list(self.watcher.documents), ["a"])
+        self.store.down = False
+        self._wait(lambda: self.watcher.reachable)
+
+    def test_older_revision_is_passed_over(self):
+        self.store.put(KIND, "a", 1)
+        newer = self.store.put(KIND, "a", 2)
+        self.watcher.start()
+        self._wait(lambda: self.changes)
+        self.watcher._apply(Document(KIND, "a", newer.revision - 1, 1), removed=False)
+        self.assertEqual(self.watcher.documents["a"].content, 2)
+
+    def test_listener_that_cannot_read_a_document_does_not_end_the_watch(self):
+        def refuse(document, removed):
+            self.changes.append(document.name)
+            raise KeyError("field")
+
+        watcher = DocumentWatcher(self.store, KIND, refuse)
+        self.addCleanup(watcher.stop)
+        watcher.start()
+        self.store.put(KIND, "a", 1)
+        self.store.put(KIND, "b", 1)
+        self._wait(lambda: sorted(self.changes) == ["a", "b"])
+
+    def test_digest_tells_sets_apart(self):
+        digests = [self.watcher.digest]
+        self.watcher.start()
+        for change in (
+            lambda: self.store.put(KIND, "a", 1),
+            lambda: self.store.put(KIND, "b", 1),
+            lambda: self.store.remove(KIND, "a"),
+        ):
+            seen = len(self.changes)
+            change()
+            self._wait(lambda seen=seen: len(self.changes) > seen)
+            digests.append(self.watcher.digest)
+        self.assertEqual(len(set(digests)), len(digests))
+
+    def test_refresh_gives_up_a_mute_watch(self):
+        self.watcher.start()
+        self._wait(self.watcher.listed.is_set)
+        self.store._changed = gevent.event.Event()
+        self.watcher.refresh("test")
+        self.store.put(KIND, "a", 1)
+        self._wait(lambda: self.changes == [("a", False)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -182,6 +182,41 @@
         self.assertIsNone(self.stream(deployment, "s9"))
 
 
+class MuteWatchTest(DeploymentTestCase):
+    """agreste hunt-b15a-15: watches whose answer was lost stayed mute for 27 s (DRAIN)."""
+
+    def test_drain_is_noticed_by_nodes_with_mute_watches(self):
+        deployment = self.start(applications=3)
+        gevent.sleep(1.0)
+        deployment.store.mute_watches("servers")
+        server = deployment.applications[0]
+        server.drain()
+
+        def known_everywhere():
+            nodes = [deployment.node(name).node for name in deployment.node_names]
+            states = [node.directory.get(server.server_id) for node in nodes]
+            return all(state.backend.draining for state in states)
+
+        self.wait(known_everywhere, 6.0)
+
+    def test_configuration_reaches_nodes_with_mute_watches(self):
+        deployment = self.start()
+        gevent.sleep(1.0)
+        deployment.store.mute_watches("config")
+        deployment.configure(configuration(9))
+        nodes = [deployment.node(name).node for name in deployment.node_names]
+        self.wait(lambda: all(node.routing.configuration.version == 9 for node in nodes), 6.0)
+
+    def test_job_is_run_though_the_coordinators_watch_is_mute(self):
+        deployment = self.start()
+        gevent.sleep(1.0)
+        deployment.store.mute_watches("runkeel-jobs")
+        started = time.monotonic()
+        self.assertEqual(deployment.submit("edge-0", "mute", ["mute-g0-0"]), 202)
+        self.whole_job(deployment, "edge-0", "mute", 1)
+        self.assertLess(time.monotonic() - started, 5.0)
+
+
 class BatchJobTest(DeploymentTestCase):
     def items(self, job_id, count):
         return [f"{job_id}-g{n // 4}-{n}" for n in range(count)]
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -66,6 +66,8 @@
   COORDINATOR_WITNESS_REPLY = 709,
   TEXT_REPLICATION = 710,
   TEXT_REPLICATION_REPLY = 711,
+  JOB_ACCEPTED = 712,
+  JOB_ACCEPTED_REPLY = 713,
 }
 
 /** An error sent to a peer; verdict is runkeel.errors.Verdict. */
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -23,6 +23,8 @@
   5: list<NodeAddress> witnesses, // nodes to ask before taking over
   6: i64 lease_revision,    // of the order lease's last confirmation; 0: none is known
   7: i64 lease_age_ms,      // time since before that confirmation
+  8: i64 routing_digest,    // of the documents that the coordinator knows of a kind
+  9: i64 backend_digest,
 }
 
 /** Asked of other nodes by one that can't reach the coordinator. */
@@ -64,6 +66,16 @@
   4: list<JobResult> results,
 }
 
+/** A batch job was accepted; it already stands in the store. */
+struct JobAccepted {
+  1: string shard,
+  2: string job_id,
+}
+
+struct JobAcceptedReply {
+  1: i32 lookup,
+}
+
 /** A batch job was ended; the end already stands in the store. */
 struct JobEnded {
   1: string shard,
