Fence earlier coordinators off from listing results; have reads verified

A coordinator that had been replaced could still list a segment after its successor had read the last one, and a successor without anything left to list never saw it; and a replaced coordinator that had not heard of it went on to answer reads.

Ruled out: the readers' cache (it only grows, and a segment is added by one task).

Change: segments carry their writer's epoch; a successor makes an empty segment for every open job before it serves it, and who finds a segment of a later epoch lists nothing more. The coordinator has the store confirm its place each 0.7 s; pages of one that isn't confirmed within a second are taken only when the store can't be read.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -20,7 +20,7 @@
 from runkeel.api.machines import Address
 from runkeel.errors import RunkeelError
 from runkeel.metrics import COORDINATING
-from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.state.document_watcher import WATCH_SECONDS, DocumentWatcher
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import (
     CoordinatorPing,
@@ -48,6 +48,12 @@
 """Nodes beyond this rank ping seldom and step in late."""
 
 STORE_LOST_SECONDS = 1.0
+VERIFY_SECONDS = 0.7
+"""The coordinator has the store confirm its place so often, by a watch that waits so long."""
+
+VERIFIED_SECONDS = 1.0
+"""A confirmation counts for so long: results may be missing at a node for a second only."""
+
 WITNESS_SECONDS = 0.8
 PREDECESSOR_PINGS = 30
 WITNESSES = 6
@@ -126,7 +132,9 @@
         self._on_lease_seen = on_lease_seen
         self._on_gained = on_gained
         self._on_lost = on_lost
-        self._watcher = DocumentWatcher(store, DocumentKind.COORDINATOR, self._changed)
+        self._watcher = DocumentWatcher(
+            store, DocumentKind.COORDINATOR, self._changed, watch_seconds=self._watch_seconds
+        )
         self._coordinator: Coordinator | None = None
         self._epoch = 0
         """Epoch in which this node coordinates, 0 when it does not."""
@@ -137,6 +145,7 @@
         self._stopping = False
         self._last_contact = 0.0
         self._failing_since = 0.0
+        self._gained_at = 0.0
         self._lost_store_at = 0.0
         self._task: gevent.Greenlet | None = None
         network.on_call(MessageType.COORDINATOR_PING, CoordinatorPing, self._answer_ping)
@@ -162,6 +171,17 @@
         """Epoch in which this node coordinates, 0 when it does not."""
         return self._epoch
 
+    @property
+    def verified(self) -> bool:
+        """Whether the store said a moment ago that this node is the coordinator."""
+        age = time.monotonic() - max(self._watcher.fresh_at, self._gained_at)
+        return self.coordinating and age <= VERIFIED_SECONDS
+
+    def superseded(self, reason: str) -> None:
+        """Give up the place: another coordinator's work has been seen."""
+        self._step_down(reason)
+        self._watcher.rewatch()
+
     @property
     def successor(self) -> str | None:
         """The node that would replace this coordinator, None when there is none in sight."""
@@ -320,6 +340,9 @@
         lost = self._lost_store_at and now - self._lost_store_at > STORE_LOST_SECONDS
         return pong.coordinator and not (lost and self._reaches_store())
 
+    def _watch_seconds(self) -> float:
+        return VERIFY_SECONDS if self.coordinating else WATCH_SECONDS
+
     def _reaches_store(self) -> bool:
         return self._watcher.reachable and self._store_reachable()
 
@@ -419,6 +442,8 @@
 
     def _gain(self, epoch: int, reason: str) -> None:
         self._epoch = epoch
+        self._gained_at = time.monotonic()
+        self._watcher.rewatch()
         self._peers.clear()
         COORDINATING.labels(self._shard).set(1)
         logger.info("coordinating", code="coordinator_gained", epoch=epoch, reason=reason)
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -264,7 +264,11 @@
             self._scheduler.running_at,
         )
         self.jobs = JobCoordinator(
-            node._store, self._scheduler, lambda model: self._targets.get(model, 0)
+            node._store,
+            self._scheduler,
+            epoch,
+            lambda model: self._targets.get(model, 0),
+            node._election.superseded,
         )
         self._watchers = [
             DocumentWatcher(
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -14,9 +14,9 @@
 from runkeel.api.jobs import BatchJob, ResultPage
 from runkeel.coordination.version_rollout import ModelDemand
 from runkeel.errors import RunkeelError
-from runkeel.jobs.job_documents import decode_job, decode_results, segment_name
+from runkeel.jobs.job_documents import decode_job, segment_name
 from runkeel.jobs.job_state import JobState
-from runkeel.jobs.result_writer import ResultWriter
+from runkeel.jobs.result_writer import ResultWriter, SupersededError
 from runkeel.jobs.scheduler import Scheduler
 from runkeel.metrics import JOBS
 from runkeel.state.document_watcher import DocumentWatcher
@@ -30,6 +30,9 @@
 
 SWEEP_SECONDS = 10.0
 
+TERM_SETTLE_SECONDS = 3.0
+"""Jobs that come later in a term have been run by nobody else."""
+
 RECENT_JOBS = 6
 """Jobs of a model by which the engines that it needs are counted."""
 
@@ -50,9 +53,14 @@
         self,
         store: DocumentStore,
         scheduler: Scheduler,
+        epoch: int,
         newest_version: Callable[[str], int],
+        on_superseded: Callable[[str], None],
     ) -> None:
         self._store = store
+        self._epoch = epoch
+        self._on_superseded = on_superseded
+        self._started_at = time.monotonic()
         self._newest_version = newest_version
         self._recent_items: dict[str, deque[int]] = {}
         self._latest_minimum: dict[str, _Acceptance] = {}
@@ -190,8 +198,9 @@
     def _load(self, document: Document) -> None:
         """Read what is already listed, then run the rest."""
         state = JobState(decode_job(document.name, document.content))
-        while not self._load_results(state):
-            gevent.sleep(LOAD_RETRY_SECONDS)
+        writer = ResultWriter(self._store, state, self._epoch, self._listed)
+        if not self._submitted_in_this_term() and not self._write(writer.fence):
+            return
         self._jobs[document.name] = state
         self._loading.discard(document.name)
         JOBS.labels("loaded").inc()
@@ -214,8 +223,7 @@
         elif not state.complete:
             self._scheduler.add(state)
         if not state.complete:
-            writer = ResultWriter(self._store, state, self._listed)
-            self._spawn(writer.run)
+            self._spawn(self._write, writer.run)
 
     def _note_acceptance(self, job: BatchJob) -> None:
         self._note_items(job)
@@ -238,19 +246,17 @@
         recent = self._recent_items.setdefault(job.model, deque(maxlen=RECENT_JOBS))
         recent.append(len(job.items) + others)
 
-    def _load_results(self, state: JobState) -> bool:
-        """Read the segments that are not read yet; False when the store gave no answer."""
-        fresh = time.time() - state.job.submitted_at < LOAD_RETRY_SECONDS
-        if fresh and not state.segments:
-            return True
+    def _submitted_in_this_term(self) -> bool:
+        """Return whether a job that comes now can't have been run by another coordinator."""
+        return time.monotonic() - self._started_at > TERM_SETTLE_SECONDS
+
+    def _write(self, write: Callable[[], None]) -> bool:
+        """Run a part of a writer; False when another coordinator has taken over."""
         try:
-            while not state.complete:
-                name = segment_name(state.job.job_id, state.segments)
-                document = self._store.get(DocumentKind.JOB_RESULTS, name)
-                if document is None:
-                    return True
-                state.take_segment(decode_results(document.content))
-        except RunkeelError:
+            write()
+        except SupersededError as error:
+            logger.warning("superseded", code="superseded", epoch=self._epoch, detail=str(error))
+            self._on_superseded(str(error))
             return False
         return True
 
--- a/src/runkeel/jobs/job_documents.py
+++ b/src/runkeel/jobs/job_documents.py
@@ -2,7 +2,9 @@
 
 A job is one document, made before it is accepted. Results are segments named by job and number;
 a segment is made once and never changed, and number N+1 is made only by who has read number N.
-The order and content of results are thus the same for everybody, whoever wrote them.
+A new coordinator makes an empty one first: who finds a segment of a later epoch writes no more, so
+that nothing is listed behind the new coordinator's back. The order and content of results are thus
+the same for everybody, whoever wrote them.
 """
 
 from __future__ import annotations
@@ -48,8 +50,17 @@
     )
 
 
-def encode_results(results: list[ItemResult]) -> list[dict[str, Any]]:
-    """Return the content of a results segment."""
+def encode_segment(epoch: int, results: list[ItemResult]) -> dict[str, Any]:
+    """Return the content of a results segment, with the epoch of the coordinator that writes it."""
+    return {"epoch": epoch, "results": _encode_results(results)}
+
+
+def decode_segment(content: dict[str, Any]) -> tuple[int, list[ItemResult]]:
+    """Return the writer's epoch and the results of a segment."""
+    return int(content["epoch"]), _decode_results(content["results"])
+
+
+def _encode_results(results: list[ItemResult]) -> list[dict[str, Any]]:
     return [
         {
             "item": result.item_id,
@@ -62,8 +73,7 @@
     ]
 
 
-def decode_results(content: list[dict[str, Any]]) -> list[ItemResult]:
-    """Return the results of a segment."""
+def _decode_results(content: list[dict[str, Any]]) -> list[ItemResult]:
     return [
         ItemResult(
             item["item"],
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -10,7 +10,7 @@
 from runkeel.api.documents import DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.api.jobs import ItemResult
 from runkeel.errors import RunkeelError
-from runkeel.jobs.job_documents import decode_results, encode_results, segment_name
+from runkeel.jobs.job_documents import decode_segment, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
 
 GATHER_SECONDS = 0.4
@@ -19,18 +19,44 @@
 """Bound on the text of a segment; the store takes a megabyte."""
 
 
+class SupersededError(Exception):
+    """A coordinator of a later epoch has written a segment."""
+
+
 class ResultWriter:
-    """Writes one job's results until all are listed; one task a job."""
+    """Writes one job's results until all are listed; one task a job.
+
+    Args:
+        epoch: the term in which this node coordinates.
+    """
 
     def __init__(
-        self, store: DocumentStore, state: JobState, on_listed: Callable[[JobState], None]
+        self,
+        store: DocumentStore,
+        state: JobState,
+        epoch: int,
+        on_listed: Callable[[JobState], None],
     ) -> None:
         self._store = store
         self._state = state
+        self._epoch = epoch
         self._on_listed = on_listed
+        self._last_written_own = False
+
+    def fence(self) -> None:
+        """Read every segment there is and make an empty one after the last.
+
+        A coordinator of an earlier epoch lists nothing after this. Raises SupersededError.
+        """
+        before = -1
+        while self._state.segments != before and not self._state.complete:
+            before = self._state.segments
+            self._write_segment([], allow_empty=True)
+            if self._last_written_own:
+                return
 
     def run(self) -> None:
-        """Write until every item is listed."""
+        """Write until every item is listed. Raises SupersededError."""
         state = self._state
         while not state.complete:
             state.ready.wait()
@@ -39,12 +65,13 @@
             self._write_segment(_within_size(state.unlisted))
             self._on_listed(state)
 
-    def _write_segment(self, batch: list[ItemResult]) -> None:
+    def _write_segment(self, batch: list[ItemResult], allow_empty: bool = False) -> None:
         """Write a batch as the next segment, or take the segment that another node wrote."""
+        self._last_written_own = False
         state = self._state
         name = segment_name(state.job.job_id, state.segments)
-        content = encode_results(batch)
-        while batch:
+        content = encode_segment(self._epoch, batch)
+        while batch or allow_empty:
             try:
                 self._store.create(DocumentKind.JOB_RESULTS, name, content)
             except DocumentConflictError as conflict:
@@ -59,6 +86,7 @@
                     error=str(error.code),
                 )
             else:
+                self._last_written_own = True
                 state.take_segment(batch)
                 self._log_listed(batch, own=True)
                 return
@@ -73,9 +101,12 @@
             return False
         if document is None:
             return False
-        results = decode_results(document.content)
+        epoch, results = decode_segment(document.content)
+        self._last_written_own = epoch == self._epoch
         self._state.take_segment(results)
-        self._log_listed(results, own=False)
+        self._log_listed(results, own=self._last_written_own)
+        if epoch > self._epoch:
+            raise SupersededError(f"{name} was written in epoch {epoch}")
         return True
 
     def _log_listed(self, results: list[ItemResult], own: bool) -> None:
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -14,7 +14,7 @@
 from runkeel.coordination.election import Election
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.jobs.coordinator import JobCoordinator
-from runkeel.jobs.job_documents import decode_job, decode_results, encode_job, segment_name
+from runkeel.jobs.job_documents import decode_job, decode_segment, encode_job, segment_name
 from runkeel.jobs.job_state import page_of
 from runkeel.metrics import JOBS
 from runkeel.wire.generated.common.ttypes import MessageType
@@ -50,6 +50,14 @@
     segments: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class _CoordinatorPage:
+    """What a coordinator told; ``verified`` when it was the coordinator a moment before."""
+
+    page: ResultPage
+    verified: bool
+
+
 class JobService:
     """Accepts, reads and ends batch jobs at this node."""
 
@@ -108,10 +116,16 @@
         Raises:
             RunkeelError: neither the coordinator nor the store gave an answer.
         """
-        page = self._read_from_coordinator(job_id, position, wait_seconds)
-        if page is not None:
-            return page
-        return self._read_from_store(job_id, position)
+        answer = self._read_from_coordinator(job_id, position, wait_seconds)
+        if answer is not None and answer.verified:
+            return answer.page
+        try:
+            return self._read_from_store(job_id, position)
+        except RunkeelError:
+            # Without the store nobody can have listed more than this coordinator.
+            if answer is None:
+                raise
+            return answer.page
 
     def item_body(self, job_id: str, item_id: str) -> str | None:
         """Return an item's body in base64; None when it is certain that there is none."""
@@ -203,12 +217,13 @@
 
     def _read_from_coordinator(
         self, job_id: str, position: int, wait_seconds: float
-    ) -> ResultPage | None:
+    ) -> _CoordinatorPage | None:
         if self.local is not None:
             state = self.local.job(job_id)
             if state is None:
                 return None
-            return self.local.page(state, position, wait_seconds, MAXIMUM_PAGE_BYTES)
+            page = self.local.page(state, position, wait_seconds, MAXIMUM_PAGE_BYTES)
+            return _CoordinatorPage(page, self._election.verified)
         message = JobRead(
             self._shard, job_id, position, int(wait_seconds * 1000), MAXIMUM_PAGE_BYTES
         )
@@ -217,7 +232,7 @@
         if reply is None or reply.lookup != JobLookup.FOUND:
             return None
         results = tuple(_from_wire(result) for result in reply.results)
-        return ResultPage(reply.total, position, results)
+        return _CoordinatorPage(ResultPage(reply.total, position, results), reply.verified)
 
     def _item_from_coordinator(self, job_id: str, item_id: str) -> str | None:
         if self.local is not None:
@@ -241,7 +256,7 @@
                 break
             if cached.segments == number:
                 # Another task may have read the same segment meanwhile.
-                cached.results.extend(decode_results(document.content))
+                cached.results.extend(decode_segment(document.content)[1])
                 cached.segments += 1
         return page_of(cached.results, len(cached.job.items), position, MAXIMUM_PAGE_BYTES)
 
@@ -261,14 +276,15 @@
     def _serve_read(self, peer: str, message: JobRead) -> tuple[int, JobReadReply]:
         local = self.local
         if local is None:
-            reply = JobReadReply(JobLookup.NOT_COORDINATOR, 0, 0, [])
+            reply = JobReadReply(JobLookup.NOT_COORDINATOR, 0, 0, [], False)
             return MessageType.JOB_READ_REPLY, reply
         state = local.job(message.job_id)
         if state is None:
-            return MessageType.JOB_READ_REPLY, JobReadReply(JobLookup.UNKNOWN, 0, 0, [])
+            return MessageType.JOB_READ_REPLY, JobReadReply(JobLookup.UNKNOWN, 0, 0, [], False)
         page = local.page(state, message.position, message.wait_ms / 1000.0, message.maximum_bytes)
         results = [_to_wire(result) for result in page.results]
-        reply = JobReadReply(JobLookup.FOUND, page.total, page.position, results)
+        verified = self._election.verified
+        reply = JobReadReply(JobLookup.FOUND, page.total, page.position, results, verified)
         return MessageType.JOB_READ_REPLY, reply
 
     def _serve_accepted(self, peer: str, message: JobAccepted) -> tuple[int, JobAcceptedReply]:
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -17,6 +17,7 @@
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 0.8
 
+TIMELY_MARGIN_SECONDS = 0.4
 _COUNT_BITS = 16
 
 ChangeListener = Callable[[Document, bool], None]
@@ -37,7 +38,7 @@
     Attributes:
         documents: the copy, by name.
         listed: set once the first list has been read.
-        fresh_at: monotonic time of the store's last answer.
+        fresh_at: monotonic time at which the documents were those of the store, at least.
     """
 
     def __init__(
@@ -103,9 +104,10 @@
 
     def _run(self) -> None:
         while True:
+            started = time.monotonic()
             try:
                 self._step()
-                self._succeeded()
+                self._succeeded(started)
             except HistoryLostError:
                 self._revision = None
             except RunkeelError as error:
@@ -157,11 +159,14 @@
                 error=repr(error),
             )
 
-    def _succeeded(self) -> None:
+    def _succeeded(self, started: float) -> None:
         if self._failures:
             logger.info("store regained", code="store_regained", kind=str(self._kind))
         self._failures = 0
-        self.fresh_at = time.monotonic()
+        now = time.monotonic()
+        # An answer that took much longer than asked for may have lain unread in a paused process.
+        timely = now - started <= self._watch_seconds() + TIMELY_MARGIN_SECONDS
+        self.fresh_at = now if timely else started
 
     def _failed(self, error: RunkeelError) -> None:
         if not self._failures:
--- /dev/null
+++ b/tests/jobs/test_coordinator.py
@@ -0,0 +1,112 @@
+"""Terms of coordinators on one store: nothing is listed behind the back of a later one."""
+
+import time
+import unittest
+
+import gevent
+
+from runkeel.api.documents import DocumentKind
+from runkeel.api.jobs import ItemResult, ResultState
+from runkeel.jobs.coordinator import JobCoordinator
+from runkeel.jobs.job_documents import encode_job
+from runkeel_lab.standins.document_store import MemoryDocumentStore
+from tests.jobs.test_job_service import JOB_ID, make_job
+
+LONGEST_WAIT_SECONDS = 10.0
+
+
+class IdleScheduler:
+    """Runs nothing; the test lists results itself."""
+
+    def start(self):
+        pass
+
+    def stop(self):
+        pass
+
+    def wake(self):
+        pass
+
+    def add(self, state):
+        pass
+
+    def drop(self, state):
+        pass
+
+
+def result(number):
+    return ItemResult(f"{JOB_ID}-{number}", ResultState.COMPLETED, f"text {number}", (1,), "s")
+
+
+class CoordinatorTest(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryDocumentStore()
+        self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job()))
+        self.superseded = []
+
+    def _term(self, epoch):
+        coordinator = JobCoordinator(
+            self.store,
+            IdleScheduler(),
+            epoch,
+            lambda model: 1,
+            lambda reason: self.superseded.append(epoch),
+        )
+        coordinator.start()
+        self.addCleanup(coordinator.stop)
+        self._wait(lambda: coordinator.job(JOB_ID) is not None)
+        return coordinator.job(JOB_ID)
+
+    def _wait(self, condition):
+        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        while not condition():
+            self.assertLess(time.monotonic(), deadline)
+            gevent.sleep(0.01)
+
+    def _ids(self, state):
+        return [one.item_id for one in state.results]
+
+    def test_successor_continues_after_what_was_listed(self):
+        first = self._term(1)
+        first.add_unlisted(result(2))
+        self._wait(lambda: first.results)
+        second = self._term(2)
+        self.assertEqual(self._ids(second), self._ids(first))
+
+    def test_earlier_coordinator_lists_nothing_after_its_successor_has_loaded(self):
+        """sirca mix 590690539674: a result read from one node was missing at the others."""
+        first = self._term(1)
+        first.add_unlisted(result(0))
+        self._wait(lambda: first.results)
+        second = self._term(2)
+        first.add_unlisted(result(1))
+        self._wait(lambda: self.superseded == [1])
+        self.assertEqual(self._ids(first), self._ids(second))
+        second.add_unlisted(result(3))
+        self._wait(lambda: len(second.results) == 2)
+
+    def test_listed_items_are_not_listed_twice(self):
+        first = self._term(1)
+        first.add_unlisted(result(0))
+        self._wait(lambda: first.results)
+        second = self._term(2)
+        for number in range(4):
+            second.add_unlisted(result(number))
+        self._wait(lambda: second.complete)
+        self.assertEqual(len(set(self._ids(second))), 4)
+        third = self._term(3)
+        self.assertEqual(self._ids(third), self._ids(second))
+
+    def test_job_ended_before_the_term_is_left_to_the_store(self):
+        self.store.put(DocumentKind.JOB_END, JOB_ID, {})
+        coordinator = JobCoordinator(
+            self.store, IdleScheduler(), 1, lambda model: 1, self.superseded.append
+        )
+        coordinator.start()
+        self.addCleanup(coordinator.stop)
+        gevent.sleep(0.3)
+        self.assertIsNone(coordinator.job(JOB_ID))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -8,7 +8,7 @@
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import BatchJob, ItemResult, JobItem, ResultState
 from runkeel.errors import RunkeelError, Verdict
-from runkeel.jobs.job_documents import encode_job, encode_results, segment_name
+from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.service import JobService
 from runkeel_lab.standins.document_store import MemoryDocumentStore, StoreFault
 
@@ -62,7 +62,7 @@
 
     def _put_results(self, number, results):
         name = segment_name(JOB_ID, number)
-        self.store.put(DocumentKind.JOB_RESULTS, name, encode_results(results))
+        self.store.put(DocumentKind.JOB_RESULTS, name, encode_segment(1, results))
 
     def test_accepted_job_stands_in_the_store(self):
         self.service.accept(make_job(), self._deadline())
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -64,6 +64,7 @@
   2: i32 total,
   3: i32 position,
   4: list<JobResult> results,
+  5: bool verified,         // the store said lately that this node is the coordinator
 }
 
 /** A batch job was accepted; it already stands in the store. */
