Copy running texts to three successors; let one task of a node try a failing store

Change: copies go to the three likeliest successors; while the store fails, one task of a node tries it each 0.4 s and the others wait until it is back.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -56,6 +56,9 @@
 
 WITNESS_SECONDS = 0.8
 PREDECESSOR_PINGS = 30
+SUCCESSORS = 3
+"""Nodes that get copies of what is running."""
+
 WITNESSES = 6
 WITNESSES_PER_ZONE = 2
 """Nodes that a successor asks whether they reach the coordinator."""
@@ -182,11 +185,10 @@
         self._step_down(reason)
         self._watcher.rewatch()
 
-    @property
-    def successor(self) -> str | None:
-        """The node that would replace this coordinator, None when there is none in sight."""
+    def successors(self) -> list[str]:
+        """Return the nodes that are likely to replace this coordinator, the likeliest first."""
         live = sorted(self._live_peers(), key=lambda entry: not entry[1].preferred)
-        return live[0][0] if self._epoch and live else None
+        return [name for name, _ in live[:SUCCESSORS]]
 
     def peer_address(self, node_id: str) -> tuple[Address, str] | None:
         """Return the address and zone of a node, for the peer network."""
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -250,7 +250,7 @@
             SHARD,
             epoch,
             self._scheduler.open_texts,
-            lambda: node._election.successor,
+            node._election.successors,
         )
         self._rollout = VersionRollout(
             node.directory,
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -38,7 +38,7 @@
 
 
 class TextSender:
-    """Sends the texts of one term to the successor; one task."""
+    """Sends the texts of one term to those who may succeed; one task."""
 
     def __init__(
         self,
@@ -46,15 +46,14 @@
         shard: str,
         epoch: int,
         texts: Callable[[], dict[str, PartialText]],
-        successor: Callable[[], str | None],
+        successors: Callable[[], list[str]],
     ) -> None:
         self._network = network
         self._shard = shard
         self._epoch = epoch
         self._texts = texts
-        self._successor = successor
-        self._receiver: str | None = None
-        self._sent: dict[str, _Sent] = {}
+        self._successors = successors
+        self._sent: dict[str, dict[str, _Sent]] = {}
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -72,39 +71,24 @@
             self.send_once()
 
     def send_once(self) -> None:
-        """Send what the successor does not have yet."""
-        receiver = self._successor()
-        if receiver != self._receiver:
-            self._receiver = receiver
-            self._sent.clear()
-        if receiver is None:
-            return
+        """Send each successor what it does not have yet."""
+        receivers = self._successors()
+        self._sent = {one: sent for one, sent in self._sent.items() if one in receivers}
         texts = self._texts()
-        self._sent = {item_id: sent for item_id, sent in self._sent.items() if item_id in texts}
+        sends = [gevent.spawn(self._send_to, receiver, texts) for receiver in receivers]
+        gevent.joinall(sends)
+
+    def _send_to(self, receiver: str, texts: dict[str, PartialText]) -> None:
+        known = self._sent.setdefault(receiver, {})
+        for item_id in [one for one in known if one not in texts]:
+            del known[item_id]
         updates = [
             update
             for item_id, text in texts.items()
-            if (update := self._update(item_id, text)) is not None
+            if (update := _update(item_id, text, known.get(item_id))) is not None
         ]
-        if updates:
-            self._send(receiver, updates)
-
-    def _update(self, item_id: str, text: PartialText) -> TextUpdate | None:
-        sent = self._sent.get(item_id)
-        first = sent.pieces if sent is not None and sent.generation == text.generation else 0
-        if sent is not None and first == len(text.pieces) and sent.whole == text.whole:
-            return None
-        return TextUpdate(
-            item_id,
-            text.generation,
-            first,
-            list(text.pieces[first:]),
-            text.last_event_id or "",
-            list(text.versions),
-            text.whole,
-        )
-
-    def _send(self, receiver: str, updates: list[TextUpdate]) -> None:
+        if not updates:
+            return
         message = TextReplication(self._shard, self._epoch, updates)
         try:
             reply = self._network.call(
@@ -116,13 +100,29 @@
             )
         except RunkeelError:
             # What arrived is unknown: everything is sent again.
-            self._sent.clear()
+            known.clear()
             return
         for update in updates:
             pieces = update.first_piece + len(update.pieces)
-            self._sent[update.item_id] = _Sent(update.generation, pieces, update.whole)
+            known[update.item_id] = _Sent(update.generation, pieces, update.whole)
         for item_id in reply.missing:
-            self._sent.pop(item_id, None)
+            known.pop(item_id, None)
+
+
+def _update(item_id: str, text: PartialText, sent: _Sent | None) -> TextUpdate | None:
+    """Return what a receiver lacks of a text, None when it has it all."""
+    first = sent.pieces if sent is not None and sent.generation == text.generation else 0
+    if sent is not None and first == len(text.pieces) and sent.whole == text.whole:
+        return None
+    return TextUpdate(
+        item_id,
+        text.generation,
+        first,
+        list(text.pieces[first:]),
+        text.last_event_id or "",
+        list(text.versions),
+        text.whole,
+    )
 
 
 @dataclass(slots=True)
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -15,7 +15,7 @@
 
 WATCH_SECONDS = 25.0
 FIRST_RETRY_SECONDS = 0.1
-LONGEST_RETRY_SECONDS = 0.8
+LONGEST_RETRY_SECONDS = 0.4
 
 TIMELY_MARGIN_SECONDS = 0.4
 _COUNT_BITS = 16
@@ -113,6 +113,7 @@
             except RunkeelError as error:
                 self._failed(error)
                 gevent.sleep(self._retry_delay())
+                self._await_turn()
 
     def _step(self) -> None:
         if self._revision is None:
@@ -179,6 +180,12 @@
             )
         self._failures += 1
 
+    def _await_turn(self) -> None:
+        """Let one of the node's watchers try a store that fails, not all of them."""
+        await_turn = getattr(self._store, "await_turn", None)
+        if await_turn is not None:
+            await_turn()
+
     def _retry_delay(self) -> float:
         delay = min(LONGEST_RETRY_SECONDS, FIRST_RETRY_SECONDS * 2 ** min(self._failures, 5))
         return delay * random.uniform(0.7, 1.0)
--- /dev/null
+++ b/tests/base/test_observed_store.py
@@ -0,0 +1,61 @@
+"""While the store fails, one task of a node tries it at a time."""
+
+import unittest
+
+import gevent
+
+from runkeel.api.documents import DocumentKind
+from runkeel.errors import RunkeelError
+from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.state.observed_store import ObservedStore
+from runkeel_lab.standins.document_store import MemoryDocumentStore
+
+
+class ObservedStoreTest(unittest.TestCase):
+    def setUp(self):
+        self.memory = MemoryDocumentStore()
+        self.store = ObservedStore(self.memory)
+
+    def _fail(self):
+        self.memory.down = True
+        with self.assertRaises(RunkeelError):
+            self.store.get(DocumentKind.JOB, "x")
+
+    def test_failure_and_return_are_noticed(self):
+        self.assertTrue(self.store.reachable)
+        self._fail()
+        self.assertFalse(self.store.reachable)
+        self.memory.down = False
+        self.store.get(DocumentKind.JOB, "x")
+        self.assertTrue(self.store.reachable)
+
+    def test_conflict_is_an_answer(self):
+        self._fail()
+        self.memory.down = False
+        self.memory.put(DocumentKind.JOB, "x", 1)
+        with self.assertRaises(RunkeelError):
+            self.store.create(DocumentKind.JOB, "x", 1)
+        self.assertTrue(self.store.reachable)
+
+    def test_many_watchers_make_few_calls_during_an_outage(self):
+        """sirca trouble-1: 2,639 calls, most of them refused ones of an outage of 4.2 s."""
+        kinds = list(DocumentKind)
+        watchers = [DocumentWatcher(self.store, kind, lambda *change: None) for kind in kinds]
+        for watcher in watchers:
+            watcher.start()
+            self.addCleanup(watcher.stop)
+        gevent.sleep(0.1)
+        self.memory.down = True
+        self.memory.compact()
+        gevent.sleep(0.1)
+        before = sum(self.memory.calls.values())
+        gevent.sleep(2.0)
+        made = sum(self.memory.calls.values()) - before
+        self.assertLess(made, 2 * len(kinds))
+        self.memory.down = False
+        gevent.sleep(1.2)
+        self.assertTrue(all(watcher.reachable for watcher in watchers))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/jobs/test_text_replication.py
+++ b/tests/jobs/test_text_replication.py
@@ -17,12 +17,12 @@
         self.network = MemoryNetwork()
         self.copies = TextCopies(self.network.node("b"))
         self.texts = {}
-        self.successor = "b"
+        self.successors = ["b"]
         self.sender = self._sender(1)
 
     def _sender(self, epoch):
         return TextSender(
-            self.network.node("a"), "fleet", epoch, lambda: self.texts, lambda: self.successor
+            self.network.node("a"), "fleet", epoch, lambda: self.texts, lambda: self.successors
         )
 
     def test_successor_has_the_text(self):
@@ -77,7 +77,7 @@
         other = TextCopies(self.network.node("c"))
         self.texts["i"] = make_text("x", "y")
         self.sender.send_once()
-        self.successor = "c"
+        self.successors = ["b", "c"]
         self.sender.send_once()
         self.assertEqual(other.take()["i"].pieces, ["x", "y"])
 
