--- a/src/runkeel/api/documents.py
+++ b/src/runkeel/api/documents.py
@@ -147,7 +147,8 @@
 class DocumentTranslator(Protocol):
     """Reads documents that belong to the operators and the platform.
 
-    Every method raises KeyError, TypeError or ValueError for a document of another form.
+    Every method raises AttributeError, KeyError, TypeError or ValueError for a document of another
+    form.
     """
 
     def routing_configuration(self, document: Document) -> RoutingConfiguration:
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -276,7 +276,9 @@
         self._failing_since = self._failing_since or now
         silent = now - self._last_contact
         failing = now - self._failing_since
-        if failing <= SILENCE_SECONDS + RANK_SECONDS * self._rank or not self._reaches_store():
+        # A node that says itself that it doesn't coordinate need not be waited for.
+        silence = SILENCE_SECONDS if pong is None or pong.coordinator else 0.0
+        if failing < silence + RANK_SECONDS * self._rank or not self._reaches_store():
             return PING_SECONDS / 2
         if pong is None and self._witnessed(known):
             logger.info(
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -150,7 +150,7 @@
             self.documents[document.name] = document
         try:
             self._on_change(document, removed)
-        except (KeyError, TypeError, ValueError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             logger.warning(
                 "document ignored",
                 code="bad_document",
--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -69,7 +69,7 @@
     def test_listener_that_cannot_read_a_document_does_not_end_the_watch(self):
         def refuse(document, removed):
             self.changes.append(document.name)
-            raise KeyError("field")
+            raise (KeyError("field") if document.name == "a" else AttributeError("get"))
 
         watcher = DocumentWatcher(self.store, KIND, refuse)
         self.addCleanup(watcher.stop)
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -148,11 +148,13 @@
         self._wait(lambda: any(node.coordinating for node in nodes if node is not first))
         self._wait(lambda: not first.coordinating)
 
-    def test_planned_stop_hands_over(self):
-        nodes = self._nodes("a", "b")
-        first = self._coordinator(nodes)
-        first.leave()
-        self._wait(lambda: any(node.coordinating for node in nodes if node is not first))
+    def test_planned_stop_hands_over_at_the_next_ping(self):
+        """sirca inc-840c: the successor of a node that was to be emptied waited a second."""
+        with mock.patch.object(election_module, "SILENCE_SECONDS", 60.0):
+            nodes = self._nodes("a", "b")
+            first = self._coordinator(nodes)
+            first.leave()
+            self._wait(lambda: any(node.coordinating for node in nodes if node is not first))
 
     def test_nobody_takes_over_while_the_store_is_down(self):
         nodes = self._nodes("a", "b", "c")
