Split election and scheduler by job: peers, witnesses, engine placement

Reading them found slots that leaked: the place kept for an item on its way to another engine was never given back when its job ended first.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -18,6 +18,8 @@
 
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.api.machines import Address
+from runkeel.coordination.peers import LAST_RANK, PeerRegistry
+from runkeel.coordination.witnesses import reached_by_others
 from runkeel.errors import RunkeelError
 from runkeel.metrics import COORDINATING
 from runkeel.state.document_watcher import WATCH_SECONDS, DocumentWatcher
@@ -36,17 +38,11 @@
 PINGS_PER_SECOND = 60
 """Nodes out of rank ping less often when there are so many that more pings would come."""
 
-PEER_SECONDS = 12.0
-"""A node that has not pinged for so long is no longer counted."""
-
 PING_TIMEOUT_SECONDS = 0.5
 SILENCE_SECONDS = 0.9
 """Pings fail for so long before the first in rank replaces the coordinator."""
 
 RANK_SECONDS = 0.5
-LAST_RANK = 3
-"""Nodes beyond this rank ping seldom and step in late."""
-
 STORE_LOST_SECONDS = 1.0
 VERIFY_SECONDS = 0.7
 """The coordinator has the store confirm its place so often, by a watch that waits so long."""
@@ -56,13 +52,6 @@
 
 WITNESS_SECONDS = 0.8
 PREDECESSOR_PINGS = 30
-SUCCESSORS = 3
-"""Nodes that get copies of what is running."""
-
-WITNESSES = 6
-WITNESSES_PER_ZONE = 2
-"""Nodes that a successor asks whether they reach the coordinator."""
-
 START_SPREAD_SECONDS = 0.3
 PREFERENCE_SECONDS = 1.5
 """So much longer a node that isn't preferred waits at a start without a coordinator."""
@@ -81,15 +70,6 @@
     revision: int
 
 
-@dataclass(slots=True)
-class _Peer:
-    """A node that pings this coordinator."""
-
-    preferred: bool
-    address: NodeAddress
-    seen_at: float = 0.0
-
-
 class Election:
     """Follows and, when it is this node's turn, takes the coordinator's place.
 
@@ -141,7 +121,7 @@
         self._coordinator: Coordinator | None = None
         self._epoch = 0
         """Epoch in which this node coordinates, 0 when it does not."""
-        self._peers: dict[str, _Peer] = {}
+        self._peers = PeerRegistry()
         self._rank = LAST_RANK
         self._predecessor: Coordinator | None = None
         self._witnesses: dict[str, NodeAddress] = {}
@@ -187,8 +167,7 @@
 
     def successors(self) -> list[str]:
         """Return the nodes that are likely to replace this coordinator, the likeliest first."""
-        live = sorted(self._live_peers(), key=lambda entry: not entry[1].preferred)
-        return [name for name, _ in live[:SUCCESSORS]]
+        return self._peers.successors()
 
     def peer_address(self, node_id: str) -> tuple[Address, str] | None:
         """Return the address and zone of a node, for the peer network."""
@@ -198,8 +177,7 @@
         before = self._predecessor
         if before is not None and before.node_id == node_id:
             return before.address, before.zone
-        pinging = self._peers.get(node_id)
-        witness = pinging.address if pinging is not None else self._witnesses.get(node_id)
+        witness = self._peers.address(node_id) or self._witnesses.get(node_id)
         if witness is None:
             return None
         return Address.parse(witness.address), witness.zone
@@ -303,25 +281,8 @@
         return PING_SECONDS if differs else SLOW_PING_SECONDS
 
     def _witnessed(self, known: Coordinator) -> bool:
-        """Ask other nodes, all at once, whether they reach the coordinator."""
         others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
-        asked = [gevent.spawn(self._ask_witness, one, known.epoch) for one in others]
-        gevent.joinall(asked, timeout=WITNESS_SECONDS)
-        return any(task.value for task in asked)
-
-    def _ask_witness(self, node_id: str, epoch: int) -> bool:
-        message = CoordinatorWitness(self._shard, epoch)
-        try:
-            reply = self._network.call(
-                node_id,
-                MessageType.COORDINATOR_WITNESS,
-                message,
-                CoordinatorWitnessReply,
-                WITNESS_SECONDS,
-            )
-        except RunkeelError:
-            return False
-        return bool(reply.serving)
+        return reached_by_others(self._network, self._shard, known.epoch, others, WITNESS_SECONDS)
 
     def _answer_witness(
         self, peer: str, message: CoordinatorWitness
@@ -369,7 +330,7 @@
     def _answer_ping(self, peer: str, ping: CoordinatorPing) -> tuple[int, CoordinatorPong]:
         if self._epoch and ping.epoch > self._epoch:
             self._step_down(f"{peer} knows epoch {ping.epoch}")
-        rank = self._rank_of(peer, ping)
+        rank = self._peers.note(peer, ping.sender, ping.preferred)
         interval = PING_SECONDS
         if rank == LAST_RANK:
             interval = max(SLOW_PING_SECONDS, len(self._peers) / PINGS_PER_SECOND)
@@ -379,44 +340,13 @@
             rank,
             int(interval * 1000),
             self._reaches_store(),
-            self._witnesses_for(peer),
+            self._peers.witnesses_for(peer),
             lease_revision,
             int(lease_age * 1000),
             *self._digests(),
         )
         return MessageType.COORDINATOR_PONG, pong
 
-    def _rank_of(self, peer: str, ping: CoordinatorPing) -> int:
-        """Return a peer's place: preferred nodes first, in the order of their first ping."""
-        known = self._peers.setdefault(peer, _Peer(ping.preferred, ping.sender))
-        known.address = ping.sender
-        known.seen_at = time.monotonic()
-        if not ping.preferred:
-            return LAST_RANK
-        names = [name for name, one in self._live_peers() if one.preferred]
-        return min(names.index(peer), LAST_RANK)
-
-    def _live_peers(self) -> list[tuple[str, _Peer]]:
-        now = time.monotonic()
-        return [
-            (name, known)
-            for name, known in self._peers.items()
-            if now - known.seen_at < PEER_SECONDS
-        ]
-
-    def _witnesses_for(self, peer: str) -> list[NodeAddress]:
-        """Return some other nodes of all zones, in each those that are not preferred first."""
-        others = [known for name, known in self._live_peers() if name != peer]
-        others.sort(key=lambda known: known.preferred)
-        of_zone: dict[str, int] = {}
-        chosen = []
-        for known in others:
-            zone = known.address.zone
-            of_zone[zone] = of_zone.get(zone, 0) + 1
-            if of_zone[zone] <= WITNESSES_PER_ZONE:
-                chosen.append(known.address)
-        return chosen[:WITNESSES]
-
     def _claim(self, known: Coordinator | None, reason: str) -> None:
         """Take the place of the coordinator that was found wanting, not of a later one."""
         epoch = (known.epoch if known else 0) + 1
@@ -468,6 +398,6 @@
             return
         logger.info("not coordinating", code="coordinator_lost", epoch=self._epoch, reason=reason)
         self._epoch = 0
-        self._witnesses = {one.node_id: one for one in self._witnesses_for(self._node_id)}
+        self._witnesses = {one.node_id: one for one in self._peers.witnesses_for(self._node_id)}
         COORDINATING.labels(self._shard).set(0)
         self._on_lost()
--- /dev/null
+++ b/src/runkeel/coordination/peers.py
@@ -0,0 +1,79 @@
+"""The nodes that ping this coordinator: their rank in the succession, and witnesses among them."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+
+from runkeel.wire.generated.jobs.ttypes import NodeAddress
+
+LAST_RANK = 3
+"""Nodes beyond this rank ping seldom and step in late."""
+
+PEER_SECONDS = 12.0
+"""A node that has not pinged for so long is no longer counted."""
+
+SUCCESSORS = 3
+"""Nodes that get copies of what is running."""
+
+WITNESSES = 6
+WITNESSES_PER_ZONE = 2
+"""Nodes that a successor asks whether they reach the coordinator."""
+
+
+@dataclass(slots=True)
+class _Peer:
+    preferred: bool
+    address: NodeAddress
+    seen_at: float = 0.0
+
+
+class PeerRegistry:
+    """Keeps the nodes in the order of their first ping."""
+
+    def __init__(self) -> None:
+        self._peers: dict[str, _Peer] = {}
+
+    def __len__(self) -> int:
+        return len(self._peers)
+
+    def clear(self) -> None:
+        """Forget all nodes."""
+        self._peers.clear()
+
+    def note(self, node_id: str, address: NodeAddress, preferred: bool) -> int:
+        """Take note of a ping; returns the node's rank: preferred nodes first, by first ping."""
+        known = self._peers.setdefault(node_id, _Peer(preferred, address))
+        known.address = address
+        known.seen_at = time.monotonic()
+        if not preferred:
+            return LAST_RANK
+        names = [name for name, one in self._live() if one.preferred]
+        return min(names.index(node_id), LAST_RANK)
+
+    def address(self, node_id: str) -> NodeAddress | None:
+        """Return where a node is reached."""
+        known = self._peers.get(node_id)
+        return known.address if known is not None else None
+
+    def successors(self) -> list[str]:
+        """Return the nodes that are likely to replace this coordinator, the likeliest first."""
+        live = sorted(self._live(), key=lambda entry: not entry[1].preferred)
+        return [name for name, _ in live[:SUCCESSORS]]
+
+    def witnesses_for(self, node_id: str) -> list[NodeAddress]:
+        """Return some other nodes of all zones, in each those that are not preferred first."""
+        others = [known for name, known in self._live() if name != node_id]
+        others.sort(key=lambda known: known.preferred)
+        of_zone: dict[str, int] = {}
+        chosen = []
+        for known in others:
+            zone = known.address.zone
+            of_zone[zone] = of_zone.get(zone, 0) + 1
+            if of_zone[zone] <= WITNESSES_PER_ZONE:
+                chosen.append(known.address)
+        return chosen[:WITNESSES]
+
+    def _live(self) -> list[tuple[str, _Peer]]:
+        oldest = time.monotonic() - PEER_SECONDS
+        return [(name, known) for name, known in self._peers.items() if known.seen_at > oldest]
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -22,6 +22,7 @@
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.coordinator import JobCoordinator
+from runkeel.jobs.engine_placement import EnginePlacement
 from runkeel.jobs.generation_run import PartialText
 from runkeel.jobs.scheduler import Scheduler
 from runkeel.jobs.scorer import Scorer
@@ -237,8 +238,11 @@
         self._store = node._store
         self._translator = node._translator
         self._targets: dict[str, int] = {}
+        self._placement = EnginePlacement(
+            node.directory, lambda backend_id, model: self._rollout.is_loading(backend_id, model)
+        )
         self._scheduler = Scheduler(
-            node.directory,
+            self._placement,
             node.routing,
             node._protocol,
             Scorer(node.forwarder, node.routing, node._protocol),
@@ -261,7 +265,7 @@
             self._targets,
             lambda model: self.jobs.demand(model, self._targets.get(model, 0)),
             self._version_reached,
-            self._scheduler.running_at,
+            self._placement.load,
         )
         self.jobs = JobCoordinator(
             node._store,
@@ -322,7 +326,7 @@
         self._rollout.wake()
 
     def _version_reached(self, backend_id: str, model: str, version: int) -> None:
-        self._scheduler.versions[(backend_id, model)] = version
+        self._placement.versions[(backend_id, model)] = version
         self._scheduler.wake()
 
     def _retirement_asked(self, document: Document, removed: bool) -> None:
--- /dev/null
+++ b/src/runkeel/jobs/engine_placement.py
@@ -0,0 +1,111 @@
+"""Chooses the engine for an item: free slots, versions, speed, and where its group has run."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+
+from runkeel.api.jobs import BatchJob, JobItem
+from runkeel.gateway.backends import BackendDirectory, BackendState
+from runkeel.jobs.engine_speeds import EngineSpeeds, RunSample
+
+GROUP_BONUS = 0.2
+"""How much fuller, as a share of its slots, an engine may be that has run the same group."""
+
+SLOWNESS_COST = 0.5
+"""Cost of an engine that is twice as slow as the fastest, as a share of its slots."""
+
+SLOW_ENGINE = 1.8
+"""Items leave an engine that is so many times slower than one with a free slot."""
+
+MAXIMUM_GROUPS = 4_000
+
+
+class EnginePlacement:
+    """What the coordinator knows of the engines' room, versions and speed.
+
+    Args:
+        is_loading: tells whether an engine takes no items of a model because it loads a version.
+
+    Attributes:
+        versions: latest known version by engine and model, from reports, answers and orders.
+    """
+
+    def __init__(self, directory: BackendDirectory, is_loading: Callable[[str, str], bool]) -> None:
+        self._directory = directory
+        self._is_loading = is_loading
+        self._loads: dict[str, int] = {}
+        self._groups: dict[tuple[str, str], str] = {}
+        self._speeds = EngineSpeeds()
+        self.versions: dict[tuple[str, str], int] = {}
+
+    def load(self, backend_id: str) -> int:
+        """Return the number of slots of an engine that are taken."""
+        return self._loads.get(backend_id, 0)
+
+    def take(self, engine: BackendState) -> None:
+        """Take a slot."""
+        self._loads[engine.backend_id] = self.load(engine.backend_id) + 1
+
+    def release(self, engine: BackendState) -> None:
+        """Give a slot back."""
+        left = self.load(engine.backend_id) - 1
+        if left > 0:
+            self._loads[engine.backend_id] = left
+        else:
+            self._loads.pop(engine.backend_id, None)
+
+    def note_group(self, job: BatchJob, item: JobItem, engine: BackendState) -> None:
+        """Remember where an item of a group runs; its prompt is there."""
+        self._groups[job.job_id, item.group] = engine.backend_id
+        while len(self._groups) > MAXIMUM_GROUPS:
+            self._groups.pop(next(iter(self._groups)))
+
+    def choose(self, job: BatchJob, item: JobItem, service: str) -> BackendState | None:
+        """Return the best engine with a free slot, None when there is none."""
+        now = time.monotonic()
+        home = self._groups.get((job.job_id, item.group))
+        best: BackendState | None = None
+        best_cost = 0.0
+        for state in self._directory.of_service(service):
+            slots = max(1, state.backend.slots)
+            load = self.load(state.backend_id)
+            if load >= slots or state.avoided(now) or not self.usable(job, state):
+                continue
+            cost = load / slots - (GROUP_BONUS if state.backend_id == home else 0.0)
+            cost += SLOWNESS_COST * (self._speeds.slowness(state.backend_id) - 1.0)
+            if best is None or cost < best_cost:
+                best, best_cost = state, cost
+        return best
+
+    def usable(self, job: BatchJob, engine: BackendState) -> bool:
+        """Return whether an engine's weights are such as a job accepts."""
+        if not job.model:
+            return True
+        if self._is_loading(engine.backend_id, job.model):
+            return False
+        return self._version(engine, job.model) >= job.minimum_version
+
+    def observe(self, samples: Iterable[RunSample]) -> None:
+        """Take how many events the runs have received so far."""
+        self._speeds.observe(samples, time.monotonic())
+
+    def slowness(self, engine: BackendState) -> float:
+        """Return how many times slower an engine is than the fastest one."""
+        return self._speeds.slowness(engine.backend_id)
+
+    def faster(
+        self, job: BatchJob, item: JobItem, service: str, engine: BackendState
+    ) -> BackendState | None:
+        """Return an engine with a free slot that is so much faster that an item should move."""
+        slowness = self.slowness(engine)
+        if slowness < SLOW_ENGINE:
+            return None
+        other = self.choose(job, item, service)
+        if other is None or other is engine or slowness < SLOW_ENGINE * self.slowness(other):
+            return None
+        return other
+
+    def _version(self, engine: BackendState, model: str) -> int:
+        reported = engine.backend.model_versions.get(model, 0)
+        return max(reported, self.versions.get((engine.backend_id, model), 0))
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -4,7 +4,7 @@
 
 import base64
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
@@ -14,31 +14,21 @@
 from runkeel.api.backend_protocol import BackendProtocol, GenerationRequest
 from runkeel.api.fleet import Route
 from runkeel.api.jobs import ItemResult, JobItem, ResultState
-from runkeel.gateway.backends import BackendDirectory, BackendState
+from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import RoutingTable, choose_service
-from runkeel.jobs.engine_speeds import EngineSpeeds, RunSample
+from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.engine_speeds import RunSample
 from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
 from runkeel.metrics import ITEM_RUNS
 
-MAXIMUM_IMPOSSIBLE_ANSWERS = 1
 IDLE_CHECK_SECONDS = 0.25
 REQUEUE_SECONDS = 0.05
-GROUP_BONUS = 0.2
-"""How much fuller, as a share of its slots, an engine may be that has run the same group."""
-
 MISSING_ROUTE_SECONDS = 5.0
 """An item whose route has left the configuration is given up after so long."""
 
-SLOWNESS_COST = 0.5
-"""Cost of an engine that is twice as slow as the fastest, as a share of its slots."""
-
-SLOW_ENGINE = 1.8
-"""Items leave an engine that is so many times slower than one with a free slot."""
-
 LEAST_SECONDS_BEFORE_MOVE = 0.6
-
 MAXIMUM_KEPT_TEXTS = 2_000
 
 
@@ -70,44 +60,33 @@
         return self.state.job.job_id, self.item.item_id
 
 
-class EngineLoads(dict):
-    """Items running at each engine, by back end id."""
-
-    def __missing__(self, backend_id: str) -> int:
-        return 0
-
-
 class Scheduler:
     """Runs the open items of all jobs on the engines; one task an item that runs.
 
     Args:
-        is_loading: tells whether an engine takes no items of a model because it loads a version.
+        placement: chooses the engines.
+        is_loading: tells whether an engine is loading a version of a model.
     """
 
     def __init__(
         self,
-        directory: BackendDirectory,
+        placement: EnginePlacement,
         routing: RoutingTable,
         protocol: BackendProtocol,
         scorer: Scorer,
         is_loading: Callable[[str, str], bool],
     ) -> None:
-        self._directory = directory
+        self._placement = placement
         self._routing = routing
         self._protocol = protocol
         self._scorer = scorer
         self._is_loading = is_loading
         self._queue: list[ItemTask] = []
         self._running: dict[tuple[str, str], ItemTask] = {}
-        self._loads = EngineLoads()
-        self._groups: dict[tuple[str, str], str] = {}
         self._kept: dict[str, PartialText] = {}
-        self._speeds = EngineSpeeds()
         self._checked_at = 0.0
         self._wake = Event()
         self._loop: gevent.Greenlet | None = None
-        self.versions: dict[tuple[str, str], int] = {}
-        """Latest known version by engine and model, from reports, answers and orders."""
 
     def start(self) -> None:
         """Start to place items."""
@@ -158,18 +137,11 @@
             if task.task is not None:
                 task.task.kill(block=False)
 
-    def running_at(self, backend_id: str) -> int:
-        """Return the number of items that run at an engine."""
-        return self._loads[backend_id]
-
-    def running_tasks(self) -> Iterable[ItemTask]:
-        """Return the items that are generating."""
-        return list(self._running.values())
-
     def _drop_task(self, task: ItemTask, state: JobState) -> bool:
         if task.state is not state:
             return False
         self._keep(task)
+        self._release_reserved(task)
         return True
 
     def _keep(self, task: ItemTask) -> None:
@@ -190,6 +162,7 @@
         waiting: list[ItemTask] = []
         for task in sorted(self._queue, key=self._order):
             if task.state.ended or task.state.is_listed(task.item.item_id):
+                self._release_reserved(task)
                 continue
             if not self._place(task, now):
                 waiting.append(task)
@@ -216,18 +189,24 @@
         if task.partial.whole:
             self._start(task, route, None)
             return True
-        reserved, task.next_engine = task.next_engine, None
-        if reserved is not None:
-            self._loads[reserved.backend_id] -= 1
-            if self._usable(task, reserved):
-                self._start(task, route, reserved)
-                return True
-        engine = self._choose_engine(task, choose_service(route, task.item.item_id))
+        reserved = self._release_reserved(task)
+        if reserved is not None and self._placement.usable(task.state.job, reserved):
+            self._start(task, route, reserved)
+            return True
+        service = choose_service(route, task.item.item_id)
+        engine = self._placement.choose(task.state.job, task.item, service)
         if engine is None:
             return False
         self._start(task, route, engine)
         return True
 
+    def _release_reserved(self, task: ItemTask) -> BackendState | None:
+        """Give back the slot that is kept for an item; returns its engine."""
+        reserved, task.next_engine = task.next_engine, None
+        if reserved is not None:
+            self._placement.release(reserved)
+        return reserved
+
     def _without_route(self, task: ItemTask, now: float) -> bool:
         """Give an item up once its route has been gone from the configuration for a while."""
         if self._routing.configuration is None:
@@ -238,35 +217,6 @@
         self._finish(task, ResultState.FAILED, detail="no route")
         return True
 
-    def _choose_engine(self, task: ItemTask, service: str) -> BackendState | None:
-        now = time.monotonic()
-        best: BackendState | None = None
-        best_cost = 0.0
-        home = self._groups.get((task.state.job.job_id, task.item.group))
-        for state in self._directory.of_service(service):
-            slots = max(1, state.backend.slots)
-            load = self._loads[state.backend_id]
-            if load >= slots or state.avoided(now) or not self._usable(task, state):
-                continue
-            cost = load / slots - (GROUP_BONUS if state.backend_id == home else 0.0)
-            cost += SLOWNESS_COST * (self._speeds.slowness(state.backend_id) - 1.0)
-            if best is None or cost < best_cost:
-                best, best_cost = state, cost
-        return best
-
-    def _usable(self, task: ItemTask, state: BackendState) -> bool:
-        model = task.state.job.model
-        if not model:
-            return True
-        if self._is_loading(state.backend_id, model):
-            return False
-        return self.version_of(state, model) >= task.state.job.minimum_version
-
-    def version_of(self, state: BackendState, model: str) -> int:
-        """Return the latest known version of a model at an engine."""
-        reported = state.backend.model_versions.get(model, 0)
-        return max(reported, self.versions.get((state.backend_id, model), 0))
-
     def _move_from_slow_engines(self) -> None:
         """Let items continue elsewhere when their engine is much slower than one with room."""
         now = time.monotonic()
@@ -278,26 +228,20 @@
             for task in self._running.values()
             if task.run is not None and task.run.events and not task.run.loading()
         ]
-        self._speeds.observe(
-            (
-                RunSample(task.engine.backend_id, id(task.run), task.run.events)
-                for task in generating
-            ),
-            now,
+        self._placement.observe(
+            RunSample(task.engine.backend_id, id(task.run), task.run.events) for task in generating
         )
         for task in generating:
-            self._move_if_slow(task, now)
+            if now - task.run.first_event_at >= LEAST_SECONDS_BEFORE_MOVE:
+                self._move_if_slow(task)
 
-    def _move_if_slow(self, task: ItemTask, now: float) -> None:
-        slowness = self._speeds.slowness(task.engine.backend_id)
-        young = now - task.run.first_event_at < LEAST_SECONDS_BEFORE_MOVE
+    def _move_if_slow(self, task: ItemTask) -> None:
         route = self._route(task)
-        if slowness < SLOW_ENGINE or young or route is None:
-            return
-        other = self._choose_engine(task, choose_service(route, task.item.item_id))
-        if other is None or other is task.engine:
+        if route is None:
             return
-        if slowness < SLOW_ENGINE * self._speeds.slowness(other.backend_id):
+        service = choose_service(route, task.item.item_id)
+        other = self._placement.faster(task.state.job, task.item, service, task.engine)
+        if other is None:
             return
         logger.info(
             "item leaves a slow engine",
@@ -305,19 +249,19 @@
             request=task.item.item_id,
             backend=task.engine.backend_id,
             to=other.backend_id,
-            slowness=round(slowness, 2),
+            slowness=round(self._placement.slowness(task.engine), 2),
             events=task.run.events,
         )
-        # Counted at once, so that not all items choose the same free slot.
-        self._loads[other.backend_id] += 1
+        # Taken at once, so that not all items choose the same free slot.
+        self._placement.take(other)
         task.next_engine = other
         task.run.move_away()
 
     def _start(self, task: ItemTask, route: Route, engine: BackendState | None) -> None:
         task.engine = engine
         if engine is not None:
-            self._loads[engine.backend_id] += 1
-            self._groups[(task.state.job.job_id, task.item.group)] = engine.backend_id
+            self._placement.take(engine)
+            self._placement.note_group(task.state.job, task.item, engine)
         self._running[task.key] = task
         task.task = gevent.spawn(self._run_item, task, route)
 
@@ -330,9 +274,8 @@
                     return
             self._score(task, route)
         finally:
-            if task.next_engine is not None and task not in self._queue:
-                self._loads[task.next_engine.backend_id] -= 1
-                task.next_engine = None
+            if task not in self._queue:
+                self._release_reserved(task)
             self._running.pop(task.key, None)
             self.wake()
 
@@ -362,7 +305,7 @@
         try:
             outcome = run.run(started + self._seconds_left(task, route))
         finally:
-            self._loads[engine.backend_id] -= 1
+            self._placement.release(engine)
             task.run = None
         self._judge(engine, outcome)
         ITEM_RUNS.labels(outcome.value).inc()
@@ -397,7 +340,7 @@
             self._finish(task, ResultState.FAILED, detail=outcome.value)
             return
         if outcome is RunOutcome.OLD_VERSION:
-            self.versions.pop((task.engine.backend_id, job.model), None)
+            self._placement.versions.pop((task.engine.backend_id, job.model), None)
         if not task.partial.fits(job.minimum_version, route.single_version):
             task.partial.clear()
         if outcome is not RunOutcome.MOVED:
--- /dev/null
+++ b/tests/jobs/test_engine_placement.py
@@ -0,0 +1,92 @@
+"""The choice of an engine: slots, versions, groups, speed."""
+
+import time
+import unittest
+from unittest import mock
+
+from runkeel.api.fleet import Backend
+from runkeel.api.machines import Address
+from runkeel.gateway.backends import BackendDirectory
+from runkeel.jobs import engine_placement
+from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.engine_speeds import RunSample
+from tests.jobs.test_job_service import make_job
+
+SERVICE = "engines"
+
+
+class EnginePlacementTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = BackendDirectory()
+        self.loading = set()
+        self.placement = EnginePlacement(self.directory, lambda *key: key in self.loading)
+        self.job = make_job()
+
+    def _engine(self, backend_id, version=1, slots=2, draining=False):
+        address = Address("127.0.0.1", 1)
+        versions = {"m": version}
+        self.directory.put(Backend(backend_id, SERVICE, address, "z", slots, draining, versions))
+        return self.directory.get(backend_id)
+
+    def _choose(self, item=0):
+        chosen = self.placement.choose(self.job, self.job.items[item], SERVICE)
+        return chosen.backend_id if chosen is not None else None
+
+    def test_emptiest_engine(self):
+        first = self._engine("a")
+        self._engine("b")
+        self.placement.take(first)
+        self.assertEqual(self._choose(), "b")
+
+    def test_full_engines_are_left_alone(self):
+        engine = self._engine("a")
+        self.placement.take(engine)
+        self.placement.take(engine)
+        self.assertIsNone(self._choose())
+        self.placement.release(engine)
+        self.assertEqual(self._choose(), "a")
+
+    def test_old_weights_loading_and_draining_engines(self):
+        self._engine("old", version=0)
+        self._engine("leaving", draining=True)
+        self._engine("loading")
+        self.loading.add(("loading", "m"))
+        self.assertIsNone(self._choose())
+        self.placement.versions["old", "m"] = 1
+        self.assertEqual(self._choose(), "old")
+
+    def test_engine_that_failed_is_avoided_for_a_while(self):
+        self._engine("a").failed()
+        self.assertIsNone(self._choose())
+
+    def test_group_mates_come_together(self):
+        engines = [self._engine(name, slots=8) for name in ("a", "b", "c")]
+        self.placement.take(engines[2])
+        self.placement.note_group(self.job, self.job.items[0], engines[2])
+        self.assertEqual(self._choose(1), "c")
+        self.assertNotEqual(self._choose(2), "c")
+
+    def _observe_speeds(self, **events):
+        clock = mock.patch.object(engine_placement.time, "monotonic")
+        now = time.monotonic()
+        with clock as monotonic:
+            for second in (0.0, 1.0):
+                monotonic.return_value = now + second
+                self.placement.observe(
+                    RunSample(name, index, int(count * second))
+                    for index, (name, count) in enumerate(events.items())
+                )
+
+    def test_item_moves_to_a_much_faster_engine_only(self):
+        fast, slow, fair = self._engine("fast"), self._engine("slow"), self._engine("fair")
+        self._observe_speeds(fast=40, slow=10, fair=30)
+        item = self.job.items[0]
+        self.assertIs(self.placement.faster(self.job, item, SERVICE, slow), fast)
+        self.assertIsNone(self.placement.faster(self.job, item, SERVICE, fair))
+        for engine in (fast, fast, fair, fair):
+            self.placement.take(engine)
+        self.assertIsNone(self.placement.faster(self.job, item, SERVICE, slow))
+
+
+if __name__ == "__main__":
+    unittest.main()
