Keep fewer engines at a model's versions unless its items wait

Ruled out: fewer engines without a way back (a slow or crashed one would leave a model on too few).

Change: engines for three quarters of a model's open items, at least two; 2.5 times the items for 20 s after an item has waited a second for an engine.

--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -38,9 +38,13 @@
 """An engine that could not be moved is left alone for so long."""
 
 CALL_SECONDS = 1.0
-SPARE_ENGINES = 1
-SPARE_FACTOR = 2.0
-"""Engines are kept at a model's versions for so many times its open items, and some more."""
+COMMON_FACTOR = 0.75
+"""Engines are kept at a model's versions for so large a part of its open items at once."""
+
+PRESSED_FACTOR = 2.5
+"""The same, while items have to wait for an engine."""
+
+LEAST_ENGINES = 2
 
 CONCURRENT_LOADS = 2
 CONCURRENT_SHARE = 1 / 3
@@ -63,11 +67,13 @@
         minimum_version: oldest version that every open job accepts.
         slack: versions behind the newest that the latest job accepts.
         items: most items that were open at once lately; None when no job has come yet.
+        pressed: items have lately waited long for an engine.
     """
 
     minimum_version: int = 0
     slack: int = 0
     items: int | None = None
+    pressed: bool = False
 
 
 class VersionRollout:
@@ -219,11 +225,12 @@
 
     def _engines_in_use(self, engines: list[BackendState], model: str) -> list[BackendState]:
         """Return as many engines as the model's jobs can fill, those that are furthest first."""
-        items = self._demand(model).items
-        if items is None:
+        demand = self._demand(model)
+        if demand.items is None:
             return engines
         slots = max((state.backend.slots for state in engines), default=1)
-        needed = SPARE_ENGINES + -(-int(items * SPARE_FACTOR) // max(1, slots))
+        factor = PRESSED_FACTOR if demand.pressed else COMMON_FACTOR
+        needed = max(LEAST_ENGINES, -(-int(demand.items * factor) // max(1, slots)))
         furthest = sorted(
             engines, key=lambda state: (-self._version_ahead(state, model), state.backend_id)
         )
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -138,7 +138,8 @@
         latest = self._latest_minimum.get(model)
         slack = 0 if latest is None else max(0, latest.newest_version - latest.minimum_version)
         items = max(self._recent_items.get(model, ()), default=None)
-        return ModelDemand(max(open_jobs, default=0), slack, items)
+        pressed = self._scheduler.pressed(model)
+        return ModelDemand(max(open_jobs, default=0), slack, items, pressed)
 
     def page(self, state: JobState, position: int, wait: float, maximum_bytes: int) -> ResultPage:
         """Return results of a job, waiting for one at the position."""
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -29,6 +29,10 @@
 """An item whose route has left the configuration is given up after so long."""
 
 LEAST_SECONDS_BEFORE_MOVE = 0.6
+PRESSED_AFTER_SECONDS = 1.0
+PRESSED_SECONDS = 20.0
+"""A model counts as pressed for so long after an item has waited for an engine."""
+
 MAXIMUM_KEPT_TEXTS = 2_000
 
 
@@ -51,6 +55,7 @@
     task: gevent.Greenlet | None = None
     carried: bool = False
     route_missing_since: float = 0.0
+    waiting_since: float = 0.0
     next_engine: BackendState | None = None
     """Engine with a slot kept for this item, which is leaving a slow one."""
 
@@ -84,6 +89,7 @@
         self._queue: list[ItemTask] = []
         self._running: dict[tuple[str, str], ItemTask] = {}
         self._kept: dict[str, PartialText] = {}
+        self._pressed_at: dict[str, float] = {}
         self._checked_at = 0.0
         self._wake = Event()
         self._loop: gevent.Greenlet | None = None
@@ -111,6 +117,10 @@
         tasks = [*self._running.values(), *self._queue]
         return {task.item.item_id: task.partial for task in tasks if task.partial.pieces}
 
+    def pressed(self, model: str) -> bool:
+        """Return whether items of a model have lately waited long for an engine."""
+        return time.monotonic() - self._pressed_at.get(model, -PRESSED_SECONDS) < PRESSED_SECONDS
+
     def wake(self) -> None:
         """Look again whether an item can be placed."""
         self._wake.set()
@@ -164,8 +174,12 @@
             if task.state.ended or task.state.is_listed(task.item.item_id):
                 self._release_reserved(task)
                 continue
-            if not self._place(task, now):
-                waiting.append(task)
+            if self._place(task, now):
+                continue
+            waiting.append(task)
+            task.waiting_since = task.waiting_since or now
+            if now - task.waiting_since > PRESSED_AFTER_SECONDS:
+                self._pressed_at[task.state.job.model] = now
         self._queue = waiting
 
     def _order(self, task: ItemTask) -> tuple[int, float, bool, str]:
@@ -259,6 +273,7 @@
 
     def _start(self, task: ItemTask, route: Route, engine: BackendState | None) -> None:
         task.engine = engine
+        task.waiting_since = 0.0
         if engine is not None:
             self._placement.take(engine)
             self._placement.note_group(task.state.job, task.item, engine)
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -33,6 +33,9 @@
     def drop(self, state):
         pass
 
+    def pressed(self, model):
+        return False
+
 
 def result(number):
     return ItemResult(f"{JOB_ID}-{number}", ResultState.COMPLETED, f"text {number}", (1,), "s")
