--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -34,9 +34,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Order:
-    """One order that an engine received."""
+    """One order that an engine received; ``sent_at`` is when it arrived, taken late or not."""
 
-    at: float
+    sent_at: float
     holder: str
     token: int
     version: int
@@ -214,18 +214,19 @@
         body = json.loads(environment["wsgi.input"].read())
         lost = self._random.random() < self.faults.unanswered_orders
         if lost:
-            gevent.spawn_later(self._random.uniform(0.1, 1.0), self._carry_out, body)
+            late = self._random.uniform(0.1, 1.0)
+            gevent.spawn_later(late, self._carry_out, body, time.monotonic())
             environment[_CONNECTION].abort()
             raise AnswerAbortedError
-        status = self._carry_out(body)
+        status = self._carry_out(body, time.monotonic())
         start_response(status, [])
         return [b""]
 
-    def _carry_out(self, body: dict[str, Any]) -> str:
+    def _carry_out(self, body: dict[str, Any], sent_at: float) -> str:
         fits = body.get("ExpectedRevision") in (None, self._sequence)
         accepted = fits and not self._busy
         self.orders.append(
-            Order(time.monotonic(), body["Holder"], body["FencingToken"], body["Version"], accepted)
+            Order(sent_at, body["Holder"], body["FencingToken"], body["Version"], accepted)
         )
         if not accepted:
             return "409 Conflict"
--- a/src/runkeel_lab/users_platform/soak.py
+++ b/src/runkeel_lab/users_platform/soak.py
@@ -245,10 +245,17 @@
 
     def _check_orders(self) -> None:
         for engine in self._deployment.engines:
-            orders = [order for order in engine.orders if order.accepted]
+            # A late order counts at the time it was sent, which is what its holder decides.
+            orders = sorted(engine.orders, key=lambda order: order.sent_at)
             for before, after in zip(orders, orders[1:], strict=False):
                 if after.token < before.token:
                     self._violated(f"{engine.server_id}: token {after.token} after {before.token}")
+                close = after.sent_at - before.sent_at < _ORDER_PAUSE_SECONDS
+                if before.holder != after.holder and close:
+                    self._violated(
+                        f"{engine.server_id}: orders of {before.holder} and {after.holder} "
+                        f"{after.sent_at - before.sent_at:.2f} s apart"
+                    )
 
     def _violated(self, text: str) -> None:
         self._report.violations.append(text)
