Take only events that follow one another; give slots back when an item is killed before it begins

Reading the code for it found slots that leaked when a job ended between an item's placement and its greenlet's first step.

Ruled out: two tasks on one text (a text passes to the next job only when its job has ended), copies at a successor (the coordinator did not change), cut events (a piece is taken whole or not).

Change: an event that is not the next one ends the run, which is continued after the last good one; the same for clients' streams. Likely sender: a server's late second answer to an earlier run of the same item, which has the right id.

--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -15,6 +15,7 @@
 from runkeel.backends.http_connection import HttpAnswerStream
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
+from runkeel.gateway.event_order import follows
 from runkeel.http.frontend import AnswerBrokenOffError
 from runkeel.metrics import ATTEMPTS
 
@@ -183,16 +184,23 @@
             if not relay.route.resumable:
                 yield chunk
                 continue
-            buffer += chunk
-            whole, separator, buffer = buffer.rpartition(_EVENT_END)
-            if separator:
-                self._note_last_event(relay, whole)
-                yield whole + separator
-
-    def _note_last_event(self, relay: _Relay, events: bytes) -> None:
-        event = self._protocol.parse_event(events.rpartition(_EVENT_END)[2])
-        if event.event_id:
-            relay.last_event_id = event.event_id
+            *events, buffer = (buffer + chunk).split(_EVENT_END)
+            for event in events:
+                error = self._note_event(relay, event)
+                if error is not None:
+                    return error
+                yield event + _EVENT_END
+
+    def _note_event(self, relay: _Relay, block: bytes) -> RunkeelError | None:
+        """Note an event that is to be passed on; returns an error when it isn't the next one."""
+        event = self._protocol.parse_event(block)
+        if not event.event_id:
+            return None
+        if not follows(relay.last_event_id, event.event_id):
+            detail = f"event {event.event_id} after {relay.last_event_id}"
+            return RunkeelError(ErrorCode.BACKEND_LOST, detail)
+        relay.last_event_id = event.event_id
+        return None
 
     def _resume(self, relay: _Relay, error: RunkeelError) -> None:
         """Continue at another server. Raises AnswerBrokenOffError when that can't be."""
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -9,8 +9,9 @@
 
 from runkeel.api.backend_protocol import AnswerClass, BackendProtocol, GenerationRequest
 from runkeel.backends.http_connection import HttpAnswerStream
-from runkeel.errors import ErrorCode, RunkeelError, Verdict
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run
 from runkeel.gateway.backends import BackendState
+from runkeel.gateway.event_order import follows
 
 FIRST_EVENT_SECONDS = 2.0
 STALL_SECONDS = 1.2
@@ -186,6 +187,9 @@
         version = event.version or version
         if not event.has_data:
             return version
+        if not follows(self._partial.last_event_id, event.event_id):
+            last = self._partial.last_event_id
+            raise may_have_run(ErrorCode.BACKEND_LOST, f"event {event.event_id} after {last}")
         versions = self._partial.versions
         if version and version < self._minimum_version:
             return -1
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -56,6 +56,8 @@
     carried: bool = False
     route_missing_since: float = 0.0
     waiting_since: float = 0.0
+    begun: bool = False
+    """Its greenlet has begun to run; one that is killed before never cleans up."""
     next_engine: BackendState | None = None
     """Engine with a slot kept for this item, which is leaving a slow one."""
 
@@ -146,6 +148,10 @@
             self._keep(task)
             if task.task is not None:
                 task.task.kill(block=False)
+            if not task.begun:
+                del self._running[key]
+                if task.engine is not None:
+                    self._placement.release(task.engine)
 
     def _drop_task(self, task: ItemTask, state: JobState) -> bool:
         if task.state is not state:
@@ -273,6 +279,7 @@
 
     def _start(self, task: ItemTask, route: Route, engine: BackendState | None) -> None:
         task.engine = engine
+        task.begun = False
         task.waiting_since = 0.0
         if engine is not None:
             self._placement.take(engine)
@@ -281,6 +288,7 @@
         task.task = gevent.spawn(self._run_item, task, route)
 
     def _run_item(self, task: ItemTask, route: Route) -> None:
+        task.begun = True
         try:
             if task.engine is not None:
                 outcome = self._generate(task, route)
--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -52,6 +52,8 @@
     refused: bool = False
     slow_factor: float = 1.0
     unanswered_orders: float = 0.0
+    stale_share: float = 0.0
+    """Share of the continued generations that are answered by an earlier run's events."""
 
 
 class PlatformServer:
@@ -258,6 +260,8 @@
         ]
         start_response("200 OK", headers)
         first = int(environment.get("HTTP_LAST_EVENT_ID") or 0) + 1
+        if first > 1 and self._random.random() < self.faults.stale_share:
+            first = 1
         return self._events(environment, request_id, model, version, first)
 
     def _events(
--- /dev/null
+++ b/tests/jobs/test_scheduler.py
@@ -0,0 +1,119 @@
+"""The scheduler's book-keeping: slots, texts, items without a route."""
+
+import time
+import unittest
+
+import gevent
+
+from runkeel.api.fleet import (
+    Backend,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    ServiceDescription,
+    ServiceShare,
+)
+from runkeel.api.machines import Address
+from runkeel.gateway.backends import BackendDirectory
+from runkeel.gateway.routing import RoutingTable
+from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.job_state import JobState
+from runkeel.jobs.scheduler import Scheduler
+from tests.jobs.test_job_service import JOB_ID, make_job
+
+SERVICE = "engines"
+DEAD_ADDRESS = Address("127.0.0.1", 1)
+LONGEST_WAIT_SECONDS = 5.0
+
+
+def make_configuration(kind=RouteKind.BATCH, prefix="/allocation/"):
+    route = Route(
+        "r",
+        "models.example",
+        prefix,
+        kind,
+        (ServiceShare(SERVICE, 1.0),),
+        maximum_queue_seconds=60.0,
+    )
+    return RoutingConfiguration(1, (route,), {SERVICE: ServiceDescription(SERVICE)})
+
+
+class RefusingProtocol:
+    """Every request fails before it is sent; what matters here is the book-keeping."""
+
+    def encode_generation(self, request, backend, remaining):
+        raise AssertionError("not reached: the greenlet is killed before it begins")
+
+
+class SchedulerTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = BackendDirectory()
+        self.directory.put(Backend("e", SERVICE, DEAD_ADDRESS, "z", 8, False, {"m": 1}))
+        self.placement = EnginePlacement(self.directory, lambda *key: False)
+        self.routing = RoutingTable()
+        self.scheduler = Scheduler(
+            self.placement, self.routing, RefusingProtocol(), None, lambda *key: False
+        )
+        self.state = JobState(make_job())
+
+    def test_without_a_configuration_items_wait(self):
+        """agreste trouble-1, snapshot b5fa95be: 64 items were given up (MIXED)."""
+        self.scheduler.start()
+        self.addCleanup(self.scheduler.stop)
+        self.scheduler.add(self.state)
+        gevent.sleep(0.6)
+        self.assertEqual(self.state.unlisted, [])
+
+    def test_items_without_a_route_are_given_up_after_a_while_only(self):
+        self.routing.apply(make_configuration(prefix="/other/"))
+        self.scheduler.add(self.state)
+        self.scheduler._place_all()
+        self.assertEqual(self.state.unlisted, [])
+        for task in self.scheduler._queue:
+            task.route_missing_since = time.monotonic() - 60.0
+        self.scheduler._place_all()
+        self.assertEqual(len(self.state.unlisted), len(self.state.items))
+
+    def test_slots_of_items_killed_before_they_begin_are_given_back(self):
+        self.routing.apply(make_configuration())
+        self.scheduler.add(self.state)
+        self.scheduler._place_all()
+        self.assertEqual(self.placement.load("e"), len(self.state.items))
+        self.state.end()
+        self.scheduler.drop(self.state)
+        gevent.sleep(0.05)
+        self.assertEqual(self.placement.load("e"), 0)
+        self.assertEqual(self.scheduler._running, {})
+
+    def test_reserved_slot_of_an_ended_job_is_given_back(self):
+        self.routing.apply(make_configuration())
+        self.scheduler.add(self.state)
+        engine = self.directory.get("e")
+        self.placement.take(engine)
+        self.scheduler._queue[0].next_engine = engine
+        self.state.end()
+        self.scheduler._place_all()
+        self.assertEqual(self.placement.load("e"), 0)
+
+    def test_text_of_an_ended_job_is_continued_by_the_next_one(self):
+        self.scheduler.add(self.state)
+        text = self.scheduler._queue[0].partial
+        text.pieces.append("x")
+        text.versions.append(1)
+        item_id = self.scheduler._queue[0].item.item_id
+        self.scheduler.drop(self.state)
+        self.scheduler.add(JobState(make_job()))
+        task = next(one for one in self.scheduler._queue if one.item.item_id == item_id)
+        self.assertTrue(task.carried)
+        self.assertIs(task.partial, text)
+
+    def test_text_of_older_weights_is_not_continued(self):
+        old = PartialText(["x"], "1", [0])
+        self.scheduler.keep_texts({f"{JOB_ID}-0": old})
+        self.scheduler.add(self.state)
+        self.assertEqual(self.scheduler._queue[0].partial.pieces, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -175,6 +175,15 @@
         resumed = [run for run in deployment.engines[1].runs if run.resumed_after]
         self.assertTrue(resumed)
 
+    def test_second_answer_of_an_earlier_run_is_not_passed_on(self):
+        deployment = self.start(engines=3)
+        deployment.engines[0].faults.lost_share = 1.0
+        deployment.engines[1].faults.stale_share = 1.0
+        for number in range(4):
+            answer = self.stream(deployment, f"t{number}")
+            if answer is not None:
+                self.assertEqual(self.data(answer), whole_text(f"t{number}"))
+
     def test_stream_that_cannot_be_continued_does_not_look_whole(self):
         deployment = self.start()
         for engine in deployment.engines:
@@ -276,6 +285,17 @@
         completed = [result for result in results if result["State"] == "completed"]
         self.check_results(completed, [result["Id"] for result in completed])
 
+    def test_second_answer_of_an_earlier_run_is_not_taken(self):
+        """agreste hunt-cbe5-19: a piece stood twice in the text of a continued item (ORDER)."""
+        deployment = self.start(engines=3)
+        for engine in deployment.engines:
+            engine.faults.lost_share = 0.4
+            engine.faults.stale_share = 0.5
+        items = self.items("j12", 24)
+        deployment.submit("edge-0", "j12", items)
+        results = self.whole_job(deployment, "edge-0", "j12", len(items))
+        self.check_results(results, items)
+
     def test_versions_are_moved_and_told(self):
         deployment = self.start()
         deployment.name_version(2)
