Follow the coordinator's copy of configuration and servers instead of the store's

And a node that the store refused or ignored, while it served others, got no news at all: tests of both fail without this change.

Ruled out: longer gathering of changes (it has to stay below the time allowed for a drain), stale reads (may be seconds old).

Change: the coordinator's watches of both kinds are short; every other node holds a read at it and is told what its copy lacks since the revision it reflects. When the coordinator falls silent or its own copy is not confirmed for 1.3 s, nodes ask the store from that revision. The comparison of digests by pings is gone with its test; the tests of mute watches stand.

--- a/src/runkeel/api/documents.py
+++ b/src/runkeel/api/documents.py
@@ -71,6 +71,23 @@
     revision: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class DocumentPage:
+    """What another node's copy of a kind has and a node's own lacks.
+
+    Attributes:
+        revision: the store's revision that the copy reflects together with this page.
+        whole: the documents are all there are; others are gone.
+        removed: names of documents that are gone.
+    """
+
+    kind: DocumentKind
+    revision: int
+    whole: bool
+    documents: tuple[Document, ...]
+    removed: tuple[str, ...] = ()
+
+
 class DocumentConflictError(RunkeelError):
     """A conditional write was refused; ``current`` is the document as it stands, if known."""
 
--- /dev/null
+++ b/src/runkeel/coordination/document_feed.py
@@ -0,0 +1,141 @@
+"""The coordinator's side of the feed: tells other nodes how the followed documents change.
+
+The coordinator alone watches the store; every other node asks it for what its own copy lacks. A
+node's copy is described by the store's revision that it reflects, so that any coordinator can
+continue where another has ended.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+
+from gevent.event import Event
+
+from runkeel.api.documents import Document
+from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.jobs.ttypes import (
+    FeedDocument,
+    FeedPage,
+    FeedRead,
+    FeedReadReply,
+    FeedState,
+)
+from runkeel.wire.network import PeerNetwork
+
+FRESH_SECONDS = 1.3
+"""Nodes rely on the coordinator's copy while the store has confirmed it within so long."""
+
+LONGEST_WAIT_SECONDS = 2.0
+MAXIMUM_REMOVALS = 4_000
+
+
+class _KindFeed:
+    """What has changed of one kind, as far as it matters to other nodes."""
+
+    def __init__(self, watcher: DocumentWatcher) -> None:
+        self.watcher = watcher
+        self._changed_at: dict[str, int] = {}
+        self._removals: deque[tuple[int, str]] = deque()
+        self._complete_from = 0
+        """All removals since this revision are known; 0: the documents have not been listed yet."""
+
+    def note(self, document: Document, removed: bool) -> None:
+        """Take note of a change that the watcher has just taken."""
+        revision = self.watcher.revision
+        self._complete_from = self._complete_from or revision
+        if not removed:
+            self._changed_at[document.name] = document.revision
+            return
+        self._changed_at.pop(document.name, None)
+        self._removals.append((revision, document.name))
+        if len(self._removals) > MAXIMUM_REMOVALS:
+            self._complete_from = self._removals.popleft()[0]
+
+    def page_after(self, revision: int) -> FeedPage | None:
+        """Return what a copy at a revision lacks, None when it lacks nothing."""
+        watcher = self.watcher
+        if revision >= watcher.revision:
+            return None
+        self._complete_from = self._complete_from or watcher.revision
+        whole = revision < self._complete_from
+        names = watcher.documents if whole else self._changed_since(revision)
+        removed = [] if whole else [name for at, name in self._removals if at > revision]
+        if not whole and not names and not removed:
+            return None
+        documents = [_to_wire(watcher.documents[name]) for name in names]
+        return FeedPage(str(watcher.kind), watcher.revision, whole, documents, removed)
+
+    def _changed_since(self, revision: int) -> list[str]:
+        return [name for name, at in self._changed_at.items() if at > revision]
+
+
+class DocumentFeed:
+    """Answers the nodes that follow this coordinator.
+
+    Args:
+        watchers: of the kinds that are told.
+        coordinating_since: monotonic time since which this node coordinates; None: it does not.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        watchers: Sequence[DocumentWatcher],
+        coordinating_since: Callable[[], float | None],
+    ) -> None:
+        self._kinds = {watcher.kind: _KindFeed(watcher) for watcher in watchers}
+        self._coordinating_since = coordinating_since
+        self._changed = Event()
+        network.on_call(MessageType.FEED_READ, FeedRead, self._serve)
+
+    def note(self, document: Document, removed: bool) -> None:
+        """Take note of a change that matters to other nodes; called by the watchers' listeners."""
+        self._kinds[document.kind].note(document, removed)
+        self.wake()
+
+    def wake(self) -> None:
+        """Have held replies looked at again, as when this node stops to coordinate."""
+        self._changed.set()
+        self._changed = Event()
+
+    def read(self, revisions: dict[str, int], wait_seconds: float) -> FeedReadReply:
+        """Return what a node lacks, waiting for a change if it lacks nothing."""
+        deadline = time.monotonic() + min(LONGEST_WAIT_SECONDS, wait_seconds)
+        while True:
+            state = self._state()
+            if state != FeedState.CURRENT:
+                return FeedReadReply(state, [])
+            pages = [
+                page
+                for kind, feed in self._kinds.items()
+                if (page := feed.page_after(revisions.get(str(kind), 0))) is not None
+            ]
+            now = time.monotonic()
+            if pages or now >= deadline:
+                return FeedReadReply(state, pages)
+            stale_at = self._confirmed_at() + FRESH_SECONDS
+            self._changed.wait(max(0.0, min(deadline, stale_at) - now))
+
+    def _state(self) -> int:
+        since = self._coordinating_since()
+        if since is None:
+            return FeedState.NOT_COORDINATOR
+        confirmed_at = self._confirmed_at()
+        if confirmed_at < since or time.monotonic() - confirmed_at >= FRESH_SECONDS:
+            return FeedState.STALE
+        return FeedState.CURRENT
+
+    def _confirmed_at(self) -> float:
+        return min(feed.watcher.fresh_at for feed in self._kinds.values())
+
+    def _serve(self, peer: str, message: FeedRead) -> tuple[int, FeedReadReply]:
+        reply = self.read(message.revisions, message.wait_ms / 1000.0)
+        return MessageType.FEED_READ_REPLY, reply
+
+
+def _to_wire(document: Document) -> FeedDocument:
+    return FeedDocument(document.name, document.revision, json.dumps(document.content))
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -76,9 +76,6 @@
     Args:
         preferred: this node should coordinate rather than one that is not preferred.
         store_reachable: whether the store has answered this node's last call.
-        digests: digests of the routing and back end documents that this node knows.
-        on_digests: called with those of a coordinator that reaches the store; says whether this
-            node's differ.
         lease_confirmation: revision and age of this node's last confirmed order lease.
         on_lease_seen: called with what the coordinator told of its order lease.
         on_gained: called with the epoch when this node becomes coordinator.
@@ -94,8 +91,6 @@
         zone: str,
         preferred: bool,
         store_reachable: Callable[[], bool],
-        digests: Callable[[], tuple[int, int]],
-        on_digests: Callable[[tuple[int, int]], bool],
         lease_confirmation: Callable[[], tuple[int, float]],
         on_lease_seen: Callable[[int, float], None],
         on_gained: Callable[[int], None],
@@ -109,8 +104,6 @@
         self._own_address = NodeAddress(node_id, "", zone)
         self._preferred = preferred
         self._store_reachable = store_reachable
-        self._digests = digests
-        self._on_digests = on_digests
         self._lease_confirmation = lease_confirmation
         self._on_lease_seen = on_lease_seen
         self._on_gained = on_gained
@@ -150,9 +143,9 @@
         return self._epoch > 0
 
     @property
-    def epoch(self) -> int:
-        """Epoch in which this node coordinates, 0 when it does not."""
-        return self._epoch
+    def coordinating_since(self) -> float | None:
+        """Monotonic time at which this node became coordinator; None: it is not."""
+        return self._gained_at if self.coordinating else None
 
     @property
     def verified(self) -> bool:
@@ -249,7 +242,7 @@
             if self._serves(pong):
                 self._last_contact = time.monotonic()
                 self._failing_since = 0.0
-                return min(pause, self._compare_digests(pong))
+                return pause
         now = time.monotonic()
         self._failing_since = self._failing_since or now
         silent = now - self._last_contact
@@ -273,13 +266,6 @@
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
-    def _compare_digests(self, pong: CoordinatorPong) -> float:
-        """Compare what both nodes know; returns when to ping again at the latest."""
-        if not pong.store_reachable:
-            return SLOW_PING_SECONDS
-        differs = self._on_digests((pong.routing_digest, pong.backend_digest))
-        return PING_SECONDS if differs else SLOW_PING_SECONDS
-
     def _witnessed(self, known: Coordinator) -> bool:
         others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
         return reached_by_others(self._network, self._shard, known.epoch, others, WITNESS_SECONDS)
@@ -343,7 +329,6 @@
             self._peers.witnesses_for(peer),
             lease_revision,
             int(lease_age * 1000),
-            *self._digests(),
         )
         return MessageType.COORDINATOR_PONG, pong
 
--- /dev/null
+++ b/src/runkeel/coordination/feed_follower.py
@@ -0,0 +1,130 @@
+"""Follows the coordinator's feed, so that the store need not be asked by every node.
+
+While the coordinator answers and its own copy is fresh, this node's watchers rest. When it falls
+silent, or says that the store has not confirmed its copy lately, they ask the store themselves,
+from the revision that they reflect.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+
+import gevent
+from gevent.event import Event
+from loguru import logger
+
+from runkeel.api.documents import Document, DocumentKind, DocumentPage
+from runkeel.coordination.election import Coordinator, Election
+from runkeel.errors import RunkeelError
+from runkeel.metrics import FEED_READS
+from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.jobs.ttypes import FeedPage, FeedRead, FeedReadReply, FeedState
+from runkeel.wire.network import PeerNetwork
+
+WAIT_SECONDS = 1.0
+"""A reply may be held for so long."""
+
+ANSWER_SECONDS = 0.4
+"""A reply that is so much later shows that the coordinator is not reached."""
+
+RETRY_SECONDS = 0.3
+IDLE_SECONDS = 0.1
+_STATE_NAMES = {FeedState.STALE: "stale", FeedState.NOT_COORDINATOR: "not_coordinator"}
+
+
+class FeedFollower:
+    """One task that keeps this node's copies in step with the coordinator's.
+
+    Attributes:
+        store_needed: set while the watchers have to ask the store themselves.
+    """
+
+    def __init__(self, network: PeerNetwork, election: Election, shard: str) -> None:
+        self._network = network
+        self._election = election
+        self._shard = shard
+        self._watchers: dict[DocumentKind, DocumentWatcher] = {}
+        self._task: gevent.Greenlet | None = None
+        self.store_needed = Event()
+        self.store_needed.set()
+
+    def start(self, watchers: Sequence[DocumentWatcher]) -> None:
+        """Start to follow; the watchers must have been made with :attr:`store_needed`."""
+        self._watchers = {watcher.kind: watcher for watcher in watchers}
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to follow; the watchers ask the store."""
+        if self._task is not None:
+            self._task.kill(block=False)
+        self.store_needed.set()
+
+    def ask_store(self, reason: str) -> None:
+        """Have the watchers ask the store themselves."""
+        if not self.store_needed.is_set():
+            logger.info("feed lost", code="feed_lost", reason=reason)
+            self.store_needed.set()
+
+    def _run(self) -> None:
+        while True:
+            coordinator = self._election.coordinator
+            if coordinator is None or coordinator.node_id == self._election.node_id:
+                self.ask_store("no other coordinator")
+                gevent.sleep(IDLE_SECONDS)
+                continue
+            problem = self._read(coordinator)
+            FEED_READS.labels(problem or "current").inc()
+            if problem or self._election.coordinating:
+                self.ask_store(problem or "this node coordinates")
+                gevent.sleep(RETRY_SECONDS)
+            else:
+                self._follow(coordinator)
+
+    def _follow(self, coordinator: Coordinator) -> None:
+        if self.store_needed.is_set():
+            logger.info(
+                "feed followed",
+                code="feed_followed",
+                coordinator=coordinator.node_id,
+                epoch=coordinator.epoch,
+                revisions=self._revisions(),
+            )
+            self.store_needed.clear()
+
+    def _read(self, coordinator: Coordinator) -> str:
+        """Take what the coordinator has; returns what went wrong, empty for nothing."""
+        # The first answer is wanted at once: until it is there, the store is asked.
+        wait_seconds = 0.0 if self.store_needed.is_set() else WAIT_SECONDS
+        message = FeedRead(self._shard, self._revisions(), int(wait_seconds * 1000))
+        try:
+            reply = self._network.call(
+                coordinator.node_id,
+                MessageType.FEED_READ,
+                message,
+                FeedReadReply,
+                wait_seconds + ANSWER_SECONDS,
+            )
+            if reply.state != FeedState.CURRENT:
+                return _STATE_NAMES.get(reply.state, "unknown")
+            for page in reply.pages:
+                self._take(page)
+        except RunkeelError as error:
+            return str(error.code)
+        except (KeyError, ValueError) as error:
+            logger.warning("feed not understood", code="bad_feed", error=repr(error))
+            return "not_understood"
+        return ""
+
+    def _take(self, page: FeedPage) -> None:
+        kind = DocumentKind(page.kind)
+        documents = tuple(
+            Document(kind, one.name, one.revision, json.loads(one.content))
+            for one in page.documents
+        )
+        taken = DocumentPage(kind, page.revision, page.whole, documents, tuple(page.removed))
+        self._watchers[kind].take(taken)
+
+    def _revisions(self) -> dict[str, int]:
+        return {str(kind): watcher.revision for kind, watcher in self._watchers.items()}
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -6,15 +6,18 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import gevent
 from loguru import logger
 
 from runkeel.api.backend_protocol import BackendProtocol
 from runkeel.api.documents import Document, DocumentKind, DocumentStore, DocumentTranslator
+from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
+from runkeel.coordination.document_feed import DocumentFeed
 from runkeel.coordination.election import Election
+from runkeel.coordination.feed_follower import FeedFollower
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.version_rollout import VersionRollout
 from runkeel.errors import RunkeelError
@@ -28,21 +31,27 @@
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
 from runkeel.jobs.text_replication import TextCopies, TextSender
-from runkeel.state.document_watcher import WATCH_SECONDS, DocumentWatcher
+from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
 from runkeel.wire.network import PeerNetwork
 
 SHARD = "fleet"
 
-BACKEND_GATHER_SECONDS = 1.3
-"""Changes of back ends are gathered for so long; below the time allowed for a drain.
+COORDINATOR_GATHER_SECONDS = 0.3
+"""Changes of back ends are gathered for so long before the coordinator asks for more."""
 
-A store whose watches hear nothing for a second adds nothing: the watch is made anew after it.
-"""
+COORDINATOR_WATCH_SECONDS = 0.7
+"""The coordinator's watches are short: they confirm its copy, which all nodes rely on."""
+
+TERM_WATCH_SECONDS = 2.0
+"""Watches of what only the coordinator follows; one that has gone mute ends after so long."""
 
-COORDINATOR_GATHER_SECONDS = 0.6
-COORDINATOR_WATCH_SECONDS = 2.0
-"""The coordinator's watches are short: all nodes compare what they know with what it knows."""
+NODE_GATHER_SECONDS = 1.3
+NODE_WATCH_SECONDS = 1.0
+"""The same for a node that asks the store itself, until it can follow the coordinator again.
+
+The gathering stays below the time allowed for a drain.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,11 +101,27 @@
             settings.peer_address,
             lambda node_id: self._election.peer_address(node_id),
         )
+        self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
+        self._election = Election(
+            store,
+            self._network,
+            SHARD,
+            settings.node_id,
+            settings.zone,
+            settings.preferred_coordinator,
+            lambda: store.reachable,
+            lambda: self._lease.confirmation,
+            self._lease.observe,
+            self._start_term,
+            self._end_term,
+        )
+        self._follower = FeedFollower(self._network, self._election, SHARD)
         self._routing_watcher = DocumentWatcher(
             store,
             DocumentKind.ROUTING,
             self._routing_changed,
             watch_seconds=self._watch_seconds,
+            needed=self._follower.store_needed,
         )
         self._backend_watcher = DocumentWatcher(
             store,
@@ -104,24 +129,11 @@
             self._backend_changed,
             self._backend_gather_seconds,
             self._watch_seconds,
+            self._follower.store_needed,
         )
         self._watchers = [self._routing_watcher, self._backend_watcher]
-        self._seen_digests: tuple[tuple[int, int], tuple[int, int]] | None = None
-        self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
-        self._election = Election(
-            store,
-            self._network,
-            SHARD,
-            settings.node_id,
-            settings.zone,
-            settings.preferred_coordinator,
-            lambda: store.reachable,
-            self._digests,
-            self._compare_digests,
-            lambda: self._lease.confirmation,
-            self._lease.observe,
-            self._start_term,
-            self._end_term,
+        self._feed = DocumentFeed(
+            self._network, self._watchers, lambda: self._election.coordinating_since
         )
         self.jobs = JobService(store, self._network, self._election, SHARD)
         self._copies = TextCopies(self._network)
@@ -162,6 +174,7 @@
         for watcher in self._watchers:
             watcher.start()
         self._election.start(self._network.address)
+        self._follower.start(self._watchers)
 
     def leave(self) -> None:
         """Hand the coordinator's place over, before this node stops."""
@@ -171,43 +184,34 @@
         """End every part."""
         self._end_term()
         self._election.stop()
+        self._follower.stop()
         for watcher in self._watchers:
             watcher.stop()
         self._network.stop()
 
     def _watch_seconds(self) -> float:
-        return COORDINATOR_WATCH_SECONDS if self._term is not None else WATCH_SECONDS
-
-    def _digests(self) -> tuple[int, int]:
-        return self._routing_watcher.digest, self._backend_watcher.digest
-
-    def _compare_digests(self, coordinators: tuple[int, int]) -> bool:
-        """Refresh a watch whose documents stay different from the coordinator's."""
-        own = self._digests()
-        if own == coordinators:
-            self._seen_digests = None
-            return False
-        if self._seen_digests == (own, coordinators):
-            self._seen_digests = None
-            for watcher, mine, theirs in zip(self._watchers, own, coordinators, strict=True):
-                if mine != theirs:
-                    watcher.refresh("differs from the coordinator's")
-            return False
-        self._seen_digests = (own, coordinators)
-        return True
+        return COORDINATOR_WATCH_SECONDS if self._term is not None else NODE_WATCH_SECONDS
 
     def _backend_gather_seconds(self) -> float:
-        return COORDINATOR_GATHER_SECONDS if self._term is not None else BACKEND_GATHER_SECONDS
+        return COORDINATOR_GATHER_SECONDS if self._term is not None else NODE_GATHER_SECONDS
 
     def _routing_changed(self, document: Document, removed: bool) -> None:
         if not removed:
             self.routing.apply(self._translator.routing_configuration(document))
+        self._feed.note(document, removed)
 
     def _backend_changed(self, document: Document, removed: bool) -> None:
         if removed:
             self.directory.remove(document.name)
-        else:
-            self.directory.put(self._translator.backend(document))
+            self._feed.note(document, removed)
+            return
+        backend = self._translator.backend(document)
+        known = self.directory.get(document.name)
+        before = known.backend if known is not None else None
+        self.directory.put(backend)
+        # Weight versions change often, and only the coordinator goes by them.
+        if before is None or not _same_to_clients(before, backend):
+            self._feed.note(document, removed)
 
     def _directory_changed(self, service: str) -> None:
         if self._term is not None:
@@ -217,12 +221,15 @@
         self._term = _Term(self, epoch, self._copies.take())
         self.jobs.local = self._term.jobs
         self._term.start()
-        for watcher in self._watchers:
-            watcher.rewatch()
+        self._follower.ask_store("this node coordinates")
+        self._routing_watcher.rewatch()
+        # What it has been told leaves out the weight versions.
+        self._backend_watcher.refresh("this node coordinates")
 
     def _end_term(self) -> None:
         term, self._term = self._term, None
         self.jobs.local = None
+        self._feed.wake()
         if term is not None:
             term.stop()
         self._lease.forget()
@@ -279,7 +286,7 @@
                 node._store,
                 DocumentKind.MODEL_VERSION,
                 self._version_named,
-                watch_seconds=lambda: COORDINATOR_WATCH_SECONDS,
+                watch_seconds=lambda: TERM_WATCH_SECONDS,
             ),
             DocumentWatcher(node._store, DocumentKind.RETIREMENT, self._retirement_asked),
         ]
@@ -350,3 +357,8 @@
                 return
             except RunkeelError:
                 gevent.sleep(0.3)
+
+
+def _same_to_clients(one: Backend, other: Backend) -> bool:
+    """Return whether two states of a server are the same to a node that does not coordinate."""
+    return replace(one, model_versions={}) == replace(other, model_versions={})
--- a/src/runkeel/metrics.py
+++ b/src/runkeel/metrics.py
@@ -16,6 +16,9 @@
 STORE_CALL_SECONDS = Histogram(
     "runkeel_store_call_seconds", "Calls to the store", ["call", "outcome"], buckets=(0.01, 0.1, 1)
 )
+FEED_READS = Counter(
+    "runkeel_feed_reads_total", "Reads of the coordinator's document feed", ["outcome"]
+)
 ITEM_RUNS = Counter("runkeel_job_item_runs_total", "Runs of batch job items", ["outcome"])
 JOBS = Counter("runkeel_jobs_total", "Batch jobs", ["event"])
 COORDINATING = Gauge("runkeel_coordinating", "1 while this node coordinates", ["service"])
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -10,15 +10,21 @@
 from gevent.event import Event
 from loguru import logger
 
-from runkeel.api.documents import Document, DocumentKind, DocumentStore, HistoryLostError
+from runkeel.api.documents import (
+    Document,
+    DocumentChanges,
+    DocumentKind,
+    DocumentPage,
+    DocumentStore,
+    HistoryLostError,
+)
 from runkeel.errors import RunkeelError
 
-WATCH_SECONDS = 25.0
+WATCH_SECONDS = 29.0
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 0.4
 
 TIMELY_MARGIN_SECONDS = 0.4
-_COUNT_BITS = 16
 
 ChangeListener = Callable[[Document, bool], None]
 """Called with a document and whether it was removed."""
@@ -28,15 +34,17 @@
     """Follows one kind of documents.
 
     A document never goes back to an older revision. Nothing is forgotten while the store can't
-    be reached.
+    be reached. Another node's copy may bring the news instead, see :meth:`take`.
 
     Args:
         pause_seconds: changes are gathered for so long; each answer of the store has its price.
         watch_seconds: longest time that one watch waits. A watch whose answer was lost is mute
             until then.
+        needed: set while the store has to be asked; None: always.
 
     Attributes:
         documents: the copy, by name.
+        revision: the store's revision that the copy reflects, 0 before the first list.
         listed: set once the first list has been read.
         fresh_at: monotonic time at which the documents were those of the store, at least.
     """
@@ -48,15 +56,18 @@
         on_change: ChangeListener,
         pause_seconds: Callable[[], float] = lambda: 0.0,
         watch_seconds: Callable[[], float] = lambda: WATCH_SECONDS,
+        needed: Event | None = None,
     ) -> None:
         self._store = store
         self._kind = kind
+        self._needed = needed
         self._on_change = on_change
         self._pause_seconds = pause_seconds
         self._watch_seconds = watch_seconds
-        self._revision: int | None = None
+        self._list_due = True
         self._failures = 0
         self._task: gevent.Greenlet | None = None
+        self.revision = 0
         self.documents: dict[str, Document] = {}
         self.listed = Event()
         self.fresh_at = 0.0
@@ -71,10 +82,9 @@
         self._task = gevent.spawn(self._run)
 
     @property
-    def digest(self) -> int:
-        """Tells apart two sets of documents; equal for equal sets."""
-        revisions = sum(document.revision for document in self.documents.values())
-        return (revisions << _COUNT_BITS) + len(self.documents)
+    def kind(self) -> DocumentKind:
+        """The kind of documents."""
+        return self._kind
 
     def refresh(self, reason: str) -> None:
         """Give up the pending watch, which may be mute, and list again."""
@@ -85,10 +95,10 @@
             code="watch_refreshed",
             kind=str(self._kind),
             reason=reason,
-            revision=self._revision,
+            revision=self.revision,
         )
         self.stop()
-        self._revision = None
+        self._list_due = True
         self.start()
 
     def rewatch(self) -> None:
@@ -102,41 +112,63 @@
         if self._task is not None:
             self._task.kill(block=False)
 
+    def take(self, page: DocumentPage) -> None:
+        """Take what another node's copy has, unless this one is newer."""
+        if page.revision < self.revision:
+            return
+        before, self.revision = self.revision, page.revision
+        present = {document.name for document in page.documents}
+        gone = [name for name in self.documents if name not in present] if page.whole else ()
+        for name in {*gone, *page.removed} - present:
+            if name in self.documents:
+                self._apply(self.documents[name], removed=True)
+        for document in page.documents:
+            if document.revision > before or page.whole:
+                self._apply(document, removed=False)
+        self.listed.set()
+
     def _run(self) -> None:
         while True:
-            started = time.monotonic()
+            if self._needed is not None and not self._failures:
+                self._needed.wait()
             try:
                 self._step()
-                self._succeeded(started)
             except HistoryLostError:
-                self._revision = None
+                self._list_due = True
             except RunkeelError as error:
                 self._failed(error)
                 gevent.sleep(self._retry_delay())
                 self._await_turn()
 
     def _step(self) -> None:
-        if self._revision is None:
-            self._relist()
+        started = time.monotonic()
+        if self._list_due:
+            self._list()
+            self._succeeded(started)
             return
         # After a failure an answer is wanted at once: it shows that the store is back.
         wait_seconds = 0.0 if self._failures else self._watch_seconds()
-        changes = self._store.watch(self._kind, self._revision, wait_seconds)
-        for change in changes.changes:
-            self._apply(change.document, change.removed)
-        self._revision = max(self._revision, changes.revision)
+        changes = self._store.watch(self._kind, self.revision, wait_seconds)
+        self._take_changes(changes)
+        self._succeeded(started)
         if changes.changes:
             gevent.sleep(self._pause_seconds())
 
-    def _relist(self) -> None:
+    def _take_changes(self, changes: DocumentChanges) -> None:
+        """Apply the changes that are not reflected yet; news may have come by another way."""
+        before = self.revision
+        self.revision = max(before, changes.revision)
+        for change in changes.changes:
+            if change.removed or change.document.revision > before:
+                self._apply(change.document, change.removed)
+
+    def _list(self) -> None:
         listing = self._store.list(self._kind)
-        names = {document.name for document in listing.documents}
-        for name in [name for name in self.documents if name not in names]:
-            self._apply(self.documents[name], removed=True)
-        for document in listing.documents:
-            self._apply(document, removed=False)
-        self._revision = listing.revision
-        self.listed.set()
+        if listing.revision < self.revision:
+            return
+        self._list_due = False
+        page = DocumentPage(self._kind, listing.revision, True, listing.documents)
+        self.take(page)
 
     def _apply(self, document: Document, removed: bool) -> None:
         known = self.documents.get(document.name)
@@ -176,7 +208,7 @@
                 code="store_lost",
                 kind=str(self._kind),
                 error=error.detail,
-                revision=self._revision,
+                revision=self.revision,
             )
         self._failures += 1
 
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -70,9 +70,10 @@
 
 @dataclass(slots=True)
 class _Slot:
-    """A machine: its settings and the process that runs on it."""
+    """A machine: its settings, its way to the store and the process that runs on it."""
 
     settings: ProcessSettings
+    store: StoreServer
     process: NodeProcess | None = None
 
 
@@ -123,6 +124,8 @@
             self.kill_node(name)
         for server in [*self.engines, *self.applications]:
             server.stop()
+        for slot in self._machines.values():
+            slot.store.stop()
         self.store.stop()
 
     def configure(self, content: dict[str, Any]) -> None:
@@ -147,6 +150,10 @@
         """Return the process on a machine, None while it is down."""
         return self._machines[name].process
 
+    def store_of(self, name: str) -> StoreServer:
+        """Return a machine's way to the store, which can be disturbed alone."""
+        return self._machines[name].store
+
     def coordinators(self) -> list[str]:
         """Return the machines that believe to coordinate."""
         running = [(name, slot.process) for name, slot in self._machines.items() if slot.process]
@@ -235,8 +242,10 @@
             preferred_coordinator=not serves_clients,
         )
         listener = _LOOPBACK if serves_clients else None
-        settings = ProcessSettings(fleet, listener, listener, self.store.address, None, 8.0)
-        self._machines[name] = _Slot(settings)
+        store = StoreServer(len(self._machines), behind=self.store)
+        store.start()
+        settings = ProcessSettings(fleet, listener, listener, store.address, None, 8.0)
+        self._machines[name] = _Slot(settings, store)
 
 
 def _item(item_id: str) -> dict[str, Any]:
--- a/src/runkeel_lab/users_platform/store_server.py
+++ b/src/runkeel_lab/users_platform/store_server.py
@@ -32,15 +32,22 @@
         objects: the stored objects; kinds are the platform's names.
         lost_share: share of the writes that are done and not answered.
         refused: every call is answered 503 and nothing is done.
+        silent: no call is answered and nothing is done.
         slow_seconds: added to every call.
+
+    Args:
+        behind: another server; this one is a further address of it, which can be disturbed alone.
     """
 
-    def __init__(self, seed: int) -> None:
-        self.objects = MemoryDocumentStore()
+    def __init__(self, seed: int, behind: StoreServer | None = None) -> None:
+        self._behind = behind
+        self.objects = behind.objects if behind else MemoryDocumentStore()
         self.lost_share = 0.0
         self.refused = False
+        self.silent = False
         self.slow_seconds = 0.0
-        self._muted_at: dict[str, float] = {}
+        self.calls = 0
+        self._muted_at: dict[str, float] = behind._muted_at if behind else {}
         self._random = random.Random(seed)
         self._server = WSGIServer(("127.0.0.1", 0), self._answer, log=None, handler_class=Handler)
 
@@ -66,13 +73,19 @@
     ) -> Iterable[bytes]:
         method = environment["REQUEST_METHOD"]
         body = environment["wsgi.input"].read()
-        if self.slow_seconds:
-            gevent.sleep(self.slow_seconds)
-        if self.refused:
-            status, answer = 503, None
-        else:
+        self.calls += 1
+        doors = (self, self._behind) if self._behind else (self,)
+        gevent.sleep(sum(door.slow_seconds for door in doors))
+        status, answer = 503, None
+        if not any(door.silent or door.refused for door in doors):
             status, answer = self._handle(method, environment, json.loads(body) if body else {})
-        if method in _WRITES and self._random.random() < self.lost_share:
+        # A watch may have waited since before the disturbance began.
+        if any(door.silent for door in doors):
+            gevent.sleep(_MUTE_SECONDS)
+        if method == "GET" and any(door.refused for door in doors):
+            status, answer = 503, None
+        lost_share = max(door.lost_share for door in doors)
+        if method in _WRITES and self._random.random() < lost_share:
             environment[_CONNECTION].abort()
             raise AnswerAbortedError
         start_response(f"{status} {_STATUSES[status]}", [("Content-Type", "application/json")])
--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -5,7 +5,13 @@
 
 import gevent
 
-from runkeel.api.documents import Document, DocumentKind
+from runkeel.api.documents import (
+    Document,
+    DocumentChange,
+    DocumentChanges,
+    DocumentKind,
+    DocumentPage,
+)
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 
@@ -78,19 +84,41 @@
         self.store.put(KIND, "b", 1)
         self._wait(lambda: sorted(self.changes) == ["a", "b"])
 
-    def test_digest_tells_sets_apart(self):
-        digests = [self.watcher.digest]
-        self.watcher.start()
-        for change in (
-            lambda: self.store.put(KIND, "a", 1),
-            lambda: self.store.put(KIND, "b", 1),
-            lambda: self.store.remove(KIND, "a"),
-        ):
-            seen = len(self.changes)
-            change()
-            self._wait(lambda seen=seen: len(self.changes) > seen)
-            digests.append(self.watcher.digest)
-        self.assertEqual(len(set(digests)), len(digests))
+    def test_another_copy_brings_the_news(self):
+        self.watcher.take(self._page(5, ("a", 3), ("b", 5), whole=True))
+        self.assertTrue(self.watcher.listed.is_set())
+        self.watcher.take(self._page(8, ("b", 8), removed=("a",)))
+        self.assertEqual(self.changes, [("a", False), ("b", False), ("a", True), ("b", False)])
+        self.assertEqual(self.watcher.revision, 8)
+
+    def test_older_copy_is_passed_over(self):
+        self.watcher.take(self._page(8, ("b", 8), whole=True))
+        self.watcher.take(self._page(7, ("a", 3), ("b", 5), whole=True))
+        self.assertEqual(list(self.watcher.documents), ["b"])
+        self.assertEqual(self.watcher.revision, 8)
+
+    def test_late_answer_of_the_store_does_not_bring_back_what_is_gone(self):
+        self.watcher.take(self._page(5, ("a", 3), whole=True))
+        late = DocumentChanges((DocumentChange(Document(KIND, "a", 4, 1), False),), 4)
+        self.watcher.take(self._page(6, removed=("a",)))
+        self.watcher._take_changes(late)
+        self.assertEqual(self.watcher.documents, {})
+        self.assertEqual(self.watcher.revision, 6)
+
+    def test_rests_while_the_store_need_not_be_asked(self):
+        needed = gevent.event.Event()
+        watcher = DocumentWatcher(self.store, KIND, self._note, needed=needed)
+        self.addCleanup(watcher.stop)
+        watcher.start()
+        gevent.sleep(0.05)
+        self.assertEqual(self.store.calls, {})
+        self.store.put(KIND, "a", 1)
+        needed.set()
+        self._wait(lambda: self.changes == [("a", False)])
+
+    def _page(self, revision, *documents, whole=False, removed=()):
+        listed = tuple(Document(KIND, name, at, 1) for name, at in documents)
+        return DocumentPage(KIND, revision, whole, listed, removed)
 
     def test_refresh_gives_up_a_mute_watch(self):
         self.watcher.start()
--- /dev/null
+++ b/tests/coordination/test_document_feed.py
@@ -0,0 +1,214 @@
+"""Nodes follow the coordinator's copy and ask the store only when they can't."""
+
+import time
+import unittest
+import unittest.mock
+from types import SimpleNamespace
+
+import gevent
+
+from runkeel.api.documents import DocumentKind
+from runkeel.coordination import document_feed
+from runkeel.coordination.document_feed import DocumentFeed
+from runkeel.coordination.feed_follower import FeedFollower
+from runkeel.errors import ErrorCode, not_run
+from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.wire.generated.jobs.ttypes import FeedState
+from runkeel_lab.standins.document_store import MemoryDocumentStore
+from runkeel_lab.standins.peer_network import MemoryNetwork
+
+KIND = DocumentKind.BACKEND
+LONGEST_WAIT_SECONDS = 10.0
+WATCH_SECONDS = 0.2
+
+
+class _Node:
+    """What a fleet node makes of the feed; the election is told who coordinates."""
+
+    def __init__(self, network, store, name):
+        self.election = SimpleNamespace(node_id=name, coordinator=None, coordinating=False)
+        self.since = None
+        peers = network.node(name)
+        self.follower = FeedFollower(peers, self.election, "fleet")
+        self.watcher = DocumentWatcher(
+            store,
+            KIND,
+            self._changed,
+            watch_seconds=lambda: WATCH_SECONDS,
+            needed=self.follower.store_needed,
+        )
+        self.feed = DocumentFeed(peers, [self.watcher], lambda: self.since)
+        self.insignificant = set()
+
+    def _changed(self, document, removed):
+        if document.content not in self.insignificant:
+            self.feed.note(document, removed)
+
+    def start(self):
+        self.watcher.start()
+        self.follower.start([self.watcher])
+
+    def coordinate(self):
+        self.since = time.monotonic()
+        self.election.coordinating = True
+        self.follower.ask_store("coordinates")
+        self.watcher.rewatch()
+
+    def stop(self):
+        self.follower.stop()
+        self.watcher.stop()
+
+    @property
+    def following(self):
+        return not self.follower.store_needed.is_set()
+
+    @property
+    def content(self):
+        return {name: one.content for name, one in self.watcher.documents.items()}
+
+
+class DocumentFeedTest(unittest.TestCase):
+    def setUp(self):
+        self.network = MemoryNetwork()
+        self.objects = MemoryDocumentStore()
+        self.objects.put(KIND, "s1", "ready")
+        self.coordinator = self._node("c", self.objects)
+        self.coordinator.coordinate()
+        self.wait(lambda: self.coordinator.content)
+
+    def _node(self, name, store):
+        node = _Node(self.network, store, name)
+        node.start()
+        self.addCleanup(node.stop)
+        return node
+
+    def follow(self, node, coordinator):
+        node.election.coordinator = SimpleNamespace(
+            node_id=coordinator.election.node_id, epoch=1, revision=1
+        )
+
+    def follower(self, name="n"):
+        """Return a node that follows, with a store of its own address."""
+        store = _OwnAddress(self.objects)
+        node = self._node(name, store)
+        self.follow(node, self.coordinator)
+        self.wait(lambda: node.following)
+        return node, store
+
+    def wait(self, condition, seconds=LONGEST_WAIT_SECONDS):
+        deadline = time.monotonic() + seconds
+        while not condition():
+            self.assertLess(time.monotonic(), deadline, "waited too long")
+            gevent.sleep(0.01)
+
+    def test_changes_arrive_without_calls_to_the_store(self):
+        node, store = self.follower()
+        gevent.sleep(2 * WATCH_SECONDS)
+        before = store.calls
+        self.objects.put(KIND, "s1", "draining")
+        self.objects.put(KIND, "s2", "ready")
+        self.wait(lambda: node.content == {"s1": "draining", "s2": "ready"})
+        self.objects.remove(KIND, "s1")
+        self.wait(lambda: node.content == {"s2": "ready"})
+        self.assertEqual(store.calls, before)
+
+    def test_node_that_the_store_refuses_gets_the_news(self):
+        node, store = self.follower()
+        store.refused = True
+        self.objects.put(KIND, "s1", "draining")
+        self.wait(lambda: node.content == {"s1": "draining"})
+
+    def test_silent_coordinator_is_left_for_the_store(self):
+        node, _ = self.follower()
+        self.network.silent.add("c")
+        self.objects.put(KIND, "s1", "draining")
+        self.wait(lambda: node.content == {"s1": "draining"}, 2.0)
+        self.assertFalse(node.following)
+
+    def test_stale_coordinator_is_left_for_the_store(self):
+        """The store refuses the coordinator and serves others."""
+        node, _ = self.follower()
+        self.coordinator.watcher.stop()
+        self.objects.put(KIND, "s1", "draining")
+        self.wait(
+            lambda: node.content == {"s1": "draining"}, document_feed.FRESH_SECONDS + WATCH_SECONDS
+        )
+
+    def test_coordinator_of_a_new_term_is_stale_until_the_store_has_confirmed_its_copy(self):
+        node = self._node("d", self.objects)
+        self.wait(lambda: node.content)
+        node.watcher.stop()
+        node.since = time.monotonic()
+        self.assertEqual(node.feed.read({}, 0.0).state, FeedState.STALE)
+
+    def test_node_that_does_not_coordinate_says_so_at_once(self):
+        node, _ = self.follower()
+        self.coordinator.since = None
+        self.coordinator.feed.wake()
+        self.wait(lambda: not node.following, 1.0)
+
+    def test_insignificant_changes_are_not_told(self):
+        node, _ = self.follower()
+        gevent.sleep(2 * WATCH_SECONDS)
+        self.coordinator.insignificant.add("heartbeat")
+        self.objects.put(KIND, "s1", "heartbeat")
+        self.objects.put(KIND, "s2", "ready")
+        self.wait(lambda: "s2" in node.content)
+        self.assertEqual(node.content["s1"], "ready")
+
+    def test_nothing_is_told_to_a_copy_that_lacks_nothing(self):
+        self.objects.put(DocumentKind.JOB, "other kinds raise the revision", 1)
+        revision = self.coordinator.watcher.revision
+        self.objects.put(KIND, "s3", "heartbeat")
+        self.coordinator.insignificant.add("heartbeat")
+        self.wait(lambda: self.coordinator.watcher.revision > revision)
+        self.assertEqual(self.coordinator.feed.read({str(KIND): revision}, 0.0).pages, [])
+
+    def test_next_coordinator_continues_from_the_revision_that_is_known(self):
+        node, _ = self.follower()
+        successor, _ = self.follower("d")
+        self.objects.put(KIND, "s2", "ready")
+        self.wait(lambda: "s2" in node.content and "s2" in successor.content)
+        revision = node.watcher.revision
+        successor.coordinate()
+        self.coordinator.since = None
+        self.follow(node, successor)
+        self.objects.remove(KIND, "s1")
+        self.wait(lambda: node.following and node.content == {"s2": "ready"})
+        pages = successor.feed.read({str(KIND): revision}, 0.0).pages
+        self.assertEqual([(page.whole, page.removed) for page in pages], [(False, ["s1"])])
+
+    def test_removals_that_are_no_longer_known_make_the_page_whole(self):
+        revision = self.coordinator.watcher.revision
+        with unittest.mock.patch.object(document_feed, "MAXIMUM_REMOVALS", 1):
+            for name in ("s5", "s6"):
+                self.objects.put(KIND, name, "ready")
+                self.wait(lambda name=name: name in self.coordinator.content)
+                self.objects.remove(KIND, name)
+                self.wait(lambda name=name: name not in self.coordinator.content)
+        (page,) = self.coordinator.feed.read({str(KIND): revision}, 0.0).pages
+        self.assertTrue(page.whole)
+
+
+class _OwnAddress:
+    """One node's way to a store: counts its calls, refuses them on demand."""
+
+    def __init__(self, store):
+        self._store = store
+        self.refused = False
+        self.calls = 0
+
+    def __getattr__(self, name):
+        method = getattr(self._store, name)
+
+        def call(*arguments, **named):
+            self.calls += 1
+            if self.refused:
+                raise not_run(ErrorCode.STORE_UNAVAILABLE, "refused")
+            return method(*arguments, **named)
+
+        return call
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -72,8 +72,6 @@
             "zone",
             preferred,
             lambda: not self.stores[name].cut,
-            lambda: (0, 0),
-            lambda digests: False,
             lambda: (0, 0.0),
             lambda revision, age: None,
             lambda epoch: self.terms.append((name, epoch)),
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -226,6 +226,40 @@
         self.assertLess(time.monotonic() - started, 5.0)
 
 
+class RefusedMachineTest(DeploymentTestCase):
+    """The store refuses or ignores one machine while it serves the others."""
+
+    def check_drain_is_noticed(self, disturb):
+        deployment = self.start(applications=3)
+        gevent.sleep(1.5)
+        for name in deployment.edge_names:
+            disturb(deployment.store_of(name))
+        server = deployment.applications[0]
+        server.drain()
+        nodes = [deployment.node(name).node for name in deployment.edge_names]
+        states = [node.directory.get(server.server_id) for node in nodes]
+        self.wait(lambda: all(state.backend.draining for state in states), 1.8)
+        deployment.configure(configuration(9))
+        self.wait(lambda: all(node.routing.configuration.version == 9 for node in nodes), 1.8)
+
+    def test_refused_machine_gets_the_news_from_its_peers(self):
+        self.check_drain_is_noticed(lambda door: setattr(door, "refused", True))
+
+    def test_ignored_machine_gets_the_news_from_its_peers(self):
+        self.check_drain_is_noticed(lambda door: setattr(door, "silent", True))
+
+    def test_machines_notice_a_drain_though_the_store_ignores_the_coordinator(self):
+        deployment = self.start(applications=3, disks=1)
+        gevent.sleep(1.5)
+        (coordinator,) = deployment.coordinators()
+        deployment.store_of(coordinator).silent = True
+        server = deployment.applications[0]
+        server.drain()
+        nodes = [deployment.node(name).node for name in deployment.edge_names]
+        states = [node.directory.get(server.server_id) for node in nodes]
+        self.wait(lambda: all(state.backend.draining for state in states), 1.9)
+
+
 class BatchJobTest(DeploymentTestCase):
     def items(self, job_id, count):
         return [f"{job_id}-g{n // 4}-{n}" for n in range(count)]
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -68,6 +68,8 @@
   TEXT_REPLICATION_REPLY = 711,
   JOB_ACCEPTED = 712,
   JOB_ACCEPTED_REPLY = 713,
+  FEED_READ = 714,
+  FEED_READ_REPLY = 715,
 }
 
 /** An error sent to a peer; verdict is runkeel.errors.Verdict. */
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -23,8 +23,40 @@
   5: list<NodeAddress> witnesses, // nodes to ask before taking over
   6: i64 lease_revision,    // of the order lease's last confirmation; 0: none is known
   7: i64 lease_age_ms,      // time since before that confirmation
-  8: i64 routing_digest,    // of the documents that the coordinator knows of a kind
-  9: i64 backend_digest,
+  // 8 and 9 are reserved: digests in an earlier version.
+}
+
+enum FeedState {
+  CURRENT = 1,
+  STALE = 2,                // the coordinator's own copy was not confirmed by the store lately
+  NOT_COORDINATOR = 3,
+}
+
+/** Asked of the coordinator by every other node: changes of the documents that all nodes follow. */
+struct FeedRead {
+  1: string shard,
+  2: map<string, i64> revisions, // by kind: the store's revision that the asker's copy reflects
+  3: i64 wait_ms,           // how long the reply may be held until there is a change
+}
+
+struct FeedDocument {
+  1: string name,
+  2: i64 revision,
+  3: string content,        // JSON, as the store holds it
+}
+
+/** What the asker lacks of one kind. */
+struct FeedPage {
+  1: string kind,
+  2: i64 revision,          // the store's, that the asker's copy reflects with this page
+  3: bool whole,            // the documents are all there are; others are gone
+  4: list<FeedDocument> documents,
+  5: list<string> removed,
+}
+
+struct FeedReadReply {
+  1: i32 state,
+  2: list<FeedPage> pages,
 }
 
 /** Asked of other nodes by one that can't reach the coordinator. */
