Start and rest on the feed; let the coordinator's document rest too

Change: a node that starts waits up to a second for a coordinator to follow; the coordinator's document is part of the feed; replies without a change bring the revision. Tests of each. Ruled out: that a deposed coordinator keeps its followers, since its own copy of that document is confirmed each 0.7 s or it calls itself stale.

--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -55,8 +55,12 @@
         if len(self._removals) > MAXIMUM_REMOVALS:
             self._complete_from = self._removals.popleft()[0]
 
-    def page_after(self, revision: int) -> FeedPage | None:
-        """Return what a copy at a revision lacks, None when it lacks nothing."""
+    def page_after(self, revision: int, even_if_empty: bool) -> FeedPage | None:
+        """Return what a copy at a revision lacks.
+
+        Args:
+            even_if_empty: whether a page is wanted that brings a newer revision only.
+        """
         watcher = self.watcher
         if revision >= watcher.revision:
             return None
@@ -64,7 +68,7 @@
         whole = revision < self._complete_from
         names = watcher.documents if whole else self._changed_since(revision)
         removed = [] if whole else [name for at, name in self._removals if at > revision]
-        if not whole and not names and not removed:
+        if not whole and not names and not removed and not even_if_empty:
             return None
         documents = [_to_wire(watcher.documents[name]) for name in names]
         return FeedPage(str(watcher.kind), watcher.revision, whole, documents, removed)
@@ -109,17 +113,22 @@
             state = self._state()
             if state != FeedState.CURRENT:
                 return FeedReadReply(state, [])
-            pages = [
-                page
-                for kind, feed in self._kinds.items()
-                if (page := feed.page_after(revisions.get(str(kind), 0))) is not None
-            ]
             now = time.monotonic()
-            if pages or now >= deadline:
+            ends = now >= deadline
+            pages = self._pages_after(revisions, even_if_empty=ends)
+            if pages or ends:
                 return FeedReadReply(state, pages)
             stale_at = self._confirmed_at() + FRESH_SECONDS
             self._changed.wait(max(0.0, min(deadline, stale_at) - now))
 
+    def _pages_after(self, revisions: dict[str, int], even_if_empty: bool) -> list[FeedPage]:
+        pages = []
+        for kind, feed in self._kinds.items():
+            page = feed.page_after(revisions.get(str(kind), 0), even_if_empty)
+            if page is not None:
+                pages.append(page)
+        return pages
+
     def _state(self) -> int:
         since = self._coordinating_since()
         if since is None:
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 import gevent
+from gevent.event import Event
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
@@ -80,6 +81,8 @@
         on_lease_seen: called with what the coordinator told of its order lease.
         on_gained: called with the epoch when this node becomes coordinator.
         on_lost: called when another node has.
+        store_needed: set while the store has to be asked for the coordinator's document; None:
+            always.
     """
 
     def __init__(
@@ -95,6 +98,7 @@
         on_lease_seen: Callable[[int, float], None],
         on_gained: Callable[[int], None],
         on_lost: Callable[[], None],
+        store_needed: Event | None = None,
     ) -> None:
         self._store = store
         self._network = network
@@ -109,7 +113,11 @@
         self._on_gained = on_gained
         self._on_lost = on_lost
         self._watcher = DocumentWatcher(
-            store, DocumentKind.COORDINATOR, self._changed, watch_seconds=self._watch_seconds
+            store,
+            DocumentKind.COORDINATOR,
+            self._changed,
+            watch_seconds=self._watch_seconds,
+            needed=store_needed,
         )
         self._coordinator: Coordinator | None = None
         self._epoch = 0
@@ -127,6 +135,11 @@
         network.on_call(MessageType.COORDINATOR_PING, CoordinatorPing, self._answer_ping)
         network.on_call(MessageType.COORDINATOR_WITNESS, CoordinatorWitness, self._answer_witness)
 
+    @property
+    def watcher(self) -> DocumentWatcher:
+        """Follows the coordinator's document."""
+        return self._watcher
+
     @property
     def node_id(self) -> str:
         """This node's name."""
@@ -137,6 +150,14 @@
         """The coordinator as this node knows it."""
         return self._coordinator
 
+    @property
+    def other_coordinator(self) -> Coordinator | None:
+        """The coordinator as this node knows it, None when that is this node."""
+        known = self._coordinator
+        if self.coordinating or known is None or known.node_id == self._node_id:
+            return None
+        return known
+
     @property
     def coordinating(self) -> bool:
         """Whether this node is the coordinator."""
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -8,14 +8,15 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 
 import gevent
 from gevent.event import Event
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentKind, DocumentPage
-from runkeel.coordination.election import Coordinator, Election
+from runkeel.coordination.election import Coordinator
 from runkeel.errors import RunkeelError
 from runkeel.metrics import FEED_READS
 from runkeel.state.document_watcher import DocumentWatcher
@@ -31,72 +32,97 @@
 
 RETRY_SECONDS = 0.3
 IDLE_SECONDS = 0.1
+
+START_SECONDS = 1.0
+"""A node that starts waits so long for a coordinator, before it asks the store for everything."""
+
 _STATE_NAMES = {FeedState.STALE: "stale", FeedState.NOT_COORDINATOR: "not_coordinator"}
 
 
 class FeedFollower:
     """One task that keeps this node's copies in step with the coordinator's.
 
+    Args:
+        coordinator: the coordinator as this node knows it; None when that is this node.
+
     Attributes:
         store_needed: set while the watchers have to ask the store themselves.
+        coordinator_needed: the same for the watcher of the coordinator's document, which asks the
+            store from the start.
     """
 
-    def __init__(self, network: PeerNetwork, election: Election, shard: str) -> None:
+    def __init__(
+        self,
+        network: PeerNetwork,
+        shard: str,
+        coordinator: Callable[[], Coordinator | None],
+    ) -> None:
         self._network = network
-        self._election = election
         self._shard = shard
+        self._coordinator = coordinator
         self._watchers: dict[DocumentKind, DocumentWatcher] = {}
         self._task: gevent.Greenlet | None = None
+        self._started_at = 0.0
+        self._resting = False
         self.store_needed = Event()
-        self.store_needed.set()
+        self.coordinator_needed = Event()
+        self.coordinator_needed.set()
 
     def start(self, watchers: Sequence[DocumentWatcher]) -> None:
-        """Start to follow; the watchers must have been made with :attr:`store_needed`."""
+        """Start to follow; the watchers must have been made with the events of this follower."""
         self._watchers = {watcher.kind: watcher for watcher in watchers}
+        self._started_at = time.monotonic()
         self._task = gevent.spawn(self._run)
 
     def stop(self) -> None:
         """Stop to follow; the watchers ask the store."""
         if self._task is not None:
             self._task.kill(block=False)
-        self.store_needed.set()
 
     def ask_store(self, reason: str) -> None:
         """Have the watchers ask the store themselves."""
-        if not self.store_needed.is_set():
-            logger.info("feed lost", code="feed_lost", reason=reason)
-            self.store_needed.set()
+        if self._resting or not self.store_needed.is_set():
+            logger.info("feed not followed", code="feed_lost", reason=reason)
+        self._resting = False
+        self.store_needed.set()
+        self.coordinator_needed.set()
 
     def _run(self) -> None:
         while True:
-            coordinator = self._election.coordinator
-            if coordinator is None or coordinator.node_id == self._election.node_id:
-                self.ask_store("no other coordinator")
+            coordinator = self._coordinator()
+            if coordinator is None:
+                if time.monotonic() - self._started_at >= START_SECONDS:
+                    self.ask_store("no other coordinator")
                 gevent.sleep(IDLE_SECONDS)
                 continue
             problem = self._read(coordinator)
             FEED_READS.labels(problem or "current").inc()
-            if problem or self._election.coordinating:
-                self.ask_store(problem or "this node coordinates")
+            if problem:
+                self.ask_store(problem)
                 gevent.sleep(RETRY_SECONDS)
-            else:
-                self._follow(coordinator)
-
-    def _follow(self, coordinator: Coordinator) -> None:
-        if self.store_needed.is_set():
-            logger.info(
-                "feed followed",
-                code="feed_followed",
-                coordinator=coordinator.node_id,
-                epoch=coordinator.epoch,
-                revisions=self._revisions(),
-            )
-            self.store_needed.clear()
+            elif not self._resting:
+                self._rest(coordinator)
+
+    def _rest(self, coordinator: Coordinator) -> None:
+        """Let the watchers rest, unless this node has become coordinator meanwhile."""
+        known = self._coordinator()
+        if known is None or known.node_id != coordinator.node_id:
+            return
+        logger.info(
+            "feed followed",
+            code="feed_followed",
+            coordinator=coordinator.node_id,
+            epoch=coordinator.epoch,
+            revisions=self._revisions(),
+        )
+        self._resting = True
+        self.store_needed.clear()
+        self.coordinator_needed.clear()
 
     def _read(self, coordinator: Coordinator) -> str:
         """Take what the coordinator has; returns what went wrong, empty for nothing."""
         # The first answer is wanted at once: until it is there, the store is asked.
-        wait_seconds = 0.0 if self.store_needed.is_set() else WAIT_SECONDS
+        wait_seconds = WAIT_SECONDS if self._resting else 0.0
         message = FeedRead(self._shard, self._revisions(), int(wait_seconds * 1000))
         try:
             reply = self._network.call(
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -102,6 +102,9 @@
             lambda node_id: self._election.peer_address(node_id),
         )
         self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
+        self._follower = FeedFollower(
+            self._network, SHARD, lambda: self._election.other_coordinator
+        )
         self._election = Election(
             store,
             self._network,
@@ -114,8 +117,8 @@
             self._lease.observe,
             self._start_term,
             self._end_term,
+            self._follower.coordinator_needed,
         )
-        self._follower = FeedFollower(self._network, self._election, SHARD)
         self._routing_watcher = DocumentWatcher(
             store,
             DocumentKind.ROUTING,
@@ -132,9 +135,12 @@
             self._follower.store_needed,
         )
         self._watchers = [self._routing_watcher, self._backend_watcher]
+        self._followed = [*self._watchers, self._election.watcher]
         self._feed = DocumentFeed(
-            self._network, self._watchers, lambda: self._election.coordinating_since
+            self._network, self._followed, lambda: self._election.coordinating_since
         )
+        self._routing_watcher.on_change(self._feed.note)
+        self._election.watcher.on_change(self._feed.note)
         self.jobs = JobService(store, self._network, self._election, SHARD)
         self._copies = TextCopies(self._network)
         self._term: _Term | None = None
@@ -174,7 +180,7 @@
         for watcher in self._watchers:
             watcher.start()
         self._election.start(self._network.address)
-        self._follower.start(self._watchers)
+        self._follower.start(self._followed)
 
     def leave(self) -> None:
         """Hand the coordinator's place over, before this node stops."""
@@ -198,7 +204,6 @@
     def _routing_changed(self, document: Document, removed: bool) -> None:
         if not removed:
             self.routing.apply(self._translator.routing_configuration(document))
-        self._feed.note(document, removed)
 
     def _backend_changed(self, document: Document, removed: bool) -> None:
         if removed:
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -61,7 +61,7 @@
         self._store = store
         self._kind = kind
         self._needed = needed
-        self._on_change = on_change
+        self._listeners = [on_change]
         self._pause_seconds = pause_seconds
         self._watch_seconds = watch_seconds
         self._list_due = True
@@ -86,6 +86,10 @@
         """The kind of documents."""
         return self._kind
 
+    def on_change(self, listener: ChangeListener) -> None:
+        """Have a further listener called, after those before it."""
+        self._listeners.append(listener)
+
     def refresh(self, reason: str) -> None:
         """Give up the pending watch, which may be mute, and list again."""
         if self._task is None or not self.listed.is_set():
@@ -181,7 +185,8 @@
                 return
             self.documents[document.name] = document
         try:
-            self._on_change(document, removed)
+            for listener in self._listeners:
+                listener(document, removed)
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             logger.warning(
                 "document ignored",
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -23,13 +23,14 @@
 
 
 class _Node:
-    """What a fleet node makes of the feed; the election is told who coordinates."""
+    """What a fleet node makes of the feed; it is told who coordinates."""
 
     def __init__(self, network, store, name):
-        self.election = SimpleNamespace(node_id=name, coordinator=None, coordinating=False)
+        self.name = name
+        self.coordinator = None
         self.since = None
         peers = network.node(name)
-        self.follower = FeedFollower(peers, self.election, "fleet")
+        self.follower = FeedFollower(peers, "fleet", lambda: self.coordinator)
         self.watcher = DocumentWatcher(
             store,
             KIND,
@@ -50,7 +51,7 @@
 
     def coordinate(self):
         self.since = time.monotonic()
-        self.election.coordinating = True
+        self.coordinator = None
         self.follower.ask_store("coordinates")
         self.watcher.rewatch()
 
@@ -83,9 +84,7 @@
         return node
 
     def follow(self, node, coordinator):
-        node.election.coordinator = SimpleNamespace(
-            node_id=coordinator.election.node_id, epoch=1, revision=1
-        )
+        node.coordinator = SimpleNamespace(node_id=coordinator.name, epoch=1)
 
     def follower(self, name="n"):
         """Return a node that follows, with a store of its own address."""
@@ -147,6 +146,21 @@
         self.coordinator.feed.wake()
         self.wait(lambda: not node.following, 1.0)
 
+    def test_revision_of_a_copy_that_lacks_nothing_rises_too(self):
+        """A watch from a revision that the store has forgotten would cost a list."""
+        node, _ = self.follower()
+        latest = self.objects.put(DocumentKind.JOB, "another kind", 1).revision
+        self.wait(lambda: node.watcher.revision >= latest)
+
+    def test_node_that_starts_under_a_coordinator_does_not_ask_the_store(self):
+        store = _OwnAddress(self.objects)
+        node = _Node(self.network, store, "n")
+        self.follow(node, self.coordinator)
+        node.start()
+        self.addCleanup(node.stop)
+        self.wait(lambda: node.content)
+        self.assertEqual(store.calls, 0)
+
     def test_insignificant_changes_are_not_told(self):
         node, _ = self.follower()
         gevent.sleep(2 * WATCH_SECONDS)
@@ -162,7 +176,8 @@
         self.objects.put(KIND, "s3", "heartbeat")
         self.coordinator.insignificant.add("heartbeat")
         self.wait(lambda: self.coordinator.watcher.revision > revision)
-        self.assertEqual(self.coordinator.feed.read({str(KIND): revision}, 0.0).pages, [])
+        (page,) = self.coordinator.feed.read({str(KIND): revision}, 0.0).pages
+        self.assertEqual((page.whole, page.documents, page.removed), (False, [], []))
 
     def test_next_coordinator_continues_from_the_revision_that_is_known(self):
         node, _ = self.follower()
