Let the models of a service share the orders to engines

Where jobs are small all models also used the same first engines by name.

Ruled out: lack of engines (108 slots, a third busy meanwhile), refused orders (none).

Tests show the sharing first.

--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -23,6 +23,12 @@
 )
 from runkeel.api.fleet import RoutingConfiguration
 from runkeel.coordination.order_lease import OrderLease
+from runkeel.coordination.rollout_plan import (
+    EngineStanding,
+    ModelDemand,
+    PlannedChange,
+    plan_changes,
+)
 from runkeel.errors import RunkeelError
 from runkeel.gateway.backends import BackendDirectory, BackendState
 from runkeel.metrics import VERSION_ORDERS
@@ -38,16 +44,6 @@
 """An engine that could not be moved is left alone for so long."""
 
 CALL_SECONDS = 1.0
-COMMON_FACTOR = 0.75
-"""Engines are kept at a model's versions for so large a part of its open items at once."""
-
-PRESSED_FACTOR = 2.5
-"""The same, while items have to wait for an engine."""
-
-LEAST_ENGINES = 2
-
-CONCURRENT_LOADS = 2
-CONCURRENT_SHARE = 1 / 3
 
 
 @dataclass(slots=True)
@@ -59,23 +55,6 @@
     started: float
 
 
-@dataclass(frozen=True, slots=True)
-class ModelDemand:
-    """What batch jobs accept of a model.
-
-    Attributes:
-        minimum_version: oldest version that every open job accepts.
-        slack: versions behind the newest that the latest job accepts.
-        items: most items that were open at once lately; None when no job has come yet.
-        pressed: items have lately waited long for an engine.
-    """
-
-    minimum_version: int = 0
-    slack: int = 0
-    items: int | None = None
-    pressed: bool = False
-
-
 class VersionRollout:
     """Reconciles the engines' versions while this node coordinates.
 
@@ -160,81 +139,44 @@
             gevent.sleep(min(wait, IDLE_CHECK_SECONDS))
             self._wake.set()
             return
-        for state, model, version in due:
-            self._changing[state.backend_id] = _Change(model, version, time.monotonic())
-            task = gevent.spawn(self._change, state, model, version)
+        for change in due:
+            started = time.monotonic()
+            self._changing[change.state.backend_id] = _Change(change.model, change.version, started)
+            task = gevent.spawn(self._change, change.state, change.model, change.version)
             self._tasks.add(task)
             task.rawlink(self._tasks.discard)
 
-    def _due(self) -> list[tuple[BackendState, str, int]]:
-        """Return the engines to order now, the least busy first."""
+    def _due(self) -> list[PlannedChange]:
+        """Return the engines to order now."""
         configuration = self._configuration()
         if configuration is None:
             return []
-        due: list[tuple[BackendState, str, int]] = []
+        due: list[PlannedChange] = []
         for service in configuration.services.values():
-            due.extend(self._due_of_service(service.name, service.models))
+            targets = {
+                model: self._targets[model] for model in service.models if model in self._targets
+            }
+            if targets:
+                due.extend(self._due_of_service(service.name, targets))
         return due
 
-    def _due_of_service(
-        self, service: str, models: tuple[str, ...]
-    ) -> list[tuple[BackendState, str, int]]:
-        engines = self._directory.of_service(service) if models else []
+    def _due_of_service(self, service: str, targets: dict[str, int]) -> list[PlannedChange]:
+        engines = self._directory.of_service(service)
         loading = sum(1 for state in engines if state.backend_id in self._changing)
-        room = max(CONCURRENT_LOADS, int(len(engines) * CONCURRENT_SHARE)) - loading
-        due: dict[str, tuple[BackendState, str, int]] = {}
-        wanted = [entry for model in models for entry in self._due_of_model(engines, model)]
-        wanted.sort(key=lambda entry: (not entry[0], entry[1]))
-        for _, _, state, model in wanted:
-            if len(due) >= room:
-                break
-            due.setdefault(state.backend_id, (state, model, self._targets[model]))
-        return list(due.values())
-
-    def _due_of_model(
-        self, engines: list[BackendState], model: str
-    ) -> list[tuple[bool, int, BackendState, str]]:
-        """Return the engines to move to a model's newest version, with urgency and load.
-
-        Jobs accept versions that are some way behind the newest. So at each version only a part
-        of the engines is moved: those that the jobs no longer accept, and of the rest the oldest,
-        so many that after as many versions as the jobs accept every engine has had its turn.
-        In a large fleet only as many engines take part as the jobs can fill.
-        """
-        engines = self._engines_in_use(engines, model)
-        target = self._targets.get(model, 0)
-        demand = self._demand(model)
-        floor = max(target - demand.slack, demand.minimum_version)
-        share = -(-len(engines) // (demand.slack + 1))
-        behind: list[tuple[int, int, BackendState]] = []
-        for state in engines:
-            version = self._version_ahead(state, model)
-            if version >= target:
-                share -= 1
-            else:
-                behind.append((version, self._running_at(state.backend_id), state))
-        behind.sort(key=lambda entry: entry[:2])
-        due = []
-        for version, running, state in behind:
-            if version >= floor and share <= 0:
-                break
-            share -= 1
-            if self._may_change(state):
-                due.append((version < floor, running, state, model))
-        return due
+        return plan_changes(engines, targets, self._demand, self._standing, loading)
 
-    def _engines_in_use(self, engines: list[BackendState], model: str) -> list[BackendState]:
-        """Return as many engines as the model's jobs can fill, those that are furthest first."""
-        demand = self._demand(model)
-        if demand.items is None:
-            return engines
-        slots = max((state.backend.slots for state in engines), default=1)
-        factor = PRESSED_FACTOR if demand.pressed else COMMON_FACTOR
-        needed = max(LEAST_ENGINES, -(-int(demand.items * factor) // max(1, slots)))
-        furthest = sorted(
-            engines, key=lambda state: (-self._version_ahead(state, model), state.backend_id)
+    def _standing(self, state: BackendState, model: str) -> EngineStanding:
+        now = time.monotonic()
+        avoided = state.avoided(now)
+        resting = now < self._retry_at.get(state.backend_id, 0.0)
+        available = state.backend_id not in self._changing and not resting and not avoided
+        return EngineStanding(
+            state,
+            self._version_ahead(state, model),
+            self._running_at(state.backend_id),
+            available,
+            avoided,
         )
-        return furthest[:needed]
 
     def _version_ahead(self, state: BackendState, model: str) -> int:
         """Return the version that an engine has or is under way to."""
@@ -244,12 +186,6 @@
             version = max(version, change.version)
         return version
 
-    def _may_change(self, state: BackendState) -> bool:
-        if state.backend_id in self._changing:
-            return False
-        now = time.monotonic()
-        return now >= self._retry_at.get(state.backend_id, 0.0) and not state.avoided(now)
-
     def _version(self, state: BackendState, model: str) -> int:
         reported = state.backend.model_versions.get(model, 0)
         return max(reported, self._actual.get((state.backend_id, model), 0))
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -12,7 +12,7 @@
 
 from runkeel.api.documents import Document, DocumentKind, DocumentStore
 from runkeel.api.jobs import BatchJob, ResultPage
-from runkeel.coordination.version_rollout import ModelDemand
+from runkeel.coordination.rollout_plan import ModelDemand
 from runkeel.errors import RunkeelError
 from runkeel.jobs.job_documents import decode_job, segment_name
 from runkeel.jobs.job_state import JobState
--- /dev/null
+++ b/tests/coordination/test_rollout_plan.py
@@ -0,0 +1,96 @@
+"""Which engines change next: models share the orders, dead engines don't count."""
+
+import unittest
+from types import SimpleNamespace
+
+from runkeel.api.fleet import Backend
+from runkeel.api.machines import Address
+from runkeel.coordination.rollout_plan import (
+    CONCURRENT_SHARE,
+    EngineStanding,
+    ModelDemand,
+    plan_changes,
+)
+
+MODELS = ("draft", "learn", "tune")
+ENGINES = 18
+
+
+class RolloutPlanTest(unittest.TestCase):
+    def setUp(self):
+        address = Address("127.0.0.1", 1)
+        self.engines = [
+            SimpleNamespace(
+                backend_id=f"e{n}", backend=Backend(f"e{n}", "models", address, "zone", 6)
+            )
+            for n in range(ENGINES)
+        ]
+        self.versions = dict.fromkeys(MODELS, 1)
+        self.have = {}
+        self.avoided = set()
+        self.items = 100
+        self.slack = 1
+
+    def standing(self, state, model):
+        avoided = state.backend_id in self.avoided
+        version = self.have.get((state.backend_id, model), 1)
+        return EngineStanding(state, version, 0, not avoided, avoided)
+
+    def plan(self, loading=0):
+        demand = ModelDemand(0, self.slack, self.items, False)
+        return plan_changes(
+            self.engines, self.versions, lambda model: demand, self.standing, loading
+        )
+
+    def count(self, changes):
+        return [sum(change.model == model for change in changes) for model in MODELS]
+
+    def test_models_that_all_lack_engines_share_the_orders(self):
+        """agreste-grown scale-2: one model's engines all loaded before another's first one."""
+        self.versions = dict.fromkeys(MODELS, 3)
+        changes = self.plan()
+        self.assertEqual(len(changes), int(ENGINES * CONCURRENT_SHARE))
+        self.assertLessEqual(max(self.count(changes)) - min(self.count(changes)), 1)
+
+    def test_model_with_fewest_engines_goes_first(self):
+        self.versions = dict.fromkeys(MODELS, 3)
+        for model in ("draft", "learn"):
+            self.have.update({(f"e{n}", model): 3 for n in range(7)})
+        self.assertEqual(self.count(self.plan()), [0, 0, 7])
+
+    def test_engines_that_jobs_no_longer_accept_go_first(self):
+        self.versions = {"draft": 2, "learn": 3, "tune": 2}
+        self.assertEqual(self.count(self.plan()), [0, 7, 0])
+
+    def test_no_engine_is_ordered_twice(self):
+        self.versions = dict.fromkeys(MODELS, 3)
+        taken = [change.state.backend_id for change in self.plan()]
+        self.assertEqual(len(set(taken)), len(taken))
+
+    def test_engines_under_way_take_their_part_of_the_room(self):
+        self.versions = dict.fromkeys(MODELS, 3)
+        self.assertEqual(len(self.plan(loading=5)), 2)
+
+    def test_models_prefer_different_engines(self):
+        """With few items a model, the first engines by name would serve all models."""
+        self.items = 16
+        self.slack = 0
+        used = set()
+        for model in MODELS:
+            self.versions = {model: 2}
+            used.update(change.state.backend_id for change in self.plan())
+        self.assertGreaterEqual(len(used), 4)
+
+    def test_failing_engines_are_not_counted_on(self):
+        self.items = 16
+        self.slack = 0
+        self.versions = {"draft": 2}
+        preferred = {change.state.backend_id for change in self.plan()}
+        self.avoided = preferred
+        changes = self.plan()
+        self.assertEqual(len(changes), len(preferred))
+        self.assertFalse(preferred & {change.state.backend_id for change in changes})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/coordination/test_version_rollout.py
+++ b/tests/coordination/test_version_rollout.py
@@ -12,7 +12,8 @@
 from runkeel.api.machines import Address
 from runkeel.backends.http_connection import OutgoingRequest
 from runkeel.coordination.order_lease import OrderLease
-from runkeel.coordination.version_rollout import ModelDemand, VersionRollout
+from runkeel.coordination.rollout_plan import ModelDemand
+from runkeel.coordination.version_rollout import VersionRollout
 from runkeel.gateway.backends import BackendDirectory
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 
