Replace a silent coordinator sooner; place items once all jobs of a term are loaded

Ruled out: that shorter silence replaces a coordinator that only stalls: witnesses are asked as before, and time in which this process stood still doesn't count.

Change: silence counts from the start of the first failing ping, 0.6 s, pings of 0.35 s without pauses; the scheduler starts when all jobs have been loaded, 0.6 s at the latest. Test of the latter fails before.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -39,9 +39,15 @@
 PINGS_PER_SECOND = 60
 """Nodes out of rank ping less often when there are so many that more pings would come."""
 
-PING_TIMEOUT_SECONDS = 0.5
-SILENCE_SECONDS = 0.9
-"""Pings fail for so long before the first in rank replaces the coordinator."""
+PING_TIMEOUT_SECONDS = 0.35
+FAILING_PING_SECONDS = 0.05
+"""Pause between pings while they fail."""
+
+SILENCE_SECONDS = 0.6
+"""Pings fail for so long before the first in rank replaces the coordinator.
+
+Counted from the start of the first that fails; witnesses are asked after that.
+"""
 
 RANK_SECONDS = 0.5
 STORE_LOST_SECONDS = 1.0
@@ -252,6 +258,7 @@
 
     def _follow(self, known: Coordinator) -> float:
         """Ping the coordinator, replace it if that is due; returns when to ping again."""
+        asked_at = time.monotonic()
         pong = self._ping(known)
         pause = PING_SECONDS
         if pong is not None:
@@ -265,13 +272,15 @@
                 self._failing_since = 0.0
                 return pause
         now = time.monotonic()
-        self._failing_since = self._failing_since or now
+        # Time in which this process itself stood still doesn't count.
+        asked_at = max(asked_at, now - PING_TIMEOUT_SECONDS)
+        self._failing_since = self._failing_since or asked_at
         silent = now - self._last_contact
         failing = now - self._failing_since
         # A node that says itself that it doesn't coordinate need not be waited for.
         silence = SILENCE_SECONDS if pong is None or pong.coordinator else 0.0
         if failing < silence + RANK_SECONDS * self._rank or not self._reaches_store():
-            return PING_SECONDS / 2
+            return FAILING_PING_SECONDS if pong is None else PING_SECONDS / 2
         if pong is None and self._witnessed(known):
             logger.info(
                 "coordinator reached by others",
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -33,6 +33,11 @@
 TERM_SETTLE_SECONDS = 3.0
 """Jobs that come later in a term have been run by nobody else."""
 
+FIRST_LOAD_SECONDS = 0.6
+"""At the start of a term no item is placed for so long, until all jobs are loaded."""
+
+_POLL_SECONDS = 0.02
+
 RECENT_JOBS = 6
 """Jobs of a model by which the engines that it needs are counted."""
 
@@ -74,8 +79,7 @@
 
     def start(self) -> None:
         """Load what the store holds and follow it. Ends are read before jobs."""
-        self._scheduler.start()
-        self._spawn(self._start_watchers)
+        self._spawn(self._begin)
         self._spawn(self._sweep)
 
     def stop(self) -> None:
@@ -152,10 +156,16 @@
         self._tasks.add(task)
         task.rawlink(self._tasks.discard)
 
-    def _start_watchers(self) -> None:
+    def _begin(self) -> None:
+        """Read ends and jobs, then place items: those of the oldest jobs come first."""
         self._ends.start()
         self._ends.listed.wait()
         self._submissions.start()
+        self._submissions.listed.wait()
+        deadline = time.monotonic() + FIRST_LOAD_SECONDS
+        while self._loading and time.monotonic() < deadline:
+            gevent.sleep(_POLL_SECONDS)
+        self._scheduler.start()
 
     def _end_changed(self, document: Document, removed: bool) -> None:
         if not removed:
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -37,6 +37,19 @@
         return False
 
 
+class RecordingScheduler(IdleScheduler):
+    """Notes in which order it is given jobs and started."""
+
+    def __init__(self):
+        self.events = []
+
+    def start(self):
+        self.events.append("start")
+
+    def add(self, state):
+        self.events.append(state.job.job_id)
+
+
 def result(number):
     return ItemResult(f"{JOB_ID}-{number}", ResultState.COMPLETED, f"text {number}", (1,), "s")
 
@@ -69,6 +82,23 @@
     def _ids(self, state):
         return [one.item_id for one in state.results]
 
+    def test_items_are_placed_once_all_jobs_are_loaded(self):
+        """agreste-grown scale-2: the oldest job, loaded last, found all slots taken."""
+        first = self._term(1)
+        for number in range(3):
+            first.add_unlisted(result(number))
+            self._wait(lambda number=number: len(first.results) > number)
+        self.store.put(DocumentKind.JOB, "younger", encode_job(make_job()))
+        scheduler = RecordingScheduler()
+        self.store.call_seconds = 0.02
+        coordinator = JobCoordinator(
+            self.store, scheduler, 2, lambda model: 1, self.superseded.append
+        )
+        coordinator.start()
+        self.addCleanup(coordinator.stop)
+        self._wait(lambda: len(scheduler.events) == 3)
+        self.assertEqual(scheduler.events[-1], "start")
+
     def test_successor_continues_after_what_was_listed(self):
         first = self._term(1)
         first.add_unlisted(result(2))
