Keep texts of running items at a node of another kind, for a coordinator that has none

Change: one edge node keeps copies too and offers them to the next coordinator, which asks for those that it lacks; a coordinator of a later term without texts of its own waits 0.4 s for them. The item of a job is a module of its own.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -185,9 +185,9 @@
         self._step_down(reason)
         self._watcher.rewatch()
 
-    def successors(self) -> list[str]:
-        """Return the nodes that are likely to replace this coordinator, the likeliest first."""
-        return self._peers.successors()
+    def copy_holders(self) -> list[str]:
+        """Return the nodes that get copies of what runs here, the likeliest successors first."""
+        return self._peers.copy_holders()
 
     def peer_address(self, node_id: str) -> tuple[Address, str] | None:
         """Return the address and zone of a node, for the peer network."""
--- a/src/runkeel/coordination/peers.py
+++ b/src/runkeel/coordination/peers.py
@@ -14,7 +14,10 @@
 """A node that has not pinged for so long is no longer counted."""
 
 SUCCESSORS = 3
-"""Nodes that get copies of what is running."""
+"""Nodes that get copies of what is running, the likeliest successors."""
+
+KEEPERS = 1
+"""Further nodes that get copies, of those that are not preferred: others may fail together."""
 
 WITNESSES = 6
 WITNESSES_PER_ZONE = 2
@@ -56,10 +59,14 @@
         known = self._peers.get(node_id)
         return known.address if known is not None else None
 
-    def successors(self) -> list[str]:
-        """Return the nodes that are likely to replace this coordinator, the likeliest first."""
-        live = sorted(self._live(), key=lambda entry: not entry[1].preferred)
-        return [name for name, _ in live[:SUCCESSORS]]
+    def copy_holders(self) -> list[str]:
+        """Return the nodes that get copies of what is running, the likeliest successors first."""
+        live = self._live()
+        preferred = [name for name, one in live if one.preferred]
+        others = [name for name, one in live if not one.preferred]
+        successors = [*preferred, *others][:SUCCESSORS]
+        keepers = [name for name in others if name not in successors]
+        return [*successors, *keepers[:KEEPERS]]
 
     def witnesses_for(self, node_id: str) -> list[NodeAddress]:
         """Return some other nodes of all zones, in each those that are not preferred first."""
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -30,6 +30,7 @@
 from runkeel.jobs.scheduler import Scheduler
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
+from runkeel.jobs.text_hand_over import TextHandOver
 from runkeel.jobs.text_replication import TextCopies, TextSender
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
@@ -143,6 +144,14 @@
         self._election.watcher.on_change(self._feed.note)
         self.jobs = JobService(store, self._network, self._election, SHARD)
         self._copies = TextCopies(self._network)
+        self._hand_over = TextHandOver(
+            self._network,
+            SHARD,
+            self._copies,
+            lambda: self._term.scheduler if self._term is not None else None,
+        )
+        if not settings.preferred_coordinator:
+            self._election.watcher.on_change(self._offer_texts)
         self._term: _Term | None = None
         self.directory.on_change(self._directory_changed)
 
@@ -218,6 +227,12 @@
         if before is None or not _same_to_clients(before, backend):
             self._feed.note(document, removed)
 
+    def _offer_texts(self, document: Document, removed: bool) -> None:
+        """Offer copies to a new coordinator: those before it may have lost theirs."""
+        coordinator = self._election.other_coordinator
+        if coordinator is not None:
+            self._hand_over.offer(coordinator.node_id, coordinator.epoch)
+
     def _directory_changed(self, service: str) -> None:
         if self._term is not None:
             self._term.wake()
@@ -253,20 +268,20 @@
         self._placement = EnginePlacement(
             node.directory, lambda backend_id, model: self._rollout.is_loading(backend_id, model)
         )
-        self._scheduler = Scheduler(
+        self.scheduler = Scheduler(
             self._placement,
             node.routing,
             node._protocol,
             Scorer(node.forwarder, node.routing, node._protocol),
             lambda backend_id, model: self._rollout.is_loading(backend_id, model),
         )
-        self._scheduler.keep_texts(texts)
+        self.scheduler.keep_texts(texts)
         self._sender = TextSender(
             node._network,
             SHARD,
             epoch,
-            self._scheduler.open_texts,
-            node._election.successors,
+            self.scheduler.open_texts,
+            node._election.copy_holders,
         )
         self._rollout = VersionRollout(
             node.directory,
@@ -281,10 +296,11 @@
         )
         self.jobs = JobCoordinator(
             node._store,
-            self._scheduler,
+            self.scheduler,
             epoch,
             lambda model: self._targets.get(model, 0),
             node._election.superseded,
+            texts_expected=epoch > 1 and not texts,
         )
         self._watchers = [
             DocumentWatcher(
@@ -315,7 +331,7 @@
     def wake(self) -> None:
         """Look again at engines and items."""
         self._rollout.wake()
-        self._scheduler.wake()
+        self.scheduler.wake()
 
     def describe(self) -> dict[str, object]:
         """Return the state of the term, for an operator."""
@@ -339,7 +355,7 @@
 
     def _version_reached(self, backend_id: str, model: str, version: int) -> None:
         self._placement.versions[(backend_id, model)] = version
-        self._scheduler.wake()
+        self.scheduler.wake()
 
     def _retirement_asked(self, document: Document, removed: bool) -> None:
         """No machine keeps data of its own, so a machine is empty as soon as it is asked."""
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -36,6 +36,9 @@
 FIRST_LOAD_SECONDS = 0.6
 """At the start of a term no item is placed for so long, until all jobs are loaded."""
 
+TEXTS_SECONDS = 0.4
+"""Texts that another node offers are waited for so long, from the start of the term."""
+
 _POLL_SECONDS = 0.02
 
 RECENT_JOBS = 6
@@ -52,7 +55,13 @@
 
 
 class JobCoordinator:
-    """Drives all batch jobs while this node coordinates; made anew for each term."""
+    """Drives all batch jobs while this node coordinates; made anew for each term.
+
+    Args:
+        newest_version: newest version of a model, as named by its trainer.
+        on_superseded: called with the reason when another coordinator's work is seen.
+        texts_expected: a node may offer texts of the coordinator before; items wait for a moment.
+    """
 
     def __init__(
         self,
@@ -61,7 +70,9 @@
         epoch: int,
         newest_version: Callable[[str], int],
         on_superseded: Callable[[str], None],
+        texts_expected: bool = False,
     ) -> None:
+        self._texts_expected = texts_expected
         self._store = store
         self._epoch = epoch
         self._on_superseded = on_superseded
@@ -165,6 +176,8 @@
         deadline = time.monotonic() + FIRST_LOAD_SECONDS
         while self._loading and time.monotonic() < deadline:
             gevent.sleep(_POLL_SECONDS)
+        if self._texts_expected and self._jobs:
+            gevent.sleep(max(0.0, self._started_at + TEXTS_SECONDS - time.monotonic()))
         self._scheduler.start()
 
     def _end_changed(self, document: Document, removed: bool) -> None:
--- /dev/null
+++ b/src/runkeel/jobs/item_task.py
@@ -0,0 +1,43 @@
+"""An open item of a batch job, from its acceptance until its result is listed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import gevent
+
+from runkeel.api.jobs import JobItem
+from runkeel.gateway.backends import BackendState
+from runkeel.jobs.generation_run import GenerationRun, PartialText
+from runkeel.jobs.job_state import JobState
+
+
+@dataclass(slots=True)
+class ItemTask:
+    """One open item of a job.
+
+    Attributes:
+        failures: runs that an engine answered with a failure.
+        not_before: monotonic time before which it isn't run again.
+    """
+
+    state: JobState
+    item: JobItem
+    partial: PartialText = field(default_factory=PartialText)
+    failures: int = 0
+    not_before: float = 0.0
+    engine: BackendState | None = None
+    run: GenerationRun | None = None
+    task: gevent.Greenlet | None = None
+    carried: bool = False
+    route_missing_since: float = 0.0
+    waiting_since: float = 0.0
+    begun: bool = False
+    """Its greenlet has begun to run; one that is killed before never cleans up."""
+    next_engine: BackendState | None = None
+    """Engine with a slot kept for this item, which is leaving a slow one."""
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """Names the task."""
+        return self.state.job.job_id, self.item.item_id
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -5,7 +5,6 @@
 import base64
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import gevent
 from gevent.event import Event
@@ -13,12 +12,13 @@
 
 from runkeel.api.backend_protocol import BackendProtocol, GenerationRequest
 from runkeel.api.fleet import Route
-from runkeel.api.jobs import ItemResult, JobItem, ResultState
+from runkeel.api.jobs import ItemResult, ResultState
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import RoutingTable, choose_service
 from runkeel.jobs.engine_placement import EnginePlacement
 from runkeel.jobs.engine_speeds import RunSample
 from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
+from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
 from runkeel.metrics import ITEM_RUNS
@@ -36,37 +36,6 @@
 MAXIMUM_KEPT_TEXTS = 2_000
 
 
-@dataclass(slots=True)
-class ItemTask:
-    """One open item of a job.
-
-    Attributes:
-        failures: runs that an engine answered with a failure.
-        not_before: monotonic time before which it isn't run again.
-    """
-
-    state: JobState
-    item: JobItem
-    partial: PartialText = field(default_factory=PartialText)
-    failures: int = 0
-    not_before: float = 0.0
-    engine: BackendState | None = None
-    run: GenerationRun | None = None
-    task: gevent.Greenlet | None = None
-    carried: bool = False
-    route_missing_since: float = 0.0
-    waiting_since: float = 0.0
-    begun: bool = False
-    """Its greenlet has begun to run; one that is killed before never cleans up."""
-    next_engine: BackendState | None = None
-    """Engine with a slot kept for this item, which is leaving a slow one."""
-
-    @property
-    def key(self) -> tuple[str, str]:
-        """Names the task."""
-        return self.state.job.job_id, self.item.item_id
-
-
 class Scheduler:
     """Runs the open items of all jobs on the engines; one task an item that runs.
 
@@ -114,6 +83,33 @@
         """Take texts of an earlier coordinator's runs; jobs that are added continue them."""
         self._kept.update(texts)
 
+    def lacks_text(self, item_id: str, pieces: int) -> bool:
+        """Return whether an item may go on from a text of so many pieces."""
+        if any(task.item.item_id == item_id for task in self._running.values()):
+            return False
+        task = self._queued(item_id)
+        known = task.partial if task is not None else self._kept.get(item_id)
+        return known is None or len(known.pieces) < pieces
+
+    def adopt_text(self, item_id: str, text: PartialText) -> None:
+        """Let an item go on from a text, unless it runs already or its job can't use it."""
+        if not self.lacks_text(item_id, len(text.pieces)):
+            return
+        task = self._queued(item_id)
+        if task is None:
+            self._kept[item_id] = text
+        else:
+            self._continue_from(task, text)
+
+    def _queued(self, item_id: str) -> ItemTask | None:
+        return next((task for task in self._queue if task.item.item_id == item_id), None)
+
+    def _continue_from(self, task: ItemTask, text: PartialText) -> None:
+        task.carried = True
+        route = self._route(task)
+        if text.fits(task.state.job.minimum_version, bool(route and route.single_version)):
+            task.partial = text
+
     def open_texts(self) -> dict[str, PartialText]:
         """Return the texts of the items that are running, waiting or being scored."""
         tasks = [*self._running.values(), *self._queue]
@@ -133,10 +129,7 @@
             task = ItemTask(state, item)
             kept = self._kept.pop(item.item_id, None)
             if kept is not None:
-                task.carried = True
-                route = self._route(task)
-                if kept.fits(state.job.minimum_version, bool(route and route.single_version)):
-                    task.partial = kept
+                self._continue_from(task, kept)
             self._queue.append(task)
         self.wake()
 
--- /dev/null
+++ b/src/runkeel/jobs/text_hand_over.py
@@ -0,0 +1,118 @@
+"""Hands copies of running texts to a coordinator whose predecessors have all lost them.
+
+Machines that are likely to coordinate may all lose power at once. So one node of another kind
+keeps copies too, and offers them to the next coordinator.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from loguru import logger
+
+from runkeel.errors import RunkeelError
+from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.text_replication import CALL_SECONDS, TextCopies, text_update
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.jobs.ttypes import TextReplication, TextReplicationReply, TextUpdate
+from runkeel.wire.network import PeerNetwork
+
+BATCH_TEXTS = 50
+"""Texts in one message."""
+
+
+class TextReceiver(Protocol):
+    """The part of a coordinator's scheduler that takes texts."""
+
+    def lacks_text(self, item_id: str, pieces: int) -> bool:
+        """Return whether an item may go on from a text of so many pieces."""
+
+    def adopt_text(self, item_id: str, text: PartialText) -> None:
+        """Let an item that has not begun to run go on from a text."""
+
+
+class TextHandOver:
+    """Both sides of the hand-over.
+
+    Args:
+        receiver: the scheduler while this node coordinates.
+    """
+
+    def __init__(
+        self,
+        network: PeerNetwork,
+        shard: str,
+        copies: TextCopies,
+        receiver: Callable[[], TextReceiver | None],
+    ) -> None:
+        self._network = network
+        self._shard = shard
+        self._copies = copies
+        self._receiver = receiver
+        copies.on_hand_over(self._receive)
+
+    def offer(self, coordinator: str, epoch: int) -> None:
+        """Offer the copies of earlier epochs to a coordinator, in a task of its own."""
+        if self._copies.epoch < epoch:
+            texts = self._copies.take()
+            if texts:
+                gevent.spawn(self._hand_over, coordinator, texts)
+
+    def _hand_over(self, coordinator: str, texts: dict[str, PartialText]) -> None:
+        offers = [_offer(item_id, text) for item_id, text in texts.items()]
+        wanted = self._send(coordinator, offers)
+        for first in range(0, len(wanted), BATCH_TEXTS):
+            batch = wanted[first : first + BATCH_TEXTS]
+            updates = [text_update(one, texts[one], None) for one in batch if one in texts]
+            self._send(coordinator, updates)
+        logger.info(
+            "texts offered",
+            code="texts_offered",
+            coordinator=coordinator,
+            items=len(texts),
+            wanted=len(wanted),
+        )
+
+    def _send(self, coordinator: str, updates: list[TextUpdate]) -> list[str]:
+        message = TextReplication(self._shard, self._copies.epoch, updates, True)
+        try:
+            reply = self._network.call(
+                coordinator,
+                MessageType.TEXT_REPLICATION,
+                message,
+                TextReplicationReply,
+                CALL_SECONDS,
+            )
+        except RunkeelError:
+            return []
+        return reply.missing
+
+    def _receive(self, updates: list[TextUpdate]) -> list[str]:
+        """Take whole texts; returns the items whose offered text is wanted."""
+        receiver = self._receiver()
+        if receiver is None:
+            return []
+        wanted = []
+        for update in updates:
+            if update.first_piece:
+                if receiver.lacks_text(update.item_id, update.first_piece):
+                    wanted.append(update.item_id)
+                continue
+            receiver.adopt_text(update.item_id, _text(update))
+        return wanted
+
+
+def _offer(item_id: str, text: PartialText) -> TextUpdate:
+    return TextUpdate(item_id, text.generation, len(text.pieces), [], "", [], text.whole)
+
+
+def _text(update: TextUpdate) -> PartialText:
+    return PartialText(
+        list(update.pieces),
+        update.last_event_id or None,
+        list(update.versions),
+        update.whole,
+        update.generation,
+    )
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -29,7 +29,7 @@
 
 
 @dataclass(slots=True)
-class _Sent:
+class SentText:
     """What the successor has of a text."""
 
     generation: int
@@ -53,7 +53,7 @@
         self._epoch = epoch
         self._texts = texts
         self._successors = successors
-        self._sent: dict[str, dict[str, _Sent]] = {}
+        self._sent: dict[str, dict[str, SentText]] = {}
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -85,11 +85,11 @@
         updates = [
             update
             for item_id, text in texts.items()
-            if (update := _update(item_id, text, known.get(item_id))) is not None
+            if (update := text_update(item_id, text, known.get(item_id))) is not None
         ]
         if not updates:
             return
-        message = TextReplication(self._shard, self._epoch, updates)
+        message = TextReplication(self._shard, self._epoch, updates, False)
         try:
             reply = self._network.call(
                 receiver,
@@ -104,12 +104,12 @@
             return
         for update in updates:
             pieces = update.first_piece + len(update.pieces)
-            known[update.item_id] = _Sent(update.generation, pieces, update.whole)
+            known[update.item_id] = SentText(update.generation, pieces, update.whole)
         for item_id in reply.missing:
             known.pop(item_id, None)
 
 
-def _update(item_id: str, text: PartialText, sent: _Sent | None) -> TextUpdate | None:
+def text_update(item_id: str, text: PartialText, sent: SentText | None) -> TextUpdate | None:
     """Return what a receiver lacks of a text, None when it has it all."""
     first = sent.pieces if sent is not None and sent.generation == text.generation else 0
     if sent is not None and first == len(text.pieces) and sent.whole == text.whole:
@@ -137,8 +137,18 @@
     def __init__(self, network: PeerNetwork) -> None:
         self._copies: dict[str, _Copy] = {}
         self._epoch = 0
+        self._hand_over: Callable[[list[TextUpdate]], list[str]] = lambda updates: []
         network.on_call(MessageType.TEXT_REPLICATION, TextReplication, self._receive)
 
+    @property
+    def epoch(self) -> int:
+        """The latest epoch whose coordinator sent copies."""
+        return self._epoch
+
+    def on_hand_over(self, receive: Callable[[list[TextUpdate]], list[str]]) -> None:
+        """Have texts that are handed to this coordinator received; returns the items wanted."""
+        self._hand_over = receive
+
     def take(self) -> dict[str, PartialText]:
         """Return the copies that are still fresh and forget them all."""
         oldest = time.monotonic() - KEPT_SECONDS
@@ -159,6 +169,9 @@
         return texts
 
     def _receive(self, peer: str, message: TextReplication) -> tuple[int, TextReplicationReply]:
+        if message.handover:
+            wanted = self._hand_over(message.updates)
+            return MessageType.TEXT_REPLICATION_REPLY, TextReplicationReply(wanted)
         missing: list[str] = []
         if message.epoch >= self._epoch:
             if message.epoch > self._epoch:
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -57,6 +57,25 @@
         )
         self.state = JobState(make_job())
 
+    def test_waiting_item_goes_on_from_a_longer_text(self):
+        item_id = f"{JOB_ID}-0"
+        self.assertTrue(self.scheduler.lacks_text(item_id, 2))
+        self.scheduler.add(self.state)
+        self.scheduler.adopt_text(item_id, PartialText(["x", "y"], "2", [1]))
+        self.scheduler.adopt_text(item_id, PartialText(["z"], "1", [1]))
+        self.assertEqual(self.scheduler.open_texts()[item_id].pieces, ["x", "y"])
+        self.assertFalse(self.scheduler.lacks_text(item_id, 2))
+
+    def test_text_of_a_version_that_the_job_does_not_accept_is_not_used(self):
+        self.scheduler.add(self.state)
+        self.scheduler.adopt_text(f"{JOB_ID}-0", PartialText(["x"], "1", [0]))
+        self.assertEqual(self.scheduler.open_texts(), {})
+
+    def test_text_that_comes_before_its_job_is_used(self):
+        self.scheduler.adopt_text(f"{JOB_ID}-1", PartialText(["x"], "1", [1]))
+        self.scheduler.add(self.state)
+        self.assertEqual(list(self.scheduler.open_texts()), [f"{JOB_ID}-1"])
+
     def test_without_a_configuration_items_wait(self):
         """agreste trouble-1, snapshot b5fa95be: 64 items were given up (MIXED)."""
         self.scheduler.start()
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -143,11 +143,12 @@
   7: bool whole,
 }
 
-/** Sent by the coordinator to its successor. */
+/** Sent by the coordinator to its successors, and by a node that keeps copies to a later coordinator. */
 struct TextReplication {
   1: string shard,
-  2: i64 epoch,
+  2: i64 epoch,             // of the coordinator that ran the generations
   3: list<TextUpdate> updates,
+  4: bool handover,         // to the coordinator; updates without pieces offer what it may want
 }
 
 struct TextReplicationReply {
