--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -391,15 +391,16 @@
 
     def test_long_items_are_continued_though_all_likely_coordinators_died(self):
         """agreste-grown scale-2: all storage machines lost power, and the texts with them."""
-        deployment = self.start(disks=2, engines=2)
+        deployment = self.start(disks=4, engines=2)
+        disks = [name for name in deployment.node_names if name not in deployment.edge_names]
         for engine in deployment.engines:
             engine.event_seconds = 0.05
         items = [f"j12-g{n}-{n}" for n in range(200) if event_count(f"j12-g{n}-{n}") > 40][:3]
         deployment.submit("edge-0", "j12", items)
         gevent.sleep(1.5)
-        for name in ("disk-0", "disk-1"):
+        for name in disks:
             deployment.kill_node(name)
-        for name in ("disk-0", "disk-1"):
+        for name in disks:
             deployment.start_node(name)
         results = self.whole_job(deployment, "edge-1", "j12", len(items))
         self.check_results(results, items)
