Answer operators' queries on fleet nodes in the product's language

Change: tables node, backends, routes, jobs, versions on the metrics address; ctl works against it as it is. Commands are refused with a coded error. Ruled out: asking all nodes at once; each row is one node's own belief.

--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -68,6 +68,11 @@
         self.coordinator_needed = Event()
         self.coordinator_needed.set()
 
+    @property
+    def following(self) -> bool:
+        """Whether the watchers rest."""
+        return self._resting
+
     def start(self, watchers: Sequence[DocumentWatcher]) -> None:
         """Start to follow; the watchers must have been made with the events of this follower."""
         self._watchers = {watcher.kind: watcher for watcher in watchers}
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -16,7 +16,7 @@
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
 from runkeel.coordination.document_feed import DocumentFeed
-from runkeel.coordination.election import Election
+from runkeel.coordination.election import Coordinator, Election
 from runkeel.coordination.feed_follower import FeedFollower
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.version_rollout import VersionRollout
@@ -27,6 +27,7 @@
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.engine_placement import EnginePlacement
 from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scheduler import Scheduler
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
@@ -160,22 +161,38 @@
         """Whether this node coordinates batch jobs and weight versions."""
         return self._term is not None
 
-    def describe(self) -> dict[str, object]:
-        """Return what this node believes, for an operator."""
-        configuration = self.routing.configuration
-        coordinator = self._election.coordinator
-        described: dict[str, object] = {
-            "node": self._settings.node_id,
-            "zone": self._settings.zone,
-            "configuration": configuration.version if configuration else 0,
-            "coordinator": coordinator.node_id if coordinator else "",
-            "epoch": coordinator.epoch if coordinator else 0,
-            "coordinating": self.coordinating,
-            "backends": self.directory.describe(),
-        }
-        if self._term is not None:
-            described.update(self._term.describe())
-        return described
+    @property
+    def node_id(self) -> str:
+        """This node's name."""
+        return self._settings.node_id
+
+    @property
+    def zone(self) -> str:
+        """This node's zone."""
+        return self._settings.zone
+
+    @property
+    def coordinator(self) -> Coordinator | None:
+        """The coordinator as this node knows it."""
+        return self._election.coordinator
+
+    @property
+    def follows_feed(self) -> bool:
+        """Whether news comes from the coordinator, so that the store is not asked."""
+        return self._follower.following
+
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the store answered this node's last call."""
+        return self._store.reachable
+
+    def coordinated_jobs(self) -> list[JobState]:
+        """Return the jobs that this node coordinates."""
+        return self._term.jobs.all() if self._term is not None else []
+
+    def named_versions(self) -> dict[str, int]:
+        """Return the newest version of each model, as known to a coordinator."""
+        return dict(self._term.targets) if self._term is not None else {}
 
     @property
     def configured(self) -> bool:
@@ -264,7 +281,7 @@
         self._leave = node.leave
         self._store = node._store
         self._translator = node._translator
-        self._targets: dict[str, int] = {}
+        self.targets: dict[str, int] = {}
         self._placement = EnginePlacement(
             node.directory, lambda backend_id, model: self._rollout.is_loading(backend_id, model)
         )
@@ -289,8 +306,8 @@
             node._lease,
             node._settings.node_id,
             lambda: node.routing.configuration,
-            self._targets,
-            lambda model: self.jobs.demand(model, self._targets.get(model, 0)),
+            self.targets,
+            lambda model: self.jobs.demand(model, self.targets.get(model, 0)),
             self._version_reached,
             self._placement.load,
         )
@@ -298,7 +315,7 @@
             node._store,
             self.scheduler,
             epoch,
-            lambda model: self._targets.get(model, 0),
+            lambda model: self.targets.get(model, 0),
             node._election.superseded,
             texts_expected=epoch > 1 and not texts,
         )
@@ -333,17 +350,13 @@
         self._rollout.wake()
         self.scheduler.wake()
 
-    def describe(self) -> dict[str, object]:
-        """Return the state of the term, for an operator."""
-        return {"versions": dict(self._targets), "jobs": self.jobs.describe()}
-
     def _version_named(self, document: Document, removed: bool) -> None:
         if removed:
             return
         model, version = self._translator.model_version(document)
-        if version <= self._targets.get(model, 0):
+        if version <= self.targets.get(model, 0):
             return
-        self._targets[model] = version
+        self.targets[model] = version
         logger.info(
             "version named",
             code="version_named",
--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -98,19 +98,9 @@
             if state.backend.service == service and not state.backend.draining
         ]
 
-    def describe(self) -> dict[str, dict[str, object]]:
-        """Return what this node knows of each server, for an operator."""
-        return {
-            backend_id: {
-                "service": state.backend.service,
-                "address": str(state.backend.address),
-                "draining": state.backend.draining,
-                "in_flight": state.in_flight,
-                "failures": state.failures,
-                "versions": dict(state.backend.model_versions),
-            }
-            for backend_id, state in self._states.items()
-        }
+    def all(self) -> list[BackendState]:
+        """Return all servers, those that leave too."""
+        return list(self._states.values())
 
     def _log(self, message: str, backend: Backend) -> None:
         logger.info(
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -128,20 +128,9 @@
             age_ms=int((time.time() - state.job.submitted_at) * 1000),
         )
 
-    def describe(self) -> dict[str, dict[str, object]]:
-        """Return the state of each job, for an operator."""
-        return {
-            job_id: {
-                "items": len(state.items),
-                "listed": len(state.results),
-                "unlisted": len(state.unlisted),
-                "ended": state.ended,
-                "model": state.job.model,
-                "minimum_version": state.job.minimum_version,
-                "age_s": round(time.time() - state.job.submitted_at, 2),
-            }
-            for job_id, state in self._jobs.items()
-        }
+    def all(self) -> list[JobState]:
+        """Return the jobs that are loaded."""
+        return list(self._jobs.values())
 
     def demand(self, model: str, newest_version: int) -> ModelDemand:
         """Return what the jobs accept of a model whose newest version is given."""
--- /dev/null
+++ b/src/runkeel/operators/fleet_tables.py
@@ -0,0 +1,134 @@
+"""Tables of a fleet node: what it believes, its servers and routes, and the work it coordinates."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from runkeel.operators.sources import QuerySources, Row
+
+if TYPE_CHECKING:
+    from runkeel.fleet_node import FleetNode
+
+NODE_COLUMNS = (
+    "node",
+    "zone",
+    "configuration",
+    "coordinator",
+    "epoch",
+    "coordinating",
+    "follows_feed",
+    "store_reachable",
+)
+BACKEND_COLUMNS = (
+    "backend",
+    "service",
+    "zone",
+    "address",
+    "draining",
+    "in_flight",
+    "failures",
+    "avoided",
+    "model",
+    "version",
+)
+ROUTE_COLUMNS = ("route", "host", "prefix", "kind", "services", "rank", "attempts", "timeout_ms")
+JOB_COLUMNS = (
+    "job",
+    "model",
+    "step",
+    "minimum_version",
+    "items",
+    "listed",
+    "unlisted",
+    "ended",
+    "submitted_ms_ago",
+)
+VERSION_COLUMNS = ("model", "version")
+
+
+class FleetTables:
+    """Provides the rows; jobs and versions are known at the coordinator only."""
+
+    def __init__(self, node: FleetNode) -> None:
+        self._node = node
+
+    def register(self, sources: QuerySources) -> None:
+        """Add the tables."""
+        sources.add("node", NODE_COLUMNS, self._node_rows)
+        sources.add("backends", BACKEND_COLUMNS, self._backend_rows)
+        sources.add("routes", ROUTE_COLUMNS, self._route_rows)
+        sources.add("jobs", JOB_COLUMNS, self._job_rows)
+        sources.add("versions", VERSION_COLUMNS, self._version_rows)
+
+    def _node_rows(self) -> list[Row]:
+        node = self._node
+        configuration = node.routing.configuration
+        coordinator = node.coordinator
+        return [
+            (
+                node.node_id,
+                node.zone,
+                configuration.version if configuration else None,
+                coordinator.node_id if coordinator else None,
+                coordinator.epoch if coordinator else None,
+                node.coordinating,
+                node.follows_feed,
+                node.store_reachable,
+            )
+        ]
+
+    def _backend_rows(self) -> list[Row]:
+        now = time.monotonic()
+        rows: list[Row] = []
+        for state in self._node.directory.all():
+            backend = state.backend
+            common = (
+                backend.backend_id,
+                backend.service,
+                backend.zone,
+                str(backend.address),
+                backend.draining,
+                state.in_flight,
+                state.failures,
+                state.avoided(now),
+            )
+            versions = backend.model_versions or {None: None}
+            rows.extend((*common, model, version) for model, version in versions.items())
+        return rows
+
+    def _route_rows(self) -> list[Row]:
+        configuration = self._node.routing.configuration
+        return [
+            (
+                route.name,
+                route.host,
+                route.path_prefix,
+                str(route.kind),
+                ", ".join(f"{share.service}={share.weight:g}" for share in route.shares),
+                route.rank,
+                route.maximum_attempts,
+                int(route.timeout_seconds * 1000),
+            )
+            for route in (configuration.routes if configuration else ())
+        ]
+
+    def _job_rows(self) -> list[Row]:
+        now = time.time()
+        return [
+            (
+                state.job.job_id,
+                state.job.model,
+                state.job.step,
+                state.job.minimum_version,
+                len(state.items),
+                len(state.results),
+                len(state.unlisted),
+                state.ended,
+                int((now - state.job.submitted_at) * 1000),
+            )
+            for state in self._node.coordinated_jobs()
+        ]
+
+    def _version_rows(self) -> list[Row]:
+        return list(self._node.named_versions().items())
--- a/src/runkeel/operators/queries.py
+++ b/src/runkeel/operators/queries.py
@@ -13,8 +13,9 @@
 from runkeel.operators import metrics
 from runkeel.operators.diagnostics import bad_command
 from runkeel.operators.language import parse_statement
-from runkeel.operators.selection import check_columns, select
-from runkeel.operators.sources import AGE_COLUMN, QuerySource, QuerySources, Row
+from runkeel.operators.local_queries import QueryAnswer, age_ms, find_source
+from runkeel.operators.selection import select
+from runkeel.operators.sources import QuerySources, Row
 from runkeel.operators.statements import Scalar, ShowQuery
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.operators.ttypes import Cell, QueryReply, QueryRequest
@@ -24,26 +25,6 @@
 MAXIMUM_ROWS_PER_NODE = 2_000
 
 
-@dataclass(frozen=True, slots=True)
-class QueryAnswer:
-    """Rows, and how far they can be relied on.
-
-    Attributes:
-        age_ms: age of the oldest thing shown.
-        unreachable_zones: zones of those nodes, if no other node there answered.
-        unreachable_nodes: nodes that did not answer, or that the machine list shows and
-            membership does not.
-        truncated: some node had more rows than a reply holds.
-    """
-
-    columns: tuple[str, ...]
-    rows: list[Row]
-    age_ms: int
-    unreachable_zones: tuple[str, ...] = ()
-    unreachable_nodes: tuple[str, ...] = ()
-    truncated: bool = False
-
-
 @dataclass(slots=True)
 class _PeerAnswer:
     member: Member
@@ -75,11 +56,11 @@
         Raises:
             RunkeelError: BAD_COMMAND.
         """
-        source = self._source(text, query)
+        source = find_source(self._sources, text, query)
         started_at = time.monotonic()
         rows = select(query, source.columns, source.provider())
         if not source.everywhere:
-            return QueryAnswer(source.columns, rows, _age_ms(source.columns, rows, started_at))
+            return QueryAnswer(source.columns, rows, age_ms(source.columns, rows, started_at))
         answers = self._ask_peers(text)
         truncated = False
         for answer in answers:
@@ -88,15 +69,15 @@
                 truncated = truncated or answer.reply.truncated
         rows = select(query, source.columns, rows)
         nodes, zones = self._unreachable(answers)
-        age_ms = _age_ms(source.columns, rows, started_at)
-        return QueryAnswer(source.columns, rows, age_ms, zones, nodes, truncated)
+        age = age_ms(source.columns, rows, started_at)
+        return QueryAnswer(source.columns, rows, age, zones, nodes, truncated)
 
     def handle(self, _peer: str, request: QueryRequest) -> tuple[int, QueryReply]:
         """Answer another node's query from this node's own rows."""
         query = parse_statement(request.query)
         if not isinstance(query, ShowQuery):
             raise bad_command(request.query, 0, "not a query")
-        source = self._source(request.query, query)
+        source = find_source(self._sources, request.query, query)
         rows = select(query, source.columns, source.provider())
         reply = QueryReply(
             columns=list(source.columns),
@@ -105,16 +86,6 @@
         )
         return MessageType.QUERY_REPLY, reply
 
-    def _source(self, text: str, query: ShowQuery) -> QuerySource:
-        source = self._sources.get(query.resource.text)
-        if source is None:
-            word = query.resource
-            problem = f"unknown resource {word.text!r}"
-            names = self._sources.names()
-            raise bad_command(text, word.column, problem, word.text, names)
-        check_columns(text, query, source)
-        return source
-
     def _ask_peers(self, text: str) -> list[_PeerAnswer]:
         others = [
             member
@@ -159,16 +130,6 @@
         return not left and not self._membership.is_live(node_id)
 
 
-def _age_ms(columns: tuple[str, ...], rows: list[Row], started_at: float) -> int:
-    """Return an upper bound of the age of what the rows show."""
-    collecting_ms = int((time.monotonic() - started_at) * 1000)
-    if AGE_COLUMN not in columns:
-        return collecting_ms
-    index = columns.index(AGE_COLUMN)
-    ages = (int(row[index]) for row in rows if isinstance(row[index], int | float))
-    return collecting_ms + max(ages, default=0)
-
-
 def _cell(value: Scalar) -> Cell:
     if isinstance(value, bool):
         return Cell(flag=value)
--- a/src/runkeel/operators/routes.py
+++ b/src/runkeel/operators/routes.py
@@ -11,8 +11,9 @@
 from runkeel.operators import metrics
 from runkeel.operators.commands import CommandOutcome, CommandRunner
 from runkeel.operators.diagnostics import bad_command
+from runkeel.operators.documents import answer_document, parse_document, text_of
 from runkeel.operators.language import parse_statement
-from runkeel.operators.queries import QueryAnswer, QueryRunner
+from runkeel.operators.queries import QueryRunner
 from runkeel.operators.statements import Change, ShowCommand, ShowQuery
 from runkeel.operators.tokens import ROLE_OPERATE, ROLE_READ, Authenticator
 
@@ -38,8 +39,8 @@
     def handle_command(self, request: HttpRequest) -> HttpResponse:
         """Carry out a command."""
         operator = self._authenticator.authenticate(request.headers, ROLE_OPERATE)
-        document = _document(request)
-        text = _text_of(document, "command")
+        document = parse_document(request.body)
+        text = text_of(document, "command")
         command_id = _command_id_of(document)
         change = parse_statement(text)
         if not isinstance(change, Change):
@@ -50,7 +51,7 @@
     def handle_query(self, request: HttpRequest) -> HttpResponse:
         """Answer a query."""
         self._authenticator.authenticate(request.headers, ROLE_READ)
-        text = _text_of(_document(request), "query")
+        text = text_of(parse_document(request.body), "query")
         try:
             document = self._answer(text)
         except RunkeelError as error:
@@ -64,27 +65,10 @@
         if isinstance(statement, ShowCommand):
             return _outcome_document(self._commands.settle(statement.command_id))
         if isinstance(statement, ShowQuery):
-            return _answer_document(self._queries.run(text, statement))
+            return answer_document(self._queries.run(text, statement))
         raise bad_command(text, 0, "a command; send it to /v1/commands")
 
 
-def _document(request: HttpRequest) -> dict[str, Any]:
-    try:
-        document = json.loads(request.body)
-    except ValueError as error:
-        raise not_run(ErrorCode.BAD_REQUEST, f"the body is not JSON: {error}") from error
-    if not isinstance(document, dict):
-        raise not_run(ErrorCode.BAD_REQUEST, "the body must be a JSON object")
-    return document
-
-
-def _text_of(document: dict[str, Any], key: str) -> str:
-    text = document.get(key)
-    if not isinstance(text, str) or not text.strip():
-        raise not_run(ErrorCode.BAD_REQUEST, f"the body needs the text {key!r}")
-    return text
-
-
 def _command_id_of(document: dict[str, Any]) -> str:
     command_id = document.get("command_id") or uuid.uuid4().hex
     valid = isinstance(command_id, str) and len(command_id) <= MAXIMUM_COMMAND_ID_LENGTH
@@ -107,17 +91,6 @@
     return document
 
 
-def _answer_document(answer: QueryAnswer) -> dict[str, Any]:
-    return {
-        "columns": list(answer.columns),
-        "rows": [list(row) for row in answer.rows],
-        "age_ms": answer.age_ms,
-        "unreachable_zones": list(answer.unreachable_zones),
-        "unreachable_nodes": list(answer.unreachable_nodes),
-        "truncated": answer.truncated,
-    }
-
-
 def _json_response(document: dict[str, Any]) -> HttpResponse:
     body = json.dumps(document).encode()
     return HttpResponse(200, [("Content-Type", "application/json")], body)
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -82,6 +82,7 @@
 
     Args:
         order_pause_seconds: least time between the orders of two nodes.
+        metrics: whether nodes serve counters and operators' queries.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         engines: int = 2,
         applications: int = 2,
         order_pause_seconds: float = 0.5,
+        metrics: bool = False,
     ) -> None:
         self.store = StoreServer(seed)
         self.store.start()
@@ -104,6 +106,7 @@
             for n in range(applications)
         ]
         self._order_pause_seconds = order_pause_seconds
+        self._metrics = _LOOPBACK if metrics else None
         self._machines: dict[str, _Slot] = {}
         for number in range(edges):
             self._add_machine(f"edge-{number}", ZONES[number % 3], serves_clients=True)
@@ -244,7 +247,7 @@
         listener = _LOOPBACK if serves_clients else None
         store = StoreServer(len(self._machines), behind=self.store)
         store.start()
-        settings = ProcessSettings(fleet, listener, listener, store.address, None, 8.0)
+        settings = ProcessSettings(fleet, listener, listener, store.address, self._metrics, 8.0)
         self._machines[name] = _Slot(settings, store)
 
 
--- /dev/null
+++ b/tests/users_platform/test_operator_queries.py
@@ -0,0 +1,64 @@
+"""The operators' queries on a node of the users' platform, through the command line's client."""
+
+import contextlib
+import io
+import unittest
+
+from runkeel.errors import RunkeelError
+from runkeel.operators.client import OperatorClient
+from runkeel.operators.ctl import ExitCode, run_ctl
+from tests.users_platform.test_deployment import DeploymentTestCase
+
+
+class OperatorQueriesTest(DeploymentTestCase):
+    def setUp(self):
+        self.deployment = self.start(metrics=True)
+        (self.coordinator,) = self.deployment.coordinators()
+
+    def rows(self, text, node="edge-0"):
+        answer = OperatorClient(self.url(node)).send(text).document
+        return [dict(zip(answer["columns"], row, strict=True)) for row in answer["rows"]]
+
+    def url(self, node):
+        return f"http://{self.deployment.node(node).metrics_address}"
+
+    def test_what_a_node_believes(self):
+        self.wait(lambda: self.rows("show node")[0]["follows_feed"])
+        (row,) = self.rows("show node")
+        self.assertEqual((row["node"], row["configuration"]), ("edge-0", 1))
+        self.assertEqual((row["coordinator"], row["coordinating"]), (self.coordinator, False))
+
+    def test_servers_and_routes(self):
+        self.assertEqual(len(self.rows('show backends where service = "ledger"')), 2)
+        (route,) = self.rows('show routes where prefix = "/reserve/"')
+        self.assertEqual((route["kind"], route["attempts"]), ("not_repeatable", 3))
+
+    def test_jobs_and_versions_at_the_coordinator(self):
+        self.deployment.name_version(2)
+        self.assertEqual(self.deployment.submit("edge-0", "job", ["job-g0-0"]), 202)
+        query = 'show jobs where job = "job"'
+        (job,) = self.wait(lambda: self.rows(query, self.coordinator))
+        self.assertEqual((job["items"], job["ended"]), (1, False))
+        versions = self.wait(lambda: self.rows("show versions", self.coordinator))
+        self.assertEqual(versions, [{"model": "allocation", "version": 2}])
+        self.assertEqual(self.rows(query), [])
+
+    def test_faulty_query_is_refused_with_a_hint(self):
+        with self.assertRaises(RunkeelError) as caught:
+            self.rows("show backend")
+        self.assertEqual(caught.exception.code, "bad_command")
+        self.assertIn("backends", caught.exception.detail)
+
+    def test_commands_belong_to_the_platform(self):
+        with self.assertRaises(RunkeelError):
+            self.rows("drain backend a0")
+
+    def test_command_line(self):
+        output = io.StringIO()
+        with contextlib.redirect_stdout(output):
+            code = run_ctl("show versions", self.url(self.coordinator), "json")
+        self.assertEqual(code, ExitCode.OK)
+
+
+if __name__ == "__main__":
+    unittest.main()
