--- a/src/runkeel/decision_log.py
+++ b/src/runkeel/decision_log.py
@@ -100,10 +100,10 @@
         return True
 
 
-def configure_decision_log(node_id: str, zone: str) -> None:
-    """Send all log lines to standard output as JSON."""
+def configure_decision_log(node_id: str, zone: str, descriptor: int | None = None) -> None:
+    """Send all log lines as JSON to a descriptor, by default standard output."""
     budget = LineBudget(BYTES_PER_SECOND, BURST_BYTES, WARNING_RESERVE_BYTES)
-    writer = LineWriter(sys.stdout.fileno(), budget)
+    writer = LineWriter(sys.stdout.fileno() if descriptor is None else descriptor, budget)
 
     def sink(message: Any) -> None:
         record = message.record
