--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -30,6 +30,9 @@
 ANSWER_SECONDS = 0.4
 """A reply that is so much later shows that the coordinator is not reached."""
 
+FIRST_ANSWER_SECONDS = 0.1
+"""The same for the first answer that a node wants after its start: it knows nothing yet."""
+
 RETRY_SECONDS = 0.3
 IDLE_SECONDS = 0.1
 
@@ -128,6 +131,8 @@
         """Take what the coordinator has; returns what went wrong, empty for nothing."""
         # The first answer is wanted at once: until it is there, the store is asked.
         wait_seconds = WAIT_SECONDS if self._resting else 0.0
+        known = self._resting or self.store_needed.is_set()
+        answer_seconds = ANSWER_SECONDS if known else FIRST_ANSWER_SECONDS
         message = FeedRead(self._shard, self._revisions(), int(wait_seconds * 1000))
         try:
             reply = self._network.call(
@@ -135,7 +140,7 @@
                 MessageType.FEED_READ,
                 message,
                 FeedReadReply,
-                wait_seconds + ANSWER_SECONDS,
+                wait_seconds + answer_seconds,
             )
             if reply.state != FeedState.CURRENT:
                 return _STATE_NAMES.get(reply.state, "unknown")
--- a/src/runkeel_lab/standins/peer_network.py
+++ b/src/runkeel_lab/standins/peer_network.py
@@ -7,7 +7,7 @@
 
 import gevent
 
-from runkeel.errors import ErrorCode, not_run
+from runkeel.errors import ErrorCode, may_have_run, not_run
 
 Handler = Callable[[str, Any], tuple[int, Any]]
 
@@ -16,11 +16,13 @@
     """All nodes' handlers, and which nodes don't reach each other.
 
     Attributes:
-        silent: nodes that answer nobody, as if frozen.
+        silent: nodes that are not reached; callers learn so at once.
+        dark: nodes that say nothing; callers wait in vain.
     """
 
     def __init__(self) -> None:
         self.silent: set[str] = set()
+        self.dark: set[str] = set()
         self._cuts: set[frozenset[str]] = set()
         self._handlers: dict[tuple[str, int], Handler] = {}
 
@@ -70,4 +72,7 @@
         timeout_seconds: float,
     ) -> Any:
         """Call another node."""
+        if node_id in self._network.dark:
+            gevent.sleep(timeout_seconds)
+            raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, f"{timeout_seconds} s")
         return self._network.call(self._node_id, node_id, message_type, message)
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -8,7 +8,7 @@
 import gevent
 
 from runkeel.api.documents import DocumentKind
-from runkeel.coordination import document_feed
+from runkeel.coordination import document_feed, feed_follower
 from runkeel.coordination.document_feed import DocumentFeed
 from runkeel.coordination.feed_follower import FeedFollower
 from runkeel.errors import ErrorCode, not_run
@@ -161,6 +161,16 @@
         self.wait(lambda: node.content)
         self.assertEqual(store.calls, 0)
 
+    def test_node_that_starts_under_a_dark_coordinator_soon_asks_the_store(self):
+        """It knows nothing yet, and refuses clients until it does."""
+        self.network.dark.add("c")
+        node = _Node(self.network, self.objects, "n")
+        self.follow(node, self.coordinator)
+        with unittest.mock.patch.object(feed_follower, "ANSWER_SECONDS", LONGEST_WAIT_SECONDS):
+            node.start()
+            self.addCleanup(node.stop)
+            self.wait(lambda: node.content, LONGEST_WAIT_SECONDS / 2)
+
     def test_insignificant_changes_are_not_told(self):
         node, _ = self.follower()
         gevent.sleep(2 * WATCH_SECONDS)
