Tell apart all texts of running items, so that no copy joins two runs

Each text counted its generation from 0. When an item's text was replaced by a new object within one interval of sending (a carried-over item that may not use its old text; the interval grows to 1.4 s while a successor is out of reach), the receiver kept the old pieces and appended the new ones. After a take-over such a text is continued: pieces of two runs joined, versions of the later one only.

Ruled out: a resent update appended twice (its first piece must be the next one), an old run's events after the kill (events must follow one another).

Change: generations come from one counter of the process, also for texts taken over. Both tests fail before.

--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import itertools
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -19,6 +20,7 @@
 """A stream may pause for so long while its engine loads a version."""
 
 _UNPROCESSABLE = 422
+_generations = itertools.count(1)
 
 
 class RunOutcome(enum.Enum):
@@ -46,14 +48,15 @@
     Attributes:
         versions: weight versions that made events of the text, in order of appearance.
         whole: the generation's end was received.
-        generation: grows each time the text is started anew.
+        generation: tells apart all texts of this process, and each from what it was before it was
+            started anew.
     """
 
     pieces: list[str] = field(default_factory=list)
     last_event_id: str | None = None
     versions: list[int] = field(default_factory=list)
     whole: bool = False
-    generation: int = 0
+    generation: int = field(default_factory=lambda: next(_generations))
 
     def clear(self) -> None:
         """Forget everything, to start again."""
@@ -61,7 +64,7 @@
         self.versions.clear()
         self.last_event_id = None
         self.whole = False
-        self.generation += 1
+        self.generation = next(_generations)
 
     def fits(self, minimum_version: int, single_version: bool) -> bool:
         """Return whether the text may be used where these versions are allowed."""
--- a/src/runkeel/jobs/text_hand_over.py
+++ b/src/runkeel/jobs/text_hand_over.py
@@ -114,5 +114,4 @@
         update.last_event_id or None,
         list(update.versions),
         update.whole,
-        update.generation,
     )
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -153,7 +153,7 @@
         """Return the copies that are still fresh and forget them all."""
         oldest = time.monotonic() - KEPT_SECONDS
         texts = {
-            item_id: copy.text
+            item_id: _own_text(copy.text)
             for item_id, copy in self._copies.items()
             if copy.updated_at >= oldest
         }
@@ -207,3 +207,8 @@
 def _continues(text: PartialText, update: TextUpdate) -> bool:
     """Return whether an update begins where a copy ends."""
     return text.generation == update.generation and len(text.pieces) == update.first_piece
+
+
+def _own_text(text: PartialText) -> PartialText:
+    """Return a copy's text with a generation of this process."""
+    return PartialText(text.pieces, text.last_event_id, text.versions, text.whole)
--- a/tests/jobs/test_text_replication.py
+++ b/tests/jobs/test_text_replication.py
@@ -45,6 +45,21 @@
         copy = self.copies.take()["i"]
         self.assertEqual((copy.pieces, copy.versions), (["p", "q", "r"], [2]))
 
+    def test_another_text_of_the_same_item_replaces_the_copy(self):
+        """A copy joined from two runs would be continued as one text (ORDER, VERSION)."""
+        self.texts["i"] = make_text("a", "b", versions=(1,))
+        self.sender.send_once()
+        self.texts["i"] = make_text("p", "q", "r", versions=(2,))
+        self.sender.send_once()
+        copy = self.copies.take()["i"]
+        self.assertEqual((copy.pieces, copy.versions), (["p", "q", "r"], [2]))
+
+    def test_text_taken_over_is_told_apart_from_those_of_this_node(self):
+        self.texts["i"] = make_text("a", "b")
+        self.sender.send_once()
+        taken = self.copies.take()["i"]
+        self.assertNotEqual(taken.generation, self.texts["i"].generation)
+
     def test_end_of_a_text_is_told(self):
         text = self.texts["i"] = make_text("x")
         self.sender.send_once()
