Derive the feed's times from the deployment's own bounds

Cause: by reading: the waits of the feed and the gathering of changes suited a drain that must be known in 2 s; a deployment that allows less would be served too late (DRAIN).

Change: the shorter of the bounds for drains and configurations comes with the settings; the held read, the coordinator's watches, the age of its copy and the gathering are parts of it, with today's values as upper limits. A wrong bound is named, a missing one is 2 s.

--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -27,12 +27,30 @@
 from runkeel.wire.network import PeerNetwork
 
 FRESH_SECONDS = 1.3
-"""Nodes rely on the coordinator's copy while the store has confirmed it within so long."""
+FRESH_SHARE = 0.65
+"""Nodes rely on the coordinator's copy while the store has confirmed it within so long.
+
+The share is of the time in which news must be known; the shorter one counts.
+"""
+
+COORDINATOR_WATCH_SECONDS = 0.7
+COORDINATOR_WATCH_SHARE = 0.35
+"""The coordinator's watches are short: they confirm its copy, which all nodes rely on."""
 
 LONGEST_WAIT_SECONDS = 2.0
 MAXIMUM_REMOVALS = 4_000
 
 
+def fresh_seconds(news_seconds: float) -> float:
+    """Return for how long a confirmation by the store counts."""
+    return min(FRESH_SECONDS, FRESH_SHARE * news_seconds)
+
+
+def coordinator_watch_seconds(news_seconds: float) -> float:
+    """Return how long one of the coordinator's watches waits."""
+    return min(COORDINATOR_WATCH_SECONDS, COORDINATOR_WATCH_SHARE * news_seconds)
+
+
 class _KindFeed:
     """What has changed of one kind, as far as it matters to other nodes."""
 
@@ -83,6 +101,7 @@
     Args:
         watchers: of the kinds that are told.
         coordinating_since: monotonic time since which this node coordinates; None: it does not.
+        fresh_for: a confirmation by the store counts for so long, in seconds.
     """
 
     def __init__(
@@ -90,9 +109,11 @@
         network: PeerNetwork,
         watchers: Sequence[DocumentWatcher],
         coordinating_since: Callable[[], float | None],
+        fresh_for: float = FRESH_SECONDS,
     ) -> None:
         self._kinds = {watcher.kind: _KindFeed(watcher) for watcher in watchers}
         self._coordinating_since = coordinating_since
+        self._fresh_for = fresh_for
         self._changed = Event()
         network.on_call(MessageType.FEED_READ, FeedRead, self._serve)
 
@@ -118,7 +139,7 @@
             pages = self._pages_after(revisions, even_if_empty=ends)
             if pages or ends:
                 return FeedReadReply(state, pages)
-            stale_at = self._confirmed_at() + FRESH_SECONDS
+            stale_at = self._confirmed_at() + self._fresh_for
             self._changed.wait(max(0.0, min(deadline, stale_at) - now))
 
     def _pages_after(self, revisions: dict[str, int], even_if_empty: bool) -> list[FeedPage]:
@@ -134,7 +155,7 @@
         if since is None:
             return FeedState.NOT_COORDINATOR
         confirmed_at = self._confirmed_at()
-        if confirmed_at < since or time.monotonic() - confirmed_at >= FRESH_SECONDS:
+        if confirmed_at < since or time.monotonic() - confirmed_at >= self._fresh_for:
             return FeedState.STALE
         return FeedState.CURRENT
 
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -25,7 +25,8 @@
 from runkeel.wire.network import PeerNetwork
 
 WAIT_SECONDS = 1.0
-"""A reply may be held for so long."""
+WAIT_SHARE = 0.5
+"""A reply may be held for so long; the share is of the time in which news must be known."""
 
 ANSWER_SECONDS = 0.4
 """A reply that is so much later shows that the coordinator is not reached."""
@@ -42,11 +43,17 @@
 _STATE_NAMES = {FeedState.STALE: "stale", FeedState.NOT_COORDINATOR: "not_coordinator"}
 
 
+def wait_seconds(news_seconds: float) -> float:
+    """Return how long a reply may be held."""
+    return min(WAIT_SECONDS, WAIT_SHARE * news_seconds)
+
+
 class FeedFollower:
     """One task that keeps this node's copies in step with the coordinator's.
 
     Args:
         coordinator: the coordinator as this node knows it; None when that is this node.
+        hold_seconds: a reply may be held for so long.
 
     Attributes:
         store_needed: set while the watchers have to ask the store themselves.
@@ -59,10 +66,12 @@
         network: PeerNetwork,
         shard: str,
         coordinator: Callable[[], Coordinator | None],
+        hold_seconds: float = WAIT_SECONDS,
     ) -> None:
         self._network = network
         self._shard = shard
         self._coordinator = coordinator
+        self._hold_seconds = hold_seconds
         self._watchers: dict[DocumentKind, DocumentWatcher] = {}
         self._task: gevent.Greenlet | None = None
         self._started_at = 0.0
@@ -130,17 +139,17 @@
     def _read(self, coordinator: Coordinator) -> str:
         """Take what the coordinator has; returns what went wrong, empty for nothing."""
         # The first answer is wanted at once: until it is there, the store is asked.
-        wait_seconds = WAIT_SECONDS if self._resting else 0.0
+        held = self._hold_seconds if self._resting else 0.0
         known = self._resting or self.store_needed.is_set()
         answer_seconds = ANSWER_SECONDS if known else FIRST_ANSWER_SECONDS
-        message = FeedRead(self._shard, self._revisions(), int(wait_seconds * 1000))
+        message = FeedRead(self._shard, self._revisions(), int(held * 1000))
         try:
             reply = self._network.call(
                 coordinator.node_id,
                 MessageType.FEED_READ,
                 message,
                 FeedReadReply,
-                wait_seconds + answer_seconds,
+                held + answer_seconds,
             )
             if reply.state != FeedState.CURRENT:
                 return _STATE_NAMES.get(reply.state, "unknown")
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -15,9 +15,13 @@
 from runkeel.api.documents import Document, DocumentKind, DocumentStore, DocumentTranslator
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
-from runkeel.coordination.document_feed import DocumentFeed
+from runkeel.coordination.document_feed import (
+    DocumentFeed,
+    coordinator_watch_seconds,
+    fresh_seconds,
+)
 from runkeel.coordination.election import Coordinator, Election
-from runkeel.coordination.feed_follower import FeedFollower
+from runkeel.coordination.feed_follower import FeedFollower, wait_seconds
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.version_rollout import VersionRollout
 from runkeel.errors import RunkeelError
@@ -42,18 +46,14 @@
 COORDINATOR_GATHER_SECONDS = 0.3
 """Changes of back ends are gathered for so long before the coordinator asks for more."""
 
-COORDINATOR_WATCH_SECONDS = 0.7
-"""The coordinator's watches are short: they confirm its copy, which all nodes rely on."""
-
 TERM_WATCH_SECONDS = 2.0
 """Watches of what only the coordinator follows; one that has gone mute ends after so long."""
 
-NODE_GATHER_SECONDS = 1.3
 NODE_WATCH_SECONDS = 1.0
-"""The same for a node that asks the store itself, until it can follow the coordinator again.
+"""A node that asks the store itself watches for so long, until it can follow the coordinator."""
 
-The gathering stays below the time allowed for a drain.
-"""
+NODE_GATHER_SHARE = 0.65
+"""It gathers changes of back ends for so large a part of the time in which they must be known."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +64,7 @@
         cluster_key: secret shared by the nodes.
         order_pause_seconds: least time between the orders of two nodes to engines.
         preferred_coordinator: this node coordinates rather than one that serves clients.
+        news_seconds: changes of configuration and back ends must be known everywhere in this time.
     """
 
     node_id: str
@@ -74,6 +75,7 @@
     incarnation: int
     order_pause_seconds: float = 3.0
     preferred_coordinator: bool = False
+    news_seconds: float = 2.0
 
 
 class FleetNode:
@@ -105,7 +107,10 @@
         )
         self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
         self._follower = FeedFollower(
-            self._network, SHARD, lambda: self._election.other_coordinator
+            self._network,
+            SHARD,
+            lambda: self._election.other_coordinator,
+            wait_seconds(settings.news_seconds),
         )
         self._election = Election(
             store,
@@ -139,7 +144,10 @@
         self._watchers = [self._routing_watcher, self._backend_watcher]
         self._followed = [*self._watchers, self._election.watcher]
         self._feed = DocumentFeed(
-            self._network, self._followed, lambda: self._election.coordinating_since
+            self._network,
+            self._followed,
+            lambda: self._election.coordinating_since,
+            fresh_seconds(settings.news_seconds),
         )
         self._routing_watcher.on_change(self._feed.note)
         self._election.watcher.on_change(self._feed.note)
@@ -222,10 +230,14 @@
         self._network.stop()
 
     def _watch_seconds(self) -> float:
-        return COORDINATOR_WATCH_SECONDS if self._term is not None else NODE_WATCH_SECONDS
+        if self._term is not None:
+            return coordinator_watch_seconds(self._settings.news_seconds)
+        return NODE_WATCH_SECONDS
 
     def _backend_gather_seconds(self) -> float:
-        return COORDINATOR_GATHER_SECONDS if self._term is not None else NODE_GATHER_SECONDS
+        if self._term is not None:
+            return COORDINATOR_GATHER_SECONDS
+        return NODE_GATHER_SHARE * self._settings.news_seconds
 
     def _routing_changed(self, document: Document, removed: bool) -> None:
         if not removed:
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -55,6 +55,16 @@
         self.assertIsNone(loaded.frontend)
         self.assertTrue(loaded.fleet.preferred_coordinator)
 
+    def test_time_for_news_is_the_shorter_bound(self):
+        bounds = {"GraceS": 8, "LeaseMs": 3000}
+        for given, seconds in (
+            ({"DrainMs": 3000, "ConfigApplyMs": 1500}, 1.5),
+            ({"DrainMs": 1200}, 1.2),
+            ({}, 2.0),
+        ):
+            settings = self._load(self._changed(Bounds={**bounds, **given}))
+            self.assertEqual(settings.fleet.news_seconds, seconds)
+
     def test_each_wrong_field_is_named(self):
         for change, key in (
             ({"NodeName": ""}, "NodeName"),
@@ -63,6 +73,7 @@
             ({"InternalPorts": [7720]}, "InternalPorts"),
             ({"Bounds": {"GraceS": -1, "LeaseMs": 1}}, "GraceS"),
             ({"Bounds": {"GraceS": 8}}, "LeaseMs"),
+            ({"Bounds": {"GraceS": 8, "LeaseMs": 1, "DrainMs": "2 s"}}, "DrainMs"),
             ({"Platform": {}}, "Platform.Address"),
             ({"Platform": {"Address": "10.0.0.1"}}, "Platform.Address"),
             ({"Listen": {"Frontend": "x"}}, "Listen.Frontend"),
