Split the coordinator's document and the kept texts off election and scheduler

Both files had grown over 400 lines with a second job: reading and writing of a document's form, a bounded store of texts.

--- /dev/null
+++ b/src/runkeel/coordination/coordinator_document.py
@@ -0,0 +1,54 @@
+"""The document that says who coordinates; changed by compare-and-swap only."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from runkeel.api.documents import Document, DocumentKind, DocumentStore
+from runkeel.api.machines import Address
+
+
+@dataclass(frozen=True, slots=True)
+class Coordinator:
+    """Who coordinates.
+
+    Attributes:
+        epoch: number of the term; grows with each change.
+        revision: the document's, 0 before it is written.
+    """
+
+    node_id: str
+    address: Address
+    zone: str
+    epoch: int
+    revision: int = 0
+
+    @classmethod
+    def from_document(cls, document: Document) -> Coordinator:
+        """Read a document. Raises KeyError, TypeError or ValueError for one of another form."""
+        content = document.content
+        return cls(
+            content["node"],
+            Address.parse(content["address"]),
+            content["zone"],
+            int(content["epoch"]),
+            document.revision,
+        )
+
+    def write(self, store: DocumentStore, name: str, replaced: Coordinator | None) -> None:
+        """Write this claim in the place of another one.
+
+        Raises:
+            DocumentConflictError: another node was first.
+            RunkeelError: the store gave no answer.
+        """
+        content = {
+            "node": self.node_id,
+            "address": str(self.address),
+            "zone": self.zone,
+            "epoch": self.epoch,
+        }
+        if replaced is None:
+            store.create(DocumentKind.COORDINATOR, name, content)
+        else:
+            store.replace(DocumentKind.COORDINATOR, name, content, replaced.revision)
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -11,7 +11,6 @@
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 import gevent
 from gevent.event import Event
@@ -19,6 +18,7 @@
 
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.api.machines import Address
+from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.peers import LAST_RANK, PeerRegistry
 from runkeel.coordination.witnesses import reached_by_others
 from runkeel.errors import RunkeelError
@@ -66,17 +66,6 @@
 _CLAIM_RETRY_SECONDS = 0.3
 
 
-@dataclass(frozen=True, slots=True)
-class Coordinator:
-    """Who coordinates, as the store says."""
-
-    node_id: str
-    address: Address
-    zone: str
-    epoch: int
-    revision: int
-
-
 class Election:
     """Follows and, when it is this node's turn, takes the coordinator's place.
 
@@ -222,16 +211,9 @@
     def _changed(self, document: Document, removed: bool) -> None:
         if removed or document.name != self._shard:
             return
-        content = document.content
-        self._coordinator = Coordinator(
-            content["node"],
-            Address.parse(content["address"]),
-            content["zone"],
-            int(content["epoch"]),
-            document.revision,
-        )
+        self._coordinator = Coordinator.from_document(document)
         if self._epoch and self._coordinator.epoch > self._epoch:
-            self._step_down(f"{content['node']} took over")
+            self._step_down(f"{self._coordinator.node_id} took over")
 
     def _run(self) -> None:
         self._watcher.listed.wait()
@@ -365,17 +347,10 @@
     def _claim(self, known: Coordinator | None, reason: str) -> None:
         """Take the place of the coordinator that was found wanting, not of a later one."""
         epoch = (known.epoch if known else 0) + 1
-        content = {
-            "node": self._node_id,
-            "address": self._own_address.address,
-            "zone": self._zone,
-            "epoch": epoch,
-        }
+        address = Address.parse(self._own_address.address)
+        claim = Coordinator(self._node_id, address, self._zone, epoch)
         try:
-            if known is None:
-                self._store.create(DocumentKind.COORDINATOR, self._shard, content)
-            else:
-                self._store.replace(DocumentKind.COORDINATOR, self._shard, content, known.revision)
+            claim.write(self._store, self._shard, known)
         except DocumentConflictError as conflict:
             if conflict.current is not None:
                 self._changed(conflict.current, removed=False)
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -16,7 +16,7 @@
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentKind, DocumentPage
-from runkeel.coordination.election import Coordinator
+from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.errors import RunkeelError
 from runkeel.metrics import FEED_READS
 from runkeel.state.document_watcher import DocumentWatcher
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -15,12 +15,13 @@
 from runkeel.api.documents import Document, DocumentKind, DocumentStore, DocumentTranslator
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
+from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.document_feed import (
     DocumentFeed,
     coordinator_watch_seconds,
     fresh_seconds,
 )
-from runkeel.coordination.election import Coordinator, Election
+from runkeel.coordination.election import Election
 from runkeel.coordination.feed_follower import FeedFollower, wait_seconds
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.version_rollout import VersionRollout
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -20,6 +20,7 @@
 from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
+from runkeel.jobs.kept_texts import KeptTexts
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
 from runkeel.metrics import ITEM_RUNS
 
@@ -33,8 +34,6 @@
 PRESSED_SECONDS = 20.0
 """A model counts as pressed for so long after an item has waited for an engine."""
 
-MAXIMUM_KEPT_TEXTS = 2_000
-
 
 class Scheduler:
     """Runs the open items of all jobs on the engines; one task an item that runs.
@@ -59,7 +58,7 @@
         self._is_loading = is_loading
         self._queue: list[ItemTask] = []
         self._running: dict[tuple[str, str], ItemTask] = {}
-        self._kept: dict[str, PartialText] = {}
+        self._kept = KeptTexts()
         self._pressed_at: dict[str, float] = {}
         self._checked_at = 0.0
         self._wake = Event()
@@ -81,7 +80,8 @@
 
     def keep_texts(self, texts: dict[str, PartialText]) -> None:
         """Take texts of an earlier coordinator's runs; jobs that are added continue them."""
-        self._kept.update(texts)
+        for item_id, text in texts.items():
+            self._kept.keep(item_id, text)
 
     def lacks_text(self, item_id: str, pieces: int) -> bool:
         """Return whether an item may go on from a text of so many pieces."""
@@ -97,7 +97,7 @@
             return
         task = self._queued(item_id)
         if task is None:
-            self._kept[item_id] = text
+            self._kept.keep(item_id, text)
         else:
             self._continue_from(task, text)
 
@@ -127,7 +127,7 @@
         """Take the open items of a job."""
         for item in state.open_items():
             task = ItemTask(state, item)
-            kept = self._kept.pop(item.item_id, None)
+            kept = self._kept.take(item.item_id)
             if kept is not None:
                 self._continue_from(task, kept)
             self._queue.append(task)
@@ -138,7 +138,7 @@
         self._queue = [task for task in self._queue if not self._drop_task(task, state)]
         for key in [key for key in self._running if key[0] == state.job.job_id]:
             task = self._running[key]
-            self._keep(task)
+            self._kept.keep(task.item.item_id, task.partial)
             if task.task is not None:
                 task.task.kill(block=False)
             if not task.begun:
@@ -149,16 +149,10 @@
     def _drop_task(self, task: ItemTask, state: JobState) -> bool:
         if task.state is not state:
             return False
-        self._keep(task)
+        self._kept.keep(task.item.item_id, task.partial)
         self._release_reserved(task)
         return True
 
-    def _keep(self, task: ItemTask) -> None:
-        if task.partial.pieces:
-            self._kept[task.item.item_id] = task.partial
-            while len(self._kept) > MAXIMUM_KEPT_TEXTS:
-                self._kept.pop(next(iter(self._kept)))
-
     def _run(self) -> None:
         while True:
             self._wake.wait(IDLE_CHECK_SECONDS)
@@ -388,7 +382,7 @@
             score,
         )
         if completed:
-            self._keep(task)
+            self._kept.keep(task.item.item_id, task.partial)
         if detail:
             logger.info(
                 "item given up",
