Give whole pages to copies that lie in a gap of the coordinator's own knowledge

Cause, found by a free run of the feed's fuzz (15 steps shrunk): a node that lists after a gap never learns of a document that came and went in it; asked by a node that knows the document, it told of no removal and raised that copy's revision past it: a server that is gone stays.

Ruled out: late answers (already passed over), compaction alone (the lister drops what it knew).

Change: a watcher says since which revision it has seen every change itself, and remembers removals also of documents it never had; copies from before get a whole page.

--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -9,7 +9,6 @@
 
 import json
 import time
-from collections import deque
 from collections.abc import Callable, Sequence
 
 from gevent.event import Event
@@ -38,7 +37,6 @@
 """The coordinator's watches are short: they confirm its copy, which all nodes rely on."""
 
 LONGEST_WAIT_SECONDS = 2.0
-MAXIMUM_REMOVALS = 4_000
 
 
 def fresh_seconds(news_seconds: float) -> float:
@@ -57,21 +55,13 @@
     def __init__(self, watcher: DocumentWatcher) -> None:
         self.watcher = watcher
         self._changed_at: dict[str, int] = {}
-        self._removals: deque[tuple[int, str]] = deque()
-        self._complete_from = 0
-        """All removals since this revision are known; 0: the documents have not been listed yet."""
 
     def note(self, document: Document, removed: bool) -> None:
         """Take note of a change that the watcher has just taken."""
-        revision = self.watcher.revision
-        self._complete_from = self._complete_from or revision
-        if not removed:
+        if removed:
+            self._changed_at.pop(document.name, None)
+        else:
             self._changed_at[document.name] = document.revision
-            return
-        self._changed_at.pop(document.name, None)
-        self._removals.append((revision, document.name))
-        if len(self._removals) > MAXIMUM_REMOVALS:
-            self._complete_from = self._removals.popleft()[0]
 
     def page_after(self, revision: int, even_if_empty: bool) -> FeedPage | None:
         """Return what a copy at a revision lacks.
@@ -82,10 +72,9 @@
         watcher = self.watcher
         if revision >= watcher.revision:
             return None
-        self._complete_from = self._complete_from or watcher.revision
-        whole = revision < self._complete_from
+        whole = revision < watcher.unbroken_since
         names = watcher.documents if whole else self._changed_since(revision)
-        removed = [] if whole else [name for at, name in self._removals if at > revision]
+        removed = [] if whole else [name for at, name in watcher.removals if at > revision]
         if not whole and not names and not removed and not even_if_empty:
             return None
         documents = [_to_wire(watcher.documents[name]) for name in names]
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections import deque
 from collections.abc import Callable
 
 import gevent
@@ -26,6 +27,9 @@
 
 TIMELY_MARGIN_SECONDS = 0.4
 
+MAXIMUM_REMOVALS = 4_000
+"""Removals that are remembered for other nodes."""
+
 ChangeListener = Callable[[Document, bool], None]
 """Called with a document and whether it was removed."""
 
@@ -45,6 +49,9 @@
     Attributes:
         documents: the copy, by name.
         revision: the store's revision that the copy reflects, 0 before the first list.
+        unbroken_since: revision since which this watcher has seen every change itself. What came
+            and went before, in a gap between two lists, it may never have known.
+        removals: names that are gone since then, each with the revision at which it was noticed.
         listed: set once the first list has been read.
         fresh_at: monotonic time at which the documents were those of the store, at least.
     """
@@ -68,6 +75,8 @@
         self._failures = 0
         self._task: gevent.Greenlet | None = None
         self.revision = 0
+        self.unbroken_since = 0
+        self.removals: deque[tuple[int, str]] = deque()
         self.documents: dict[str, Document] = {}
         self.listed = Event()
         self.fresh_at = 0.0
@@ -121,6 +130,8 @@
         if page.revision < self.revision:
             return
         before, self.revision = self.revision, page.revision
+        self.unbroken_since = page.revision
+        self.removals.clear()
         present = {document.name for document in page.documents}
         gone = [name for name in self.documents if name not in present] if page.whole else ()
         for name in {*gone, *page.removed} - present:
@@ -163,9 +174,17 @@
         before = self.revision
         self.revision = max(before, changes.revision)
         for change in changes.changes:
+            if change.removed:
+                self._note_removal(change.document.name)
             if change.removed or change.document.revision > before:
                 self._apply(change.document, change.removed)
 
+    def _note_removal(self, name: str) -> None:
+        """Remember a removal, also of a document that this copy never had: others may have it."""
+        self.removals.append((self.revision, name))
+        if len(self.removals) > MAXIMUM_REMOVALS:
+            self.unbroken_since = self.removals.popleft()[0]
+
     def _list(self) -> None:
         listing = self._store.list(self._kind)
         if listing.revision < self.revision:
