Let a copy that began with another node's page watch on instead of listing

Change: a whole page counts as a list; a reply that arrives after another node took over is not taken, so that it can't undo the list that a new coordinator asks for. Tests of feed, watcher, election, operators' queries, refused machines, mute watches pass (49).

--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -122,8 +122,7 @@
 
     def _rest(self, coordinator: Coordinator) -> None:
         """Let the watchers rest, unless this node has become coordinator meanwhile."""
-        known = self._coordinator()
-        if known is None or known.node_id != coordinator.node_id:
+        if not self._still(coordinator):
             return
         logger.info(
             "feed followed",
@@ -136,6 +135,10 @@
         self.store_needed.clear()
         self.coordinator_needed.clear()
 
+    def _still(self, coordinator: Coordinator) -> bool:
+        known = self._coordinator()
+        return known is not None and known.node_id == coordinator.node_id
+
     def _read(self, coordinator: Coordinator) -> str:
         """Take what the coordinator has; returns what went wrong, empty for nothing."""
         # The first answer is wanted at once: until it is there, the store is asked.
@@ -153,6 +156,8 @@
             )
             if reply.state != FeedState.CURRENT:
                 return _STATE_NAMES.get(reply.state, "unknown")
+            if not self._still(coordinator):
+                return "replaced"
             for page in reply.pages:
                 self._take(page)
         except RunkeelError as error:
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -132,6 +132,8 @@
         before, self.revision = self.revision, page.revision
         self.unbroken_since = page.revision
         self.removals.clear()
+        if page.whole:
+            self._list_due = False
         present = {document.name for document in page.documents}
         gone = [name for name in self.documents if name not in present] if page.whole else ()
         for name in {*gone, *page.removed} - present:
