Leave an engine that is not reached for as long as one that failed

A refused or timed-out connection proves that the item did not run, and was judged like a full engine: 50 ms of rest, after which its free slots made it the best choice again; a dark engine would hold an item for a whole connection time-out each time.

Ruled out: counting it as a failed attempt of the item, which did not run.

Change: an outcome of its own; the engine is taken as failed.

--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -31,6 +31,8 @@
     """The engine or the connection broke off; what was received stands."""
     REFUSED = "refused"
     """The engine did not run it."""
+    UNREACHABLE = "unreachable"
+    """No connection to the engine came about, so it did not run it."""
     FAILED = "failed"
     """The engine ran it and answered that it failed."""
     IMPOSSIBLE = "impossible"
@@ -121,7 +123,7 @@
             stream = self._state.pool.open_stream(outgoing, first_deadline)
         except RunkeelError as error:
             self.detail = error.detail
-            return RunOutcome.REFUSED if error.verdict is Verdict.NOT_RUN else RunOutcome.BROKEN
+            return _outcome_without_answer(error)
         self._stream = stream
         try:
             return self._read(stream, deadline)
@@ -208,3 +210,10 @@
         self.first_event_at = self.first_event_at or now
         self.last_event_at = now
         return version
+
+
+def _outcome_without_answer(error: RunkeelError) -> RunOutcome:
+    if error.verdict is not Verdict.NOT_RUN:
+        return RunOutcome.BROKEN
+    unreachable = error.code is ErrorCode.BACKEND_UNREACHABLE
+    return RunOutcome.UNREACHABLE if unreachable else RunOutcome.REFUSED
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -337,7 +337,7 @@
     def _judge(self, engine: BackendState, outcome: RunOutcome) -> None:
         if outcome is RunOutcome.COMPLETE:
             engine.failures = 0
-        elif outcome is RunOutcome.BROKEN:
+        elif outcome in (RunOutcome.BROKEN, RunOutcome.UNREACHABLE):
             engine.failed()
         elif outcome is RunOutcome.REFUSED:
             engine.refused()
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -14,7 +14,8 @@
     ServiceShare,
 )
 from runkeel.api.machines import Address
-from runkeel.gateway.backends import BackendDirectory
+from runkeel.backends.http_connection import OutgoingRequest
+from runkeel.gateway.backends import REFUSAL_PAUSE_SECONDS, BackendDirectory
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.engine_placement import EnginePlacement
 from runkeel.jobs.generation_run import PartialText
@@ -46,6 +47,13 @@
         raise AssertionError("not reached: the greenlet is killed before it begins")
 
 
+class UnreachedProtocol:
+    """Nobody listens at the engine's address."""
+
+    def encode_generation(self, request, backend, remaining):
+        return OutgoingRequest("POST", request.path, [], request.body)
+
+
 class SchedulerTest(unittest.TestCase):
     def setUp(self):
         self.directory = BackendDirectory()
@@ -57,6 +65,21 @@
         )
         self.state = JobState(make_job())
 
+    def test_engine_that_refuses_connections_is_left_for_longer_than_a_full_one(self):
+        """agreste-grown inc-05b9: 497 runs were tried at three dead engines, each 50 ms."""
+        self.routing.apply(make_configuration())
+        protocol = UnreachedProtocol()
+        self.scheduler = Scheduler(self.placement, self.routing, protocol, None, lambda *key: False)
+        self.scheduler.start()
+        self.addCleanup(self.scheduler.stop)
+        self.scheduler.add(self.state)
+        engine = self.directory.get("e")
+        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        while not engine.failures:
+            self.assertLess(time.monotonic(), deadline)
+            gevent.sleep(0.01)
+        self.assertTrue(engine.avoided(time.monotonic() + REFUSAL_PAUSE_SECONDS))
+
     def test_waiting_item_goes_on_from_a_longer_text(self):
         item_id = f"{JOB_ID}-0"
         self.assertTrue(self.scheduler.lacks_text(item_id, 2))
