Reset the connection of a request that is given up, so that nothing of it arrives later

After a plain close the kernel goes on sending what a partition holds up, so the bytes of an item's request may reach the engine after the item has been taken elsewhere or its job has ended. Change: an exchange that ends midway (error, deadline, stream given up or aborted) resets its connection (SO_LINGER 0); whole answers close or keep it as before.

--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import re
+import struct
 import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -30,6 +32,9 @@
 """A peer that acknowledges nothing for so long is taken as gone."""
 
 _FIRST_FINAL_STATUS = 200
+_LINGER_NOT = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER by which closing resets the connection."""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
 
@@ -143,16 +148,16 @@
             _receive_into(self._sock, self._answer, deadline)
 
     def close(self) -> None:
-        """Give the connection back if the answer was read to its end, else close it."""
+        """Give the connection back if the answer was read to its end, else reset it."""
         sock, self._sock = self._sock, None
         if sock is not None:
             self._pool.give_back(sock, self._answer)
 
     def abort(self) -> None:
-        """Close the connection now; a task that reads the answer gets BACKEND_LOST."""
+        """Reset the connection now; a task that reads the answer gets BACKEND_LOST."""
         sock, self._sock = self._sock, None
         if sock is not None:
-            sock.close()
+            _reset(sock)
 
 
 class HttpConnectionPool:
@@ -219,8 +224,11 @@
         return HttpAnswerStream(self, sock, answer)
 
     def give_back(self, sock: gevent.socket.socket, answer: _Answer) -> None:
-        """Keep a connection whose answer ended cleanly; close any other."""
-        reusable = answer.finished and not answer.closed_by_peer and not answer.should_close()
+        """Keep a connection whose answer ended cleanly; reset one that is given up midway."""
+        if not answer.finished:
+            _reset(sock)
+            return
+        reusable = not answer.closed_by_peer and not answer.should_close()
         if self._closed or not reusable or len(self._idle) >= MAXIMUM_IDLE_CONNECTIONS:
             sock.close()
             return
@@ -254,7 +262,7 @@
             while not answer.final_headers_complete:
                 _receive_into(sock, answer, deadline)
         except BaseException:
-            sock.close()
+            _reset(sock)
             raise
         return sock, answer
 
@@ -295,6 +303,17 @@
     sock.setsockopt(tcp, gevent.socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLISECONDS)
 
 
+def _reset(sock: gevent.socket.socket) -> None:
+    """Close a connection at once, dropping what its peer has not acknowledged.
+
+    After a plain close the kernel would go on sending: a request that a partition holds up would
+    reach the back end later, though it has been given up and may run elsewhere.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, _LINGER_NOT)
+    sock.close()
+
+
 def _encode_head(request: OutgoingRequest, host: str) -> bytes:
     lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host or host}"]
     lines.extend(f"{name}: {value}" for name, value in request.headers)
--- a/tests/backends/test_http_connection.py
+++ b/tests/backends/test_http_connection.py
@@ -5,6 +5,8 @@
 import time
 import unittest
 
+import gevent
+import gevent.socket
 from gevent.server import StreamServer
 
 from runkeel.api.machines import Address
@@ -42,6 +44,18 @@
             sock.sendall(answer)
 
 
+def _end(sock) -> str:
+    """Begin to answer, then tell how the client ends its connection."""
+    sock.recv(65_536)
+    sock.sendall(WHOLE[:-1])
+    try:
+        while sock.recv(65_536):
+            pass
+    except ConnectionResetError:
+        return "reset"
+    return "closed"
+
+
 class HttpConnectionPoolTest(unittest.TestCase):
     def serve(self, *answers: bytes) -> ScriptedServer:
         self.server = ScriptedServer(*answers)
@@ -162,6 +176,42 @@
         server.stop()
         self.assert_fails(ErrorCode.DEADLINE_EXCEEDED, Verdict.NOT_RUN, seconds=-1)
 
+    def test_request_that_is_given_up_is_reset_so_that_nothing_of_it_arrives_later(self) -> None:
+        listener = gevent.socket.socket()
+        self.addCleanup(listener.close)
+        listener.setsockopt(gevent.socket.SOL_SOCKET, gevent.socket.SO_RCVBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        self.pool = HttpConnectionPool(Address("127.0.0.1", listener.getsockname()[1]))
+        self.addCleanup(self.pool.close)
+        body = b"x" * 4_000_000
+        request = OutgoingRequest("POST", "/", [], body)
+        with self.assertRaises(RunkeelError):
+            self.pool.request(request, time.monotonic() + 0.05)
+        accepted, _ = listener.accept()
+        self.addCleanup(accepted.close)
+        received = 0
+        with self.assertRaises(ConnectionResetError):
+            while data := accepted.recv(65_536):
+                received += len(data)
+        self.assertLess(received, len(body) // 2)
+
+    def test_stream_that_is_given_up_is_reset(self) -> None:
+        for give_up in ("close", "abort"):
+            with self.subTest(give_up):
+                ends: list[str] = []
+                server = StreamServer(("127.0.0.1", 0), lambda sock, _: ends.append(_end(sock)))
+                server.start()
+                self.addCleanup(server.stop, 0.005)
+                pool = HttpConnectionPool(Address("127.0.0.1", server.server_port))
+                request = OutgoingRequest("GET", "/")
+                stream = pool.open_stream(request, time.monotonic() + 1.0)
+                getattr(stream, give_up)()
+                with gevent.Timeout(1.0, False):
+                    while not ends:
+                        gevent.sleep(0.001)
+                self.assertEqual(ends, ["reset"])
+
     def test_line_breaks_do_not_smuggle_headers(self) -> None:
         self.serve(WHOLE)
         self.assert_fails(ErrorCode.BAD_REQUEST, Verdict.NOT_RUN, target="/ HTTP/1.1\r\nX: y")
