Keep running texts on the disks of storage machines; let a restarted coordinator take its place again

All machines lose power or are killed, the copies of running texts in memory with them, so every item of two steps runs anew: 6 to 8 s for the longest. Besides, the successor was another machine than before and waited 3.8 s before its first order. A coordinator that has restarted is given 0.4 s to take its place again.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -63,6 +63,12 @@
 WITNESS_SECONDS = 0.8
 PREDECESSOR_PINGS = 30
 START_SPREAD_SECONDS = 0.3
+
+RECLAIM_SECONDS = 0.4
+"""A coordinator that has restarted gets so long to take its place again.
+
+It knows best what was running, and need not wait before it gives orders to engines.
+"""
 PREFERENCE_SECONDS = 1.5
 """So much longer a node that isn't preferred waits at a start without a coordinator."""
 
@@ -220,7 +226,8 @@
 
     def _run(self) -> None:
         self._watcher.listed.wait()
-        gevent.sleep(random.uniform(0.0, START_SPREAD_SECONDS))
+        if self._coordinator is None or self._coordinator.node_id != self._node_id:
+            gevent.sleep(random.uniform(0.0, START_SPREAD_SECONDS))
         if not self._preferred and self._coordinator is None:
             gevent.sleep(PREFERENCE_SECONDS)
         self._last_contact = time.monotonic()
@@ -262,8 +269,7 @@
         self._failing_since = self._failing_since or asked_at
         silent = now - self._last_contact
         failing = now - self._failing_since
-        # A node that says itself that it doesn't coordinate need not be waited for.
-        silence = SILENCE_SECONDS if pong is None or pong.coordinator else 0.0
+        silence = _silence_seconds(pong)
         if pong is None and not self._preferred:
             silence += NOT_PREFERRED_SECONDS
         if failing < silence + RANK_SECONDS * self._rank or not self._reaches_store():
@@ -342,7 +348,7 @@
             self.coordinating,
             rank,
             int(interval * 1000),
-            self._reaches_store(),
+            self._reaches_store() and not self._stopping,
             self._peers.witnesses_for(peer),
             lease_revision,
             int(lease_age * 1000),
@@ -396,3 +402,11 @@
         self._witnesses = {one.node_id: one for one in self._peers.witnesses_for(self._node_id)}
         COORDINATING.labels(self._shard).set(0)
         self._on_lost()
+
+
+def _silence_seconds(pong: CoordinatorPong | None) -> float:
+    """Return how long the first in rank waits after an answer like this, or without one."""
+    if pong is None or pong.coordinator:
+        return SILENCE_SECONDS
+    # A node that says itself that it doesn't coordinate is waited for only if it may again.
+    return RECLAIM_SECONDS if pong.store_reachable else 0.0
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from pathlib import Path
 
 import gevent
 from loguru import logger
@@ -37,6 +38,7 @@
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
 from runkeel.jobs.text_hand_over import TextHandOver
+from runkeel.jobs.text_journal import TextJournal
 from runkeel.jobs.text_replication import TextCopies, TextSender
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
@@ -44,6 +46,9 @@
 
 SHARD = "fleet"
 
+TEXT_FOLDER = "texts"
+"""Folder of the journal of running texts, within a machine's data folder."""
+
 COORDINATOR_GATHER_SECONDS = 0.3
 """Changes of back ends are gathered for so long before the coordinator asks for more."""
 
@@ -69,6 +74,7 @@
         order_pause_seconds: least time between the orders of two nodes to engines.
         preferred_coordinator: this node coordinates rather than one that serves clients.
         news_seconds: changes of configuration and back ends must be known everywhere in this time.
+        data_folder: on this machine's disk; None: it has none.
     """
 
     node_id: str
@@ -80,6 +86,7 @@
     order_pause_seconds: float = 3.0
     preferred_coordinator: bool = False
     news_seconds: float = 2.0
+    data_folder: Path | None = None
 
 
 class FleetNode:
@@ -157,15 +164,16 @@
         self._routing_watcher.on_change(self._feed.note)
         self._election.watcher.on_change(self._feed.note)
         self.jobs = JobService(store, self._network, self._election, SHARD)
-        self._copies = TextCopies(self._network)
+        folder = settings.data_folder
+        self._journal = TextJournal(folder / TEXT_FOLDER) if folder is not None else None
+        self._copies = TextCopies(self._network, self._journal)
         self._hand_over = TextHandOver(
             self._network,
             SHARD,
             self._copies,
             lambda: self._term.scheduler if self._term is not None else None,
         )
-        if not settings.preferred_coordinator:
-            self._election.watcher.on_change(self._offer_texts)
+        self._election.watcher.on_change(self._offer_texts)
         self._term: _Term | None = None
         self.directory.on_change(self._directory_changed)
 
@@ -233,6 +241,8 @@
         for watcher in self._watchers:
             watcher.stop()
         self._network.stop()
+        if self._journal is not None:
+            self._journal.close()
 
     def _watch_seconds(self) -> float:
         if self._term is not None:
@@ -317,6 +327,7 @@
             epoch,
             self.scheduler.open_texts,
             node._election.copy_holders,
+            node._journal,
         )
         self._rollout = VersionRollout(
             node.directory,
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -27,6 +27,9 @@
 
 IDLE_CHECK_SECONDS = 0.25
 REQUEUE_SECONDS = 0.05
+UNKNOWN_ITEM_SECONDS = 3.0
+"""Texts of items that no job names are taken for so long after the start: jobs are loading."""
+
 MISSING_ROUTE_SECONDS = 5.0
 """An item whose route has left the configuration is given up after so long."""
 
@@ -63,6 +66,9 @@
         self._mover = RunMover(placement, self._lengths, self._route)
         self._pressed_at: dict[str, float] = {}
         self._checked_at = 0.0
+        self._created_at = time.monotonic()
+        self._unlisted: list[ItemTask] = []
+        """Finished items whose result is not in the store yet."""
         self._wake = Event()
         self._loop: gevent.Greenlet | None = None
 
@@ -90,6 +96,8 @@
         if any(task.item.item_id == item_id for task in self._running.values()):
             return False
         task = self._queued(item_id)
+        if task is None and time.monotonic() - self._created_at > UNKNOWN_ITEM_SECONDS:
+            return False
         known = task.partial if task is not None else self._kept.get(item_id)
         return known is None or len(known.pieces) < pieces
 
@@ -113,8 +121,13 @@
             task.partial = text
 
     def open_texts(self) -> dict[str, PartialText]:
-        """Return the texts of the items that are running, waiting or being scored."""
-        tasks = [*self._running.values(), *self._queue]
+        """Return the texts of the items that are running, waiting, scored or not listed yet."""
+        self._unlisted = [
+            task
+            for task in self._unlisted
+            if not task.state.ended and not task.state.is_listed(task.item.item_id)
+        ]
+        tasks = [*self._unlisted, *self._running.values(), *self._queue]
         return {task.item.item_id: task.partial for task in tasks if task.partial.pieces}
 
     def pressed(self, model: str) -> bool:
@@ -360,6 +373,7 @@
         )
         if completed:
             self._kept.keep(task.item.item_id, task.partial)
+            self._unlisted.append(task)
         if detail:
             logger.info(
                 "item given up",
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -2,7 +2,8 @@
 
 The coordinator sends what has been added, a few times a second, to the node that would replace it.
 When that node becomes coordinator, it continues each generation after the last event that it has,
-instead of running it anew. A lost copy costs time, never a result.
+instead of running it anew. A lost copy costs time, never a result. Nodes with a disk keep the texts
+there as well, see :mod:`runkeel.jobs.text_journal`.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 
 from runkeel.errors import RunkeelError
 from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.text_journal import JournalRecord, TextJournal
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import TextReplication, TextReplicationReply, TextUpdate
 from runkeel.wire.network import PeerNetwork
@@ -38,7 +40,11 @@
 
 
 class TextSender:
-    """Sends the texts of one term to those who may succeed; one task."""
+    """Sends the texts of one term to those who may succeed; one task.
+
+    Args:
+        journal: this node's own; None: it has no disk.
+    """
 
     def __init__(
         self,
@@ -47,7 +53,10 @@
         epoch: int,
         texts: Callable[[], dict[str, PartialText]],
         successors: Callable[[], list[str]],
+        journal: TextJournal | None = None,
     ) -> None:
+        self._journal = journal
+        self._written: dict[str, SentText] = {}
         self._network = network
         self._shard = shard
         self._epoch = epoch
@@ -76,17 +85,22 @@
         self._sent = {one: sent for one, sent in self._sent.items() if one in receivers}
         texts = self._texts()
         sends = [gevent.spawn(self._send_to, receiver, texts) for receiver in receivers]
+        sends.append(gevent.spawn(self._write, texts))
         gevent.joinall(sends)
 
+    def _write(self, texts: dict[str, PartialText]) -> None:
+        if self._journal is None:
+            return
+        if self._journal.wants_all:
+            self._written.clear()
+        updates = _updates(texts, self._written)
+        if updates:
+            self._journal.append(TextReplication(self._shard, self._epoch, updates, False))
+            _note_sent(updates, self._written)
+
     def _send_to(self, receiver: str, texts: dict[str, PartialText]) -> None:
         known = self._sent.setdefault(receiver, {})
-        for item_id in [one for one in known if one not in texts]:
-            del known[item_id]
-        updates = [
-            update
-            for item_id, text in texts.items()
-            if (update := text_update(item_id, text, known.get(item_id))) is not None
-        ]
+        updates = _updates(texts, known)
         if not updates:
             return
         message = TextReplication(self._shard, self._epoch, updates, False)
@@ -102,13 +116,28 @@
             # What arrived is unknown: everything is sent again.
             known.clear()
             return
-        for update in updates:
-            pieces = update.first_piece + len(update.pieces)
-            known[update.item_id] = SentText(update.generation, pieces, update.whole)
+        _note_sent(updates, known)
         for item_id in reply.missing:
             known.pop(item_id, None)
 
 
+def _updates(texts: dict[str, PartialText], known: dict[str, SentText]) -> list[TextUpdate]:
+    """Return what a receiver lacks of all texts; forget what it knows of those that are gone."""
+    for item_id in [one for one in known if one not in texts]:
+        del known[item_id]
+    return [
+        update
+        for item_id, text in texts.items()
+        if (update := text_update(item_id, text, known.get(item_id))) is not None
+    ]
+
+
+def _note_sent(updates: list[TextUpdate], known: dict[str, SentText]) -> None:
+    for update in updates:
+        pieces = update.first_piece + len(update.pieces)
+        known[update.item_id] = SentText(update.generation, pieces, update.whole)
+
+
 def text_update(item_id: str, text: PartialText, sent: SentText | None) -> TextUpdate | None:
     """Return what a receiver lacks of a text, None when it has it all."""
     first = sent.pieces if sent is not None and sent.generation == text.generation else 0
@@ -132,11 +161,18 @@
 
 
 class TextCopies:
-    """The successor's copies; always ready to receive."""
+    """The successor's copies; always ready to receive.
+
+    Args:
+        journal: this node's own; None: it has no disk. What it holds is taken over.
+    """
 
-    def __init__(self, network: PeerNetwork) -> None:
+    def __init__(self, network: PeerNetwork, journal: TextJournal | None = None) -> None:
         self._copies: dict[str, _Copy] = {}
         self._epoch = 0
+        self._journal = journal
+        if journal is not None:
+            self._restore(journal.load())
         self._hand_over: Callable[[list[TextUpdate]], list[str]] = lambda updates: []
         network.on_call(MessageType.TEXT_REPLICATION, TextReplication, self._receive)
 
@@ -177,11 +213,33 @@
             if message.epoch > self._epoch:
                 self._copies.clear()
                 self._epoch = message.epoch
-            missing = [one.item_id for one in message.updates if not self._apply(one)]
+            now = time.monotonic()
+            missing = [one.item_id for one in message.updates if not self._apply(one, now)]
             self._forget_old()
+            self._write(message)
         return MessageType.TEXT_REPLICATION_REPLY, TextReplicationReply(missing)
 
-    def _apply(self, update: TextUpdate) -> bool:
+    def _restore(self, records: list[JournalRecord]) -> None:
+        now = time.monotonic()
+        for record in records:
+            if record.message.epoch > self._epoch:
+                self._copies.clear()
+                self._epoch = record.message.epoch
+            for update in record.message.updates:
+                self._apply(update, now - record.age_seconds)
+        self._forget_old()
+
+    def _write(self, message: TextReplication) -> None:
+        if self._journal is None:
+            return
+        if self._journal.wants_all:
+            updates = [
+                text_update(item_id, copy.text, None) for item_id, copy in self._copies.items()
+            ]
+            message = TextReplication(message.shard, message.epoch, updates, False)
+        self._journal.append(message)
+
+    def _apply(self, update: TextUpdate, now: float) -> bool:
         """Add an update to its copy; False when earlier pieces are missing."""
         copy = self._copies.get(update.item_id)
         if update.first_piece == 0:
@@ -193,7 +251,7 @@
         copy.text.last_event_id = update.last_event_id or None
         copy.text.versions = list(update.versions)
         copy.text.whole = update.whole
-        copy.updated_at = time.monotonic()
+        copy.updated_at = now
         return True
 
     def _forget_old(self) -> None:
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -4,8 +4,10 @@
 
 import base64
 import json
+import tempfile
 import time
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import gevent
@@ -108,6 +110,7 @@
         self._order_pause_seconds = order_pause_seconds
         self._metrics = _LOOPBACK if metrics else None
         self._machines: dict[str, _Slot] = {}
+        self._disks = tempfile.TemporaryDirectory(prefix="runkeel-disks-")
         for number in range(edges):
             self._add_machine(f"edge-{number}", ZONES[number % 3], serves_clients=True)
         for number in range(disks):
@@ -130,6 +133,7 @@
         for slot in self._machines.values():
             slot.store.stop()
         self.store.stop()
+        self._disks.cleanup()
 
     def configure(self, content: dict[str, Any]) -> None:
         """Write a configuration, as the operator does."""
@@ -243,6 +247,7 @@
             incarnation=1,
             order_pause_seconds=self._order_pause_seconds,
             preferred_coordinator=not serves_clients,
+            data_folder=None if serves_clients else Path(self._disks.name) / name,
         )
         listener = _LOOPBACK if serves_clients else None
         store = StoreServer(len(self._machines), behind=self.store)
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -11,6 +11,7 @@
 from runkeel.coordination import election as election_module
 from runkeel.coordination.election import Election
 from runkeel.state import document_watcher
+from runkeel.wire.generated.jobs.ttypes import CoordinatorPong
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 from runkeel_lab.standins.peer_network import MemoryNetwork
 
@@ -116,6 +117,26 @@
             nodes += self._nodes("disk-1")
             self.assertEqual(self._coordinator(nodes).node_id, "disk-1")
 
+    def test_coordinator_that_has_restarted_takes_its_place_again(self):
+        """kitami trouble-1: another node took over after the loss of power of all machines.
+
+        It had to wait 3.8 s before its first order to an engine.
+        """
+        content = {"node": "b", "address": "127.0.0.1:1", "zone": "zone", "epoch": 1}
+        self.store.put(DocumentKind.COORDINATOR, "fleet", content)
+        with mock.patch.object(election_module, "RECLAIM_SECONDS", 4.0):
+            nodes = self._nodes("a", "b", "c")
+            self.assertEqual(self._coordinator(nodes).node_id, "b")
+        self.assertEqual(self.terms, [("b", 2)])
+
+    def test_node_that_stops_or_lost_the_store_is_not_waited_for(self):
+        silent = election_module._silence_seconds(None)
+        for reaches_store, expected in ((True, election_module.RECLAIM_SECONDS), (False, 0.0)):
+            pong = CoordinatorPong(False, 0, 0, reaches_store, [], 0, 0)
+            self.assertEqual(election_module._silence_seconds(pong), expected)
+        pong = CoordinatorPong(True, 0, 0, True, [], 0, 0)
+        self.assertEqual(election_module._silence_seconds(pong), silent)
+
     def test_dead_coordinator_is_replaced_once(self):
         """sirca trouble-2: three nodes took over within 0.4 s, each from the one before."""
         nodes = self._nodes("a", "b", "c", "d")
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -13,14 +13,16 @@
     ServiceDescription,
     ServiceShare,
 )
+from runkeel.api.jobs import ResultState
 from runkeel.api.machines import Address
 from runkeel.backends.http_connection import OutgoingRequest
 from runkeel.gateway.backends import REFUSAL_PAUSE_SECONDS, BackendDirectory
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.engine_placement import EnginePlacement
 from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
-from runkeel.jobs.scheduler import Scheduler
+from runkeel.jobs.scheduler import UNKNOWN_ITEM_SECONDS, Scheduler
 from tests.jobs.test_job_service import JOB_ID, make_job
 
 SERVICE = "engines"
@@ -99,6 +101,20 @@
         self.scheduler.add(self.state)
         self.assertEqual(list(self.scheduler.open_texts()), [f"{JOB_ID}-1"])
 
+    def test_text_of_an_item_that_no_job_names_is_taken_at_the_start_only(self):
+        self.assertTrue(self.scheduler.lacks_text("other", 2))
+        self.scheduler._created_at -= UNKNOWN_ITEM_SECONDS
+        self.assertFalse(self.scheduler.lacks_text("other", 2))
+        self.scheduler.add(self.state)
+        self.assertTrue(self.scheduler.lacks_text(f"{JOB_ID}-0", 2))
+
+    def test_text_of_a_finished_item_is_open_until_its_result_is_listed(self):
+        task = ItemTask(self.state, self.state.job.items[0], PartialText(["x"], "1", [1], True))
+        self.scheduler._finish(task, ResultState.COMPLETED, "score")
+        self.assertEqual(list(self.scheduler.open_texts()), [f"{JOB_ID}-0"])
+        self.state.take_segment(list(self.state.unlisted))
+        self.assertEqual(self.scheduler.open_texts(), {})
+
     def test_without_a_configuration_items_wait(self):
         """agreste trouble-1, snapshot b5fa95be: 64 items were given up (MIXED)."""
         self.scheduler.start()
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -49,11 +49,13 @@
         self.assertEqual(loaded.fleet.peer_address, Address("10.1.0.10", 7720))
         self.assertEqual(loaded.fleet.order_pause_seconds, 3.0)
         self.assertFalse(loaded.fleet.preferred_coordinator)
+        self.assertIsNone(loaded.fleet.data_folder)
 
     def test_storage_machine_has_no_listeners_for_clients(self):
-        loaded = self._load(self._changed(Serves=["storage"], Listen={}))
+        loaded = self._load(self._changed(Serves=["storage"], Listen={}, DataDir="/data"))
         self.assertIsNone(loaded.frontend)
         self.assertTrue(loaded.fleet.preferred_coordinator)
+        self.assertEqual(loaded.fleet.data_folder, Path("/data"))
 
     def test_time_for_news_is_the_shorter_bound(self):
         bounds = {"GraceS": 8, "LeaseMs": 3000}
