Estimate engine speeds over a second; keep long items off engines that load next; lab command steps

Change: run-seconds and events fade with a half-life of a second; an estimate is at most four times the fastest; long items prefer engines whose version is not the oldest that is accepted, as those load next; only items with 1.5 s or more to go leave before a load. runkeel-lab steps shows a step's way and its last items.

--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -20,6 +20,12 @@
 
 LARGEST_RELATIVE_LENGTH = 4.0
 
+OLD_VERSION_COST = 0.1
+"""Cost of an engine with the oldest version that a job accepts: it is the next to load another.
+
+For an item of typical length; it rises with the item's length, as a load halts what runs.
+"""
+
 SLOWER_ENGINE = 1.15
 """An engine counts as slower than another from this ratio on: estimates are not exact."""
 
@@ -80,7 +86,7 @@
             relative_length: what is still to be generated, as a multiple of a typical generation.
             besides: an engine that is not wanted.
         """
-        slowness_cost = SLOWNESS_COST * min(LARGEST_RELATIVE_LENGTH, relative_length)
+        length = min(LARGEST_RELATIVE_LENGTH, relative_length)
         now = time.monotonic()
         home = self._groups.get((job.job_id, item.group))
         best: BackendState | None = None
@@ -93,7 +99,9 @@
             if state.avoided(now) or not self.usable(job, state):
                 continue
             cost = load / slots - (GROUP_BONUS if state.backend_id == home else 0.0)
-            cost += slowness_cost * (self._speeds.slowness(state.backend_id) - 1.0)
+            cost += SLOWNESS_COST * length * (self._speeds.slowness(state.backend_id) - 1.0)
+            if job.model and self._version(state, job.model) <= job.minimum_version:
+                cost += OLD_VERSION_COST * length
             if best is None or cost < best_cost:
                 best, best_cost = state, cost
         return best
--- a/src/runkeel/jobs/engine_speeds.py
+++ b/src/runkeel/jobs/engine_speeds.py
@@ -5,17 +5,33 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-SMOOTHING = 0.5
+HALF_LIFE_SECONDS = 1.0
+"""What was observed so long ago counts for half.
+
+An engine that reads many prompts at once stands still for a few tenths of a second; an estimate
+over a shorter time would take it for a slow one.
+"""
+
 FORGET_SECONDS = 4.0
 """An estimate is dropped after so long without an item on the engine."""
 
 LARGEST_SLOWNESS = 4.0
 
+_LEAST_EVENTS = 0.5
+
 
 @dataclass(slots=True)
 class _Estimate:
-    seconds_per_event: float
-    updated_at: float
+    """Seconds that runs have generated for and the events that came of it, both fading."""
+
+    run_seconds: float = 0.0
+    events: float = 0.0
+    updated_at: float = 0.0
+
+    @property
+    def seconds_per_event(self) -> float:
+        # Without any event the true value is unknown but larger than what one event shows.
+        return self.run_seconds / max(_LEAST_EVENTS, self.events)
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +44,7 @@
 
 
 class EngineSpeeds:
-    """Seconds per event of each engine, smoothed over recent observations."""
+    """Seconds per event of each engine, over the last seconds."""
 
     def __init__(self) -> None:
         self._estimates: dict[str, _Estimate] = {}
@@ -51,9 +67,7 @@
             events[sample.backend_id] = events.get(sample.backend_id, 0) + sample.events - before
         self._seen = seen
         for backend_id, count in runs.items():
-            # Without any event the true value is unknown but larger than what one event shows.
-            seconds = elapsed * count / max(1, events[backend_id])
-            self._update(backend_id, seconds, now)
+            self._update(backend_id, elapsed * count, events[backend_id], now)
         for backend_id in [
             one
             for one, estimate in self._estimates.items()
@@ -64,24 +78,21 @@
     def slowness(self, backend_id: str) -> float:
         """Return how many times slower an engine is than the fastest one; 1 when unknown."""
         estimate = self._estimates.get(backend_id)
-        if estimate is None:
-            return 1.0
-        fastest = min(one.seconds_per_event for one in self._estimates.values())
-        if fastest <= 0:
+        fastest = self._fastest()
+        if estimate is None or fastest <= 0:
             return 1.0
         return min(LARGEST_SLOWNESS, estimate.seconds_per_event / fastest)
 
     def seconds_per_event(self, backend_id: str) -> float:
         """Return an engine's estimate; the fastest one's when unknown, 0 when none is known."""
-        estimate = self._estimates.get(backend_id)
-        if estimate is not None:
-            return estimate.seconds_per_event
+        return self._fastest() * self.slowness(backend_id)
+
+    def _fastest(self) -> float:
         return min((one.seconds_per_event for one in self._estimates.values()), default=0.0)
 
-    def _update(self, backend_id: str, seconds: float, now: float) -> None:
-        estimate = self._estimates.get(backend_id)
-        if estimate is None:
-            self._estimates[backend_id] = _Estimate(seconds, now)
-            return
-        estimate.seconds_per_event += SMOOTHING * (seconds - estimate.seconds_per_event)
+    def _update(self, backend_id: str, run_seconds: float, events: int, now: float) -> None:
+        estimate = self._estimates.setdefault(backend_id, _Estimate(updated_at=now))
+        faded = 0.5 ** ((now - estimate.updated_at) / HALF_LIFE_SECONDS)
+        estimate.run_seconds = estimate.run_seconds * faded + run_seconds
+        estimate.events = estimate.events * faded + events
         estimate.updated_at = now
--- a/src/runkeel/jobs/run_mover.py
+++ b/src/runkeel/jobs/run_mover.py
@@ -27,10 +27,10 @@
 """An item leaves a slower engine if it is expected to end so much sooner elsewhere."""
 
 LOAD_STALL_SECONDS = 1.0
-"""What runs at an engine stands still for so long while the engine loads a version.
+"""What runs at an engine stands still for so long while the engine loads a version."""
 
-Items that are expected to run on for longer than this are moved away before it.
-"""
+LEAST_SECONDS_LEFT_BEFORE_LOAD = 1.5
+"""Items that are expected to generate for longer than this are moved away before a load."""
 
 LEAST_GAIN_BEFORE_LOAD_SECONDS = 0.3
 
@@ -94,7 +94,8 @@
         ]
         for task in sorted(there, key=self.remaining_events, reverse=True):
             remaining = self.remaining_events(task)
-            if remaining * self._placement.seconds_per_event(task.engine) < LOAD_STALL_SECONDS:
+            left = remaining * self._placement.seconds_per_event(task.engine)
+            if left < LEAST_SECONDS_LEFT_BEFORE_LOAD:
                 return
             other = self._other_engine(task)
             if other is None:
--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -175,13 +175,28 @@
     return EXIT_OK if found else EXIT_VIOLATED
 
 
+def steps(*logs: Path, last_items: int = 3) -> int:
+    """Print where the time of each training step went, from the nodes' logs.
+
+    Example: ``runkeel-lab steps logs/*.log``
+
+    :param logs: files with the nodes' log lines, in any order.
+    :param last_items: items of each step that are shown run by run, those that ended last.
+    """
+    from runkeel_lab.step_times import format_steps
+    from runkeel_lab.story import read_lines
+
+    print(format_steps(read_lines(logs), last_items))
+    return EXIT_OK
+
+
 def main() -> None:
     """Run the command line and exit with its code."""
     from runkeel_lab.processes import LabError
 
     try:
         code = defopt.run(
-            [standins, demo, run, sweep, replay, scale, soak, story],
+            [standins, demo, run, sweep, replay, scale, soak, steps, story],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
             argparse_kwargs={"prog": "runkeel-lab"},
--- a/tests/jobs/test_engine_placement.py
+++ b/tests/jobs/test_engine_placement.py
@@ -87,6 +87,14 @@
         self.assertIs(choose(self.job, item, SERVICE, relative_length=0.2), slow)
         self.assertIs(choose(self.job, item, SERVICE, relative_length=4.0), fast)
 
+    def test_long_items_keep_off_engines_that_load_next(self):
+        old, new = self._engine("old", version=1, slots=8), self._engine("new", 2, slots=8)
+        self.placement.take(new)
+        item = self.job.items[0]
+        choose = self.placement.choose
+        self.assertIs(choose(self.job, item, SERVICE, relative_length=0.5), old)
+        self.assertIs(choose(self.job, item, SERVICE, relative_length=3.0), new)
+
     def test_engine_that_is_not_wanted(self):
         first, second = self._engine("a"), self._engine("b")
         self.placement.take(second)
--- a/tests/jobs/test_engine_speeds.py
+++ b/tests/jobs/test_engine_speeds.py
@@ -37,6 +37,22 @@
             self._observe(speeds, float(second), fast=30 * second, slow=30 * second)
         self.assertLess(speeds.slowness("slow"), 1.2)
 
+    def test_short_halt_is_not_taken_for_a_slow_engine(self):
+        """kitami trouble-1: items left an engine at once that was reading their prompts."""
+        speeds = EngineSpeeds()
+        self._observe(speeds, 0.0, fast=0, halted=0)
+        self._observe(speeds, 2.0, fast=50, halted=50)
+        self._observe(speeds, 2.25, fast=56, halted=50)
+        self.assertLess(speeds.slowness("halted"), 1.35)
+        self._observe(speeds, 3.25, fast=81, halted=75)
+        self.assertLess(speeds.slowness("halted"), 1.15)
+
+    def test_estimate_of_a_stuck_engine_is_bounded(self):
+        speeds = EngineSpeeds()
+        self._observe(speeds, 1.0, fast=0, stuck=3)
+        self._observe(speeds, 2.0, fast=25, stuck=3)
+        self.assertAlmostEqual(speeds.seconds_per_event("stuck"), 0.04 * LARGEST_SLOWNESS)
+
     def test_estimate_is_forgotten(self):
         speeds = EngineSpeeds()
         self._observe(speeds, 1.0, fast=0, slow=0)
