--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -135,6 +135,9 @@
         self._failing_since = 0.0
         self._gained_at = 0.0
         self._lost_store_at = 0.0
+        self._store_lost = False
+        self._store_back_at = 0.0
+        """When the store was back, as seen while the coordinator is silent."""
         self._task: gevent.Greenlet | None = None
         network.on_call(MessageType.COORDINATOR_PING, CoordinatorPing, self._answer_ping)
         network.on_call(MessageType.COORDINATOR_WITNESS, CoordinatorWitness, self._answer_witness)
@@ -272,7 +275,8 @@
         silence = _silence_seconds(pong)
         if pong is None and not self._preferred:
             silence += NOT_PREFERRED_SECONDS
-        if failing < silence + RANK_SECONDS * self._rank or not self._reaches_store():
+        turn = RANK_SECONDS * self._rank
+        if failing < silence + turn or not self._is_turn_since_store_is_back(turn, now):
             return FAILING_PING_SECONDS if pong is None else PING_SECONDS / 2
         if pong is None and self._witnessed(known):
             logger.info(
@@ -289,6 +293,22 @@
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
+    def _is_turn_since_store_is_back(self, turn: float, now: float) -> bool:
+        """Return whether this node reaches the store and those before it have had their turn.
+
+        In an outage of the store all have waited for long enough; who hears first of its end is
+        chance. Those that are not preferred leave a moment to those that are.
+        """
+        if not self._reaches_store():
+            self._store_lost = True
+            return False
+        if self._store_lost:
+            self._store_lost = False
+            self._store_back_at = now
+        if not self._preferred:
+            turn += NOT_PREFERRED_SECONDS
+        return now - self._store_back_at >= turn
+
     def _witnessed(self, known: Coordinator) -> bool:
         others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
         return reached_by_others(self._network, self._shard, known.epoch, others, WITNESS_SECONDS)
--- a/src/runkeel/jobs/text_journal.py
+++ b/src/runkeel/jobs/text_journal.py
@@ -5,7 +5,7 @@
 and offers it to the next coordinator after its restart. A journal that is lost costs time, never a
 result: nothing that was promised depends on it.
 
-A file holds records, each with its length, a checksum and the writer's steady clock. The first
+A file holds records, each with its length, a checksum and the writer's time of day. The first
 record of a file has all texts whole, the others what was added. A damaged end is left out.
 """
 
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class JournalRecord:
-    """A message as it was written; ``age_seconds`` counts from the last one of its file."""
+    """A message as it was written; ``age_seconds`` goes by the time of day."""
 
     message: TextReplication
     age_seconds: float
@@ -89,10 +89,9 @@
             return
         begins = self.wants_all
         with self._lock:
-            try:
-                gevent.get_hub().threadpool.apply(self._write, (_encode(message), begins))
-            except OSError as error:
-                self._failed(error)
+            error = gevent.get_hub().threadpool.apply(self._write, (_encode(message), begins))
+        if error is not None:
+            self._failed(error)
 
     def close(self) -> None:
         """Stop to write."""
@@ -100,14 +99,19 @@
             os.close(self._file)
             self._file = None
 
-    def _write(self, record: bytes, begins: bool) -> None:
-        if begins:
-            self._begin_file()
-        os.write(self._file, record)
-        os.fdatasync(self._file)
-        self._bytes += len(record)
-        if begins:
-            self._remove_earlier()
+    def _write(self, record: bytes, begins: bool) -> OSError | None:
+        """Write a record so that it lasts; returns the error if that failed."""
+        try:
+            if begins:
+                self._begin_file()
+            os.write(self._file, record)
+            os.fdatasync(self._file)
+            self._bytes += len(record)
+            if begins:
+                self._remove_earlier()
+        except OSError as error:
+            return error
+        return None
 
     def _begin_file(self) -> None:
         last = self._earlier[-1].name[len(_PREFIX) : -len(_SUFFIX)] if self._earlier else "0"
@@ -136,7 +140,7 @@
 
 def _encode(message: TextReplication) -> bytes:
     body = zlib.compress(encode(message), _COMPRESSION_LEVEL)
-    clock = int(time.monotonic() * 1000)
+    clock = int(time.time() * 1000)
     return _RECORD.pack(len(body), _checksum(body, clock), clock) + body
 
 
@@ -145,9 +149,11 @@
 
 
 def _read(path: Path) -> list[JournalRecord]:
-    found = list(_records(path.read_bytes()))
-    last = found[-1][0] if found else 0
-    return [JournalRecord(message, (last - clock) / 1000.0) for clock, message in found]
+    now = int(time.time() * 1000)
+    return [
+        JournalRecord(message, max(0, now - clock) / 1000.0)
+        for clock, message in _records(path.read_bytes())
+    ]
 
 
 def _records(data: bytes) -> Iterator[tuple[int, TextReplication]]:
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -187,6 +187,22 @@
             first.leave()
             self._wait(lambda: any(node.coordinating for node in nodes if node is not first))
 
+    def test_preferred_node_takes_over_after_an_outage_of_the_store(self):
+        """kitami trouble-3: all had waited for long, an edge node heard first of the return."""
+        edges = self._nodes("edge-1", "edge-2", preferred=False)
+        disks = self._nodes("disk-1", "disk-2")
+        first = self._coordinator([*edges, *disks])
+        for name in ("disk-1", "disk-2", "edge-1", "edge-2"):
+            self.stores[name].cut = True
+        self.network.silent.add(first.node_id)
+        first.stop()
+        gevent.sleep(4 * SETTLE_SECONDS)
+        self.assertEqual(len(self.terms), 1, self.terms)
+        for name in ("edge-1", "edge-2", "disk-1", "disk-2"):
+            self.stores[name].cut = False
+        others = [node for node in [*edges, *disks] if node is not first]
+        self.assertIn(self._coordinator(others).node_id, ("disk-1", "disk-2"))
+
     def test_nobody_takes_over_while_the_store_is_down(self):
         nodes = self._nodes("a", "b", "c")
         self._coordinator(nodes)
--- a/tests/jobs/test_text_journal.py
+++ b/tests/jobs/test_text_journal.py
@@ -1,6 +1,7 @@
 """Texts on a machine's disk: what a restarted process finds of them."""
 
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from unittest import mock
@@ -126,12 +127,18 @@
         self.assertEqual(restarted.take()["i"].pieces, copies.take()["i"].pieces)
 
     def test_texts_that_were_not_written_for_long_are_left_out(self):
+        now = time.time()
+        sender, _ = self._process()
+        for name, age in (("old", KEPT_SECONDS + 1.0), ("i", 1.0)):
+            self.texts[name] = self._text(2)
+            with mock.patch.object(text_journal.time, "time", return_value=now - age):
+                sender.send_once()
+        self.assertEqual(list(self._process(epoch=2)[1]), ["i"])
+
+    def test_clock_that_was_set_back_does_no_harm(self):
         sender, _ = self._process()
-        self.texts["old"] = self._text(2)
-        with mock.patch.object(text_journal.time, "monotonic", return_value=100.0):
-            sender.send_once()
         self.texts["i"] = self._text(2)
-        with mock.patch.object(text_journal.time, "monotonic", return_value=101.0 + KEPT_SECONDS):
+        with mock.patch.object(text_journal.time, "time", return_value=time.time() + 3600.0):
             sender.send_once()
         self.assertEqual(list(self._process(epoch=2)[1]), ["i"])
 
