--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -23,7 +23,11 @@
 from runkeel.coordination.witnesses import reached_by_others
 from runkeel.errors import RunkeelError
 from runkeel.metrics import COORDINATING
-from runkeel.state.document_watcher import WATCH_SECONDS, DocumentWatcher
+from runkeel.state.document_watcher import (
+    RESTING_PROBE_SECONDS,
+    WATCH_SECONDS,
+    DocumentWatcher,
+)
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import (
     CoordinatorPing,
@@ -122,6 +126,8 @@
             self._changed,
             watch_seconds=self._watch_seconds,
             needed=store_needed,
+            # Who may have to take over at once wants to know whether it reaches the store.
+            resting_probe_seconds=PING_SECONDS if preferred else RESTING_PROBE_SECONDS,
         )
         self._coordinator: Coordinator | None = None
         self._epoch = 0
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -32,6 +32,8 @@
 
 TIMER_MARGIN_SECONDS = 0.05
 
+RESTING_PROBE_SECONDS = 2.0
+
 LAPSE_RECENT_SECONDS = 1.5
 """The store must have failed so lately for its first answer to show when it came back."""
 
@@ -53,6 +55,8 @@
         watch_seconds: longest time that one watch waits. A watch whose answer was lost is mute
             until then.
         needed: set while the store has to be asked; None: always.
+        resting_probe_seconds: while the store need not be asked but failed last, it is tried so
+            often: refused calls have their price too.
         lapse_seconds: documents that lapsed in an outage of the store are kept for so long after
             its end, since those whose owners live come back.
 
@@ -75,7 +79,9 @@
         watch_seconds: Callable[[], float] = lambda: WATCH_SECONDS,
         needed: Event | None = None,
         lapse_seconds: float = 0.0,
+        resting_probe_seconds: float = RESTING_PROBE_SECONDS,
     ) -> None:
+        self._resting_probe_seconds = resting_probe_seconds
         self._store = store
         self._kind = kind
         self._lapse_seconds = lapse_seconds
@@ -167,8 +173,8 @@
 
     def _run(self) -> None:
         while True:
-            if self._needed is not None and not self._failures:
-                self._needed.wait()
+            if self._needed is not None:
+                self._needed.wait(self._resting_probe_seconds if self._failures else None)
             try:
                 self._step()
             except HistoryLostError:
--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -116,6 +116,26 @@
         needed.set()
         self._wait(lambda: self.changes == [("a", False)])
 
+    def test_store_that_fails_is_tried_seldom_while_it_need_not_be_asked(self):
+        """kitami-grown trouble-1: 25 refused nodes made 561 calls while they followed the feed."""
+        needed = gevent.event.Event()
+        needed.set()
+        watcher = DocumentWatcher(
+            self.store, KIND, self._note, needed=needed, resting_probe_seconds=60.0
+        )
+        self.addCleanup(watcher.stop)
+        self.store.down = True
+        watcher.start()
+        self._wait(lambda: not watcher.reachable)
+        needed.clear()
+        gevent.sleep(1.0)
+        calls = sum(self.store.calls.values())
+        gevent.sleep(1.0)
+        self.assertEqual(sum(self.store.calls.values()), calls)
+        self.store.down = False
+        needed.set()
+        self._wait(lambda: watcher.reachable)
+
     def _page(self, revision, *documents, whole=False, removed=()):
         listed = tuple(Document(KIND, name, at, 1) for name, at in documents)
         return DocumentPage(KIND, revision, whole, listed, removed)
