--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -190,13 +190,34 @@
     return EXIT_OK
 
 
+def worth(*entries: Path, picture: Path | None = None) -> int:
+    """Compare the worth of the days of the users' bench by its journal entries.
+
+    Example: ``runkeel-lab worth journal/*-29040c96.json --picture out/worth.png``
+
+    :param entries: journal entries; a row each.
+    :param picture: PNG file to draw the days' worth in.
+    """
+    from runkeel_lab.users_platform.bench_journal import (
+        format_entries,
+        plot_entries,
+        read_entry,
+    )
+
+    found = [read_entry(path) for path in entries]
+    print(format_entries(found))
+    if picture is not None:
+        plot_entries(found, picture)
+    return EXIT_OK
+
+
 def main() -> None:
     """Run the command line and exit with its code."""
     from runkeel_lab.processes import LabError
 
     try:
         code = defopt.run(
-            [standins, demo, run, sweep, replay, scale, soak, steps, story],
+            [standins, demo, run, sweep, replay, scale, soak, steps, story, worth],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
             argparse_kwargs={"prog": "runkeel-lab"},
--- /dev/null
+++ b/src/runkeel_lab/users_platform/bench_journal.py
@@ -0,0 +1,110 @@
+"""Compares the days of journal entries of the users' bench: a table and a picture."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import matplotlib
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot  # noqa: E402  (the backend must be chosen first)
+
+CALM_SLOT = "quiet"
+DRAWN_PREFIX = "fresh-"
+"""Days that the bench draws at a score; they differ from entry to entry."""
+
+_SIZE_INCHES = (9, 4.5)
+_GROUP_WIDTH = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class BenchDay:
+    """A played day: its worth, the share of its credit lost to prices, rules that broke."""
+
+    name: str
+    slot: str
+    worth: float
+    prices: float
+    broken: int
+
+
+@dataclass(frozen=True, slots=True)
+class BenchEntry:
+    """One entry of the journal."""
+
+    entry_id: str
+    site: str
+    reason: str
+    days: tuple[BenchDay, ...]
+
+    @property
+    def standard_days(self) -> tuple[BenchDay, ...]:
+        """The days that every score plays."""
+        return tuple(day for day in self.days if not day.name.startswith(DRAWN_PREFIX))
+
+    @property
+    def mean_of_trouble(self) -> float:
+        """Mean worth of the standard days with trouble; 0 when there is none."""
+        found = [day.worth for day in self.standard_days if day.slot != CALM_SLOT]
+        return sum(found) / len(found) if found else 0.0
+
+
+def read_entry(path: Path) -> BenchEntry:
+    """Read an entry. Raises ValueError when the file is none."""
+    try:
+        content = json.loads(path.read_text())
+        days = tuple(_day(day) for day in content["days"])
+        return BenchEntry(content["id"], content["site"], content["why"], days)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"{path}: not a journal entry: {error!r}") from error
+
+
+def format_entries(entries: Sequence[BenchEntry]) -> str:
+    """Return a table: a row an entry, a column a day, the mean of the days with trouble last."""
+    names = _day_names(entries)
+    width = max([len(entry.site) for entry in entries], default=4)
+    rows = [f"{'site':<{width}} entry    " + " ".join(f"{n:>9}" for n in names) + "      mean"]
+    for entry in entries:
+        worth = {day.name: day for day in entry.standard_days}
+        cells = " ".join(_cell(worth.get(name)) for name in names)
+        mean = f"{entry.mean_of_trouble:>9.3f}"
+        rows.append(f"{entry.site:<{width}} {entry.entry_id:<8} {cells} {mean}")
+    return "\n".join(rows)
+
+
+def plot_entries(entries: Sequence[BenchEntry], path: Path) -> None:
+    """Draw the worth of each day as bars, one colour an entry."""
+    names = _day_names(entries)
+    figure, axes = pyplot.subplots(figsize=_SIZE_INCHES)
+    width = _GROUP_WIDTH / max(1, len(entries))
+    for number, entry in enumerate(entries):
+        worth = {day.name: day.worth for day in entry.standard_days}
+        places = [place + number * width for place in range(len(names))]
+        heights = [worth.get(name, 0.0) for name in names]
+        axes.bar(places, heights, width, label=f"{entry.site} {entry.entry_id}")
+    axes.set_xticks([place + _GROUP_WIDTH / 2 - width / 2 for place in range(len(names))], names)
+    axes.set_ylabel("worth")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
+
+
+def _day(content: dict) -> BenchDay:
+    prices = sum(price for _, _, price in content["prices"])
+    broken = sum(content["rules"].values())
+    return BenchDay(content["name"], content["slot"], content["G"], prices, broken)
+
+
+def _day_names(entries: Sequence[BenchEntry]) -> list[str]:
+    return list(dict.fromkeys(day.name for entry in entries for day in entry.standard_days))
+
+
+def _cell(day: BenchDay | None) -> str:
+    if day is None:
+        return f"{'-':>9}"
+    return f"{day.worth:>8.3f}{'!' if day.broken else ' '}"
