--- a/tests/users_platform/test_bench_journal.py
+++ b/tests/users_platform/test_bench_journal.py
@@ -39,7 +39,7 @@
         first = self._entry("a", day("trouble-1", "trouble", 0.5, {"LOST": 2}))
         second = self._entry("b", day("trouble-1", "trouble", 0.7), day("scale-1", "scale", 0.6))
         table = format_entries([first, second]).splitlines()
-        self.assertIn("0.500!         -      0.500", table[1])
+        self.assertIn("0.500!         -     0.500", table[1])
         self.assertIn("0.700     0.600      0.650", table[2])
         plot_entries([first, second], self.folder / "worth.png")
         self.assertGreater((self.folder / "worth.png").stat().st_size, 1_000)
