--- a/src/runkeel/coordination/rollout_plan.py
+++ b/src/runkeel/coordination/rollout_plan.py
@@ -7,15 +7,13 @@
 
 An engine takes one order at a time, and few may load at once. The models of a service therefore
 share the orders: the next one goes to the model that has the smallest part of the engines it needs.
-Where they need more engines together than there are, they share the engines too: each load halts
-what runs at an engine, for all models, so that an engine had better serve few of them.
 """
 
 from __future__ import annotations
 
+import hashlib
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 from runkeel.gateway.backends import BackendState
 
@@ -124,10 +122,10 @@
         loading: engines of the service that are under way to a version.
     """
     room = max(CONCURRENT_LOADS, int(len(engines) * CONCURRENT_SHARE)) - loading
-    demands = {model: demand(model) for model in targets}
-    standings = {model: [standing(state, model) for state in engines] for model in targets}
-    needed = _share_engines({model: _needed(demands[model], engines) for model in targets}, engines)
-    plans = [_plan_model(model, targets, demands, standings, needed[model]) for model in targets]
+    plans = [
+        _plan_model(model, target, demand(model), [standing(state, model) for state in engines])
+        for model, target in targets.items()
+    ]
     changes: list[PlannedChange] = []
     taken: set[str] = set()
     while plans and len(changes) < room:
@@ -141,37 +139,11 @@
     return changes
 
 
-def _needed(demand: ModelDemand, engines: list[BackendState]) -> int:
-    """Return how many engines a model's jobs can fill; all while no job has come."""
-    if demand.items is None:
-        return len(engines)
-    slots = max((state.backend.slots for state in engines), default=1)
-    factor = PRESSED_FACTOR if demand.pressed else COMMON_FACTOR
-    return max(LEAST_ENGINES, -(-int(demand.items * factor) // max(1, slots)))
-
-
-def _share_engines(needed: dict[str, int], engines: list[BackendState]) -> dict[str, int]:
-    """Return how many engines each model gets: in proportion where there are too few for all."""
-    total = sum(needed.values())
-    if total <= len(engines):
-        return needed
-    return {
-        model: max(LEAST_ENGINES, -(-len(engines) * count // total))
-        for model, count in needed.items()
-    }
-
-
 def _plan_model(
-    model: str,
-    targets: dict[str, int],
-    demands: dict[str, ModelDemand],
-    standings: dict[str, list[EngineStanding]],
-    needed: int,
+    model: str, target: int, demand: ModelDemand, standings: list[EngineStanding]
 ) -> _ModelPlan:
-    target, demand = targets[model], demands[model]
-    others = _other_models(model, targets, demands, standings)
-    in_use = _furthest(model, standings[model], others)[:needed]
-    floor = _oldest_wanted(target, demand)
+    in_use = _in_use(model, demand, standings)
+    floor = max(target - demand.slack, demand.minimum_version)
     usable = sum(1 for one in in_use if one.version >= floor and not one.avoided)
     plan = _ModelPlan(model, target, len(in_use), usable)
     share = -(-len(in_use) // (demand.slack + 1))
@@ -188,41 +160,24 @@
     return plan
 
 
-def _oldest_wanted(target: int, demand: ModelDemand) -> int:
-    """Return the oldest version that the jobs of a model accept or soon will."""
-    return max(target - demand.slack, demand.minimum_version)
-
-
-def _other_models(
-    model: str,
-    targets: dict[str, int],
-    demands: dict[str, ModelDemand],
-    standings: dict[str, list[EngineStanding]],
-) -> dict[str, int]:
-    """Return by engine how many other models have a version there that their jobs accept."""
-    counts: dict[str, int] = {}
-    for other in targets:
-        if other == model:
-            continue
-        floor = _oldest_wanted(targets[other], demands[other])
-        for one in standings[other]:
-            backend_id = one.state.backend_id
-            counts[backend_id] = counts.get(backend_id, 0) + (one.version >= floor)
-    return counts
-
-
-def _furthest(
-    model: str, standings: Iterable[EngineStanding], others: dict[str, int]
+def _in_use(
+    model: str, demand: ModelDemand, standings: list[EngineStanding]
 ) -> list[EngineStanding]:
-    """Return the engines in the order in which a model uses them.
+    """Return as many engines as the model's jobs can fill, those that are furthest first.
 
-    Those that are furthest first, then those that fewer other models use; among equals each model
-    prefers other engines, so that the models spread over the fleet.
+    Among equals each model prefers other engines, so that the models share the fleet.
     """
+    if demand.items is None:
+        return standings
+    slots = max((one.state.backend.slots for one in standings), default=1)
+    factor = PRESSED_FACTOR if demand.pressed else COMMON_FACTOR
+    needed = max(LEAST_ENGINES, -(-int(demand.items * factor) // max(1, slots)))
+    return _furthest(model, standings)[:needed]
+
 
-    def order(one: EngineStanding) -> tuple[bool, int, int, bytes]:
-        backend_id = one.state.backend_id
-        key = blake2b(f"{model}/{backend_id}".encode(), digest_size=8).digest()
-        return one.avoided, -one.version, others.get(backend_id, 0), key
+def _furthest(model: str, standings: Iterable[EngineStanding]) -> list[EngineStanding]:
+    def order(one: EngineStanding) -> tuple[bool, int, bytes]:
+        key = f"{model}/{one.state.backend_id}".encode()
+        return one.avoided, -one.version, hashlib.blake2b(key, digest_size=8).digest()
 
     return sorted(standings, key=order)
