Let a stale copy never replace the text of newer weights

One was the whole text of an item that had been carried over and begun anew on newer weights: longer, so it replaced the text that the coordinator had from its own disk; its weights were too old for the job, and the item began from nothing. Ruled out: that the moved item waited in the queue (it ran until the job's end). Change: texts of newer weights come before longer ones; offers tell their versions. Test: a longer text of older weights; fails before the change (the text is replaced).

--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -68,6 +68,11 @@
         self.whole = False
         self.generation = next(_generations)
 
+    @property
+    def precedence(self) -> tuple[int, int]:
+        """Order among texts of one item: those of newer weights first, then the longest."""
+        return min(self.versions, default=0), len(self.pieces)
+
     def fits(self, minimum_version: int, single_version: bool) -> bool:
         """Return whether the text may be used where these versions are allowed."""
         if any(version < minimum_version for version in self.versions):
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -91,19 +91,19 @@
         for item_id, text in texts.items():
             self._kept.keep(item_id, text)
 
-    def lacks_text(self, item_id: str, pieces: int) -> bool:
-        """Return whether an item may go on from a text of so many pieces."""
+    def lacks_text(self, item_id: str, precedence: tuple[int, int]) -> bool:
+        """Return whether an item may go on from a text of this precedence."""
         if any(task.item.item_id == item_id for task in self._running.values()):
             return False
         task = self._queued(item_id)
         if task is None and time.monotonic() - self._created_at > UNKNOWN_ITEM_SECONDS:
             return False
         known = task.partial if task is not None else self._kept.get(item_id)
-        return known is None or len(known.pieces) < pieces
+        return known is None or known.precedence < precedence
 
     def adopt_text(self, item_id: str, text: PartialText) -> None:
         """Let an item go on from a text, unless it runs already or its job can't use it."""
-        if not self.lacks_text(item_id, len(text.pieces)):
+        if not self.lacks_text(item_id, text.precedence):
             return
         task = self._queued(item_id)
         if task is None:
--- a/src/runkeel/jobs/text_hand_over.py
+++ b/src/runkeel/jobs/text_hand_over.py
@@ -26,8 +26,8 @@
 class TextReceiver(Protocol):
     """The part of a coordinator's scheduler that takes texts."""
 
-    def lacks_text(self, item_id: str, pieces: int) -> bool:
-        """Return whether an item may go on from a text of so many pieces."""
+    def lacks_text(self, item_id: str, precedence: tuple[int, int]) -> bool:
+        """Return whether an item may go on from a text of this precedence."""
 
     def adopt_text(self, item_id: str, text: PartialText) -> None:
         """Let an item that has not begun to run go on from a text."""
@@ -97,7 +97,8 @@
         wanted = []
         for update in updates:
             if update.first_piece:
-                if receiver.lacks_text(update.item_id, update.first_piece):
+                offered = min(update.versions, default=0), update.first_piece
+                if receiver.lacks_text(update.item_id, offered):
                     wanted.append(update.item_id)
                 continue
             receiver.adopt_text(update.item_id, _text(update))
@@ -105,7 +106,8 @@
 
 
 def _offer(item_id: str, text: PartialText) -> TextUpdate:
-    return TextUpdate(item_id, text.generation, len(text.pieces), [], "", [], text.whole)
+    count, versions = len(text.pieces), list(text.versions)
+    return TextUpdate(item_id, text.generation, count, [], "", versions, text.whole)
 
 
 def _text(update: TextUpdate) -> PartialText:
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -84,29 +84,39 @@
 
     def test_waiting_item_goes_on_from_a_longer_text(self):
         item_id = f"{JOB_ID}-0"
-        self.assertTrue(self.scheduler.lacks_text(item_id, 2))
+        self.assertTrue(self.scheduler.lacks_text(item_id, (1, 2)))
         self.scheduler.add(self.state)
         self.scheduler.adopt_text(item_id, PartialText(["x", "y"], "2", [1]))
         self.scheduler.adopt_text(item_id, PartialText(["z"], "1", [1]))
         self.assertEqual(self.scheduler.open_texts()[item_id].pieces, ["x", "y"])
-        self.assertFalse(self.scheduler.lacks_text(item_id, 2))
+        self.assertFalse(self.scheduler.lacks_text(item_id, (1, 2)))
 
     def test_text_of_a_version_that_the_job_does_not_accept_is_not_used(self):
         self.scheduler.add(self.state)
         self.scheduler.adopt_text(f"{JOB_ID}-0", PartialText(["x"], "1", [0]))
         self.assertEqual(self.scheduler.open_texts(), {})
 
+    def test_longer_text_of_older_weights_does_not_replace_a_newer_one(self):
+        """kitami trouble-3 (trial t8): an item began anew, as a stale copy was longer."""
+        item_id = f"{JOB_ID}-0"
+        self.scheduler.keep_texts({item_id: PartialText(["x"], "1", [1])})
+        stale = PartialText(["a", "b", "c"], "3", [0], True)
+        self.assertFalse(self.scheduler.lacks_text(item_id, stale.precedence))
+        self.scheduler.adopt_text(item_id, stale)
+        self.scheduler.add(self.state)
+        self.assertEqual(self.scheduler.open_texts()[item_id].pieces, ["x"])
+
     def test_text_that_comes_before_its_job_is_used(self):
         self.scheduler.adopt_text(f"{JOB_ID}-1", PartialText(["x"], "1", [1]))
         self.scheduler.add(self.state)
         self.assertEqual(list(self.scheduler.open_texts()), [f"{JOB_ID}-1"])
 
     def test_text_of_an_item_that_no_job_names_is_taken_at_the_start_only(self):
-        self.assertTrue(self.scheduler.lacks_text("other", 2))
+        self.assertTrue(self.scheduler.lacks_text("other", (1, 2)))
         self.scheduler._created_at -= UNKNOWN_ITEM_SECONDS
-        self.assertFalse(self.scheduler.lacks_text("other", 2))
+        self.assertFalse(self.scheduler.lacks_text("other", (1, 2)))
         self.scheduler.add(self.state)
-        self.assertTrue(self.scheduler.lacks_text(f"{JOB_ID}-0", 2))
+        self.assertTrue(self.scheduler.lacks_text(f"{JOB_ID}-0", (1, 2)))
 
     def test_text_of_a_finished_item_is_open_until_its_result_is_listed(self):
         task = ItemTask(self.state, self.state.job.items[0], PartialText(["x"], "1", [1], True))
--- a/tests/jobs/test_text_hand_over.py
+++ b/tests/jobs/test_text_hand_over.py
@@ -19,8 +19,10 @@
     def __init__(self, *wanted):
         self.wanted = wanted
         self.adopted = {}
+        self.offered = {}
 
-    def lacks_text(self, item_id, pieces):
+    def lacks_text(self, item_id, precedence):
+        self.offered[item_id] = precedence
         return item_id in self.wanted
 
     def adopt_text(self, item_id, text):
@@ -55,6 +57,7 @@
         self.assertEqual((text.pieces, text.last_event_id), (["x", "y"], "2"))
         self.assertEqual((text.versions, text.whole), ([1, 2], False))
         self.assertNotIn("k", self.receiver.adopted)
+        self.assertEqual(self.receiver.offered, dict.fromkeys("ijk", (1, 2)))
 
     def test_coordinator_of_the_same_epoch_is_offered_nothing(self):
         self.keeper.offer("next", 3)
