--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -103,49 +103,6 @@
     return EXIT_OK if replay_trace(trace, out) else EXIT_VIOLATED
 
 
-def scale(
-    *,
-    nodes: list[int] = [24, 48, 96],  # noqa: B006  (read only)
-    engines_per_node: list[float] = [10.5],  # noqa: B006
-    seconds: float = 30.0,
-    zones: int = 6,
-    nodes_per_process: int = 20,
-    settle_seconds: float = 20.0,
-    restart_seconds: float = 0.0,
-    storm: bool = False,
-    outage_seconds: float = 0.0,
-    out: Path = Path("out/scale"),
-) -> int:
-    """Measure what control costs a node in fleets of hollow nodes beside a real one.
-
-    Example: ``runkeel-lab scale --nodes 24 48 96 --engines-per-node 5 10.5 --out out/scale``
-
-    :param nodes: sizes of the fleets; each is run with each number of engines.
-    :param engines_per_node: emulated engines for each node.
-    :param seconds: length of each measurement in s.
-    :param zones: zones that the nodes are spread over, up to 6.
-    :param nodes_per_process: hollow nodes that share a process.
-    :param settle_seconds: s between the start of a fleet and its measurement.
-    :param restart_seconds: s between unannounced restarts in each process of nodes; 0 for none.
-    :param storm: restart 5% of the nodes at once after the measurement.
-    :param outage_seconds: s that the object API is down after the measurement; 0 for none.
-    :param out: folder for logs, scale.json and scale.png.
-    """
-    from runkeel_lab.scale.fleet import FleetOptions
-    from runkeel_lab.scale.run import ScaleOptions
-    from runkeel_lab.scale.steps import holds, run_scale
-
-    results = run_scale(
-        nodes,
-        engines_per_node,
-        out,
-        ScaleOptions(seconds, settle_seconds, outage_seconds, storm),
-        FleetOptions(nodes_per_process=nodes_per_process, restart_seconds=restart_seconds),
-        zones,
-    )
-    return EXIT_OK if all(holds(result) for result in results) else EXIT_VIOLATED
-
-
 def soak(*, seed: int = 1, runs: int = 1, seconds: float = 20.0) -> int:
     """Disturb deployments on the stand-in of the users' platform and check what was acknowledged.
 
@@ -217,7 +174,7 @@
 
     try:
         code = defopt.run(
-            [standins, demo, run, sweep, replay, scale, soak, steps, story, worth],
+            [standins, demo, run, sweep, replay, soak, steps, story, worth],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
             argparse_kwargs={"prog": "runkeel-lab"},
--- a/src/runkeel_lab/scale/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Scale runs: many hollow nodes and engines in few processes, beside real ones."""
