Fuzz copies and journals of running texts against an oracle; it finds two seeded faults

The oracle knows every text that an item ever had; whatever is taken over from a copy or a disk must be one of them. Messages and replies are lost, processes end and take over, ends of journals are torn off. Two mutants (a gap that is not missed, a text that began anew told as growth) are found.

--- /dev/null
+++ b/tests/jobs/test_text_fuzz.py
@@ -0,0 +1,72 @@
+"""Fuzzing of copies and journals of texts, and proof that it finds the faults it is meant for."""
+
+import os
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from runkeel.jobs import text_journal, text_replication
+from tests.fuzzing import find_violation
+from tests.jobs.text_machine import TextMachine
+
+FREE_RUNNING = "RUNKEEL_FUZZ_EXAMPLES" in os.environ
+EXAMPLES = int(os.environ.get("RUNKEEL_FUZZ_EXAMPLES", "60"))
+MUTANT_EXAMPLES = 100
+STEPS = 30
+
+
+def fuzz_settings(examples):
+    return settings(
+        max_examples=examples,
+        stateful_step_count=STEPS,
+        derandomize=not FREE_RUNNING,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate, Phase.shrink] if FREE_RUNNING else [Phase.generate],
+    )
+
+
+def continues_with_gap(text, update):
+    """The mutant of _continues: what a lost message had is not missed."""
+    return text.generation == update.generation
+
+
+def update_of_any_run(item_id, text, sent):
+    """The mutant of text_update: a text that began anew is told as the growth of the one before."""
+    known = replace(sent, generation=text.generation) if sent is not None else None
+    return text_update(item_id, text, known)
+
+
+text_update = text_replication.text_update
+
+
+class TextFuzzTest(unittest.TestCase):
+    def test_contract_holds(self):
+        run_state_machine_as_test(TextMachine, settings=fuzz_settings(EXAMPLES))
+
+    def check_found(self, target, name, mutant):
+        with mock.patch.object(target, name, mutant):
+            violation = find_violation(TextMachine, fuzz_settings(MUTANT_EXAMPLES))
+        self.assertIsNotNone(violation)
+
+    def test_joined_runs_are_found(self):
+        with mock.patch.object(text_replication, "_continues", continues_with_gap):
+            self.check_found(text_replication, "text_update", update_of_any_run)
+
+    def test_gaps_are_found(self):
+        self.check_found(text_replication, "_continues", continues_with_gap)
+
+    def test_damaged_records_that_are_passed_over_are_found(self):
+        def ignore_checksum(body, clock):
+            return 0
+
+        with mock.patch.object(text_journal, "_checksum", ignore_checksum):
+            # Without a checksum the compressed body still shows the damage: nothing wrong is read.
+            run_state_machine_as_test(TextMachine, settings=fuzz_settings(EXAMPLES // 3))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/jobs/text_machine.py
@@ -0,0 +1,173 @@
+"""Random histories of running texts, their copies at another node and their journals on disks.
+
+An item begins, grows, begins anew, is listed or dropped; messages and replies are lost; processes
+restart and take over; the end of a journal is torn off. The oracle knows every text that an item
+ever had. It checks that whatever is taken over is one of them, never joined from two runs.
+"""
+
+import shutil
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from runkeel.errors import RunkeelError, Verdict
+from runkeel.jobs import text_journal
+from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.text_journal import TextJournal
+from runkeel.jobs.text_replication import TextCopies, TextSender
+from runkeel_lab.standins.peer_network import MemoryNetwork
+
+ITEMS = 1
+JOURNAL_BYTES = 600
+"""Small, so that files are rotated."""
+
+item_names = strategies.sampled_from([f"i{n}" for n in range(ITEMS)])
+growths = strategies.integers(1, 4)
+
+
+class _LossyNode:
+    """A node's network whose next call may be lost, before or after it was handled."""
+
+    def __init__(self, node):
+        self._node = node
+        self.lose = ""
+
+    def on_call(self, *arguments):
+        self._node.on_call(*arguments)
+
+    def call(self, *arguments):
+        lose, self.lose = self.lose, ""
+        if lose != "message":
+            reply = self._node.call(*arguments)
+        if lose:
+            raise RunkeelError("peer_lost", "lost", Verdict.MAY_HAVE_RUN)
+        return reply
+
+
+class TextMachine(RuleBasedStateMachine):
+    """A coordinator with a successor; both have disks."""
+
+    def __init__(self):
+        super().__init__()
+        self.folder = Path(tempfile.mkdtemp(prefix="runkeel-texts-"))
+        self.patches = [
+            mock.patch.object(text_journal.os, name, lambda descriptor: None)
+            for name in ("fdatasync", "fsync")
+        ]
+        for patch in self.patches:
+            patch.start()
+        self.network = MemoryNetwork()
+        self.history = {}
+        self.texts = {}
+        self.listed = set()
+        self.runs = 0
+        self.epoch = 1
+        self.journals = {}
+        self.copies = {name: self._restored(name) for name in ("a", "b")}
+        self.sender = self._new_sender("a")
+
+    def teardown(self):
+        for journal in self.journals.values():
+            journal.close()
+        for patch in self.patches:
+            patch.stop()
+        shutil.rmtree(self.folder)
+
+    def _restored(self, name):
+        if name in self.journals:
+            self.journals[name].close()
+        self.journals[name] = TextJournal(self.folder / name, JOURNAL_BYTES)
+        return TextCopies(self.network.node(name), self.journals[name])
+
+    def _new_sender(self, name):
+        self.coordinator = name
+        self.other = "b" if name == "a" else "a"
+        self.link = _LossyNode(self.network.node(name))
+        return TextSender(
+            self.link,
+            "fleet",
+            self.epoch,
+            lambda: self.texts,
+            lambda: [self.other],
+            self.journals[name],
+            lambda item: item in self.listed,
+        )
+
+    def _note(self, item):
+        self.history.setdefault(item, set()).add(tuple(self.texts[item].pieces))
+
+    def _take_over(self, name):
+        """Let a node coordinate from what it has; what it takes must have been."""
+        self.epoch += 1
+        self.texts = self.copies[name].take()
+        self.listed.clear()
+        for item, text in self.texts.items():
+            known = self.history.get(item, set())
+            assert tuple(text.pieces) in known, f"{item} never had {text.pieces}"
+            assert text.last_event_id == (str(len(text.pieces)) if text.pieces else None)
+        self.sender = self._new_sender(name)
+
+    @rule(item=item_names, growth=growths)
+    def grow_and_send(self, item, growth):
+        """An item makes events, and they are sent."""
+        self.grow(item, growth)
+        self.sender.send_once()
+
+    @rule(item=item_names, growth=growths)
+    def grow(self, item, growth):
+        """An item makes events; it begins if it doesn't run."""
+        self.listed.discard(item)
+        text = self.texts.setdefault(item, PartialText())
+        if not text.pieces:
+            self.runs += 1
+        for _ in range(growth):
+            text.pieces.append(f"{item} of run {self.runs}, piece {len(text.pieces)}")
+        text.last_event_id = str(len(text.pieces))
+        text.versions = [1]
+        self._note(item)
+
+    @rule(item=item_names)
+    def begin_anew(self, item):
+        """An item's text no longer fits its job."""
+        if item in self.texts:
+            self.texts[item].clear()
+            self._note(item)
+
+    @rule(item=item_names, listed=strategies.booleans())
+    def end(self, item, listed):
+        """An item's result is listed, or its job ends without it."""
+        if self.texts.pop(item, None) is not None and listed:
+            self.listed.add(item)
+
+    @rule(lose=strategies.sampled_from(["", "", "message", "reply"]))
+    def send(self, lose):
+        """What was added is sent; the message or its reply may be lost."""
+        self.link.lose = lose
+        self.sender.send_once()
+
+    def _tear(self, name, count):
+        """Tear bytes off the end of a node's journal."""
+        files = sorted((self.folder / name).glob("*.log"))
+        if files and count:
+            files[-1].write_bytes(files[-1].read_bytes()[:-count])
+
+    @rule(torn=strategies.integers(0, 60))
+    def successor_restarts(self, torn):
+        """Its process ends; it has what its disk has, which may be less than it had received."""
+        self._tear(self.other, torn)
+        self.copies[self.other] = self._restored(self.other)
+
+    @rule(torn=strategies.integers(0, 60), successor=strategies.booleans())
+    def coordinator_ends(self, torn, successor):
+        """Its process ends, maybe in a write; it or the other node coordinates from then on."""
+        before = self.coordinator
+        self._tear(before, torn)
+        if successor:
+            self._take_over(self.other)
+            self.copies[before] = self._restored(before)
+        else:
+            self.copies[before] = self._restored(before)
+            self._take_over(before)
