Make the feed's fuzz find pages that are older than the copy, whatever modules are loaded

test_older_pages_are_found failed once in a whole run (798 passed, 1 failed). Traced: Hypothesis draws from constants of the loaded modules, so the examples differ from run to run of other code. Ruled out: a fault of the watcher (the contract holds). Change: the mutant replaces what both ways go through; what was held up may arrive twice.

--- a/tests/coordination/feed_machine.py
+++ b/tests/coordination/feed_machine.py
@@ -126,9 +126,13 @@
             delivery()
 
     @precondition(lambda self: self.late)
-    @rule(number=strategies.integers(0, 20))
-    def deliver_late(self, number):
-        self.late.pop(number % len(self.late))()
+    @rule(number=strategies.integers(0, 20), again=strategies.booleans())
+    def deliver_late(self, number, again):
+        """What was held up arrives; some of it arrives once more later."""
+        place = number % len(self.late)
+        self.late[place]()
+        if not again:
+            self.late.pop(place)
 
     @invariant()
     def copies_hold_what_their_revision_claims(self):
--- a/tests/coordination/test_feed_fuzz.py
+++ b/tests/coordination/test_feed_fuzz.py
@@ -14,7 +14,7 @@
 
 FREE_RUNNING = "RUNKEEL_FUZZ_EXAMPLES" in os.environ
 EXAMPLES = int(os.environ.get("RUNKEEL_FUZZ_EXAMPLES", "150"))
-MUTANT_EXAMPLES = 300
+MUTANT_EXAMPLES = 600
 STEPS = 30
 
 
@@ -29,13 +29,13 @@
     )
 
 
-def take_any_page(self, page):
-    """The mutant of take: pages that are older than the copy are taken too."""
+def take_any_page(self, page, remove):
+    """The mutant of _take_page: pages that are older than the copy are taken too."""
     self.revision = 0
-    take_page(self, page)
+    take_page(self, page, remove)
 
 
-take_page = DocumentWatcher.take
+take_page = DocumentWatcher._take_page
 
 
 def take_all_changes(self, changes):
@@ -72,7 +72,7 @@
         self.assertIsNotNone(violation)
 
     def test_older_pages_are_found(self):
-        self.check_found(DocumentWatcher, "take", take_any_page)
+        self.check_found(DocumentWatcher, "_take_page", take_any_page)
 
     def test_late_answers_applied_whole_are_found(self):
         self.check_found(DocumentWatcher, "_take_changes", take_all_changes)
