Keep the cost of a decision flat: lanes of waiting items, bounded candidates, indexed engines

Each wake asked for an engine for every waiting item; each choice looked at every engine; each look at an engine walked the speeds of all engines.

Ruled out: lack of processor (the busiest storage machine used 0.46 of its 1.29 cores on average); the store (no refusals before the first take-over).

Change: waiting items stand in lanes, one for each job and service, and a lane is left once its first item finds no engine; engines with a free slot are kept in a set that is updated as slots are taken, and of more than 40 a choice looks at 40 random ones and the group's own; the fastest engine is worked out once per observation; a request's server is chosen among 16 of a large service, the same ones each time, so that connections are used again; running items are found by job, engine and item; a moved item must be able to gain enough at the fastest engine before others are looked at; other tasks have a turn after 64 starts. The scheduler is split: queue, running items, one item's run, finished items. Up to 40 engines and 16 servers every one is looked at, as before.

Tests: decisions are counted (engines looked at, choices in a wake without room, turns of other tasks); they fail on the code before. Tests that reached into the scheduler's lists now ask its queue, with the same assertions; that of the moves before a load gives the engine's own tasks, as the scheduler does now, and the index that picks them has its own test. gateway/ has first tests.

--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -4,12 +4,20 @@
 
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from loguru import logger
 
 from runkeel.api.fleet import Backend
 from runkeel.backends.http_connection import HttpConnectionPool
+from runkeel.gateway.indexed_set import IndexedSet
+
+CANDIDATES = 16
+"""A request's server is chosen among so many of a larger service.
+
+The cost of a choice is that of looking at each candidate, 1 to 2 us. Each node keeps to the same
+ones, so that its connections are used again.
+"""
 
 FIRST_EJECTION_SECONDS = 0.5
 LONGEST_EJECTION_SECONDS = 4.0
@@ -61,7 +69,13 @@
 
     def __init__(self) -> None:
         self._states: dict[str, BackendState] = {}
+        self._services: dict[str, IndexedSet[BackendState]] = {}
+        """Servers that take new work, by service."""
+        self._preferred: dict[str, list[BackendState]] = {}
+        """The candidates of a service that has more than are looked at."""
         self._listeners: list[Callable[[str], None]] = []
+        self.membership_changes = 0
+        """Grows whenever a server joins those that take new work, or leaves them."""
 
     def on_change(self, listener: Callable[[str], None]) -> None:
         """Call a listener with the service's name whenever one of its servers changes."""
@@ -71,9 +85,15 @@
         """Add a server or take its new state."""
         state = self._states.get(backend.backend_id)
         if state is None:
-            self._states[backend.backend_id] = BackendState(backend)
+            state = self._states[backend.backend_id] = BackendState(backend)
         else:
+            if state.backend.service != backend.service:
+                self._leave(state)
             state.backend = backend
+        if backend.draining:
+            self._leave(state)
+        else:
+            self._join(state)
         self._log("server", backend)
         self._notify(backend.service)
 
@@ -82,6 +102,7 @@
         state = self._states.pop(backend_id, None)
         if state is None:
             return
+        self._leave(state)
         state.pool.close()
         self._log("server gone", state.backend)
         self._notify(state.backend.service)
@@ -92,16 +113,49 @@
 
     def of_service(self, service: str) -> list[BackendState]:
         """Return the servers of a service that take new work."""
-        return [
-            state
-            for state in self._states.values()
-            if state.backend.service == service and not state.backend.draining
-        ]
+        return list(self._services.get(service, ()))
+
+    def candidates(self, service: str, tried: Collection[str] = ()) -> list[BackendState]:
+        """Return the servers among which a request's is chosen: all, or a bounded part of many.
+
+        Args:
+            tried: servers that are not wanted again; where no other one is left, further ones
+                are drawn.
+        """
+        members = self._services.get(service)
+        if members is None:
+            return []
+        if len(members) <= CANDIDATES:
+            return list(members)
+        preferred = self._preferred_of(service, members)
+        now = time.monotonic()
+        if any(one.backend_id not in tried and not one.avoided(now) for one in preferred):
+            return preferred
+        return [*preferred, *members.sample(CANDIDATES)]
 
     def all(self) -> list[BackendState]:
         """Return all servers, those that leave too."""
         return list(self._states.values())
 
+    def _preferred_of(self, service: str, members: IndexedSet[BackendState]) -> list[BackendState]:
+        kept = [one for one in self._preferred.get(service, ()) if one.backend_id in members]
+        if len(kept) < CANDIDATES:
+            known = {one.backend_id for one in kept}
+            drawn = [one for one in members.sample(CANDIDATES) if one.backend_id not in known]
+            kept += drawn[: CANDIDATES - len(kept)]
+        self._preferred[service] = kept
+        return kept
+
+    def _join(self, state: BackendState) -> None:
+        members = self._services.setdefault(state.backend.service, IndexedSet())
+        if members.add(state.backend_id, state):
+            self.membership_changes += 1
+
+    def _leave(self, state: BackendState) -> None:
+        members = self._services.get(state.backend.service)
+        if members is not None and members.discard(state.backend_id):
+            self.membership_changes += 1
+
     def _log(self, message: str, backend: Backend) -> None:
         logger.info(
             message,
@@ -119,7 +173,7 @@
 
 
 def choose_backend(
-    candidates: Iterable[BackendState], tried: set[str], zone: str, attempt: int = 0
+    candidates: Iterable[BackendState], tried: set[str], zone: str
 ) -> BackendState | None:
     """Choose the server with the most room among those not yet tried.
 
--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -154,7 +154,7 @@
             return False
         if progress.deadline - time.monotonic() < MINIMUM_ATTEMPT_SECONDS:
             return False
-        candidates = self._directory.of_service(progress.service)
+        candidates = self._directory.candidates(progress.service, progress.tried)
         return any(state.backend_id not in progress.tried for state in candidates)
 
     def _start_attempt(self, progress: _Progress, reason: str = "first") -> None:
@@ -162,7 +162,7 @@
             return
         if progress.deadline - time.monotonic() < MINIMUM_ATTEMPT_SECONDS:
             return
-        candidates = self._directory.of_service(progress.service)
+        candidates = self._directory.candidates(progress.service, progress.tried)
         state = choose_backend(candidates, progress.tried, self._zone)
         if state is None:
             return
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -81,7 +81,7 @@
         while time.monotonic() < relay.deadline and not relay.gone.is_set():
             if relay.sent >= relay.route.maximum_attempts:
                 break
-            candidates = self._directory.of_service(relay.service)
+            candidates = self._directory.candidates(relay.service, relay.tried)
             state = choose_backend(candidates, relay.tried, self._zone)
             if state is None:
                 break
--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -7,6 +7,7 @@
 
 from runkeel.api.jobs import BatchJob, JobItem
 from runkeel.gateway.backends import BackendDirectory, BackendState
+from runkeel.gateway.indexed_set import IndexedSet
 from runkeel.jobs.engine_speeds import EngineSpeeds, RunSample
 
 GROUP_BONUS = 0.2
@@ -31,6 +32,15 @@
 
 MAXIMUM_GROUPS = 4_000
 
+CANDIDATES = 40
+"""An item's engine is chosen among so many engines with room, all of them where there are no more.
+
+Looking at one takes 1 to 2 us, so that a choice takes less than 100 us at any size of the fleet.
+"""
+
+DRAWS = 3
+"""So often other candidates are drawn when none is usable, as while few have a new version."""
+
 
 class EnginePlacement:
     """What the coordinator knows of the engines' room, versions and speed.
@@ -47,6 +57,10 @@
         self._is_loading = is_loading
         self._loads: dict[str, int] = {}
         self._groups: dict[tuple[str, str], str] = {}
+        self._rooms: dict[str, IndexedSet[BackendState]] = {}
+        """Engines with a free slot, by service."""
+        self._rooms_as_of = -1
+        """Changes of the directory's membership that the engines with room reflect."""
         self._speeds = EngineSpeeds()
         self.versions: dict[tuple[str, str], int] = {}
 
@@ -57,6 +71,7 @@
     def take(self, engine: BackendState) -> None:
         """Take a slot."""
         self._loads[engine.backend_id] = self.load(engine.backend_id) + 1
+        self._update_room(engine)
 
     def release(self, engine: BackendState) -> None:
         """Give a slot back."""
@@ -65,6 +80,7 @@
             self._loads[engine.backend_id] = left
         else:
             self._loads.pop(engine.backend_id, None)
+        self._update_room(engine)
 
     def note_group(self, job: BatchJob, item: JobItem, engine: BackendState) -> None:
         """Remember where an item of a group runs; its prompt is there."""
@@ -87,18 +103,38 @@
             besides: an engine that is not wanted.
         """
         length = min(LARGEST_RELATIVE_LENGTH, relative_length)
+        room = self._room(service)
+        home = room.get(self._groups.get((job.job_id, item.group), ""))
+        for _ in range(DRAWS):
+            candidates = room.sample(CANDIDATES)
+            best = self._cheapest(job, candidates, home, length, besides)
+            if best is not None or len(room) <= CANDIDATES:
+                return best
+        return None
+
+    def has_room(self, service: str) -> bool:
+        """Return whether any engine of a service has a free slot."""
+        return bool(self._room(service))
+
+    def _cheapest(
+        self,
+        job: BatchJob,
+        candidates: list[BackendState],
+        home: BackendState | None,
+        length: float,
+        besides: BackendState | None,
+    ) -> BackendState | None:
+        """Return the cheapest usable engine; ``home`` has run the item's group."""
         now = time.monotonic()
-        home = self._groups.get((job.job_id, item.group))
         best: BackendState | None = None
         best_cost = 0.0
-        for state in self._directory.of_service(service):
-            slots = max(1, state.backend.slots)
-            load = self.load(state.backend_id)
-            if state is besides or load >= slots:
-                continue
-            if state.avoided(now) or not self.usable(job, state):
+        if home is not None:
+            candidates.append(home)
+        for state in candidates:
+            if state is besides or state.avoided(now) or not self.usable(job, state):
                 continue
-            cost = load / slots - (GROUP_BONUS if state.backend_id == home else 0.0)
+            cost = self.load(state.backend_id) / max(1, state.backend.slots)
+            cost -= GROUP_BONUS if state is home else 0.0
             cost += SLOWNESS_COST * length * (self._speeds.slowness(state.backend_id) - 1.0)
             if job.model and self._version(state, job.model) <= job.minimum_version:
                 cost += OLD_VERSION_COST * length
@@ -106,6 +142,32 @@
                 best, best_cost = state, cost
         return best
 
+    def _room(self, service: str) -> IndexedSet[BackendState]:
+        """Return the engines of a service with a free slot."""
+        if self._rooms_as_of != self._directory.membership_changes:
+            self._rooms_as_of = self._directory.membership_changes
+            self._rooms = {}
+        room = self._rooms.get(service)
+        if room is None:
+            room = self._rooms[service] = IndexedSet()
+            for state in self._directory.of_service(service):
+                if self._has_slot(state):
+                    room.add(state.backend_id, state)
+        return room
+
+    def _update_room(self, engine: BackendState) -> None:
+        """Take an engine in or out of those with room, once its load has changed."""
+        room = self._rooms.get(engine.backend.service)
+        if room is None or self._rooms_as_of != self._directory.membership_changes:
+            return
+        if not self._has_slot(engine):
+            room.discard(engine.backend_id)
+        elif not engine.backend.draining and self._directory.get(engine.backend_id) is engine:
+            room.add(engine.backend_id, engine)
+
+    def _has_slot(self, engine: BackendState) -> bool:
+        return self.load(engine.backend_id) < max(1, engine.backend.slots)
+
     def usable(self, job: BatchJob, engine: BackendState) -> bool:
         """Return whether an engine's weights are such as a job accepts."""
         if not job.model:
@@ -137,6 +199,13 @@
             return 0.0
         return events * (self.seconds_per_event(engine) - self.seconds_per_event(other))
 
+    def most_seconds_gained(self, engine: BackendState, events: float) -> float:
+        """Return how much sooner so many events are made by the fastest engine; 0 as above."""
+        slowness = self.slowness(engine)
+        if slowness < SLOWER_ENGINE:
+            return 0.0
+        return events * self.seconds_per_event(engine) * (1.0 - 1.0 / slowness)
+
     def _version(self, engine: BackendState, model: str) -> int:
         reported = engine.backend.model_versions.get(model, 0)
         return max(reported, self.versions.get((engine.backend_id, model), 0))
--- a/src/runkeel/jobs/engine_speeds.py
+++ b/src/runkeel/jobs/engine_speeds.py
@@ -50,6 +50,8 @@
         self._estimates: dict[str, _Estimate] = {}
         self._seen: dict[int, int] = {}
         self._observed_at = 0.0
+        self._fastest = 0.0
+        """Seconds per event of the fastest engine, as of the last observation; 0: unknown."""
 
     def observe(self, samples: Iterable[RunSample], now: float) -> None:
         """Take the events received by all runs that are generating undisturbed."""
@@ -74,21 +76,19 @@
             if now - estimate.updated_at > FORGET_SECONDS
         ]:
             del self._estimates[backend_id]
+        known = (one.seconds_per_event for one in self._estimates.values())
+        self._fastest = min(known, default=0.0)
 
     def slowness(self, backend_id: str) -> float:
         """Return how many times slower an engine is than the fastest one; 1 when unknown."""
         estimate = self._estimates.get(backend_id)
-        fastest = self._fastest()
-        if estimate is None or fastest <= 0:
+        if estimate is None or self._fastest <= 0:
             return 1.0
-        return min(LARGEST_SLOWNESS, estimate.seconds_per_event / fastest)
+        return min(LARGEST_SLOWNESS, estimate.seconds_per_event / self._fastest)
 
     def seconds_per_event(self, backend_id: str) -> float:
         """Return an engine's estimate; the fastest one's when unknown, 0 when none is known."""
-        return self._fastest() * self.slowness(backend_id)
-
-    def _fastest(self) -> float:
-        return min((one.seconds_per_event for one in self._estimates.values()), default=0.0)
+        return self._fastest * self.slowness(backend_id)
 
     def _update(self, backend_id: str, run_seconds: float, events: int, now: float) -> None:
         estimate = self._estimates.setdefault(backend_id, _Estimate(updated_at=now))
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -86,6 +86,7 @@
     Args:
         partial: text of earlier runs, continued in place.
         minimum_version: oldest version that may make an event.
+        loading: tells whether the engine is loading a version, so that a pause is expected.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
         partial: PartialText,
         minimum_version: int,
         single_version: bool,
+        loading: Callable[[], bool] = lambda: False,
     ) -> None:
         self._protocol = protocol
         self._state = state
@@ -103,8 +105,7 @@
         self._partial = partial
         self._minimum_version = minimum_version
         self._single_version = single_version
-        self.loading: Callable[[], bool] = lambda: False
-        """Tells whether the engine is loading a version, so that a pause is expected."""
+        self.loading = loading
         self.events = 0
         self.first_event_at = 0.0
         self.last_event_at = 0.0
--- a/src/runkeel/jobs/item_task.py
+++ b/src/runkeel/jobs/item_task.py
@@ -31,7 +31,6 @@
     task: gevent.Greenlet | None = None
     carried: bool = False
     route_missing_since: float = 0.0
-    waiting_since: float = 0.0
     begun: bool = False
     """Its greenlet has begun to run; one that is killed before never cleans up."""
     next_engine: BackendState | None = None
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -34,6 +34,7 @@
         """Set once as many whole groups as the trainer waits for are listed or to be listed."""
         self._open_in_group = Counter(item.group for item in job.items)
         self._ready_items: set[str] = set()
+        """Items with a result that is listed or to be listed."""
         self._whole_groups = 0
         self._listed: set[str] = set()
         self._changed = Event()
@@ -53,8 +54,7 @@
 
     def add_unlisted(self, result: ItemResult) -> None:
         """Take a result that is to be listed; the first one of an item counts."""
-        known = self._listed | {other.item_id for other in self.unlisted}
-        if result.item_id in known:
+        if result.item_id in self._ready_items:
             return
         self.unlisted.append(result)
         self._note_ready(result.item_id)
@@ -88,10 +88,12 @@
                 self._changed.wait()
 
     def _note_ready(self, item_id: str) -> None:
-        item = self.items.get(item_id)
-        if item is None or item_id in self._ready_items:
+        if item_id in self._ready_items:
             return
         self._ready_items.add(item_id)
+        item = self.items.get(item_id)
+        if item is None:
+            return
         self._open_in_group[item.group] -= 1
         if not self._open_in_group[item.group]:
             self._whole_groups += 1
--- a/src/runkeel/jobs/run_mover.py
+++ b/src/runkeel/jobs/run_mover.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 import time
 from collections.abc import Callable, Iterable
 
@@ -26,6 +27,9 @@
 LEAST_GAIN_SECONDS = 0.5
 """An item leaves a slower engine if it is expected to end so much sooner elsewhere."""
 
+MOVES_PER_CHECK = 32
+"""So many items are looked at in each check, the longest: checks come four times a second."""
+
 LOAD_STALL_SECONDS = 1.0
 """What runs at an engine stands still for so long while the engine loads a version."""
 
@@ -72,8 +76,10 @@
             for task in generating
             if now - task.run.first_event_at >= LEAST_SECONDS_BEFORE_MOVE
             and task.next_engine is None
+            and self._most_gained(task) >= LEAST_GAIN_SECONDS
         ]
-        for task in sorted(settled, key=self.remaining_events, reverse=True):
+        longest = heapq.nlargest(MOVES_PER_CHECK, settled, key=self.remaining_events)
+        for task in longest:
             other = self._other_engine(task)
             if other is None:
                 continue
@@ -81,16 +87,12 @@
             if gain >= LEAST_GAIN_SECONDS:
                 self._move(task, other, "slow engine", gain)
 
-    def move_before_load(self, backend_id: str, tasks: Iterable[ItemTask]) -> None:
-        """Move the long items of an engine that is about to load a version."""
+    def move_before_load(self, tasks: Iterable[ItemTask]) -> None:
+        """Move the long items of one engine, whose tasks are given: it is about to load."""
         there = [
             task
             for task in tasks
-            if task.engine is not None
-            and task.engine.backend_id == backend_id
-            and task.run is not None
-            and task.run.events
-            and task.next_engine is None
+            if task.run is not None and task.run.events and task.next_engine is None
         ]
         for task in sorted(there, key=self.remaining_events, reverse=True):
             remaining = self.remaining_events(task)
@@ -105,6 +107,11 @@
             if gain >= LEAST_GAIN_BEFORE_LOAD_SECONDS:
                 self._move(task, other, "engine loads a version", gain)
 
+    def _most_gained(self, task: ItemTask) -> float:
+        """Return how much sooner an item would end at the fastest engine."""
+        remaining = self.remaining_events(task)
+        return self._placement.most_seconds_gained(task.engine, remaining)
+
     def _other_engine(self, task: ItemTask) -> BackendState | None:
         route = self._route_of(task)
         if route is None:
--- /dev/null
+++ b/src/runkeel/jobs/running_items.py
@@ -0,0 +1,68 @@
+"""The items that run, found by job, by engine and by item without a search."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from runkeel.jobs.item_task import ItemTask
+
+TaskKey = tuple[str, str]
+
+
+class RunningItems:
+    """Tasks from the moment that they are given an engine until they have ended."""
+
+    def __init__(self) -> None:
+        self._tasks: dict[TaskKey, ItemTask] = {}
+        self._engines: dict[TaskKey, str] = {}
+        self._by_engine: dict[str, dict[TaskKey, ItemTask]] = {}
+        self._by_job: dict[str, dict[TaskKey, ItemTask]] = {}
+        self._by_item: dict[str, dict[TaskKey, ItemTask]] = {}
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def __iter__(self) -> Iterator[ItemTask]:
+        return iter(list(self._tasks.values()))
+
+    def add(self, task: ItemTask) -> None:
+        """Take a task; its engine must be set, None when it needs none."""
+        self._tasks[task.key] = task
+        self._by_job.setdefault(task.key[0], {})[task.key] = task
+        self._by_item.setdefault(task.key[1], {})[task.key] = task
+        if task.engine is not None:
+            self._engines[task.key] = task.engine.backend_id
+            self._by_engine.setdefault(task.engine.backend_id, {})[task.key] = task
+
+    def remove(self, task: ItemTask) -> None:
+        """Forget a task; does nothing when it isn't known."""
+        if self._tasks.pop(task.key, None) is None:
+            return
+        _drop(self._by_job, task.key[0], task.key)
+        _drop(self._by_item, task.key[1], task.key)
+        engine = self._engines.pop(task.key, None)
+        if engine is not None:
+            _drop(self._by_engine, engine, task.key)
+
+    def has_item(self, item_id: str) -> bool:
+        """Return whether an item runs for any job."""
+        return item_id in self._by_item
+
+    def of_job(self, job_id: str) -> list[ItemTask]:
+        """Return the tasks of a job."""
+        return list(self._by_job.get(job_id, {}).values())
+
+    def at_engine(self, backend_id: str) -> list[ItemTask]:
+        """Return the tasks that run at an engine."""
+        return list(self._by_engine.get(backend_id, {}).values())
+
+    def clear(self) -> None:
+        """Forget all tasks."""
+        self.__init__()
+
+
+def _drop(index: dict[str, dict[TaskKey, ItemTask]], name: str, key: TaskKey) -> None:
+    entries = index[name]
+    del entries[key]
+    if not entries:
+        del index[name]
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -2,33 +2,39 @@
 
 from __future__ import annotations
 
-import base64
 import time
 from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
-from loguru import logger
 
-from runkeel.api.backend_protocol import BackendProtocol, GenerationRequest
-from runkeel.api.fleet import Route
+from runkeel.api.backend_protocol import BackendProtocol
+from runkeel.api.fleet import Route, RoutingConfiguration
 from runkeel.api.jobs import ItemResult, ResultState
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import RoutingTable, choose_service
 from runkeel.jobs.engine_placement import EnginePlacement
-from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
+from runkeel.jobs.finished_items import FinishedItems
+from runkeel.jobs.generation_run import PartialText, RunOutcome
+from runkeel.jobs.item_queue import ItemQueue, Lane
+from runkeel.jobs.item_runner import ItemRunner, given_up
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.kept_texts import KeptTexts
 from runkeel.jobs.length_estimates import LengthEstimates
 from runkeel.jobs.run_mover import RunMover
-from runkeel.jobs.scorer import Scorer, ScoringFailedError
-from runkeel.metrics import ITEM_RUNS
+from runkeel.jobs.running_items import RunningItems
+from runkeel.jobs.scorer import Scorer
 
 IDLE_CHECK_SECONDS = 0.25
 REQUEUE_SECONDS = 0.05
-MAXIMUM_LISTED = 4_000
-"""Listed items that are remembered, so that copies of their texts are dropped."""
+"""An item whose run broke rests so long, so that it doesn't spin between engines that refuse."""
+
+STARTS_PER_TURN = 64
+"""So many items are started before other tasks have their turn: runs that are read, pings.
+
+A start costs about 0.3 ms of a core, so that a turn stays under 20 ms.
+"""
 
 UNKNOWN_ITEM_SECONDS = 3.0
 """Texts of items that no job names are taken for so long after the start: jobs are loading."""
@@ -59,21 +65,18 @@
     ) -> None:
         self._placement = placement
         self._routing = routing
-        self._protocol = protocol
-        self._scorer = scorer
-        self._is_loading = is_loading
-        self._queue: list[ItemTask] = []
-        self._running: dict[tuple[str, str], ItemTask] = {}
+        self._runner = ItemRunner(protocol, scorer, is_loading)
+        self._running = RunningItems()
         self._kept = KeptTexts()
+        self._finished = FinishedItems()
         self._lengths = LengthEstimates()
         self._mover = RunMover(placement, self._lengths, self._route)
+        self._queue = ItemQueue(self._route, self._mover.relative_length)
+        self._arranged_for: RoutingConfiguration | None = None
+        """The configuration by which the queue is arranged."""
         self._pressed_at: dict[str, float] = {}
         self._checked_at = 0.0
         self._created_at = time.monotonic()
-        self._unlisted: list[ItemTask] = []
-        """Finished items whose result is not in the store yet."""
-        self._listed: dict[str, None] = {}
-        """Items that were listed lately, the latest last."""
         self._wake = Event()
         self._loop: gevent.Greenlet | None = None
 
@@ -85,7 +88,7 @@
         """Stop placing and end every run."""
         if self._loop is not None:
             self._loop.kill(block=False)
-        for task in list(self._running.values()):
+        for task in self._running:
             if task.task is not None:
                 task.task.kill(block=False)
         self._queue.clear()
@@ -98,9 +101,9 @@
 
     def lacks_text(self, item_id: str, precedence: tuple[int, int]) -> bool:
         """Return whether an item may go on from a text of this precedence."""
-        if any(task.item.item_id == item_id for task in self._running.values()):
+        if self._running.has_item(item_id):
             return False
-        task = self._queued(item_id)
+        task = self._queue.of_item(item_id)
         if task is None and time.monotonic() - self._created_at > UNKNOWN_ITEM_SECONDS:
             return False
         known = task.partial if task is not None else self._kept.get(item_id)
@@ -110,14 +113,12 @@
         """Let an item go on from a text, unless it runs already or its job can't use it."""
         if not self.lacks_text(item_id, text.precedence):
             return
-        task = self._queued(item_id)
+        task = self._queue.of_item(item_id)
         if task is None:
             self._kept.keep(item_id, text)
-        else:
-            self._continue_from(task, text)
-
-    def _queued(self, item_id: str) -> ItemTask | None:
-        return next((task for task in self._queue if task.item.item_id == item_id), None)
+            return
+        self._continue_from(task, text)
+        self._queue.put(task)
 
     def _continue_from(self, task: ItemTask, text: PartialText) -> None:
         task.carried = True
@@ -127,24 +128,12 @@
 
     def open_texts(self) -> dict[str, PartialText]:
         """Return the texts of the items that are running, waiting, scored or not listed yet."""
-        self._note_listed()
-        tasks = [*self._unlisted, *self._running.values(), *self._queue]
+        tasks = [*self._finished.unlisted(), *self._running, *self._queue.tasks()]
         return {task.item.item_id: task.partial for task in tasks if task.partial.pieces}
 
     def finished(self, item_id: str) -> bool:
         """Return whether an item's result was listed lately, so that its text isn't needed."""
-        return item_id in self._listed
-
-    def _note_listed(self) -> None:
-        unlisted = []
-        for task in self._unlisted:
-            if task.state.is_listed(task.item.item_id):
-                self._listed[task.item.item_id] = None
-            elif not task.state.ended:
-                unlisted.append(task)
-        self._unlisted = unlisted
-        while len(self._listed) > MAXIMUM_LISTED:
-            self._listed.pop(next(iter(self._listed)))
+        return self._finished.is_listed(item_id)
 
     def pressed(self, model: str) -> bool:
         """Return whether items of a model have lately waited long for an engine."""
@@ -157,91 +146,118 @@
     def add(self, state: JobState) -> None:
         """Take the open items of a job."""
         for item in state.open_items():
-            self._listed.pop(item.item_id, None)
+            self._finished.open_again(item.item_id)
             task = ItemTask(state, item)
             kept = self._kept.take(item.item_id)
             if kept is not None:
                 self._continue_from(task, kept)
-            self._queue.append(task)
+            self._queue.put(task)
         self.wake()
 
     def drop(self, state: JobState) -> None:
         """End the runs of a job and forget its items; their text is kept for a later job."""
-        self._queue = [task for task in self._queue if not self._drop_task(task, state)]
-        for key in [key for key in self._running if key[0] == state.job.job_id]:
-            task = self._running[key]
+        job_id = state.job.job_id
+        for task in self._queue.of_job(job_id):
+            self._kept.keep(task.item.item_id, task.partial)
+            self._withdraw(task)
+        for task in self._running.of_job(job_id):
             self._kept.keep(task.item.item_id, task.partial)
             if task.task is not None:
                 task.task.kill(block=False)
             if not task.begun:
-                del self._running[key]
+                self._running.remove(task)
                 if task.engine is not None:
                     self._placement.release(task.engine)
 
-    def _drop_task(self, task: ItemTask, state: JobState) -> bool:
-        if task.state is not state:
-            return False
-        self._kept.keep(task.item.item_id, task.partial)
-        self._release_reserved(task)
-        return True
+    def leave_engine(self, backend_id: str) -> None:
+        """Let long items go on elsewhere: the engine is about to stand still for a load."""
+        self._mover.move_before_load(self._running.at_engine(backend_id))
 
     def _run(self) -> None:
         while True:
-            self._wake.wait(IDLE_CHECK_SECONDS)
+            self._wake.wait(self._idle_seconds())
             self._wake.clear()
             self._place_all()
             self._move_runs()
 
+    def _idle_seconds(self) -> float:
+        rested_at = self._queue.next_rested_at()
+        if rested_at is None:
+            return IDLE_CHECK_SECONDS
+        return min(IDLE_CHECK_SECONDS, max(0.0, rested_at - time.monotonic()))
+
     def _place_all(self) -> None:
+        """Start every item that can run now; see :class:`ItemQueue` for what is looked at."""
         now = time.monotonic()
-        waiting: list[ItemTask] = []
-        for task in sorted(self._queue, key=self._order):
-            if task.state.ended or task.state.is_listed(task.item.item_id):
-                self._release_reserved(task)
+        configuration = self._routing.configuration
+        if configuration is not self._arranged_for:
+            self._arranged_for = configuration
+            self._queue.arrange_anew()
+        self._queue.wake_rested(now)
+        for task in self._queue.ready():
+            self._place_ready(task)
+        starts = 0
+        for lane in self._queue.lanes():
+            starts = self._place_lane(lane, now, starts)
+
+    def _place_ready(self, task: ItemTask) -> None:
+        """Start an item that has a slot kept for it, or whose text is whole."""
+        route = self._route(task)
+        if self._is_over(task):
+            self._withdraw(task)
+        elif route is not None and task.partial.whole:
+            self._release_reserved(task)
+            self._start(task, route, None)
+        else:
+            reserved = self._release_reserved(task)
+            if route is None or reserved is None:
+                self._queue.put(task)
+            elif self._placement.usable(task.state.job, reserved):
+                self._start(task, route, reserved)
+            else:
+                self._queue.put(task)
+
+    def _place_lane(self, lane: Lane, now: float, starts: int) -> int:
+        """Start items of a lane until one finds no engine; returns the starts of this turn."""
+        while (task := self._queue.first(lane)) is not None:
+            if self._is_over(task):
+                self._withdraw(task)
                 continue
-            if self._place(task, now):
+            route = self._route(task)
+            if route is None:
+                self._give_up_without_route(lane, now)
+                return starts
+            if time.time() > task.state.job.submitted_at + route.maximum_queue_seconds > 0:
+                self._give_up(task, "waited too long")
                 continue
-            waiting.append(task)
-            task.waiting_since = task.waiting_since or now
-            if now - task.waiting_since > PRESSED_AFTER_SECONDS:
-                self._pressed_at[task.state.job.model] = now
-        self._queue = waiting
-
-    def _order(self, task: ItemTask) -> tuple[int, float, bool, float]:
-        """Return the place in the queue: of a job, the items that will run longest come first."""
-        route = self._route(task)
-        rank = route.rank if route else 9
-        length = self._mover.relative_length(task)
-        return rank, task.state.job.submitted_at, not task.carried, -length
+            length = self._mover.relative_length(task)
+            service = choose_service(route, task.item.item_id)
+            engine = self._placement.choose(task.state.job, task.item, service, length)
+            if engine is None:
+                self._note_waiting(lane, task.state.job.model, now)
+                return starts
+            self._start(task, route, engine)
+            starts += 1
+            if starts % STARTS_PER_TURN == 0:
+                gevent.sleep(0)
+        return starts
+
+    def _note_waiting(self, lane: Lane, model: str, now: float) -> None:
+        lane.waiting_since = lane.waiting_since or now
+        if now - lane.waiting_since > PRESSED_AFTER_SECONDS:
+            self._pressed_at[model] = now
+
+    def _is_over(self, task: ItemTask) -> bool:
+        return task.state.ended or task.state.is_listed(task.item.item_id)
+
+    def _withdraw(self, task: ItemTask) -> None:
+        """Let an item wait no more."""
+        self._queue.remove(task)
+        self._release_reserved(task)
 
     def _route(self, task: ItemTask) -> Route | None:
         return self._routing.match(task.state.job.host, task.item.path.partition("?")[0])
 
-    def _place(self, task: ItemTask, now: float) -> bool:
-        """Start an item if it can run now; True when it no longer waits."""
-        if now < task.not_before:
-            return False
-        route = self._route(task)
-        if route is None:
-            return self._without_route(task, now)
-        if time.time() > task.state.job.submitted_at + route.maximum_queue_seconds > 0:
-            self._finish(task, ResultState.FAILED, detail="waited too long")
-            return True
-        if task.partial.whole:
-            self._start(task, route, None)
-            return True
-        reserved = self._release_reserved(task)
-        if reserved is not None and self._placement.usable(task.state.job, reserved):
-            self._start(task, route, reserved)
-            return True
-        service = choose_service(route, task.item.item_id)
-        length = self._mover.relative_length(task)
-        engine = self._placement.choose(task.state.job, task.item, service, length)
-        if engine is None:
-            return False
-        self._start(task, route, engine)
-        return True
-
     def _release_reserved(self, task: ItemTask) -> BackendState | None:
         """Give back the slot that is kept for an item; returns its engine."""
         reserved, task.next_engine = task.next_engine, None
@@ -249,34 +265,33 @@
             self._placement.release(reserved)
         return reserved
 
-    def _without_route(self, task: ItemTask, now: float) -> bool:
-        """Give an item up once its route has been gone from the configuration for a while."""
+    def _give_up_without_route(self, lane: Lane, now: float) -> None:
+        """Give items up once their route has been gone from the configuration for a while."""
         if self._routing.configuration is None:
-            return False
-        task.route_missing_since = task.route_missing_since or now
-        if now - task.route_missing_since < MISSING_ROUTE_SECONDS:
-            return False
-        self._finish(task, ResultState.FAILED, detail="no route")
-        return True
+            return
+        for task in self._queue.of_lane(lane):
+            task.route_missing_since = task.route_missing_since or now
+            if now - task.route_missing_since >= MISSING_ROUTE_SECONDS:
+                self._give_up(task, "no route")
+
+    def _give_up(self, task: ItemTask, reason: str) -> None:
+        self._withdraw(task)
+        self._finish(task, given_up(task, reason))
 
     def _move_runs(self) -> None:
         now = time.monotonic()
         if now - self._checked_at >= IDLE_CHECK_SECONDS:
             self._checked_at = now
-            self._mover.move_from_slow_engines(list(self._running.values()))
-
-    def leave_engine(self, backend_id: str) -> None:
-        """Let long items go on elsewhere: the engine is about to stand still for a load."""
-        self._mover.move_before_load(backend_id, list(self._running.values()))
+            self._mover.move_from_slow_engines(self._running)
 
     def _start(self, task: ItemTask, route: Route, engine: BackendState | None) -> None:
+        self._queue.remove(task)
         task.engine = engine
         task.begun = False
-        task.waiting_since = 0.0
         if engine is not None:
             self._placement.take(engine)
             self._placement.note_group(task.state.job, task.item, engine)
-        self._running[task.key] = task
+        self._running.add(task)
         task.task = gevent.spawn(self._run_item, task, route)
 
     def _run_item(self, task: ItemTask, route: Route) -> None:
@@ -287,74 +302,29 @@
                 if outcome is not RunOutcome.COMPLETE:
                     self._after_break(task, route, outcome)
                     return
-            self._score(task, route)
+            self._finish(task, self._runner.score(task, route))
         finally:
             if task not in self._queue:
                 self._release_reserved(task)
-            self._running.pop(task.key, None)
+            self._running.remove(task)
             self.wake()
 
     def _generate(self, task: ItemTask, route: Route) -> RunOutcome:
         engine = task.engine
-        job = task.state.job
-        request = GenerationRequest(
-            request_id=task.item.item_id,
-            path=task.item.path,
-            host=job.host,
-            headers=task.item.headers,
-            body=base64.b64decode(task.item.body),
-            urgency=min(9, route.rank),
-            resume_after=task.partial.last_event_id,
-        )
-        run = GenerationRun(
-            self._protocol,
-            engine,
-            request,
-            task.partial,
-            job.minimum_version,
-            route.single_version,
-        )
-        run.loading = lambda: self._is_loading(engine.backend_id, job.model)
-        task.run = run
-        started = time.monotonic()
         try:
-            outcome = run.run(started + self._seconds_left(task, route))
+            outcome = self._runner.generate(task, route)
         finally:
             self._placement.release(engine)
-            task.run = None
-        self._judge(engine, outcome)
         if outcome is RunOutcome.COMPLETE:
             self._lengths.observe(task.item.guessed_tokens, len(task.partial.pieces))
-        ITEM_RUNS.labels(outcome.value).inc()
-        logger.info(
-            "item run ended",
-            code="item_run",
-            request=task.item.item_id,
-            job=job.job_id,
-            backend=engine.backend_id,
-            outcome=outcome.value,
-            detail=run.detail,
-            events=run.events,
-            versions=list(task.partial.versions),
-            resumed_after=request.resume_after,
-            ms=int((time.monotonic() - started) * 1000),
-        )
         return outcome
 
-    def _judge(self, engine: BackendState, outcome: RunOutcome) -> None:
-        if outcome is RunOutcome.COMPLETE:
-            engine.failures = 0
-        elif outcome in (RunOutcome.BROKEN, RunOutcome.UNREACHABLE):
-            engine.failed()
-        elif outcome is RunOutcome.REFUSED:
-            engine.refused()
-
     def _after_break(self, task: ItemTask, route: Route, outcome: RunOutcome) -> None:
         job = task.state.job
         if outcome is RunOutcome.FAILED:
             task.failures += 1
         if outcome is RunOutcome.IMPOSSIBLE or task.failures >= route.maximum_attempts:
-            self._finish(task, ResultState.FAILED, detail=outcome.value)
+            self._finish(task, given_up(task, outcome.value))
             return
         if outcome is RunOutcome.OLD_VERSION:
             self._placement.versions.pop((task.engine.backend_id, job.model), None)
@@ -362,48 +332,13 @@
             task.partial.clear()
         if outcome is not RunOutcome.MOVED:
             task.not_before = time.monotonic() + REQUEUE_SECONDS
+            self._release_reserved(task)
         task.engine = None
         if not task.state.ended:
-            self._queue.append(task)
-
-    def _score(self, task: ItemTask, route: Route) -> None:
-        score = ""
-        if task.item.scorer is not None:
-            deadline = time.monotonic() + self._seconds_left(task, route)
-            try:
-                score = self._scorer.score(task.item.scorer, deadline)
-            except ScoringFailedError as error:
-                self._finish(task, ResultState.FAILED, detail=f"scoring: {error}")
-                return
-        self._finish(task, ResultState.COMPLETED, score)
-
-    def _finish(
-        self, task: ItemTask, state: ResultState, score: str = "", detail: str = ""
-    ) -> None:
-        completed = state is ResultState.COMPLETED
-        result = ItemResult(
-            task.item.item_id,
-            state,
-            "\n".join(task.partial.pieces) if completed else "",
-            tuple(sorted(task.partial.versions)) if completed else (),
-            score,
-        )
-        if completed:
+            self._queue.put(task)
+
+    def _finish(self, task: ItemTask, result: ItemResult) -> None:
+        if result.state is ResultState.COMPLETED:
             self._kept.keep(task.item.item_id, task.partial)
-            self._unlisted.append(task)
-        if detail:
-            logger.info(
-                "item given up",
-                code="item_failed",
-                request=task.item.item_id,
-                job=task.state.job.job_id,
-                reason=detail,
-                failures=task.failures,
-            )
+            self._finished.add(task)
         task.state.add_unlisted(result)
-
-    def _seconds_left(self, task: ItemTask, route: Route) -> float:
-        if route.maximum_queue_seconds <= 0:
-            return route.timeout_seconds
-        end = task.state.job.submitted_at + route.maximum_queue_seconds
-        return max(0.1, end - time.time())
--- /dev/null
+++ b/tests/gateway/test_backends.py
@@ -0,0 +1,99 @@
+"""Which servers a request's is chosen among, and which one is."""
+
+import time
+import unittest
+
+from runkeel.api.fleet import Backend
+from runkeel.api.machines import Address
+from runkeel.gateway.backends import CANDIDATES, BackendDirectory, choose_backend
+
+MANY = 300
+SERVICE = "ledger"
+
+
+def make_backend(name, service=SERVICE, draining=False, zone="here"):
+    return Backend(name, service, Address("127.0.0.1", 1), zone, 8, draining, {})
+
+
+class BackendDirectoryTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = BackendDirectory()
+
+    def _names(self, tried=()):
+        return [one.backend_id for one in self.directory.candidates(SERVICE, tried)]
+
+    def _put_many(self):
+        for number in range(MANY):
+            self.directory.put(make_backend(f"s{number}"))
+
+    def test_all_of_a_small_service_that_take_new_work(self):
+        self.directory.put(make_backend("a"))
+        self.directory.put(make_backend("leaving", draining=True))
+        self.directory.put(make_backend("other", service="other"))
+        self.assertEqual(self._names(), ["a"])
+
+    def test_server_that_begins_to_leave_is_no_candidate(self):
+        self.directory.put(make_backend("a"))
+        self.directory.put(make_backend("a", draining=True))
+        self.assertEqual(self._names(), [])
+        self.directory.remove("a")
+        self.assertIsNone(self.directory.get("a"))
+
+    def test_server_that_changes_its_service(self):
+        self.directory.put(make_backend("a"))
+        self.directory.put(make_backend("a", service="other"))
+        self.assertEqual(self._names(), [])
+
+    def test_few_of_many_and_the_same_ones_again(self):
+        """The cost of a choice must not grow with the servers: 10 ms at 4,200 before."""
+        self._put_many()
+        names = self._names()
+        self.assertEqual(len(set(names)), CANDIDATES)
+        self.assertEqual(self._names(), names)
+
+    def test_candidate_that_leaves_is_replaced(self):
+        self._put_many()
+        names = self._names()
+        self.directory.remove(names[0])
+        self.directory.put(make_backend(names[1], draining=True))
+        after = self._names()
+        self.assertEqual(len(set(after)), CANDIDATES)
+        self.assertFalse({names[0], names[1]} & set(after))
+        self.assertEqual(after[: CANDIDATES - 2], names[2:])
+
+    def test_others_are_drawn_where_no_candidate_is_left(self):
+        self._put_many()
+        names = self._names()
+        self.assertGreater(len(set(self._names(tried=set(names))) - set(names)), 0)
+        for name in names:
+            self.directory.get(name).failed()
+        state = choose_backend(self.directory.candidates(SERVICE), set(), "here")
+        self.assertFalse(state.avoided(time.monotonic()))
+
+
+class ChooseBackendTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = BackendDirectory()
+        for name, zone in (("near", "here"), ("far", "there")):
+            self.directory.put(make_backend(name, zone=zone))
+
+    def _choose(self, tried=()):
+        state = choose_backend(self.directory.candidates(SERVICE), set(tried), "here")
+        return state.backend_id if state is not None else None
+
+    def test_own_zone_among_equals_and_none_twice(self):
+        self.assertEqual(self._choose(), "near")
+        self.assertEqual(self._choose(tried=["near"]), "far")
+        self.assertIsNone(self._choose(tried=["near", "far"]))
+
+    def test_emptier_server_before_a_nearer_one(self):
+        self.directory.get("near").in_flight = 2
+        self.assertEqual(self._choose(), "far")
+
+    def test_server_that_failed_comes_last(self):
+        self.directory.get("near").failed()
+        self.assertEqual(self._choose(), "far")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/jobs/test_engine_placement.py
+++ b/tests/jobs/test_engine_placement.py
@@ -8,7 +8,7 @@
 from runkeel.api.machines import Address
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.jobs import engine_placement
-from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.engine_placement import CANDIDATES, EnginePlacement
 from runkeel.jobs.engine_speeds import RunSample
 from tests.jobs.test_job_service import make_job
 
@@ -66,6 +66,40 @@
         self.assertEqual(self._choose(1), "c")
         self.assertNotEqual(self._choose(2), "c")
 
+    def test_few_of_many_engines_are_looked_at(self):
+        """Sweep at 303 servers: each choice looked at all engines, each look at all speeds."""
+        for number in range(10 * CANDIDATES):
+            self._engine(f"e{number}")
+        looked_at = mock.Mock(wraps=self.placement.usable)
+        with mock.patch.object(self.placement, "usable", looked_at):
+            self.assertIsNotNone(self._choose())
+        self.assertLessEqual(looked_at.call_count, CANDIDATES + 1)
+
+    def test_the_only_engine_with_room_among_many_is_found(self):
+        engines = [self._engine(f"e{number}", slots=1) for number in range(10 * CANDIDATES)]
+        for engine in engines:
+            self.placement.take(engine)
+        self.assertIsNone(self._choose())
+        self.placement.release(engines[7])
+        self.assertEqual(self._choose(), "e7")
+
+    def test_group_mates_come_together_among_many_engines(self):
+        engines = [self._engine(f"e{number}", slots=8) for number in range(10 * CANDIDATES)]
+        self.placement.note_group(self.job, self.job.items[0], engines[7])
+        self.assertEqual(self._choose(1), "e7")
+
+    def test_engine_that_joins_or_leaves_counts_at_once(self):
+        first = self._engine("a", slots=1)
+        self.placement.take(first)
+        self.assertIsNone(self._choose())
+        self._engine("b", slots=1)
+        self.assertEqual(self._choose(), "b")
+        self._engine("b", slots=1, draining=True)
+        self.assertIsNone(self._choose())
+        self.placement.release(first)
+        self.directory.remove("a")
+        self.assertIsNone(self._choose())
+
     def _observe_speeds(self, **events):
         clock = mock.patch.object(engine_placement.time, "monotonic")
         now = time.monotonic()
--- a/tests/jobs/test_run_mover.py
+++ b/tests/jobs/test_run_mover.py
@@ -101,14 +101,14 @@
         self.loading.add(("slow", "m"))
         long, short = self._running("slow", 10_000), self._running("slow", 1_000)
         elsewhere = self._running("fast", 10_000)
-        self.mover.move_before_load("slow", [short, long, elsewhere])
+        self.mover.move_before_load([short, long])
         self.assertEqual(
             [task.run.moved for task in (long, short, elsewhere)], [True, False, False]
         )
         self.loading.clear()
         self._learn_speeds(fast=40, slow=10)
         stays = self._running("fast", 10_000)
-        self.mover.move_before_load("fast", [stays])
+        self.mover.move_before_load([stays])
         self.assertFalse(stays.run.moved)
 
 
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -2,6 +2,8 @@
 
 import time
 import unittest
+from dataclasses import replace
+from unittest import mock
 
 import gevent
 
@@ -13,7 +15,7 @@
     ServiceDescription,
     ServiceShare,
 )
-from runkeel.api.jobs import ResultState
+from runkeel.api.jobs import ItemResult, ResultState
 from runkeel.api.machines import Address
 from runkeel.backends.http_connection import OutgoingRequest
 from runkeel.gateway.backends import REFUSAL_PAUSE_SECONDS, BackendDirectory
@@ -22,7 +24,7 @@
 from runkeel.jobs.generation_run import PartialText
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
-from runkeel.jobs.scheduler import UNKNOWN_ITEM_SECONDS, Scheduler
+from runkeel.jobs.scheduler import STARTS_PER_TURN, UNKNOWN_ITEM_SECONDS, Scheduler
 from tests.jobs.test_job_service import JOB_ID, make_job
 
 SERVICE = "engines"
@@ -56,6 +58,13 @@
         return OutgoingRequest("POST", request.path, [], request.body)
 
 
+class SilentProtocol:
+    """No request is ever sent."""
+
+    def encode_generation(self, request, backend, remaining):
+        gevent.sleep(60.0)
+
+
 class SchedulerTest(unittest.TestCase):
     def setUp(self):
         self.directory = BackendDirectory()
@@ -67,13 +76,15 @@
         )
         self.state = JobState(make_job())
 
+    def _use_protocol(self, protocol):
+        self.scheduler = Scheduler(self.placement, self.routing, protocol, None, lambda *key: False)
+        self.addCleanup(self.scheduler.stop)
+
     def test_engine_that_refuses_connections_is_left_for_longer_than_a_full_one(self):
         """agreste-grown inc-05b9: 497 runs were tried at three dead engines, each 50 ms."""
         self.routing.apply(make_configuration())
-        protocol = UnreachedProtocol()
-        self.scheduler = Scheduler(self.placement, self.routing, protocol, None, lambda *key: False)
+        self._use_protocol(UnreachedProtocol())
         self.scheduler.start()
-        self.addCleanup(self.scheduler.stop)
         self.scheduler.add(self.state)
         engine = self.directory.get("e")
         deadline = time.monotonic() + LONGEST_WAIT_SECONDS
@@ -120,7 +131,8 @@
 
     def test_text_of_a_finished_item_is_open_until_its_result_is_listed(self):
         task = ItemTask(self.state, self.state.job.items[0], PartialText(["x"], "1", [1], True))
-        self.scheduler._finish(task, ResultState.COMPLETED, "score")
+        result = ItemResult(f"{JOB_ID}-0", ResultState.COMPLETED, "x", (1,), "score")
+        self.scheduler._finish(task, result)
         self.assertEqual(list(self.scheduler.open_texts()), [f"{JOB_ID}-0"])
         self.assertFalse(self.scheduler.finished(f"{JOB_ID}-0"))
         self.state.take_segment(list(self.state.unlisted))
@@ -142,7 +154,7 @@
         self.scheduler.add(self.state)
         self.scheduler._place_all()
         self.assertEqual(self.state.unlisted, [])
-        for task in self.scheduler._queue:
+        for task in self.scheduler._queue.tasks():
             task.route_missing_since = time.monotonic() - 60.0
         self.scheduler._place_all()
         self.assertEqual(len(self.state.unlisted), len(self.state.items))
@@ -156,27 +168,30 @@
         self.scheduler.drop(self.state)
         gevent.sleep(0.05)
         self.assertEqual(self.placement.load("e"), 0)
-        self.assertEqual(self.scheduler._running, {})
+        self.assertEqual(list(self.scheduler._running), [])
 
     def test_reserved_slot_of_an_ended_job_is_given_back(self):
         self.routing.apply(make_configuration())
         self.scheduler.add(self.state)
         engine = self.directory.get("e")
         self.placement.take(engine)
-        self.scheduler._queue[0].next_engine = engine
+        task = self.scheduler._queue.tasks()[0]
+        task.next_engine = engine
+        self.scheduler._queue.put(task)
         self.state.end()
         self.scheduler._place_all()
         self.assertEqual(self.placement.load("e"), 0)
 
     def test_text_of_an_ended_job_is_continued_by_the_next_one(self):
         self.scheduler.add(self.state)
-        text = self.scheduler._queue[0].partial
+        task = self.scheduler._queue.tasks()[0]
+        text = task.partial
         text.pieces.append("x")
         text.versions.append(1)
-        item_id = self.scheduler._queue[0].item.item_id
+        item_id = task.item.item_id
         self.scheduler.drop(self.state)
         self.scheduler.add(JobState(make_job()))
-        task = next(one for one in self.scheduler._queue if one.item.item_id == item_id)
+        task = self.scheduler._queue.of_item(item_id)
         self.assertTrue(task.carried)
         self.assertIs(task.partial, text)
 
@@ -184,7 +199,43 @@
         old = PartialText(["x"], "1", [0])
         self.scheduler.keep_texts({f"{JOB_ID}-0": old})
         self.scheduler.add(self.state)
-        self.assertEqual(self.scheduler._queue[0].partial.pieces, [])
+        self.assertEqual(self.scheduler._queue.of_item(f"{JOB_ID}-0").partial.pieces, [])
+
+    def test_looking_for_work_costs_no_more_with_many_waiting_items(self):
+        """Sweep at 303 servers: a wake asked for an engine for each of 624 waiting items."""
+        self.routing.apply(make_configuration())
+        self.scheduler.add(JobState(make_job(items=500)))
+        self.scheduler._place_all()
+        self.assertEqual(self.placement.load("e"), 8)
+        choose = mock.Mock(wraps=self.placement.choose)
+        with mock.patch.object(self.placement, "choose", choose):
+            self.scheduler._place_all()
+        self.assertEqual(choose.call_count, 1)
+
+    def test_other_tasks_have_their_turn_while_many_items_start(self):
+        """Sweep at 303 servers: pings went unanswered for 1.6 s while a job's items started."""
+        self._use_protocol(SilentProtocol())
+        self.routing.apply(make_configuration())
+        for number in range(STARTS_PER_TURN):
+            backend = Backend(f"e{number}", SERVICE, DEAD_ADDRESS, "z", 8, False, {"m": 1})
+            self.directory.put(backend)
+        self.scheduler.add(JobState(make_job(items=4 * STARTS_PER_TURN)))
+        turns = []
+        other = gevent.spawn(lambda: turns.append(len(self.scheduler._running)))
+        self.scheduler._place_all()
+        self.assertTrue(other.ready())
+        self.assertEqual(turns, [STARTS_PER_TURN])
+
+    def test_first_items_of_other_jobs_are_placed_when_one_job_finds_no_engine(self):
+        self._use_protocol(SilentProtocol())
+        self.routing.apply(make_configuration())
+        newer = replace(make_job(), job_id="newer", minimum_version=2)
+        older = replace(make_job(), submitted_at=newer.submitted_at + 1.0)
+        self.scheduler.add(JobState(newer))
+        self.scheduler.add(JobState(older))
+        self.scheduler._place_all()
+        running = {task.state.job.job_id for task in self.scheduler._running}
+        self.assertEqual(running, {JOB_ID})
 
 
 if __name__ == "__main__":
