Have other nodes read the runs of a large fleet: runners with leases

Cause: one process reads every event of every run.

Weighed: (a) jobs split by model over several coordinators: helps by the number of models only, and each is still bound by one process; (b) runs read by nodes of the engine's zone, the coordinator places and lists: the cost of an event at the coordinator becomes its part of a batch, about 5 us; (c) engines that report to a mailbox: they don't.

Change: where the engines have more slots than LOCAL_RUNS (160) the coordinator invites nodes of the engines' zones. A runner begins what it is sent, reads it, has the text scored, and tells progress several times a second; texts at the coordinator grow by that, so that copies, journals, hand-overs and moves stay as they are. Runs live by a lease that each answer renews (1.6 s); the coordinator lets an item go on elsewhere only once the runner has confirmed its end, or after 2.1 s of silence, and a start that comes in a later session is refused, so that no item is at two engines at once. A new term waits for the same time. Runs that can't be read in time stay queued (64 a runner, none for one whose timers are late; 160 at the coordinator). Smaller fleets run as before, all in one process.

Lateness of timers is measured on every node (runkeel_loop_late_seconds).

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -224,6 +224,21 @@
         """Return the nodes that get copies of what runs here, the likeliest successors first."""
         return self._peers.copy_holders()
 
+    def peers(self) -> list[NodeAddress]:
+        """Return the nodes that have pinged this coordinator lately."""
+        return self._peers.addresses()
+
+    @property
+    def own_address(self) -> NodeAddress:
+        """Where this node is reached by its peers."""
+        return self._own_address
+
+    @property
+    def known_epoch(self) -> int:
+        """The latest term that this node has heard of."""
+        told = self._coordinator.epoch if self._coordinator is not None else 0
+        return max(told, self._epoch)
+
     def peer_address(self, node_id: str) -> tuple[Address, str] | None:
         """Return the address and zone of a node, for the peer network."""
         known = self._coordinator
--- a/src/runkeel/coordination/peers.py
+++ b/src/runkeel/coordination/peers.py
@@ -67,6 +67,10 @@
         known = self._peers.get(node_id)
         return known.address if known is not None else None
 
+    def addresses(self) -> list[NodeAddress]:
+        """Return where the nodes are reached that have pinged lately."""
+        return [known.address for _, known in self._live()]
+
     def copy_holders(self) -> list[str]:
         """Return the nodes that get copies of what is running, the likeliest successors first."""
         live = self._live()
--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -15,7 +15,6 @@
 from runkeel.coordination.version_rollout import VersionRollout
 from runkeel.errors import RunkeelError
 from runkeel.gateway.backends import BackendDirectory
-from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.engine_placement import EnginePlacement
@@ -24,6 +23,8 @@
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.text_journal import TextJournal
 from runkeel.jobs.text_replication import TextSender
+from runkeel.runners.lease import LOST_SECONDS
+from runkeel.runners.pool import RunnerPool
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.wire.network import PeerNetwork
 
@@ -50,7 +51,7 @@
     network: PeerNetwork
     routing: RoutingTable
     directory: BackendDirectory
-    forwarder: Forwarder
+    scorer: Scorer
     lease: OrderLease
     election: Election
     journal: TextJournal | None
@@ -78,12 +79,22 @@
         self._placement = EnginePlacement(
             parts.directory, lambda backend_id, model: self._rollout.is_loading(backend_id, model)
         )
+        self.runners = RunnerPool(
+            parts.network,
+            parts.shard,
+            epoch,
+            lambda: parts.election.own_address,
+            parts.election.peers,
+            parts.directory,
+            lambda: _generating_services(parts.routing),
+        )
         self.scheduler = Scheduler(
             self._placement,
             parts.routing,
             parts.protocol,
-            Scorer(parts.forwarder, parts.routing, parts.protocol),
+            parts.scorer,
             lambda backend_id, model: self._rollout.is_loading(backend_id, model),
+            self.runners,
         )
         self.scheduler.keep_texts(texts)
         self._sender = TextSender(
@@ -114,6 +125,7 @@
             lambda model: self.targets.get(model, 0),
             parts.election.superseded,
             texts_expected=epoch > 1 and not texts,
+            earlier_runs_seconds=lambda: LOST_SECONDS if epoch > 1 and self.runners.needed else 0.0,
         )
         self._watchers = [
             DocumentWatcher(
@@ -129,6 +141,7 @@
         """Start to coordinate."""
         for watcher in self._watchers:
             watcher.start()
+        self.runners.start()
         self.jobs.start()
         self._sender.start()
         self._starter = gevent.spawn(self._start_rollout)
@@ -140,6 +153,7 @@
         self._sender.stop()
         self._rollout.stop()
         self.jobs.stop()
+        self.runners.stop()
         for watcher in self._watchers:
             watcher.stop()
 
@@ -198,3 +212,11 @@
                 return
             except RunkeelError:
                 gevent.sleep(_RETIREMENT_RETRY_SECONDS)
+
+
+def _generating_services(routing: RoutingTable) -> list[str]:
+    """Return the services that serve models, sorted by name."""
+    configuration = routing.configuration
+    if configuration is None:
+        return []
+    return sorted(one.name for one in configuration.services.values() if one.models)
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -33,12 +33,17 @@
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.job_state import JobState
+from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
 from runkeel.jobs.text_hand_over import TextHandOver
 from runkeel.jobs.text_journal import TextJournal
 from runkeel.jobs.text_replication import TextCopies
+from runkeel.lateness import Lateness
+from runkeel.runners.service import RunnerService
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.jobs.ttypes import ItemRunProgress, ItemRunProgressReply
 from runkeel.wire.network import PeerNetwork
 
 SHARD = "fleet"
@@ -181,6 +186,19 @@
         )
         self._election.watcher.on_change(self._offer_texts)
         self._term: CoordinatorTerm | None = None
+        scorer = Scorer(self.forwarder, self.routing, protocol)
+        self._lateness = Lateness()
+        self._runner = RunnerService(
+            self._network,
+            SHARD,
+            self.directory,
+            protocol,
+            scorer,
+            lambda: self._election.known_epoch,
+            self._election.note_successor,
+            self._lateness.seconds,
+        )
+        self._network.on_call(MessageType.ITEM_RUN_PROGRESS, ItemRunProgress, self._answer_progress)
         self._term_parts = TermParts(
             settings.node_id,
             SHARD,
@@ -190,7 +208,7 @@
             self._network,
             self.routing,
             self.directory,
-            self.forwarder,
+            scorer,
             self._lease,
             self._election,
             self._journal,
@@ -244,6 +262,7 @@
 
     def start(self) -> None:
         """Start every part. Raises OSError when the peer address is in use."""
+        self._lateness.start()
         self._network.start()
         for watcher in self._watchers:
             watcher.start()
@@ -263,6 +282,8 @@
     def stop(self) -> None:
         """End every part."""
         self._end_term()
+        self._runner.stop()
+        self._lateness.stop()
         self._election.stop()
         self._follower.stop()
         for watcher in self._watchers:
@@ -304,6 +325,15 @@
         if coordinator is not None:
             self._hand_over.offer(coordinator.node_id, coordinator.epoch)
 
+    def _answer_progress(
+        self, peer: str, message: ItemRunProgress
+    ) -> tuple[int, ItemRunProgressReply]:
+        if self._term is None:
+            reply = ItemRunProgressReply(False, [], [])
+        else:
+            reply = self._term.runners.take_progress(peer, message)
+        return MessageType.ITEM_RUN_PROGRESS_REPLY, reply
+
     def _directory_changed(self, service: str) -> None:
         if self._term is not None:
             self._term.wake()
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -64,6 +64,7 @@
         newest_version: newest version of a model, as named by its trainer.
         on_superseded: called with the reason when another coordinator's work is seen.
         texts_expected: a node may offer texts of the coordinator before; items wait for a moment.
+        earlier_runs_seconds: so long other nodes may still run items for the coordinator before.
 
     Attributes:
         loaded: set once the jobs that stood in the store are known, so that :meth:`demand` is.
@@ -77,7 +78,9 @@
         newest_version: Callable[[str], int],
         on_superseded: Callable[[str], None],
         texts_expected: bool = False,
+        earlier_runs_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._earlier_runs_seconds = earlier_runs_seconds
         self.loaded = Event()
         self._texts_expected = texts_expected
         self._store = store
@@ -176,6 +179,8 @@
         self.loaded.set()
         if self._texts_expected and self._jobs:
             gevent.sleep(max(0.0, self._started_at + TEXTS_SECONDS - time.monotonic()))
+        over_at = self._started_at + self._earlier_runs_seconds()
+        gevent.sleep(max(0.0, over_at - time.monotonic()))
         self._scheduler.start()
 
     def _end_changed(self, document: Document, removed: bool) -> None:
--- a/src/runkeel/jobs/item_runner.py
+++ b/src/runkeel/jobs/item_runner.py
@@ -10,12 +10,16 @@
 
 from runkeel.api.backend_protocol import BackendProtocol, GenerationRequest
 from runkeel.api.fleet import Route
-from runkeel.api.jobs import ItemResult, ResultState
+from runkeel.api.jobs import ItemResult, ResultState, ScorerCall
 from runkeel.gateway.backends import BackendState
 from runkeel.jobs.generation_run import GenerationRun, RunOutcome
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
 from runkeel.metrics import ITEM_RUNS
+from runkeel.runners.pool import Runner, RunnerPool
+from runkeel.runners.remote_run import RemoteRun
+from runkeel.wire.generated.common.ttypes import HttpHeader
+from runkeel.wire.generated.jobs.ttypes import ItemRunStart, ItemScorer
 
 LEAST_RUN_SECONDS = 0.1
 """A run is given so long at least; its deadline may have passed while it waited for an engine."""
@@ -25,29 +29,47 @@
 
 
 class ItemRunner:
-    """Runs items; keeps nothing of its own.
+    """Runs items here, or has other nodes run them.
 
     Args:
         is_loading: tells whether an engine is loading a version of a model.
+        runners: other nodes that run items; None: there are none.
     """
 
     def __init__(
-        self, protocol: BackendProtocol, scorer: Scorer, is_loading: Callable[[str, str], bool]
+        self,
+        protocol: BackendProtocol,
+        scorer: Scorer,
+        is_loading: Callable[[str, str], bool],
+        runners: RunnerPool | None = None,
     ) -> None:
         self._protocol = protocol
         self._scorer = scorer
         self._is_loading = is_loading
+        self._runners = runners
+
+    @property
+    def has_room(self) -> bool:
+        """Whether one more run would be read in time."""
+        return self._runners is None or self._runners.has_room
 
     def generate(self, task: ItemTask, route: Route) -> RunOutcome:
         """Run an item at its engine; the text grows in the task."""
         resumed_after = task.partial.last_event_id
         started = time.monotonic()
-        run = self._new_run(task, route)
+        deadline = started + _seconds_left(task, route)
+        runner = self._runners.runner_for(task.engine) if self._runners is not None else None
+        if runner is not None:
+            run = self._remote_run(task, route, runner)
+        else:
+            run = self._local_run(task, route)
         task.run = run
         try:
-            outcome = run.run(started + _seconds_left(task, route))
+            outcome = self._run_here(run, deadline) if runner is None else run.run(deadline)
         finally:
             task.run = None
+        if isinstance(run, RemoteRun) and outcome is RunOutcome.COMPLETE:
+            task.score, task.scoring_problem = run.score, run.scoring_problem
         _judge(task.engine, outcome)
         ITEM_RUNS.labels(outcome.value).inc()
         logger.info(
@@ -56,6 +78,7 @@
             request=task.item.item_id,
             job=task.state.job.job_id,
             backend=task.engine.backend_id,
+            runner=runner.node_id if runner is not None else "",
             outcome=outcome.value,
             detail=run.detail,
             events=run.events,
@@ -67,8 +90,10 @@
 
     def score(self, task: ItemTask, route: Route) -> ItemResult:
         """Have a whole text scored; returns the result to be listed."""
-        score = ""
-        if task.item.scorer is not None:
+        score = task.score
+        if task.scoring_problem:
+            return given_up(task, f"scoring: {task.scoring_problem}")
+        if task.item.scorer is not None and not score:
             deadline = time.monotonic() + _seconds_left(task, route)
             try:
                 score = self._scorer.score(task.item.scorer, deadline)
@@ -82,8 +107,17 @@
             score,
         )
 
-    def _new_run(self, task: ItemTask, route: Route) -> GenerationRun:
-        job, engine = task.state.job, task.engine
+    def _run_here(self, run: GenerationRun, deadline: float) -> RunOutcome:
+        if self._runners is None:
+            return run.run(deadline)
+        self._runners.local_run_began()
+        try:
+            return run.run(deadline)
+        finally:
+            self._runners.local_run_ended()
+
+    def _local_run(self, task: ItemTask, route: Route) -> GenerationRun:
+        job = task.state.job
         request = GenerationRequest(
             request_id=task.item.item_id,
             path=task.item.path,
@@ -95,13 +129,40 @@
         )
         return GenerationRun(
             self._protocol,
-            engine,
+            task.engine,
             request,
             task.partial,
             job.minimum_version,
             route.single_version,
-            lambda: self._is_loading(engine.backend_id, job.model),
+            self._loading(task),
+        )
+
+    def _remote_run(self, task: ItemTask, route: Route, runner: Runner) -> RemoteRun:
+        job, item = task.state.job, task.item
+        scorer = item.scorer
+        start = ItemRunStart(
+            backend_id=task.engine.backend_id,
+            request_id=item.item_id,
+            host=job.host,
+            path=item.path,
+            headers=[HttpHeader(name, value) for name, value in item.headers],
+            body=base64.b64decode(item.body),
+            urgency=min(LEAST_URGENT, route.rank),
+            resume_after=task.partial.last_event_id or "",
+            versions=list(task.partial.versions),
+            minimum_version=job.minimum_version,
+            single_version=route.single_version,
+            scorer=None if scorer is None else _scorer_message(scorer),
         )
+        return self._runners.new_run(runner, start, task.partial, self._loading(task))
+
+    def _loading(self, task: ItemTask) -> Callable[[], bool]:
+        backend_id, model = task.engine.backend_id, task.state.job.model
+        return lambda: self._is_loading(backend_id, model)
+
+
+def _scorer_message(call: ScorerCall) -> ItemScorer:
+    return ItemScorer(call.request_id, call.host, call.path, call.body)
 
 
 def given_up(task: ItemTask, reason: str) -> ItemResult:
--- a/src/runkeel/jobs/item_task.py
+++ b/src/runkeel/jobs/item_task.py
@@ -10,6 +10,7 @@
 from runkeel.gateway.backends import BackendState
 from runkeel.jobs.generation_run import GenerationRun, PartialText
 from runkeel.jobs.job_state import JobState
+from runkeel.runners.remote_run import RemoteRun
 
 
 @dataclass(slots=True)
@@ -19,6 +20,8 @@
     Attributes:
         failures: runs that an engine answered with a failure.
         not_before: monotonic time before which it isn't run again.
+        score: the scorer's stamp, where the node that ran it has had it scored.
+        scoring_problem: why that node could not; empty if it could or had not to.
     """
 
     state: JobState
@@ -27,10 +30,12 @@
     failures: int = 0
     not_before: float = 0.0
     engine: BackendState | None = None
-    run: GenerationRun | None = None
+    run: GenerationRun | RemoteRun | None = None
     task: gevent.Greenlet | None = None
     carried: bool = False
     route_missing_since: float = 0.0
+    score: str = ""
+    scoring_problem: str = ""
     begun: bool = False
     """Its greenlet has begun to run; one that is killed before never cleans up."""
     next_engine: BackendState | None = None
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -25,6 +25,7 @@
 from runkeel.jobs.run_mover import RunMover
 from runkeel.jobs.running_items import RunningItems
 from runkeel.jobs.scorer import Scorer
+from runkeel.runners.pool import RunnerPool
 
 IDLE_CHECK_SECONDS = 0.25
 REQUEUE_SECONDS = 0.05
@@ -53,6 +54,7 @@
     Args:
         placement: chooses the engines.
         is_loading: tells whether an engine is loading a version of a model.
+        runners: other nodes that run items; None: this one runs all.
     """
 
     def __init__(
@@ -62,10 +64,11 @@
         protocol: BackendProtocol,
         scorer: Scorer,
         is_loading: Callable[[str, str], bool],
+        runners: RunnerPool | None = None,
     ) -> None:
         self._placement = placement
         self._routing = routing
-        self._runner = ItemRunner(protocol, scorer, is_loading)
+        self._runner = ItemRunner(protocol, scorer, is_loading, runners)
         self._running = RunningItems()
         self._kept = KeptTexts()
         self._finished = FinishedItems()
@@ -230,6 +233,9 @@
             if time.time() > task.state.job.submitted_at + route.maximum_queue_seconds > 0:
                 self._give_up(task, "waited too long")
                 continue
+            if not self._runner.has_room:
+                # Better left in the queue than begun and not read in time.
+                return starts
             length = self._mover.relative_length(task)
             service = choose_service(route, task.item.item_id)
             engine = self._placement.choose(task.state.job, task.item, service, length)
--- /dev/null
+++ b/src/runkeel/lateness.py
@@ -0,0 +1,45 @@
+"""How late this process's timers are: the first sign that it has more to do than it can."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+
+from runkeel.metrics import LOOP_LATE_SECONDS
+
+INTERVAL_SECONDS = 0.1
+MEMORY_SECONDS = 1.0
+"""The lateness told is the largest one of so long."""
+
+
+class Lateness:
+    """Sleeps for a short time, again and again, and notes how much later it wakes up."""
+
+    def __init__(self) -> None:
+        self._recent: list[tuple[float, float]] = []
+        self._task: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start to measure."""
+        self._task = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Stop to measure."""
+        if self._task is not None:
+            self._task.kill(block=False)
+
+    def seconds(self) -> float:
+        """Return how late the latest timers were, the largest of the last second."""
+        oldest = time.monotonic() - MEMORY_SECONDS
+        return max((late for at, late in self._recent if at >= oldest), default=0.0)
+
+    def _run(self) -> None:
+        while True:
+            due = time.monotonic() + INTERVAL_SECONDS
+            gevent.sleep(INTERVAL_SECONDS)
+            now = time.monotonic()
+            late = max(0.0, now - due)
+            LOOP_LATE_SECONDS.observe(late)
+            self._recent = [one for one in self._recent if one[0] >= now - MEMORY_SECONDS]
+            self._recent.append((now, late))
--- a/src/runkeel/metrics.py
+++ b/src/runkeel/metrics.py
@@ -27,3 +27,10 @@
 COORDINATING = Gauge("runkeel_coordinating", "1 while this node coordinates", ["service"])
 VERSION_ORDERS = Counter("runkeel_version_orders_total", "Orders to engines", ["outcome"])
 LOG_LINES_DROPPED = Counter("runkeel_log_lines_dropped_total", "Log lines left out")
+LOOP_LATE_SECONDS = Histogram(
+    "runkeel_loop_late_seconds",
+    "How late timers of this process are",
+    buckets=(0.005, 0.02, 0.05, 0.15, 0.5, 1.5),
+)
+RUNNERS = Gauge("runkeel_runners", "Nodes that run items for this coordinator")
+HOSTED_RUNS = Gauge("runkeel_hosted_runs", "Items that this node runs for the coordinator")
--- /dev/null
+++ b/tests/runners/test_lease.py
@@ -0,0 +1,262 @@
+"""What a runner does without its coordinator, and the coordinator without its runner."""
+
+import time
+import unittest
+from unittest import mock
+
+import gevent
+
+from runkeel.api.fleet import Backend
+from runkeel.api.machines import Address
+from runkeel.gateway.backends import BackendDirectory
+from runkeel.jobs.generation_run import PartialText, RunOutcome
+from runkeel.runners import lease, pool, remote_run, service
+from runkeel.runners.pool import RunnerPool
+from runkeel.runners.service import RunnerService
+from runkeel.wire.generated.common.ttypes import MessageType
+from runkeel.wire.generated.jobs.ttypes import (
+    ItemRunProgress,
+    ItemRunStart,
+    ItemRunUpdate,
+    NodeAddress,
+)
+from runkeel_lab.standins.peer_network import MemoryNetwork
+
+SERVICE = "engines"
+LONGEST_WAIT_SECONDS = 10.0
+SCALE = 0.25
+SCALED = (
+    "HEARTBEAT_SECONDS",
+    "PROGRESS_CALL_SECONDS",
+    "PROGRESS_SECONDS",
+    "RUN_LEASE_SECONDS",
+    "LOST_SECONDS",
+    "PLAN_SECONDS",
+    "INVITE_AGAIN_SECONDS",
+)
+
+
+class FakeRun:
+    """A run that goes on until it is ended."""
+
+    def __init__(self, message, on_ended):
+        self.run_id = message.run_id
+        self.has_news = False
+        self.outcome = ""
+        self.pieces = []
+        self._on_ended = on_ended
+
+    def start(self):
+        self.has_news = True
+        self.pieces.append("a")
+
+    def end(self):
+        self.outcome = self.outcome or RunOutcome.MOVED.value
+        self.has_news = True
+        self._on_ended()
+
+    def update(self):
+        return ItemRunUpdate(
+            self.run_id, 0, list(self.pieces), "1", [1], False, self.outcome, "", ""
+        )
+
+    def note_told(self, update):
+        self.has_news = False
+        return bool(update.outcome)
+
+
+class LeaseTest(unittest.TestCase):
+    def setUp(self):
+        for module in (pool, remote_run, service):
+            for name in SCALED:
+                if hasattr(module, name):
+                    patch = mock.patch.object(module, name, getattr(lease, name, 1.0) * SCALE)
+                    patch.start()
+                    self.addCleanup(patch.stop)
+        few = mock.patch.object(pool, "LOCAL_RUNS", 0)
+        few.start()
+        self.addCleanup(few.stop)
+        self.network = MemoryNetwork()
+        self.directory = BackendDirectory()
+        self.directory.put(
+            Backend("e", SERVICE, Address("127.0.0.1", 1), "zone", 8, False, {"m": 1})
+        )
+        self.epoch = 1
+        self.hosted = []
+        self.runner = RunnerService(
+            self.network.node("r"),
+            "fleet",
+            self.directory,
+            None,
+            None,
+            lambda: self.epoch,
+            lambda address, epoch: None,
+        )
+        self.runner.new_run = self._host
+        self.addCleanup(self.runner.stop)
+        self.pool = self._pool(1)
+
+    def _pool(self, epoch):
+        peers = self.network.node("c")
+        made = RunnerPool(
+            peers,
+            "fleet",
+            epoch,
+            lambda: NodeAddress("c", "127.0.0.1:1", "zone"),
+            lambda: [NodeAddress("r", "127.0.0.1:2", "zone")],
+            self.directory,
+            lambda: [SERVICE],
+        )
+        peers.on_call(
+            MessageType.ITEM_RUN_PROGRESS,
+            ItemRunProgress,
+            lambda peer, message: (0, made.take_progress(peer, message)),
+        )
+        made.start()
+        self.addCleanup(made.stop)
+        return made
+
+    def _host(self, message, loading, on_ended):
+        self.hosted.append(FakeRun(message, on_ended))
+        return self.hosted[-1]
+
+    def _wait(self, condition, seconds=LONGEST_WAIT_SECONDS):
+        deadline = time.monotonic() + seconds
+        while not (value := condition()):
+            self.assertLess(time.monotonic(), deadline, "waited too long")
+            gevent.sleep(0.005)
+        return value
+
+    def _joined(self):
+        engine = self.directory.get("e")
+        return self._wait(lambda: self.pool.runner_for(engine))
+
+    def _new_run(self):
+        start = ItemRunStart(
+            backend_id="e",
+            request_id="i",
+            host="h",
+            path="/",
+            headers=[],
+            body=b"",
+            urgency=1,
+            resume_after="",
+            versions=[],
+            minimum_version=1,
+            single_version=False,
+        )
+        return self.pool.new_run(self._joined(), start, PartialText(), lambda: False)
+
+    def _begin(self):
+        """Start a run; returns it and the task that waits for its end."""
+        run = self._new_run()
+        task = gevent.spawn(run.run, time.monotonic() + LONGEST_WAIT_SECONDS)
+        self._wait(lambda: run.events)
+        return run, task
+
+    def test_run_is_lost_only_after_its_runner_has_ended_it(self):
+        _, task = self._begin()
+        self.network.cut("c", "r")
+        self._wait(lambda: self.hosted[0].outcome)
+        self.assertFalse(task.ready())
+        self.assertIs(task.get(timeout=LONGEST_WAIT_SECONDS), RunOutcome.BROKEN)
+
+    def test_short_silence_ends_nothing(self):
+        _, task = self._begin()
+        self.network.cut("c", "r")
+        gevent.sleep(0.4 * lease.RUN_LEASE_SECONDS * SCALE)
+        self.network.heal()
+        gevent.sleep(2 * lease.LOST_SECONDS * SCALE)
+        self.assertEqual((self.hosted[0].outcome, task.ready()), ("", False))
+
+    def test_start_that_comes_after_the_lease_has_lapsed_is_refused(self):
+        """The bytes of a start may be held up by a cut until after it."""
+        run = self._new_run()
+        self.network.cut("c", "r")
+        gevent.sleep(2 * lease.LOST_SECONDS * SCALE)
+        self.network.heal()
+        self._joined()
+        self.assertIs(run.run(time.monotonic() + 1.0), RunOutcome.REFUSED)
+        self.assertEqual(self.hosted, [])
+
+    def test_run_that_is_ended_before_its_start_comes_never_begins(self):
+        run = self._new_run()
+        run._want_end(run.run_id)
+        self._wait(lambda: run._ended.is_set())
+        self.assertIs(run._outcome, RunOutcome.REFUSED)
+        self.assertIs(run.run(time.monotonic() + 1.0), RunOutcome.REFUSED)
+        self.assertEqual(self.hosted, [])
+
+    def test_killed_run_is_ended_at_its_runner(self):
+        _, task = self._begin()
+        task.kill()
+        self._wait(lambda: self.hosted[0].outcome == RunOutcome.MOVED.value)
+        self._wait(lambda: not self.pool._runners["r"].runs)
+
+    def test_moved_run_is_over_once_its_runner_says_so(self):
+        run, task = self._begin()
+        run.move_away()
+        self.assertIs(task.get(timeout=LONGEST_WAIT_SECONDS), RunOutcome.MOVED)
+        self.assertEqual(self.hosted[0].outcome, RunOutcome.MOVED.value)
+
+    def test_runs_of_a_term_that_is_over_end(self):
+        self._begin()
+        self.epoch = 2
+        self._wait(lambda: self.hosted[0].outcome)
+        self.assertEqual(self.runner.hosted_runs, 0)
+
+    def test_runs_end_when_their_coordinator_has_stepped_down(self):
+        self._begin()
+        self.pool.stop()
+        self._wait(lambda: self.hosted[0].outcome)
+
+    def test_invitation_of_an_earlier_term_is_refused(self):
+        self.epoch = 2
+        gevent.sleep(3 * lease.HEARTBEAT_SECONDS * SCALE)
+        self.assertEqual(self.pool._runners, {})
+
+    def test_lease_ends_before_its_loss_is_taken_for_certain(self):
+        self.assertGreater(lease.LOST_SECONDS, lease.RUN_LEASE_SECONDS + 0.4)
+        tries = lease.PROGRESS_SECONDS + lease.PROGRESS_CALL_SECONDS
+        self.assertLess(2 * tries, lease.RUN_LEASE_SECONDS)
+
+
+class RemoteRunTest(unittest.TestCase):
+    def setUp(self):
+        self.unwanted = []
+        self.text = PartialText()
+        start = ItemRunStart(run_id="1.1", backend_id="e")
+        self.run = remote_run.RemoteRun(
+            start, self.text, lambda: False, lambda message: None, self.unwanted.append
+        )
+
+    def _take(self, first, pieces, **more):
+        fields = {"whole": False, "outcome": "", "detail": "", "score": ""} | more
+        update = ItemRunUpdate("1.1", first, pieces, str(first + len(pieces)), [1], **fields)
+        self.run.take(update)
+
+    def test_progress_that_comes_twice_counts_once(self):
+        self._take(0, ["a", "b"])
+        self._take(0, ["a", "b", "c"])
+        self._take(3, ["d"], whole=True, outcome="complete", score="s")
+        self.assertEqual(self.text.pieces, ["a", "b", "c", "d"])
+        self.assertEqual((self.text.last_event_id, self.text.whole), ("4", True))
+        self.assertEqual((self.run._outcome, self.run.score), (RunOutcome.COMPLETE, "s"))
+
+    def test_text_never_skips_a_piece(self):
+        self._take(0, ["a"])
+        self._take(2, ["c"], whole=True)
+        self.assertEqual((self.text.pieces, self.text.whole), (["a"], False))
+        self.assertEqual(self.unwanted, ["1.1"])
+        self._take(2, ["c"], whole=True, outcome="complete")
+        self.assertIs(self.run._outcome, RunOutcome.BROKEN)
+        self.assertFalse(self.text.whole)
+
+    def test_text_that_could_not_be_scored_is_told_as_such(self):
+        self._take(0, ["a"], whole=True, outcome="scoring_failed", detail="4 failures")
+        self.assertIs(self.run._outcome, RunOutcome.COMPLETE)
+        self.assertEqual(self.run.scoring_problem, "4 failures")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -230,5 +230,5 @@
 struct ItemRunProgressReply {
   1: bool coordinating,     // false: end all runs
   2: list<string> unwanted, // runs to be ended, and never begun if they come later
-  3: list<string> loading,  // engines that are loading a version: pauses are expected
+  3: list<string> loading,  // runs whose engine is loading a version: a pause is expected
 }
