--- a/src/runkeel/jobs/job_documents.py
+++ b/src/runkeel/jobs/job_documents.py
@@ -18,6 +18,9 @@
 from runkeel.api.documents import MAXIMUM_CONTENT_BYTES
 from runkeel.api.jobs import BatchJob, ItemResult, JobItem, ResultState, ScorerCall
 
+PART_BYTES = 128_000
+"""Size of a part. Links may carry a few megabytes a second: it is written well within a second."""
+
 SEGMENT_SEPARATOR = "."
 _SEPARATOR_BYTES = 2
 """Between the items of a JSON list."""
@@ -48,9 +51,9 @@
         part_prefix: of the names of the parts.
     """
     items = [_encode_item(item) for item in job.items]
-    parts = _in_parts(items)
     content = _encode_head(job)
-    if len(parts) <= 1:
+    parts = _in_parts(items)
+    if len(parts) * PART_BYTES <= MAXIMUM_CONTENT_BYTES:
         return EncodedJob(content | {"items": items}, {})
     names = [f"{part_prefix}{SEGMENT_SEPARATOR}{number:03d}" for number in range(len(parts))]
     return EncodedJob(content | {"parts": names}, dict(zip(names, parts, strict=True)))
@@ -63,7 +66,7 @@
         size = len(json.dumps(item)) + _SEPARATOR_BYTES
         if size > room:
             parts.append([])
-            room = MAXIMUM_CONTENT_BYTES
+            room = PART_BYTES
         parts[-1].append(item)
         room -= size
     return parts
--- a/src/runkeel/jobs/job_store.py
+++ b/src/runkeel/jobs/job_store.py
@@ -9,6 +9,7 @@
 import secrets
 
 import gevent
+from gevent.pool import Pool
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
@@ -20,6 +21,12 @@
 PART_TRIES = 3
 """So often a part is written whose answer is lost; one of a few in a hundred is, on a bad day."""
 
+PART_SECONDS = 3.0
+"""A part is waited for so long; several share the node's link."""
+
+CONCURRENT_PARTS = 4
+"""So many parts are read or written at once."""
+
 _PREFIX_BYTES = 4
 
 
@@ -67,7 +74,7 @@
         problem: RunkeelError | None = None
         for _ in range(PART_TRIES):
             try:
-                self._store.create(DocumentKind.JOB_PART, name, part)
+                self._store.create(DocumentKind.JOB_PART, name, part, PART_SECONDS)
             except DocumentConflictError:
                 # An earlier write whose answer was lost.
                 problem = None
@@ -96,13 +103,22 @@
 
     def read(self, document: Document) -> BatchJob | None:
         """Return the job of a document; None when it is being removed."""
-        parts = []
-        for name in parts_of_job(document.content):
-            part = get_unchanging(self._store, DocumentKind.JOB_PART, name)
+        names = parts_of_job(document.content)
+        contents = []
+        for part in Pool(CONCURRENT_PARTS).imap(self._read_part, names):
+            if isinstance(part, RunkeelError):
+                raise part
             if part is None:
                 return None
-            parts.append(part.content)
-        return decode_job(document.name, document.content, parts)
+            contents.append(part.content)
+        return decode_job(document.name, document.content, contents)
+
+    def _read_part(self, name: str) -> Document | RunkeelError | None:
+        """Return a part; an error is returned rather than raised, as its reader waits elsewhere."""
+        try:
+            return get_unchanging(self._store, DocumentKind.JOB_PART, name, PART_SECONDS)
+        except RunkeelError as error:
+            return error
 
     def get(self, job_id: str) -> BatchJob | None:
         """Return a job; None when it is certain that there is none."""
--- a/src/runkeel/jobs/text_journal.py
+++ b/src/runkeel/jobs/text_journal.py
@@ -15,7 +15,7 @@
 import struct
 import time
 import zlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -30,6 +30,11 @@
 MAXIMUM_FILE_BYTES = 8 * 1024 * 1024
 """Size from which a new file is begun; the one before is then removed."""
 
+LEAST_GROWTH = 3
+"""A file grows at least to so many times its first record, which has all texts: where these are
+large, a smaller file would be begun anew, with all of them, at each message.
+"""
+
 KEPT_FILES = 2
 """Files of earlier processes that are read at a start, the newest ones."""
 
@@ -61,6 +66,8 @@
         self._maximum_file_bytes = maximum_file_bytes
         self._file: int | None = None
         self._bytes = 0
+        self._first_bytes = 0
+        """Size of the first record of the file in use."""
         self._failed_at = -RETRY_SECONDS
         self._earlier: list[Path] = []
         self._lock = Semaphore()
@@ -78,21 +85,28 @@
         logger.info("texts read", code="texts_read", records=len(records))
         return records
 
-    @property
-    def wants_all(self) -> bool:
-        """Whether the next message begins a file, so that it must have all texts whole."""
-        return self._file is None or self._bytes >= self._maximum_file_bytes
+    def append(self, message: Callable[[bool], TextReplication | None]) -> None:
+        """Write a message; returns when it lasts, or when the disk has failed.
 
-    def append(self, message: TextReplication) -> None:
-        """Write a message; returns when it lasts, or when the disk has failed."""
-        if time.monotonic() - self._failed_at < RETRY_SECONDS:
-            return
-        begins = self.wants_all
+        Args:
+            message: called when it is this message's turn, with whether it begins a file, so that
+                it must have all texts whole; None: there is nothing to write.
+        """
         with self._lock:
-            error = gevent.get_hub().threadpool.apply(self._write, (_encode(message), begins))
+            if time.monotonic() - self._failed_at < RETRY_SECONDS:
+                return
+            begins = self._begins_file()
+            content = message(begins)
+            if content is None:
+                return
+            error = gevent.get_hub().threadpool.apply(self._write, (_encode(content), begins))
         if error is not None:
             self._failed(error)
 
+    def _begins_file(self) -> bool:
+        largest = max(self._maximum_file_bytes, LEAST_GROWTH * self._first_bytes)
+        return self._file is None or self._bytes >= largest
+
     def close(self) -> None:
         """Stop to write."""
         if self._file is not None:
@@ -108,6 +122,7 @@
             os.fdatasync(self._file)
             self._bytes += len(record)
             if begins:
+                self._first_bytes = len(record)
                 self._remove_earlier()
         except OSError as error:
             return error
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -96,14 +96,19 @@
         gevent.joinall(sends)
 
     def _write(self, texts: dict[str, PartialText]) -> None:
-        if self._journal is None:
-            return
-        if self._journal.wants_all:
+        if self._journal is not None:
+            self._journal.append(lambda begins_file: self._journal_message(texts, begins_file))
+
+    def _journal_message(
+        self, texts: dict[str, PartialText], begins_file: bool
+    ) -> TextReplication | None:
+        if begins_file:
             self._written.clear()
         updates = self._updates(texts, self._written)
-        if updates:
-            self._journal.append(TextReplication(self._shard, self._epoch, updates, False))
-            _note_sent(updates, self._written)
+        if not updates:
+            return None
+        _note_sent(updates, self._written)
+        return TextReplication(self._shard, self._epoch, updates, False)
 
     def _send_to(self, receiver: str, texts: dict[str, PartialText]) -> None:
         known = self._sent.setdefault(receiver, {})
@@ -247,14 +252,15 @@
         self._forget_old()
 
     def _write(self, message: TextReplication) -> None:
-        if self._journal is None:
-            return
-        if self._journal.wants_all:
-            updates = [
-                text_update(item_id, copy.text, None) for item_id, copy in self._copies.items()
-            ]
-            message = TextReplication(message.shard, message.epoch, updates, False)
-        self._journal.append(message)
+        if self._journal is not None:
+            self._journal.append(
+                lambda begins_file: self._whole(message) if begins_file else message
+            )
+
+    def _whole(self, message: TextReplication) -> TextReplication:
+        """Return a message with all copies; the given one is reflected in them already."""
+        updates = [text_update(one, copy.text, None) for one, copy in self._copies.items()]
+        return TextReplication(message.shard, message.epoch, updates, False)
 
     def _apply(self, update: TextUpdate, now: float) -> bool:
         """Add an update to its copy; False when earlier pieces are missing."""
--- a/src/runkeel/lateness.py
+++ b/src/runkeel/lateness.py
@@ -5,10 +5,14 @@
 import time
 
 import gevent
+from loguru import logger
 
 from runkeel.metrics import LOOP_LATE_SECONDS
 
 INTERVAL_SECONDS = 0.1
+TOLD_SECONDS = 0.3
+"""A lateness from which it is logged: peers wait 0.35 s for the answer to a ping."""
+
 MEMORY_SECONDS = 1.0
 """The lateness told is the largest one of so long."""
 
@@ -18,6 +22,7 @@
 
     def __init__(self) -> None:
         self._recent: list[tuple[float, float]] = []
+        self._told_at = 0.0
         self._task: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -34,6 +39,12 @@
         oldest = time.monotonic() - MEMORY_SECONDS
         return max((late for at, late in self._recent if at >= oldest), default=0.0)
 
+    def _tell(self, late: float, now: float) -> None:
+        """Log that the process was late, once a second at most."""
+        if late >= TOLD_SECONDS and now - self._told_at >= MEMORY_SECONDS:
+            self._told_at = now
+            logger.warning("timers are late", code="process_late", ms=int(late * 1000))
+
     def _run(self) -> None:
         while True:
             due = time.monotonic() + INTERVAL_SECONDS
@@ -41,5 +52,6 @@
             now = time.monotonic()
             late = max(0.0, now - due)
             LOOP_LATE_SECONDS.observe(late)
+            self._tell(late, now)
             self._recent = [one for one in self._recent if one[0] >= now - MEMORY_SECONDS]
             self._recent.append((now, late))
--- a/src/runkeel/state/unchanging.py
+++ b/src/runkeel/state/unchanging.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
-from runkeel.api.documents import Document, DocumentKind, DocumentStore, Freshness
+from runkeel.api.documents import (
+    CALL_TIMEOUT_SECONDS,
+    Document,
+    DocumentKind,
+    DocumentStore,
+    Freshness,
+)
 
 
-def get_unchanging(store: DocumentStore, kind: DocumentKind, name: str) -> Document | None:
+def get_unchanging(
+    store: DocumentStore,
+    kind: DocumentKind,
+    name: str,
+    timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+) -> Document | None:
     """Return a document that is never changed; None when it is certain that there is none.
 
     An old answer that has it is as good as any. One that lacks it decides nothing: the document
@@ -14,7 +25,7 @@
     Raises:
         RunkeelError: the store gave no answer.
     """
-    known = store.get(kind, name, freshness=Freshness.ANY_AGE)
+    known = store.get(kind, name, timeout_seconds, Freshness.ANY_AGE)
     if known is not None:
         return known
-    return store.get(kind, name)
+    return store.get(kind, name, timeout_seconds)
--- a/tests/jobs/test_text_journal.py
+++ b/tests/jobs/test_text_journal.py
@@ -80,6 +80,19 @@
         self.assertEqual(found["other"].last_event_id, "4")
         self.assertEqual(found["i"].last_event_id, "31")
 
+    def test_texts_larger_than_a_file_are_not_all_written_at_each_message(self):
+        """Trial with 241 engines: a successor held several copies of all texts, and was killed.
+
+        Each message began a new file, as the first record alone was larger than a file may be.
+        """
+        sender, _ = self._process(maximum=200)
+        self.texts = {f"t{n}": self._text(40) for n in range(40)} | {"i": self._text(1)}
+        sizes = []
+        with mock.patch.object(text_journal, "_encode", wraps=text_journal._encode) as encode:
+            self._write_steps(sender, 10)
+            sizes = [len(call.args[0].updates) for call in encode.call_args_list]
+        self.assertEqual(sizes, [41] + [1] * 9)
+
     def test_second_restart_still_finds_what_the_first_had_not_written(self):
         sender, _ = self._process()
         self.texts["i"] = self._text(3)
