Send texts in bounded messages; let runners keep the texts that they read

One edge node with a link of 30 Mbit/s kept copies of all of them; its answers were late, so all texts were sent again in one message, which was later still. Calls to that node were withdrawn before they were sent, and compressing all texts held up the coordinator's timers for 0.4 to 0.65 s.

Change: a message has 500 KB of text at most, and only what a lost message held is sent again. Where other nodes read the runs, no edge node gets copies of all: each runner keeps the texts of its own runs, and offers them to the next coordinator as copies were offered before; it ends its runs for an earlier coordinator first.

Tests: sizes of messages, a lost message, texts kept and offered.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -220,9 +220,9 @@
         self._step_down(reason)
         self._watcher.rewatch()
 
-    def copy_holders(self) -> list[str]:
-        """Return the nodes that get copies of what runs here, the likeliest successors first."""
-        return self._peers.copy_holders()
+    def copy_holders(self, keepers: bool = True) -> list[str]:
+        """Return the nodes that get copies of what runs here; see :class:`PeerRegistry`."""
+        return self._peers.copy_holders(keepers)
 
     def peers(self) -> list[NodeAddress]:
         """Return the nodes that have pinged this coordinator lately."""
--- a/src/runkeel/coordination/peers.py
+++ b/src/runkeel/coordination/peers.py
@@ -71,15 +71,21 @@
         """Return where the nodes are reached that have pinged lately."""
         return [known.address for _, known in self._live()]
 
-    def copy_holders(self) -> list[str]:
-        """Return the nodes that get copies of what is running, the likeliest successors first."""
+    def copy_holders(self, keepers: bool = True) -> list[str]:
+        """Return the nodes that get copies of what is running, the likeliest successors first.
+
+        Args:
+            keepers: whether nodes that are not preferred get some, too.
+        """
         live = self._live()
         preferred = [name for name, one in live if one.preferred]
         others = [(name, one.address.zone) for name, one in live if not one.preferred]
         others = [name for name, zone in sorted(others, key=lambda one: one[1] != self._zone)]
         successors = [*preferred, *others][:SUCCESSORS]
-        keepers = [name for name in others if name not in successors]
-        return [*successors, *keepers[:KEEPERS]]
+        if not keepers:
+            return successors
+        further = [name for name in others if name not in successors]
+        return [*successors, *further[:KEEPERS]]
 
     def witnesses_for(self, node_id: str) -> list[NodeAddress]:
         """Return some other nodes of all zones, in each those that are not preferred first."""
--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -102,7 +102,8 @@
             parts.shard,
             epoch,
             self.scheduler.open_texts,
-            parts.election.copy_holders,
+            # Where other nodes read the runs, these keep the texts, each a part of them.
+            lambda: parts.election.copy_holders(keepers=not self.runners.needed),
             parts.journal,
             self.scheduler.finished,
         )
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -43,7 +43,11 @@
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
 from runkeel.wire.generated.common.ttypes import MessageType
-from runkeel.wire.generated.jobs.ttypes import ItemRunProgress, ItemRunProgressReply
+from runkeel.wire.generated.jobs.ttypes import (
+    ItemRunProgress,
+    ItemRunProgressReply,
+    NodeAddress,
+)
 from runkeel.wire.network import PeerNetwork
 
 SHARD = "fleet"
@@ -184,7 +188,7 @@
             self._copies,
             lambda: self._term.scheduler if self._term is not None else None,
         )
-        self._election.watcher.on_change(self._offer_texts)
+        self._election.watcher.on_change(self._coordinator_changed)
         self._term: CoordinatorTerm | None = None
         scorer = Scorer(self.forwarder, self.routing, protocol)
         self._lateness = Lateness()
@@ -195,7 +199,8 @@
             protocol,
             scorer,
             lambda: self._election.known_epoch,
-            self._election.note_successor,
+            self._invited,
+            self._copies.hold,
             self._lateness.seconds,
         )
         self._network.on_call(MessageType.ITEM_RUN_PROGRESS, ItemRunProgress, self._answer_progress)
@@ -319,10 +324,19 @@
         if before is None or not _same_to_clients(before, backend):
             self._feed.note(document, removed)
 
-    def _offer_texts(self, document: Document, removed: bool) -> None:
+    def _invited(self, address: NodeAddress, epoch: int) -> None:
+        """Take note of a coordinator that wants this node to run items."""
+        self._election.note_successor(address, epoch)
+        self._offer_texts()
+
+    def _coordinator_changed(self, document: Document, removed: bool) -> None:
+        self._offer_texts()
+
+    def _offer_texts(self) -> None:
         """Offer copies to a new coordinator: those before it may have lost theirs."""
         coordinator = self._election.other_coordinator
         if coordinator is not None:
+            self._runner.end_earlier(coordinator.epoch)
             self._hand_over.offer(coordinator.node_id, coordinator.epoch)
 
     def _answer_progress(
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -29,6 +29,9 @@
 
 MAXIMUM_COPIES = 4_000
 
+MESSAGE_BYTES = 500_000
+"""Text in one message. A larger one may not arrive within its time over a slow link."""
+
 _NO_GENERATION = 0
 """Generation in an update that has a copy dropped; those of texts begin at 1."""
 
@@ -111,10 +114,20 @@
         return TextReplication(self._shard, self._epoch, updates, False)
 
     def _send_to(self, receiver: str, texts: dict[str, PartialText]) -> None:
+        """Send a receiver what it lacks, in messages of a bounded size."""
         known = self._sent.setdefault(receiver, {})
         updates = self._updates(texts, known)
-        if not updates:
-            return
+        first = 0
+        while first < len(updates):
+            batch = _bounded(updates, first)
+            first += len(batch)
+            if not self._send_batch(receiver, batch, known):
+                return
+
+    def _send_batch(
+        self, receiver: str, updates: list[TextUpdate], known: dict[str, SentText]
+    ) -> bool:
+        """Send some updates; False when no answer came."""
         message = TextReplication(self._shard, self._epoch, updates, False)
         try:
             reply = self._network.call(
@@ -125,12 +138,14 @@
                 CALL_SECONDS,
             )
         except RunkeelError:
-            # What arrived is unknown: everything is sent again.
-            known.clear()
-            return
+            # What arrived is unknown: these texts are sent again, from their beginning.
+            for update in updates:
+                known.pop(update.item_id, None)
+            return False
         _note_sent(updates, known)
         for item_id in reply.missing:
             known.pop(item_id, None)
+        return True
 
     def _updates(
         self, texts: dict[str, PartialText], known: dict[str, SentText]
@@ -152,6 +167,16 @@
     return TextUpdate(item_id, _NO_GENERATION, 0, [], "", [], False)
 
 
+def _bounded(updates: list[TextUpdate], first: int) -> list[TextUpdate]:
+    """Return updates from a position on, as many as fit one message; one at least."""
+    size = 0
+    for position in range(first, len(updates)):
+        size += sum(len(piece) for piece in updates[position].pieces)
+        if size > MESSAGE_BYTES and position > first:
+            return updates[first:position]
+    return updates[first:]
+
+
 def _note_sent(updates: list[TextUpdate], known: dict[str, SentText]) -> None:
     for update in updates:
         if update.generation == _NO_GENERATION:
@@ -207,6 +232,18 @@
         """Have texts that are handed to this coordinator received; returns the items wanted."""
         self._hand_over = receive
 
+    def hold(self, epoch: int, item_id: str, text: PartialText) -> None:
+        """Keep a text that this node itself has read, for the coordinator of a later term."""
+        if epoch < self._epoch:
+            return
+        if epoch > self._epoch:
+            self._copies.clear()
+            self._epoch = epoch
+        known = self._copies.get(item_id)
+        if known is None or known.text.precedence < text.precedence:
+            self._copies[item_id] = _Copy(text, time.monotonic())
+            self._forget_old()
+
     def take(self) -> dict[str, PartialText]:
         """Return the copies that are still fresh and forget them all."""
         oldest = time.monotonic() - KEPT_SECONDS
--- a/src/runkeel/runners/hosted_run.py
+++ b/src/runkeel/runners/hosted_run.py
@@ -56,6 +56,16 @@
         self._score = ""
         self._task: gevent.Greenlet | None = None
 
+    @property
+    def kept_text(self) -> PartialText | None:
+        """The item's text as far as it is known here; None if the run began in the midst of it."""
+        return self._text if not self._message.resume_after and self._text.pieces else None
+
+    @property
+    def item_id(self) -> str:
+        """The item that it runs."""
+        return self._message.request_id
+
     @property
     def has_news(self) -> bool:
         """Whether the coordinator lacks anything of this run."""
--- a/src/runkeel/runners/service.py
+++ b/src/runkeel/runners/service.py
@@ -18,7 +18,7 @@
 from runkeel.api.backend_protocol import BackendProtocol
 from runkeel.errors import RunkeelError
 from runkeel.gateway.backends import BackendDirectory
-from runkeel.jobs.generation_run import RunOutcome
+from runkeel.jobs.generation_run import PartialText, RunOutcome
 from runkeel.jobs.scorer import Scorer
 from runkeel.metrics import HOSTED_RUNS
 from runkeel.runners.hosted_run import HostedRun
@@ -56,6 +56,7 @@
     Args:
         known_epoch: the latest term that this node has heard of.
         on_coordinator: called with the coordinator that invites this node, and its epoch.
+        keep_text: called with the epoch, an item and its text when a run of it is over here.
         late_seconds: how late this process's timers are.
     """
 
@@ -68,6 +69,7 @@
         scorer: Scorer,
         known_epoch: Callable[[], int],
         on_coordinator: Callable[[NodeAddress, int], None],
+        keep_text: Callable[[int, str, PartialText], None] = lambda epoch, item, text: None,
         late_seconds: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._network = network
@@ -77,6 +79,7 @@
         self._scorer = scorer
         self._known_epoch = known_epoch
         self._on_coordinator = on_coordinator
+        self.keep_text = keep_text
         self._late_seconds = late_seconds
         self._engagement: Engagement | None = None
         self._stopping = False
@@ -88,6 +91,11 @@
         """Runs at this node."""
         return len(self._engagement) if self._engagement is not None else 0
 
+    def end_earlier(self, epoch: int) -> None:
+        """End the runs for coordinators before the one of an epoch; their texts are kept."""
+        if self._engagement is not None and self._engagement.epoch < epoch:
+            self._leave("another coordinator is known")
+
     def stop(self) -> None:
         """End all runs; accept no more."""
         self._stopping = True
@@ -252,6 +260,7 @@
         for update in updates:
             run = self._runs.get(update.run_id)
             if run is not None and run.note_told(update):
+                self._keep_text(run)
                 del self._runs[update.run_id]
         HOSTED_RUNS.set(len(self._runs))
         self._loading = frozenset(reply.loading)
@@ -283,9 +292,15 @@
             )
         for run in self._runs.values():
             run.end()
+            self._keep_text(run)
         self._runs.clear()
         HOSTED_RUNS.set(0)
 
+    def _keep_text(self, run: HostedRun) -> None:
+        text = run.kept_text
+        if text is not None:
+            self._service.keep_text(self.epoch, run.item_id, text)
+
 
 def _new_session() -> str:
     return secrets.token_hex(_SESSION_BYTES)
--- a/tests/jobs/test_text_replication.py
+++ b/tests/jobs/test_text_replication.py
@@ -1,10 +1,12 @@
 """Texts of running generations reach the coordinator's successor."""
 
 import unittest
+from unittest import mock
 
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.jobs.generation_run import PartialText
-from runkeel.jobs.text_replication import TextCopies, TextSender
+from runkeel.jobs.text_replication import MESSAGE_BYTES, TextCopies, TextSender
+from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel_lab.standins.peer_network import MemoryNetwork
 
 
@@ -128,6 +130,50 @@
         self.sender.send_once()
         self.assertEqual(self.copies.take()["i"].pieces, ["new"])
 
+    def test_texts_that_are_large_together_come_in_several_messages(self):
+        """Trial with 241 engines: one message of all texts never arrived in its time."""
+        piece = "x" * (MESSAGE_BYTES // 4)
+        for number in range(9):
+            self.texts[f"i{number}"] = make_text(piece)
+        sizes = []
+        with mock.patch.object(self.copies, "_apply", wraps=self.copies._apply) as apply:
+            receive = self.copies._receive
+
+            def count(peer, message):
+                sizes.append(len(message.updates))
+                return receive(peer, message)
+
+            self.network.register("b", MessageType.TEXT_REPLICATION, count)
+            self.sender.send_once()
+        self.assertEqual((sizes, apply.call_count), ([4, 4, 1], 9))
+
+    def test_after_a_lost_message_the_others_are_not_sent_again(self):
+        """Trial with 241 engines: each lost answer had all texts sent again, and lost more."""
+        piece = "x" * (MESSAGE_BYTES // 2)
+        for number in range(4):
+            self.texts[f"i{number}"] = make_text(piece)
+        receive, sent = self.copies._receive, []
+
+        def lose_second(peer, message):
+            sent.append([update.item_id for update in message.updates])
+            if len(sent) == 2:
+                raise RunkeelError("peer_lost", "lost", Verdict.MAY_HAVE_RUN)
+            return receive(peer, message)
+
+        self.network.register("b", MessageType.TEXT_REPLICATION, lose_second)
+        self.sender.send_once()
+        self.sender.send_once()
+        self.assertEqual(sent, [["i0", "i1"], ["i2", "i3"], ["i2", "i3"]])
+        self.assertEqual(len(self.copies.take()), 4)
+
+    def test_text_that_a_node_has_read_itself_is_kept_for_a_later_term(self):
+        self.copies.hold(3, "i", make_text("x", "y"))
+        self.copies.hold(3, "i", make_text("x"))
+        self.copies.hold(2, "j", make_text("z"))
+        self.assertEqual(self.copies.epoch, 3)
+        taken = self.copies.take()
+        self.assertEqual({name: text.pieces for name, text in taken.items()}, {"i": ["x", "y"]})
+
     def test_unreachable_successor_is_no_error(self):
         self.network.silent.add("b")
         self.texts["i"] = make_text("x")
--- a/tests/runners/test_lease.py
+++ b/tests/runners/test_lease.py
@@ -44,8 +44,13 @@
         self.has_news = False
         self.outcome = ""
         self.pieces = []
+        self.item_id = message.request_id
         self._on_ended = on_ended
 
+    @property
+    def kept_text(self):
+        return PartialText(self.pieces, "1", [1])
+
     def start(self):
         self.has_news = True
         self.pieces.append("a")
@@ -83,6 +88,7 @@
         )
         self.epoch = 1
         self.hosted = []
+        self.kept = []
         self.runner = RunnerService(
             self.network.node("r"),
             "fleet",
@@ -91,6 +97,7 @@
             None,
             lambda: self.epoch,
             lambda address, epoch: None,
+            lambda epoch, item, text: self.kept.append((epoch, item, text.pieces)),
         )
         self.runner.new_run = self._host
         self.addCleanup(self.runner.stop)
@@ -205,6 +212,11 @@
         self._wait(lambda: self.hosted[0].outcome)
         self.assertEqual(self.runner.hosted_runs, 0)
 
+    def test_runner_keeps_its_texts_for_the_next_coordinator(self):
+        self._begin()
+        self.runner.end_earlier(2)
+        self.assertEqual(self.kept, [(1, "i", ["a"])])
+
     def test_runs_end_when_their_coordinator_has_stepped_down(self):
         self._begin()
         self.pool.stop()
