Tell servers' news in one log line; bound what a coordinator keeps of ended jobs

Cause: a trial with 241 engines killed the coordinator for its memory (317 MB) after 50 s: bodies and results of every job of the last 150 s stayed there.

Change: ended jobs beyond 64 MB leave the coordinator's memory, the oldest first, and are answered from the store; nodes bound by bytes what they keep of jobs read there (24 MB; 64 jobs before).

--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -6,10 +6,9 @@
 import time
 from collections.abc import Callable, Collection, Iterable
 
-from loguru import logger
-
 from runkeel.api.fleet import Backend
 from runkeel.backends.http_connection import HttpConnectionPool
+from runkeel.gateway.directory_news import DirectoryNews
 from runkeel.gateway.indexed_set import IndexedSet
 
 CANDIDATES = 16
@@ -73,6 +72,7 @@
         """Servers that take new work, by service."""
         self._preferred: dict[str, list[BackendState]] = {}
         """The candidates of a service that has more than are looked at."""
+        self._news = DirectoryNews()
         self._listeners: list[Callable[[str], None]] = []
         self.membership_changes = 0
         """Grows whenever a server joins those that take new work, or leaves them."""
@@ -84,6 +84,7 @@
     def put(self, backend: Backend) -> None:
         """Add a server or take its new state."""
         state = self._states.get(backend.backend_id)
+        self._news.put(None if state is None else state.backend, backend)
         if state is None:
             state = self._states[backend.backend_id] = BackendState(backend)
         else:
@@ -94,7 +95,6 @@
             self._leave(state)
         else:
             self._join(state)
-        self._log("server", backend)
         self._notify(backend.service)
 
     def remove(self, backend_id: str) -> None:
@@ -104,7 +104,7 @@
             return
         self._leave(state)
         state.pool.close()
-        self._log("server gone", state.backend)
+        self._news.gone(state.backend)
         self._notify(state.backend.service)
 
     def get(self, backend_id: str) -> BackendState | None:
@@ -156,17 +156,6 @@
         if members is not None and members.discard(state.backend_id):
             self.membership_changes += 1
 
-    def _log(self, message: str, backend: Backend) -> None:
-        logger.info(
-            message,
-            code="backend",
-            backend=backend.backend_id,
-            service=backend.service,
-            address=str(backend.address),
-            draining=backend.draining,
-            versions=dict(backend.model_versions),
-        )
-
     def _notify(self, service: str) -> None:
         for listener in self._listeners:
             listener(service)
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -33,6 +33,9 @@
 
 SWEEP_SECONDS = 10.0
 
+MAXIMUM_BYTES = 64 * 1024 * 1024
+"""Items and results that are kept in memory; of what is beyond that, those of ended jobs go."""
+
 TERM_SETTLE_SECONDS = 3.0
 """Jobs that come later in a term have been run by nobody else."""
 
@@ -113,8 +116,9 @@
         self._scheduler.stop()
 
     def job(self, job_id: str) -> JobState | None:
-        """Return a job that is fully loaded."""
-        return self._jobs.get(job_id)
+        """Return a job that is fully loaded, and still in memory."""
+        state = self._jobs.get(job_id)
+        return None if state is None or state.unloaded else state
 
     def accepted(self, job_id: str) -> None:
         """Take note that a job stands in the store; it is fetched if the watch doesn't bring it."""
@@ -129,6 +133,7 @@
             return
         state.end()
         self._scheduler.drop(state)
+        self._unload_oldest()
         JOBS.labels("ended").inc()
         logger.info(
             "job ended",
@@ -139,6 +144,16 @@
             age_ms=int((time.time() - state.job.submitted_at) * 1000),
         )
 
+    def _unload_oldest(self) -> None:
+        """Drop what is known of ended jobs, the oldest first, while too much is kept."""
+        excess = sum(state.size for state in self._jobs.values()) - MAXIMUM_BYTES
+        ended = [state for state in self._jobs.values() if state.ended and not state.unloaded]
+        for state in sorted(ended, key=lambda one: one.job.submitted_at):
+            if excess <= 0:
+                return
+            excess -= state.size
+            state.unload()
+
     def all(self) -> list[JobState]:
         """Return the jobs that are loaded."""
         return list(self._jobs.values())
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -4,12 +4,16 @@
 
 from collections import Counter
 from collections.abc import Iterable
+from dataclasses import replace
 
 import gevent
 from gevent.event import Event
 
 from runkeel.api.jobs import BatchJob, ItemResult, JobItem, ResultPage
 
+_ITEM_BYTES = 1_000
+"""What an item and its result take beside their texts, roughly, in bytes."""
+
 
 class JobState:
     """A job, its listed results and what is still to be listed.
@@ -20,11 +24,15 @@
         unlisted: results that are ready but not in the store yet.
         ended: the trainer has ended the job.
         parts: names of the documents that hold the job's items, where its own does not.
+        size: of its items and results in memory, in bytes, roughly.
+        unloaded: they have been dropped; who asks for them is answered from the store.
     """
 
     def __init__(self, job: BatchJob, parts: tuple[str, ...] = ()) -> None:
         self.job = job
         self.parts = parts
+        self.size = sum(len(item.body) + _ITEM_BYTES for item in job.items)
+        self.unloaded = False
         self.items = {item.item_id: item for item in job.items}
         self.results: list[ItemResult] = []
         self.segments = 0
@@ -56,7 +64,7 @@
 
     def add_unlisted(self, result: ItemResult) -> None:
         """Take a result that is to be listed; the first one of an item counts."""
-        if result.item_id in self._ready_items:
+        if self.unloaded or result.item_id in self._ready_items:
             return
         self.unlisted.append(result)
         self._note_ready(result.item_id)
@@ -66,6 +74,7 @@
         """Append the results of the next segment, which stands in the store."""
         for result in results:
             self.results.append(result)
+            self.size += len(result.text)
             self._listed.add(result.item_id)
             self._note_ready(result.item_id)
         self.segments += 1
@@ -79,6 +88,17 @@
         self.ended = True
         self._wake_readers()
 
+    def unload(self) -> None:
+        """Drop the items and results of a job that has ended; nothing more of it is listed."""
+        self.unloaded = True
+        self.size = 0
+        self.job = replace(self.job, items=())
+        self.items = {}
+        self.results = []
+        self.unlisted = []
+        self._open_in_group.clear()
+        self.ready.set()
+
     def page(self, position: int, maximum_bytes: int) -> ResultPage:
         """Return results from a position on; at least one if there is one."""
         return page_of(self.results, len(self.items), position, maximum_bytes)
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -62,6 +62,8 @@
         state = self._state
         while not state.complete:
             state.ready.wait()
+            if state.unloaded:
+                return
             if len(state.results) + len(state.unlisted) < len(state.items):
                 # Nothing is gained by gathering once the trainer has all it waits for.
                 state.awaited.wait(GATHER_SECONDS)
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -41,7 +41,11 @@
 STORE_RETRY_SECONDS = 0.1
 RETRY_AFTER_SECONDS = 0.3
 MAXIMUM_PAGE_BYTES = 900_000
-MAXIMUM_CACHED_JOBS = 64
+MAXIMUM_CACHED_BYTES = 24 * 1024 * 1024
+"""Jobs read from the store that a node keeps, with their results; those read longest ago go."""
+
+_ITEM_BYTES = 1_000
+"""What an item and its result take beside their texts, roughly."""
 
 
 @dataclass(slots=True)
@@ -52,6 +56,12 @@
     results: list[ItemResult] = field(default_factory=list)
     segments: int = 0
 
+    @property
+    def size(self) -> int:
+        """Bytes in memory, roughly."""
+        bodies = sum(len(item.body) + _ITEM_BYTES for item in self.job.items)
+        return bodies + sum(len(result.text) for result in self.results)
+
 
 @dataclass(frozen=True, slots=True)
 class _CoordinatorPage:
@@ -285,14 +295,15 @@
     def _cached(self, job_id: str) -> _CachedJob | None:
         cached = self._cache.get(job_id)
         if cached is not None:
+            self._cache.move_to_end(job_id)
             return cached
         job = self._jobs.get(job_id)
         if job is None:
             return None
-        cached = _CachedJob(job)
-        self._cache[job_id] = cached
-        while len(self._cache) > MAXIMUM_CACHED_JOBS:
-            self._cache.popitem(last=False)
+        cached = self._cache[job_id] = _CachedJob(job)
+        total = sum(one.size for one in self._cache.values())
+        while total > MAXIMUM_CACHED_BYTES and len(self._cache) > 1:
+            total -= self._cache.popitem(last=False)[1].size
         return cached
 
     def _serve_read(self, peer: str, message: JobRead) -> tuple[int, JobReadReply]:
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -3,11 +3,13 @@
 import time
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 import gevent
 
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import ItemResult, ResultState
+from runkeel.jobs import coordinator as coordinator_module
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.job_documents import encode_job
 from runkeel.jobs.job_state import JobState
@@ -71,6 +73,7 @@
             lambda reason: self.superseded.append(epoch),
         )
         coordinator.start()
+        self.coordinator = coordinator
         self.addCleanup(coordinator.stop)
         self._wait(lambda: coordinator.job(JOB_ID) is not None)
         return coordinator.job(JOB_ID)
@@ -113,6 +116,20 @@
         self._wait(coordinator.loaded.is_set)
         self.assertIsNotNone(coordinator.demand("m", 1).items)
 
+    def test_ended_jobs_leave_the_memory_when_there_is_too_much(self):
+        """Trial with 241 engines: the coordinator was killed for its memory after 50 s."""
+        first = self._term(1)
+        with mock.patch.object(coordinator_module, "MAXIMUM_BYTES", first.size):
+            self.store.put(
+                DocumentKind.JOB, "second", encode_job(make_job(job_id="second"), "p").content
+            )
+            self._wait(lambda: self.coordinator.job("second") is not None)
+            self.coordinator.end("second")
+        self.assertIsNotNone(self.coordinator.job(JOB_ID))
+        self.assertIsNone(self.coordinator.job("second"))
+        first.add_unlisted(result(0))
+        self._wait(lambda: first.results)
+
     def test_successor_continues_after_what_was_listed(self):
         first = self._term(1)
         first.add_unlisted(result(2))
