--- a/src/runkeel/jobs/text_journal.py
+++ b/src/runkeel/jobs/text_journal.py
@@ -5,8 +5,8 @@
 and offers it to the next coordinator after its restart. A journal that is lost costs time, never a
 result: nothing that was promised depends on it.
 
-A file holds records, each with its length, a checksum and the writer's time of day. The first
-record of a file has all texts whole, the others what was added. A damaged end is left out.
+A file holds records, each with its length, a checksum and the writer's time of day. The first ones
+of a file have all texts whole, the others what was added. A damaged end is left out.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
 """Size from which a new file is begun; the one before is then removed."""
 
 LEAST_GROWTH = 3
-"""A file grows at least to so many times its first record, which has all texts: where these are
+"""A file grows at least to so many times what it began with, which is all texts: where these are
 large, a smaller file would be begun anew, with all of them, at each message.
 """
 
@@ -67,7 +67,7 @@
         self._file: int | None = None
         self._bytes = 0
         self._first_bytes = 0
-        """Size of the first record of the file in use."""
+        """Size of what the file in use began with."""
         self._failed_at = -RETRY_SECONDS
         self._earlier: list[Path] = []
         self._lock = Semaphore()
@@ -85,21 +85,26 @@
         logger.info("texts read", code="texts_read", records=len(records))
         return records
 
-    def append(self, message: Callable[[bool], TextReplication | None]) -> None:
-        """Write a message; returns when it lasts, or when the disk has failed.
+    def append(self, messages: Callable[[bool], list[TextReplication]]) -> None:
+        """Write messages; returns when they last, or when the disk has failed.
 
         Args:
-            message: called when it is this message's turn, with whether it begins a file, so that
-                it must have all texts whole; None: there is nothing to write.
+            messages: called when it is their turn, with whether they begin a file, so that they
+                must have all texts whole. Each becomes a record, so they should be of a bounded
+                size; other tasks have their turn between two of them.
         """
         with self._lock:
             if time.monotonic() - self._failed_at < RETRY_SECONDS:
                 return
             begins = self._begins_file()
-            content = message(begins)
-            if content is None:
+            records = []
+            for message in messages(begins):
+                records.append(_encode(message))
+                gevent.sleep(0)
+            if not records:
                 return
-            error = gevent.get_hub().threadpool.apply(self._write, (_encode(content), begins))
+            data = b"".join(records)
+            error = gevent.get_hub().threadpool.apply(self._write, (data, begins))
         if error is not None:
             self._failed(error)
 
@@ -113,16 +118,16 @@
             os.close(self._file)
             self._file = None
 
-    def _write(self, record: bytes, begins: bool) -> OSError | None:
-        """Write a record so that it lasts; returns the error if that failed."""
+    def _write(self, records: bytes, begins: bool) -> OSError | None:
+        """Write records so that they last; returns the error if that failed."""
         try:
             if begins:
                 self._begin_file()
-            os.write(self._file, record)
+            _write_all(self._file, records)
             os.fdatasync(self._file)
-            self._bytes += len(record)
+            self._bytes += len(records)
             if begins:
-                self._first_bytes = len(record)
+                self._first_bytes = len(records)
                 self._remove_earlier()
         except OSError as error:
             return error
@@ -153,6 +158,13 @@
         logger.warning("texts not kept on disk", code="text_journal_failed", error=str(error))
 
 
+def _write_all(file: int, data: bytes) -> None:
+    """Write everything; one call may write a part only."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view) :]
+
+
 def _encode(message: TextReplication) -> bytes:
     body = zlib.compress(encode(message), _COMPRESSION_LEVEL)
     clock = int(time.time() * 1000)
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -100,35 +100,28 @@
 
     def _write(self, texts: dict[str, PartialText]) -> None:
         if self._journal is not None:
-            self._journal.append(lambda begins_file: self._journal_message(texts, begins_file))
+            self._journal.append(lambda begins_file: self._journal_messages(texts, begins_file))
 
-    def _journal_message(
+    def _journal_messages(
         self, texts: dict[str, PartialText], begins_file: bool
-    ) -> TextReplication | None:
+    ) -> list[TextReplication]:
         if begins_file:
             self._written.clear()
         updates = self._updates(texts, self._written)
-        if not updates:
-            return None
         _note_sent(updates, self._written)
-        return TextReplication(self._shard, self._epoch, updates, False)
+        return _messages(self._shard, self._epoch, updates)
 
     def _send_to(self, receiver: str, texts: dict[str, PartialText]) -> None:
         """Send a receiver what it lacks, in messages of a bounded size."""
         known = self._sent.setdefault(receiver, {})
-        updates = self._updates(texts, known)
-        first = 0
-        while first < len(updates):
-            batch = _bounded(updates, first)
-            first += len(batch)
-            if not self._send_batch(receiver, batch, known):
+        for message in _messages(self._shard, self._epoch, self._updates(texts, known)):
+            if not self._send_message(receiver, message, known):
                 return
 
-    def _send_batch(
-        self, receiver: str, updates: list[TextUpdate], known: dict[str, SentText]
+    def _send_message(
+        self, receiver: str, message: TextReplication, known: dict[str, SentText]
     ) -> bool:
         """Send some updates; False when no answer came."""
-        message = TextReplication(self._shard, self._epoch, updates, False)
         try:
             reply = self._network.call(
                 receiver,
@@ -139,10 +132,10 @@
             )
         except RunkeelError:
             # What arrived is unknown: these texts are sent again, from their beginning.
-            for update in updates:
+            for update in message.updates:
                 known.pop(update.item_id, None)
             return False
-        _note_sent(updates, known)
+        _note_sent(message.updates, known)
         for item_id in reply.missing:
             known.pop(item_id, None)
         return True
@@ -167,14 +160,18 @@
     return TextUpdate(item_id, _NO_GENERATION, 0, [], "", [], False)
 
 
-def _bounded(updates: list[TextUpdate], first: int) -> list[TextUpdate]:
-    """Return updates from a position on, as many as fit one message; one at least."""
-    size = 0
-    for position in range(first, len(updates)):
-        size += sum(len(piece) for piece in updates[position].pieces)
-        if size > MESSAGE_BYTES and position > first:
-            return updates[first:position]
-    return updates[first:]
+def _messages(shard: str, epoch: int, updates: list[TextUpdate]) -> list[TextReplication]:
+    """Return updates in messages of a bounded size."""
+    batches: list[list[TextUpdate]] = []
+    room = 0
+    for update in updates:
+        size = sum(len(piece) for piece in update.pieces)
+        if size > room or not batches:
+            batches.append([])
+            room = MESSAGE_BYTES
+        batches[-1].append(update)
+        room -= size
+    return [TextReplication(shard, epoch, batch, False) for batch in batches]
 
 
 def _note_sent(updates: list[TextUpdate], known: dict[str, SentText]) -> None:
@@ -291,13 +288,13 @@
     def _write(self, message: TextReplication) -> None:
         if self._journal is not None:
             self._journal.append(
-                lambda begins_file: self._whole(message) if begins_file else message
+                lambda begins_file: self._whole(message) if begins_file else [message]
             )
 
-    def _whole(self, message: TextReplication) -> TextReplication:
-        """Return a message with all copies; the given one is reflected in them already."""
+    def _whole(self, message: TextReplication) -> list[TextReplication]:
+        """Return messages with all copies; the given one is reflected in them already."""
         updates = [text_update(one, copy.text, None) for one, copy in self._copies.items()]
-        return TextReplication(message.shard, message.epoch, updates, False)
+        return _messages(message.shard, message.epoch, updates)
 
     def _apply(self, update: TextUpdate, now: float) -> bool:
         """Add an update to its copy; False when earlier pieces are missing."""
--- a/src/runkeel_lab/demo.py
+++ b/src/runkeel_lab/demo.py
@@ -1,4 +1,4 @@
-"""The demonstration: the food bank at its size of today, checked against the journals."""
+"""The demonstration: a small deployment of the program that serves, checked by what servers saw."""
 
 from __future__ import annotations
 
@@ -8,35 +8,30 @@
 from pathlib import Path
 
 import gevent
+from loguru import logger
 from rich.console import Console
 from rich.table import Table
 
-from runkeel_lab.deployment import load_deployment
-from runkeel_lab.experiment import TrainerSpec
-from runkeel_lab.http_client import TransportError
-from runkeel_lab.journals import Journals
-from runkeel_lab.launcher import EmulatedDeployment
-from runkeel_lab.load.arrivals import LengthDistribution
-from runkeel_lab.load.caller import Caller, NodeTarget
-from runkeel_lab.load.classes import CallerClass, CallKind
-from runkeel_lab.load.plans import plan_calls
-from runkeel_lab.load.records import CallRecord, Outcome
-from runkeel_lab.operators import OperatorClient
-from runkeel_lab.processes import LabError
-from runkeel_lab.runner import SETTLE_SECONDS, fresh_folder
-from runkeel_lab.summary import make_console
-from runkeel_lab.trainer import Trainer
-from runkeel_lab.verify_callers import CallerVerifier
-from runkeel_lab.verify_samples import verify_trainer
-
-DEPLOYMENT_PATH = Path("examples/food-bank.toml")
+from runkeel_lab.day_picture import DayPicture
+from runkeel_lab.users_platform.deployment import (
+    COUNT_PREFIX,
+    MODEL,
+    RESERVE_PREFIX,
+    Deployment,
+)
+from runkeel_lab.users_platform.servers import event_count, whole_text
+
 SEED = 1
-_MODEL = "allocation"
-_SERVICE = "ledger"
-_STEPS = 3
-_DEPLOY_SECONDS = 12.0
-_TRAINER_SECONDS = 20.0
-_DRAINED_SETTLE_SECONDS = 1.0
+STEPS = 3
+GROUPS = 6
+GROUP_SIZE = 4
+LONGEST_WAIT_SECONDS = 15.0
+DRAINED_SECONDS = 1.5
+"""A server that says that it leaves gets nothing new after so long."""
+
+_WIDTH_WITHOUT_TERMINAL = 150
+_POLL_SECONDS = 0.02
+_DEADLINE = {"Deadline-Ms": "1500"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,250 +43,225 @@
     evidence: str
 
 
+class NotSeenError(Exception):
+    """Something did not come in time."""
+
+
 class Demo:
-    """Runs the demonstration on a deployment that is up."""
-
-    def __init__(self, running: EmulatedDeployment, console: Console) -> None:
-        self.records: list[CallRecord] = []
-        self._running = running
-        self._console = console
-        self._targets = running.targets()
-        self._operator = OperatorClient(self._targets, "demo")
-        self._trainer: Trainer | None = None
-        self._drained = running.plan.applications[0]
-        self._drain_accepted = 0.0
-        self._deploy_accepted = 0.0
-        self._deploy_seconds: float | None = None
-
-    def run(self) -> None:
-        """Show everything, one after another."""
-        steps: tuple[tuple[str, Callable[[], None]], ...] = (
-            ("stock queries through the first node", self._lookups),
-            ("reservations, each sent again through another node", self._reservations),
-            ("streamed allocation drafts", self._drafts),
-            ("rollouts, pulled by a trainer", self._train),
-            ("a new weight version, by an operator's command", self._deploy),
-            ("a drained server", self._drain),
+    """Shows one thing after another on a deployment that is up."""
+
+    def __init__(self, deployment: Deployment, picture: DayPicture) -> None:
+        self.checks: list[Check] = []
+        self._deployment = deployment
+        self._picture = picture
+
+    def run(self, console: Console) -> None:
+        """Show everything."""
+        parts: tuple[tuple[str, Callable[[], None]], ...] = (
+            ("lookups through every edge node", self._lookups),
+            ("a reservation whose answer is lost, and one that is refused", self._reservations),
+            ("three training steps, each on newer weights", self._train),
+            ("a server that leaves", self._drain),
+            ("the coordinator's death in the middle of a job", self._kill_coordinator),
         )
-        for title, step in steps:
+        for title, part in parts:
             began = time.monotonic()
-            step()
-            self._console.print(f"{title}: {time.monotonic() - began:.1f} s")
-
-    def _send(
-        self, name: str, kind: CallKind, pool: str, count: int, targets: Sequence[NodeTarget]
-    ) -> list[CallRecord]:
-        caller_class = CallerClass(
-            name=name,
-            kind=kind,
-            pool=pool,
-            rate=100.0,
-            deadline_ms=10_000,
-            service_ms=LengthDistribution(median=3.0, tail_fraction=0.0),
-            tokens=LengthDistribution(median=24.0, tail_fraction=0.0),
-        )
-        calls = list(plan_calls(caller_class, SEED, count / 25.0))[:count]
-        caller = Caller(targets, self._running.deployment.client_delay_ms / 1000.0)
-        tasks = [
-            gevent.spawn(caller.run, call, number, time.monotonic())
-            for number, call in enumerate(calls)
-        ]
-        gevent.joinall(tasks, raise_error=True)
-        records = [task.value for task in tasks]
-        self.records += records
-        return records
+            self._picture.mark(title)
+            try:
+                part()
+            except NotSeenError as error:
+                self._check(title, False, str(error))
+            console.print(f"{title}: {time.monotonic() - began:.1f} s", markup=False)
+
+    def _check(self, name: str, holds: bool, evidence: str) -> None:
+        self.checks.append(Check(name, holds, evidence))
+
+    def _wait(self, what: str, condition: Callable[[], object]) -> object:
+        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        while not (value := condition()):
+            if time.monotonic() > deadline:
+                raise NotSeenError(f"{what}: not within {LONGEST_WAIT_SECONDS:.0f} s")
+            gevent.sleep(_POLL_SECONDS)
+        return value
+
+    def _send(self, edge: str, prefix: str, request_id: str) -> int:
+        """Send a request; returns the status, 0 without an answer that is its own."""
+        began = time.monotonic()
+        headers = {"Attempt-Id": request_id} | _DEADLINE
+        answer = self._deployment.call(edge, "POST", f"{prefix}rice", headers, request_id.encode())
+        status = answer.status if answer is not None else 0
+        self._picture.request(began, time.monotonic(), status)
+        if status == 200 and answer.body != f"echo {request_id}".encode():
+            return 0
+        return status
+
+    def _runs(self, request_id: str) -> int:
+        servers = self._deployment.applications
+        return sum(run.request_id == request_id for server in servers for run in server.runs)
 
     def _lookups(self) -> None:
-        self._send("lookup", CallKind.LOOKUP, _SERVICE, 40, self._targets[:1])
+        edges = self._deployment.edge_names
+        ids = [f"lookup-{number}" for number in range(60)]
+        tasks = [
+            gevent.spawn(self._send, edges[number % len(edges)], COUNT_PREFIX, request_id)
+            for number, request_id in enumerate(ids)
+        ]
+        gevent.joinall(tasks)
+        answered = sum(task.value == 200 for task in tasks)
+        detail = f"{answered} of {len(ids)}"
+        self._check("whole answers to their own requests", answered == len(ids), detail)
 
     def _reservations(self) -> None:
-        """The second sending carries the same key, as a client that lost its answer would."""
-        self._send("reservation", CallKind.RESERVE, _SERVICE, 20, self._targets)
-        self._send("reservation", CallKind.RESERVE, _SERVICE, 20, self._targets[1:])
-
-    def _drafts(self) -> None:
-        self._send("draft", CallKind.DRAFT_STREAM, _MODEL, 12, self._targets)
+        servers = self._deployment.applications
+        for server in servers:
+            server.faults.lost_share = 1.0
+        lost = [self._send("edge-0", RESERVE_PREFIX, f"lost-{number}") for number in range(4)]
+        runs = [self._runs(f"lost-{number}") for number in range(4)]
+        for server in servers:
+            server.faults.lost_share = 0.0
+        detail = f"statuses {sorted(set(lost))}, {sum(runs)} runs of {len(lost)}"
+        self._check(
+            "what must not repeat ran once", set(lost) == {502} and set(runs) == {1}, detail
+        )
+        for server in servers:
+            server.faults.refused = True
+        refused = self._send("edge-1", RESERVE_PREFIX, "refused")
+        for server in servers:
+            server.faults.refused = False
+        gevent.sleep(0.2)
+        runs_of_refused = self._runs("refused")
+        detail = f"status {refused}, {runs_of_refused} runs"
+        self._check("told «not run», and not run", (refused, runs_of_refused) == (503, 0), detail)
 
     def _train(self) -> None:
-        spec = TrainerSpec(
-            name="trainer",
-            model=_MODEL,
-            tasks_per_step=16,
-            train_ms=200.0,
-            steps_per_version=0,
-            maximum_steps=_STEPS,
-            tokens=LengthDistribution(median=32.0, tail_fraction=0.05, tail_factor=4.0),
-        )
-        self._trainer = Trainer(spec, self._targets, self._running.publish_weights, SEED)
-        self._trainer.run(time.monotonic() + _TRAINER_SECONDS, grace_seconds=0.0)
-
-    def _deploy(self) -> None:
-        self._running.publish_weights(_MODEL, 2)
-        text = f"deploy model {_MODEL} version 2"
-        record = self._operator.command(text, node_number=1, retry_seconds=5.0)
-        if not record.accepted:
-            return
-        self._deploy_accepted = record.ended
-        deadline = record.ended + _DEPLOY_SECONDS
-        while time.monotonic() < deadline and not self._all_engines_at(2):
-            gevent.sleep(0.1)
-        self._send("draft-after", CallKind.DRAFT, _MODEL, 8, self._targets)
-
-    def _all_engines_at(self, version: int) -> bool:
-        for engine in self._running.plan.engines:
-            try:
-                state = self._running.control("GET", engine.id, "/fault/state")
-            except TransportError:
-                return False
-            if state["weight_version"] != version:
-                return False
-        self._deploy_seconds = time.monotonic() - self._deploy_accepted
-        return True
+        samples = 0
+        problems: list[str] = []
+        for step in range(1, STEPS + 1):
+            results = self._step(step, f"step-{step}")
+            samples += len(results)
+            problems += self._problems(results, step)
+            if step < STEPS:
+                self._next_version(step + 1)
+        wanted = STEPS * GROUPS * GROUP_SIZE
+        detail = f"{samples} of {wanted} samples in {STEPS} steps"
+        self._check("each step whole", samples == wanted, detail)
+        detail = problems[0] if problems else f"versions 1 to {STEPS}, each in its own step"
+        self._check("each sample labelled and scored truly", not problems, detail)
+
+    def _step(self, version: int, job_id: str) -> list[dict]:
+        began = time.monotonic()
+        items = [
+            f"{job_id}-g{group}-{number}" for group in range(GROUPS) for number in range(GROUP_SIZE)
+        ]
+        if self._deployment.submit("edge-0", job_id, items, minimum_version=version) != 202:
+            raise NotSeenError(f"{job_id} was not accepted")
+        results = self._whole(job_id, len(items))
+        self._picture.step(began, time.monotonic(), version)
+        return results
+
+    def _whole(self, job_id: str, count: int) -> list[dict]:
+        def read() -> list[dict] | None:
+            results = self._deployment.results("edge-1", job_id)
+            return results if results is not None and len(results) == count else None
+
+        return self._wait(f"the results of {job_id}", read)
+
+    def _problems(self, results: list[dict], version: int) -> list[str]:
+        """Return what is wrong with samples that one version must have made."""
+        problems = []
+        for result in results:
+            name = result["Id"]
+            if result.get("Text") != whole_text(name):
+                problems.append(f"{name}: text is not whole")
+            if result.get("WeightVersions") != [version]:
+                problems.append(f"{name}: versions {result.get('WeightVersions')}, not {version}")
+            if not str(result.get("Score", "")).endswith(f".score-{name}"):
+                problems.append(f"{name}: score {result.get('Score')}")
+        return problems
+
+    def _next_version(self, version: int) -> None:
+        """Name a version, as a trainer does; engines follow as far as the jobs need them."""
+        began = time.monotonic()
+        self._deployment.name_version(version)
+
+        def moved() -> int:
+            return sum(one.versions[MODEL] == version for one in self._deployment.engines)
+
+        self._wait(f"version {version} at an engine", moved)
+        seconds = time.monotonic() - began
+        self._picture.version(time.monotonic(), version)
+        self._check(f"engines follow version {version}", True, f"{seconds:.1f} s after its name")
 
     def _drain(self) -> None:
-        text = f"drain backend {self._drained.id}"
-        record = self._operator.command(text, node_number=2, retry_seconds=5.0)
-        if not record.accepted:
-            return
-        self._drain_accepted = record.ended
-        gevent.sleep(_DRAINED_SETTLE_SECONDS)
-        self._send("lookup-after-drain", CallKind.LOOKUP, _SERVICE, 40, self._targets[:1])
-
-    # Checks
-
-    def checks(self, journals: Journals) -> list[Check]:
-        """Return what the journals prove."""
-        plan = self._running.plan
-        runs = journals.executions([backend.id for backend in plan.backends()])
-        found = CallerVerifier(runs, self._running.deployment.configured_pools()).verify(
-            self.records
-        )
-        answered = sum(record.outcome is Outcome.ANSWERED for record in self.records)
-        detail = f"{answered} of {len(self.records)} answered; {len(found)} violations"
-        if found:
-            detail += f": {found[0].kind} {found[0].subject} {found[0].detail}"
-        return [
-            Check("whole answers to their own requests", not found, detail),
-            self._check_all_answered(),
-            self._check_reservations(journals),
-            self._check_other_zone(journals),
-            *self._check_samples(),
-            self._check_deploy(journals),
-            self._check_new_version(),
-            self._check_drain(journals),
+        server = self._deployment.applications[0]
+        server.drain()
+        gevent.sleep(DRAINED_SECONDS)
+        before = len(server.runs)
+        edges = self._deployment.edge_names
+        statuses = [
+            self._send(edges[number % len(edges)], COUNT_PREFIX, f"later-{number}")
+            for number in range(30)
         ]
-
-    def _check_all_answered(self) -> Check:
-        others = [r for r in self.records if r.outcome is not Outcome.ANSWERED]
-        detail = ", ".join(
-            f"{r.nonce}: {r.outcome} {r.attempts[-1].status} {r.attempts[-1].code}"
-            for r in others[:3]
-        )
-        return Check("every request answered", bool(self.records) and not others, detail or "all")
-
-    def _check_reservations(self, journals: Journals) -> Check:
-        servers = [server.id for server in self._running.plan.applications]
-        keys = {record.nonce for record in self.records if record.kind == CallKind.RESERVE}
-        runs = [run for run in journals.executions(servers) if run.nonce in keys]
-        holds = bool(keys) and len(runs) == len(keys)
-        return Check("a reservation sent twice ran once", holds, f"{len(keys)}: {len(runs)} runs")
-
-    def _check_other_zone(self, journals: Journals) -> Check:
-        """Look for queries, all sent through the first node, that ran in another zone."""
-        home = self._running.plan.nodes[0].zone
-        zones = {server.id: server.zone for server in self._running.plan.applications}
-        nonces = {r.nonce for r in self.records if r.kind == CallKind.LOOKUP}
-        places: dict[str, int] = {}
-        for run in journals.executions(zones):
-            if run.nonce in nonces:
-                places[zones[run.standin]] = places.get(zones[run.standin], 0) + 1
-        holds = any(zone != home for zone in places)
-        detail = ", ".join(f"{zone}: {count}" for zone, count in sorted(places.items()))
-        return Check(f"through {home}, answered in another zone", holds, detail)
-
-    def _check_samples(self) -> list[Check]:
-        trainer = self._trainer
-        if trainer is None:
-            return [Check("rollouts", False, "no trainer ran")]
-        findings = verify_trainer(trainer, lambda _: 0)
-        wanted = trainer.spec.tasks_per_step * _STEPS
-        whole = len(trainer.steps) == _STEPS and findings.samples == wanted
-        versions = sorted(
-            {entry.version for step in trainer.steps for s in step.samples for entry in s.versions}
+        late = len(server.runs) - before
+        holds = not late and set(statuses) == {200}
+        self._check("a server that leaves gets no new work", holds, f"{late} of 30 later requests")
+
+    def _kill_coordinator(self) -> None:
+        for engine in self._deployment.engines:
+            engine.event_seconds = 0.05
+        names = (f"last-g{number}-{number}" for number in range(400))
+        items = [name for name in names if event_count(name) > 30][:6]
+        if self._deployment.submit("edge-0", "last", items, minimum_version=STEPS) != 202:
+            raise NotSeenError("the last job was not accepted")
+        gevent.sleep(1.2)
+        (victim,) = self._deployment.coordinators()
+        self._deployment.kill_node(victim)
+        self._picture.mark(f"{victim} dies")
+        results = self._whole("last", len(items))
+        whole = sum(result.get("Text") == whole_text(result["Id"]) for result in results)
+        resumed = sum(
+            bool(run.resumed_after) for engine in self._deployment.engines for run in engine.runs
         )
-        detail = f"{findings.samples} of {wanted} samples in {len(trainer.steps)} steps"
-        if trainer.errors:
-            detail += f"; errors {trainer.errors}"
-        found = findings.violations
-        labelled = f"versions {versions}; {len(found)} violations"
-        if found:
-            labelled += f": {found[0].kind} {found[0].subject} {found[0].detail}"
-        return [
-            Check("each step whole", whole, detail),
-            Check("each sample once, labelled and scored truly", whole and not found, labelled),
-        ]
-
-    def _check_deploy(self, journals: Journals) -> Check:
-        engines = self._running.plan.engines
-        swapped = {
-            event.standin
-            for engine in engines
-            for event in journals.of(engine.id, "swapped")
-            if event.fields.get("version") == 2
-        }
-        seconds = "-" if self._deploy_seconds is None else f"{self._deploy_seconds:.1f} s"
-        detail = f"{len(swapped)} of {len(engines)} engines, {seconds} after acceptance"
-        if not self._deploy_accepted:
-            detail = self._refused("deploy")
-        return Check("new version on every engine", len(swapped) == len(engines), detail)
-
-    def _check_new_version(self) -> Check:
-        records = [record for record in self.records if record.caller_class == "draft-after"]
-        versions = sorted({version for record in records for version in record.versions})
-        return Check("drafts made by the new version", versions == [2], f"versions {versions}")
-
-    def _check_drain(self, journals: Journals) -> Check:
-        if not self._drain_accepted:
-            return Check("drained server got no new work", False, self._refused("drain"))
-        since = self._drain_accepted + _DRAINED_SETTLE_SECONDS
-        late = [e for e in journals.of(self._drained.id, "received") if e.at > since]
-        sent = sum(record.caller_class == "lookup-after-drain" for record in self.records)
-        detail = f"{self._drained.id}: {len(late)} of {sent} later queries"
-        return Check("drained server got no new work", bool(sent) and not late, detail)
-
-    def _refused(self, verb: str) -> str:
-        for record in self._operator.records:
-            if record.command.startswith(verb):
-                return f"not accepted: {record.status} {record.content}"
-        return "not sent"
+        (successor,) = self._deployment.coordinators()
+        detail = f"{whole} of {len(items)} whole, {resumed} continued, by {successor}"
+        self._check("a job outlives its coordinator", whole == len(items) and resumed > 0, detail)
 
 
 def run_demo(out: Path) -> bool:
-    """Run the demonstration; return whether everything held."""
-    console = make_console()
-    folder = fresh_folder(out)
-    deployment = load_deployment(DEPLOYMENT_PATH)
+    """Run the demonstration; return whether everything held.
+
+    Args:
+        out: folder for the nodes' log lines and the picture of the day.
+    """
+    out.mkdir(parents=True, exist_ok=True)
+    console = Console()
+    if not console.is_terminal:
+        console = Console(width=_WIDTH_WITHOUT_TERMINAL)
+    logger.remove()
+    logger.add(out / "nodes.log", serialize=True, mode="w")
     began = time.monotonic()
-    with EmulatedDeployment(deployment, folder, SEED) as running:
+    deployment = Deployment(SEED, edges=3, disks=3, engines=4, applications=3)
+    deployment.start()
+    try:
+        deployment.wait_ready()
         console.print(
-            f"{deployment.name}: {len(running.plan.nodes)} nodes, "
-            f"{len(running.plan.engines)} engines, {len(running.plan.applications)} servers, "
-            f"up after {time.monotonic() - began:.1f} s; logs in {folder}"
+            f"{len(deployment.node_names)} nodes, {len(deployment.engines)} engines, "
+            f"{len(deployment.applications)} servers on loopback, "
+            f"up after {time.monotonic() - began:.1f} s; log lines in {out / 'nodes.log'}"
         )
-        gevent.sleep(SETTLE_SECONDS)
-        demo = Demo(running, console)
-        try:
-            demo.run()
-        except (LabError, TransportError) as error:
-            console.print(f"ended early: {error}", markup=False)
-    checks = demo.checks(Journals.read(folder / "journals"))
-    _print_checks(checks, console)
-    console.print(f"{time.monotonic() - began:.1f} s in all")
-    return all(check.holds for check in checks)
+        picture = DayPicture()
+        demo = Demo(deployment, picture)
+        demo.run(console)
+    finally:
+        deployment.stop()
+    _print_checks(demo.checks, console)
+    picture.write(out / "day.png")
+    console.print(f"picture of the day: {out / 'day.png'}; {time.monotonic() - began:.1f} s in all")
+    return all(check.holds for check in demo.checks)
 
 
 def _print_checks(checks: Sequence[Check], console: Console) -> None:
-    table = Table(title="seen by the callers and in the journals", title_justify="left")
+    table = Table(title="seen by the clients and by the servers", title_justify="left")
     table.add_column("what")
     table.add_column("holds")
     table.add_column("evidence")
--- a/tests/jobs/test_text_journal.py
+++ b/tests/jobs/test_text_journal.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from unittest import mock
 
-from runkeel.jobs import text_journal
+from runkeel.jobs import text_journal, text_replication
 from runkeel.jobs.generation_run import PartialText
 from runkeel.jobs.text_journal import TextJournal
 from runkeel.jobs.text_replication import KEPT_SECONDS, TextCopies, TextSender
@@ -93,6 +93,14 @@
             sizes = [len(call.args[0].updates) for call in encode.call_args_list]
         self.assertEqual(sizes, [41] + [1] * 9)
 
+    def test_texts_larger_than_a_message_are_written_in_several_records(self):
+        """Trial with 241 engines: 19 MB of texts were no message, and the writer's task died."""
+        sender, _ = self._process()
+        piece = "x" * (text_replication.MESSAGE_BYTES // 2)
+        self.texts = {f"t{n}": PartialText([piece], "1", [1]) for n in range(40)}
+        sender.send_once()
+        self.assertEqual(sorted(self._process(epoch=2)[1]), sorted(self.texts))
+
     def test_second_restart_still_finds_what_the_first_had_not_written(self):
         sender, _ = self._process()
         self.texts["i"] = self._text(3)
