Remove the first form: the node that serves is the only program

Whoever read the code met two of everything.

Tests of parts that are gone went with them; tests of what stays are all there. The commands' test now demands the owner's name, where it demanded any refusal before.

Ruled out: keeping the idempotency keys (nothing calls them), an embedded store in the product (the stand-in in the lab speaks the platform's protocol and is one copy).

--- a/src/runkeel/cli.py
+++ b/src/runkeel/cli.py
@@ -1,7 +1,6 @@
-"""The ``runkeel`` command line.
+"""The ``runkeel`` command line: asks the nodes of a deployment.
 
-Exit codes: 0 success, 1 refused or failed, 2 wrong usage or settings, 3 outcome unknown,
-4 node unreachable.
+Exit codes: 0 success, 1 refused or failed, 2 wrong usage, 3 outcome unknown, 4 node unreachable.
 """
 
 from __future__ import annotations
@@ -16,53 +15,25 @@
 import defopt  # noqa: E402  (the standard library must be patched first)
 
 import runkeel  # noqa: E402
-from runkeel.settings import SettingsError, load_settings  # noqa: E402
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-
-
-def node(*, settings: Path, set: list[str] = []) -> int:  # noqa: A002, B006
-    """Run a node until SIGTERM or SIGINT, which are a planned stop.
-
-    Example: ``runkeel node --settings node.toml --set listen.http=127.0.0.1:8080``
-
-    :param settings: TOML file with the node's settings.
-    :param set: overrides of the form section.key=value.
-    """
-    from runkeel.program import run_node
-
-    return run_node(load_settings(settings, set))
-
-
-def check_settings(file: Path, *, set: list[str] = []) -> int:  # noqa: A002, B006
-    """Check a settings file and print nothing but faults.
-
-    Example: ``runkeel check-settings node.toml``
-
-    :param file: TOML file with a node's settings.
-    :param set: overrides of the form section.key=value.
-    """
-    load_settings(file, set)
-    return EXIT_OK
+DEFAULT_NODE = "http://127.0.0.1:9464"
 
 
 def ctl(
     command: str = "",
     *,
-    node: str = "http://127.0.0.1:8080",
+    node: str = DEFAULT_NODE,
     format: str = "table",  # noqa: A002
     watch: float = 0.0,
     token_file: Path | None = None,
 ) -> int:
-    """Send one operator's command or query to a node, or open a prompt.
+    """Send one operator's query to a node, or open a prompt.
 
-    Examples: ``runkeel ctl 'show backends where zone = "hobart-a"'``,
-    ``runkeel ctl 'deploy model settlement version 42'``
+    Examples: ``runkeel ctl 'show node'``,
+    ``runkeel ctl 'show backends where zone = "hobart-a"' --node http://10.1.0.10:9464``
 
-    :param command: command or query; empty opens an interactive prompt.
-    :param node: base URL of any node.
+    :param command: query; empty opens an interactive prompt.
+    :param node: base URL of any node's operator listener.
     :param format: table or json.
     :param watch: repeat a query every so many seconds; 0 asks once.
     :param token_file: file that holds the operator's token.
@@ -74,14 +45,10 @@
 
 def main() -> None:
     """Run the command line and exit with its code."""
-    try:
-        code = defopt.run(
-            [node, check_settings, ctl],
-            version=f"runkeel {runkeel.__version__}",
-            short={},
-            argparse_kwargs={"prog": "runkeel"},
-        )
-    except SettingsError as error:
-        print(error.detail, file=sys.stderr)
-        code = EXIT_USAGE
+    code = defopt.run(
+        [ctl],
+        version=f"runkeel {runkeel.__version__}",
+        short={},
+        argparse_kwargs={"prog": "runkeel"},
+    )
     sys.exit(code)
--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -32,7 +32,7 @@
 
 MAXIMUM_GROUPS = 4_000
 
-CANDIDATES = 40
+CANDIDATES = 32
 """An item's engine is chosen among so many engines with room, all of them where there are no more.
 
 Looking at one takes 1 to 2 us, so that a choice takes less than 100 us at any size of the fleet.
--- a/src/runkeel/membership/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Heartbeats, failure detection and the view of live nodes."""
--- a/src/runkeel/operators/client.py
+++ b/src/runkeel/operators/client.py
@@ -113,7 +113,7 @@
             return not_run(ErrorCode.PEER_UNREACHABLE, f"node {self._host}:{self._port}: {error}")
         return may_have_run(
             ErrorCode.OUTCOME_UNKNOWN,
-            f"the answer was lost ({error}); settle it by: show command {command_id}",
+            f"the answer was lost ({error}); show node tells whether it took effect",
         )
 
 
@@ -132,5 +132,5 @@
     verdict = _VERDICTS.get(str(document.get("verdict")), Verdict.MAY_HAVE_RUN)
     detail = str(document.get("detail") or f"HTTP {status}")
     if command_id and verdict is Verdict.MAY_HAVE_RUN:
-        detail = f"{detail}; settle it by: show command {command_id}"
+        detail = f"{detail}; show node tells whether it took effect"
     return RunkeelError(code, detail, verdict)
--- a/src/runkeel/operators/fleet_routes.py
+++ b/src/runkeel/operators/fleet_routes.py
@@ -1,12 +1,14 @@
 """What operators ask of a fleet node: counters, and queries in their language.
 
-The language is loaded with the first query, as its parser's memory is paid for on every machine.
-Commands are not taken: what a platform holds is changed through the platform's own store.
+The language is loaded with the first text, as its parser's memory is paid for on every machine.
 """
 
 from __future__ import annotations
 
 import json
+import uuid
+from collections.abc import Callable
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -20,13 +22,19 @@
 METRICS_PATH = "/metrics"
 QUERIES_PATH = "/v1/queries"
 COMMANDS_PATH = "/v1/commands"
+_JSON = ("Content-Type", "application/json")
 
 
 class FleetOperatorRoutes:
-    """Answers on the metrics address."""
+    """Answers on the metrics address.
 
-    def __init__(self, node: FleetNode) -> None:
+    Args:
+        stop: begins the planned stop of this process.
+    """
+
+    def __init__(self, node: FleetNode, stop: Callable[[], None]) -> None:
         self._node = node
+        self._stop = stop
 
     def answer(self, request: ClientRequest) -> ClientAnswer:
         """Answer one request. Raises RunkeelError for what can't be asked."""
@@ -35,8 +43,7 @@
         if (request.method, request.path) == ("POST", QUERIES_PATH):
             return self._answer_query(request.body)
         if (request.method, request.path) == ("POST", COMMANDS_PATH):
-            detail = "services, versions and drains are changed through the platform's own store"
-            raise not_run(ErrorCode.BAD_COMMAND, detail)
+            return self._run_command(request.body)
         raise not_run(ErrorCode.NOT_FOUND, request.path)
 
     def _answer_query(self, body: bytes) -> ClientAnswer:
@@ -49,5 +56,14 @@
         FleetTables(self._node).register(sources)
         text = text_of(parse_document(body), "query")
         document = answer_document(answer_locally(sources, text))
-        headers = [("Content-Type", "application/json")]
-        return ClientAnswer(200, headers, json.dumps(document).encode())
+        return ClientAnswer(200, [_JSON], json.dumps(document).encode())
+
+    def _run_command(self, body: bytes) -> ClientAnswer:
+        from runkeel.operators.documents import parse_document, text_of
+        from runkeel.operators.fleet_commands import FleetCommands
+
+        document = parse_document(body)
+        command_id = str(document.get("command_id") or uuid.uuid4().hex)
+        commands = FleetCommands(self._node.node_id, self._stop)
+        outcome = commands.run(text_of(document, "command"), command_id)
+        return ClientAnswer(200, [_JSON], json.dumps(asdict(outcome)).encode())
--- a/src/runkeel/operators/rendering.py
+++ b/src/runkeel/operators/rendering.py
@@ -53,18 +53,8 @@
 
 
 def _render_outcome(document: dict[str, Any], console: Console) -> None:
-    console.print(
-        f"{document['outcome']}: generation {document['generation']}, "
-        f"command {document['command_id']}"
-    )
-    for warning in document.get("warnings", ()):
-        console.print(f"warning: {escape(warning)}")
-    present = document.get("present", {})
-    for name, value in document.get("spec", {}).items():
-        if name not in present:
-            console.print(f"  {name}: {escape(_text(value))}")
-        elif present[name] != value:
-            console.print(f"  {name}: {escape(_text(present[name]))} -> {escape(_text(value))}")
+    console.print(f"{document['outcome']}: {escape(document['changes'])}")
+    console.print(f"command {document['command_id']}")
 
 
 def _text(value: Any) -> str:
--- a/src/runkeel/operators/values.py
+++ b/src/runkeel/operators/values.py
@@ -10,13 +10,14 @@
 from runkeel.api.configuration import SPEC_CLASSES, ObjectKind
 from runkeel.operators.diagnostics import bad_command
 from runkeel.operators.statements import Scalar, Word
-from runkeel.operators.tokens import ROLE_OPERATE, ROLE_READ
 
 _NUMBER = re.compile(r"([+-]?\d+(?:\.\d+)?)([a-z%]*)", re.IGNORECASE)
 _MILLISECONDS = {"ms": 1, "s": 1_000, "m": 60_000, "min": 60_000, "h": 3_600_000}
 _FIELD_SUFFIXES = ("", "_ms", "_seconds")
 _FIELD_PREFIXES = ("", "default_", "max_", "target_")
 ENGINE_ROLES = ("mixed", "serve", "rollout")
+ROLE_READ = "read"
+ROLE_OPERATE = "operate"
 OPERATOR_ROLES = (ROLE_READ, ROLE_OPERATE)
 _CHOICES = {
     (ObjectKind.ENGINE_ROLE, "role"): ENGINE_ROLES,
--- a/src/runkeel/requests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The caller's path from entry node to back end and back."""
--- a/src/runkeel/weights/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Weight versions and their paced roll-out."""
--- a/src/runkeel/wire/handlers.py
+++ b/src/runkeel/wire/handlers.py
@@ -42,7 +42,7 @@
     def on_call(
         self, message_type: int, request_class: type, handler: Callable[[str, Any], tuple[int, Any]]
     ) -> None:
-        """Register a handler that gives one reply; see :class:`PeerHandlers`."""
+        """Register a handler that gives a reply's type and the reply; a task a call."""
 
         def run(stream: Stream, request: Any) -> None:
             reply_type, reply = handler(stream.peer_node_id, request)
@@ -53,7 +53,7 @@
     def on_stream(
         self, message_type: int, request_class: type, handler: Callable[[Stream, Any], None]
     ) -> None:
-        """Register a handler of a stream; see :class:`PeerHandlers`."""
+        """Register a handler of a stream and its first message; a task a stream."""
 
         def run(stream: Stream, request: Any) -> None:
             handler(stream, request)
--- a/src/runkeel/wire/network.py
+++ b/src/runkeel/wire/network.py
@@ -39,7 +39,7 @@
 
 
 class PeerNetwork:
-    """Implements :class:`PeerClient` and :class:`PeerHandlers` of runkeel.api.interfaces.
+    """A node's connections to its peers: calls, streams, and who handles them.
 
     Args:
         cluster_key: secret shared by the cluster's nodes; must not be empty.
@@ -118,7 +118,12 @@
         reply_class: type,
         timeout_seconds: float,
     ) -> Any:
-        """Send one message and return the one reply; see :class:`PeerClient`."""
+        """Send one message and return the one reply.
+
+        Raises:
+            RunkeelError: PEER_UNREACHABLE (NOT_RUN: no byte was sent), PEER_LOST or
+                DEADLINE_EXCEEDED (MAY_HAVE_RUN), or the error that the peer reported.
+        """
         deadline = time.monotonic() + timeout_seconds
         stream = self._open(node_id, message_type, message, deadline)
         try:
@@ -135,7 +140,7 @@
         return decode(reply_class, body)
 
     def open_stream(self, node_id: str, message_type: int, message: Any) -> Stream:
-        """Open a stream with its first message; see :class:`PeerClient`."""
+        """Open a stream with its first message. Raises like :meth:`call`."""
         return self._open(node_id, message_type, message, time.monotonic() + DIAL_TIMEOUT_SECONDS)
 
     def _open(self, node_id: str, message_type: int, message: Any, deadline: float) -> Stream:
--- a/src/runkeel/wire/streams.py
+++ b/src/runkeel/wire/streams.py
@@ -45,7 +45,7 @@
 
 
 class Stream:
-    """One end of a stream; implements :class:`runkeel.api.interfaces.PeerStream`.
+    """One end of a stream.
 
     Attributes:
         handed: the opening frame has been given to the kernel (or to the local handler), so
--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -21,100 +21,73 @@
 EXIT_USAGE = 2
 
 
-def standins(file: Path) -> int:
-    """Run the stand-ins that a file describes until SIGTERM; print their addresses when ready.
-
-    Example: ``runkeel-lab standins platform.toml``
-
-    :param file: TOML file with [[standin]] tables.
-    """
-    from runkeel_lab.standins.process import run_standins
-
-    return run_standins(file) or EXIT_OK
-
-
 def demo(*, out: Path = Path("out/demo")) -> int:
-    """Run the food bank at its size of today and check what was seen, in under a minute.
+    """Show a small deployment at work and check what clients and servers saw, in under a minute.
 
     Example: ``runkeel-lab demo``
 
-    :param out: folder for logs, journals and the report.
+    :param out: folder for the nodes' log lines and the picture of the day.
     """
     from runkeel_lab.demo import run_demo
 
     return EXIT_OK if run_demo(out) else EXIT_VIOLATED
 
 
-def run(
-    experiment: Path,
-    *,
-    out: Path = Path("out/run"),
-    seconds: float = 0.0,
-    seed: int = 0,
-    scale: float = 1.0,
-) -> int:
-    """Run an experiment; write report.json and plots.
+def up(*, edges: int = 2, disks: int = 2, engines: int = 2, applications: int = 2) -> int:
+    """Run a whole small deployment on loopback until it is interrupted; print its addresses.
 
-    Example: ``runkeel-lab run examples/experiments/food-bank-quiet.toml --out out/quiet``
+    Example: ``runkeel-lab up --engines 4``
 
-    :param experiment: TOML file, see docs/lab.md.
-    :param out: folder for logs, journals, the report and plots.
-    :param seconds: length of the load in s; 0 takes the experiment's.
-    :param seed: seed of all random choices; 0 takes the experiment's.
-    :param scale: multiplies rates of callers and counts of engines and servers.
+    :param edges: nodes that serve clients.
+    :param disks: nodes with a disk, which coordinate.
+    :param engines: servers of a model.
+    :param applications: plain servers.
     """
-    from runkeel_lab.runner import run_experiment_file
+    from runkeel_lab.users_platform.running import run_until_stopped
 
-    return EXIT_OK if run_experiment_file(experiment, out, seconds, seed, scale) else EXIT_VIOLATED
+    run_until_stopped(edges, disks, engines, applications)
+    return EXIT_OK
 
 
-def sweep(
-    *experiments: Path,
-    out: Path = Path("out/sweep"),
-    seconds: float = 0.0,
-    seed: int = 0,
-    pairs: bool = False,
-) -> int:
-    """Run several experiments one after another and list their violations.
+def soak(*, seed: int = 1, runs: int = 1, seconds: float = 20.0, record: Path | None = None) -> int:
+    """Disturb deployments on the stand-in of the users' platform and check what was acknowledged.
 
-    Example: ``runkeel-lab sweep examples/experiments/food-bank-*.toml``
+    Example: ``runkeel-lab soak --seed 100 --runs 20``
 
-    :param experiments: TOML files, see docs/lab.md.
-    :param out: folder for a folder of each run.
-    :param seconds: length of each load in s; 0 takes the experiment's.
-    :param seed: seed of all random choices; 0 takes the experiment's.
-    :param pairs: run each two experiments' faults together instead of each alone.
+    :param seed: seed of the first run; each further one takes the next seed.
+    :param runs: number of runs, one after another.
+    :param seconds: length of the disturbed part of each run in s.
+    :param record: file for a trace of the last run, which ``replay`` plays again.
     """
-    from runkeel_lab.sweep import run_sweep
+    from runkeel_lab.users_platform.soak import run_soaks
 
-    return EXIT_OK if run_sweep(experiments, out, seconds, seed, pairs) else EXIT_VIOLATED
+    return EXIT_OK if run_soaks(seed, runs, seconds, record) else EXIT_VIOLATED
 
 
-def replay(trace: Path, *, out: Path = Path("out/replay")) -> int:
-    """Replay a recorded trace and compare with its stated outcomes.
+def replay(*traces: Path) -> int:
+    """Replay recorded traces and compare what comes of them with the outcomes that they state.
 
-    Example: ``runkeel-lab replay traces/food-bank-quiet.jsonl``
+    Example: ``runkeel-lab replay traces/*.jsonl``
 
-    :param trace: JSON lines of stimuli and stated outcomes, see docs/lab.md.
-    :param out: folder for logs and journals.
+    :param traces: JSON lines of what was done and the outcome each must have, see docs/lab.md.
     """
-    from runkeel_lab.replay import replay_trace
+    from runkeel_lab.users_platform.replay import replay_files
 
-    return EXIT_OK if replay_trace(trace, out) else EXIT_VIOLATED
+    return EXIT_OK if replay_files(traces) else EXIT_VIOLATED
 
 
-def soak(*, seed: int = 1, runs: int = 1, seconds: float = 20.0) -> int:
-    """Disturb deployments on the stand-in of the users' platform and check what was acknowledged.
+def decisions(*, engines: list[int] = [], waiting: int = 5_000) -> int:  # noqa: B006
+    """Measure what single decisions cost, in microseconds, at several sizes of the fleet.
 
-    Example: ``runkeel-lab soak --seed 100 --runs 20``
+    Example: ``runkeel-lab decisions --engines 40 --engines 4200``
 
-    :param seed: seed of the first run; each further one takes the next seed.
-    :param runs: number of runs, one after another.
-    :param seconds: length of the disturbed part of each run in s.
+    :param engines: numbers of engines and of servers; 40, 400 and 4,200 when none is given.
+    :param waiting: items that wait for an engine.
     """
-    from runkeel_lab.users_platform.soak import run_soaks
+    from runkeel_lab.decisions import SIZES, format_costs, measure
 
-    return EXIT_OK if run_soaks(seed, runs, seconds) else EXIT_VIOLATED
+    print(format_costs([cost for size in engines or SIZES for cost in measure(size, waiting)]))
+    return EXIT_OK
 
 
 def story(wanted: str, *logs: Path) -> int:
@@ -170,16 +143,14 @@
 
 def main() -> None:
     """Run the command line and exit with its code."""
-    from runkeel_lab.processes import LabError
-
     try:
         code = defopt.run(
-            [standins, demo, run, sweep, replay, soak, steps, story, worth],
+            [demo, up, soak, replay, decisions, steps, story, worth],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
             argparse_kwargs={"prog": "runkeel-lab"},
         )
-    except (LabError, OSError, ValueError) as error:
+    except (OSError, ValueError) as error:
         print(f"runkeel-lab: {error}", file=sys.stderr)
         code = EXIT_USAGE
     sys.exit(code)
--- /dev/null
+++ b/src/runkeel_lab/decisions.py
@@ -0,0 +1,137 @@
+"""What single decisions cost at several sizes of the fleet; no server is asked."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from loguru import logger
+
+from runkeel.api.fleet import (
+    Backend,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    ServiceDescription,
+    ServiceShare,
+)
+from runkeel.api.jobs import BatchJob, JobItem
+from runkeel.api.machines import Address
+from runkeel.gateway.backends import BackendDirectory, choose_backend
+from runkeel.gateway.routing import RoutingTable
+from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.job_state import JobState
+from runkeel.jobs.scheduler import Scheduler
+
+SIZES = (40, 400, 4_200)
+_SERVICE = "engines"
+_MODEL = "m"
+_SLOTS = 6
+_REPEATS = 300
+_ITEM_BODY = "Ym9keQ=="
+_MICROSECONDS = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionCost:
+    """Median and 99th percentile of one decision's time, in microseconds."""
+
+    name: str
+    engines: int
+    waiting: int
+    median_us: float
+    p99_us: float
+
+
+class _SilentProtocol:
+    """Sends nothing: what is measured is the decision."""
+
+    def encode_generation(self, request: object, backend: Backend, remaining: float) -> None:
+        gevent.sleep(3600.0)
+
+
+def measure(engines: int, waiting: int) -> list[DecisionCost]:
+    """Return the costs at a number of engines and of items that wait."""
+    logger.remove()
+    directory = BackendDirectory()
+    for number in range(engines):
+        address = Address("127.0.0.1", 1)
+        zone = f"zone-{number % 5}"
+        directory.put(Backend(f"e{number}", _SERVICE, address, zone, _SLOTS, False, {_MODEL: 1}))
+    placement = EnginePlacement(directory, lambda backend_id, model: False)
+    job = _job(waiting)
+    item = job.items[0]
+
+    def choose_server() -> None:
+        choose_backend(directory.candidates(_SERVICE), set(), "zone-0")
+
+    def choose_engine() -> None:
+        placement.choose(job, item, _SERVICE)
+
+    costs = [
+        _cost("choice of a server", engines, 0, choose_server),
+        _cost("choice of an engine", engines, 0, choose_engine),
+    ]
+    scheduler = _full_scheduler(placement, directory, job)
+    costs.append(_cost("wake with nothing to do", engines, waiting, scheduler._place_all))
+    scheduler.stop()
+    return costs
+
+
+def _full_scheduler(
+    placement: EnginePlacement, directory: BackendDirectory, job: BatchJob
+) -> Scheduler:
+    """Return a scheduler whose items wait while no engine has room."""
+    for state in directory.all():
+        for _ in range(_SLOTS):
+            placement.take(state)
+    routing = RoutingTable()
+    share = ServiceShare(_SERVICE, 1.0)
+    route = Route("r", "host", "/", RouteKind.BATCH, (share,), maximum_queue_seconds=3600.0, rank=1)
+    description = ServiceDescription(_SERVICE, models=(_MODEL,))
+    routing.apply(RoutingConfiguration(1, (route,), {_SERVICE: description}))
+    scheduler = Scheduler(
+        placement, routing, _SilentProtocol(), None, lambda backend_id, model: False
+    )
+    scheduler.add(JobState(job))
+    return scheduler
+
+
+def _job(items: int) -> BatchJob:
+    return BatchJob(
+        job_id="job",
+        host="host",
+        path="/",
+        submitted_at=time.time(),
+        items=tuple(
+            JobItem(f"i{number}", "/x", (), _ITEM_BODY, 10, f"g{number // 8}")
+            for number in range(items)
+        ),
+        model=_MODEL,
+        minimum_version=1,
+    )
+
+
+def _cost(name: str, engines: int, waiting: int, decide: Callable[[], None]) -> DecisionCost:
+    times = []
+    for _ in range(_REPEATS):
+        began = time.perf_counter()
+        decide()
+        times.append((time.perf_counter() - began) * _MICROSECONDS)
+    times.sort()
+    return DecisionCost(
+        name, engines, waiting, statistics.median(times), times[int(0.99 * len(times))]
+    )
+
+
+def format_costs(costs: list[DecisionCost]) -> str:
+    """Return a line for each cost."""
+    lines = [f"{'decision':26} {'engines':>8} {'waiting':>8} {'median us':>10} {'p99 us':>10}"]
+    lines += [
+        f"{one.name:26} {one.engines:8,} {one.waiting:8,} {one.median_us:10.1f} {one.p99_us:10.1f}"
+        for one in costs
+    ]
+    return "\n".join(lines)
--- a/src/runkeel_lab/measurements/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Programs that measure one thing each; their figures stand in docs/measurements.md."""
--- /dev/null
+++ b/src/runkeel_lab/users_platform/replay.py
@@ -0,0 +1,148 @@
+"""Replays recorded traces and compares what comes of them with the outcomes that they state.
+
+A refusal or a failure of a request depends on the moment, so a request may end better than when it
+was recorded, not worse: what was answered then must be answered again, unless a fault is under way.
+What must hold whatever the moment is held to the letter: accepted jobs are read whole, each item
+once with its whole text; what must not repeat runs at most once.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+from pathlib import Path
+
+import gevent
+from loguru import logger
+
+from runkeel_lab.users_platform.deployment import RESERVE_PREFIX, Deployment
+from runkeel_lab.users_platform.faults import Faults
+from runkeel_lab.users_platform.servers import whole_text
+from runkeel_lab.users_platform.trace import COMPLETED, Trace, TraceEvent, read_trace
+
+_SEED = 1
+_SETTLE_SECONDS = 60.0
+_POLL_SECONDS = 0.05
+_TRIES = 5
+"""A job that was accepted when it was recorded is submitted so often, as its trainer would."""
+
+_RETRY_SECONDS = 0.5
+_ANSWERED = "200"
+_LEAST_ANSWERED = 0.9
+"""Of the requests that were answered when recorded, so large a part must be answered again."""
+
+
+class Replay:
+    """One trace on a deployment of its own."""
+
+    def __init__(self, trace: Trace) -> None:
+        self._trace = trace
+        self._deployment = Deployment(_SEED, **trace.sizes)
+        self._faults = Faults(self._deployment)
+        self._accepted: dict[str, list[str]] = {}
+        self._answered: set[str] = set()
+        self.violations: list[str] = []
+
+    def run(self) -> list[str]:
+        """Play the trace; returns what does not hold."""
+        self._deployment.start()
+        try:
+            self._deployment.wait_ready()
+            began = time.monotonic()
+            tasks = []
+            for event in self._trace.events:
+                gevent.sleep(max(0.0, began + event.at - time.monotonic()))
+                tasks.append(gevent.spawn(self._act, event))
+            gevent.joinall(tasks)
+            self._faults.heal()
+            self._check_jobs()
+            self._check_requests()
+        finally:
+            self._deployment.stop()
+        return self.violations
+
+    def _act(self, event: TraceEvent) -> None:
+        if event.act == "job":
+            self._submit(event)
+        elif event.act == "request":
+            self._request(event)
+        elif self._faults.knows(event.act):
+            self._faults.strike(event)
+        else:
+            self.violations.append(f"unknown act {event.act!r}")
+
+    def _submit(self, event: TraceEvent) -> None:
+        job_id = event.subject
+        items = [f"{job_id}-g{n // 4}-{n}" for n in range(event.details["items"])]
+        edges = self._deployment.edge_names
+        first = edges.index(event.target)
+        for number in range(_TRIES if event.outcome == COMPLETED else 1):
+            edge = edges[(first + number) % len(edges)]
+            if self._deployment.submit(edge, job_id, items) == 202:
+                self._accepted[job_id] = items
+                return
+            gevent.sleep(_RETRY_SECONDS)
+
+    def _request(self, event: TraceEvent) -> None:
+        headers = {"Attempt-Id": event.subject, "Deadline-Ms": "1000"}
+        body = event.subject.encode()
+        target = f"{event.details['prefix']}x"
+        answer = self._deployment.call(event.target, "POST", target, headers, body)
+        if answer is None or answer.status != int(_ANSWERED):
+            return
+        self._answered.add(event.subject)
+        if answer.body != b"echo " + body:
+            self.violations.append(f"{event.subject} got the answer {answer.body!r}")
+
+    def _check_jobs(self) -> None:
+        for event in self._trace.events:
+            stated = event.act == "job" and event.outcome == COMPLETED
+            if stated and event.subject not in self._accepted:
+                self.violations.append(f"{event.subject}: not accepted in {_TRIES} tries")
+        deadline = time.monotonic() + _SETTLE_SECONDS
+        for job_id, items in self._accepted.items():
+            self._check_results(job_id, items, deadline)
+
+    def _check_results(self, job_id: str, items: list[str], deadline: float) -> None:
+        edge = self._deployment.edge_names[0]
+        while len(results := self._deployment.results(edge, job_id) or []) < len(items):
+            if time.monotonic() > deadline:
+                break
+            gevent.sleep(_POLL_SECONDS)
+        if sorted(result["Id"] for result in results) != sorted(items):
+            self.violations.append(f"{job_id}: items {[one['Id'] for one in results]}")
+        for result in results:
+            if result["State"] == COMPLETED and result["Text"] != whole_text(result["Id"]):
+                self.violations.append(f"{result['Id']}: text {result['Text']!r}")
+
+    def _check_requests(self) -> None:
+        stated = {
+            event.subject
+            for event in self._trace.events
+            if event.act == "request" and event.outcome == _ANSWERED
+        }
+        missing = stated - self._answered
+        if len(missing) > (1.0 - _LEAST_ANSWERED) * len(stated):
+            self.violations.append(f"{len(missing)} of {len(stated)} requests not answered")
+        runs: dict[str, int] = {}
+        for server in self._deployment.applications:
+            for run in server.runs:
+                if run.path.startswith(RESERVE_PREFIX):
+                    runs[run.request_id] = runs.get(run.request_id, 0) + 1
+        doubled = sorted(name for name, count in runs.items() if count > 1)
+        if doubled:
+            self.violations.append(f"ran more than once: {doubled}")
+
+
+def replay_files(paths: Iterable[Path]) -> bool:
+    """Replay traces and print a line for each; True when every stated outcome came."""
+    logger.remove()
+    holds = True
+    for path in paths:
+        trace = read_trace(path)
+        violations = Replay(trace).run()
+        holds = holds and not violations
+        print(f"{path.name}: {len(trace.events)} events, {len(violations)} violations", flush=True)
+        for violation in violations[:5]:
+            print(f"  {violation}", flush=True)
+    return holds
--- a/src/runkeel_lab/users_platform/soak.py
+++ b/src/runkeel_lab/users_platform/soak.py
@@ -10,13 +10,16 @@
 import random
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import Any
 
 import gevent
 from loguru import logger
 
 from runkeel_lab.users_platform.deployment import COUNT_PREFIX, RESERVE_PREFIX, Deployment
-from runkeel_lab.users_platform.servers import PlatformServer, whole_text
+from runkeel_lab.users_platform.faults import Faults
+from runkeel_lab.users_platform.servers import whole_text
+from runkeel_lab.users_platform.trace import COMPLETED, REFUSED, Trace, TraceEvent, write_trace
 
 _JOB_SECONDS = 1.0
 _REQUEST_SECONDS = 0.15
@@ -25,6 +28,7 @@
 _ITEMS = 12
 _SETTLE_SECONDS = 60.0
 _ORDER_PAUSE_SECONDS = 0.5
+_SIZES = {"edges": 3, "disks": 2, "engines": 3, "applications": 3}
 
 
 @dataclass(slots=True)
@@ -45,18 +49,13 @@
     def __init__(self, seed: int, seconds: float) -> None:
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._deployment = Deployment(
-            seed,
-            edges=3,
-            disks=2,
-            engines=3,
-            applications=3,
-            order_pause_seconds=_ORDER_PAUSE_SECONDS,
-        )
+        self._deployment = Deployment(seed, order_pause_seconds=_ORDER_PAUSE_SECONDS, **_SIZES)
+        self._faults = Faults(self._deployment)
+        self._events: list[TraceEvent] = []
+        self._began = 0.0
         self._report = SoakReport()
         self._accepted: dict[str, list[str]] = {}
         self._seen: dict[str, list[dict[str, Any]]] = {}
-        self._version = 1
 
     def run(self) -> SoakReport:
         """Run to the end and return the report."""
@@ -64,6 +63,7 @@
         deployment.start()
         try:
             deployment.wait_ready()
+            self._began = time.monotonic()
             end = time.monotonic() + self._seconds
             tasks = [
                 gevent.spawn(self._repeat, end, _JOB_SECONDS, self._submit),
@@ -80,6 +80,13 @@
             deployment.stop()
         return self._report
 
+    def trace(self) -> Trace:
+        """Return what was done, once it is over."""
+        return Trace(dict(_SIZES), tuple(self._events))
+
+    def _now(self) -> float:
+        return round(time.monotonic() - self._began, 3)
+
     def _repeat(self, end: float, pause: float, action: Any) -> None:
         while time.monotonic() < end:
             action()
@@ -91,7 +98,10 @@
     def _submit(self) -> None:
         job_id = f"job{len(self._accepted)}-{self._random.randrange(1 << 30)}"
         items = [f"{job_id}-g{n // 4}-{n}" for n in range(_ITEMS)]
-        status = self._deployment.submit(self._edge(), job_id, items)
+        edge, at = self._edge(), self._now()
+        status = self._deployment.submit(edge, job_id, items)
+        outcome = {202: COMPLETED, 503: REFUSED}.get(status, "")
+        self._events.append(TraceEvent(at, "job", edge, job_id, {"items": _ITEMS}, outcome))
         if status == 202:
             self._accepted[job_id] = items
             self._report.accepted += 1
@@ -103,8 +113,13 @@
         gevent.spawn(self._send, prefix, headers)
 
     def _send(self, prefix: str, headers: dict[str, str]) -> None:
-        body = headers["Attempt-Id"].encode()
-        answer = self._deployment.call(self._edge(), "POST", f"{prefix}x", headers, body)
+        request_id = headers["Attempt-Id"]
+        body = request_id.encode()
+        edge, at = self._edge(), self._now()
+        answer = self._deployment.call(edge, "POST", f"{prefix}x", headers, body)
+        details = {"prefix": prefix}
+        outcome = str(answer.status) if answer is not None else ""
+        self._events.append(TraceEvent(at, "request", edge, request_id, details, outcome))
         if answer is None or answer.status != 200:
             return
         self._report.answered += 1
@@ -129,83 +144,15 @@
         return results
 
     def _disturb(self) -> None:
-        fault = self._random.choice(
-            (
-                self._kill_node,
-                self._kill_coordinator,
-                self._lose_store_answers,
-                self._refuse_at_the_store,
-                self._slow_store,
-                self._compact,
-                self._break_engine,
-                self._break_application,
-                self._lose_orders,
-                self._name_version,
-            )
-        )
-        name = fault.__name__.removeprefix("_")
-        self._report.faults[name] = self._report.faults.get(name, 0) + 1
-        logger.info("fault", code="fault", fault=name)
-        fault()
-
-    def _kill_node(self) -> None:
-        self._restart(self._random.choice(self._deployment.node_names))
-
-    def _kill_coordinator(self) -> None:
-        for name in self._deployment.coordinators()[:1]:
-            self._restart(name)
-
-    def _restart(self, name: str) -> None:
-        if self._deployment.node(name) is None:
-            return
-        self._deployment.kill_node(name)
-        gevent.spawn_later(self._random.uniform(0.05, 2.0), self._start_again, name)
-
-    def _start_again(self, name: str) -> None:
-        if self._deployment.node(name) is None:
-            self._deployment.start_node(name)
-
-    def _for_a_while(self, target: Any, attribute: str, value: Any, normal: Any) -> None:
-        setattr(target, attribute, value)
-        seconds = self._random.uniform(0.3, 2.0)
-        gevent.spawn_later(seconds, setattr, target, attribute, normal)
-
-    def _lose_store_answers(self) -> None:
-        self._for_a_while(self._deployment.store, "lost_share", 0.4, 0.0)
-
-    def _refuse_at_the_store(self) -> None:
-        self._for_a_while(self._deployment.store, "refused", True, False)
-
-    def _slow_store(self) -> None:
-        self._for_a_while(self._deployment.store, "slow_seconds", 0.15, 0.0)
-
-    def _compact(self) -> None:
-        self._deployment.store.objects.compact()
-
-    def _break_engine(self) -> None:
-        self._break(self._random.choice(self._deployment.engines))
-
-    def _break_application(self) -> None:
-        self._break(self._random.choice(self._deployment.applications))
-
-    def _break(self, server: PlatformServer) -> None:
-        attribute, value, normal = self._random.choice(
-            (("lost_share", 0.5, 0.0), ("failed_share", 0.3, 0.0), ("slow_factor", 8.0, 1.0))
-        )
-        self._for_a_while(server.faults, attribute, value, normal)
-
-    def _lose_orders(self) -> None:
-        engine = self._random.choice(self._deployment.engines)
-        self._for_a_while(engine.faults, "unanswered_orders", 0.7, 0.0)
-
-    def _name_version(self) -> None:
-        self._version += 1
-        self._deployment.name_version(self._version)
+        """Let something go wrong, with a target, a strength and a length drawn by the seed."""
+        fault = self._faults.draw(self._random, self._now())
+        self._report.faults[fault.act] = self._report.faults.get(fault.act, 0) + 1
+        logger.info("fault", code="fault", fault=fault.act, target=fault.target)
+        self._events.append(fault)
+        self._faults.strike(fault)
 
     def _heal(self) -> None:
-        gevent.sleep(2.1)
-        for name in self._deployment.node_names:
-            self._start_again(name)
+        self._faults.heal()
 
     def _check_jobs(self) -> None:
         deadline = time.monotonic() + _SETTLE_SECONDS
@@ -261,12 +208,17 @@
         self._report.violations.append(text)
 
 
-def run_soaks(seed: int, runs: int, seconds: float) -> bool:
-    """Run several soaks and print a line for each; True when nothing was violated."""
+def run_soaks(seed: int, runs: int, seconds: float, record: Path | None = None) -> bool:
+    """Run several soaks and print a line for each; True when nothing was violated.
+
+    Args:
+        record: file for a trace of the last one.
+    """
     logger.remove()
     holds = True
     for number in range(seed, seed + runs):
-        report = Soak(number, seconds).run()
+        soak = Soak(number, seconds)
+        report = soak.run()
         holds = holds and not report.violations
         faults = sum(report.faults.values())
         print(
@@ -277,4 +229,6 @@
         )
         for violation in report.violations[:5]:
             print(f"  {violation}", flush=True)
+    if record is not None and runs:
+        write_trace(record, soak.trace())
     return holds
--- a/tests/base/test_cli.py
+++ b/tests/base/test_cli.py
@@ -1,49 +1,79 @@
-import contextlib
-import io
+"""The command lines: what they print and how they exit."""
+
+import json
+import os
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
-from unittest import mock
-
-import runkeel
-from runkeel import cli
-from tests.base.test_settings import GOOD
-
-
-class CommandLineTest(unittest.TestCase):
-    def run_cli(self, *arguments):
-        output, errors = io.StringIO(), io.StringIO()
-        with (
-            mock.patch("sys.argv", ["runkeel", *arguments]),
-            contextlib.redirect_stdout(output),
-            contextlib.redirect_stderr(errors),
-            self.assertRaises(SystemExit) as caught,
-        ):
-            cli.main()
-        return caught.exception.code, output.getvalue(), errors.getvalue()
-
-    def check(self, text):
-        with tempfile.TemporaryDirectory() as folder:
-            path = Path(folder) / "node.toml"
-            path.write_text(text)
-            return self.run_cli("check-settings", str(path))
-
-    def test_good_settings_print_nothing(self):
-        self.assertEqual(self.check(GOOD), (0, "", ""))
-
-    def test_bad_settings_are_one_line_and_exit_code_2(self):
-        code, output, errors = self.check(GOOD + "[listen]\nhtpp = 1\n")
-        self.assertEqual((code, output, errors.count("\n")), (2, "", 1))
-        self.assertIn("listen.htpp", errors)
-
-    def test_wrong_usage_is_exit_code_2(self):
-        self.assertEqual(self.run_cli("nod")[0], 2)
 
+ROOT = Path(__file__).resolve().parents[2]
+LONGEST_SECONDS = 60
+
+
+def run(*words):
+    environment = {**os.environ, "PYTHONPATH": str(ROOT / "src")}
+    return subprocess.run(
+        [sys.executable, *words],
+        cwd=ROOT,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=LONGEST_SECONDS,
+    )
+
+
+class RunkeelTest(unittest.TestCase):
     def test_version(self):
-        code, output, _ = self.run_cli("--version")
-        self.assertEqual((code, output.strip()), (0, f"runkeel {runkeel.__version__}"))
+        self.assertRegex(run("-m", "runkeel", "--version").stdout, r"runkeel \d")
+
+    def test_node_that_is_not_reached(self):
+        ended = run("-m", "runkeel", "ctl", "show node", "--node", "http://127.0.0.1:1")
+        self.assertEqual(ended.returncode, 4)
+        self.assertIn("peer_unreachable", ended.stderr)
+
+    def test_wrong_usage(self):
+        ended = run("-m", "runkeel", "ctl", "show node", "--format", "stone")
+        self.assertEqual(ended.returncode, 2)
+
+
+class LabTest(unittest.TestCase):
+    def test_decisions(self):
+        ended = run("-m", "runkeel_lab", "decisions", "--engines", "20", "--waiting", "50")
+        self.assertEqual((ended.returncode, len(ended.stdout.splitlines())), (0, 4))
+
+    def test_trace_of_another_form(self):
+        with tempfile.NamedTemporaryFile("w", suffix=".jsonl") as file:
+            file.write("no trace")
+            file.flush()
+            ended = run("-m", "runkeel_lab", "replay", file.name)
+        self.assertEqual(ended.returncode, 2)
+        self.assertIn("line 1 of the trace", ended.stderr)
+
+    def test_file_that_is_not_there(self):
+        ended = run("-m", "runkeel_lab", "story", "id", "no-such-file")
+        self.assertEqual(ended.returncode, 2)
+
+
+class NodeTest(unittest.TestCase):
+    def _check(self, content):
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(content)
+            file.flush()
+            return run("platform/node.py", "--check", file.name)
+
+    def test_settings_are_checked_without_a_start(self):
+        for content, problem in (("{", "not JSON"), (json.dumps({}), "Platform.Address")):
+            with self.subTest(content):
+                ended = self._check(content)
+                self.assertEqual(ended.returncode, 2)
+                self.assertIn("bad_settings", ended.stderr)
+                self.assertIn(problem, ended.stderr)
+
+    def test_wrong_usage(self):
+        self.assertEqual(run("platform/node.py", "--dance").returncode, 2)
+
 
-    def test_unreachable_node_is_exit_code_4(self):
-        code, _, errors = self.run_cli("ctl", "show nodes", "--node", "http://127.0.0.1:1")
-        self.assertEqual(code, 4)
-        self.assertIn("peer_unreachable", errors)
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -203,6 +203,7 @@
 
     def test_looking_for_work_costs_no_more_with_many_waiting_items(self):
         """Sweep at 303 servers: a wake asked for an engine for each of 624 waiting items."""
+        self._use_protocol(SilentProtocol())
         self.routing.apply(make_configuration())
         self.scheduler.add(JobState(make_job(items=500)))
         self.scheduler._place_all()
--- /dev/null
+++ b/tests/lab/test_demo.py
@@ -0,0 +1,38 @@
+"""The demonstration holds, and says so where something does not."""
+
+import contextlib
+import io
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from runkeel_lab import demo
+
+
+class DemoTest(unittest.TestCase):
+    def _run(self, folder):
+        printed = io.StringIO()
+        with contextlib.redirect_stdout(printed):
+            holds = demo.run_demo(Path(folder))
+        return holds, printed.getvalue()
+
+    def test_everything_holds_and_is_shown(self):
+        with tempfile.TemporaryDirectory() as folder:
+            holds, printed = self._run(folder)
+            self.assertTrue(holds, printed)
+            self.assertNotIn("NO", printed)
+            self.assertTrue((Path(folder) / "day.png").stat().st_size)
+
+    def test_what_does_not_come_is_shown(self):
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(demo, "LONGEST_WAIT_SECONDS", 0.0),
+        ):
+            holds, printed = self._run(folder)
+        self.assertFalse(holds)
+        self.assertIn("not within", printed)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/records/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the record service."""
--- a/tests/requests/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of runkeel.requests."""
--- a/tests/rollouts/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the rollout service."""
--- a/tests/users_platform/test_operator_queries.py
+++ b/tests/users_platform/test_operator_queries.py
@@ -4,7 +4,7 @@
 import io
 import unittest
 
-from runkeel.errors import RunkeelError
+from runkeel.errors import ErrorCode, RunkeelError, Verdict
 from runkeel.operators.client import OperatorClient
 from runkeel.operators.ctl import ExitCode, run_ctl
 from tests.users_platform.test_deployment import DeploymentTestCase
@@ -49,9 +49,35 @@
         self.assertEqual(caught.exception.code, "bad_command")
         self.assertIn("backends", caught.exception.detail)
 
-    def test_commands_belong_to_the_platform(self):
-        with self.assertRaises(RunkeelError):
-            self.rows("drain backend a0")
+    def refusal(self, text, node="edge-0"):
+        with self.assertRaises(RunkeelError) as caught:
+            OperatorClient(self.url(node)).send(text)
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+        return caught.exception
+
+    def test_commands_that_would_write_what_is_somebody_elses_name_the_owner(self):
+        for text, owner in (
+            ("deploy model allocation version 3", "trainer"),
+            ("drain backend a0", "server says itself"),
+            ("set model allocation rollout_paused true", "operator's"),
+        ):
+            with self.subTest(text):
+                error = self.refusal(text)
+                self.assertEqual(error.code, ErrorCode.FORBIDDEN)
+                self.assertIn(owner, error.detail)
+
+    def test_command_that_is_not_understood(self):
+        self.assertEqual(self.refusal("dance").code, ErrorCode.BAD_COMMAND)
+
+    def test_node_stops_as_planned_when_it_is_told_itself(self):
+        process = self.deployment.node("edge-1")
+        client = OperatorClient(self.url("edge-1"))
+        self.assertEqual(self.refusal("stop node edge-0", "edge-1").code, ErrorCode.FORBIDDEN)
+        answer = client.send("stop node edge-1 --dry-run")
+        self.assertEqual(answer.document["outcome"], "would be accepted")
+        self.assertFalse(process.stop_requested.is_set())
+        self.assertEqual(client.send("stop node edge-1").document["outcome"], "accepted")
+        self.assertTrue(process.stop_requested.is_set())
 
     def test_command_line(self):
         output = io.StringIO()
--- a/tests/users_platform/test_soak.py
+++ b/tests/users_platform/test_soak.py
@@ -1,8 +1,11 @@
 """Short fault soaks with fixed seeds; longer ones: ``runkeel-lab soak``."""
 
+import tempfile
 import unittest
+from pathlib import Path
 
 from runkeel_lab.users_platform.soak import Soak
+from runkeel_lab.users_platform.trace import read_trace, write_trace
 
 SECONDS = 8.0
 
@@ -15,6 +18,20 @@
         self.assertGreater(report.completed_items, 0)
         self.assertGreater(report.answered, 0)
 
+    def test_recorded_soak_can_be_replayed(self):
+        soak = Soak(4, 4.0)
+        self.assertEqual(soak.run().violations, [])
+        trace = soak.trace()
+        self.assertTrue({"job", "request"} < {event.act for event in trace.events})
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "trace.jsonl"
+            write_trace(path, trace)
+            lines = path.read_text().splitlines()
+            read = read_trace(path)
+        self.assertEqual(len(lines), len(trace.events) + 1)
+        self.assertEqual(read.sizes, trace.sizes)
+        self.assertEqual(set(map(repr, read.events)), set(map(repr, trace.events)))
+
     def test_seed_1(self):
         self._soak(1)
 
--- a/tests/weights/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of weight roll-outs."""
