Take nothing more from a run that is given up, and begin its item only once its end is confirmed

A step ended and its runs were killed at the coordinator; the next step named one of the items, 45 ms before the runner had ended the earlier run. What that run still told was added to the text that the new one continued.

Ruled out: progress told twice (passed over by position, tested); two engines at once (one engine, one runner, 45 ms).

Change: a run whose waiter is gone takes no more pieces; the pool knows which items may go on at a runner, and such an item rests until its end is confirmed.

--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -23,7 +23,7 @@
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.text_journal import TextJournal
 from runkeel.jobs.text_replication import TextSender
-from runkeel.runners.lease import LOST_SECONDS
+from runkeel.runners.lease import LOCAL_RUNS, LOST_SECONDS
 from runkeel.runners.pool import RunnerPool
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.wire.network import PeerNetwork
@@ -126,7 +126,7 @@
             lambda model: self.targets.get(model, 0),
             parts.election.superseded,
             texts_expected=epoch > 1 and not texts,
-            earlier_runs_seconds=lambda: LOST_SECONDS if epoch > 1 and self.runners.needed else 0.0,
+            earlier_runs_seconds=self._earlier_runs_seconds,
         )
         self._watchers = [
             DocumentWatcher(
@@ -158,6 +158,15 @@
         for watcher in self._watchers:
             watcher.stop()
 
+    def _earlier_runs_seconds(self, items: int) -> float:
+        """Return how long runners may go on for the coordinator before.
+
+        Args:
+            items: of all jobs that are open.
+        """
+        used = self.epoch > 1 and self.runners.may_be_used and items > LOCAL_RUNS
+        return LOST_SECONDS if used else 0.0
+
     def _start_rollout(self) -> None:
         """Move engines once the jobs are known: without them every engine would seem needed.
 
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -67,7 +67,8 @@
         newest_version: newest version of a model, as named by its trainer.
         on_superseded: called with the reason when another coordinator's work is seen.
         texts_expected: a node may offer texts of the coordinator before; items wait for a moment.
-        earlier_runs_seconds: so long other nodes may still run items for the coordinator before.
+        earlier_runs_seconds: so long other nodes may still run items for the coordinator before,
+            by the number of items of all open jobs.
 
     Attributes:
         loaded: set once the jobs that stood in the store are known, so that :meth:`demand` is.
@@ -81,7 +82,7 @@
         newest_version: Callable[[str], int],
         on_superseded: Callable[[str], None],
         texts_expected: bool = False,
-        earlier_runs_seconds: Callable[[], float] = lambda: 0.0,
+        earlier_runs_seconds: Callable[[int], float] = lambda items: 0.0,
     ) -> None:
         self._earlier_runs_seconds = earlier_runs_seconds
         self.loaded = Event()
@@ -194,7 +195,8 @@
         self.loaded.set()
         if self._texts_expected and self._jobs:
             gevent.sleep(max(0.0, self._started_at + TEXTS_SECONDS - time.monotonic()))
-        over_at = self._started_at + self._earlier_runs_seconds()
+        items = sum(len(state.items) for state in self._jobs.values() if not state.ended)
+        over_at = self._started_at + self._earlier_runs_seconds(items)
         gevent.sleep(max(0.0, over_at - time.monotonic()))
         self._scheduler.start()
 
--- a/src/runkeel/jobs/item_runner.py
+++ b/src/runkeel/jobs/item_runner.py
@@ -48,6 +48,15 @@
         self._is_loading = is_loading
         self._runners = runners
 
+    def note_open(self, items: int) -> None:
+        """Take how many items wait or run, so that other nodes are asked in time."""
+        if self._runners is not None:
+            self._runners.note_open(items)
+
+    def goes_on(self, item_id: str) -> bool:
+        """Return whether an earlier run of an item may still be going on at another node."""
+        return self._runners is not None and self._runners.goes_on(item_id)
+
     @property
     def has_room(self) -> bool:
         """Whether one more run would be read in time."""
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -197,6 +197,7 @@
             self._arranged_for = configuration
             self._queue.arrange_anew()
         self._queue.wake_rested(now)
+        self._runner.note_open(len(self._queue) + len(self._running))
         for task in self._queue.ready():
             self._place_ready(task)
         starts = 0
@@ -233,6 +234,11 @@
             if time.time() > task.state.job.submitted_at + route.maximum_queue_seconds > 0:
                 self._give_up(task, "waited too long")
                 continue
+            if self._runner.goes_on(task.item.item_id):
+                # Of an ended job that had the item, too; its end is not confirmed yet.
+                task.not_before = now + REQUEUE_SECONDS
+                self._queue.put(task)
+                continue
             if not self._runner.has_room:
                 # Better left in the queue than begun and not read in time.
                 return starts
--- a/src/runkeel/runners/lease.py
+++ b/src/runkeel/runners/lease.py
@@ -31,11 +31,15 @@
 RUNS_PER_RUNNER = 64
 """Runs at one node at once: 64 at 20 ms an event are 3,200 events a second, 0.2 of a core."""
 
-LOCAL_RUNS = 160
-"""So many runs the coordinator reads itself; fleets with fewer slots need no runners.
+LOCAL_RUNS = 220
+"""So many runs the coordinator reads itself; where fewer items are open it needs no runners.
 
-160 at 20 ms an event are 8,000 events a second, about half of a core at 60 us an event.
+220 at 20 ms an event are 11,000 events a second, 0.65 of a core at 60 us an event; the machines
+that coordinate have 1.3.
 """
 
+DEMAND_SECONDS = 20.0
+"""Runners are kept for so long after more items were open than the coordinator reads itself."""
+
 LATE_MILLISECONDS = 150
 """A runner whose timers are so late gets no further run until it has caught up."""
--- a/src/runkeel/runners/pool.py
+++ b/src/runkeel/runners/pool.py
@@ -11,12 +11,13 @@
 import gevent
 from loguru import logger
 
-from runkeel.errors import RunkeelError
+from runkeel.errors import RunkeelError, Verdict
 from runkeel.gateway.backends import BackendDirectory, BackendState
 from runkeel.gateway.indexed_set import IndexedSet
 from runkeel.jobs.generation_run import PartialText
 from runkeel.metrics import RUNNERS
 from runkeel.runners.lease import (
+    DEMAND_SECONDS,
     LATE_MILLISECONDS,
     LOCAL_RUNS,
     LOST_SECONDS,
@@ -97,10 +98,13 @@
         self._runners: dict[str, Runner] = {}
         self._zones: dict[str, IndexedSet[Runner]] = {}
         self._all: IndexedSet[Runner] = IndexedSet()
+        self._live: dict[str, set[str]] = {}
+        """Runs that may be going on, by item."""
         self._of_engine: dict[str, Runner] = {}
         self._invited: dict[str, tuple[NodeAddress, float]] = {}
         self._numbers = itertools.count(1)
         self._local_runs = 0
+        self._demanded_at = -DEMAND_SECONDS
         self._stopped = False
         self._tasks: set[gevent.Greenlet] = set()
         self._slots_as_of: tuple[int, list[str]] = (-1, [])
@@ -108,9 +112,20 @@
 
     @property
     def needed(self) -> bool:
-        """Whether the engines make more than the coordinator can read itself."""
+        """Whether more is open lately, and has room at engines, than this node reads itself."""
+        recent = time.monotonic() - self._demanded_at < DEMAND_SECONDS
+        return recent and self.may_be_used
+
+    @property
+    def may_be_used(self) -> bool:
+        """Whether the engines have more slots than one node reads."""
         return self._slots() > LOCAL_RUNS
 
+    def note_open(self, items: int) -> None:
+        """Take how many items wait or run."""
+        if items > LOCAL_RUNS:
+            self._demanded_at = time.monotonic()
+
     @property
     def has_room(self) -> bool:
         """Whether one more run would be read in time."""
@@ -131,7 +146,7 @@
 
     def runner_for(self, engine: BackendState) -> Runner | None:
         """Return the node that is to run an item at an engine; None: this one itself."""
-        if not self._runners or not self.needed:
+        if self._local_runs < LOCAL_RUNS or not self._runners:
             return None
         runner = self._of_engine.get(engine.backend_id)
         if runner is not None and runner.node_id in self._runners and runner.has_room:
@@ -165,8 +180,13 @@
             lambda run_id: self._end(runner, run_id),
         )
         runner.runs[run.run_id] = run
+        self._live.setdefault(run.item_id, set()).add(run.run_id)
         return run
 
+    def goes_on(self, item_id: str) -> bool:
+        """Return whether a run of an item may be going on, though nobody may want it any more."""
+        return item_id in self._live
+
     def local_run_began(self) -> None:
         """Count a run that this node reads itself."""
         self._local_runs += 1
@@ -253,13 +273,26 @@
                 CALL_SECONDS,
             )
         except RunkeelError as error:
-            if error.verdict.name == "NOT_RUN":
-                runner.runs.pop(message.run_id, None)
+            if error.verdict is Verdict.NOT_RUN:
+                self._forget(runner, message.run_id)
             raise
         if not reply.accepted:
-            runner.runs.pop(message.run_id, None)
+            self._forget(runner, message.run_id)
         return reply
 
+    def _forget(self, runner: Runner, run_id: str) -> None:
+        """Take note that a run is over for certain."""
+        run = runner.runs.pop(run_id, None)
+        runner.unwanted.discard(run_id)
+        if run is not None:
+            self._no_longer_live(run)
+
+    def _no_longer_live(self, run: RemoteRun) -> None:
+        runs = self._live[run.item_id]
+        runs.discard(run.run_id)
+        if not runs:
+            del self._live[run.item_id]
+
     def _end(self, runner: Runner, run_id: str) -> None:
         if run_id in runner.runs:
             runner.unwanted.add(run_id)
@@ -289,8 +322,7 @@
                 continue
             run.take(update)
             if update.outcome:
-                del runner.runs[update.run_id]
-                runner.unwanted.discard(update.run_id)
+                self._forget(runner, update.run_id)
         return unknown
 
     def _loading_at(self, runner: Runner) -> list[str]:
@@ -327,6 +359,7 @@
         runs, runner.runs = runner.runs, {}
         runner.unwanted.clear()
         for run in runs.values():
+            self._no_longer_live(run)
             run.lose(reason)
 
     def _spawn(self, function: Callable[..., None], *arguments: object) -> None:
--- a/src/runkeel/runners/remote_run.py
+++ b/src/runkeel/runners/remote_run.py
@@ -51,6 +51,8 @@
         self._outcome = RunOutcome.BROKEN
         self._moved = False
         self._gap = False
+        self._abandoned = False
+        """Nobody waits for its end any more; its runner has not confirmed it yet."""
         self.events = 0
         self.first_event_at = 0.0
         self.last_event_at = 0.0
@@ -63,6 +65,11 @@
         """Names the run within its coordinator's term."""
         return self._start.run_id
 
+    @property
+    def item_id(self) -> str:
+        """The item that it runs."""
+        return self._start.request_id
+
     @property
     def backend_id(self) -> str:
         """The engine."""
@@ -86,11 +93,15 @@
                 self._await_end()
             return self._outcome
         finally:
-            if not self._ended.is_set():
+            self._abandoned = not self._ended.is_set()
+            if self._abandoned:
                 self._want_end(self.run_id)
 
     def take(self, update: ItemRunUpdate) -> None:
         """Take what the runner tells; parts that came before are passed over."""
+        if self._abandoned:
+            # The text may be continued by another run already.
+            return
         partial = self._partial
         known = self.events - update.first_piece
         if known < 0 or self._gap:
--- a/tests/gateway/test_directory_news.py
+++ b/tests/gateway/test_directory_news.py
@@ -11,6 +11,7 @@
 from tests.gateway.test_backends import make_backend
 
 MANY = 300
+SERVICE = "news"
 
 
 class DirectoryNewsTest(unittest.TestCase):
@@ -24,31 +25,35 @@
         self.directory = BackendDirectory()
 
     def _told(self):
+        """Return the lines on this test's servers; other tests' may be told meanwhile."""
         gevent.sleep(0.1)
         lines, self.lines = self.lines, []
-        return lines
+        return [line for line in lines if f" {SERVICE} " in str(line)]
+
+    def _put(self, name, **more):
+        self.directory.put(make_backend(name, service=SERVICE, **more))
 
     def test_many_servers_at_once_are_one_line(self):
         """Large site: 15,300 of 32,700 lines of a day, one a node and server and change."""
         for number in range(MANY):
-            self.directory.put(make_backend(f"s{number}"))
+            self._put(f"s{number}")
         (line,) = self._told()
         self.assertEqual((line["joined_count"], len(line["joined"])), (MANY, directory_news.NAMES))
 
     def test_what_matters_to_a_decision_is_named(self):
         for name in ("a", "b", "c"):
-            self.directory.put(make_backend(name))
+            self._put(name)
         self._told()
-        self.directory.put(make_backend("a", draining=True))
-        self.directory.put(make_backend("c"))
+        self._put("a", draining=True)
+        self._put("c")
         self.directory.remove("b")
         (line,) = self._told()
-        self.assertIn("a ledger", line["draining"][0])
-        self.assertIn("b ledger", line["gone"][0])
+        self.assertIn("a news", line["draining"][0])
+        self.assertIn("b news", line["gone"][0])
         self.assertEqual((line["joined"], line["changed_count"]), ([], 1))
 
     def test_each_line_tells_what_is_new(self):
-        self.directory.put(make_backend("a"))
+        self._put("a")
         self._told()
         self.directory.remove("a")
         (line,) = self._told()
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -24,7 +24,12 @@
 from runkeel.jobs.generation_run import PartialText
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
-from runkeel.jobs.scheduler import STARTS_PER_TURN, UNKNOWN_ITEM_SECONDS, Scheduler
+from runkeel.jobs.scheduler import (
+    REQUEUE_SECONDS,
+    STARTS_PER_TURN,
+    UNKNOWN_ITEM_SECONDS,
+    Scheduler,
+)
 from tests.jobs.test_job_service import JOB_ID, make_job
 
 SERVICE = "engines"
@@ -213,6 +218,21 @@
             self.scheduler._place_all()
         self.assertEqual(choose.call_count, 1)
 
+    def test_item_whose_earlier_run_may_go_on_waits(self):
+        """Trial hunt on kitami-yard (ORDER): an item of an ended job was begun beside itself."""
+        self._use_protocol(SilentProtocol())
+        self.routing.apply(make_configuration())
+        going_on = {f"{JOB_ID}-0"}
+        self.scheduler.add(self.state)
+        with mock.patch.object(self.scheduler._runner, "goes_on", going_on.__contains__):
+            self.scheduler._place_all()
+            self.assertFalse(self.scheduler._running.has_item(f"{JOB_ID}-0"))
+            self.assertEqual(len(self.scheduler._running), len(self.state.items) - 1)
+            going_on.clear()
+            gevent.sleep(2 * REQUEUE_SECONDS)
+            self.scheduler._place_all()
+        self.assertTrue(self.scheduler._running.has_item(f"{JOB_ID}-0"))
+
     def test_other_tasks_have_their_turn_while_many_items_start(self):
         """Sweep at 303 servers: pings went unanswered for 1.6 s while a job's items started."""
         self._use_protocol(SilentProtocol())
--- a/tests/runners/test_lease.py
+++ b/tests/runners/test_lease.py
@@ -119,6 +119,7 @@
             ItemRunProgress,
             lambda peer, message: (0, made.take_progress(peer, message)),
         )
+        made.note_open(1)
         made.start()
         self.addCleanup(made.stop)
         return made
@@ -200,6 +201,22 @@
         self._wait(lambda: self.hosted[0].outcome == RunOutcome.MOVED.value)
         self._wait(lambda: not self.pool._runners["r"].runs)
 
+    def test_item_goes_on_until_its_runner_has_confirmed_the_end(self):
+        """Trial hunt on kitami-yard, every item at runners, quiet-1 seed 446291687744: ORDER.
+
+        A step ended, the next one named the same item and its text; the run before went on for
+        45 ms more, and what it still told was added to the text that the next one continued.
+        """
+        run, task = self._begin()
+        task.kill()
+        self.assertTrue(self.pool.goes_on("i"))
+        before = list(run._partial.pieces)
+        late = ItemRunUpdate(run.run_id, len(before), ["late"], "2", [1], False, "", "", "")
+        run.take(late)
+        self.assertEqual(run._partial.pieces, before)
+        self._wait(lambda: not self.pool.goes_on("i"))
+        self.assertEqual(self.hosted[0].outcome, RunOutcome.MOVED.value)
+
     def test_moved_run_is_over_once_its_runner_says_so(self):
         run, task = self._begin()
         run.move_away()
@@ -227,6 +244,18 @@
         gevent.sleep(3 * lease.HEARTBEAT_SECONDS * SCALE)
         self.assertEqual(self.pool._runners, {})
 
+    def test_nobody_is_invited_while_the_coordinator_reads_all_itself(self):
+        self.pool.stop()
+        few = self._pool(1)
+        few._demanded_at = -lease.DEMAND_SECONDS
+        few._runners.clear()
+        self.assertFalse(few.needed)
+        few.note_open(1)
+        self.assertTrue(few.needed)
+        with mock.patch.object(pool, "LOCAL_RUNS", 1):
+            self.assertIsNone(few.runner_for(self.directory.get("e")))
+            self.assertTrue(few.has_room)
+
     def test_lease_ends_before_its_loss_is_taken_for_certain(self):
         self.assertGreater(lease.LOST_SECONDS, lease.RUN_LEASE_SECONDS + 0.4)
         tries = lease.PROGRESS_SECONDS + lease.PROGRESS_CALL_SECONDS
--- a/tests/runners/test_remote_runs.py
+++ b/tests/runners/test_remote_runs.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from runkeel import coordinator_term
 from runkeel.runners import pool
 from runkeel_lab.users_platform.deployment import Deployment
 from runkeel_lab.users_platform.servers import event_count, whole_text
@@ -15,15 +16,18 @@
 
 class RemoteRunsTest(unittest.TestCase):
     def setUp(self):
-        few = mock.patch.object(pool, "LOCAL_RUNS", 0)
-        few.start()
-        self.addCleanup(few.stop)
+        for module in (pool, coordinator_term):
+            few = mock.patch.object(module, "LOCAL_RUNS", 0)
+            few.start()
+            self.addCleanup(few.stop)
 
     def start(self, **sizes):
         deployment = Deployment(**sizes)
         self.addCleanup(deployment.stop)
         deployment.start()
         deployment.wait_ready()
+        # Nodes are invited once there is more to run than the coordinator reads itself.
+        deployment.node(self.coordinator(deployment)).node._term.runners.note_open(1)
         self.wait(lambda: len(self.runners(deployment)) >= 2)
         return deployment
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -4,7 +4,7 @@
 from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.wire.codec import decode, encode
 from runkeel.wire.generated.common.ttypes import ErrorReport, Hello, HttpHeader
-from runkeel.wire.generated.requests.ttypes import ApplicationRequest, RequestEnvelope
+from runkeel.wire.generated.jobs.ttypes import ItemRunStart, ItemScorer
 
 
 class CodecTest(unittest.TestCase):
@@ -13,8 +13,25 @@
         self.assertEqual(decode(Hello, encode(hello)), hello)
 
     def test_damaged_bodies_give_protocol_errors_only(self):
-        envelope = RequestEnvelope("id", 1, 100, 0, "top", True, "m", "p", "e")
-        request = ApplicationRequest(envelope, "GET", "/", [HttpHeader("a", "b")], b"body")
+        request = ItemRunStart(
+            "shard",
+            7,
+            "session",
+            "7.1",
+            "back end",
+            "id",
+            "host",
+            "/",
+            [HttpHeader("a", "b")],
+            b"body",
+            1,
+            "3",
+            [1, 2],
+            1,
+            True,
+            100,
+            ItemScorer("id", "host", "/", "Ym9keQ=="),
+        )
         whole = encode(request)
         chance = random.Random(1)
         for _ in range(2_000):
@@ -22,7 +39,7 @@
             for _ in range(3):
                 damaged[chance.randrange(len(damaged))] = chance.randrange(256)
             try:
-                decode(ApplicationRequest, bytes(damaged))
+                decode(ItemRunStart, bytes(damaged))
             except RunkeelError as error:
                 self.assertIs(error.code, ErrorCode.PROTOCOL_ERROR)
 
