Split the election, write out the observed store, name what constants are for; items leave stuck engines

Cause: Election took twelve arguments, four of them lambdas, and had five jobs in 500 lines; ObservedStore set its calls by setattr; a server's latency was kept and never read; the prompt and the command line imported each other.

Change: whose turn it is to replace a coordinator stands in succession.py; the election takes a candidate, the lease and the terms as typed ports. The store's calls are written out. Constants of the gateway say their reason.

Traced: an engine 30 times slower counts as 4 times slower, so that with five events made a move promised 0.47 s and 0.5 are asked for; whether the check came at three events or at five was chance. An item now leaves an engine that is at the bound of the estimate for 0.15 s. Ruled out: the placement's new costs (they only choose). Test: test_run_mover (fails without it).

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -11,6 +11,8 @@
 import random
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
 
 import gevent
 from gevent.event import Event
@@ -26,6 +28,7 @@
 from runkeel.api.machines import Address
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.peers import LAST_RANK, PeerRegistry
+from runkeel.coordination.succession import Succession
 from runkeel.coordination.witnesses import reached_by_others
 from runkeel.errors import RunkeelError
 from runkeel.metrics import COORDINATING
@@ -53,17 +56,6 @@
 FAILING_PING_SECONDS = 0.05
 """Pause between pings while they fail."""
 
-SILENCE_SECONDS = 0.6
-"""Pings fail for so long before the first in rank replaces the coordinator.
-
-Counted from the start of the first that fails; witnesses are asked after that.
-"""
-
-RANK_SECONDS = 0.5
-NOT_PREFERRED_SECONDS = 1.0
-"""So much longer a node that isn't preferred waits for one that is, when all may have restarted."""
-
-STORE_LOST_SECONDS = 1.0
 VERIFY_SECONDS = 0.7
 """The coordinator has the store confirm its place so often, by a watch that waits so long."""
 
@@ -74,27 +66,53 @@
 PREDECESSOR_PINGS = 30
 START_SPREAD_SECONDS = 0.3
 
-RECLAIM_SECONDS = 0.4
-"""A coordinator that has restarted gets so long to take its place again.
-
-It knows best what was running, and need not wait before it gives orders to engines.
-"""
 PREFERENCE_SECONDS = 1.5
 """So much longer a node that isn't preferred waits at a start without a coordinator."""
 
 _CLAIM_RETRY_SECONDS = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A node that may coordinate.
+
+    Attributes:
+        shard: what it coordinates.
+        preferred: it should coordinate rather than one that is not preferred.
+    """
+
+    node_id: str
+    zone: str
+    shard: str
+    preferred: bool
+
+
+class LeaseTold(Protocol):
+    """What an election passes on of the order lease, so that a successor can claim it soon."""
+
+    @property
+    def confirmation(self) -> tuple[int, float]:
+        """Revision of this node's last confirmed lease, and its age in seconds."""
+
+    def observe(self, revision: int, age_seconds: float) -> None:
+        """Take what the coordinator told of its lease."""
+
+
+class Terms(Protocol):
+    """What happens when this node becomes coordinator, and when it no longer is."""
+
+    def begin_term(self, epoch: int) -> None:
+        """Coordinate from now on."""
+
+    def end_term(self) -> None:
+        """Coordinate no more."""
+
+
 class Election:
     """Follows and, when it is this node's turn, takes the coordinator's place.
 
     Args:
-        preferred: this node should coordinate rather than one that is not preferred.
         store_reachable: whether the store has answered this node's last call.
-        lease_confirmation: revision and age of this node's last confirmed order lease.
-        on_lease_seen: called with what the coordinator told of its order lease.
-        on_gained: called with the epoch when this node becomes coordinator.
-        on_lost: called when another node has.
         store_needed: set while the store has to be asked for the coordinator's document; None:
             always.
     """
@@ -103,29 +121,23 @@
         self,
         store: DocumentStore,
         network: PeerNetwork,
-        shard: str,
-        node_id: str,
-        zone: str,
-        preferred: bool,
+        candidate: Candidate,
+        lease: LeaseTold,
+        terms: Terms,
         store_reachable: Callable[[], bool],
-        lease_confirmation: Callable[[], tuple[int, float]],
-        on_lease_seen: Callable[[int, float], None],
-        on_gained: Callable[[int], None],
-        on_lost: Callable[[], None],
         store_needed: Event | None = None,
     ) -> None:
         self._store = store
         self._network = network
-        self._shard = shard
-        self._node_id = node_id
-        self._zone = zone
-        self._own_address = NodeAddress(node_id, "", zone)
-        self._preferred = preferred
+        self._shard = candidate.shard
+        self._node_id = candidate.node_id
+        self._zone = candidate.zone
+        self._preferred = candidate.preferred
+        self._own_address = NodeAddress(candidate.node_id, "", candidate.zone)
         self._store_reachable = store_reachable
-        self._lease_confirmation = lease_confirmation
-        self._on_lease_seen = on_lease_seen
-        self._on_gained = on_gained
-        self._on_lost = on_lost
+        self._lease = lease
+        self._terms = terms
+        self._succession = Succession(candidate.preferred, self._reaches_store)
         self._watcher = DocumentWatcher(
             store,
             DocumentKind.COORDINATOR,
@@ -133,7 +145,7 @@
             watch_seconds=self._watch_seconds,
             needed=store_needed,
             # Who may have to take over at once wants to know whether it reaches the store.
-            resting_probe_seconds=PING_SECONDS if preferred else RESTING_PROBE_SECONDS,
+            resting_probe_seconds=PING_SECONDS if self._preferred else RESTING_PROBE_SECONDS,
             # An old list may name a coordinator that was replaced; a claim is decided by the
             # store, on condition of the revision that it replaces.
             first_list=Freshness.ANY_AGE,
@@ -141,18 +153,11 @@
         self._coordinator: Coordinator | None = None
         self._epoch = 0
         """Epoch in which this node coordinates, 0 when it does not."""
-        self._peers = PeerRegistry(zone)
-        self._rank = LAST_RANK
+        self._peers = PeerRegistry(candidate.zone)
         self._predecessor: Coordinator | None = None
         self._witnesses: dict[str, NodeAddress] = {}
         self._stopping = False
-        self._last_contact = 0.0
-        self._failing_since = 0.0
         self._gained_at = 0.0
-        self._lost_store_at = 0.0
-        self._store_lost = False
-        self._store_back_at = 0.0
-        """When the store was back, as seen while the coordinator is silent."""
         self._task: gevent.Greenlet | None = None
         self._starter: gevent.Greenlet | None = None
         network.on_call(MessageType.COORDINATOR_PING, CoordinatorPing, self._answer_ping)
@@ -295,12 +300,12 @@
             gevent.sleep(random.uniform(0.0, START_SPREAD_SECONDS))
         if not self._preferred and self._coordinator is None:
             gevent.sleep(PREFERENCE_SECONDS)
-        self._last_contact = time.monotonic()
+        self._succession.note_contact()
         seen_epoch = 0
         while True:
             known = self._coordinator
             if self._stopping or self.coordinating:
-                self._last_contact = time.monotonic()
+                self._succession.note_contact()
                 gevent.sleep(PING_SECONDS)
                 continue
             if known is None or known.node_id == self._node_id:
@@ -308,9 +313,7 @@
                 continue
             if known.epoch != seen_epoch:
                 seen_epoch = known.epoch
-                self._last_contact = time.monotonic()
-                self._failing_since = 0.0
-                self._lost_store_at = 0.0
+                self._succession.begin()
             gevent.sleep(self._follow(known))
 
     def _follow(self, known: Coordinator) -> float:
@@ -320,25 +323,15 @@
         pause = PING_SECONDS
         if pong is not None:
             pause = pong.interval_ms / 1000.0
-            self._rank = pong.rank
-            self._on_lease_seen(pong.lease_revision, pong.lease_age_ms / 1000.0)
+            self._lease.observe(pong.lease_revision, pong.lease_age_ms / 1000.0)
             if pong.witnesses:
                 self._witnesses = {one.node_id: one for one in pong.witnesses}
-            if self._serves(pong):
-                self._last_contact = time.monotonic()
-                self._failing_since = 0.0
-                return pause
-        now = time.monotonic()
         # Time in which this process itself stood still doesn't count.
-        asked_at = max(asked_at, now - PING_TIMEOUT_SECONDS)
-        self._failing_since = self._failing_since or asked_at
-        silent = now - self._last_contact
-        failing = now - self._failing_since
-        silence = _silence_seconds(pong)
-        if pong is None and not self._preferred:
-            silence += NOT_PREFERRED_SECONDS
-        turn = RANK_SECONDS * self._rank
-        if failing < silence + turn or not self._is_turn_since_store_is_back(turn, now):
+        asked_at = max(asked_at, time.monotonic() - PING_TIMEOUT_SECONDS)
+        if self._succession.serves(pong):
+            self._succession.note_contact()
+            return pause
+        if not self._succession.is_due(pong, asked_at):
             return FAILING_PING_SECONDS if pong is None else PING_SECONDS / 2
         if pong is None and self._witnessed(known):
             logger.info(
@@ -346,31 +339,15 @@
                 code="coordinator_witnessed",
                 coordinator=known.node_id,
                 epoch=known.epoch,
-                silent_ms=int(silent * 1000),
+                silent_ms=int(self._succession.silent_seconds * 1000),
             )
-            self._last_contact = time.monotonic()
-            self._failing_since = 0.0
+            self._succession.note_contact()
             return PING_SECONDS
         if self._coordinator is known:
+            silent = self._succession.silent_seconds
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
-    def _is_turn_since_store_is_back(self, turn: float, now: float) -> bool:
-        """Return whether this node reaches the store and those before it have had their turn.
-
-        In an outage of the store all have waited for long enough; who hears first of its end is
-        chance. Those that are not preferred leave a moment to those that are.
-        """
-        if not self._reaches_store():
-            self._store_lost = True
-            return False
-        if self._store_lost:
-            self._store_lost = False
-            self._store_back_at = now
-        if not self._preferred:
-            turn += NOT_PREFERRED_SECONDS
-        return now - self._store_back_at >= turn
-
     def _witnessed(self, known: Coordinator) -> bool:
         others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
         return reached_by_others(self._network, self._shard, known.epoch, others, WITNESS_SECONDS)
@@ -382,20 +359,10 @@
         serving = self.coordinating
         if known is not None and known.epoch >= message.epoch and not serving:
             pong = self._ping(known)
-            serving = pong is not None and self._serves(pong)
+            serving = self._succession.serves(pong)
         reply = CoordinatorWitnessReply(serving)
         return MessageType.COORDINATOR_WITNESS_REPLY, reply
 
-    def _serves(self, pong: CoordinatorPong) -> bool:
-        """Return whether the coordinator does its work; note how long it has lost the store."""
-        now = time.monotonic()
-        if pong.store_reachable:
-            self._lost_store_at = 0.0
-        elif not self._lost_store_at:
-            self._lost_store_at = now
-        lost = self._lost_store_at and now - self._lost_store_at > STORE_LOST_SECONDS
-        return pong.coordinator and not (lost and self._reaches_store())
-
     def _watch_seconds(self) -> float:
         return VERIFY_SECONDS if self.coordinating else WATCH_SECONDS
 
@@ -429,7 +396,7 @@
         interval = PING_SECONDS
         if rank == LAST_RANK:
             interval = max(SLOW_PING_SECONDS, len(self._peers) / PINGS_PER_SECOND)
-        lease_revision, lease_age = self._lease_confirmation()
+        lease_revision, lease_age = self._lease.confirmation
         pong = CoordinatorPong(
             self.coordinating,
             rank,
@@ -468,7 +435,7 @@
         self._peers.clear()
         COORDINATING.labels(self._shard).set(1)
         logger.info("coordinating", code="coordinator_gained", epoch=epoch, reason=reason)
-        self._on_gained(epoch)
+        self._terms.begin_term(epoch)
 
     def _tell_predecessor(self, predecessor: Coordinator, epoch: int) -> None:
         """Ping the node before with the new epoch, in case it doesn't hear of it by the store."""
@@ -489,12 +456,4 @@
         self._epoch = 0
         self._witnesses = {one.node_id: one for one in self._peers.witnesses_for(self._node_id)}
         COORDINATING.labels(self._shard).set(0)
-        self._on_lost()
-
-
-def _silence_seconds(pong: CoordinatorPong | None) -> float:
-    """Return how long the first in rank waits after an answer like this, or without one."""
-    if pong is None or pong.coordinator:
-        return SILENCE_SECONDS
-    # A node that says itself that it doesn't coordinate is waited for only if it may again.
-    return RECLAIM_SECONDS if pong.store_reachable else 0.0
+        self._terms.end_term()
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -25,7 +25,7 @@
     coordinator_watch_seconds,
     fresh_seconds,
 )
-from runkeel.coordination.election import Election
+from runkeel.coordination.election import Candidate, Election
 from runkeel.coordination.feed_follower import FeedFollower, grace_seconds, wait_seconds
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordinator_term import CoordinatorTerm, TermParts
@@ -138,15 +138,10 @@
         self._election = Election(
             store,
             self._network,
-            SHARD,
-            settings.node_id,
-            settings.zone,
-            settings.preferred_coordinator,
+            Candidate(settings.node_id, settings.zone, SHARD, settings.preferred_coordinator),
+            self._lease,
+            self,
             lambda: store.reachable,
-            lambda: self._lease.confirmation,
-            self._lease.observe,
-            self._start_term,
-            self._end_term,
             self._follower.coordinator_needed,
         )
         self._routing_watcher = DocumentWatcher(
@@ -286,7 +281,7 @@
 
     def stop(self) -> None:
         """End every part."""
-        self._end_term()
+        self.end_term()
         self._runner.stop()
         self._lateness.stop()
         self._election.stop()
@@ -352,7 +347,8 @@
         if self._term is not None:
             self._term.wake()
 
-    def _start_term(self, epoch: int) -> None:
+    def begin_term(self, epoch: int) -> None:
+        """Coordinate; called by the election."""
         self._term = CoordinatorTerm(self._term_parts, epoch, self._copies.take())
         self.jobs.local = self._term.jobs
         self._term.start()
@@ -361,7 +357,8 @@
         # What it has been told leaves out the weight versions.
         self._backend_watcher.refresh("this node coordinates")
 
-    def _end_term(self) -> None:
+    def end_term(self) -> None:
+        """Coordinate no more; called by the election."""
         term, self._term = self._term, None
         self.jobs.local = None
         self._feed.wake()
--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -19,9 +19,15 @@
 """
 
 FIRST_EJECTION_SECONDS = 0.5
+"""A server whose answer or connection was lost is left for so long; each further loss in a row
+doubles it. Half a second is what a server's restart on the users' platform takes at the least.
+"""
+
 LONGEST_EJECTION_SECONDS = 4.0
+"""A server that came back is found after so long at the latest."""
+
 REFUSAL_PAUSE_SECONDS = 0.05
-LATENCY_WEIGHT = 0.2
+"""A full server is left for so long, about as long as one request runs there."""
 
 
 class BackendState:
@@ -33,20 +39,16 @@
         self.in_flight = 0
         self.failures = 0
         self.avoid_until = 0.0
-        self.latency_seconds = 0.0
 
     @property
     def backend_id(self) -> str:
         """The server's id."""
         return self.backend.backend_id
 
-    def succeeded(self, seconds: float) -> None:
-        """Note an answer and how long it took."""
+    def succeeded(self) -> None:
+        """Note an answer."""
         self.failures = 0
         self.avoid_until = 0.0
-        if not self.latency_seconds:
-            self.latency_seconds = seconds
-        self.latency_seconds += LATENCY_WEIGHT * (seconds - self.latency_seconds)
 
     def refused(self) -> None:
         """Note that the server was full."""
--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -18,10 +18,17 @@
 from runkeel.metrics import ATTEMPTS
 
 HEDGE_SHARE = 0.5
-"""Share of the target latency after which a second server is asked too."""
+"""Share of the target latency after which a second server is asked too.
+
+Its answer can then still come within the target.
+"""
 
 RETRY_AFTER_SECONDS = 0.1
+"""When a client may come back: full servers have room again after a request or two."""
+
 MINIMUM_ATTEMPT_SECONDS = 0.005
+"""With less time left no server is asked: a request takes some milliseconds at the least."""
+
 _GONE = object()
 
 
@@ -182,13 +189,12 @@
             )
 
     def _attempt(self, progress: _Progress, state: BackendState) -> None:
-        started = time.monotonic()
         state.in_flight += 1
         try:
             outcome = self._exchange(progress, state)
         finally:
             state.in_flight -= 1
-        _judge(state, outcome, time.monotonic() - started)
+        _judge(state, outcome)
         progress.results.put(outcome)
 
     def _exchange(self, progress: _Progress, state: BackendState) -> _Outcome:
@@ -225,10 +231,10 @@
         )
 
 
-def _judge(state: BackendState, outcome: _Outcome, seconds: float) -> None:
+def _judge(state: BackendState, outcome: _Outcome) -> None:
     """Note in the server's state how an attempt went."""
     if outcome.answer_class is AnswerClass.SUCCESS:
-        state.succeeded(seconds)
+        state.succeeded()
     elif outcome.answer_class is AnswerClass.REFUSED:
         state.refused()
     elif outcome.error is not None or outcome.answer_class is AnswerClass.MISDIRECTED:
--- a/src/runkeel/jobs/run_mover.py
+++ b/src/runkeel/jobs/run_mover.py
@@ -17,7 +17,7 @@
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import choose_service
 from runkeel.jobs.engine_placement import EnginePlacement
-from runkeel.jobs.engine_speeds import RunSample
+from runkeel.jobs.engine_speeds import LARGEST_SLOWNESS, RunSample
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.length_estimates import LengthEstimates
 
@@ -27,6 +27,9 @@
 LEAST_GAIN_SECONDS = 0.5
 """An item leaves a slower engine if it is expected to end so much sooner elsewhere."""
 
+LEAST_GAIN_FROM_STUCK_SECONDS = 0.15
+"""The same for an engine that is as slow as an estimate can say: it may be slower by any factor."""
+
 MOVES_PER_CHECK = 32
 """So many items are looked at in each check, the longest: checks come four times a second."""
 
@@ -76,7 +79,7 @@
             for task in generating
             if now - task.run.first_event_at >= LEAST_SECONDS_BEFORE_MOVE
             and task.next_engine is None
-            and self._most_gained(task) >= LEAST_GAIN_SECONDS
+            and self._most_gained(task) >= self._least_gain(task)
         ]
         longest = heapq.nlargest(MOVES_PER_CHECK, settled, key=self.remaining_events)
         for task in longest:
@@ -84,7 +87,7 @@
             if other is None:
                 continue
             gain = self._placement.seconds_gained(task.engine, other, self.remaining_events(task))
-            if gain >= LEAST_GAIN_SECONDS:
+            if gain >= self._least_gain(task):
                 self._move(task, other, "slow engine", gain)
 
     def move_before_load(self, tasks: Iterable[ItemTask]) -> None:
@@ -107,6 +110,10 @@
             if gain >= LEAST_GAIN_BEFORE_LOAD_SECONDS:
                 self._move(task, other, "engine loads a version", gain)
 
+    def _least_gain(self, task: ItemTask) -> float:
+        stuck = self._placement.slowness(task.engine) >= LARGEST_SLOWNESS
+        return LEAST_GAIN_FROM_STUCK_SECONDS if stuck else LEAST_GAIN_SECONDS
+
     def _most_gained(self, task: ItemTask) -> float:
         """Return how much sooner an item would end at the fastest engine."""
         remaining = self.remaining_events(task)
--- a/src/runkeel/operators/ctl.py
+++ b/src/runkeel/operators/ctl.py
@@ -52,7 +52,7 @@
     if command is None:
         from runkeel.operators.prompt import run_prompt
 
-        return run_prompt(client, output_format)
+        return run_prompt(client, lambda line: run_once(client, line, output_format))
     if watch > 0:
         return _watch(client, command, output_format, watch)
     return run_once(client, command, output_format)
--- a/src/runkeel/operators/prompt.py
+++ b/src/runkeel/operators/prompt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 
 from prompt_toolkit import PromptSession
@@ -57,12 +57,14 @@
             yield from field_names(CHANGEABLE_KINDS[words[1]])
 
 
-def run_prompt(client: OperatorClient, output_format: str) -> int:
-    """Read and run lines until the end of input; return the last exit code."""
-    from runkeel.operators.ctl import ExitCode, run_once
+def run_prompt(client: OperatorClient, run_line: Callable[[str], int]) -> int:
+    """Read and run lines until the end of input; return the last exit code.
 
+    Args:
+        run_line: runs one line and returns its exit code.
+    """
     session = PromptSession(history=_history(), completer=CommandCompleter(_resources(client)))
-    code = ExitCode.OK
+    code = 0
     while True:
         try:
             line = session.prompt("runkeel> ").strip()
@@ -73,7 +75,7 @@
         if line in _LEAVE:
             return code
         if line:
-            code = run_once(client, line, output_format)
+            code = run_line(line)
 
 
 def _resources(client: OperatorClient) -> dict[str, list[str]]:
--- a/src/runkeel/state/observed_store.py
+++ b/src/runkeel/state/observed_store.py
@@ -2,20 +2,29 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import Iterator
 from typing import Any
 
 from gevent.event import Event
 
-from runkeel.api.documents import DocumentConflictError, DocumentStore, HistoryLostError
+from runkeel.api.documents import (
+    CALL_TIMEOUT_SECONDS,
+    Document,
+    DocumentChanges,
+    DocumentConflictError,
+    DocumentKind,
+    DocumentList,
+    DocumentStore,
+    Freshness,
+    HistoryLostError,
+)
 from runkeel.errors import RunkeelError
 
 PROBE_SECONDS = 0.4
 """While the store fails, a node tries it so often."""
 
-_CALLS = ("list", "get", "create", "replace", "set_status", "delete", "watch")
-
 
 class ObservedStore:
     """Passes every call on to a store and notes how it ended.
@@ -26,11 +35,10 @@
     """
 
     def __init__(self, store: DocumentStore) -> None:
+        self._store = store
         self.failing_since = 0.0
         self._next_probe_at = 0.0
         self._regained = Event()
-        for name in _CALLS:
-            setattr(self, name, self._observed(getattr(store, name)))
 
     @property
     def reachable(self) -> bool:
@@ -49,23 +57,88 @@
                 return
             self._regained.wait(self._next_probe_at - now)
 
+    def list(
+        self,
+        kind: DocumentKind,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        freshness: Freshness = Freshness.CURRENT,
+    ) -> DocumentList:
+        """Return all documents of a kind."""
+        with self._observed():
+            return self._store.list(kind, timeout_seconds, freshness)
+
+    def get(
+        self,
+        kind: DocumentKind,
+        name: str,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+        freshness: Freshness = Freshness.CURRENT,
+    ) -> Document | None:
+        """Return one document or None."""
+        with self._observed():
+            return self._store.get(kind, name, timeout_seconds, freshness)
+
+    def create(
+        self,
+        kind: DocumentKind,
+        name: str,
+        content: Any,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> Document:
+        """Create a document."""
+        with self._observed():
+            return self._store.create(kind, name, content, timeout_seconds)
+
+    def replace(
+        self,
+        kind: DocumentKind,
+        name: str,
+        content: Any,
+        expected_revision: int,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> Document:
+        """Replace the content if the revision is the expected one."""
+        with self._observed():
+            return self._store.replace(kind, name, content, expected_revision, timeout_seconds)
+
+    def set_status(
+        self,
+        kind: DocumentKind,
+        name: str,
+        status: Any,
+        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
+    ) -> None:
+        """Replace the status of a document that belongs to an operator."""
+        with self._observed():
+            self._store.set_status(kind, name, status, timeout_seconds)
+
+    def delete(
+        self, kind: DocumentKind, name: str, timeout_seconds: float = CALL_TIMEOUT_SECONDS
+    ) -> None:
+        """Remove a document."""
+        with self._observed():
+            self._store.delete(kind, name, timeout_seconds)
+
+    def watch(self, kind: DocumentKind, revision: int, wait_seconds: float) -> DocumentChanges:
+        """Wait for changes of a kind after a revision."""
+        with self._observed():
+            return self._store.watch(kind, revision, wait_seconds)
+
+    @contextlib.contextmanager
+    def _observed(self) -> Iterator[None]:
+        """Note how a call ends."""
+        try:
+            yield
+        except (DocumentConflictError, HistoryLostError):
+            self._answered()
+            raise
+        except RunkeelError:
+            self.failing_since = self.failing_since or time.monotonic()
+            raise
+        self._answered()
+
     def _answered(self) -> None:
         if self.failing_since:
             self.failing_since = 0.0
             self._regained.set()
             self._regained = Event()
-
-    def _observed(self, call: Callable[..., Any]) -> Callable[..., Any]:
-        def observed(*arguments: Any, **named: Any) -> Any:
-            try:
-                result = call(*arguments, **named)
-            except (DocumentConflictError, HistoryLostError):
-                self._answered()
-                raise
-            except RunkeelError:
-                self.failing_since = self.failing_since or time.monotonic()
-                raise
-            self._answered()
-            return result
-
-        return observed
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -9,24 +9,29 @@
 from runkeel.api.documents import Document, DocumentKind
 from runkeel.api.machines import Address
 from runkeel.coordination import election as election_module
-from runkeel.coordination.election import Election
+from runkeel.coordination import succession
+from runkeel.coordination.election import Candidate, Election
 from runkeel.state import document_watcher
 from runkeel.wire.generated.jobs.ttypes import CoordinatorPong, NodeAddress
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 from runkeel_lab.standins.peer_network import MemoryNetwork
 
-SCALED = (
-    "PING_SECONDS",
-    "SLOW_PING_SECONDS",
-    "PING_TIMEOUT_SECONDS",
-    "SILENCE_SECONDS",
-    "RANK_SECONDS",
-    "NOT_PREFERRED_SECONDS",
-    "STORE_LOST_SECONDS",
-    "START_SPREAD_SECONDS",
-    "PREFERENCE_SECONDS",
-    "WITNESS_SECONDS",
-)
+SCALED = {
+    election_module: (
+        "PING_SECONDS",
+        "SLOW_PING_SECONDS",
+        "PING_TIMEOUT_SECONDS",
+        "START_SPREAD_SECONDS",
+        "PREFERENCE_SECONDS",
+        "WITNESS_SECONDS",
+    ),
+    succession: (
+        "SILENCE_SECONDS",
+        "RANK_SECONDS",
+        "NOT_PREFERRED_SECONDS",
+        "STORE_LOST_SECONDS",
+    ),
+}
 SCALE = 0.1
 LONGEST_WAIT_SECONDS = 10.0
 SETTLE_SECONDS = 1.0
@@ -50,13 +55,36 @@
         return call
 
 
+class NoLease:
+    """No order lease is known."""
+
+    confirmation = (0, 0.0)
+
+    def observe(self, revision, age_seconds):
+        pass
+
+
+class RecordedTerms:
+    """Notes the terms that a node begins."""
+
+    def __init__(self, name, terms):
+        self._name = name
+        self._terms = terms
+
+    def begin_term(self, epoch):
+        self._terms.append((self._name, epoch))
+
+    def end_term(self):
+        pass
+
+
 class ElectionTest(unittest.TestCase):
     def setUp(self):
-        for name in SCALED:
-            value = getattr(election_module, name) * SCALE
-            patch = mock.patch.object(election_module, name, value)
-            patch.start()
-            self.addCleanup(patch.stop)
+        for module in (election_module, succession):
+            for name in SCALED[module]:
+                patch = mock.patch.object(module, name, getattr(module, name) * SCALE)
+                patch.start()
+                self.addCleanup(patch.stop)
         watch = mock.patch.object(document_watcher, "WATCH_SECONDS", 0.1)
         watch.start()
         self.addCleanup(watch.stop)
@@ -70,15 +98,10 @@
         node = Election(
             self.stores[name],
             self.network.node(name),
-            "fleet",
-            name,
-            "zone",
-            preferred,
+            Candidate(name, "zone", "fleet", preferred),
+            NoLease(),
+            RecordedTerms(name, self.terms),
             lambda: not self.stores[name].cut,
-            lambda: (0, 0.0),
-            lambda revision, age: None,
-            lambda epoch: self.terms.append((name, epoch)),
-            lambda: None,
         )
         node.start(Address("127.0.0.1", 1))
         self.addCleanup(node.stop)
@@ -111,7 +134,7 @@
         """sirca sweep at 300 machines: an edge node took over from a coordinator that was down."""
         content = {"node": "x", "address": "127.0.0.1:1", "zone": "zone", "epoch": 1}
         self.store.put(DocumentKind.COORDINATOR, "fleet", content)
-        with mock.patch.object(election_module, "NOT_PREFERRED_SECONDS", LONGEST_WAIT_SECONDS):
+        with mock.patch.object(succession, "NOT_PREFERRED_SECONDS", LONGEST_WAIT_SECONDS):
             nodes = self._nodes("edge-1", "edge-2", preferred=False)
             gevent.sleep(SETTLE_SECONDS / 2)
             nodes += self._nodes("disk-1")
@@ -124,18 +147,18 @@
         """
         content = {"node": "b", "address": "127.0.0.1:1", "zone": "zone", "epoch": 1}
         self.store.put(DocumentKind.COORDINATOR, "fleet", content)
-        with mock.patch.object(election_module, "RECLAIM_SECONDS", 4.0):
+        with mock.patch.object(succession, "RECLAIM_SECONDS", 4.0):
             nodes = self._nodes("a", "b", "c")
             self.assertEqual(self._coordinator(nodes).node_id, "b")
         self.assertEqual(self.terms, [("b", 2)])
 
     def test_node_that_stops_or_lost_the_store_is_not_waited_for(self):
-        silent = election_module._silence_seconds(None)
-        for reaches_store, expected in ((True, election_module.RECLAIM_SECONDS), (False, 0.0)):
+        silent = succession.silence_seconds(None)
+        for reaches_store, expected in ((True, succession.RECLAIM_SECONDS), (False, 0.0)):
             pong = CoordinatorPong(False, 0, 0, reaches_store, [], 0, 0)
-            self.assertEqual(election_module._silence_seconds(pong), expected)
+            self.assertEqual(succession.silence_seconds(pong), expected)
         pong = CoordinatorPong(True, 0, 0, True, [], 0, 0)
-        self.assertEqual(election_module._silence_seconds(pong), silent)
+        self.assertEqual(succession.silence_seconds(pong), silent)
 
     def test_dead_coordinator_is_replaced_once(self):
         """sirca trouble-2: three nodes took over within 0.4 s, each from the one before."""
@@ -200,7 +223,7 @@
 
     def test_planned_stop_hands_over_at_the_next_ping(self):
         """sirca inc-840c: the successor of a node that was to be emptied waited a second."""
-        with mock.patch.object(election_module, "SILENCE_SECONDS", 60.0):
+        with mock.patch.object(succession, "SILENCE_SECONDS", 60.0):
             nodes = self._nodes("a", "b")
             first = self._coordinator(nodes)
             first.leave()
--- a/tests/jobs/test_run_mover.py
+++ b/tests/jobs/test_run_mover.py
@@ -96,6 +96,16 @@
         self.mover.move_from_slow_engines([task])
         self.assertFalse(task.run.moved)
 
+    def test_short_items_leave_an_engine_that_may_be_slower_by_any_factor(self):
+        """test_items_leave_a_slow_engine failed once beside two hunts: 30 times slower counts as 4.
+
+        With five events made the gain at four times was 0.47 s, under what a move asks for.
+        """
+        self._learn_speeds(fast=100, slow=3)
+        task = self._running("slow", 2_000)
+        self.mover.move_from_slow_engines([task])
+        self.assertTrue(task.run.moved)
+
     def test_long_items_leave_before_a_load_unless_the_other_engine_is_much_slower(self):
         self._learn_speeds(fast=40, slow=38)
         self.loading.add(("slow", "m"))
