Count a connection as taken from the moment that an item is given its engine

The items of a job are placed in one turn; the connection that made an engine cheap was taken only when the item's own task ran, so that many items chose the same few engines and opened new connections there.

Change: the placement knows how many items are about to take a connection to an engine.

--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -66,6 +66,8 @@
         self._directory = directory
         self._is_loading = is_loading
         self._loads: dict[str, int] = {}
+        self._starting: dict[str, int] = {}
+        """Items that are given an engine and have taken no connection to it yet, by engine."""
         self._groups: dict[tuple[str, str], str] = {}
         self._rooms: dict[str, IndexedSet[BackendState]] = {}
         """Engines with a free slot, by service."""
@@ -95,6 +97,18 @@
         self._update_room(engine)
         self._used.setdefault(engine.backend.service, IndexedSet()).add(engine.backend_id, engine)
 
+    def starting(self, engine: BackendState) -> None:
+        """Take note that an item is about to take a connection to an engine."""
+        self._starting[engine.backend_id] = self._starting.get(engine.backend_id, 0) + 1
+
+    def started(self, engine: BackendState) -> None:
+        """Take note that it takes it now, or never will."""
+        left = self._starting.get(engine.backend_id, 0) - 1
+        if left > 0:
+            self._starting[engine.backend_id] = left
+        else:
+            self._starting.pop(engine.backend_id, None)
+
     def note_group(self, job: BatchJob, item: JobItem, engine: BackendState) -> None:
         """Remember where an item of a group runs; its prompt is there."""
         self._groups[job.job_id, item.group] = engine.backend_id
@@ -161,7 +175,8 @@
                 continue
             cost = self.load(state.backend_id) / max(1, state.backend.slots)
             cost -= GROUP_BONUS if state is home else 0.0
-            cost += 0.0 if state.pool.idle_connections else NEW_CONNECTION_COST
+            idle = state.pool.idle_connections - self._starting.get(state.backend_id, 0)
+            cost += 0.0 if idle > 0 else NEW_CONNECTION_COST
             cost += SLOWNESS_COST * length * (self._speeds.slowness(state.backend_id) - 1.0)
             if job.model and self._version(state, job.model) <= job.minimum_version:
                 cost += OLD_VERSION_COST * length
--- a/tests/jobs/test_engine_placement.py
+++ b/tests/jobs/test_engine_placement.py
@@ -100,6 +100,18 @@
         used.pool._idle.clear()
         self.assertNotEqual(self._choose(), "e7")
 
+    def test_connection_that_an_item_is_about_to_take_is_not_free(self):
+        """Sweep at 10 machines: a job's items all chose the same few open connections at once."""
+        first, second = self._engine("a", slots=8), self._engine("b", slots=8)
+        first.pool._idle.append((None, time.monotonic() + 60.0))
+        self.assertEqual(self._choose(), "a")
+        self.placement.take(first)
+        self.placement.starting(first)
+        self.assertEqual(self._choose(), "b")
+        self.placement.take(second)
+        self.placement.started(first)
+        self.assertEqual(self._choose(), "a")
+
     def test_engine_that_joins_or_leaves_counts_at_once(self):
         first = self._engine("a", slots=1)
         self.placement.take(first)
