Take back that engines with open connections go first: measured worse

Ruled out as the connections' cause: the coordinator's choice of engines.

Change: the preference, the candidates used lately and the count of starting items go, with their two tests (they held what is no longer done).

--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -27,13 +27,6 @@
 For an item of typical length; it rises with the item's length, as a load halts what runs.
 """
 
-NEW_CONNECTION_COST = 0.25
-"""Cost of an engine to which no connection is open that could be used again.
-
-Each new connection has its price with the users. Engines generate hardly slower while more runs
-beside each other, 0.19 ms of 36 for each, so that fuller engines cost little.
-"""
-
 SLOWER_ENGINE = 1.15
 """An engine counts as slower than another from this ratio on: estimates are not exact."""
 
@@ -45,9 +38,6 @@
 Looking at one takes 1 to 2 us, so that a choice takes less than 100 us at any size of the fleet.
 """
 
-USED_CANDIDATES = 24
-"""So many of the candidates are engines that have run items lately, if there are such with room."""
-
 DRAWS = 3
 """So often other candidates are drawn when none is usable, as while few have a new version."""
 
@@ -66,13 +56,9 @@
         self._directory = directory
         self._is_loading = is_loading
         self._loads: dict[str, int] = {}
-        self._starting: dict[str, int] = {}
-        """Items that are given an engine and have taken no connection to it yet, by engine."""
         self._groups: dict[tuple[str, str], str] = {}
         self._rooms: dict[str, IndexedSet[BackendState]] = {}
         """Engines with a free slot, by service."""
-        self._used: dict[str, IndexedSet[BackendState]] = {}
-        """Engines that have run items, by service: connections to them are open."""
         self._rooms_as_of = -1
         """Changes of the directory's membership that the engines with room reflect."""
         self._speeds = EngineSpeeds()
@@ -95,19 +81,6 @@
         else:
             self._loads.pop(engine.backend_id, None)
         self._update_room(engine)
-        self._used.setdefault(engine.backend.service, IndexedSet()).add(engine.backend_id, engine)
-
-    def starting(self, engine: BackendState) -> None:
-        """Take note that an item is about to take a connection to an engine."""
-        self._starting[engine.backend_id] = self._starting.get(engine.backend_id, 0) + 1
-
-    def started(self, engine: BackendState) -> None:
-        """Take note that it takes it now, or never will."""
-        left = self._starting.get(engine.backend_id, 0) - 1
-        if left > 0:
-            self._starting[engine.backend_id] = left
-        else:
-            self._starting.pop(engine.backend_id, None)
 
     def note_group(self, job: BatchJob, item: JobItem, engine: BackendState) -> None:
         """Remember where an item of a group runs; its prompt is there."""
@@ -133,25 +106,12 @@
         room = self._room(service)
         home = room.get(self._groups.get((job.job_id, item.group), ""))
         for _ in range(DRAWS):
-            candidates = self._candidates(service, room)
+            candidates = room.sample(CANDIDATES)
             best = self._cheapest(job, candidates, home, length, besides)
             if best is not None or len(room) <= CANDIDATES:
                 return best
         return None
 
-    def _candidates(self, service: str, room: IndexedSet[BackendState]) -> list[BackendState]:
-        """Return all engines with room; of many a bounded part, first those used lately."""
-        used = self._used.get(service)
-        if used is None or len(room) <= CANDIDATES:
-            return room.sample(CANDIDATES)
-        drawn = []
-        for engine in used.sample(USED_CANDIDATES):
-            if engine.backend_id in room:
-                drawn.append(engine)
-            elif not engine.pool.idle_connections and not self.load(engine.backend_id):
-                used.discard(engine.backend_id)
-        return [*drawn, *room.sample(CANDIDATES - len(drawn))]
-
     def has_room(self, service: str) -> bool:
         """Return whether any engine of a service has a free slot."""
         return bool(self._room(service))
@@ -175,8 +135,6 @@
                 continue
             cost = self.load(state.backend_id) / max(1, state.backend.slots)
             cost -= GROUP_BONUS if state is home else 0.0
-            idle = state.pool.idle_connections - self._starting.get(state.backend_id, 0)
-            cost += 0.0 if idle > 0 else NEW_CONNECTION_COST
             cost += SLOWNESS_COST * length * (self._speeds.slowness(state.backend_id) - 1.0)
             if job.model and self._version(state, job.model) <= job.minimum_version:
                 cost += OLD_VERSION_COST * length
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -170,7 +170,6 @@
             if not task.begun:
                 self._running.remove(task)
                 if task.engine is not None:
-                    self._placement.started(task.engine)
                     self._placement.release(task.engine)
 
     def leave_engine(self, backend_id: str) -> None:
@@ -303,15 +302,12 @@
         task.begun = False
         if engine is not None:
             self._placement.take(engine)
-            self._placement.starting(engine)
             self._placement.note_group(task.state.job, task.item, engine)
         self._running.add(task)
         task.task = gevent.spawn(self._run_item, task, route)
 
     def _run_item(self, task: ItemTask, route: Route) -> None:
         task.begun = True
-        if task.engine is not None:
-            self._placement.started(task.engine)
         try:
             if task.engine is not None:
                 outcome = self._generate(task, route)
