Let runners go that are no longer needed; look at four of them for room

A node that was invited once told its heartbeat each 0.4 s for the rest of the term, also when the coordinator read everything itself again; two random runners that were full made the scheduler take all for full.

Change: a runner without runs is told that it is not wanted once no more items are open than the coordinator reads; four are looked at. Test: released, and invited again when it is needed.

--- a/src/runkeel/runners/pool.py
+++ b/src/runkeel/runners/pool.py
@@ -41,8 +41,8 @@
 CALL_SECONDS = 0.6
 """Longest wait for the answer to an invitation or a start."""
 
-CHOICES = 2
-"""A run that does not go to its engine's own runner goes to the emptier one of so many."""
+CHOICES = 4
+"""A run that does not go to its engine's own runner goes to the emptiest one of so many."""
 
 
 @dataclass(slots=True)
@@ -309,6 +309,9 @@
         runner.heard_at = time.monotonic()
         runner.late_ms = message.late_ms
         unknown = self._take_updates(runner, message)
+        if not self.needed and not runner.runs:
+            self._release(runner)
+            return ItemRunProgressReply(False, [], [])
         return ItemRunProgressReply(True, [*runner.unwanted, *unknown], self._loading_at(runner))
 
     def _take_updates(self, runner: Runner, message: ItemRunProgress) -> list[str]:
@@ -337,15 +340,23 @@
         logger.info("runner joined", code="runner_joined", runner=node_id, zone=zone)
         return runner
 
+    def _release(self, runner: Runner) -> None:
+        """Let a node go that has nothing to run, as the coordinator reads all itself again."""
+        self._remove(runner)
+        logger.info("runner released", code="runner_released", runner=runner.node_id)
+
+    def _remove(self, runner: Runner) -> None:
+        del self._runners[runner.node_id]
+        self._zones[runner.zone].discard(runner.node_id)
+        self._all.discard(runner.node_id)
+        self._invited.pop(runner.node_id, None)
+        RUNNERS.set(len(self._runners))
+
     def _drop_lost(self) -> None:
         """Give up runners that have been silent until their leases have lapsed for certain."""
         oldest = time.monotonic() - LOST_SECONDS
         for runner in [one for one in self._runners.values() if one.heard_at < oldest]:
-            del self._runners[runner.node_id]
-            self._zones[runner.zone].discard(runner.node_id)
-            self._all.discard(runner.node_id)
-            self._invited.pop(runner.node_id, None)
-            RUNNERS.set(len(self._runners))
+            self._remove(runner)
             logger.info(
                 "runner lost",
                 code="runner_lost",
--- a/tests/runners/test_lease.py
+++ b/tests/runners/test_lease.py
@@ -256,6 +256,17 @@
             self.assertIsNone(few.runner_for(self.directory.get("e")))
             self.assertTrue(few.has_room)
 
+    def test_nodes_without_runs_are_let_go_when_they_are_no_longer_needed(self):
+        _, task = self._begin()
+        self.pool._demanded_at = -lease.DEMAND_SECONDS
+        gevent.sleep(3 * lease.HEARTBEAT_SECONDS * SCALE)
+        self.assertEqual(len(self.pool._runners), 1)
+        task.kill()
+        self._wait(lambda: not self.pool._runners)
+        self._wait(lambda: self.runner._engagement.over)
+        self.pool.note_open(1)
+        self._joined()
+
     def test_lease_ends_before_its_loss_is_taken_for_certain(self):
         self.assertGreater(lease.LOST_SECONDS, lease.RUN_LEASE_SECONDS + 0.4)
         tries = lease.PROGRESS_SECONDS + lease.PROGRESS_CALL_SECONDS
