Keep copies of texts after they were offered: the coordinator that got them may be lost at once

Change: an offer leaves the copies where they are; each later coordinator is offered them once, as long as they are fresh (30 s) and no newer coordinator has sent its own. Which text counts is decided by weights and length as before.

Tests: the coordinator after one that was lost; one offer a coordinator. The first fails without it.

--- a/src/runkeel/jobs/text_hand_over.py
+++ b/src/runkeel/jobs/text_hand_over.py
@@ -51,12 +51,18 @@
         self._shard = shard
         self._copies = copies
         self._receiver = receiver
+        self._offered_epoch = 0
         copies.on_hand_over(self._receive)
 
     def offer(self, coordinator: str, epoch: int) -> None:
-        """Offer the copies of earlier epochs to a coordinator, in a task of its own."""
-        if self._copies.epoch < epoch:
-            texts = self._copies.take()
+        """Offer the copies of earlier epochs to a coordinator, in a task of its own.
+
+        They are kept: that coordinator may be lost before it has copied them to anybody, and the
+        next one wants them as well.
+        """
+        if self._copies.epoch < epoch and epoch > self._offered_epoch:
+            self._offered_epoch = epoch
+            texts = self._copies.fresh()
             if texts:
                 gevent.spawn(self._hand_over, coordinator, texts)
 
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -241,14 +241,18 @@
             self._copies[item_id] = _Copy(text, time.monotonic())
             self._forget_old()
 
-    def take(self) -> dict[str, PartialText]:
-        """Return the copies that are still fresh and forget them all."""
+    def fresh(self) -> dict[str, PartialText]:
+        """Return the copies that are still fresh; they stay, and must not be changed."""
         oldest = time.monotonic() - KEPT_SECONDS
-        texts = {
-            item_id: _own_text(copy.text)
+        return {
+            item_id: copy.text
             for item_id, copy in self._copies.items()
             if copy.updated_at >= oldest
         }
+
+    def take(self) -> dict[str, PartialText]:
+        """Return the copies that are still fresh and forget them all."""
+        texts = {item_id: _own_text(text) for item_id, text in self.fresh().items()}
         self._copies.clear()
         if texts:
             logger.info(
--- a/tests/jobs/test_text_hand_over.py
+++ b/tests/jobs/test_text_hand_over.py
@@ -59,6 +59,24 @@
         self.assertNotIn("k", self.receiver.adopted)
         self.assertEqual(self.receiver.offered, dict.fromkeys("ijk", (1, 2)))
 
+    def test_texts_are_offered_to_the_coordinator_after_one_that_was_lost_at_once(self):
+        """kitami scale-1, seed 22: a coordinator was killed 0.1 s after it had got all copies."""
+        self.network.silent.add("next")
+        self.keeper.offer("next", 4)
+        gevent.sleep(0.05)
+        self.assertEqual(self.receiver.adopted, {})
+        self._node("third", lambda: self.receiver)
+        self.keeper.offer("third", 5)
+        self._wait(lambda: len(self.receiver.adopted) == 2)
+
+    def test_a_coordinator_is_offered_the_texts_once(self):
+        self.keeper.offer("next", 4)
+        self._wait(lambda: len(self.receiver.adopted) == 2)
+        self.receiver.offered.clear()
+        self.keeper.offer("next", 4)
+        gevent.sleep(0.05)
+        self.assertEqual(self.receiver.offered, {})
+
     def test_coordinator_of_the_same_epoch_is_offered_nothing(self):
         self.keeper.offer("next", 3)
         gevent.sleep(0.05)
