--- a/tests/coordination/test_version_rollout.py
+++ b/tests/coordination/test_version_rollout.py
@@ -14,8 +14,8 @@
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.rollout_plan import ModelDemand
 from runkeel.coordination.version_rollout import LONGEST_LOAD_SECONDS, VersionRollout
-from runkeel.gateway.backends import BackendDirectory
 from runkeel.errors import ErrorCode, may_have_run
+from runkeel.gateway.backends import BackendDirectory
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 
 SERVICE = "models"
