--- a/tests/users_platform/test_operator_queries.py
+++ b/tests/users_platform/test_operator_queries.py
@@ -7,7 +7,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 from runkeel.operators.client import OperatorClient
 from runkeel.operators.ctl import ExitCode, run_ctl
-from tests.users_platform.test_deployment import DeploymentTestCase
+from tests.users_platform.deployment_case import DeploymentTestCase
 
 
 class OperatorQueriesTest(DeploymentTestCase):
