Say what 52 constants of recovery, rollout and jobs stand for and where they come from

Cause: 129 of 280 constants had a name and a unit but no reason; these 52 are those of the waits, retries and bounds between nodes. Where a figure was chosen and never measured, the comment says so. Ruled out: a change of behaviour; the syntax trees without doc comments are equal before and after. What is left: 77 constants, most of the wire and of the operators' language.

--- a/src/runkeel/api/documents.py
+++ b/src/runkeel/api/documents.py
@@ -15,6 +15,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 
 CALL_TIMEOUT_SECONDS = 1.0
+"""A call to the store without an answer for so long counts as lost. Chosen, not measured."""
 
 MAXIMUM_CONTENT_BYTES = 800_000
 """Content that is written is at most so long as JSON; the platform's store takes a megabyte."""
--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -20,10 +20,23 @@
 from runkeel.errors import ErrorCode, RunkeelError, may_have_run, not_run
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+"""Longest wait for a connection to a back end. Chosen, not measured."""
+
 RECEIVE_BYTES = 65_536
+"""Most that is read from a socket at a time: the size of a common receive buffer."""
+
 MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024
+"""A longer answer is refused, so that a back end cannot fill the memory. Chosen, not measured."""
+
 MAXIMUM_IDLE_CONNECTIONS = 32
+"""Most unused connections kept to one back end. Chosen, not measured."""
+
 MAXIMUM_IDLE_SECONDS = 20.0
+"""Longest time that an unused connection is kept if the back end names none.
+
+Chosen, not measured.
+"""
+
 KEEP_ALIVE_MARGIN_SECONDS = 0.7
 """An idle connection is given up so long before the server would close it."""
 KEEP_ALIVE_PROBE_SECONDS = 1
--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -39,6 +39,10 @@
 """The coordinator's watches are short: they confirm its copy, which all nodes rely on."""
 
 LONGEST_WAIT_SECONDS = 2.0
+"""Longest time that a reply is held.
+
+Chosen: above what followers ask for (feed_follower.WAIT_SECONDS).
+"""
 
 
 def fresh_seconds(news_seconds: float) -> float:
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -49,6 +49,11 @@
 
 PING_SECONDS = 0.5
 SLOW_PING_SECONDS = 1.0
+"""Pause between pings of nodes out of rank, which do not take over first.
+
+Chosen: twice the others' pause.
+"""
+
 PINGS_PER_SECOND = 60
 """Nodes out of rank ping less often when there are so many that more pings would come."""
 
@@ -63,13 +68,17 @@
 """A confirmation counts for so long: results may be missing at a node for a second only."""
 
 WITNESS_SECONDS = 0.8
+"""Longest wait for what the witnesses say. Chosen: a little over two pings' time-outs."""
+
 PREDECESSOR_PINGS = 30
 START_SPREAD_SECONDS = 0.3
+"""Nodes that start at once claim the place spread over so long. Chosen, not measured."""
 
 PREFERENCE_SECONDS = 1.5
 """So much longer a node that isn't preferred waits at a start without a coordinator."""
 
 _CLAIM_RETRY_SECONDS = 0.3
+"""Pause before a claim that the store did not answer is tried again. Chosen, not measured."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -41,7 +41,13 @@
 """The same for the first answer that a node wants after its start: it knows nothing yet."""
 
 RETRY_SECONDS = 0.3
+"""Pause before a feed is asked for again that was lost a while ago.
+
+Chosen: twice the pause after a fresh loss.
+"""
+
 IDLE_SECONDS = 0.1
+"""Pause while no coordinator is known. Chosen, not measured."""
 
 GRACE_SHARE = 0.65
 """A node that has lost the feed asks the store itself only when news would come too late without.
--- a/src/runkeel/coordination/load_pacing.py
+++ b/src/runkeel/coordination/load_pacing.py
@@ -21,6 +21,8 @@
 """So many loads in a row have to be slow: one alone may be that of a slow engine."""
 
 DECREASE = 0.6
+"""Part of the limit that is left after a slow load. Chosen, not measured."""
+
 INCREASE_PER_LOAD = 0.25
 """A quarter of an engine per load at full speed: one more for four that have loaded."""
 
--- a/src/runkeel/coordination/order_lease.py
+++ b/src/runkeel/coordination/order_lease.py
@@ -18,7 +18,13 @@
 from runkeel.errors import ErrorCode, not_run
 
 VALIDITY_SECONDS = 0.6
+"""Orders are sent for so long after a confirmation; a new holder waits it out.
+
+Chosen: three times FRESH_SECONDS.
+"""
+
 MARGIN_SECONDS = 0.2
+"""A new holder waits so much longer, for an order that was on its way. Chosen, not measured."""
 
 FRESH_SECONDS = 0.2
 """A confirmation of this age need not be renewed before further orders."""
--- a/src/runkeel/coordination/peers.py
+++ b/src/runkeel/coordination/peers.py
@@ -23,6 +23,8 @@
 """
 
 WITNESSES = 6
+"""Nodes asked whether they reach the coordinator: two in each of three zones."""
+
 WITNESSES_PER_ZONE = 2
 """Nodes that a successor asks whether they reach the coordinator."""
 
--- a/src/runkeel/coordination/rollout_plan.py
+++ b/src/runkeel/coordination/rollout_plan.py
@@ -25,6 +25,7 @@
 """The same, while items have to wait for an engine."""
 
 LEAST_ENGINES = 2
+"""Fewest engines of a model at its newest version, so that one may fail."""
 
 MAXIMUM_PREFERENCES = 65_536
 """Models times engines whose order is remembered: some 7 models on 4,200 engines, twice."""
--- a/src/runkeel/coordination/succession.py
+++ b/src/runkeel/coordination/succession.py
@@ -20,6 +20,8 @@
 """
 
 RANK_SECONDS = 0.5
+"""So much longer each next rank waits: one pause between pings."""
+
 NOT_PREFERRED_SECONDS = 1.0
 """So much longer a node that isn't preferred waits for one that is, when all may have restarted."""
 
--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -35,9 +35,20 @@
 from runkeel.metrics import VERSION_ORDERS
 
 IDLE_CHECK_SECONDS = 0.5
+"""Engines are compared at least so often, also when nothing wakes the loop.
+
+Chosen, not measured.
+"""
+
 LEASE_RETRY_SECONDS = 0.2
+"""Pause before the lease is claimed again after a lost answer. Chosen, not measured."""
+
 EXPECTED_LOAD_SECONDS = 0.9
+"""First report after an order; loads of idle engines took 1.06 to 1.10 s (lines engine_version)."""
+
 REPORT_INTERVAL_SECONDS = 0.15
+"""Pause between the first reports of an engine that loads. Chosen: a seventh of a common load."""
+
 UNANSWERED_SECONDS = 1.5
 """After so long an order that shows no effect is taken as lost."""
 
@@ -58,6 +69,7 @@
 """Comparing all engines takes at most so large a part of the processor, however many there are."""
 
 CALL_SECONDS = 1.0
+"""Longest wait for the answer to an order or for a report. Chosen, not measured."""
 
 
 @dataclass(slots=True)
--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -32,6 +32,7 @@
 """Watches of what only the coordinator follows; one that has gone mute ends after so long."""
 
 _RETIREMENT_RETRY_SECONDS = 0.3
+"""Pause before a retirement that failed is tried again. Chosen, not measured."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -20,6 +20,8 @@
 from runkeel.metrics import ATTEMPTS
 
 RETRY_AFTER_SECONDS = 0.2
+"""When a caller may come back that no engine had room for. Chosen, not measured."""
+
 LONGEST_SILENCE_SECONDS = 3.0
 """After so long without a byte a resumable stream is continued elsewhere."""
 
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -25,6 +25,8 @@
 from runkeel.state.unchanging import get_unchanging
 
 LOAD_RETRY_SECONDS = 0.2
+"""Pause before jobs are read again after a failure of the store. Chosen, not measured."""
+
 WATCH_GRACE_SECONDS = 0.3
 """The watch has so long to bring a job that a node has told of."""
 
@@ -32,6 +34,7 @@
 """Jobs are removed from the store so long after their submission, once they have ended."""
 
 SWEEP_SECONDS = 10.0
+"""Ended jobs are looked for so often. Chosen: short beside the time for which they are kept."""
 
 MAXIMUM_BYTES = 64 * 1024 * 1024
 """Items and results that are kept in memory; of what is beyond that, those of ended jobs go."""
--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -20,6 +20,7 @@
 """
 
 LARGEST_RELATIVE_LENGTH = 4.0
+"""An item counts as at most so many times the usual length. Chosen, not measured."""
 
 OLD_VERSION_COST = 0.1
 """Cost of an engine with the oldest version that a job accepts: it is the next to load another.
@@ -31,6 +32,7 @@
 """An engine counts as slower than another from this ratio on: estimates are not exact."""
 
 MAXIMUM_GROUPS = 4_000
+"""Most groups whose engine is remembered; the oldest are forgotten. Chosen, not measured."""
 
 CANDIDATES = 32
 """An item's engine is chosen among so many engines with room, all of them where there are no more.
--- a/src/runkeel/jobs/engine_speeds.py
+++ b/src/runkeel/jobs/engine_speeds.py
@@ -16,6 +16,10 @@
 """An estimate is dropped after so long without an item on the engine."""
 
 LARGEST_SLOWNESS = 4.0
+"""An engine counts as at most so many times slower than the fastest, where items are placed.
+
+Chosen, not measured.
+"""
 
 _LEAST_EVENTS = 0.5
 
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -15,7 +15,11 @@
 from runkeel.gateway.event_order import follows
 
 FIRST_EVENT_SECONDS = 2.0
+"""A run without a first event for so long is given up. Chosen, not measured."""
+
 STALL_SECONDS = 1.2
+"""A run without a further event for so long is given up. Chosen, not measured."""
+
 LOADING_STALL_SECONDS = 4.0
 """A stream may pause for so long while its engine loads a version."""
 
--- a/src/runkeel/jobs/kept_texts.py
+++ b/src/runkeel/jobs/kept_texts.py
@@ -5,6 +5,7 @@
 from runkeel.jobs.generation_run import PartialText
 
 MAXIMUM_TEXTS = 2_000
+"""Most texts kept; the oldest go first. Chosen, not measured."""
 
 
 class KeptTexts:
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -17,6 +17,8 @@
 """Results are gathered for so long: each call to the store has its price."""
 
 RETRY_SECONDS = 0.15
+"""Pause before results are written again after a failure of the store. Chosen, not measured."""
+
 MAXIMUM_SEGMENT_BYTES = 800_000
 """Bound on the text of a segment; the store takes a megabyte."""
 
--- a/src/runkeel/jobs/run_mover.py
+++ b/src/runkeel/jobs/run_mover.py
@@ -40,6 +40,10 @@
 """Items that are expected to generate for longer than this are moved away before a load."""
 
 LEAST_GAIN_BEFORE_LOAD_SECONDS = 0.3
+"""Least gain for which an item leaves an engine that is about to load.
+
+Chosen: below LEAST_GAIN_SECONDS, as it would stand still.
+"""
 
 
 class RunMover:
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -28,6 +28,8 @@
 from runkeel.runners.pool import RunnerPool
 
 IDLE_CHECK_SECONDS = 0.25
+"""Work is looked for at least so often, also when nothing wakes the loop. Chosen, not measured."""
+
 REQUEUE_SECONDS = 0.05
 """An item whose run broke rests so long, so that it doesn't spin between engines that refuse."""
 
@@ -44,6 +46,8 @@
 """An item whose route has left the configuration is given up after so long."""
 
 PRESSED_AFTER_SECONDS = 1.0
+"""A model whose items wait for longer gets more engines. Chosen: about one load of a version."""
+
 PRESSED_SECONDS = 20.0
 """A model counts as pressed for so long after an item has waited for an engine."""
 
--- a/src/runkeel/jobs/scorer.py
+++ b/src/runkeel/jobs/scorer.py
@@ -20,6 +20,7 @@
 """Longest wait for one answer; a call may be repeated."""
 
 RETRY_SECONDS = 0.1
+"""Pause before another scorer is tried. Chosen, not measured."""
 
 
 class ScoringFailedError(Exception):
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -39,8 +39,14 @@
 """How long the coordinator's answer is waited for, beside the wait that was asked for."""
 
 STORE_RETRY_SECONDS = 0.1
+"""Pause before an acceptance is written again whose answer was lost. Chosen, not measured."""
+
 RETRY_AFTER_SECONDS = 0.3
+"""When a caller may come back that was refused because of the store. Chosen, not measured."""
+
 MAXIMUM_PAGE_BYTES = 900_000
+"""Most bytes of results in one page: below the limit of 1 MB that holds for documents."""
+
 MAXIMUM_CACHED_BYTES = 24 * 1024 * 1024
 """Jobs read from the store that a node keeps, with their results; those read longest ago go."""
 
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -23,11 +23,19 @@
 from runkeel.wire.network import PeerNetwork
 
 INTERVAL_SECONDS = 0.4
+"""Texts are sent to successors so often; what is newer is generated again after a loss.
+
+Chosen, not measured.
+"""
+
 CALL_SECONDS = 1.0
+"""Longest wait for a successor's receipt. Chosen, not measured."""
+
 KEPT_SECONDS = 30.0
 """A copy that is not updated for so long is dropped."""
 
 MAXIMUM_COPIES = 4_000
+"""Most texts that a successor keeps; the oldest go first. Chosen, not measured."""
 
 MESSAGE_BYTES = 500_000
 """Text in one message. A larger one may not arrive within its time over a slow link."""
--- a/src/runkeel/lateness.py
+++ b/src/runkeel/lateness.py
@@ -10,6 +10,8 @@
 from runkeel.metrics import LOOP_LATE_SECONDS
 
 INTERVAL_SECONDS = 0.1
+"""Length of each sleep that is measured. Chosen, not measured."""
+
 TOLD_SECONDS = 0.3
 """A lateness from which it is logged: peers wait 0.35 s for the answer to a ping."""
 
--- a/src/runkeel/runners/pool.py
+++ b/src/runkeel/runners/pool.py
@@ -37,7 +37,14 @@
 from runkeel.wire.network import PeerNetwork
 
 PLAN_SECONDS = 0.4
+"""Runners are invited, released and lost at most so long after there is reason to.
+
+Chosen, not measured.
+"""
+
 INVITE_AGAIN_SECONDS = 1.0
+"""A node that did not take an invitation is asked again after so long. Chosen, not measured."""
+
 CALL_SECONDS = 0.6
 """Longest wait for the answer to an invitation or a start."""
 
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -23,17 +23,28 @@
 from runkeel.errors import RunkeelError
 
 WATCH_SECONDS = 29.0
+"""Longest wait of a watch if nothing shorter is asked for.
+
+Chosen: below the 30 s after which idle calls are commonly cut.
+"""
+
 FIRST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 0.4
 
 TIMELY_MARGIN_SECONDS = 0.4
+"""An answer so much later than the watch's wait proves nothing about now. Chosen, not measured."""
 
 LAPSE_OUTAGE_SECONDS = 2.0
 """An outage of the store has to last so long for documents that need heartbeats to lapse in it."""
 
 TIMER_MARGIN_SECONDS = 0.05
+"""Timers may fire so much early or late. Chosen, not measured."""
 
 RESTING_PROBE_SECONDS = 2.0
+"""A watcher that follows a feed asks the store itself so often while the store is lost.
+
+Chosen, not measured.
+"""
 
 LAPSE_RECENT_SECONDS = 1.5
 """The store must have failed so lately for its first answer to show when it came back."""
