Log the reason of each failed call that was only tried again

Ruled out: the other handlers without a line; they turn an expected conflict or a probe that failed into what it means, and their caller logs it. No decision changed.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -429,7 +429,10 @@
                 self._changed(conflict.current, removed=False)
             gevent.sleep(random.uniform(0.0, _CLAIM_RETRY_SECONDS))
             return
-        except RunkeelError:
+        except RunkeelError as error:
+            logger.info(
+                "place not claimed", code="claim_failed", epoch=epoch, error=str(error.code)
+            )
             gevent.sleep(_CLAIM_RETRY_SECONDS)
             return
         self._gain(epoch, reason)
--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -339,6 +339,10 @@
         outgoing = self._protocol.encode_report_query(state.backend)
         try:
             answer = state.pool.request(outgoing, time.monotonic() + CALL_SECONDS)
-            return self._protocol.parse_report(answer.body) if answer.status == 200 else None
-        except (RunkeelError, ValueError, KeyError):
-            return None
+            if answer.status == 200:
+                return self._protocol.parse_report(answer.body)
+            problem = f"status {answer.status}"
+        except (RunkeelError, ValueError, KeyError) as error:
+            problem = str(error)
+        logger.info("no report", code="engine_report_lost", backend=state.backend_id, error=problem)
+        return None
--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -221,7 +221,13 @@
                 self._store.set_status(DocumentKind.RETIREMENT, name, status)
                 logger.info("machine is empty", code="retirement", machine=name)
                 return
-            except RunkeelError:
+            except RunkeelError as error:
+                logger.info(
+                    "retirement not completed yet",
+                    code="retirement_delayed",
+                    machine=name,
+                    error=str(error.code),
+                )
                 gevent.sleep(_RETIREMENT_RETRY_SECONDS)
 
 
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -248,7 +248,8 @@
         while job_id not in self._submissions.documents and job_id not in self._loading:
             try:
                 document = get_unchanging(self._store, DocumentKind.JOB, job_id)
-            except RunkeelError:
+            except RunkeelError as error:
+                logger.info("job not read yet", code="job_delayed", job=job_id, error=error.detail)
                 gevent.sleep(LOAD_RETRY_SECONDS)
                 continue
             if document is not None:
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -104,7 +104,14 @@
         try:
             if document is None or document.content is None:
                 document = self._store.get(DocumentKind.JOB_RESULTS, name)
-        except RunkeelError:
+        except RunkeelError as error:
+            logger.info(
+                "results of another term not read yet",
+                code="results_delayed",
+                job=self._state.job.job_id,
+                segment=self._state.segments,
+                error=str(error.code),
+            )
             return False
         if document is None:
             return False
--- a/src/runkeel/jobs/text_hand_over.py
+++ b/src/runkeel/jobs/text_hand_over.py
@@ -91,7 +91,14 @@
                 TextReplicationReply,
                 CALL_SECONDS,
             )
-        except RunkeelError:
+        except RunkeelError as error:
+            logger.info(
+                "texts not delivered",
+                code="texts_undelivered",
+                to=coordinator,
+                items=len(updates),
+                error=str(error.code),
+            )
             return []
         return reply.missing
 
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -138,7 +138,14 @@
                 TextReplicationReply,
                 CALL_SECONDS,
             )
-        except RunkeelError:
+        except RunkeelError as error:
+            logger.info(
+                "texts not delivered",
+                code="texts_undelivered",
+                to=receiver,
+                items=len(message.updates),
+                error=str(error.code),
+            )
             # What arrived is unknown: these texts are sent again, from their beginning.
             for update in message.updates:
                 known.pop(update.item_id, None)
