Rank successors by who pings now; nodes ask them before the store who coordinates

Change: nodes that have missed their last pings come after those that have not. A pong names the two likeliest successors; a node whose coordinator has been silent for 0.6 s asks them first.

Ruled out: having the new coordinator tell all nodes. It knows only those that have pinged it.

Tests: test_node_that_fell_silent_comes_after_those_that_ping and test_nodes_out_of_rank_learn_of_a_successor_without_the_store failed first.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -57,6 +57,9 @@
 PINGS_PER_SECOND = 60
 """Nodes out of rank ping less often when there are so many that more pings would come."""
 
+SILENT_PINGS = 2.2
+"""A node that has missed two pings may be down or cut off."""
+
 PING_TIMEOUT_SECONDS = 0.35
 FAILING_PING_SECONDS = 0.05
 """Pause between pings while they fail."""
@@ -70,6 +73,9 @@
 WITNESS_SECONDS = 0.8
 """Longest wait for what the witnesses say. Chosen: a little over two pings' time-outs."""
 
+ASK_SUCCESSORS_SECONDS = 0.2
+"""Pause between questions to the likeliest successors: all nodes ask them at once."""
+
 PREDECESSOR_PINGS = 30
 START_SPREAD_SECONDS = 0.3
 """Nodes that start at once claim the place spread over so long. Chosen, not measured."""
@@ -165,6 +171,8 @@
         self._peers = PeerRegistry(candidate.zone)
         self._predecessor: Coordinator | None = None
         self._witnesses: dict[str, NodeAddress] = {}
+        self._successors: dict[str, NodeAddress] = {}
+        self._asked_successors_at = 0.0
         self._stopping = False
         self._gained_at = 0.0
         self._task: gevent.Greenlet | None = None
@@ -242,6 +250,11 @@
         """Return the nodes that have pinged this coordinator lately."""
         return self._peers.addresses()
 
+    @property
+    def silent_peers(self) -> int:
+        """Nodes that pinged this coordinator lately and have fallen silent."""
+        return self._peers.silent(SILENT_PINGS * self._slow_pause())
+
     @property
     def own_address(self) -> NodeAddress:
         """Where this node is reached by its peers."""
@@ -261,10 +274,12 @@
         before = self._predecessor
         if before is not None and before.node_id == node_id:
             return before.address, before.zone
-        witness = self._peers.address(node_id) or self._witnesses.get(node_id)
-        if witness is None:
-            return None
-        return Address.parse(witness.address), witness.zone
+        told = (
+            self._peers.address(node_id)
+            or self._witnesses.get(node_id)
+            or self._successors.get(node_id)
+        )
+        return None if told is None else (Address.parse(told.address), told.zone)
 
     def start(self, peer_address: Address, delay_seconds: float = 0.0) -> None:
         """Start to follow and to ping; ``peer_address`` is where this node is reached.
@@ -335,12 +350,16 @@
             self._lease.observe(pong.lease_revision, pong.lease_age_ms / 1000.0)
             if pong.witnesses:
                 self._witnesses = {one.node_id: one for one in pong.witnesses}
+            if pong.successors:
+                self._successors = {one.node_id: one for one in pong.successors}
         # Time in which this process itself stood still doesn't count.
         asked_at = max(asked_at, time.monotonic() - PING_TIMEOUT_SECONDS)
         if self._succession.serves(pong):
             self._succession.note_contact()
             return pause
         if not self._succession.is_due(pong, asked_at):
+            if self._succession.may_be_replaced:
+                self._ask_successors(known)
             return FAILING_PING_SECONDS if pong is None else PING_SECONDS / 2
         if pong is None and self._witnessed(known):
             logger.info(
@@ -357,6 +376,26 @@
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
+    def _ask_successors(self, known: Coordinator) -> None:
+        """Ask the likeliest successors whether one of them coordinates now.
+
+        The store would tell as well; but a call to it has its price, and each node would make some.
+        """
+        now = time.monotonic()
+        if now - self._asked_successors_at < ASK_SUCCESSORS_SECONDS:
+            return
+        self._asked_successors_at = now
+        others = [one for one in self._successors if one not in (self._node_id, known.node_id)]
+        message = CoordinatorPing(
+            self._shard, known.epoch, self._preferred, self._own_address, coordinating=False
+        )
+        asked = {one: gevent.spawn(self._call_ping, one, message) for one in others}
+        gevent.joinall(list(asked.values()), timeout=PING_TIMEOUT_SECONDS)
+        for node_id, task in asked.items():
+            pong = task.value
+            if pong is not None and pong.coordinator and pong.epoch > known.epoch:
+                self.note_successor(self._successors[node_id], pong.epoch)
+
     def _witnessed(self, known: Coordinator) -> bool:
         others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
         return reached_by_others(self._network, self._shard, known.epoch, others, WITNESS_SECONDS)
@@ -404,7 +443,7 @@
         rank = self._peers.note(peer, ping.sender, ping.preferred)
         interval = PING_SECONDS
         if rank == LAST_RANK:
-            interval = max(SLOW_PING_SECONDS, len(self._peers) / PINGS_PER_SECOND)
+            interval = self._slow_pause()
         lease_revision, lease_age = self._lease.confirmation
         pong = CoordinatorPong(
             self.coordinating,
@@ -414,9 +453,15 @@
             self._peers.witnesses_for(peer),
             lease_revision,
             int(lease_age * 1000),
+            self._peers.successors(),
+            self._epoch,
         )
         return MessageType.COORDINATOR_PONG, pong
 
+    def _slow_pause(self) -> float:
+        """Return the time between pings of nodes out of rank."""
+        return max(SLOW_PING_SECONDS, len(self._peers) / PINGS_PER_SECOND)
+
     def _claim(self, known: Coordinator | None, reason: str) -> None:
         """Take the place of the coordinator that was found wanting, not of a later one."""
         epoch = (known.epoch if known else 0) + 1
--- a/src/runkeel/coordination/peers.py
+++ b/src/runkeel/coordination/peers.py
@@ -13,6 +13,12 @@
 PEER_SECONDS = 12.0
 """A node that has not pinged for so long is no longer counted."""
 
+RECENT_SECONDS = 1.6
+"""A node that has not pinged for so long comes after all that have: it may be down itself.
+
+Three pauses between the pings of nodes in rank, and a little.
+"""
+
 SUCCESSORS = 1
 """Nodes that get copies of what is running, the likeliest successors."""
 
@@ -22,6 +28,12 @@
 They are of the coordinator's own zone if possible, as bytes between zones are dear.
 """
 
+TOLD_SUCCESSORS = 2
+"""So many are told to each node, which asks them first who coordinates after a loss.
+
+Where both are lost as well, the store tells.
+"""
+
 WITNESSES = 6
 """Nodes asked whether they reach the coordinator: two in each of three zones."""
 
@@ -61,8 +73,12 @@
         known.seen_at = time.monotonic()
         if not preferred:
             return LAST_RANK
-        names = [name for name, one in self._live() if one.preferred]
-        return min(names.index(node_id), LAST_RANK)
+        return min(self._succession().index(node_id), LAST_RANK)
+
+    def silent(self, seconds: float) -> int:
+        """Return how many nodes pinged lately, but not for so long."""
+        now = time.monotonic()
+        return sum(1 for _, one in self._live() if now - one.seen_at > seconds)
 
     def address(self, node_id: str) -> NodeAddress | None:
         """Return where a node is reached."""
@@ -80,7 +96,7 @@
             keepers: whether nodes that are not preferred get some, too.
         """
         live = self._live()
-        preferred = [name for name, one in live if one.preferred]
+        preferred = self._succession()
         others = [(name, one.address.zone) for name, one in live if not one.preferred]
         others = [name for name, zone in sorted(others, key=lambda one: one[1] != self._zone)]
         successors = [*preferred, *others][:SUCCESSORS]
@@ -89,6 +105,11 @@
         further = [name for name in others if name not in successors]
         return [*successors, *further[:KEEPERS]]
 
+    def successors(self) -> list[NodeAddress]:
+        """Return the nodes that are likeliest to replace this coordinator."""
+        names = self._succession() or [name for name, _ in self._live()]
+        return [self._peers[name].address for name in names[:TOLD_SUCCESSORS]]
+
     def witnesses_for(self, node_id: str) -> list[NodeAddress]:
         """Return some other nodes of all zones, in each those that are not preferred first."""
         others = [known for name, known in self._live() if name != node_id]
@@ -102,6 +123,14 @@
                 chosen.append(known.address)
         return chosen[:WITNESSES]
 
+    def _succession(self) -> list[str]:
+        """Return the preferred nodes in the order in which they are to step in."""
+        now = time.monotonic()
+        preferred = [(name, one) for name, one in self._live() if one.preferred]
+        # Sorting keeps the order of the first pings among those that have pinged just now.
+        preferred.sort(key=lambda one: now - one[1].seen_at > RECENT_SECONDS)
+        return [name for name, _ in preferred]
+
     def _live(self) -> list[tuple[str, _Peer]]:
         oldest = time.monotonic() - PEER_SECONDS
         return [(name, known) for name, known in self._peers.items() if known.seen_at > oldest]
--- a/src/runkeel/coordination/succession.py
+++ b/src/runkeel/coordination/succession.py
@@ -60,6 +60,12 @@
         """Time since the coordinator was last known to serve."""
         return time.monotonic() - self._last_contact
 
+    @property
+    def may_be_replaced(self) -> bool:
+        """Whether the first in rank has had the time to replace a silent coordinator."""
+        failing_since = self._failing_since
+        return bool(failing_since) and time.monotonic() - failing_since > SILENCE_SECONDS
+
     def begin(self) -> None:
         """Follow another coordinator from now on."""
         self.note_contact()
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -155,9 +155,9 @@
     def test_node_that_stops_or_lost_the_store_is_not_waited_for(self):
         silent = succession.silence_seconds(None)
         for reaches_store, expected in ((True, succession.RECLAIM_SECONDS), (False, 0.0)):
-            pong = CoordinatorPong(False, 0, 0, reaches_store, [], 0, 0)
+            pong = CoordinatorPong(False, 0, 0, reaches_store, [], 0, 0, [], 0)
             self.assertEqual(succession.silence_seconds(pong), expected)
-        pong = CoordinatorPong(True, 0, 0, True, [], 0, 0)
+        pong = CoordinatorPong(True, 0, 0, True, [], 0, 0, [], 1)
         self.assertEqual(succession.silence_seconds(pong), silent)
 
     def test_dead_coordinator_is_replaced_once(self):
@@ -211,6 +211,21 @@
         self.assertEqual(first.known_successor.node_id, successor.node_id)
         self.assertEqual(first.known_successor.epoch, 2)
 
+    def test_nodes_out_of_rank_learn_of_a_successor_without_the_store(self):
+        """shifted quiet-1: 60 nodes made six calls to the store each after one change."""
+        disks = self._nodes("disk-1", "disk-2", "disk-3")
+        edges = self._nodes("edge-1", "edge-2", preferred=False)
+        first = self._coordinator([*disks, *edges])
+        gevent.sleep(SETTLE_SECONDS)
+        for edge in edges:
+            self.stores[edge.node_id].cut = True
+        self.network.silent.add(first.node_id)
+        first.stop()
+        self._wait(lambda: all(edge.coordinator.epoch == 2 for edge in edges))
+        successor = next(node for node in disks if node.coordinating and node is not first)
+        for edge in edges:
+            self.assertEqual(edge.coordinator.node_id, successor.node_id)
+
     def test_news_of_a_coordinator_that_was_replaced_is_left_aside(self):
         (node,) = self._nodes("a")
         self._coordinator([node])
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -1,7 +1,9 @@
 """Who gets copies of what a coordinator runs."""
 
 import unittest
+from unittest import mock
 
+from runkeel.coordination import peers
 from runkeel.coordination.peers import PeerRegistry
 from runkeel.wire.generated.jobs.ttypes import NodeAddress
 
@@ -31,5 +33,40 @@
         self.assertEqual(self.peers.copy_holders(), ["edge-near", "edge-far"])
 
 
+class RankTest(unittest.TestCase):
+    def setUp(self):
+        self.peers = PeerRegistry("near")
+        self.now = 100.0
+        patch = mock.patch.object(peers.time, "monotonic", lambda: self.now)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def _ping(self, name):
+        return self.peers.note(name, NodeAddress(name, "127.0.0.1:1", "near"), True)
+
+    def test_order_of_the_first_ping(self):
+        self.assertEqual([self._ping(name) for name in ("a", "b", "c")], [0, 1, 2])
+        self.assertEqual(self._ping("b"), 1)
+
+    def test_node_that_fell_silent_comes_after_those_that_ping(self):
+        """shifted trouble-2: the first in rank was being restarted as the coordinator died."""
+        for name in ("a", "b", "c"):
+            self._ping(name)
+        self.now += peers.RECENT_SECONDS + 0.1
+        self.assertEqual([self._ping(name) for name in ("b", "c")], [0, 1])
+        self.assertEqual(self.peers.copy_holders(), ["b"])
+        self.assertEqual(self._ping("a"), 0)
+
+    def test_silent_nodes_are_counted_until_they_are_forgotten(self):
+        self._ping("a")
+        self._ping("b")
+        self.assertEqual(self.peers.silent(2.2), 0)
+        self.now += 2.3
+        self._ping("b")
+        self.assertEqual(self.peers.silent(2.2), 1)
+        self.now += peers.PEER_SECONDS
+        self.assertEqual(self.peers.silent(2.2), 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -35,6 +35,8 @@
   ITEM_RUN_START_REPLY = 719,
   ITEM_RUN_PROGRESS = 720,
   ITEM_RUN_PROGRESS_REPLY = 721,
+  USAGE_COUNTS = 722,
+  USAGE_COUNTS_REPLY = 723,
 }
 
 /** An error sent to a peer; verdict is runkeel.errors.Verdict. */
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -27,6 +27,8 @@
   6: i64 lease_revision,    // of the order lease's last confirmation; 0: none is known
   7: i64 lease_age_ms,      // time since before that confirmation
   // 8 and 9 are reserved: digests in an earlier version.
+  10: list<NodeAddress> successors, // who replaces the coordinator, the likeliest first
+  11: i64 epoch,            // in which the receiver coordinates; 0: it does not
 }
 
 enum FeedState {
@@ -86,6 +88,7 @@
   3: i32 position,
   4: i64 wait_ms,           // how long the reply may be held until a result exists
   5: i32 maximum_bytes,
+  6: string tenant,         // whose job it must be; to others it is unknown
 }
 
 struct JobResult {
@@ -128,6 +131,7 @@
   1: string shard,
   2: string job_id,
   3: string item_id,
+  4: string tenant,         // whose job it must be
 }
 
 struct JobItemReadReply {
@@ -198,6 +202,7 @@
   15: bool single_version,
   16: i64 remaining_ms,
   17: optional ItemScorer scorer,
+  18: string tenant,        // whose job the item is of; empty: nobody's
 }
 
 struct ItemRunStartReply {
@@ -232,3 +237,23 @@
   2: list<string> unwanted, // runs to be ended, and never begun if they come later
   3: list<string> loading,  // runs whose engine is loading a version: a pause is expected
 }
+
+/** Requests that one process counted in a window of time, by tenant, in all. */
+struct UsageWindow {
+  1: i64 number,
+  2: map<string, i64> counts,
+}
+
+/** Told to the coordinator by every node that serves clients. */
+struct UsageCounts {
+  1: string shard,
+  2: i64 epoch,
+  3: string source,              // names the process that counted
+  4: list<UsageWindow> windows,  // those that have changed
+  5: i64 complete_before_ms,     // since the epoch; what began before is counted
+}
+
+struct UsageCountsReply {
+  1: bool taken,                 // false: this node is not the coordinator
+  2: i64 pause_ms,               // least time between two messages
+}
