--- a/src/runkeel/jobs/text_hand_over.py
+++ b/src/runkeel/jobs/text_hand_over.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -19,6 +20,16 @@
 from runkeel.wire.generated.jobs.ttypes import TextReplication, TextReplicationReply, TextUpdate
 from runkeel.wire.network import PeerNetwork
 
+OFFER_SECONDS = 3.0
+"""An offer that did not arrive is made again for so long.
+
+A coordinator that has just restarted loses the connections of the process before it, which its
+peers notice only by using them.
+"""
+
+OFFER_RETRY_SECONDS = 0.1
+"""Pause before an offer is made again: short beside the time for which it is waited for."""
+
 BATCH_TEXTS = 50
 """Texts in one message."""
 
@@ -64,15 +75,15 @@
             self._offered_epoch = epoch
             texts = self._copies.fresh()
             if texts:
-                gevent.spawn(self._hand_over, coordinator, texts)
+                gevent.spawn(self._hand_over, coordinator, epoch, texts)
 
-    def _hand_over(self, coordinator: str, texts: dict[str, PartialText]) -> None:
+    def _hand_over(self, coordinator: str, epoch: int, texts: dict[str, PartialText]) -> None:
         offers = [_offer(item_id, text) for item_id, text in texts.items()]
-        wanted = self._send(coordinator, offers)
+        wanted = self._deliver(coordinator, epoch, offers)
         for first in range(0, len(wanted), BATCH_TEXTS):
             batch = wanted[first : first + BATCH_TEXTS]
             updates = [text_update(one, texts[one], None) for one in batch if one in texts]
-            self._send(coordinator, updates)
+            self._deliver(coordinator, epoch, updates)
         logger.info(
             "texts offered",
             code="texts_offered",
@@ -81,7 +92,18 @@
             wanted=len(wanted),
         )
 
-    def _send(self, coordinator: str, updates: list[TextUpdate]) -> list[str]:
+    def _deliver(self, coordinator: str, epoch: int, updates: list[TextUpdate]) -> list[str]:
+        """Send until an answer comes, while that coordinator is the latest that is known."""
+        deadline = time.monotonic() + OFFER_SECONDS
+        while time.monotonic() < deadline and self._offered_epoch == epoch:
+            wanted = self._send(coordinator, updates)
+            if wanted is not None:
+                return wanted
+            gevent.sleep(OFFER_RETRY_SECONDS)
+        return []
+
+    def _send(self, coordinator: str, updates: list[TextUpdate]) -> list[str] | None:
+        """Return which texts are wanted; None without an answer."""
         message = TextReplication(self._shard, self._copies.epoch, updates, True)
         try:
             reply = self._network.call(
@@ -99,7 +121,7 @@
                 items=len(updates),
                 error=str(error.code),
             )
-            return []
+            return None
         return reply.missing
 
     def _receive(self, updates: list[TextUpdate]) -> list[str]:
--- a/tests/jobs/test_text_hand_over.py
+++ b/tests/jobs/test_text_hand_over.py
@@ -69,6 +69,15 @@
         self.keeper.offer("third", 5)
         self._wait(lambda: len(self.receiver.adopted) == 2)
 
+    def test_offer_that_a_lost_connection_cut_is_made_again(self):
+        """shifted trouble-2: 49 running texts were offered to a restarted coordinator and lost."""
+        self.network.silent.add("next")
+        self.keeper.offer("next", 4)
+        gevent.sleep(0.05)
+        self.assertEqual(self.receiver.adopted, {})
+        self.network.silent.discard("next")
+        self._wait(lambda: len(self.receiver.adopted) == 2)
+
     def test_a_coordinator_is_offered_the_texts_once(self):
         self.keeper.offer("next", 4)
         self._wait(lambda: len(self.receiver.adopted) == 2)
