--- a/src/runkeel/api/backend_protocol.py
+++ b/src/runkeel/api/backend_protocol.py
@@ -43,6 +43,7 @@
     Attributes:
         resume_after: id of the last event that the client has of a stream.
         urgency: rank at an engine, 0 first; None where the client's own word stands.
+        tenant: on whose behalf it runs; empty: nobody's.
     """
 
     request_id: str
@@ -53,11 +54,16 @@
     body: bytes
     resume_after: str | None = None
     urgency: int | None = None
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class GenerationRequest:
-    """One run of a batch job's item; ``urgency`` 0 is admitted first."""
+    """One run of a batch job's item; ``urgency`` 0 is admitted first.
+
+    Attributes:
+        tenant: whose job it is; empty: nobody's.
+    """
 
     request_id: str
     path: str
@@ -66,6 +72,7 @@
     body: bytes
     urgency: int = 5
     resume_after: str | None = None
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/runkeel/api/documents.py
+++ b/src/runkeel/api/documents.py
@@ -49,6 +49,8 @@
     """Present once a batch job has been ended."""
     JOB_RESULTS = "job_results"
     """A segment of a batch job's results; never changed."""
+    USAGE_LEDGER = "usage_ledger"
+    """What is reported of the tenants' usage; changed by compare-and-swap."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/runkeel/api/fleet.py
+++ b/src/runkeel/api/fleet.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from runkeel.api.machines import Address
+from runkeel.tenants.directory import TenantDirectory
 
 
 class RouteKind(enum.StrEnum):
@@ -42,6 +43,7 @@
         result_deadline_seconds: batch routes: when all results are due, after submission.
         maximum_queue_seconds: batch routes: when an item may be given up, after submission.
         single_version: batch routes: a result must be made by one weight version.
+        public: its requests need no key.
     """
 
     name: str
@@ -57,6 +59,7 @@
     result_deadline_seconds: float = 0.0
     maximum_queue_seconds: float = 0.0
     single_version: bool = False
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -92,12 +95,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingConfiguration:
-    """All routes and services at one version; replaced as a whole."""
+    """All routes, services and tenants at one version; replaced as a whole.
+
+    Attributes:
+        tenants: whose keys are known; None: requests need no key.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceDescription] = field(default_factory=dict)
     limits: ClientLimits = ClientLimits()
+    tenants: TenantDirectory | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/runkeel/api/jobs.py
+++ b/src/runkeel/api/jobs.py
@@ -54,6 +54,7 @@
         submitted_at: seconds since the epoch.
         minimum_version: oldest weight version that may make its tokens.
         wanted_groups: whole groups that the trainer waits for.
+        tenant: whose job it is; empty: nobody's.
     """
 
     job_id: str
@@ -65,6 +66,15 @@
     minimum_version: int = 0
     wanted_groups: int = 0
     step: int = 0
+    tenant: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class JobReference:
+    """A job as a caller names it: to another tenant it isn't there."""
+
+    job_id: str
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/runkeel/coordination/order_lease.py
+++ b/src/runkeel/coordination/order_lease.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from gevent.lock import RLock
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
@@ -57,6 +58,8 @@
         self._observed = (0, 0.0)
         self._unsettled = False
         """A write that takes the lease from another holder is on its way or just done."""
+        self._confirming = RLock()
+        """Several tasks of a term go by the lease; one asks the store at a time."""
 
     @property
     def token(self) -> int:
@@ -69,6 +72,10 @@
         Raises:
             RunkeelError: the store gave no answer or another node took the lease.
         """
+        with self._confirming:
+            self._confirm()
+
+    def _confirm(self) -> None:
         started = time.monotonic()
         if self._claim is None:
             self._take(started)
--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -10,6 +10,7 @@
 
 from runkeel.api.backend_protocol import BackendProtocol
 from runkeel.api.documents import Document, DocumentKind, DocumentStore, DocumentTranslator
+from runkeel.api.duties import DutyPlatform, UsageSettings
 from runkeel.coordination.election import Election
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.version_rollout import VersionRollout
@@ -26,6 +27,7 @@
 from runkeel.runners.lease import LOCAL_RUNS, LOST_SECONDS
 from runkeel.runners.pool import RunnerPool
 from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.usage.duty import UsageDuty
 from runkeel.wire.network import PeerNetwork
 
 TERM_WATCH_SECONDS = 2.0
@@ -35,6 +37,19 @@
 """Pause before a retirement that failed is tried again. Chosen, not measured."""
 
 
+@dataclass(frozen=True, slots=True)
+class UsageParts:
+    """What the reports of usage need.
+
+    Attributes:
+        clock: seconds since the epoch.
+    """
+
+    settings: UsageSettings
+    platform: DutyPlatform
+    clock: Callable[[], float]
+
+
 @dataclass(frozen=True, slots=True)
 class TermParts:
     """What a node lends to its terms.
@@ -42,6 +57,7 @@
     Attributes:
         journal: texts on the machine's disk; None: it has none.
         leave: hands the coordinator's place over.
+        usage: None: the platform wants no reports.
     """
 
     node_id: str
@@ -57,6 +73,7 @@
     election: Election
     journal: TextJournal | None
     leave: Callable[[], None]
+    usage: UsageParts | None
 
 
 class CoordinatorTerm:
@@ -129,6 +146,7 @@
             texts_expected=epoch > 1 and not texts,
             earlier_runs_seconds=self._earlier_runs_seconds,
         )
+        self.usage = None if parts.usage is None else _usage_duty(parts, parts.usage, epoch)
         self._watchers = [
             DocumentWatcher(
                 parts.store,
@@ -146,12 +164,16 @@
         self.runners.start()
         self.jobs.start()
         self._sender.start()
+        if self.usage is not None:
+            self.usage.start()
         self._starter = gevent.spawn(self._start_rollout)
 
     def stop(self) -> None:
         """Stop to coordinate at once."""
         if self._starter is not None:
             self._starter.kill(block=False)
+        if self.usage is not None:
+            self.usage.stop()
         self._sender.stop()
         self._rollout.stop()
         self.jobs.stop()
@@ -231,6 +253,21 @@
                 gevent.sleep(_RETIREMENT_RETRY_SECONDS)
 
 
+def _usage_duty(parts: TermParts, usage: UsageParts, epoch: int) -> UsageDuty:
+    return UsageDuty(
+        parts.store,
+        parts.shard,
+        epoch,
+        usage.settings,
+        usage.platform,
+        parts.lease,
+        parts.node_id,
+        usage.clock,
+        lambda: len(parts.election.peers()),
+        lambda: parts.election.silent_peers,
+    )
+
+
 def _generating_services(routing: RoutingTable) -> list[str]:
     """Return the services that serve models, sorted by name."""
     configuration = routing.configuration
--- a/src/runkeel/errors.py
+++ b/src/runkeel/errors.py
@@ -62,6 +62,7 @@
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
     CONFLICT = "conflict"
     STALE_FENCE = "stale_fence"
+    DUTY_REFUSED = "duty_refused"
     BAD_COMMAND = "bad_command"
     BAD_CONFIGURATION = "bad_configuration"
     BAD_SETTINGS = "bad_settings"
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -17,6 +17,7 @@
     DocumentTranslator,
     Freshness,
 )
+from runkeel.api.duties import DutyPlatform, UsageSettings
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
 from runkeel.coordination.coordinator_document import Coordinator
@@ -28,7 +29,7 @@
 from runkeel.coordination.election import Candidate, Election
 from runkeel.coordination.feed_follower import FeedFollower, grace_seconds, wait_seconds
 from runkeel.coordination.order_lease import OrderLease
-from runkeel.coordinator_term import CoordinatorTerm, TermParts
+from runkeel.coordinator_term import CoordinatorTerm, TermParts, UsageParts
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable
@@ -42,11 +43,16 @@
 from runkeel.runners.service import RunnerService
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
+from runkeel.usage.clock import SteadyWallClock
+from runkeel.usage.meter import UsageMeter
+from runkeel.usage.teller import UsageTeller
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import (
     ItemRunProgress,
     ItemRunProgressReply,
     NodeAddress,
+    UsageCounts,
+    UsageCountsReply,
 )
 from runkeel.wire.network import PeerNetwork
 
@@ -85,6 +91,7 @@
         news_seconds: changes of configuration and back ends must be known everywhere in this time.
         data_folder: on this machine's disk; None: it has none.
         first_start: the whole system starts for the first time; there is no coordinator yet.
+        usage: what the platform wants to be told of tenants' usage; None: nothing.
     """
 
     node_id: str
@@ -98,6 +105,7 @@
     news_seconds: float = 2.0
     data_folder: Path | None = None
     first_start: bool = False
+    usage: UsageSettings | None = None
 
 
 class FleetNode:
@@ -109,6 +117,7 @@
         store: DocumentStore,
         translator: DocumentTranslator,
         protocol: BackendProtocol,
+        duties: DutyPlatform | None = None,
     ) -> None:
         self._settings = settings
         store = ObservedStore(store)
@@ -116,7 +125,10 @@
         self._translator = translator
         self.routing = RoutingTable()
         self.directory = BackendDirectory()
-        self.forwarder = Forwarder(self.directory, protocol, settings.zone)
+        usage = settings.usage
+        clock = SteadyWallClock()
+        self.meter = UsageMeter(usage.window_seconds if usage else 0.0, clock.time)
+        self.forwarder = Forwarder(self.directory, protocol, settings.zone, self.meter)
         self._network = PeerNetwork(
             settings.node_id,
             settings.zone,
@@ -126,7 +138,9 @@
             settings.peer_address,
             lambda node_id: self._election.peer_address(node_id),
         )
-        self._lease = OrderLease(store, SHARD, settings.node_id, settings.order_pause_seconds)
+        # Two machines may bear one name, one after the other.
+        machine = f"{settings.node_id}@{settings.peer_address.host}"
+        self._lease = OrderLease(store, SHARD, machine, settings.order_pause_seconds)
         self._follower = FeedFollower(
             self._network,
             SHARD,
@@ -213,7 +227,16 @@
             self._election,
             self._journal,
             self.leave,
+            UsageParts(usage, duties, clock.time) if usage and duties else None,
         )
+        self._teller = UsageTeller(
+            self._network,
+            SHARD,
+            f"{settings.node_id}@{settings.incarnation}",
+            self.meter,
+            lambda: self._election.coordinator,
+        )
+        self._network.on_call(MessageType.USAGE_COUNTS, UsageCounts, self._answer_usage)
         self.directory.on_change(self._directory_changed)
 
     @property
@@ -269,6 +292,8 @@
         delay = self._first_election_seconds()
         self._election.start(self._network.address, delay)
         self._follower.start(self._followed, delay)
+        if self._settings.usage is not None:
+            self._teller.start()
 
     def _first_election_seconds(self) -> float:
         """Return how long this node leaves the first election to the preferred nodes."""
@@ -279,8 +304,14 @@
         """Hand the coordinator's place over, before this node stops."""
         self._election.leave()
 
+    def tell_usage(self) -> None:
+        """Tell the coordinator what this node has counted last, before it stops."""
+        if self._settings.usage is not None:
+            self._teller.flush()
+
     def stop(self) -> None:
         """End every part."""
+        self._teller.stop()
         self.end_term()
         self._runner.stop()
         self._lateness.stop()
@@ -343,6 +374,11 @@
             reply = self._term.runners.take_progress(peer, message)
         return MessageType.ITEM_RUN_PROGRESS_REPLY, reply
 
+    def _answer_usage(self, peer: str, message: UsageCounts) -> tuple[int, UsageCountsReply]:
+        usage = self._term.usage if self._term is not None else None
+        reply = UsageCountsReply(False, 0) if usage is None else usage.take(message)
+        return MessageType.USAGE_COUNTS_REPLY, reply
+
     def _directory_changed(self, service: str) -> None:
         if self._term is not None:
             self._term.wake()
--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
 from runkeel.metrics import ATTEMPTS
+from runkeel.usage.meter import UsageMeter
 
 HEDGE_SHARE = 0.5
 """Share of the target latency after which a second server is asked too.
@@ -69,12 +70,21 @@
     sent: int = 0
     """Attempts that may have run, those still under way included."""
     failure: _Outcome | None = None
+    began_at: float = 0.0
+    """Seconds since the epoch at which the first of the attempts in ``sent`` was made."""
 
 
 class Forwarder:
-    """Passes requests on; an answer is returned whole or not at all."""
+    """Passes requests on; an answer is returned whole or not at all.
 
-    def __init__(self, directory: BackendDirectory, protocol: BackendProtocol, zone: str) -> None:
+    Args:
+        meter: counts the requests that servers began to run.
+    """
+
+    def __init__(
+        self, directory: BackendDirectory, protocol: BackendProtocol, zone: str, meter: UsageMeter
+    ) -> None:
+        self._meter = meter
         self._directory = directory
         self._protocol = protocol
         self._zone = zone
@@ -98,9 +108,12 @@
         """
         progress = _Progress(request, route, service, deadline, time.monotonic())
         leaver = gevent.spawn(_report_gone, gone, progress.results) if gone is not None else None
+        metered = self._meter.open(request.tenant)
         try:
             return self._drive(progress)
         finally:
+            began_at = progress.began_at if progress.sent else None
+            self._meter.close(metered, request.tenant, began_at)
             if leaver is not None:
                 leaver.kill(block=False)
             gevent.killall(progress.tasks, block=False)
@@ -175,6 +188,8 @@
             return
         progress.tried.add(state.backend_id)
         progress.running += 1
+        if not progress.sent:
+            progress.began_at = self._meter.now()
         progress.sent += 1
         progress.tasks.append(gevent.spawn(self._attempt, progress, state))
         if reason != "first":
--- a/src/runkeel/gateway/routing.py
+++ b/src/runkeel/gateway/routing.py
@@ -11,45 +11,73 @@
 _HASH_SPAN = float(1 << 32)
 
 
+class RoutesInForce:
+    """One version of the configuration, ready to be looked up; never changed once made.
+
+    A request that holds on to it sees the same version from its key to its server.
+    """
+
+    def __init__(self, configuration: RoutingConfiguration) -> None:
+        self.configuration = configuration
+        self._routes: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host, []).append(route)
+        for of_host in self._routes.values():
+            of_host.sort(key=lambda route: -len(route.path_prefix))
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of the path, None when there is none."""
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def rank(self, route: Route, tenant_name: str) -> int:
+        """Return how urgent a tenant's requests on a route are; the tenant's word goes first."""
+        tenants = self.configuration.tenants
+        tenant = tenants.of_name(tenant_name) if tenants is not None and tenant_name else None
+        return route.rank if tenant is None or tenant.rank is None else tenant.rank
+
+
 class RoutingTable:
     """The configuration in force at this node; it never goes back to an older version."""
 
     def __init__(self) -> None:
-        self._configuration: RoutingConfiguration | None = None
-        self._routes: dict[str, list[Route]] = {}
+        self._in_force: RoutesInForce | None = None
+
+    @property
+    def in_force(self) -> RoutesInForce | None:
+        """The version in force, None before the first one."""
+        return self._in_force
 
     @property
     def configuration(self) -> RoutingConfiguration | None:
         """The configuration in force, None before the first one."""
-        return self._configuration
+        return None if self._in_force is None else self._in_force.configuration
 
     def apply(self, configuration: RoutingConfiguration) -> bool:
         """Put a configuration in force; False when it is not newer."""
-        current = self._configuration
+        current = self.configuration
         if current is not None and configuration.version <= current.version:
             return False
-        routes: dict[str, list[Route]] = {}
-        for route in configuration.routes:
-            routes.setdefault(route.host, []).append(route)
-        for of_host in routes.values():
-            of_host.sort(key=lambda route: -len(route.path_prefix))
-        self._routes = routes
-        self._configuration = configuration
+        self._in_force = RoutesInForce(configuration)
         logger.info(
             "configuration in force",
             code="configuration",
             version=configuration.version,
             previous=current.version if current else 0,
             routes=len(configuration.routes),
+            tenants=len(configuration.tenants) if configuration.tenants is not None else 0,
         )
         return True
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, None when there is none."""
-        for route in self._routes.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+        return None if self._in_force is None else self._in_force.match(host, path)
+
+    def rank(self, route: Route, tenant_name: str) -> int:
+        """Return how urgent a tenant's requests on a route are."""
+        return route.rank if self._in_force is None else self._in_force.rank(route, tenant_name)
 
 
 def choose_service(route: Route, request_id: str) -> str:
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -18,6 +18,7 @@
 from runkeel.gateway.event_order import follows
 from runkeel.http.frontend import AnswerBrokenOffError
 from runkeel.metrics import ATTEMPTS
+from runkeel.usage.meter import UsageMeter
 
 RETRY_AFTER_SECONDS = 0.2
 """When a caller may come back that no engine had room for. Chosen, not measured."""
@@ -54,9 +55,16 @@
 
 
 class StreamForwarder:
-    """Passes streams on."""
+    """Passes streams on.
 
-    def __init__(self, directory: BackendDirectory, protocol: BackendProtocol, zone: str) -> None:
+    Args:
+        meter: counts the streams that servers began.
+    """
+
+    def __init__(
+        self, directory: BackendDirectory, protocol: BackendProtocol, zone: str, meter: UsageMeter
+    ) -> None:
+        self._meter = meter
         self._directory = directory
         self._protocol = protocol
         self._zone = zone
@@ -71,7 +79,12 @@
         """
         relay = _Relay(request, route, service, deadline, gone)
         relay.last_event_id = request.resume_after
-        failure = self._connect(relay)
+        metered = self._meter.open(request.tenant)
+        try:
+            failure = self._connect(relay)
+        finally:
+            began_at = self._meter.now() if relay.sent else None
+            self._meter.close(metered, request.tenant, began_at)
         if failure is not None:
             return failure
         return OpenedStream(relay.stream.status, relay.stream.headers, self._relay(relay))
--- a/src/runkeel/jobs/item_queue.py
+++ b/src/runkeel/jobs/item_queue.py
@@ -38,7 +38,7 @@
     """Items of one job that go to one service.
 
     Attributes:
-        rank: of the job's route; the smallest is placed first.
+        rank: of the job's tenant or route; the smallest is placed first.
         service: empty while the items have no route.
         waiting_since: monotonic time since which items have waited for an engine; 0: none waits.
     """
@@ -58,13 +58,16 @@
     Args:
         route_of: the route of an item; None: it has none.
         length_of: what an item has still to generate, as a multiple of a typical generation.
+        rank_of: how urgent an item is, 0 the most, given its route.
     """
 
     def __init__(
         self,
         route_of: Callable[[ItemTask], Route | None],
         length_of: Callable[[ItemTask], float],
+        rank_of: Callable[[ItemTask, Route], int] = lambda task, route: route.rank,
     ) -> None:
+        self._rank_of = rank_of
         self._route_of = route_of
         self._length_of = length_of
         self._numbers = itertools.count(1)
@@ -180,7 +183,7 @@
         key = task.state.job.job_id, service
         lane = self._lanes.get(key)
         if lane is None:
-            rank = route.rank if route is not None else LAST_RANK
+            rank = self._rank_of(task, route) if route is not None else LAST_RANK
             lane = Lane(rank, task.state.job.submitted_at, service)
             self._lanes[key] = lane
         lane.count += 1
--- a/src/runkeel/jobs/item_runner.py
+++ b/src/runkeel/jobs/item_runner.py
@@ -12,6 +12,7 @@
 from runkeel.api.fleet import Route
 from runkeel.api.jobs import ItemResult, ResultState, ScorerCall
 from runkeel.gateway.backends import BackendState
+from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.generation_run import GenerationRun, RunOutcome
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
@@ -40,10 +41,12 @@
         self,
         protocol: BackendProtocol,
         scorer: Scorer,
+        routing: RoutingTable,
         is_loading: Callable[[str, str], bool],
         runners: RunnerPool | None = None,
     ) -> None:
         self._protocol = protocol
+        self._routing = routing
         self._scorer = scorer
         self._is_loading = is_loading
         self._runners = runners
@@ -133,8 +136,9 @@
             host=job.host,
             headers=task.item.headers,
             body=base64.b64decode(task.item.body),
-            urgency=min(LEAST_URGENT, route.rank),
+            urgency=self._urgency(task, route),
             resume_after=task.partial.last_event_id,
+            tenant=job.tenant,
         )
         return GenerationRun(
             self._protocol,
@@ -156,15 +160,19 @@
             path=item.path,
             headers=[HttpHeader(name, value) for name, value in item.headers],
             body=base64.b64decode(item.body),
-            urgency=min(LEAST_URGENT, route.rank),
+            urgency=self._urgency(task, route),
             resume_after=task.partial.last_event_id or "",
             versions=list(task.partial.versions),
             minimum_version=job.minimum_version,
             single_version=route.single_version,
             scorer=None if scorer is None else _scorer_message(scorer),
+            tenant=job.tenant,
         )
         return self._runners.new_run(runner, start, task.partial, self._loading(task))
 
+    def _urgency(self, task: ItemTask, route: Route) -> int:
+        return min(LEAST_URGENT, self._routing.rank(route, task.state.job.tenant))
+
     def _loading(self, task: ItemTask) -> Callable[[], bool]:
         backend_id, model = task.engine.backend_id, task.state.job.model
         return lambda: self._is_loading(backend_id, model)
--- a/src/runkeel/jobs/job_documents.py
+++ b/src/runkeel/jobs/job_documents.py
@@ -82,6 +82,7 @@
         "wanted_groups": job.wanted_groups,
         "step": job.step,
         "item_count": len(job.items),
+        "tenant": job.tenant,
     }
 
 
@@ -105,6 +106,7 @@
         minimum_version=int(content["minimum_version"]),
         wanted_groups=int(content["wanted_groups"]),
         step=int(content["step"]),
+        tenant=content.get("tenant", ""),
     )
 
 
--- a/src/runkeel/jobs/result_cache.py
+++ b/src/runkeel/jobs/result_cache.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable
 
-from runkeel.api.jobs import ItemResult
+from runkeel.api.jobs import ItemResult, JobReference
 
 MAXIMUM_BYTES = 24 * 1024 * 1024
 """Texts that are kept, in bytes; the jobs read longest ago give way."""
@@ -19,46 +19,48 @@
 
 
 class ResultCache:
-    """Results by job and position."""
+    """Results by job and position; a job is known to its own tenant only."""
 
     def __init__(self, maximum_bytes: int = MAXIMUM_BYTES) -> None:
         self._maximum_bytes = maximum_bytes
         self._bytes = 0
-        self._jobs: OrderedDict[str, dict[int, ItemResult]] = OrderedDict()
-        self._totals: dict[str, int] = {}
+        self._jobs: OrderedDict[JobReference, dict[int, ItemResult]] = OrderedDict()
+        self._totals: dict[JobReference, int] = {}
 
-    def total(self, job_id: str) -> int:
+    def total(self, job: JobReference) -> int:
         """Return the number of items of a job of which results are known."""
-        return self._totals.get(job_id, 0)
+        return self._totals.get(job, 0)
 
-    def has_all(self, job_id: str) -> bool:
+    def has_all(self, job: JobReference) -> bool:
         """Return whether every result of a job is known."""
-        known = self._jobs.get(job_id)
-        return known is not None and len(known) >= self._totals[job_id] > 0
+        known = self._jobs.get(job)
+        return known is not None and len(known) >= self._totals[job] > 0
 
-    def from_position(self, job_id: str, position: int) -> list[ItemResult]:
+    def from_position(self, job: JobReference, position: int) -> list[ItemResult]:
         """Return the results that are known from a position on, up to the first that is not."""
-        known = self._jobs.get(job_id)
+        known = self._jobs.get(job)
         if known is None:
             return []
-        self._jobs.move_to_end(job_id)
+        self._jobs.move_to_end(job)
         results = []
         while (result := known.get(position + len(results))) is not None:
             results.append(result)
         return results
 
-    def add(self, job_id: str, total: int, position: int, results: Iterable[ItemResult]) -> None:
+    def add(
+        self, job: JobReference, total: int, position: int, results: Iterable[ItemResult]
+    ) -> None:
         """Keep results of a job of so many items that are listed at a position and after it."""
-        known = self._jobs.setdefault(job_id, {})
-        self._totals[job_id] = total
-        self._jobs.move_to_end(job_id)
+        known = self._jobs.setdefault(job, {})
+        self._totals[job] = total
+        self._jobs.move_to_end(job)
         for place, result in enumerate(results, position):
             if place not in known:
                 known[place] = result
                 self._bytes += _size(result)
         while self._bytes > self._maximum_bytes and len(self._jobs) > 1:
-            dropped_id, dropped = self._jobs.popitem(last=False)
-            del self._totals[dropped_id]
+            dropped_job, dropped = self._jobs.popitem(last=False)
+            del self._totals[dropped_job]
             self._bytes -= sum(_size(result) for result in dropped.values())
 
 
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -72,13 +72,13 @@
     ) -> None:
         self._placement = placement
         self._routing = routing
-        self._runner = ItemRunner(protocol, scorer, is_loading, runners)
+        self._runner = ItemRunner(protocol, scorer, routing, is_loading, runners)
         self._running = RunningItems()
         self._kept = KeptTexts()
         self._finished = FinishedItems()
         self._lengths = LengthEstimates()
         self._mover = RunMover(placement, self._lengths, self._route)
-        self._queue = ItemQueue(self._route, self._mover.relative_length)
+        self._queue = ItemQueue(self._route, self._mover.relative_length, self._rank)
         self._arranged_for: RoutingConfiguration | None = None
         """The configuration by which the queue is arranged."""
         self._pressed_at: dict[str, float] = {}
@@ -274,6 +274,9 @@
     def _route(self, task: ItemTask) -> Route | None:
         return self._routing.match(task.state.job.host, task.item.path.partition("?")[0])
 
+    def _rank(self, task: ItemTask, route: Route) -> int:
+        return self._routing.rank(route, task.state.job.tenant)
+
     def _release_reserved(self, task: ItemTask) -> BackendState | None:
         """Give back the slot that is kept for an item; returns its engine."""
         reserved, task.next_engine = task.next_engine, None
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -9,13 +9,18 @@
 import gevent
 from loguru import logger
 
-from runkeel.api.documents import DocumentConflictError, DocumentKind, DocumentStore
-from runkeel.api.jobs import BatchJob, ItemResult, ResultPage, ResultState
+from runkeel.api.documents import (
+    Document,
+    DocumentConflictError,
+    DocumentKind,
+    DocumentStore,
+)
+from runkeel.api.jobs import BatchJob, ItemResult, JobReference, ResultPage, ResultState
 from runkeel.coordination.election import Election
-from runkeel.errors import RunkeelError, Verdict
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.job_documents import decode_segment, segment_name
-from runkeel.jobs.job_state import page_of
+from runkeel.jobs.job_state import JobState, page_of
 from runkeel.jobs.job_store import JobStore, JobSubmission
 from runkeel.jobs.result_cache import ResultCache
 from runkeel.metrics import JOBS
@@ -109,6 +114,9 @@
             try:
                 submission.write()
             except DocumentConflictError as conflict:
+                if not _of_tenant(conflict.current, job.tenant):
+                    submission.discard_parts()
+                    raise not_run(ErrorCode.CONFLICT, "the id is taken") from conflict
                 logger.info("job known already", code="job_repeated", job=job.job_id)
                 if not submission.owns(conflict.current):
                     submission.discard_parts()
@@ -131,46 +139,48 @@
                     model=job.model,
                     minimum_version=job.minimum_version,
                     step=job.step,
+                    tenant=job.tenant,
                 )
                 gevent.spawn(self._tell_accepted, job.job_id)
                 return
 
-    def read(self, job_id: str, position: int, wait_seconds: float) -> ResultPage | None:
-        """Return results from a position on; None when it is certain that there is no such job.
+    def read(self, job: JobReference, position: int, wait_seconds: float) -> ResultPage | None:
+        """Return results from a position on; None when the tenant certainly has no such job.
 
         Raises:
             RunkeelError: neither the coordinator nor the store gave an answer.
         """
-        if self.local is None and self._results.has_all(job_id):
-            return self._known_page(job_id, position)
-        answer = self._read_from_coordinator(job_id, position, wait_seconds)
+        if self.local is None and self._results.has_all(job):
+            return self._known_page(job, position)
+        answer = self._read_from_coordinator(job, position, wait_seconds)
         if answer is not None and answer.verified:
             return answer.page
         try:
-            return self._read_from_store(job_id, position)
+            return self._read_from_store(job, position)
         except RunkeelError:
             # Without the store nobody can have listed more than this coordinator.
-            page = answer.page if answer is not None else self._known_page(job_id, position)
+            page = answer.page if answer is not None else self._known_page(job, position)
             if answer is None and not page.results:
                 raise
             return page
 
-    def item_body(self, job_id: str, item_id: str) -> str | None:
-        """Return an item's body in base64; None when it is certain that there is none."""
-        body = self._item_from_coordinator(job_id, item_id)
+    def item_body(self, job: JobReference, item_id: str) -> str | None:
+        """Return an item's body in base64; None when the tenant certainly has no such item."""
+        body = self._item_from_coordinator(job, item_id)
         if body is not None:
             return body
-        cached = self._cached(job_id)
+        cached = self._cached(job)
         if cached is None:
             return None
         return next((item.body for item in cached.job.items if item.item_id == item_id), None)
 
-    def end(self, job_id: str, deadline: float) -> bool:
-        """End a job for good; False when it is certain that there is no such job."""
-        ended = self._ended_at_coordinator(job_id)
+    def end(self, job: JobReference, deadline: float) -> bool:
+        """End a job for good; False when the tenant certainly has no such job."""
+        job_id = job.job_id
+        ended = self._ended_at_coordinator(job)
         if ended:
             return True
-        if ended is None and self._cached(job_id) is None:
+        if ended is None and self._cached(job) is None:
             return False
         while True:
             try:
@@ -199,12 +209,17 @@
         )
         raise RunkeelError(error.code, error.detail, verdict, RETRY_AFTER_SECONDS) from error
 
-    def _ended_at_coordinator(self, job_id: str) -> bool | None:
+    def _local_state(self, job: JobReference) -> JobState | None:
+        """Return a tenant's job as the coordinator's part at this node holds it."""
+        state = self.local.job(job.job_id) if self.local is not None else None
+        return state if state is not None and state.job.tenant == job.tenant else None
+
+    def _ended_at_coordinator(self, job: JobReference) -> bool | None:
         """Return whether the coordinator knows a job as ended; None when it doesn't know it."""
         if self.local is not None:
-            state = self.local.job(job_id)
+            state = self._local_state(job)
             return None if state is None else state.ended
-        message = JobItemRead(self._shard, job_id, "")
+        message = JobItemRead(self._shard, job.job_id, "", job.tenant)
         reply = self._ask(MessageType.JOB_ITEM_READ, message, JobItemReadReply, PEER_SECONDS)
         if reply is None or reply.lookup != JobLookup.FOUND:
             return None
@@ -244,51 +259,50 @@
             return None
 
     def _read_from_coordinator(
-        self, job_id: str, position: int, wait_seconds: float
+        self, job: JobReference, position: int, wait_seconds: float
     ) -> _CoordinatorPage | None:
         if self.local is not None:
-            state = self.local.job(job_id)
+            state = self._local_state(job)
             if state is None:
                 return None
             page = self.local.page(state, position, wait_seconds, MAXIMUM_PAGE_BYTES)
             return _CoordinatorPage(page, self._election.verified)
         # Only what this node has not read yet is asked for.
-        known = self._results.from_position(job_id, position)
+        known = self._results.from_position(job, position)
         wait = 0.0 if known else wait_seconds
         first = position + len(known)
-        message = JobRead(self._shard, job_id, first, int(wait * 1000), MAXIMUM_PAGE_BYTES)
+        wait_ms = int(wait * 1000)
+        message = JobRead(self._shard, job.job_id, first, wait_ms, MAXIMUM_PAGE_BYTES, job.tenant)
         reply = self._ask(MessageType.JOB_READ, message, JobReadReply, wait + PEER_SECONDS)
         if reply is None or reply.lookup != JobLookup.FOUND:
             return None
-        self._results.add(
-            job_id, reply.total, first, (_from_wire(result) for result in reply.results)
-        )
-        return _CoordinatorPage(self._known_page(job_id, position), reply.verified)
+        self._results.add(job, reply.total, first, (_from_wire(result) for result in reply.results))
+        return _CoordinatorPage(self._known_page(job, position), reply.verified)
 
-    def _known_page(self, job_id: str, position: int) -> ResultPage:
+    def _known_page(self, job: JobReference, position: int) -> ResultPage:
         """Return what has been read before."""
-        results = self._results.from_position(job_id, position)
-        page = page_of(results, self._results.total(job_id), 0, MAXIMUM_PAGE_BYTES)
+        results = self._results.from_position(job, position)
+        page = page_of(results, self._results.total(job), 0, MAXIMUM_PAGE_BYTES)
         return replace(page, position=position)
 
-    def _item_from_coordinator(self, job_id: str, item_id: str) -> str | None:
+    def _item_from_coordinator(self, job: JobReference, item_id: str) -> str | None:
         if self.local is not None:
-            state = self.local.job(job_id)
+            state = self._local_state(job)
             item = state.items.get(item_id) if state else None
             return item.body if item else None
-        message = JobItemRead(self._shard, job_id, item_id)
+        message = JobItemRead(self._shard, job.job_id, item_id, job.tenant)
         reply = self._ask(MessageType.JOB_ITEM_READ, message, JobItemReadReply, PEER_SECONDS)
         if reply is None or reply.lookup != JobLookup.FOUND:
             return None
         return reply.body if reply.known_item else None
 
-    def _read_from_store(self, job_id: str, position: int) -> ResultPage | None:
-        cached = self._cached(job_id)
+    def _read_from_store(self, job: JobReference, position: int) -> ResultPage | None:
+        cached = self._cached(job)
         if cached is None:
             return None
         while len(cached.results) < len(cached.job.items):
             number = cached.segments
-            name = segment_name(job_id, number)
+            name = segment_name(job.job_id, number)
             document = get_unchanging(self._store, DocumentKind.JOB_RESULTS, name)
             if document is None:
                 break
@@ -298,7 +312,12 @@
                 cached.segments += 1
         return page_of(cached.results, len(cached.job.items), position, MAXIMUM_PAGE_BYTES)
 
-    def _cached(self, job_id: str) -> _CachedJob | None:
+    def _cached(self, job: JobReference) -> _CachedJob | None:
+        """Return a tenant's job as read from the store; None: the tenant has no such job."""
+        cached = self._read_job(job.job_id)
+        return cached if cached is not None and cached.job.tenant == job.tenant else None
+
+    def _read_job(self, job_id: str) -> _CachedJob | None:
         cached = self._cache.get(job_id)
         if cached is not None:
             self._cache.move_to_end(job_id)
@@ -317,7 +336,7 @@
         if local is None:
             reply = JobReadReply(JobLookup.NOT_COORDINATOR, 0, 0, [], False)
             return MessageType.JOB_READ_REPLY, reply
-        state = local.job(message.job_id)
+        state = self._local_state(JobReference(message.job_id, message.tenant or ""))
         if state is None:
             return MessageType.JOB_READ_REPLY, JobReadReply(JobLookup.UNKNOWN, 0, 0, [], False)
         page = local.page(state, message.position, message.wait_ms / 1000.0, message.maximum_bytes)
@@ -343,7 +362,7 @@
         if local is None:
             reply = JobItemReadReply(JobLookup.NOT_COORDINATOR, False, "", False)
             return MessageType.JOB_ITEM_READ_REPLY, reply
-        state = local.job(message.job_id)
+        state = self._local_state(JobReference(message.job_id, message.tenant or ""))
         if state is None:
             reply = JobItemReadReply(JobLookup.UNKNOWN, False, "", False)
             return MessageType.JOB_ITEM_READ_REPLY, reply
@@ -367,3 +386,10 @@
         tuple(result.versions),
         result.score,
     )
+
+
+def _of_tenant(document: Document | None, tenant: str) -> bool:
+    """Return whether a job's document may be that of a tenant's job."""
+    if document is None or document.content is None:
+        return True
+    return document.content.get("tenant", "") == tenant
--- a/src/runkeel/metrics.py
+++ b/src/runkeel/metrics.py
@@ -24,6 +24,9 @@
 )
 ITEM_RUNS = Counter("runkeel_job_item_runs_total", "Runs of batch job items", ["outcome"])
 JOBS = Counter("runkeel_jobs_total", "Batch jobs", ["event"])
+USAGE_REPORTS = Counter(
+    "runkeel_usage_reports_total", "Reports of usage to the platform; empty code: taken", ["code"]
+)
 COORDINATING = Gauge("runkeel_coordinating", "1 while this node coordinates", ["service"])
 VERSION_ORDERS = Counter("runkeel_version_orders_total", "Orders to engines", ["outcome"])
 LOG_LINES_DROPPED = Counter("runkeel_log_lines_dropped_total", "Log lines left out")
--- a/src/runkeel/runners/hosted_run.py
+++ b/src/runkeel/runners/hosted_run.py
@@ -137,4 +137,5 @@
         body=message.body,
         urgency=message.urgency,
         resume_after=message.resume_after or None,
+        tenant=message.tenant or "",
     )
--- /dev/null
+++ b/src/runkeel/tenants/access.py
@@ -0,0 +1,40 @@
+"""Decides on whose behalf a request is answered."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from runkeel.errors import ErrorCode, RunkeelError, not_run
+from runkeel.tenants.directory import TenantDirectory
+from runkeel.tenants.keys import presented_key
+
+NO_TENANT = ""
+"""Name of the tenant of requests that need no key."""
+
+
+def calling_tenant(
+    tenants: TenantDirectory | None, authorizations: Sequence[str], public: bool = False
+) -> str:
+    """Return the name of the tenant that a request's key belongs to.
+
+    Args:
+        tenants: those of the configuration in force; None: it asks for no keys.
+        authorizations: the values of all authorization headers of the request.
+        public: the request's route needs no key.
+
+    Raises:
+        RunkeelError: UNAUTHORIZED, NOT_RUN.
+    """
+    if tenants is None or public:
+        return NO_TENANT
+    key = presented_key(authorizations)
+    if key is None:
+        raise _unauthorized("exactly one Authorization header of the form 'Bearer KEY' is needed")
+    tenant = tenants.of_key(key)
+    if tenant is None:
+        raise _unauthorized("the key is not known")
+    return tenant.name
+
+
+def _unauthorized(detail: str) -> RunkeelError:
+    return not_run(ErrorCode.UNAUTHORIZED, detail)
--- /dev/null
+++ b/src/runkeel/tenants/directory.py
@@ -0,0 +1,46 @@
+"""The tenants of one version of the configuration, by key and by name."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from runkeel.tenants.keys import key_digest
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One of the parties that share the system.
+
+    Attributes:
+        rank: of its requests, 0 the most urgent; None: that of the route holds.
+        key_digests: of the keys that it may present, see :mod:`runkeel.tenants.keys`.
+    """
+
+    name: str
+    rank: int | None = None
+    key_digests: tuple[str, ...] = ()
+
+
+class TenantDirectory:
+    """Finds a tenant in constant time, however many there are. Never changed once made."""
+
+    def __init__(self, tenants: Iterable[Tenant]) -> None:
+        self._by_name = {tenant.name: tenant for tenant in tenants}
+        self._by_digest = {
+            digest: tenant for tenant in self._by_name.values() for digest in tenant.key_digests
+        }
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def __iter__(self):
+        return iter(self._by_name.values())
+
+    def of_key(self, key: str) -> Tenant | None:
+        """Return the tenant that holds a key."""
+        return self._by_digest.get(key_digest(key))
+
+    def of_name(self, name: str) -> Tenant | None:
+        """Return a tenant by its name."""
+        return self._by_name.get(name)
--- a/src/runkeel_lab/standins/document_store.py
+++ b/src/runkeel_lab/standins/document_store.py
@@ -76,6 +76,10 @@
         """Return the names of a kind's documents, sorted."""
         return sorted(name for of_kind, name in self._documents if of_kind == kind)
 
+    def everything(self) -> list[Document]:
+        """Return all documents of all kinds."""
+        return list(self._documents.values())
+
     def put(self, kind: DocumentKind, name: str, content: Any) -> Document:
         """Write without a condition, as an operator would."""
         return self._store(kind, name, content)
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -6,17 +6,19 @@
 import json
 import tempfile
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
 import gevent
 
+from runkeel.api.duties import UsageSettings
 from runkeel.api.machines import Address
 from runkeel.backends.http_connection import HttpAnswer, HttpConnectionPool, OutgoingRequest
 from runkeel.errors import RunkeelError
 from runkeel.fleet_node import FleetSettings
 from runkeel_lab.users_platform import use_adapter
+from runkeel_lab.users_platform.duty_server import DutyServer
 from runkeel_lab.users_platform.servers import PlatformEngine, PlatformServer
 from runkeel_lab.users_platform.store_server import StoreServer
 
@@ -33,6 +35,7 @@
 RESERVE_PREFIX = "/reserve/"
 DRAFT_PREFIX = "/draft/"
 CHAT_PREFIX = "/chat/"
+SCORE_PREFIX = "/score/"
 ZONES = ("a", "b", "c")
 _LOOPBACK = Address("127.0.0.1", 0)
 _CALL_SECONDS = 3.0
@@ -54,12 +57,23 @@
     }
 
 
-def configuration(version: int, more_routes: tuple[dict[str, Any], ...] = ()) -> dict[str, Any]:
+def tenant(name: str, *keys: str, priority: int | None = None) -> dict[str, Any]:
+    """Build a tenant of the operator's configuration."""
+    built: dict[str, Any] = {"Name": name, "ApiKeys": list(keys)}
+    return built if priority is None else {**built, "Priority": priority}
+
+
+def configuration(
+    version: int,
+    more_routes: tuple[dict[str, Any], ...] = (),
+    tenants: tuple[dict[str, Any], ...] = (),
+) -> dict[str, Any]:
     """Build a configuration with a route of each kind."""
     routes = [
         route("count", COUNT_PREFIX, "idempotent", APPLICATION),
         route("reserve", RESERVE_PREFIX, "non_idempotent", APPLICATION),
         route("draft", DRAFT_PREFIX, "rollout", ENGINES, ResultDeadlineMs=20_000, MaxQueueS=60.0),
+        route("score", SCORE_PREFIX, "idempotent", APPLICATION, Public=True),
         route("chat", CHAT_PREFIX, "streaming", ENGINES, Resumable=True, TimeoutMs=10_000),
         *more_routes,
     ]
@@ -67,7 +81,8 @@
         {"Name": ENGINES, "Engine": {"Slots": 8, "Models": [{"Name": MODEL}]}},
         {"Name": APPLICATION},
     ]
-    return {"Version": version, "Routes": routes, "Services": services, "Limits": {}}
+    content = {"Version": version, "Routes": routes, "Services": services, "Limits": {}}
+    return {**content, "Tenants": list(tenants)} if tenants else content
 
 
 @dataclass(slots=True)
@@ -85,6 +100,8 @@
     Args:
         order_pause_seconds: least time between the orders of two nodes.
         metrics: whether nodes serve counters and operators' queries.
+        tenants: of the first configuration; none: requests need no key.
+        usage: what is to be reported of the tenants' usage; None: nothing.
     """
 
     def __init__(
@@ -96,7 +113,14 @@
         applications: int = 2,
         order_pause_seconds: float = 0.5,
         metrics: bool = False,
+        tenants: tuple[dict[str, Any], ...] = (),
+        usage: UsageSettings | None = None,
     ) -> None:
+        self._tenants = tenants
+        self._usage = usage
+        self._starts = 0
+        self.duties = DutyServer()
+        self.duties.start()
         self.store = StoreServer(seed)
         self.store.start()
         self.engines = [
@@ -118,7 +142,7 @@
 
     def start(self) -> None:
         """Put the configuration in place, start the servers and the nodes."""
-        self.configure(configuration(1))
+        self.configure(configuration(1, tenants=self._tenants))
         for server in [*self.engines, *self.applications]:
             server.start()
         for name in self._machines:
@@ -133,6 +157,7 @@
         for slot in self._machines.values():
             slot.store.stop()
         self.store.stop()
+        self.duties.stop()
         self._disks.cleanup()
 
     def configure(self, content: dict[str, Any]) -> None:
@@ -169,7 +194,9 @@
     def start_node(self, name: str) -> None:
         """Start the process of a machine."""
         slot = self._machines[name]
-        slot.process = NodeProcess(slot.settings)
+        self._starts += 1
+        fleet = replace(slot.settings.fleet, incarnation=self._starts)
+        slot.process = NodeProcess(replace(slot.settings, fleet=fleet))
         slot.process.start()
 
     def kill_node(self, name: str) -> None:
@@ -209,32 +236,42 @@
         finally:
             pool.close()
 
-    def submit(self, edge: str, job_id: str, items: list[str], minimum_version: int = 1) -> int:
+    def submit(
+        self,
+        edge: str,
+        job_id: str,
+        items: list[str],
+        minimum_version: int = 1,
+        key: str = "",
+        item_headers: dict[str, str] | None = None,
+    ) -> int:
         """Submit a batch job; returns the status, 0 without an answer."""
         body = {
             "Step": 0,
             "Model": MODEL,
             "MinVersion": minimum_version,
             "DesiredCount": 1,
-            "Items": [_item(item_id) for item_id in items],
+            "Items": [_item(item_id, item_headers or {}) for item_id in items],
         }
-        headers = {"Attempt-Id": job_id, "Content-Type": "application/json"}
+        headers = {"Attempt-Id": job_id, "Content-Type": "application/json", **with_key(key)}
         answer = self.call(
             edge, "POST", f"{DRAFT_PREFIX}{job_id}", headers, json.dumps(body).encode()
         )
         return answer.status if answer is not None else 0
 
-    def results(self, edge: str, job_id: str, position: int = 0) -> list[dict[str, Any]] | None:
+    def results(
+        self, edge: str, job_id: str, position: int = 0, key: str = ""
+    ) -> list[dict[str, Any]] | None:
         """Read a job's results; None without an answer of status 200."""
         target = f"/runkeel/lots/{job_id}?AfterRevision={position}"
-        answer = self.call(edge, "GET", target, {"Wait-Ms": "200"})
+        answer = self.call(edge, "GET", target, {"Wait-Ms": "200", **with_key(key)})
         if answer is None or answer.status != 200:
             return None
         return json.loads(answer.body)["Results"]
 
-    def end(self, edge: str, job_id: str) -> int:
+    def end(self, edge: str, job_id: str, key: str = "") -> int:
         """End a job; returns the status, 0 without an answer."""
-        answer = self.call(edge, "DELETE", f"/runkeel/lots/{job_id}")
+        answer = self.call(edge, "DELETE", f"/runkeel/lots/{job_id}", with_key(key))
         return answer.status if answer is not None else 0
 
     def _add_machine(self, name: str, zone: str, serves_clients: bool) -> None:
@@ -248,26 +285,40 @@
             order_pause_seconds=self._order_pause_seconds,
             preferred_coordinator=not serves_clients,
             data_folder=None if serves_clients else Path(self._disks.name) / name,
+            usage=self._usage,
         )
         listener = _LOOPBACK if serves_clients else None
         store = StoreServer(len(self._machines), behind=self.store)
         store.start()
-        settings = ProcessSettings(fleet, listener, listener, store.address, self._metrics, 8.0)
+        settings = ProcessSettings(
+            fleet,
+            listener,
+            listener,
+            store.address,
+            self._metrics,
+            8.0,
+            self.duties.address,
+        )
         self._machines[name] = _Slot(settings, store)
 
 
-def _item(item_id: str) -> dict[str, Any]:
+def with_key(key: str) -> dict[str, str]:
+    """Return the header that presents a key; none for an empty one."""
+    return {"Authorization": f"Bearer {key}"} if key else {}
+
+
+def _item(item_id: str, headers: dict[str, str]) -> dict[str, Any]:
     return {
         "Id": item_id,
         "Path": f"{DRAFT_PREFIX}{item_id}",
-        "Headers": {"Model": MODEL},
+        "Headers": {"Model": MODEL, **headers},
         "Body": base64.b64encode(f"body {item_id}".encode()).decode(),
         "TokenCount": 10,
         "Group": item_id.rpartition("-")[0],
         "Scorer": {
             "Id": f"score-{item_id}",
             "Host": HOST,
-            "Path": f"{COUNT_PREFIX}{item_id}",
+            "Path": f"{SCORE_PREFIX}{item_id}",
             "Body": base64.b64encode(b"score").decode(),
         },
     }
--- /dev/null
+++ b/src/runkeel_lab/users_platform/duty_server.py
@@ -0,0 +1,107 @@
+"""The platform's duty calls: takes reports of usage and writes down what reaches it."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from runkeel.api.machines import Address
+from runkeel_lab.standins.http import AnswerAbortedError, Handler
+
+_CONNECTION = "runkeel.connection"
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedReport:
+    """One report that was taken."""
+
+    window: int
+    counts: dict[str, int]
+    holder: str
+    token: int
+    received_at: float
+    """Seconds since the epoch."""
+
+
+class DutyServer:
+    """Takes reports as the platform does, and can lose answers or refuse.
+
+    Attributes:
+        refused: answers 503.
+        lost: takes what comes and closes the connection without an answer.
+        delay_seconds: before an answer.
+    """
+
+    def __init__(self) -> None:
+        self.reports: list[ReceivedReport] = []
+        self.refused = False
+        self.lost = False
+        self.delay_seconds = 0.0
+        self._server = WSGIServer(("127.0.0.1", 0), self._answer, log=None, handler_class=Handler)
+
+    @property
+    def address(self) -> Address:
+        """Where it listens."""
+        return Address("127.0.0.1", self._server.server_port)
+
+    def start(self) -> None:
+        """Listen."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Fall silent."""
+        self._server.stop(timeout=0)
+
+    def counts_of(self, window: int) -> dict[str, int] | None:
+        """Return what was reported of a window; None: nothing was."""
+        return next((one.counts for one in self.reports if one.window == window), None)
+
+    def problems(self) -> list[str]:
+        """Return what breaks the platform's rules on singleton duties, by the reports taken."""
+        return [*self._windows_told_twice(), *self._tokens_out_of_order()]
+
+    def _windows_told_twice(self) -> list[str]:
+        first: dict[int, dict[str, int]] = {}
+        return [
+            f"window {one.window}: {one.counts} after {first[one.window]}"
+            for one in self.reports
+            if first.setdefault(one.window, one.counts) != one.counts
+        ]
+
+    def _tokens_out_of_order(self) -> list[str]:
+        problems = []
+        for before, after in zip(self.reports, self.reports[1:], strict=False):
+            if after.token < before.token:
+                problems.append(f"token {after.token} after {before.token}")
+            if after.token == before.token and after.holder != before.holder:
+                problems.append(f"token {after.token} of {before.holder} and {after.holder}")
+        return problems
+
+    def _answer(
+        self, environment: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        body = json.loads(environment["wsgi.input"].read())
+        if self.refused:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        self.reports.append(
+            ReceivedReport(
+                int(body["WindowId"]),
+                dict(body["Counts"]),
+                environment["HTTP_DUTY_HOLDER"],
+                int(environment["HTTP_FENCING_TOKEN"]),
+                time.time(),
+            )
+        )
+        gevent.sleep(self.delay_seconds)
+        if self.lost:
+            environment[_CONNECTION].abort()
+            raise AnswerAbortedError
+        start_response("200 OK", [])
+        return [b""]
--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import gevent
@@ -30,6 +30,8 @@
     started: float
     deadline_ms: str
     resumed_after: str
+    headers: dict[str, str] = field(default_factory=dict)
+    """All of its headers; names in lower case."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,6 +137,7 @@
                 time.monotonic(),
                 environment.get("HTTP_DEADLINE_MS", ""),
                 environment.get("HTTP_LAST_EVENT_ID", ""),
+                _headers(environment),
             )
         )
         return request_id
@@ -158,6 +161,15 @@
         return [b"echo " + body]
 
 
+def _headers(environment: Environment) -> dict[str, str]:
+    prefix = "HTTP_"
+    return {
+        name.removeprefix(prefix).replace("_", "-").lower(): value
+        for name, value in environment.items()
+        if name.startswith(prefix)
+    }
+
+
 class PlatformEngine(PlatformServer):
     """A model server: streams of events, weight versions, orders.
 
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -6,7 +6,7 @@
 import gevent
 
 from runkeel.api.documents import DocumentKind
-from runkeel.api.jobs import BatchJob, ItemResult, JobItem, ResultState
+from runkeel.api.jobs import BatchJob, ItemResult, JobItem, JobReference, ResultState
 from runkeel.api.machines import Address
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.errors import RunkeelError, Verdict
@@ -124,17 +124,17 @@
         self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
 
     def test_unknown_job_is_told_only_by_the_store(self):
-        self.assertIsNone(self.service.read("other", 0, 0.0))
+        self.assertIsNone(self.service.read(JobReference("other"), 0, 0.0))
         self.store.down = True
         with self.assertRaises(RunkeelError):
-            self.service.read("other", 0, 0.0)
+            self.service.read(JobReference("other"), 0, 0.0)
 
     def test_results_are_read_across_segments(self):
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
         self._put_results(0, make_results(1))
-        self.assertEqual(len(self.service.read(JOB_ID, 0, 0.0).results), 1)
+        self.assertEqual(len(self.service.read(JobReference(JOB_ID), 0, 0.0).results), 1)
         self._put_results(1, make_results(2, start=1))
-        page = self.service.read(JOB_ID, 1, 0.0)
+        page = self.service.read(JobReference(JOB_ID), 1, 0.0)
         self.assertEqual([one.text for one in page.results], ["text 1", "text 2"])
         self.assertEqual(page.total, 4)
 
@@ -143,11 +143,11 @@
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
         self._put_results(0, make_results(2))
         self._put_results(1, make_results(2, start=2))
-        self.service.item_body(JOB_ID, "")
+        self.service.item_body(JobReference(JOB_ID), "")
         self.store.call_seconds = 0.01
-        readers = [gevent.spawn(self.service.read, JOB_ID, 0, 0.0) for _ in range(4)]
+        readers = [gevent.spawn(self.service.read, JobReference(JOB_ID), 0, 0.0) for _ in range(4)]
         gevent.joinall(readers)
-        page = self.service.read(JOB_ID, 0, 0.0)
+        page = self.service.read(JobReference(JOB_ID), 0, 0.0)
         ids = [result.item_id for result in page.results]
         self.assertEqual(ids, [f"{JOB_ID}-{n}" for n in range(4)])
 
@@ -155,47 +155,49 @@
         network = CoordinatorNetwork(4)
         service = JobService(self.store, network, OtherCoordinator(), "shard")
         network.results = make_results(2)
-        self.assertEqual(len(service.read(JOB_ID, 0, 0.0).results), 2)
+        self.assertEqual(len(service.read(JobReference(JOB_ID), 0, 0.0).results), 2)
         network.results = make_results(3)
-        page = service.read(JOB_ID, 1, 0.0)
+        page = service.read(JobReference(JOB_ID), 1, 0.0)
         self.assertEqual([one.text for one in page.results], ["text 1", "text 2"])
         self.assertEqual((page.total, page.position), (4, 1))
-        self.assertEqual(service.read(JOB_ID, 3, 0.0).results, ())
+        self.assertEqual(service.read(JobReference(JOB_ID), 3, 0.0).results, ())
         self.assertEqual(network.positions, [0, 2, 3])
 
     def test_job_that_is_known_whole_is_read_without_asking_anybody(self):
         network = CoordinatorNetwork(2)
         service = JobService(self.store, network, OtherCoordinator(), "shard")
         network.results = make_results(2)
-        service.read(JOB_ID, 0, 0.0)
+        service.read(JobReference(JOB_ID), 0, 0.0)
         network.silent = True
         self.store.down = True
-        self.assertEqual([one.text for one in service.read(JOB_ID, 1, 0.0).results], ["text 1"])
-        beyond = service.read(JOB_ID, 2, 0.0)
+        self.assertEqual(
+            [one.text for one in service.read(JobReference(JOB_ID), 1, 0.0).results], ["text 1"]
+        )
+        beyond = service.read(JobReference(JOB_ID), 2, 0.0)
         self.assertEqual((beyond.results, beyond.total, beyond.position), ((), 2, 2))
 
     def test_what_a_node_has_read_is_shown_without_coordinator_and_store(self):
         network = CoordinatorNetwork(4)
         service = JobService(self.store, network, OtherCoordinator(), "shard")
         network.results = make_results(2)
-        service.read(JOB_ID, 0, 0.0)
+        service.read(JobReference(JOB_ID), 0, 0.0)
         network.silent = True
         self.store.down = True
-        page = service.read(JOB_ID, 1, 0.0)
+        page = service.read(JobReference(JOB_ID), 1, 0.0)
         self.assertEqual([one.text for one in page.results], ["text 1"])
         self.assertEqual((page.total, page.position), (4, 1))
         with self.assertRaises(RunkeelError):
-            service.read(JOB_ID, 2, 0.0)
+            service.read(JobReference(JOB_ID), 2, 0.0)
 
     def test_item_body(self):
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
-        self.assertEqual(self.service.item_body(JOB_ID, f"{JOB_ID}-2"), "Ym9keQ==")
-        self.assertIsNone(self.service.item_body(JOB_ID, "nothing"))
+        self.assertEqual(self.service.item_body(JobReference(JOB_ID), f"{JOB_ID}-2"), "Ym9keQ==")
+        self.assertIsNone(self.service.item_body(JobReference(JOB_ID), "nothing"))
 
     def test_end_is_stored_and_may_be_repeated(self):
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
-        self.assertTrue(self.service.end(JOB_ID, self._deadline()))
-        self.assertTrue(self.service.end(JOB_ID, self._deadline()))
+        self.assertTrue(self.service.end(JobReference(JOB_ID), self._deadline()))
+        self.assertTrue(self.service.end(JobReference(JOB_ID), self._deadline()))
         self.assertEqual(self.store.names(DocumentKind.JOB_END), [JOB_ID])
 
     def test_end_of_an_unknown_job(self):
--- /dev/null
+++ b/tests/users_platform/test_tenants.py
@@ -0,0 +1,178 @@
+"""Tenants on the stand-in of the platform: keys, whose job it is, what servers are told."""
+
+import json
+import unittest
+
+from loguru import logger
+
+from runkeel_lab.users_platform.deployment import (
+    COUNT_PREFIX,
+    SCORE_PREFIX,
+    configuration,
+    tenant,
+    with_key,
+)
+from tests.users_platform.deployment_case import DeploymentTestCase
+
+PARISH_KEY = "key-of-the-parish-1"
+PARISH_SECOND_KEY = "key-of-the-parish-2"
+SCHOOL_KEY = "key-of-the-school-1"
+KEYS = (PARISH_KEY, PARISH_SECOND_KEY, SCHOOL_KEY)
+TENANTS = (
+    tenant("parish", PARISH_KEY, PARISH_SECOND_KEY, priority=3),
+    tenant("school", SCHOOL_KEY),
+)
+
+
+class TenantTest(DeploymentTestCase):
+    def count(self, deployment, headers, request_id="r", prefix=COUNT_PREFIX):
+        given = {"Attempt-Id": request_id, **headers}
+        return deployment.call("edge-0", "POST", f"{prefix}x", given, b"b")
+
+    def runs(self, deployment, request_id):
+        servers = [*deployment.applications, *deployment.engines]
+        return [run for one in servers for run in one.runs if run.request_id == request_id]
+
+    def test_request_needs_a_known_key_and_tells_the_server_its_tenant(self):
+        deployment = self.start(tenants=TENANTS)
+        for headers in (
+            {},
+            {"Authorization": ""},
+            {"Authorization": f"Basic {PARISH_KEY}"},
+            with_key("unknown"),
+        ):
+            answer = self.count(deployment, headers)
+            self.assertEqual(answer.status, 401, headers)
+            self.assertEqual(json.loads(answer.body)["code"], "unauthorized")
+            self.assertEqual(json.loads(answer.body)["verdict"], "not_run")
+        self.assertEqual(self.runs(deployment, "r"), [])
+        answer = self.count(deployment, with_key(PARISH_SECOND_KEY), "known")
+        self.assertEqual(answer.status, 200)
+        (run,) = self.runs(deployment, "known")
+        self.assertEqual(run.headers["tenant"], "parish")
+        self.assertNotIn("authorization", run.headers)
+
+    def test_public_route_needs_none_beside_others_that_do(self):
+        deployment = self.start(tenants=TENANTS)
+        answer = self.count(deployment, {"Tenant": "school"}, "open", SCORE_PREFIX)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.count(deployment, {}, "closed").status, 401)
+        answer = self.count(deployment, with_key(PARISH_KEY), "keyed", SCORE_PREFIX)
+        self.assertEqual(answer.status, 200)
+        for request_id in ("open", "keyed"):
+            (run,) = self.runs(deployment, request_id)
+            self.assertNotIn("tenant", run.headers)
+            self.assertNotIn("authorization", run.headers)
+
+    def test_client_cannot_name_its_tenant(self):
+        deployment = self.start(tenants=TENANTS)
+        for number, name in enumerate(("Tenant", "tenant", "TENANT")):
+            headers = {name: "school", **with_key(PARISH_KEY)}
+            self.assertEqual(self.count(deployment, headers, f"n{number}").status, 200)
+            (run,) = self.runs(deployment, f"n{number}")
+            self.assertEqual(run.headers["tenant"], "parish")
+
+    def test_items_run_for_the_jobs_tenant_whatever_their_headers_say(self):
+        deployment = self.start(tenants=TENANTS)
+        items = [f"t1-g{n // 4}-{n}" for n in range(8)]
+        headers = {"tenant": "school", "Authorization": f"Bearer {SCHOOL_KEY}"}
+        status = deployment.submit("edge-0", "t1", items, key=PARISH_KEY, item_headers=headers)
+        self.assertEqual(status, 202)
+        results = self.wait(
+            lambda: (
+                (read := deployment.results("edge-1", "t1", key=PARISH_SECOND_KEY)) is not None
+                and len(read) == len(items)
+                and read
+            )
+        )
+        self.assertEqual({result["State"] for result in results}, {"completed"})
+        for item in items:
+            for run in self.runs(deployment, item):
+                self.assertEqual(run.headers["tenant"], "parish")
+                self.assertNotIn("authorization", run.headers)
+                self.assertEqual(run.headers["priority-class"], "3")
+            for run in self.runs(deployment, f"score-{item}"):
+                self.assertNotIn("tenant", run.headers)
+
+    def test_job_is_not_there_for_another_tenant(self):
+        deployment = self.start(tenants=TENANTS)
+        items = [f"t2-g0-{n}" for n in range(4)]
+        self.assertEqual(deployment.submit("edge-0", "t2", items, key=PARISH_KEY), 202)
+        read = "/runkeel/lots/t2?AfterRevision=0"
+        body = f"/runkeel/items/t2?Id={items[0]}"
+        for edge in deployment.edge_names:
+            for method, target in (("GET", read), ("GET", body), ("DELETE", "/runkeel/lots/t2")):
+                other = deployment.call(edge, method, target, with_key(SCHOOL_KEY))
+                nobody = deployment.call(edge, method, target)
+                absent = deployment.call(
+                    edge, method, target.replace("t2", "none"), with_key(SCHOOL_KEY)
+                )
+                self.assertEqual((other.status, nobody.status), (404, 401), target)
+                self.assertEqual(other.body, absent.body)
+        self.wait(lambda: len(deployment.results("edge-0", "t2", key=PARISH_KEY) or ()) == 4)
+        # Also from what nodes keep of results, once all of them are read.
+        for edge in deployment.edge_names:
+            self.assertEqual(len(deployment.results(edge, "t2", key=PARISH_KEY)), 4)
+            self.assertIsNone(deployment.results(edge, "t2", key=SCHOOL_KEY))
+        self.assertEqual(deployment.submit("edge-0", "t2", items, key=SCHOOL_KEY), 409)
+        self.assertEqual(deployment.submit("edge-1", "t2", items, key=PARISH_SECOND_KEY), 202)
+
+    def test_key_taken_away_ends_no_job(self):
+        deployment = self.start(tenants=TENANTS)
+        for engine in deployment.engines:
+            engine.event_seconds = 0.03
+        items = [f"t3-g0-{n}" for n in range(8)]
+        self.assertEqual(deployment.submit("edge-0", "t3", items, key=PARISH_KEY), 202)
+        changed = (tenant("parish", PARISH_SECOND_KEY), tenant("school", SCHOOL_KEY))
+        deployment.configure(configuration(2, tenants=changed))
+        self.wait(lambda: self.count(deployment, with_key(PARISH_KEY)).status == 401)
+        self.wait(lambda: len(deployment.results("edge-0", "t3", key=PARISH_SECOND_KEY)) == 8)
+        self.assertEqual(deployment.end("edge-0", "t3", key=PARISH_SECOND_KEY), 200)
+
+    def test_open_connection_is_checked_at_each_request(self):
+        deployment = self.start(tenants=TENANTS)
+        self.assertEqual(self.count(deployment, with_key(SCHOOL_KEY)).status, 200)
+        deployment.configure(configuration(2, tenants=(tenant("parish", PARISH_KEY),)))
+        self.wait(lambda: self.count(deployment, with_key(SCHOOL_KEY)).status == 401)
+
+    def test_items_that_go_on_after_the_coordinators_loss_keep_their_tenant(self):
+        deployment = self.start(disks=2, tenants=TENANTS)
+        for engine in deployment.engines:
+            engine.event_seconds = 0.03
+        items = [f"t4-g0-{n}" for n in range(16)]
+        self.assertEqual(deployment.submit("edge-0", "t4", items, key=SCHOOL_KEY), 202)
+        self.wait(lambda: any(engine.running for engine in deployment.engines))
+        deployment.kill_node(deployment.coordinators()[0])
+        self.wait(lambda: len(deployment.results("edge-0", "t4", key=SCHOOL_KEY) or ()) == 16)
+        runs = [run for item in items for run in self.runs(deployment, item)]
+        self.assertEqual({run.headers["tenant"] for run in runs}, {"school"})
+
+    def test_no_key_is_logged_stored_or_told_to_a_node(self):
+        lines = []
+        sink = logger.add(lambda line: lines.append(str(line)), level=0, serialize=True)
+        self.addCleanup(logger.remove, sink)
+        deployment = self.start(disks=2, tenants=TENANTS)
+        items = [f"t5-g0-{n}" for n in range(4)]
+        headers = {"Authorization": f"Bearer {PARISH_KEY}"}
+        deployment.submit("edge-0", "t5", items, key=PARISH_KEY, item_headers=headers)
+        self.wait(lambda: len(deployment.results("edge-1", "t5", key=PARISH_KEY) or ()) == 4)
+        self.count(deployment, with_key(SCHOOL_KEY + "x"))
+        stored = [
+            json.dumps(one.content)
+            for one in deployment.store.objects.everything()
+            if one.kind != "config"
+        ]
+        kept = [
+            json.dumps(document.content)
+            for name in deployment.node_names
+            for watcher in deployment.node(name).node._followed
+            for document in watcher.documents.values()
+        ]
+        self.assertTrue(stored and kept and lines)
+        for key in KEYS:
+            for text in (*lines, *stored, *kept):
+                self.assertNotIn(key, text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/users_platform/test_usage.py
@@ -0,0 +1,63 @@
+"""Reports of usage by a whole deployment."""
+
+import time
+import unittest
+
+from runkeel.api.duties import UsageSettings
+from runkeel_lab.users_platform.deployment import COUNT_PREFIX, tenant, with_key
+from tests.users_platform.deployment_case import DeploymentTestCase
+
+TENANTS = (tenant("parish", "p"), tenant("school", "s"))
+SETTINGS = UsageSettings(1.0, 4.0)
+
+
+class UsageTest(DeploymentTestCase):
+    def ask(self, deployment, edge, key, number):
+        headers = {"Attempt-Id": f"u{number}", **with_key(key)}
+        answer = deployment.call(edge, "POST", f"{COUNT_PREFIX}x", headers, b"b")
+        return answer is not None and answer.status == 200
+
+    def reported(self, deployment, tenant_name):
+        windows = {one.window: one.counts for one in deployment.duties.reports}
+        return sum(counts.get(tenant_name, 0) for counts in windows.values())
+
+    def test_each_request_is_reported_once(self):
+        deployment = self.start(tenants=TENANTS, usage=SETTINGS)
+        for number in range(20):
+            self.assertTrue(self.ask(deployment, f"edge-{number % 2}", "p", number))
+        self.assertFalse(self.ask(deployment, "edge-0", "unknown", 100))
+        self.assertTrue(self.ask(deployment, "edge-0", "s", 101))
+        self.wait(lambda: self.reported(deployment, "parish") == 20)
+        self.wait(lambda: self.reported(deployment, "school") == 1)
+        self.assertEqual(deployment.duties.problems(), [])
+        for one in deployment.duties.reports:
+            late = one.received_at - (one.window + 1) * SETTINGS.window_seconds
+            self.assertLess(late, SETTINGS.late_seconds)
+
+    def test_counts_outlive_the_coordinator_and_the_node_that_counted(self):
+        deployment = self.start(disks=2, tenants=TENANTS, usage=SETTINGS)
+        for number in range(12):
+            self.assertTrue(self.ask(deployment, "edge-0", "p", number))
+        # Told within a tenth of a second, and in the store half a second later.
+        time.sleep(0.9)
+        deployment.kill_node("edge-0")
+        deployment.kill_node(deployment.coordinators()[0])
+        deployment.start_node("edge-0")
+        self.wait(lambda: self.reported(deployment, "parish") == 12)
+        self.assertEqual(deployment.duties.problems(), [])
+
+    def test_lost_answers_of_the_platform(self):
+        deployment = self.start(disks=2, tenants=TENANTS, usage=SETTINGS)
+        deployment.duties.lost = True
+        for number in range(8):
+            self.assertTrue(self.ask(deployment, "edge-0", "p", number))
+        self.wait(lambda: self.reported(deployment, "parish") == 8)
+        deployment.kill_node(deployment.coordinators()[0])
+        self.wait(lambda: len({one.holder for one in deployment.duties.reports}) == 2)
+        deployment.duties.lost = False
+        self.assertEqual(deployment.duties.problems(), [])
+        self.assertEqual(self.reported(deployment, "parish"), 8)
+
+
+if __name__ == "__main__":
+    unittest.main()
