--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -30,7 +30,7 @@
 from runkeel.coordination.peers import LAST_RANK, PeerRegistry
 from runkeel.coordination.succession import Succession
 from runkeel.coordination.witnesses import reached_by_others
-from runkeel.errors import RunkeelError
+from runkeel.errors import RunkeelError, Verdict
 from runkeel.metrics import COORDINATING
 from runkeel.state.document_watcher import (
     RESTING_PROBE_SECONDS,
@@ -48,6 +48,9 @@
 from runkeel.wire.network import PeerNetwork
 
 PING_SECONDS = 0.5
+FIRST_PING_SECONDS = 0.25
+"""Pause between pings of the first in rank: a silence is counted from the first that fails."""
+
 SLOW_PING_SECONDS = 1.0
 """Pause between pings of nodes out of rank, which do not take over first.
 
@@ -73,6 +76,18 @@
 WITNESS_SECONDS = 0.8
 """Longest wait for what the witnesses say. Chosen: a little over two pings' time-outs."""
 
+ASKED_SUCCESSORS = 2
+"""So many are asked; where both are lost as well, the store tells."""
+
+REMEMBERED_SUCCESSORS = 8
+"""Those told last and before: a coordinator that is new has not heard of all of them yet."""
+
+TENTATIVE_CHECK_SECONDS = 0.1
+"""Pause before a node that runs items on looks again whether the store is back.
+
+It looks at what the node's own calls have found; no call is made for it.
+"""
+
 ASK_SUCCESSORS_SECONDS = 0.2
 """Pause between questions to the likeliest successors: all nodes ask them at once."""
 
@@ -116,11 +131,14 @@
 class Terms(Protocol):
     """What happens when this node becomes coordinator, and when it no longer is."""
 
+    def begin_tentative_term(self, epoch: int) -> None:
+        """Run items on while the store is away, in a term that it has still to confirm."""
+
     def begin_term(self, epoch: int) -> None:
-        """Coordinate from now on."""
+        """Coordinate from now on; a tentative term of this epoch is confirmed."""
 
     def end_term(self) -> None:
-        """Coordinate no more."""
+        """Coordinate no more, or run items on no more."""
 
 
 class Election:
@@ -166,8 +184,13 @@
             first_list=Freshness.ANY_AGE,
         )
         self._coordinator: Coordinator | None = None
+        self._listeners: list[Callable[[], None]] = []
         self._epoch = 0
         """Epoch in which this node coordinates, 0 when it does not."""
+        self._tentative_epoch = 0
+        """Epoch in which it will coordinate if the store says so; 0: none."""
+        self._unanswered_epoch = 0
+        """Epoch that it has claimed and of which the store has not answered yet; 0: none."""
         self._peers = PeerRegistry(candidate.zone)
         self._predecessor: Coordinator | None = None
         self._witnesses: dict[str, NodeAddress] = {}
@@ -228,9 +251,11 @@
         if known is not None and known.epoch >= epoch:
             return
         told = Coordinator(address.node_id, Address.parse(address.address), address.zone, epoch)
-        self._coordinator = told
-        if self._epoch and epoch > self._epoch:
-            self._step_down(f"{told.node_id} took over")
+        self._know(told)
+
+    def on_coordinator(self, listener: Callable[[], None]) -> None:
+        """Have a listener called whenever another term is known, however it was told."""
+        self._listeners.append(listener)
 
     @property
     def known_successor(self) -> Coordinator | None:
@@ -250,6 +275,25 @@
         """Return the nodes that have pinged this coordinator lately."""
         return self._peers.addresses()
 
+    @property
+    def tentative(self) -> bool:
+        """Whether this node runs items on until the store is back."""
+        return self._tentative_epoch > 0
+
+    def likely_successors(self) -> list[str]:
+        """Return the nodes that get copies of the open jobs: those that are asked first."""
+        return [one.node_id for one in self._peers.successors()[:ASKED_SUCCESSORS]]
+
+    def keepers(self) -> list[str]:
+        """Return the nodes that keep jobs for the store: the coordinator and its successors."""
+        known = self._coordinator
+        if self.coordinating:
+            successors = [one.node_id for one in self._peers.successors()]
+            return list(dict.fromkeys([self._node_id, *successors, *self._successors]))
+        own = [self._node_id] if self._preferred else []
+        leading = [known.node_id] if known is not None else []
+        return list(dict.fromkeys([*own, *leading, *self._successors]))
+
     @property
     def silent_peers(self) -> int:
         """Nodes that pinged this coordinator lately and have fallen silent."""
@@ -297,6 +341,7 @@
     def leave(self) -> None:
         """Stop coordinating as planned, so that a successor steps in at once."""
         self._stopping = True
+        self._end_tentative("this node stops")
         self._step_down("this node stops")
 
     def stop(self) -> None:
@@ -314,9 +359,19 @@
         if self._coordinator is not None and told.epoch < self._coordinator.epoch:
             # Its successor has told of itself before the store's news came.
             return
+        self._know(told)
+
+    def _know(self, told: Coordinator) -> None:
+        """Go by a coordinator, and step down for one of a later term."""
+        before = self._coordinator
         self._coordinator = told
-        if self._epoch and self._coordinator.epoch > self._epoch:
-            self._step_down(f"{self._coordinator.node_id} took over")
+        if self._epoch and told.epoch > self._epoch:
+            self._step_down(f"{told.node_id} took over")
+        if self._tentative_epoch and told.epoch >= self._tentative_epoch and not self._is_own(told):
+            self._end_tentative(f"{told.node_id} took over")
+        if before is None or before.epoch != told.epoch:
+            for listener in self._listeners:
+                listener()
 
     def _run(self) -> None:
         self._watcher.listed.wait()
@@ -332,14 +387,33 @@
                 self._succession.note_contact()
                 gevent.sleep(PING_SECONDS)
                 continue
+            if known is not None and self._is_own(known):
+                self._gain(known.epoch, "the store has taken an earlier claim")
+                continue
             if known is None or known.node_id == self._node_id:
                 self._claim(known, "no other coordinator")
                 continue
             if known.epoch != seen_epoch:
                 seen_epoch = known.epoch
                 self._succession.begin()
+            if self._tentative_epoch:
+                gevent.sleep(self._confirm_tentative(known))
+                continue
             gevent.sleep(self._follow(known))
 
+    def _confirm_tentative(self, known: Coordinator) -> float:
+        """Claim the place once the store is back; returns when to look again.
+
+        A coordinator that turns out to serve keeps its place.
+        """
+        pong = self._ping(known)
+        if pong is not None and pong.coordinator:
+            self._end_tentative(f"{known.node_id} serves")
+            self._succession.note_contact()
+        elif self._reaches_store():
+            self._claim(known, "the store is back")
+        return TENTATIVE_CHECK_SECONDS
+
     def _follow(self, known: Coordinator) -> float:
         """Ping the coordinator, replace it if that is due; returns when to ping again."""
         asked_at = time.monotonic()
@@ -350,8 +424,11 @@
             self._lease.observe(pong.lease_revision, pong.lease_age_ms / 1000.0)
             if pong.witnesses:
                 self._witnesses = {one.node_id: one for one in pong.witnesses}
-            if pong.successors:
-                self._successors = {one.node_id: one for one in pong.successors}
+            self._note_successors(pong.successors or [])
+            if pong.coordinator and (pong.epoch or 0) > known.epoch:
+                # It has restarted, and coordinates in a later term.
+                address = NodeAddress(known.node_id, str(known.address), known.zone)
+                self.note_successor(address, pong.epoch)
         # Time in which this process itself stood still doesn't count.
         asked_at = max(asked_at, time.monotonic() - PING_TIMEOUT_SECONDS)
         if self._succession.serves(pong):
@@ -360,6 +437,8 @@
         if not self._succession.is_due(pong, asked_at):
             if self._succession.may_be_replaced:
                 self._ask_successors(known)
+            if pong is None and self._may_serve_tentatively(known):
+                self._begin_tentative(known)
             return FAILING_PING_SECONDS if pong is None else PING_SECONDS / 2
         if pong is None and self._witnessed(known):
             logger.info(
@@ -376,6 +455,53 @@
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
+    def _note_successors(self, told: list[NodeAddress]) -> None:
+        """Remember who was told now, then who was told before."""
+        successors = {one.node_id: one for one in told}
+        for node_id, address in self._successors.items():
+            if len(successors) < REMEMBERED_SUCCESSORS:
+                successors.setdefault(node_id, address)
+        self._successors = successors
+
+    def _may_serve_tentatively(self, known: Coordinator) -> bool:
+        """Return whether nobody serves, and nobody could be told by the store to."""
+        if not self._preferred or not self._succession.may_serve_tentatively:
+            return False
+        answers = self._ask(list(self._successors), known)
+        if any(pong.tentative or pong.coordinator for pong in answers.values()):
+            return False
+        if any(pong.store_reachable for pong in answers.values()):
+            return False
+        return not self._witnessed(known)
+
+    def _begin_tentative(self, known: Coordinator) -> None:
+        epoch = known.epoch + 1
+        logger.warning(
+            "runs items until the store is back",
+            code="coordinator_tentative",
+            epoch=epoch,
+            coordinator=known.node_id,
+            silent_ms=int(self._succession.silent_seconds * 1000),
+        )
+        self._tentative_epoch = epoch
+        self._terms.begin_tentative_term(epoch)
+
+    def _end_tentative(self, reason: str) -> None:
+        if not self._tentative_epoch:
+            return
+        logger.info(
+            "runs items no more",
+            code="coordinator_tentative_ended",
+            epoch=self._tentative_epoch,
+            reason=reason,
+        )
+        self._tentative_epoch = 0
+        self._terms.end_term()
+
+    def _is_own(self, told: Coordinator) -> bool:
+        """Return whether a coordinator's document is a claim of this process, unanswered so far."""
+        return told.node_id == self._node_id and told.epoch == self._unanswered_epoch
+
     def _ask_successors(self, known: Coordinator) -> None:
         """Ask the likeliest successors whether one of them coordinates now.
 
@@ -385,16 +511,20 @@
         if now - self._asked_successors_at < ASK_SUCCESSORS_SECONDS:
             return
         self._asked_successors_at = now
-        others = [one for one in self._successors if one not in (self._node_id, known.node_id)]
+        answers = self._ask(list(self._successors)[:ASKED_SUCCESSORS], known)
+        for node_id, pong in answers.items():
+            if pong.coordinator and pong.epoch > known.epoch:
+                self.note_successor(self._successors[node_id], pong.epoch)
+
+    def _ask(self, node_ids: list[str], known: Coordinator) -> dict[str, CoordinatorPong]:
+        """Ping other nodes than the coordinator, all at once; returns who answered what."""
         message = CoordinatorPing(
             self._shard, known.epoch, self._preferred, self._own_address, coordinating=False
         )
+        others = [one for one in node_ids if one not in (self._node_id, known.node_id)]
         asked = {one: gevent.spawn(self._call_ping, one, message) for one in others}
         gevent.joinall(list(asked.values()), timeout=PING_TIMEOUT_SECONDS)
-        for node_id, task in asked.items():
-            pong = task.value
-            if pong is not None and pong.coordinator and pong.epoch > known.epoch:
-                self.note_successor(self._successors[node_id], pong.epoch)
+        return {one: task.value for one, task in asked.items() if task.value is not None}
 
     def _witnessed(self, known: Coordinator) -> bool:
         others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
@@ -441,7 +571,7 @@
         if self._epoch and ping.epoch > self._epoch:
             self._step_down(f"{peer} knows epoch {ping.epoch}")
         rank = self._peers.note(peer, ping.sender, ping.preferred)
-        interval = PING_SECONDS
+        interval = PING_SECONDS if rank else FIRST_PING_SECONDS
         if rank == LAST_RANK:
             interval = self._slow_pause()
         lease_revision, lease_age = self._lease.confirmation
@@ -455,6 +585,7 @@
             int(lease_age * 1000),
             self._peers.successors(),
             self._epoch,
+            self.tentative,
         )
         return MessageType.COORDINATOR_PONG, pong
 
@@ -467,14 +598,22 @@
         epoch = (known.epoch if known else 0) + 1
         address = Address.parse(self._own_address.address)
         claim = Coordinator(self._node_id, address, self._zone, epoch)
+        # The watch may bring this claim before the answer comes.
+        unanswered_before, self._unanswered_epoch = self._unanswered_epoch, epoch
         try:
             claim.write(self._store, self._shard, known)
         except DocumentConflictError as conflict:
+            if self._claimed_already(conflict.current, epoch):
+                self._gain(epoch, reason)
+                return
+            self._unanswered_epoch = 0
             if conflict.current is not None:
                 self._changed(conflict.current, removed=False)
             gevent.sleep(random.uniform(0.0, _CLAIM_RETRY_SECONDS))
             return
         except RunkeelError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                self._unanswered_epoch = unanswered_before
             logger.info(
                 "place not claimed", code="claim_failed", epoch=epoch, error=str(error.code)
             )
@@ -485,8 +624,20 @@
             self._predecessor = known
             gevent.spawn(self._tell_predecessor, known, epoch)
 
+    def _claimed_already(self, document: Document | None, epoch: int) -> bool:
+        """Return whether the store has taken a claim of this process that it did not answer."""
+        if document is None or document.name != self._shard or epoch != self._unanswered_epoch:
+            return False
+        told = Coordinator.from_document(document)
+        if told.epoch != epoch or not self._is_own(told):
+            return False
+        self._coordinator = told
+        return True
+
     def _gain(self, epoch: int, reason: str) -> None:
-        self._epoch = epoch
+        if self._tentative_epoch != epoch:
+            self._end_tentative("another term begins")
+        self._epoch, self._tentative_epoch, self._unanswered_epoch = epoch, 0, 0
         self._gained_at = time.monotonic()
         self._watcher.rewatch()
         self._peers.clear()
--- a/src/runkeel/coordination/peers.py
+++ b/src/runkeel/coordination/peers.py
@@ -28,10 +28,10 @@
 They are of the coordinator's own zone if possible, as bytes between zones are dear.
 """
 
-TOLD_SUCCESSORS = 2
-"""So many are told to each node, which asks them first who coordinates after a loss.
+TOLD_SUCCESSORS = 5
+"""So many are told to each node: who coordinates after a loss, and who keeps jobs for the store.
 
-Where both are lost as well, the store tells.
+Together with the coordinator that is twice as many as must keep a job where two may be lost.
 """
 
 WITNESSES = 6
@@ -106,9 +106,8 @@
         return [*successors, *further[:KEEPERS]]
 
     def successors(self) -> list[NodeAddress]:
-        """Return the nodes that are likeliest to replace this coordinator."""
-        names = self._succession() or [name for name, _ in self._live()]
-        return [self._peers[name].address for name in names[:TOLD_SUCCESSORS]]
+        """Return the preferred nodes that are likeliest to replace this coordinator, in order."""
+        return [self._peers[name].address for name in self._succession()[:TOLD_SUCCESSORS]]
 
     def witnesses_for(self, node_id: str) -> list[NodeAddress]:
         """Return some other nodes of all zones, in each those that are not preferred first."""
--- a/src/runkeel/coordination/succession.py
+++ b/src/runkeel/coordination/succession.py
@@ -28,6 +28,9 @@
 STORE_LOST_SECONDS = 1.0
 """A coordinator that has lost the store for so long is replaced by a node that reaches it."""
 
+TENTATIVE_SECONDS = 0.3
+"""So much longer than for a claim a node waits before it runs items without the store."""
+
 RECLAIM_SECONDS = 0.4
 """A coordinator that has restarted gets so long to take its place again.
 
@@ -66,6 +69,14 @@
         failing_since = self._failing_since
         return bool(failing_since) and time.monotonic() - failing_since > SILENCE_SECONDS
 
+    @property
+    def may_serve_tentatively(self) -> bool:
+        """Whether it is this node's turn to run items on without the store."""
+        if self._reaches_store() or self._rank >= LAST_RANK or not self._failing_since:
+            return False
+        turn = SILENCE_SECONDS + TENTATIVE_SECONDS + RANK_SECONDS * self._rank
+        return time.monotonic() - self._failing_since >= turn
+
     def begin(self) -> None:
         """Follow another coordinator from now on."""
         self.note_contact()
--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import gevent
@@ -19,7 +19,10 @@
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.engine_versions import report_versions
 from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.job_copies import CopiedJob, JobCopySender
+from runkeel.jobs.job_documents import EncodedJob
 from runkeel.jobs.scheduler import Scheduler
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.text_journal import TextJournal
@@ -93,6 +96,10 @@
         self._store = parts.store
         self._translator = parts.translator
         self.targets: dict[str, int] = {}
+        self.tentative = False
+        self._directory = parts.directory
+        self._protocol = parts.protocol
+        self._services = lambda: _generating_services(parts.routing)
         self._starter: gevent.Greenlet | None = None
         self._placement = EnginePlacement(
             parts.directory, lambda backend_id, model: self._rollout.is_loading(backend_id, model)
@@ -125,6 +132,13 @@
             parts.journal,
             self.scheduler.finished,
         )
+        self._copy_sender = JobCopySender(
+            parts.network,
+            parts.shard,
+            epoch,
+            lambda: self.jobs.all(),
+            parts.election.likely_successors,
+        )
         self._rollout = VersionRollout(
             parts.directory,
             parts.protocol,
@@ -157,13 +171,39 @@
             DocumentWatcher(parts.store, DocumentKind.RETIREMENT, self._retirement_asked),
         ]
 
+    def start_tentatively(
+        self, copies: Iterable[CopiedJob], handed_over: Iterable[tuple[str, EncodedJob]]
+    ) -> None:
+        """Run items on while the store is away and can't say who coordinates.
+
+        Nothing is listed and no order is given before :meth:`start`.
+
+        Args:
+            copies: the open jobs of the coordinator before.
+            handed_over: jobs that this node keeps for the store.
+        """
+        self.tentative = True
+        self._starter = gevent.spawn(self._begin_tentatively, list(copies), list(handed_over))
+
+    def _begin_tentatively(
+        self, copies: list[CopiedJob], handed_over: list[tuple[str, EncodedJob]]
+    ) -> None:
+        """Only a coordinator follows the engines' versions, so that they are asked first."""
+        reported = report_versions(self._directory, self._protocol, self._services())
+        self._placement.versions.update(reported)
+        self.jobs.begin_tentatively(copies)
+        for job_id, encoded in handed_over:
+            self.jobs.handed_over(job_id, encoded)
+
     def start(self) -> None:
         """Start to coordinate."""
+        self.tentative = False
         for watcher in self._watchers:
             watcher.start()
         self.runners.start()
         self.jobs.start()
         self._sender.start()
+        self._copy_sender.start()
         if self.usage is not None:
             self.usage.start()
         self._starter = gevent.spawn(self._start_rollout)
@@ -175,6 +215,7 @@
         if self.usage is not None:
             self.usage.stop()
         self._sender.stop()
+        self._copy_sender.stop()
         self._rollout.stop()
         self.jobs.stop()
         self.runners.stop()
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -33,6 +33,11 @@
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable
+from runkeel.handoff.hint_client import HintClient
+from runkeel.handoff.hint_log import HintLog
+from runkeel.handoff.hint_service import HintService
+from runkeel.jobs.job_copies import JobCopyKeeper
+from runkeel.jobs.job_documents import EncodedJob
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.service import JobService
@@ -58,6 +63,9 @@
 
 SHARD = "fleet"
 
+HINT_FOLDER = "jobs"
+"""Folder of the jobs that are kept until the store takes them."""
+
 TEXT_FOLDER = "texts"
 """Folder of the journal of running texts, within a machine's data folder."""
 
@@ -92,6 +100,7 @@
         data_folder: on this machine's disk; None: it has none.
         first_start: the whole system starts for the first time; there is no coordinator yet.
         usage: what the platform wants to be told of tenants' usage; None: nothing.
+        tolerated_losses: machines with disks that may be lost at once; None: there are none.
     """
 
     node_id: str
@@ -106,6 +115,7 @@
     data_folder: Path | None = None
     first_start: bool = False
     usage: UsageSettings | None = None
+    tolerated_losses: int | None = None
 
 
 class FleetNode:
@@ -187,17 +197,27 @@
         )
         self._routing_watcher.on_change(self._feed.note)
         self._election.watcher.on_change(self._feed.note)
-        self.jobs = JobService(store, self._network, self._election, SHARD)
         folder = settings.data_folder
+        copies = settings.tolerated_losses + 1 if settings.tolerated_losses is not None else 0
+        hints = HintClient(self._network, SHARD, self._election.keepers, copies)
+        self.jobs = JobService(store, self._network, self._election, SHARD, hints)
+        self.hints = HintService(
+            self._network,
+            SHARD,
+            store,
+            HintLog(folder / HINT_FOLDER) if folder is not None else None,
+            self._job_handed_over,
+        )
         self._journal = TextJournal(folder / TEXT_FOLDER) if folder is not None else None
         self._copies = TextCopies(self._network, self._journal)
+        self._job_copies = JobCopyKeeper(self._network)
         self._hand_over = TextHandOver(
             self._network,
             SHARD,
             self._copies,
             lambda: self._term.scheduler if self._term is not None else None,
         )
-        self._election.watcher.on_change(self._coordinator_changed)
+        self._election.on_coordinator(self._offer_texts)
         self._term: CoordinatorTerm | None = None
         scorer = Scorer(self.forwarder, self.routing, protocol)
         self._lateness = Lateness()
@@ -242,7 +262,7 @@
     @property
     def coordinating(self) -> bool:
         """Whether this node coordinates batch jobs and weight versions."""
-        return self._term is not None
+        return self._term is not None and not self._term.tentative
 
     @property
     def node_id(self) -> str:
@@ -292,6 +312,7 @@
         delay = self._first_election_seconds()
         self._election.start(self._network.address, delay)
         self._follower.start(self._followed, delay)
+        self.hints.start()
         if self._settings.usage is not None:
             self._teller.start()
 
@@ -312,6 +333,7 @@
     def stop(self) -> None:
         """End every part."""
         self._teller.stop()
+        self.hints.stop()
         self.end_term()
         self._runner.stop()
         self._lateness.stop()
@@ -324,12 +346,12 @@
             self._journal.close()
 
     def _watch_seconds(self) -> float:
-        if self._term is not None:
+        if self.coordinating:
             return coordinator_watch_seconds(self._settings.news_seconds)
         return NODE_WATCH_SECONDS
 
     def _backend_gather_seconds(self) -> float:
-        if self._term is not None:
+        if self.coordinating:
             return COORDINATOR_GATHER_SECONDS
         return NODE_GATHER_SHARE * self._settings.news_seconds
 
@@ -353,10 +375,11 @@
     def _invited(self, address: NodeAddress, epoch: int) -> None:
         """Take note of a coordinator that wants this node to run items."""
         self._election.note_successor(address, epoch)
-        self._offer_texts()
 
-    def _coordinator_changed(self, document: Document, removed: bool) -> None:
-        self._offer_texts()
+    def _job_handed_over(self, job_id: str, encoded: EncodedJob) -> None:
+        """Run a job that the store will have later; only if this node coordinates."""
+        if self._term is not None:
+            self._term.jobs.handed_over(job_id, encoded)
 
     def _offer_texts(self) -> None:
         """Offer copies to a new coordinator: those before it may have lost theirs."""
@@ -383,16 +406,25 @@
         if self._term is not None:
             self._term.wake()
 
+    def begin_tentative_term(self, epoch: int) -> None:
+        """Run items on until the store is back; called by the election."""
+        self._make_term(epoch)
+        self._term.start_tentatively(self._job_copies.jobs(), self.hints.jobs())
+
     def begin_term(self, epoch: int) -> None:
         """Coordinate; called by the election."""
-        self._term = CoordinatorTerm(self._term_parts, epoch, self._copies.take())
-        self.jobs.local = self._term.jobs
+        if self._term is None:
+            self._make_term(epoch)
         self._term.start()
         self._follower.ask_store("this node coordinates")
         self._routing_watcher.rewatch()
         # What it has been told leaves out the weight versions.
         self._backend_watcher.refresh("this node coordinates")
 
+    def _make_term(self, epoch: int) -> None:
+        self._term = CoordinatorTerm(self._term_parts, epoch, self._copies.take())
+        self.jobs.local = self._term.jobs
+
     def end_term(self) -> None:
         """Coordinate no more; called by the election."""
         term, self._term = self._term, None
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -4,7 +4,7 @@
 
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 import gevent
@@ -15,7 +15,13 @@
 from runkeel.api.jobs import BatchJob, ResultPage
 from runkeel.coordination.rollout_plan import ModelDemand
 from runkeel.errors import RunkeelError
-from runkeel.jobs.job_documents import decode_job, parts_of_job
+from runkeel.jobs.job_copies import CopiedJob
+from runkeel.jobs.job_documents import (
+    EncodedJob,
+    decode_encoded_job,
+    decode_job,
+    parts_of_job,
+)
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.job_store import JobStore
 from runkeel.jobs.result_writer import ResultWriter, SupersededError
@@ -102,6 +108,8 @@
         self._jobs: dict[str, JobState] = {}
         self._ended: set[str] = set()
         self._loading: set[str] = set()
+        self._unconfirmed: dict[str, JobState] = {}
+        """Jobs that run already, and of which the store has not told yet."""
         self._tasks: set[gevent.Greenlet] = set()
         self._ends = DocumentWatcher(store, DocumentKind.JOB_END, self._end_changed)
         self._submissions = DocumentWatcher(store, DocumentKind.JOB, self._job_changed)
@@ -129,6 +137,36 @@
         if job_id not in self._jobs and job_id not in self._ended:
             self._spawn(self._fetch, job_id)
 
+    def handed_over(self, job_id: str, encoded: EncodedJob) -> None:
+        """Run a job that is accepted and not in the store yet; it is listed once it is there."""
+        if job_id in self._jobs or job_id in self._ended or job_id in self._loading:
+            return
+        try:
+            job = decode_encoded_job(job_id, encoded)
+        except (KeyError, TypeError, ValueError) as error:
+            logger.warning("job not understood", code="bad_hint", job=job_id, error=repr(error))
+            return
+        JOBS.labels("handed_over").inc()
+        self._run_unconfirmed(JobState(job, tuple(encoded.parts)))
+
+    def begin_tentatively(self, copies: Iterable[CopiedJob]) -> None:
+        """Run the open jobs of the coordinator before, while the store can't be asked for them.
+
+        They are listed once :meth:`start` has found them in the store.
+        """
+        for copy in copies:
+            state = JobState(copy.job, copy.parts)
+            state.note_said_listed(copy.listed)
+            self._run_unconfirmed(state)
+        self._scheduler.start()
+
+    def _run_unconfirmed(self, state: JobState) -> None:
+        job_id = state.job.job_id
+        self._jobs[job_id] = self._unconfirmed[job_id] = state
+        self._log_loaded(state, ended=False)
+        self._note_acceptance(state.job)
+        self._scheduler.add(state)
+
     def end(self, job_id: str) -> None:
         """Take note that a job has been ended; its end stands in the store."""
         self._ended.add(job_id)
@@ -210,6 +248,7 @@
     def _job_changed(self, document: Document, removed: bool) -> None:
         if removed:
             self._jobs.pop(document.name, None)
+            self._unconfirmed.pop(document.name, None)
             return
         # Who asks for a job that had ended before this term is answered from the store.
         self._load_once(document)
@@ -261,11 +300,25 @@
     def _load_once(self, document: Document) -> None:
         """Load a job unless it is loaded or being loaded."""
         name = document.name
+        unconfirmed = self._unconfirmed.pop(name, None)
+        if unconfirmed is not None:
+            self._spawn(self._confirm, unconfirmed, parts_of_job(document.content))
+            return
         if name in self._jobs or name in self._ended or name in self._loading:
             return
         self._loading.add(name)
         self._spawn(self._load, document)
 
+    def _confirm(self, state: JobState, parts: tuple[str, ...]) -> None:
+        """Read what others have listed of a job that runs already, then list the rest."""
+        state.parts = parts
+        writer = ResultWriter(self._store, state, self._epoch, self._listed)
+        logger.info("job in the store", code="job_confirmed", job=state.job.job_id)
+        fenced = self._write(writer.fence)
+        self._scheduler.add_items(state, state.drop_said_listed())
+        if fenced and not state.complete:
+            self._write(writer.run)
+
     def _load(self, document: Document) -> None:
         """Read what is already listed, then run the rest."""
         job = self._read(document)
@@ -280,18 +333,7 @@
         self._loading.discard(document.name)
         JOBS.labels("loaded").inc()
         ended = document.name in self._ended
-        logger.info(
-            "job loaded",
-            code="job_loaded",
-            job=document.name,
-            items=len(state.items),
-            listed=len(state.results),
-            ended=ended,
-            model=state.job.model,
-            minimum_version=state.job.minimum_version,
-            step=state.job.step,
-            age_ms=int((time.time() - state.job.submitted_at) * 1000),
-        )
+        self._log_loaded(state, ended)
         self._note_acceptance(state.job)
         if ended:
             state.end()
@@ -300,6 +342,22 @@
         if not state.complete:
             self._spawn(self._write, writer.run)
 
+    def _log_loaded(self, state: JobState, ended: bool) -> None:
+        job = state.job
+        logger.info(
+            "job loaded",
+            code="job_loaded",
+            job=job.job_id,
+            items=len(state.items),
+            listed=len(state.results),
+            ended=ended,
+            model=job.model,
+            minimum_version=job.minimum_version,
+            step=job.step,
+            confirmed=job.job_id not in self._unconfirmed,
+            age_ms=int((time.time() - job.submitted_at) * 1000),
+        )
+
     def _note_acceptance(self, job: BatchJob) -> None:
         self._note_items(job)
         known = self._latest_minimum.get(job.model)
@@ -349,6 +407,12 @@
                 old = now - state.job.submitted_at > RETENTION_SECONDS
                 if old and state.ended:
                     self._remove(job_id, state)
+                elif old and job_id in self._unconfirmed:
+                    # Whoever kept it for the store has lost it, too.
+                    logger.warning("job never stored", code="job_lost", job=job_id)
+                    self.end(job_id)
+                    self._unconfirmed.pop(job_id)
+                    self._jobs.pop(job_id)
 
     def _remove(self, job_id: str, state: JobState) -> None:
         try:
--- a/src/runkeel/jobs/item_task.py
+++ b/src/runkeel/jobs/item_task.py
@@ -36,6 +36,8 @@
     route_missing_since: float = 0.0
     score: str = ""
     scoring_problem: str = ""
+    better_text: PartialText | None = None
+    """A longer text that came while it ran; it goes on from that once its run has ended."""
     begun: bool = False
     """Its greenlet has begun to run; one that is killed before never cleans up."""
     next_engine: BackendState | None = None
--- a/src/runkeel/jobs/job_documents.py
+++ b/src/runkeel/jobs/job_documents.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from runkeel.api.documents import MAXIMUM_CONTENT_BYTES
+from runkeel.api.documents import MAXIMUM_CONTENT_BYTES, Document
 from runkeel.api.jobs import BatchJob, ItemResult, JobItem, ResultState, ScorerCall
 
 PART_BYTES = 128_000
@@ -39,6 +39,22 @@
     parts: dict[str, list[dict[str, Any]]]
 
 
+def job_text(encoded: EncodedJob) -> str:
+    """Return a job's document and parts as one text, for other nodes and for disks."""
+    return json.dumps({"content": encoded.content, "parts": encoded.parts})
+
+
+def job_from_text(text: str) -> EncodedJob:
+    """Return what :func:`job_text` wrote. Raises KeyError, TypeError or ValueError."""
+    fields = json.loads(text)
+    return EncodedJob(dict(fields["content"]), dict(fields["parts"]))
+
+
+def decode_encoded_job(job_id: str, encoded: EncodedJob) -> BatchJob:
+    """Return the job of a document and its parts. Raises KeyError, TypeError or ValueError."""
+    return decode_job(job_id, encoded.content, list(encoded.parts.values()))
+
+
 def segment_name(job_id: str, number: int) -> str:
     """Return the name of a job's results segment."""
     return f"{job_id}{SEGMENT_SEPARATOR}{number:05d}"
@@ -86,6 +102,18 @@
     }
 
 
+def tenant_of_job(content: dict[str, Any]) -> str:
+    """Return whose job a document is of; empty: nobody's."""
+    return str(content.get("tenant", ""))
+
+
+def may_be_of_tenant(document: Document | None, tenant: str) -> bool:
+    """Return whether a job's document may be that of a tenant's job; None: it isn't known."""
+    if document is None or document.content is None:
+        return True
+    return tenant_of_job(document.content) == tenant
+
+
 def parts_of_job(content: dict[str, Any]) -> tuple[str, ...]:
     """Return the names of the parts of a job's document; none if it holds the items itself."""
     return tuple(content.get("parts", ()))
@@ -106,7 +134,7 @@
         minimum_version=int(content["minimum_version"]),
         wanted_groups=int(content["wanted_groups"]),
         step=int(content["step"]),
-        tenant=content.get("tenant", ""),
+        tenant=tenant_of_job(content),
     )
 
 
--- a/src/runkeel/jobs/job_store.py
+++ b/src/runkeel/jobs/job_store.py
@@ -15,7 +15,13 @@
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.api.jobs import BatchJob
 from runkeel.errors import RunkeelError, Verdict, not_run
-from runkeel.jobs.job_documents import decode_job, encode_job, parts_of_job, segment_name
+from runkeel.jobs.job_documents import (
+    EncodedJob,
+    decode_job,
+    encode_job,
+    parts_of_job,
+    segment_name,
+)
 from runkeel.state.unchanging import get_unchanging
 
 PART_TRIES = 3
@@ -33,11 +39,17 @@
 class JobSubmission:
     """One node's attempts to store a job."""
 
-    def __init__(self, store: DocumentStore, job: BatchJob) -> None:
+    def __init__(self, store: DocumentStore, job_id: str, encoded: EncodedJob) -> None:
         self._store = store
-        self._job_id = job.job_id
-        self._encoded = encode_job(job, f"{job.job_id}-{secrets.token_hex(_PREFIX_BYTES)}")
-        self._missing = dict(self._encoded.parts)
+        self._job_id = job_id
+        self.encoded = encoded
+        self._missing = dict(encoded.parts)
+
+    @classmethod
+    def of_job(cls, store: DocumentStore, job: BatchJob) -> JobSubmission:
+        """Return the submission of a job, with names of its own for the job's parts."""
+        prefix = f"{job.job_id}-{secrets.token_hex(_PREFIX_BYTES)}"
+        return cls(store, job.job_id, encode_job(job, prefix))
 
     def write(self) -> None:
         """Store what is still missing, the job's document last.
@@ -47,18 +59,18 @@
             RunkeelError: with verdict NOT_RUN only if this call did not store the job.
         """
         self._write_parts()
-        self._store.create(DocumentKind.JOB, self._job_id, self._encoded.content)
+        self._store.create(DocumentKind.JOB, self._job_id, self.encoded.content)
 
     def discard_parts(self) -> None:
         """Remove the parts that were made for nothing, in a task of its own."""
-        if self._encoded.parts:
+        if self.encoded.parts:
             gevent.spawn(self._remove_parts)
 
     def owns(self, document: Document | None) -> bool:
         """Return whether a job's document may be the one that this submission made."""
         if document is None or document.content is None:
             return True
-        return parts_of_job(document.content) == tuple(self._encoded.parts)
+        return parts_of_job(document.content) == tuple(self.encoded.parts)
 
     def _write_parts(self) -> None:
         writes = {
@@ -89,7 +101,7 @@
 
     def _remove_parts(self) -> None:
         try:
-            for name in self._encoded.parts:
+            for name in self.encoded.parts:
                 self._store.delete(DocumentKind.JOB_PART, name)
         except RunkeelError as error:
             logger.info("parts left", code="job_parts_left", job=self._job_id, error=error.detail)
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 import gevent
@@ -16,6 +17,15 @@
 GATHER_SECONDS = 0.7
 """Results are gathered for so long: each call to the store has its price."""
 
+EARLY_GATHER_SECONDS = 1.5
+"""The same while the trainer has far to go: it trains only once it has the groups it waits for."""
+
+EARLY_SHARE = 0.5
+"""A trainer has far to go with less than this part of the groups that it waits for."""
+
+EARLY_AGE_SECONDS = 4.0
+"""So long after the submission its deadline may be near. Chosen: half of a common deadline."""
+
 RETRY_SECONDS = 0.15
 """Pause before results are written again after a failure of the store. Chosen, not measured."""
 
@@ -68,10 +78,16 @@
                 return
             if len(state.results) + len(state.unlisted) < len(state.items):
                 # Nothing is gained by gathering once the trainer has all it waits for.
-                state.awaited.wait(GATHER_SECONDS)
+                state.awaited.wait(self._gather_seconds())
             self._write_segment(_within_size(state.unlisted))
             self._on_listed(state)
 
+    def _gather_seconds(self) -> float:
+        state = self._state
+        old = time.time() - state.job.submitted_at > EARLY_AGE_SECONDS
+        early = state.awaited_share < EARLY_SHARE and not old
+        return EARLY_GATHER_SECONDS if early else GATHER_SECONDS
+
     def _write_segment(self, batch: list[ItemResult], allow_empty: bool = False) -> None:
         """Write a batch as the next segment, or take the segment that another node wrote."""
         self._last_written_own = False
--- a/src/runkeel/jobs/running_items.py
+++ b/src/runkeel/jobs/running_items.py
@@ -48,6 +48,10 @@
         """Return whether an item runs for any job."""
         return item_id in self._by_item
 
+    def of_item(self, item_id: str) -> ItemTask | None:
+        """Return a task that runs an item."""
+        return next(iter(self._by_item.get(item_id, {}).values()), None)
+
     def of_job(self, job_id: str) -> list[ItemTask]:
         """Return the tasks of a job."""
         return list(self._by_job.get(job_id, {}).values())
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 from gevent.event import Event
+from loguru import logger
 
 from runkeel.api.backend_protocol import BackendProtocol
 from runkeel.api.fleet import Route, RoutingConfiguration
-from runkeel.api.jobs import ItemResult, ResultState
+from runkeel.api.jobs import ItemResult, JobItem, ResultState
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import RoutingTable, choose_service
 from runkeel.jobs.engine_placement import EnginePlacement
@@ -48,6 +49,12 @@
 PRESSED_AFTER_SECONDS = 1.0
 """A model whose items wait for longer gets more engines. Chosen: about one load of a version."""
 
+LEAST_EVENTS_AHEAD = 8
+"""A run that began its item anew is ended for a text that is so many events ahead of it.
+
+Going on elsewhere costs some hundredths of a second, as much as two events; chosen well above.
+"""
+
 PRESSED_SECONDS = 20.0
 """A model counts as pressed for so long after an item has waited for an engine."""
 
@@ -88,7 +95,9 @@
         self._loop: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start to place items."""
+        """Start to place items; does nothing when it has been started."""
+        if self._loop is not None:
+            return
         self._loop = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -108,8 +117,9 @@
 
     def lacks_text(self, item_id: str, precedence: tuple[int, int]) -> bool:
         """Return whether an item may go on from a text of this precedence."""
-        if self._running.has_item(item_id):
-            return False
+        running = self._running.of_item(item_id)
+        if running is not None:
+            return _is_worth_going_back_to(running, precedence)
         task = self._queue.of_item(item_id)
         if task is None and time.monotonic() - self._created_at > UNKNOWN_ITEM_SECONDS:
             return False
@@ -117,9 +127,13 @@
         return known is None or known.precedence < precedence
 
     def adopt_text(self, item_id: str, text: PartialText) -> None:
-        """Let an item go on from a text, unless it runs already or its job can't use it."""
+        """Let an item go on from a text, unless it is nearly as far or its job can't use it."""
         if not self.lacks_text(item_id, text.precedence):
             return
+        running = self._running.of_item(item_id)
+        if running is not None:
+            self._go_back_to(running, text)
+            return
         task = self._queue.of_item(item_id)
         if task is None:
             self._kept.keep(item_id, text)
@@ -127,10 +141,28 @@
         self._continue_from(task, text)
         self._queue.put(task)
 
+    def _go_back_to(self, task: ItemTask, text: PartialText) -> None:
+        """End a run that began the item anew, so that it goes on from a text that came later."""
+        if not self._fits(task, text):
+            return
+        logger.info(
+            "item goes on from a text that came late",
+            code="item_text_late",
+            request=task.item.item_id,
+            job=task.state.job.job_id,
+            events=len(task.partial.pieces),
+            text=len(text.pieces),
+        )
+        task.better_text = text
+        task.run.move_away()
+
+    def _fits(self, task: ItemTask, text: PartialText) -> bool:
+        route = self._route(task)
+        return text.fits(task.state.job.minimum_version, bool(route and route.single_version))
+
     def _continue_from(self, task: ItemTask, text: PartialText) -> None:
         task.carried = True
-        route = self._route(task)
-        if text.fits(task.state.job.minimum_version, bool(route and route.single_version)):
+        if self._fits(task, text):
             task.partial = text
 
     def open_texts(self) -> dict[str, PartialText]:
@@ -152,7 +184,11 @@
 
     def add(self, state: JobState) -> None:
         """Take the open items of a job."""
-        for item in state.open_items():
+        self.add_items(state, state.open_items())
+
+    def add_items(self, state: JobState, items: Iterable[JobItem]) -> None:
+        """Take some items of a job that neither wait nor run."""
+        for item in items:
             self._finished.open_again(item.item_id)
             task = ItemTask(state, item)
             kept = self._kept.take(item.item_id)
@@ -340,6 +376,9 @@
 
     def _after_break(self, task: ItemTask, route: Route, outcome: RunOutcome) -> None:
         job = task.state.job
+        better, task.better_text = task.better_text, None
+        if better is not None and better.precedence > task.partial.precedence:
+            task.partial = better
         if outcome is RunOutcome.FAILED:
             task.failures += 1
         if outcome is RunOutcome.IMPOSSIBLE or task.failures >= route.maximum_attempts:
@@ -361,3 +400,13 @@
             self._kept.keep(task.item.item_id, task.partial)
             self._finished.add(task)
         task.state.add_unlisted(result)
+
+
+def _is_worth_going_back_to(task: ItemTask, precedence: tuple[int, int]) -> bool:
+    """Return whether a text of this precedence is far enough ahead of a running item's."""
+    version, events = task.partial.precedence
+    if task.run is None or task.better_text is not None or task.next_engine is not None:
+        return False
+    if task.partial.versions and precedence[0] < version:
+        return False
+    return precedence[1] >= events + LEAST_EVENTS_AHEAD
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -9,17 +9,13 @@
 import gevent
 from loguru import logger
 
-from runkeel.api.documents import (
-    Document,
-    DocumentConflictError,
-    DocumentKind,
-    DocumentStore,
-)
+from runkeel.api.documents import DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.api.jobs import BatchJob, ItemResult, JobReference, ResultPage, ResultState
 from runkeel.coordination.election import Election
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
+from runkeel.handoff.hint_client import HintClient, HintOutcome
 from runkeel.jobs.coordinator import JobCoordinator
-from runkeel.jobs.job_documents import decode_segment, segment_name
+from runkeel.jobs.job_documents import decode_segment, may_be_of_tenant, segment_name
 from runkeel.jobs.job_state import JobState, page_of
 from runkeel.jobs.job_store import JobStore, JobSubmission
 from runkeel.jobs.result_cache import ResultCache
@@ -86,8 +82,14 @@
     """Accepts, reads and ends batch jobs at this node."""
 
     def __init__(
-        self, store: DocumentStore, network: PeerNetwork, election: Election, shard: str
+        self,
+        store: DocumentStore,
+        network: PeerNetwork,
+        election: Election,
+        shard: str,
+        hints: HintClient | None = None,
     ) -> None:
+        self._hints = hints
         self._store = store
         self._jobs = JobStore(store)
         self._network = network
@@ -108,13 +110,13 @@
         Raises:
             RunkeelError: NOT_RUN when it is certain that the job was not taken.
         """
-        submission = JobSubmission(self._store, job)
+        submission = JobSubmission.of_job(self._store, job)
         verdict = Verdict.NOT_RUN
         while True:
             try:
                 submission.write()
             except DocumentConflictError as conflict:
-                if not _of_tenant(conflict.current, job.tenant):
+                if not may_be_of_tenant(conflict.current, job.tenant):
                     submission.discard_parts()
                     raise not_run(ErrorCode.CONFLICT, "the id is taken") from conflict
                 logger.info("job known already", code="job_repeated", job=job.job_id)
@@ -124,26 +126,30 @@
             except RunkeelError as error:
                 if error.verdict is not Verdict.NOT_RUN:
                     verdict = Verdict.MAY_HAVE_RUN
+                handed_over = self._hand_over(job, submission)
+                if handed_over is HintOutcome.ACCEPTED:
+                    return
+                if handed_over is HintOutcome.UNSURE:
+                    verdict = Verdict.MAY_HAVE_RUN
                 if verdict is Verdict.NOT_RUN:
                     submission.discard_parts()
                 if verdict is Verdict.NOT_RUN or time.monotonic() > deadline:
                     self._refuse(job, error, verdict)
                 gevent.sleep(STORE_RETRY_SECONDS)
             else:
-                JOBS.labels("accepted").inc()
-                logger.info(
-                    "job accepted",
-                    code="job_accepted",
-                    job=job.job_id,
-                    items=len(job.items),
-                    model=job.model,
-                    minimum_version=job.minimum_version,
-                    step=job.step,
-                    tenant=job.tenant,
-                )
+                _log_accepted(job, by="store")
                 gevent.spawn(self._tell_accepted, job.job_id)
                 return
 
+    def _hand_over(self, job: BatchJob, submission: JobSubmission) -> HintOutcome:
+        """Have a job that the store did not take kept by storage machines."""
+        if self._hints is None:
+            return HintOutcome.REFUSED
+        outcome = self._hints.keep(job.job_id, submission.encoded)
+        if outcome is HintOutcome.ACCEPTED:
+            _log_accepted(job, by="storage machines")
+        return outcome
+
     def read(self, job: JobReference, position: int, wait_seconds: float) -> ResultPage | None:
         """Return results from a position on; None when the tenant certainly has no such job.
 
@@ -313,8 +319,16 @@
         return page_of(cached.results, len(cached.job.items), position, MAXIMUM_PAGE_BYTES)
 
     def _cached(self, job: JobReference) -> _CachedJob | None:
-        """Return a tenant's job as read from the store; None: the tenant has no such job."""
+        """Return a tenant's job as read from the store; None: the tenant has no such job.
+
+        Raises:
+            RunkeelError: the store gave no answer, or the job is still on its way there.
+        """
         cached = self._read_job(job.job_id)
+        if cached is None and self._hints is not None and self._hints.may_be_kept(job.job_id):
+            raise not_run(
+                ErrorCode.STORE_UNAVAILABLE, "the job is not stored yet", RETRY_AFTER_SECONDS
+            )
         return cached if cached is not None and cached.job.tenant == job.tenant else None
 
     def _read_job(self, job_id: str) -> _CachedJob | None:
@@ -388,8 +402,16 @@
     )
 
 
-def _of_tenant(document: Document | None, tenant: str) -> bool:
-    """Return whether a job's document may be that of a tenant's job."""
-    if document is None or document.content is None:
-        return True
-    return document.content.get("tenant", "") == tenant
+def _log_accepted(job: BatchJob, by: str) -> None:
+    JOBS.labels("accepted").inc()
+    logger.info(
+        "job accepted",
+        code="job_accepted",
+        job=job.job_id,
+        items=len(job.items),
+        model=job.model,
+        minimum_version=job.minimum_version,
+        step=job.step,
+        tenant=job.tenant,
+        by=by,
+    )
--- a/src/runkeel/metrics.py
+++ b/src/runkeel/metrics.py
@@ -24,6 +24,9 @@
 )
 ITEM_RUNS = Counter("runkeel_job_item_runs_total", "Runs of batch job items", ["outcome"])
 JOBS = Counter("runkeel_jobs_total", "Batch jobs", ["event"])
+JOB_HINTS = Counter(
+    "runkeel_job_hints_total", "Jobs kept for the store, by what became of them", ["event"]
+)
 USAGE_REPORTS = Counter(
     "runkeel_usage_reports_total", "Reports of usage to the platform; empty code: taken", ["code"]
 )
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -102,6 +102,7 @@
         metrics: whether nodes serve counters and operators' queries.
         tenants: of the first configuration; none: requests need no key.
         usage: what is to be reported of the tenants' usage; None: nothing.
+        tolerated_losses: of machines with disks; None: a minority of them.
     """
 
     def __init__(
@@ -115,7 +116,9 @@
         metrics: bool = False,
         tenants: tuple[dict[str, Any], ...] = (),
         usage: UsageSettings | None = None,
+        tolerated_losses: int | None = None,
     ) -> None:
+        self._tolerated_losses = (disks - 1) // 2 if tolerated_losses is None else tolerated_losses
         self._tenants = tenants
         self._usage = usage
         self._starts = 0
@@ -286,6 +289,7 @@
             preferred_coordinator=not serves_clients,
             data_folder=None if serves_clients else Path(self._disks.name) / name,
             usage=self._usage,
+            tolerated_losses=self._tolerated_losses,
         )
         listener = _LOOPBACK if serves_clients else None
         store = StoreServer(len(self._machines), behind=self.store)
--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -30,7 +30,7 @@
     started: float
     deadline_ms: str
     resumed_after: str
-    headers: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = field(default_factory=dict, compare=False)
     """All of its headers; names in lower case."""
 
 
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -21,10 +21,11 @@
 from runkeel.gateway.backends import REFUSAL_PAUSE_SECONDS, BackendDirectory
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.engine_placement import EnginePlacement
-from runkeel.jobs.generation_run import PartialText
+from runkeel.jobs.generation_run import PartialText, RunOutcome
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scheduler import (
+    LEAST_EVENTS_AHEAD,
     REQUEUE_SECONDS,
     STARTS_PER_TURN,
     UNKNOWN_ITEM_SECONDS,
@@ -122,6 +123,37 @@
         self.scheduler.add(self.state)
         self.assertEqual(self.scheduler.open_texts()[item_id].pieces, ["x"])
 
+    def test_running_item_goes_back_to_a_text_that_is_far_ahead(self):
+        """shifted trouble-2: texts came 0.6 s after the items of a step had begun anew."""
+        self._use_protocol(SilentProtocol())
+        self.routing.apply(make_configuration())
+        self.scheduler.add(self.state)
+        self.scheduler._place_all()
+        gevent.sleep(0.01)
+        item_id = f"{JOB_ID}-0"
+        task = self.scheduler._running.of_item(item_id)
+        near = PartialText(["x"] * (LEAST_EVENTS_AHEAD - 1), "7", [1])
+        self.assertFalse(self.scheduler.lacks_text(item_id, near.precedence))
+        far = PartialText(["x"] * LEAST_EVENTS_AHEAD, "8", [1])
+        self.assertTrue(self.scheduler.lacks_text(item_id, far.precedence))
+        with mock.patch.object(task, "run") as run:
+            self.scheduler.adopt_text(item_id, far)
+            run.move_away.assert_called_once_with()
+            self.assertFalse(self.scheduler.lacks_text(item_id, far.precedence))
+        self.scheduler._after_break(task, self.scheduler._route(task), RunOutcome.MOVED)
+        self.assertIs(self.scheduler._queue.of_item(item_id).partial, far)
+
+    def test_running_item_does_not_go_back_to_a_text_of_older_weights(self):
+        self._use_protocol(SilentProtocol())
+        self.routing.apply(make_configuration())
+        self.scheduler.add(self.state)
+        self.scheduler._place_all()
+        gevent.sleep(0.01)
+        task = self.scheduler._running.of_item(f"{JOB_ID}-0")
+        task.partial.pieces.append("x")
+        task.partial.versions.append(2)
+        self.assertFalse(self.scheduler.lacks_text(f"{JOB_ID}-0", (1, 50)))
+
     def test_text_that_comes_before_its_job_is_used(self):
         self.scheduler.adopt_text(f"{JOB_ID}-1", PartialText(["x"], "1", [1]))
         self.scheduler.add(self.state)
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -37,6 +37,12 @@
   ITEM_RUN_PROGRESS_REPLY = 721,
   USAGE_COUNTS = 722,
   USAGE_COUNTS_REPLY = 723,
+  JOB_HINT = 724,
+  JOB_HINT_REPLY = 725,
+  JOB_HINT_LOOKUP = 726,
+  JOB_HINT_LOOKUP_REPLY = 727,
+  JOB_COPIES = 728,
+  JOB_COPIES_REPLY = 729,
 }
 
 /** An error sent to a peer; verdict is runkeel.errors.Verdict. */
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -29,6 +29,7 @@
   // 8 and 9 are reserved: digests in an earlier version.
   10: list<NodeAddress> successors, // who replaces the coordinator, the likeliest first
   11: i64 epoch,            // in which the receiver coordinates; 0: it does not
+  12: bool tentative,       // it runs items until the store is back and can say who coordinates
 }
 
 enum FeedState {
@@ -257,3 +258,49 @@
   1: bool taken,                 // false: this node is not the coordinator
   2: i64 pause_ms,               // least time between two messages
 }
+
+enum JobHintState {
+  STORED = 1,               // the job stands in the store
+  KEPT = 2,                 // it is kept on the receiver's disk until the store takes it
+  REFUSED = 3,              // neither
+}
+
+/** A batch job that the sender could not write to the store. */
+struct JobHint {
+  1: string shard,
+  2: string job_id,
+  3: string content,        // JSON: its document and its parts
+}
+
+struct JobHintReply {
+  1: i32 state,
+}
+
+/** Asked before a job is said not to be there. */
+struct JobHintLookup {
+  1: string shard,
+  2: string job_id,
+}
+
+struct JobHintLookupReply {
+  1: bool kept,
+}
+
+/** What a successor lacks of an open job. */
+struct JobCopy {
+  1: string job_id,
+  2: string content,        // JSON as in JobHint; empty where it was sent before
+  3: list<string> listed,   // items that have been listed since
+  4: bool ended,
+}
+
+/** Sent by the coordinator to its likeliest successors. */
+struct JobCopies {
+  1: string shard,
+  2: i64 epoch,
+  3: list<JobCopy> jobs,
+}
+
+struct JobCopiesReply {
+  1: list<string> missing,  // jobs whose content is wanted again
+}
