--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -49,6 +49,7 @@
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import ObservedStore
 from runkeel.usage.clock import SteadyWallClock
+from runkeel.usage.ledger import WindowSummary
 from runkeel.usage.meter import UsageMeter
 from runkeel.usage.teller import UsageTeller
 from runkeel.wire.generated.common.ttypes import MessageType
@@ -297,6 +298,11 @@
         """Return the newest version of each model, as known to a coordinator."""
         return dict(self._term.targets) if self._term is not None else {}
 
+    def usage_windows(self) -> list[WindowSummary]:
+        """Return what is known of each window's usage, as known to a coordinator."""
+        usage = self._term.usage if self._term is not None else None
+        return usage.windows() if usage is not None else []
+
     @property
     def configured(self) -> bool:
         """Whether this node knows a configuration and the servers."""
--- a/src/runkeel/http/frontend.py
+++ b/src/runkeel/http/frontend.py
@@ -36,6 +36,7 @@
         target: path and query, undecoded.
         received_at: monotonic time at which its head was read.
         gone: set when the client has closed its connection.
+        tenant: on whose behalf it is answered, once that is known.
     """
 
     method: str
@@ -44,6 +45,7 @@
     body: bytes
     received_at: float
     gone: Event = field(default_factory=Event)
+    tenant: str = ""
 
     def header(self, name: str) -> str:
         """Return a header's value, empty when it is missing."""
--- a/src/runkeel/operators/fleet_tables.py
+++ b/src/runkeel/operators/fleet_tables.py
@@ -45,10 +45,13 @@
     "submitted_ms_ago",
 )
 VERSION_COLUMNS = ("model", "version")
+TENANT_COLUMNS = ("tenant", "rank", "keys")
+USAGE_COLUMNS = ("window", "state", "requests", "tenants", "ended_ms_ago")
+KEPT_JOB_COLUMNS = ("job", "model", "step", "items", "submitted_ms_ago")
 
 
 class FleetTables:
-    """Provides the rows; jobs and versions are known at the coordinator only."""
+    """Provides the rows; jobs, versions and usage are known at the coordinator only."""
 
     def __init__(self, node: FleetNode) -> None:
         self._node = node
@@ -60,6 +63,9 @@
         sources.add("routes", ROUTE_COLUMNS, self._route_rows)
         sources.add("jobs", JOB_COLUMNS, self._job_rows)
         sources.add("versions", VERSION_COLUMNS, self._version_rows)
+        sources.add("tenants", TENANT_COLUMNS, self._tenant_rows)
+        sources.add("usage", USAGE_COLUMNS, self._usage_rows)
+        sources.add("kept_jobs", KEPT_JOB_COLUMNS, self._kept_job_rows)
 
     def _node_rows(self) -> list[Row]:
         node = self._node
@@ -132,3 +138,27 @@
 
     def _version_rows(self) -> list[Row]:
         return list(self._node.named_versions().items())
+
+    def _tenant_rows(self) -> list[Row]:
+        configuration = self._node.routing.configuration
+        tenants = configuration.tenants if configuration is not None else None
+        return [(one.name, one.rank, len(one.key_digests)) for one in tenants or ()]
+
+    def _usage_rows(self) -> list[Row]:
+        return [
+            (one.window, one.state, one.requests, one.tenants, one.ended_ms_ago)
+            for one in self._node.usage_windows()
+        ]
+
+    def _kept_job_rows(self) -> list[Row]:
+        now = time.time()
+        return [
+            (
+                job_id,
+                encoded.content.get("model"),
+                encoded.content.get("step"),
+                encoded.content.get("item_count"),
+                int((now - encoded.content["submitted_at"]) * 1000),
+            )
+            for job_id, encoded in self._node.hints.jobs()
+        ]
--- a/src/runkeel/usage/duty.py
+++ b/src/runkeel/usage/duty.py
@@ -15,7 +15,7 @@
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.errors import RunkeelError
 from runkeel.metrics import USAGE_REPORTS
-from runkeel.usage.ledger import UsageLedger
+from runkeel.usage.ledger import UsageLedger, WindowSummary
 from runkeel.wire.generated.jobs.ttypes import UsageCounts, UsageCountsReply
 
 CHECKPOINT_SECONDS = 0.5
@@ -113,9 +113,24 @@
 
     @property
     def ledger(self) -> UsageLedger:
-        """What is known, for operators' queries."""
+        """What is known."""
         return self._ledger
 
+    def windows(self) -> list[WindowSummary]:
+        """Return what operators are shown of each window, the oldest first."""
+        ledger = self._ledger
+        return [
+            *(self._summary(window, counts) for window, counts in sorted(ledger.decided.items())),
+            *(self._summary(one, ledger.counts_so_far(one)) for one in sorted(ledger.open)),
+        ]
+
+    def _summary(self, window: int, counts: dict[str, int]) -> WindowSummary:
+        state = "open"
+        if window in self._ledger.decided:
+            state = "reported" if window in self._ledger.reported else "decided"
+        ended_ms_ago = int((self._clock() - self._end_of(window)) * 1000)
+        return WindowSummary(window, state, sum(counts.values()), len(counts), ended_ms_ago)
+
     def start(self) -> None:
         """Start to gather and to report."""
         self._tasks = [gevent.spawn(self._keep_ledger), gevent.spawn(self._report_all)]
--- a/src/runkeel/usage/ledger.py
+++ b/src/runkeel/usage/ledger.py
@@ -17,6 +17,17 @@
 """Requests by tenant."""
 
 
+@dataclass(frozen=True, slots=True)
+class WindowSummary:
+    """A window as operators see it; ``state`` is ``open``, ``decided`` or ``reported``."""
+
+    window: int
+    state: str
+    requests: int
+    tenants: int
+    ended_ms_ago: int
+
+
 @dataclass(slots=True)
 class UsageLedger:
     """Counts by window.
@@ -54,10 +65,8 @@
         """Decide the next window: what is known of it now is what will be reported."""
         if window != self.decided_through + 1:
             raise ValueError(f"window {window} follows {self.decided_through}")
-        counts: Counts = {}
-        for told in self.open.pop(window, {}).values():
-            for tenant, count in told.items():
-                counts[tenant] = counts.get(tenant, 0) + count
+        counts = self.counts_so_far(window)
+        self.open.pop(window, None)
         self.decided[window] = counts
         self.decided_through = window
         for old in sorted(self.decided)[:-KEPT_DECISIONS]:
@@ -76,6 +85,14 @@
         """Return the decided windows that are still to be reported, in order."""
         return sorted(set(self.decided) - self.reported)
 
+    def counts_so_far(self, window: int) -> Counts:
+        """Return what is known of a window that is not decided."""
+        counts: Counts = {}
+        for told in self.open.get(window, {}).values():
+            for tenant, count in told.items():
+                counts[tenant] = counts.get(tenant, 0) + count
+        return counts
+
     def encode(self) -> dict[str, Any]:
         """Return the content of the ledger's document."""
         return {
--- /dev/null
+++ b/tests/gateway/scripted_servers.py
@@ -0,0 +1,136 @@
+"""Servers that do as they are told, and a protocol that reads their status alone."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+
+from runkeel.api.backend_protocol import AnswerClass, GenerationEvent
+from runkeel.api.fleet import Backend
+from runkeel.api.machines import Address
+from runkeel.backends.http_connection import HttpAnswer, OutgoingRequest
+from runkeel.errors import ErrorCode, may_have_run, not_run
+from runkeel.gateway.backends import BackendDirectory
+
+SERVICE = "ledger"
+_CLASSES = {
+    200: AnswerClass.SUCCESS,
+    421: AnswerClass.MISDIRECTED,
+    503: AnswerClass.REFUSED,
+}
+
+
+class StatusProtocol:
+    """The status tells all; an event's block is its id."""
+
+    def __init__(self):
+        self.resumed_after = []
+
+    def encode_plain(self, request, backend, remaining_seconds):
+        self.resumed_after.append(request.resume_after)
+        return OutgoingRequest(request.method, request.target, [], request.body)
+
+    def classify(self, request_id, status, headers):
+        return _CLASSES.get(status, AnswerClass.FAILURE)
+
+    def parse_event(self, block):
+        return GenerationEvent(block.decode(), "", 0, True)
+
+
+class ScriptedPool:
+    """Answers as scripted: a status, an error, or a function of the deadline."""
+
+    idle_connections = 0
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.requests = 0
+
+    def request(self, outgoing, deadline, accept=None):
+        status = self._next(deadline)
+        answer = HttpAnswer(status, [], b"body")
+        accept(answer.status, answer.headers)
+        return answer
+
+    def open_stream(self, outgoing, deadline):
+        return ScriptedStream(self._next(deadline), self._pieces())
+
+    def close(self):
+        pass
+
+    def _next(self, deadline):
+        self.requests += 1
+        step = self.script.pop(0)
+        if callable(step):
+            step = step(deadline)
+        if isinstance(step, Exception):
+            raise step
+        return step
+
+    def _pieces(self):
+        return self.script.pop(0) if self.script and isinstance(self.script[0], list) else []
+
+
+class ScriptedStream:
+    """Gives the pieces one after the other; an error among them is raised."""
+
+    headers = ()
+
+    def __init__(self, status, pieces):
+        self.status = status
+        self.pieces = list(pieces)
+        self.closed = False
+
+    def read_chunk(self, deadline):
+        if not self.pieces:
+            return None
+        piece = self.pieces.pop(0)
+        if isinstance(piece, Exception):
+            raise piece
+        return piece
+
+    def chunks(self, deadline):
+        while (piece := self.read_chunk(deadline)) is not None:
+            yield piece
+
+    def close(self):
+        self.closed = True
+
+    def abort(self):
+        self.closed = True
+
+
+def directory_of(**pools) -> BackendDirectory:
+    """Return the directory of servers with these pools, by id; all in one zone."""
+    directory = BackendDirectory()
+    for name, pool in pools.items():
+        directory.put(Backend(name, SERVICE, Address("127.0.0.1", 1), "here", 8))
+        directory.get(name).pool = pool
+    return directory
+
+
+def silent(deadline: float):
+    """Say nothing until the deadline."""
+    gevent.sleep(max(0.0, deadline - time.monotonic()))
+    raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, "silent")
+
+
+def after(seconds: float, status: int):
+    """Answer with a status after a while."""
+
+    def step(deadline):
+        gevent.sleep(seconds)
+        return status
+
+    return step
+
+
+def lost() -> Exception:
+    """A connection that was lost after the request was sent."""
+    return may_have_run(ErrorCode.BACKEND_LOST, "reset")
+
+
+def unreachable() -> Exception:
+    """A connection that never came about."""
+    return not_run(ErrorCode.BACKEND_UNREACHABLE, "refused")
--- /dev/null
+++ b/tests/gateway/test_forwarder.py
@@ -0,0 +1,129 @@
+"""Attempts, retries, hedges and deadlines of plain requests."""
+
+import time
+import unittest
+
+import gevent
+from gevent.event import Event
+
+from runkeel.api.backend_protocol import PlainRequest
+from runkeel.api.fleet import Route, RouteKind, ServiceShare
+from runkeel.errors import ErrorCode, RunkeelError, Verdict
+from runkeel.gateway.forwarder import Forwarder
+from runkeel.usage.meter import UsageMeter
+from tests.gateway.scripted_servers import (
+    SERVICE,
+    ScriptedPool,
+    StatusProtocol,
+    after,
+    directory_of,
+    lost,
+    silent,
+    unreachable,
+)
+
+REQUEST = PlainRequest("r", "POST", "/p", "h", (), b"", tenant="parish")
+
+
+def make_route(kind=RouteKind.REPEATABLE, attempts=3, target=10.0):
+    shares = (ServiceShare(SERVICE, 1.0),)
+    return Route(
+        "r", "h", "/", kind, shares, maximum_attempts=attempts, target_latency_seconds=target
+    )
+
+
+class ForwarderTest(unittest.TestCase):
+    def setUp(self):
+        self.meter = UsageMeter(5.0, lambda: 1_000.0)
+
+    def forward(self, route, seconds=2.0, gone=None, **pools):
+        forwarder = Forwarder(directory_of(**pools), StatusProtocol(), "here", self.meter)
+        return forwarder.forward(REQUEST, route, SERVICE, time.monotonic() + seconds, gone)
+
+    def failure(self, route, seconds=2.0, gone=None, **pools):
+        with self.assertRaises(RunkeelError) as caught:
+            self.forward(route, seconds, gone, **pools)
+        return caught.exception
+
+    @property
+    def counted(self):
+        return sum(counts.get("parish", 0) for counts in self.meter.windows().values())
+
+    def test_answer_is_returned_and_counted_once(self):
+        self.assertEqual(self.forward(make_route(), a=ScriptedPool(200)).status, 200)
+        self.assertEqual(self.counted, 1)
+
+    def test_repeatable_request_goes_elsewhere_after_a_lost_answer(self):
+        first, second = ScriptedPool(lost(), 200), ScriptedPool(200, 200)
+        answer = self.forward(make_route(), a=first, b=second)
+        self.assertEqual(answer.status, 200)
+        self.assertLessEqual(first.requests + second.requests, 2)
+        self.assertEqual(self.counted, 1)
+
+    def test_request_that_must_not_repeat_is_not_sent_again_after_a_lost_answer(self):
+        pools = {"a": ScriptedPool(lost()), "b": ScriptedPool(lost())}
+        error = self.failure(make_route(RouteKind.NOT_REPEATABLE), **pools)
+        self.assertIs(error.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(sum(pool.requests for pool in pools.values()), 1)
+        self.assertEqual(self.counted, 1)
+
+    def test_request_that_must_not_repeat_goes_elsewhere_after_proof_that_none_ran_it(self):
+        for proof in (503, 421, unreachable()):
+            pools = {"a": ScriptedPool(proof, 200), "b": ScriptedPool(200, 200)}
+            pools["b"].script[0] = proof
+            pools["c"] = ScriptedPool(200)
+            route = make_route(RouteKind.NOT_REPEATABLE)
+            self.assertEqual(self.forward(route, **pools).status, 200)
+
+    def test_refusals_by_all_have_not_run_and_are_not_counted(self):
+        error = self.failure(make_route(), a=ScriptedPool(503), b=ScriptedPool(503))
+        self.assertEqual((error.code, error.verdict), (ErrorCode.QUEUE_FULL, Verdict.NOT_RUN))
+        self.assertIsNotNone(error.retry_after_seconds)
+        self.assertEqual(self.counted, 0)
+
+    def test_no_server_at_all(self):
+        error = self.failure(make_route())
+        self.assertEqual((error.code, error.verdict), (ErrorCode.NO_BACKEND, Verdict.NOT_RUN))
+
+    def test_no_more_attempts_than_the_route_allows(self):
+        pools = {name: ScriptedPool(lost()) for name in ("a", "b", "c", "d")}
+        self.failure(make_route(attempts=2), **pools)
+        self.assertEqual(sum(pool.requests for pool in pools.values()), 2)
+
+    def test_failure_of_a_server_is_passed_on_when_nobody_does_better(self):
+        answer = self.forward(make_route(attempts=2), a=ScriptedPool(500), b=ScriptedPool(500))
+        self.assertEqual(answer.status, 500)
+
+    def test_silent_server_is_hedged_and_the_request_counts_once(self):
+        pools = {"a": ScriptedPool(silent), "b": ScriptedPool(silent), "c": ScriptedPool(200)}
+        answer = self.forward(make_route(target=0.1), **pools)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(self.counted, 1)
+
+    def test_request_that_must_not_repeat_is_not_hedged(self):
+        pools = {"a": ScriptedPool(after(0.1, 200)), "b": ScriptedPool(after(0.1, 200))}
+        self.forward(make_route(RouteKind.NOT_REPEATABLE, target=0.02), **pools)
+        self.assertEqual(sum(pool.requests for pool in pools.values()), 1)
+
+    def test_answer_at_the_deadline(self):
+        error = self.failure(make_route(attempts=1), seconds=0.1, a=ScriptedPool(silent))
+        self.assertIs(error.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(self.counted, 1)
+
+    def test_client_that_leaves_ends_the_attempt(self):
+        gone = Event()
+        gevent.spawn_later(0.05, gone.set)
+        error = self.failure(make_route(attempts=1), 60.0, gone, a=ScriptedPool(silent))
+        self.assertEqual(error.code, ErrorCode.CANCELLED)
+
+    def test_server_that_lost_an_answer_comes_last(self):
+        directory = directory_of(a=ScriptedPool(lost(), 200), b=ScriptedPool(200, 200, 200))
+        forwarder = Forwarder(directory, StatusProtocol(), "here", self.meter)
+        directory.get("a").failed()
+        for _ in range(3):
+            forwarder.forward(REQUEST, make_route(), SERVICE, time.monotonic() + 2.0)
+        self.assertEqual(directory.get("a").pool.requests, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_streams.py
@@ -0,0 +1,116 @@
+"""Relayed streams: opened, continued elsewhere, broken off."""
+
+import time
+import unittest
+
+from gevent.event import Event
+
+from runkeel.api.backend_protocol import PlainRequest
+from runkeel.api.fleet import Route, RouteKind, ServiceShare
+from runkeel.errors import RunkeelError, Verdict
+from runkeel.gateway.streams import StreamForwarder
+from runkeel.http.frontend import AnswerBrokenOffError
+from runkeel.usage.meter import UsageMeter
+from tests.gateway.scripted_servers import (
+    SERVICE,
+    ScriptedPool,
+    StatusProtocol,
+    directory_of,
+    lost,
+    unreachable,
+)
+
+REQUEST = PlainRequest("r", "POST", "/p", "h", (), b"", tenant="parish")
+
+
+def make_route(resumable=True, attempts=3):
+    shares = (ServiceShare(SERVICE, 1.0),)
+    return Route(
+        "r", "h", "/", RouteKind.STREAM, shares, maximum_attempts=attempts, resumable=resumable
+    )
+
+
+class StreamForwarderTest(unittest.TestCase):
+    def setUp(self):
+        self.protocol = StatusProtocol()
+        self.meter = UsageMeter(5.0, lambda: 1_000.0)
+        self.gone = Event()
+
+    def open(self, route, last=(), **pools):
+        """Open a stream; servers named last are chosen after all others."""
+        self.directory = directory_of(**pools)
+        for name in last:
+            self.directory.get(name).failed()
+        forwarder = StreamForwarder(self.directory, self.protocol, "here", self.meter)
+        return forwarder.open(REQUEST, route, SERVICE, time.monotonic() + 5.0, self.gone)
+
+    @property
+    def counted(self):
+        return sum(counts.get("parish", 0) for counts in self.meter.windows().values())
+
+    def in_flight(self):
+        return sum(state.in_flight for state in self.directory.all())
+
+    def test_events_are_passed_on_and_the_place_given_back(self):
+        stream = self.open(make_route(), a=ScriptedPool(200, [b"1\n\n2\n", b"\n3\n\n"]))
+        self.assertEqual(b"".join(stream.body), b"1\n\n2\n\n3\n\n")
+        self.assertEqual((self.in_flight(), self.counted), (0, 1))
+
+    def test_resumable_stream_goes_on_after_the_last_whole_event(self):
+        broken = ScriptedPool(200, [b"1\n\n2\n\n3", lost()])
+        pools = {"a": broken, "b": ScriptedPool(200, [b"3\n\n4\n\n"])}
+        stream = self.open(make_route(), last=["b"], **pools)
+        self.assertEqual(b"".join(stream.body), b"1\n\n2\n\n3\n\n4\n\n")
+        self.assertEqual(self.protocol.resumed_after, [None, "2"])
+
+    def test_resumable_stream_that_broke_asks_from_the_last_event(self):
+        pool = ScriptedPool(200, [b"1\n\n2\n\n3", lost()])
+        stream = self.open(make_route(attempts=1), a=pool)
+        passed = []
+        with self.assertRaises(AnswerBrokenOffError):
+            passed.extend(stream.body)
+        self.assertEqual(b"".join(passed), b"1\n\n2\n\n")
+        self.assertEqual(self.in_flight(), 0)
+
+    def test_event_out_of_order_is_not_passed_on(self):
+        stream = self.open(make_route(attempts=1), a=ScriptedPool(200, [b"1\n\n3\n\n"]))
+        passed = []
+        with self.assertRaises(AnswerBrokenOffError):
+            passed.extend(stream.body)
+        self.assertEqual(passed, [b"1\n\n"])
+
+    def test_other_stream_is_never_continued(self):
+        pools = {name: ScriptedPool(200, [b"x", lost()]) for name in ("a", "b")}
+        stream = self.open(make_route(resumable=False), **pools)
+        with self.assertRaises(AnswerBrokenOffError):
+            list(stream.body)
+        self.assertEqual(sum(pool.requests for pool in pools.values()), 1)
+
+    def test_refusal_by_all_has_not_run(self):
+        with self.assertRaises(RunkeelError) as caught:
+            self.open(make_route(), a=ScriptedPool(503), b=ScriptedPool(unreachable()))
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual((self.in_flight(), self.counted), (0, 0))
+
+    def test_stream_that_may_have_begun_is_not_sent_again_if_it_must_not_repeat(self):
+        pools = {name: ScriptedPool(lost()) for name in ("a", "b")}
+        with self.assertRaises(RunkeelError) as caught:
+            self.open(make_route(resumable=False), **pools)
+        self.assertIs(caught.exception.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(sum(pool.requests for pool in pools.values()), 1)
+
+    def test_failure_of_the_server_is_passed_on(self):
+        stream = self.open(make_route(attempts=1), a=ScriptedPool(500, [b"why"]))
+        self.assertEqual((stream.status, stream.body), (500, b"why"))
+
+    def test_client_that_has_left_gets_no_further_server(self):
+        broken = ScriptedPool(200, [b"1\n\n", lost()])
+        stream = self.open(make_route(), last=["b"], a=broken, b=ScriptedPool())
+        self.gone.set()
+        with self.assertRaises(AnswerBrokenOffError):
+            list(stream.body)
+        self.assertEqual(self.directory.get("b").pool.requests, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/usage/usage_machine.py
@@ -0,0 +1,161 @@
+"""Random histories of counting nodes, coordinators that take turns, a store and a platform.
+
+Nodes die, tellings are repeated and go to any coordinator, writes fail or their answers are lost,
+reports are sent late by coordinators that were replaced long ago. The oracle knows every request.
+It checks that no window is ever reported with two different counts, that nothing is reported that
+did not run, and that what once stood in the store is part of what is decided.
+"""
+
+from hypothesis import strategies
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from runkeel.api.documents import DocumentKind
+from runkeel.api.duties import UsageSettings
+from runkeel.errors import ErrorCode, may_have_run
+from runkeel.usage.duty import UsageDuty
+from runkeel.usage.ledger import UsageLedger
+from runkeel.usage.meter import UsageMeter
+from runkeel.wire.generated.jobs.ttypes import UsageCounts, UsageWindow
+from runkeel_lab.standins.document_store import MemoryDocumentStore, StoreFault
+
+SHARD = "fleet"
+SETTINGS = UsageSettings(5.0, 10.0)
+NODES = 3
+TENANTS = ("a", "b")
+
+node_numbers = strategies.integers(0, NODES - 1)
+terms = strategies.integers(0, 2)
+"""How many terms ago a coordinator was elected."""
+
+faults = strategies.sampled_from([None, None, StoreFault.DOWN, StoreFault.ANSWER_LOST])
+
+
+class _Lease:
+    """Lets everybody send at any time: the worst that a lease could do."""
+
+    def __init__(self, token):
+        self.token = token
+
+    def confirm(self):
+        pass
+
+    def check(self):
+        pass
+
+    def seconds_until_orders(self):
+        return 0.0
+
+
+class _Platform:
+    def __init__(self):
+        self.reported = {}
+        self.lost = False
+
+    def report_usage(self, report, holder, timeout_seconds, before_send):
+        before_send()
+        counts = dict(report.counts)
+        known = self.reported.setdefault(report.window, counts)
+        assert known == counts, f"window {report.window}: {counts} after {known}"
+        if self.lost:
+            raise may_have_run(ErrorCode.BACKEND_LOST, "no answer")
+
+
+class UsageMachine(RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.now = 1_000.0
+        self.store = MemoryDocumentStore()
+        self.platform = _Platform()
+        self.sources = 0
+        self.nodes = [self._new_node() for _ in range(NODES)]
+        self.duties = []
+        self.truth = {}
+        self.stored = {}
+        """What has stood in the store, by window, source and tenant."""
+
+    def _new_node(self):
+        self.sources += 1
+        return f"n{self.sources}", UsageMeter(SETTINGS.window_seconds, lambda: self.now)
+
+    @initialize()
+    def begin(self):
+        self.elect()
+
+    @rule()
+    def elect(self):
+        epoch = len(self.duties) + 1
+        duty = UsageDuty(
+            self.store,
+            SHARD,
+            epoch,
+            SETTINGS,
+            self.platform,
+            _Lease(epoch),
+            f"c{epoch}",
+            lambda: self.now,
+            lambda: NODES,
+        )
+        duty._load()
+        self.duties.append(duty)
+
+    @rule(number=node_numbers, tenant=strategies.sampled_from(TENANTS))
+    def request(self, number, tenant):
+        meter = self.nodes[number][1]
+        meter.close(meter.open(tenant), tenant, self.now)
+        counts = self.truth.setdefault(meter.window_of(self.now), {})
+        counts[tenant] = counts.get(tenant, 0) + 1
+
+    @rule(seconds=strategies.floats(0.1, 8.0))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule(number=node_numbers)
+    def restart(self, number):
+        self.nodes[number] = self._new_node()
+
+    @rule(number=node_numbers, term=terms)
+    def tell(self, number, term):
+        source, meter = self.nodes[number]
+        windows = [UsageWindow(one, counts) for one, counts in meter.windows().items()]
+        complete = int(meter.complete_before * 1000)
+        self._duty(term).take(UsageCounts(SHARD, 1, source, windows, complete))
+
+    @rule(term=terms, fault=faults)
+    def keep(self, term, fault):
+        """A coordinator decides what is due, and writes its ledger."""
+        duty = self._duty(term)
+        decided = duty._decide_due()
+        if fault is not None:
+            self.store.fail_next_write(fault)
+        if decided or duty._dirty:
+            duty._write()
+        self.store._faults.clear()
+
+    @rule(term=terms, lost=strategies.booleans())
+    def report(self, term, lost):
+        duty = self._duty(term)
+        self.platform.lost = lost
+        if duty._confirmed:
+            duty._report(min(duty._confirmed))
+
+    def _duty(self, term):
+        return self.duties[max(0, len(self.duties) - 1 - term)]
+
+    @invariant()
+    def nothing_that_did_not_run_is_reported(self):
+        for window, counts in self.platform.reported.items():
+            for tenant, count in counts.items():
+                assert count <= self.truth.get(window, {}).get(tenant, 0), (window, tenant, count)
+
+    @invariant()
+    def what_stood_in_the_store_is_part_of_the_decision(self):
+        document = self.store.get(DocumentKind.USAGE_LEDGER, SHARD)
+        if document is None:
+            return
+        ledger = UsageLedger.decode(document.content)
+        for window, told in ledger.open.items():
+            self.stored[window] = {one: dict(counts) for one, counts in told.items()}
+        for window, counts in ledger.decided.items():
+            known = UsageLedger(open={window: self.stored.get(window, {})}).counts_so_far(window)
+            for tenant, count in known.items():
+                assert counts.get(tenant, 0) >= count, (window, tenant, counts, known)
--- a/tests/users_platform/test_operator_queries.py
+++ b/tests/users_platform/test_operator_queries.py
@@ -4,9 +4,11 @@
 import io
 import unittest
 
+from runkeel.api.duties import UsageSettings
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 from runkeel.operators.client import OperatorClient
 from runkeel.operators.ctl import ExitCode, run_ctl
+from runkeel_lab.users_platform.deployment import tenant, with_key
 from tests.users_platform.deployment_case import DeploymentTestCase
 
 
@@ -86,5 +88,40 @@
         self.assertEqual(code, ExitCode.OK)
 
 
+class TenantQueriesTest(DeploymentTestCase):
+    def rows(self, text, node):
+        url = f"http://{self.deployment.node(node).metrics_address}"
+        answer = OperatorClient(url).send(text).document
+        return [dict(zip(answer["columns"], row, strict=True)) for row in answer["rows"]]
+
+    def test_tenants_usage_and_kept_jobs(self):
+        tenants = (tenant("parish", "p1", "p2", priority=2), tenant("school", "s"))
+        settings = UsageSettings(1.0, 4.0)
+        self.deployment = self.start(metrics=True, disks=3, tenants=tenants, usage=settings)
+        (coordinator,) = self.deployment.coordinators()
+        self.assertEqual(
+            self.rows("show tenants", "edge-0"),
+            [
+                {"tenant": "parish", "rank": 2, "keys": 2},
+                {"tenant": "school", "rank": None, "keys": 1},
+            ],
+        )
+        headers = {"Attempt-Id": "q", **with_key("s")}
+        self.assertEqual(
+            self.deployment.call("edge-0", "POST", "/count/x", headers, b"b").status, 200
+        )
+        query = "show usage where requests > 0"
+        (row,) = self.wait(lambda: self.rows(query, coordinator))
+        self.assertEqual((row["requests"], row["tenants"]), (1, 1))
+        self.wait(lambda: self.rows(f'{query} and state = "reported"', coordinator))
+        self.assertEqual(self.rows("show usage", "edge-0"), [])
+        self.deployment.store.refused = True
+        nodes = [self.deployment.node(name).node for name in self.deployment.edge_names]
+        self.wait(lambda: all(len(one._election.keepers()) >= 3 for one in nodes))
+        self.assertEqual(self.deployment.submit("edge-0", "k", ["k-g0-0"], key="p1"), 202)
+        (kept,) = self.wait(lambda: self.rows("show kept_jobs", coordinator))
+        self.assertEqual((kept["job"], kept["items"]), ("k", 1))
+
+
 if __name__ == "__main__":
     unittest.main()
