--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -98,6 +98,12 @@
 PREFERENCE_SECONDS = 1.5
 """So much longer a node that isn't preferred waits at a start without a coordinator."""
 
+YIELD_SECONDS = 1.0
+"""A node that has run the items on is left the first claim for so long after an outage.
+
+Its own calls to the store find out within 0.4 s that it is back.
+"""
+
 CLAIM_SECONDS = 0.6
 """Longest wait for the answer to a claim; one that comes to be taken later is recognized.
 
@@ -207,6 +213,8 @@
         self._witnesses: dict[str, NodeAddress] = {}
         self._successors: dict[str, NodeAddress] = {}
         self._asked_successors_at = 0.0
+        self._yielded_since = 0.0
+        """Since when another node was left the first claim; 0: none is."""
         self._store_probed = False
         """Whether the store was asked since the coordinator was last heard."""
         self._stopping = False
@@ -467,6 +475,8 @@
             )
             self._succession.note_contact()
             return PING_SECONDS
+        if pong is None and self._yields_to_tentative(known):
+            return TENTATIVE_CHECK_SECONDS
         if self._coordinator is known:
             silent = self._succession.silent_seconds
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
@@ -491,6 +501,18 @@
             return False
         return not self._witnessed(known)
 
+    def _yields_to_tentative(self, known: Coordinator) -> bool:
+        """Return whether a node that has run the items on is left the first claim.
+
+        Not for long: it may be cut off from the store, which this node reaches.
+        """
+        answers = self._ask(list(self._successors), known)
+        if not any(pong.tentative for pong in answers.values()):
+            self._yielded_since = 0.0
+            return False
+        self._yielded_since = self._yielded_since or time.monotonic()
+        return time.monotonic() - self._yielded_since < YIELD_SECONDS
+
     def _begin_tentative(self, known: Coordinator) -> None:
         epoch = known.epoch + 1
         logger.warning(
