--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -98,6 +98,9 @@
 PREFERENCE_SECONDS = 1.5
 """So much longer a node that isn't preferred waits at a start without a coordinator."""
 
+COMPARE_SECONDS = 0.5
+"""Pause between questions whether another node runs items as well."""
+
 YIELD_SECONDS = 1.0
 """A node that has run the items on is left the first claim for so long after an outage.
 
@@ -213,6 +216,7 @@
         self._witnesses: dict[str, NodeAddress] = {}
         self._successors: dict[str, NodeAddress] = {}
         self._asked_successors_at = 0.0
+        self._compared_at = 0.0
         self._yielded_since = 0.0
         """Since when another node was left the first claim; 0: none is."""
         self._store_probed = False
@@ -433,8 +437,19 @@
             self._succession.note_contact()
         elif self._reaches_store():
             self._claim(known, "the store is back")
+        elif self._is_second(known):
+            self._end_tentative("another node runs items, too")
         return TENTATIVE_CHECK_SECONDS
 
+    def _is_second(self, known: Coordinator) -> bool:
+        """Return whether another node that began at the same moment comes first, by its name."""
+        now = time.monotonic()
+        if now - self._compared_at < COMPARE_SECONDS:
+            return False
+        self._compared_at = now
+        answers = self._ask(list(self._successors), known)
+        return any(pong.tentative and one < self._node_id for one, pong in answers.items())
+
     def _follow(self, known: Coordinator) -> float:
         """Ping the coordinator, replace it if that is due; returns when to ping again."""
         asked_at = time.monotonic()
@@ -523,6 +538,7 @@
             silent_ms=int(self._succession.silent_seconds * 1000),
         )
         self._tentative_epoch = epoch
+        self._compared_at = 0.0
         self._terms.begin_tentative_term(epoch)
 
     def _end_tentative(self, reason: str) -> None:
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -319,6 +319,19 @@
         self.assertEqual(len(self.terms), 1, self.terms)
         self.assertEqual(len(self.ended_terms), 1, self.ended_terms)
 
+    def test_two_nodes_that_began_to_run_items_at_once(self):
+        """Drawn day of d1bdeba8: two storage machines began within 12 ms of each other."""
+        nodes = self._nodes("a", "b", "c")
+        first = self._outage_without_coordinator(nodes)
+        others = [node for node in nodes if node is not first]
+        self._wait(lambda: any(node.tentative for node in others))
+        for node in others:
+            if not node.tentative:
+                node._begin_tentative(node.coordinator)
+        self._wait(lambda: sum(node.tentative for node in others) == 1)
+        (left,) = [node for node in others if node.tentative]
+        self.assertEqual(left.node_id, min(node.node_id for node in others))
+
     def test_claim_that_the_store_took_without_an_answer_confirms_the_term(self):
         nodes = self._nodes("a", "b", "c")
         first = self._coordinator(nodes)
