--- a/src/runkeel_lab/demo.py
+++ b/src/runkeel_lab/demo.py
@@ -12,12 +12,16 @@
 from rich.console import Console
 from rich.table import Table
 
+from runkeel.api.duties import UsageSettings
 from runkeel_lab.day_picture import DayPicture
 from runkeel_lab.users_platform.deployment import (
     COUNT_PREFIX,
     MODEL,
     RESERVE_PREFIX,
     Deployment,
+    configuration,
+    tenant,
+    with_key,
 )
 from runkeel_lab.users_platform.servers import event_count, whole_text
 
@@ -29,6 +33,13 @@
 DRAINED_SECONDS = 1.5
 """A server that says that it leaves gets nothing new after so long."""
 
+KITCHEN_KEY = "demo-kitchen"
+SCHOOL_KEY = "demo-school"
+SCHOOL_SECOND_KEY = "demo-school-2"
+_KITCHEN = tenant("kitchen", KITCHEN_KEY)
+USAGE = UsageSettings(window_seconds=1.0, late_seconds=4.0)
+"""Shorter than on a platform, so that a report can be waited for."""
+
 _WIDTH_WITHOUT_TERMINAL = 150
 _POLL_SECONDS = 0.02
 _DEADLINE = {"Deadline-Ms": "1500"}
@@ -59,10 +70,13 @@
         """Show everything."""
         parts: tuple[tuple[str, Callable[[], None]], ...] = (
             ("lookups through every edge node", self._lookups),
+            ("two tenants, one key taken away", self._tenants),
             ("a reservation whose answer is lost, and one that is refused", self._reservations),
             ("three training steps, each on newer weights", self._train),
             ("a server that leaves", self._drain),
+            ("a job sent while the store is away", self._outage),
             ("the coordinator's death in the middle of a job", self._kill_coordinator),
+            ("what the tenants used", self._usage),
         )
         for title, part in parts:
             began = time.monotonic()
@@ -84,10 +98,10 @@
             gevent.sleep(_POLL_SECONDS)
         return value
 
-    def _send(self, edge: str, prefix: str, request_id: str) -> int:
+    def _send(self, edge: str, prefix: str, request_id: str, key: str = KITCHEN_KEY) -> int:
         """Send a request; returns the status, 0 without an answer that is its own."""
         began = time.monotonic()
-        headers = {"Attempt-Id": request_id} | _DEADLINE
+        headers = {"Attempt-Id": request_id} | _DEADLINE | with_key(key)
         answer = self._deployment.call(edge, "POST", f"{prefix}rice", headers, request_id.encode())
         status = answer.status if answer is not None else 0
         self._picture.request(began, time.monotonic(), status)
@@ -111,6 +125,72 @@
         detail = f"{answered} of {len(ids)}"
         self._check("whole answers to their own requests", answered == len(ids), detail)
 
+    def _tenants(self) -> None:
+        deployment = self._deployment
+        keys = {"none": "", "unknown": "x", "school": SCHOOL_KEY}
+        statuses = {
+            name: self._send("edge-0", COUNT_PREFIX, name, key) for name, key in keys.items()
+        }
+        told = [
+            run.headers.get("tenant")
+            for server in deployment.applications
+            for run in server.runs
+            if run.request_id == "school"
+        ]
+        holds = statuses == {"none": 401, "unknown": 401, "school": 200} and told == ["school"]
+        self._check("only known keys, servers told the tenant", holds, f"{statuses}, told {told}")
+        tenants = (_KITCHEN, tenant("school", SCHOOL_SECOND_KEY))
+        deployment.configure(configuration(2, tenants=tenants))
+        began = time.monotonic()
+        self._wait(
+            "the refusal of a key that was taken away",
+            lambda: self._send("edge-1", COUNT_PREFIX, "taken", SCHOOL_KEY) == 401,
+        )
+        detail = f"refused after {time.monotonic() - began:.2f} s"
+        self._check("a key that is taken away", True, detail)
+
+    def _usage(self) -> None:
+        """Compare what was reported with what servers ran, once all windows are over."""
+        ran: dict[str, set[str]] = {}
+        for server in self._deployment.applications:
+            for run in server.runs:
+                if "tenant" in run.headers:
+                    ran.setdefault(run.headers["tenant"], set()).add(run.request_id)
+        truth = {name: len(requests) for name, requests in ran.items()}
+
+        def reported() -> dict[str, int]:
+            totals: dict[str, int] = {}
+            windows = {one.window: one.counts for one in self._deployment.duties.reports}
+            for counts in windows.values():
+                for name, count in counts.items():
+                    totals[name] = totals.get(name, 0) + count
+            return totals
+
+        self._wait("the report of the last window", lambda: reported() == truth)
+        problems = self._deployment.duties.problems()
+        detail = problems[0] if problems else f"{truth} in {len(self._deployment.duties.reports)}"
+        self._check("usage reported once and in full", not problems, f"{detail} windows")
+
+    def _outage(self) -> None:
+        items = [f"outage-g0-{number}" for number in range(8)]
+        self._deployment.store.refused = True
+        gevent.sleep(0.5)
+        status = self._deployment.submit("edge-0", "outage", items, STEPS, KITCHEN_KEY)
+
+        def ran() -> int:
+            return sum(
+                run.request_id in items for one in self._deployment.engines for run in one.runs
+            )
+
+        try:
+            self._wait("the items' runs", lambda: ran() >= len(items))
+        finally:
+            self._deployment.store.refused = False
+        results = self._whole("outage", len(items))
+        whole = sum(result.get("Text") == whole_text(result["Id"]) for result in results)
+        detail = f"status {status}, {whole} of {len(items)} whole once it was back"
+        self._check("a job is taken while the store is away", status == 202 and whole == 8, detail)
+
     def _reservations(self) -> None:
         servers = self._deployment.applications
         for server in servers:
@@ -153,7 +233,7 @@
         items = [
             f"{job_id}-g{group}-{number}" for group in range(GROUPS) for number in range(GROUP_SIZE)
         ]
-        if self._deployment.submit("edge-0", job_id, items, minimum_version=version) != 202:
+        if self._deployment.submit("edge-0", job_id, items, version, KITCHEN_KEY) != 202:
             raise NotSeenError(f"{job_id} was not accepted")
         results = self._whole(job_id, len(items))
         self._picture.step(began, time.monotonic(), version)
@@ -161,7 +241,7 @@
 
     def _whole(self, job_id: str, count: int) -> list[dict]:
         def read() -> list[dict] | None:
-            results = self._deployment.results("edge-1", job_id)
+            results = self._deployment.results("edge-1", job_id, key=KITCHEN_KEY)
             return results if results is not None and len(results) == count else None
 
         return self._wait(f"the results of {job_id}", read)
@@ -211,7 +291,7 @@
             engine.event_seconds = 0.05
         names = (f"last-g{number}-{number}" for number in range(400))
         items = [name for name in names if event_count(name) > 30][:6]
-        if self._deployment.submit("edge-0", "last", items, minimum_version=STEPS) != 202:
+        if self._deployment.submit("edge-0", "last", items, STEPS, KITCHEN_KEY) != 202:
             raise NotSeenError("the last job was not accepted")
         gevent.sleep(1.2)
         (victim,) = self._deployment.coordinators()
@@ -240,7 +320,10 @@
     logger.remove()
     logger.add(out / "nodes.log", serialize=True, mode="w")
     began = time.monotonic()
-    deployment = Deployment(SEED, edges=3, disks=3, engines=4, applications=3)
+    tenants = (_KITCHEN, tenant("school", SCHOOL_KEY, SCHOOL_SECOND_KEY))
+    deployment = Deployment(
+        SEED, edges=3, disks=3, engines=4, applications=3, tenants=tenants, usage=USAGE
+    )
     deployment.start()
     try:
         deployment.wait_ready()
