--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -120,6 +120,20 @@
     return EXIT_OK
 
 
+def bound(*logs: Path) -> int:
+    """Print how far each training step was from the earliest end that its engines allowed.
+
+    Example: ``runkeel-lab bound logs/*.log``
+
+    :param logs: files with the nodes' log lines, in any order.
+    """
+    from runkeel_lab.step_bound import format_lags, step_lags
+    from runkeel_lab.story import read_lines
+
+    print(format_lags(step_lags(read_lines(logs))))
+    return EXIT_OK
+
+
 def worth(*entries: Path, picture: Path | None = None) -> int:
     """Compare the worth of the days of the users' bench by its journal entries.
 
@@ -145,7 +159,7 @@
     """Run the command line and exit with its code."""
     try:
         code = defopt.run(
-            [demo, up, soak, replay, decisions, steps, story, worth],
+            [demo, up, soak, replay, decisions, steps, bound, story, worth],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
             argparse_kwargs={"prog": "runkeel-lab"},
