--- a/src/runkeel_lab/step_bound.py
+++ b/src/runkeel_lab/step_bound.py
@@ -2,8 +2,8 @@
 
 The bound is worked out from a day's log lines: the items' true lengths, the engines that ran any,
 the slots that were in use at once, and the pace of the faster half of them. All items go to free
-slots, the longest of a step first; versions, the coordinator and the store cost nothing. A step's lag is
-what it took beyond that, until as many items were listed as trainers usually wait for.
+slots, the longest of a step first; versions, the coordinator and the store cost nothing. A step's
+lag is what it took beyond that, until as many items were listed as trainers usually wait for.
 """
 
 from __future__ import annotations
