--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -19,6 +19,7 @@
 SCALED = {
     election_module: (
         "PING_SECONDS",
+        "FIRST_PING_SECONDS",
         "SLOW_PING_SECONDS",
         "PING_TIMEOUT_SECONDS",
         "START_SPREAD_SECONDS",
--- a/tests/usage/usage_machine.py
+++ b/tests/usage/usage_machine.py
@@ -105,7 +105,7 @@
         counts = self.truth.setdefault(meter.window_of(self.now), {})
         counts[tenant] = counts.get(tenant, 0) + 1
 
-    @rule(seconds=strategies.floats(0.1, 8.0))
+    @rule(seconds=strategies.floats(0.5, 12.0))
     def wait(self, seconds):
         self.now += seconds
 
@@ -120,6 +120,12 @@
         complete = int(meter.complete_before * 1000)
         self._duty(term).take(UsageCounts(SHARD, 1, source, windows, complete))
 
+    @rule(term=terms, fault=faults, lost=strategies.booleans())
+    def serve(self, term, fault, lost):
+        """A coordinator has its turn: it keeps its ledger and reports what it may."""
+        self.keep(term, fault)
+        self.report(term, lost)
+
     @rule(term=terms, fault=faults)
     def keep(self, term, fault):
         """A coordinator decides what is due, and writes its ledger."""
