Split the election: pings, nodes that were told of, and the tentative place stand by themselves

Behaviour is unchanged; the tests of the election and of the outage pass as they were, but for the names of a module and of a method.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -26,9 +26,13 @@
     Freshness,
 )
 from runkeel.api.machines import Address
+from runkeel.coordination import pings
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.peers import LAST_RANK, PeerRegistry
+from runkeel.coordination.pings import PingSender
 from runkeel.coordination.succession import Succession
+from runkeel.coordination.tentative_place import CHECK_SECONDS, TentativePlace
+from runkeel.coordination.told_nodes import ToldNodes
 from runkeel.coordination.witnesses import reached_by_others
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.metrics import COORDINATING
@@ -63,7 +67,6 @@
 SILENT_PINGS = 2.2
 """A node that has missed two pings may be down or cut off."""
 
-PING_TIMEOUT_SECONDS = 0.35
 FAILING_PING_SECONDS = 0.05
 """Pause between pings while they fail."""
 
@@ -79,15 +82,6 @@
 ASKED_SUCCESSORS = 2
 """So many are asked; where both are lost as well, the store tells."""
 
-REMEMBERED_SUCCESSORS = 8
-"""Those told last and before: a coordinator that is new has not heard of all of them yet."""
-
-TENTATIVE_CHECK_SECONDS = 0.1
-"""Pause before a node that runs items on looks again whether the store is back.
-
-It looks at what the node's own calls have found; no call is made for it.
-"""
-
 ASK_SUCCESSORS_SECONDS = 0.2
 """Pause between questions to the likeliest successors: all nodes ask them at once."""
 
@@ -98,15 +92,6 @@
 PREFERENCE_SECONDS = 1.5
 """So much longer a node that isn't preferred waits at a start without a coordinator."""
 
-COMPARE_SECONDS = 0.5
-"""Pause between questions whether another node runs items as well."""
-
-YIELD_SECONDS = 1.0
-"""A node that has run the items on is left the first claim for so long after an outage.
-
-Its own calls to the store find out within 0.4 s that it is back.
-"""
-
 CLAIM_SECONDS = 0.6
 """Longest wait for the answer to a claim; one that comes to be taken later is recognized.
 
@@ -186,7 +171,8 @@
         self._node_id = candidate.node_id
         self._zone = candidate.zone
         self._preferred = candidate.preferred
-        self._own_address = NodeAddress(candidate.node_id, "", candidate.zone)
+        own_address = NodeAddress(candidate.node_id, "", candidate.zone)
+        self._pings = PingSender(network, candidate.shard, candidate.preferred, own_address)
         self._store_reachable = store_reachable
         self._lease = lease
         self._terms = terms
@@ -207,18 +193,22 @@
         self._listeners: list[Callable[[], None]] = []
         self._epoch = 0
         """Epoch in which this node coordinates, 0 when it does not."""
-        self._tentative_epoch = 0
-        """Epoch in which it will coordinate if the store says so; 0: none."""
         self._unanswered_epoch = 0
         """Epoch that it has claimed and of which the store has not answered yet; 0: none."""
         self._peers = PeerRegistry(candidate.zone)
         self._predecessor: Coordinator | None = None
-        self._witnesses: dict[str, NodeAddress] = {}
-        self._successors: dict[str, NodeAddress] = {}
+        self._told = ToldNodes()
+        self._tentative = TentativePlace(
+            candidate.node_id,
+            candidate.preferred,
+            self._pings,
+            self._told,
+            self._succession,
+            self._witnessed,
+            terms.begin_tentative_term,
+            terms.end_term,
+        )
         self._asked_successors_at = 0.0
-        self._compared_at = 0.0
-        self._yielded_since = 0.0
-        """Since when another node was left the first claim; 0: none is."""
         self._store_probed = False
         """Whether the store was asked since the coordinator was last heard."""
         self._stopping = False
@@ -303,7 +293,7 @@
     @property
     def tentative(self) -> bool:
         """Whether this node runs items on until the store is back."""
-        return self._tentative_epoch > 0
+        return self._tentative.epoch > 0
 
     def likely_successors(self) -> list[str]:
         """Return the nodes that get copies of the open jobs: those that are asked first."""
@@ -314,10 +304,10 @@
         known = self._coordinator
         if self.coordinating:
             successors = [one.node_id for one in self._peers.successors()]
-            return list(dict.fromkeys([self._node_id, *successors, *self._successors]))
+            return list(dict.fromkeys([self._node_id, *successors, *self._told.successors]))
         own = [self._node_id] if self._preferred else []
         leading = [known.node_id] if known is not None else []
-        return list(dict.fromkeys([*own, *leading, *self._successors]))
+        return list(dict.fromkeys([*own, *leading, *self._told.successors]))
 
     @property
     def silent_peers(self) -> int:
@@ -327,7 +317,7 @@
     @property
     def own_address(self) -> NodeAddress:
         """Where this node is reached by its peers."""
-        return self._own_address
+        return self._pings.own_address
 
     @property
     def known_epoch(self) -> int:
@@ -343,11 +333,7 @@
         before = self._predecessor
         if before is not None and before.node_id == node_id:
             return before.address, before.zone
-        told = (
-            self._peers.address(node_id)
-            or self._witnesses.get(node_id)
-            or self._successors.get(node_id)
-        )
+        told = self._peers.address(node_id) or self._told.address(node_id)
         return None if told is None else (Address.parse(told.address), told.zone)
 
     def start(self, peer_address: Address, delay_seconds: float = 0.0) -> None:
@@ -356,7 +342,7 @@
         Args:
             delay_seconds: the store is first asked for the coordinator after so long.
         """
-        self._own_address = NodeAddress(self._node_id, str(peer_address), self._zone)
+        self._pings.own_address = NodeAddress(self._node_id, str(peer_address), self._zone)
         if delay_seconds > 0:
             self._starter = gevent.spawn_later(delay_seconds, self._watcher.start)
         else:
@@ -366,7 +352,7 @@
     def leave(self) -> None:
         """Stop coordinating as planned, so that a successor steps in at once."""
         self._stopping = True
-        self._end_tentative("this node stops")
+        self._tentative.end("this node stops")
         self._step_down("this node stops")
 
     def stop(self) -> None:
@@ -392,8 +378,8 @@
         self._coordinator = told
         if self._epoch and told.epoch > self._epoch:
             self._step_down(f"{told.node_id} took over")
-        if self._tentative_epoch and told.epoch >= self._tentative_epoch and not self._is_own(told):
-            self._end_tentative(f"{told.node_id} took over")
+        if told.epoch >= self._tentative.epoch and not self._is_own(told):
+            self._tentative.end(f"{told.node_id} took over")
         if before is None or before.epoch != told.epoch:
             for listener in self._listeners:
                 listener()
@@ -421,7 +407,7 @@
             if known.epoch != seen_epoch:
                 seen_epoch = known.epoch
                 self._succession.begin()
-            if self._tentative_epoch:
+            if self.tentative:
                 gevent.sleep(self._confirm_tentative(known))
                 continue
             gevent.sleep(self._follow(known))
@@ -431,42 +417,31 @@
 
         A coordinator that turns out to serve keeps its place.
         """
-        pong = self._ping(known)
+        pong = self._pings.ping(known.node_id, known.epoch)
         if pong is not None and pong.coordinator:
-            self._end_tentative(f"{known.node_id} serves")
+            self._tentative.end(f"{known.node_id} serves")
             self._succession.note_contact()
         elif self._reaches_store():
             self._claim(known, "the store is back")
-        elif self._is_second(known):
-            self._end_tentative("another node runs items, too")
-        return TENTATIVE_CHECK_SECONDS
-
-    def _is_second(self, known: Coordinator) -> bool:
-        """Return whether another node that began at the same moment comes first, by its name."""
-        now = time.monotonic()
-        if now - self._compared_at < COMPARE_SECONDS:
-            return False
-        self._compared_at = now
-        answers = self._ask(list(self._successors), known)
-        return any(pong.tentative and one < self._node_id for one, pong in answers.items())
+        elif self._tentative.comes_second(known):
+            self._tentative.end("another node runs items, too")
+        return CHECK_SECONDS
 
     def _follow(self, known: Coordinator) -> float:
         """Ping the coordinator, replace it if that is due; returns when to ping again."""
         asked_at = time.monotonic()
-        pong = self._ping(known)
+        pong = self._pings.ping(known.node_id, known.epoch)
         pause = PING_SECONDS
         if pong is not None:
             pause = pong.interval_ms / 1000.0
             self._lease.observe(pong.lease_revision, pong.lease_age_ms / 1000.0)
-            if pong.witnesses:
-                self._witnesses = {one.node_id: one for one in pong.witnesses}
-            self._note_successors(pong.successors or [])
+            self._told.note(pong)
             if pong.coordinator and (pong.epoch or 0) > known.epoch:
                 # It has restarted, and coordinates in a later term.
                 address = NodeAddress(known.node_id, str(known.address), known.zone)
                 self.note_successor(address, pong.epoch)
         # Time in which this process itself stood still doesn't count.
-        asked_at = max(asked_at, time.monotonic() - PING_TIMEOUT_SECONDS)
+        asked_at = max(asked_at, time.monotonic() - pings.PING_TIMEOUT_SECONDS)
         if self._succession.serves(pong):
             self._succession.note_contact()
             self._store_probed = False
@@ -477,8 +452,8 @@
         if not self._succession.is_due(pong, asked_at):
             if self._succession.may_be_replaced:
                 self._ask_successors(known)
-            if pong is None and self._may_serve_tentatively(known):
-                self._begin_tentative(known)
+            if pong is None and self._tentative.may_begin(known):
+                self._tentative.begin(known)
             return FAILING_PING_SECONDS if pong is None else PING_SECONDS / 2
         if pong is None and self._witnessed(known):
             logger.info(
@@ -490,69 +465,13 @@
             )
             self._succession.note_contact()
             return PING_SECONDS
-        if pong is None and self._yields_to_tentative(known):
-            return TENTATIVE_CHECK_SECONDS
+        if pong is None and self._tentative.yields(known):
+            return CHECK_SECONDS
         if self._coordinator is known:
             silent = self._succession.silent_seconds
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
-    def _note_successors(self, told: list[NodeAddress]) -> None:
-        """Remember who was told now, then who was told before."""
-        successors = {one.node_id: one for one in told}
-        for node_id, address in self._successors.items():
-            if len(successors) < REMEMBERED_SUCCESSORS:
-                successors.setdefault(node_id, address)
-        self._successors = successors
-
-    def _may_serve_tentatively(self, known: Coordinator) -> bool:
-        """Return whether nobody serves, and nobody could be told by the store to."""
-        if not self._preferred or not self._succession.may_serve_tentatively:
-            return False
-        answers = self._ask(list(self._successors), known)
-        if any(pong.tentative or pong.coordinator for pong in answers.values()):
-            return False
-        if any(pong.store_reachable for pong in answers.values()):
-            return False
-        return not self._witnessed(known)
-
-    def _yields_to_tentative(self, known: Coordinator) -> bool:
-        """Return whether a node that has run the items on is left the first claim.
-
-        Not for long: it may be cut off from the store, which this node reaches.
-        """
-        answers = self._ask(list(self._successors), known)
-        if not any(pong.tentative for pong in answers.values()):
-            self._yielded_since = 0.0
-            return False
-        self._yielded_since = self._yielded_since or time.monotonic()
-        return time.monotonic() - self._yielded_since < YIELD_SECONDS
-
-    def _begin_tentative(self, known: Coordinator) -> None:
-        epoch = known.epoch + 1
-        logger.warning(
-            "runs items until the store is back",
-            code="coordinator_tentative",
-            epoch=epoch,
-            coordinator=known.node_id,
-            silent_ms=int(self._succession.silent_seconds * 1000),
-        )
-        self._tentative_epoch = epoch
-        self._compared_at = 0.0
-        self._terms.begin_tentative_term(epoch)
-
-    def _end_tentative(self, reason: str) -> None:
-        if not self._tentative_epoch:
-            return
-        logger.info(
-            "runs items no more",
-            code="coordinator_tentative_ended",
-            epoch=self._tentative_epoch,
-            reason=reason,
-        )
-        self._tentative_epoch = 0
-        self._terms.end_term()
-
     def _is_own(self, told: Coordinator) -> bool:
         """Return whether a coordinator's document is a claim of this process, unanswered so far."""
         return told.node_id == self._node_id and told.epoch == self._unanswered_epoch
@@ -577,23 +496,14 @@
         if now - self._asked_successors_at < ASK_SUCCESSORS_SECONDS:
             return
         self._asked_successors_at = now
-        answers = self._ask(list(self._successors)[:ASKED_SUCCESSORS], known)
+        others = [one for one in self._told.successors if one not in (self._node_id, known.node_id)]
+        answers = self._pings.ping_all(others[:ASKED_SUCCESSORS], known.epoch)
         for node_id, pong in answers.items():
             if pong.coordinator and pong.epoch > known.epoch:
-                self.note_successor(self._successors[node_id], pong.epoch)
-
-    def _ask(self, node_ids: list[str], known: Coordinator) -> dict[str, CoordinatorPong]:
-        """Ping other nodes than the coordinator, all at once; returns who answered what."""
-        message = CoordinatorPing(
-            self._shard, known.epoch, self._preferred, self._own_address, coordinating=False
-        )
-        others = [one for one in node_ids if one not in (self._node_id, known.node_id)]
-        asked = {one: gevent.spawn(self._call_ping, one, message) for one in others}
-        gevent.joinall(list(asked.values()), timeout=PING_TIMEOUT_SECONDS)
-        return {one: task.value for one, task in asked.items() if task.value is not None}
+                self.note_successor(self._told.address(node_id), pong.epoch)
 
     def _witnessed(self, known: Coordinator) -> bool:
-        others = [one for one in self._witnesses if one not in (self._node_id, known.node_id)]
+        others = [one for one in self._told.witnesses if one not in (self._node_id, known.node_id)]
         return reached_by_others(self._network, self._shard, known.epoch, others, WITNESS_SECONDS)
 
     def _answer_witness(
@@ -602,7 +512,7 @@
         known = self._coordinator
         serving = self.coordinating
         if known is not None and known.epoch >= message.epoch and not serving:
-            pong = self._ping(known)
+            pong = self._pings.ping(known.node_id, known.epoch)
             serving = self._succession.serves(pong)
         reply = CoordinatorWitnessReply(serving)
         return MessageType.COORDINATOR_WITNESS_REPLY, reply
@@ -613,24 +523,6 @@
     def _reaches_store(self) -> bool:
         return self._watcher.reachable and self._store_reachable()
 
-    def _ping(self, known: Coordinator) -> CoordinatorPong | None:
-        message = CoordinatorPing(
-            self._shard, known.epoch, self._preferred, self._own_address, coordinating=False
-        )
-        return self._call_ping(known.node_id, message)
-
-    def _call_ping(self, node_id: str, message: CoordinatorPing) -> CoordinatorPong | None:
-        try:
-            return self._network.call(
-                node_id,
-                MessageType.COORDINATOR_PING,
-                message,
-                CoordinatorPong,
-                PING_TIMEOUT_SECONDS,
-            )
-        except RunkeelError:
-            return None
-
     def _answer_ping(self, peer: str, ping: CoordinatorPing) -> tuple[int, CoordinatorPong]:
         if ping.coordinating:
             self.note_successor(ping.sender, ping.epoch)
@@ -662,7 +554,7 @@
     def _claim(self, known: Coordinator | None, reason: str) -> None:
         """Take the place of the coordinator that was found wanting, not of a later one."""
         epoch = (known.epoch if known else 0) + 1
-        address = Address.parse(self._own_address.address)
+        address = Address.parse(self._pings.own_address.address)
         claim = Coordinator(self._node_id, address, self._zone, epoch)
         # The watch may bring this claim before the answer comes.
         unanswered_before, self._unanswered_epoch = self._unanswered_epoch, epoch
@@ -701,9 +593,11 @@
         return True
 
     def _gain(self, epoch: int, reason: str) -> None:
-        if self._tentative_epoch != epoch:
-            self._end_tentative("another term begins")
-        self._epoch, self._tentative_epoch, self._unanswered_epoch = epoch, 0, 0
+        if self._tentative.epoch == epoch:
+            self._tentative.confirmed()
+        else:
+            self._tentative.end("another term begins")
+        self._epoch, self._unanswered_epoch = epoch, 0
         self._gained_at = time.monotonic()
         self._watcher.rewatch()
         self._peers.clear()
@@ -716,10 +610,7 @@
         for _ in range(PREDECESSOR_PINGS):
             if self._epoch != epoch:
                 return
-            message = CoordinatorPing(
-                self._shard, epoch, self._preferred, self._own_address, coordinating=True
-            )
-            if self._call_ping(predecessor.node_id, message) is not None:
+            if self._pings.ping(predecessor.node_id, epoch, coordinating=True) is not None:
                 return
             gevent.sleep(PING_SECONDS)
 
@@ -728,6 +619,6 @@
             return
         logger.info("not coordinating", code="coordinator_lost", epoch=self._epoch, reason=reason)
         self._epoch = 0
-        self._witnesses = {one.node_id: one for one in self._peers.witnesses_for(self._node_id)}
+        self._told.note_witnesses(self._peers.witnesses_for(self._node_id))
         COORDINATING.labels(self._shard).set(0)
         self._terms.end_term()
--- /dev/null
+++ b/src/runkeel/coordination/told_nodes.py
@@ -0,0 +1,50 @@
+"""Nodes that the coordinator has told of: witnesses, and who is likely to succeed it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from runkeel.wire.generated.jobs.ttypes import CoordinatorPong, NodeAddress
+
+REMEMBERED_SUCCESSORS = 8
+"""Those told last and before: a coordinator that is new has not heard of all of them yet."""
+
+
+class ToldNodes:
+    """What the coordinators' answers said of other nodes."""
+
+    def __init__(self) -> None:
+        self._witnesses: dict[str, NodeAddress] = {}
+        self._successors: dict[str, NodeAddress] = {}
+
+    @property
+    def witnesses(self) -> list[str]:
+        """Nodes to ask whether they reach the coordinator."""
+        return list(self._witnesses)
+
+    @property
+    def successors(self) -> list[str]:
+        """Nodes that may replace the coordinator, the likeliest first."""
+        return list(self._successors)
+
+    def address(self, node_id: str) -> NodeAddress | None:
+        """Return where a node is reached."""
+        return self._witnesses.get(node_id) or self._successors.get(node_id)
+
+    def note(self, pong: CoordinatorPong) -> None:
+        """Take what an answer tells."""
+        if pong.witnesses:
+            self.note_witnesses(pong.witnesses)
+        self._note_successors(pong.successors or [])
+
+    def note_witnesses(self, witnesses: Iterable[NodeAddress]) -> None:
+        """Take other witnesses."""
+        self._witnesses = {one.node_id: one for one in witnesses}
+
+    def _note_successors(self, told: Iterable[NodeAddress]) -> None:
+        """Remember who was told now, then who was told before."""
+        successors = {one.node_id: one for one in told}
+        for node_id, address in self._successors.items():
+            if len(successors) < REMEMBERED_SUCCESSORS:
+                successors.setdefault(node_id, address)
+        self._successors = successors
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -9,7 +9,7 @@
 from runkeel.api.documents import Document, DocumentKind
 from runkeel.api.machines import Address
 from runkeel.coordination import election as election_module
-from runkeel.coordination import succession
+from runkeel.coordination import pings, succession
 from runkeel.coordination.election import Candidate, Election
 from runkeel.state import document_watcher
 from runkeel.wire.generated.jobs.ttypes import CoordinatorPong, NodeAddress
@@ -21,11 +21,11 @@
         "PING_SECONDS",
         "FIRST_PING_SECONDS",
         "SLOW_PING_SECONDS",
-        "PING_TIMEOUT_SECONDS",
         "START_SPREAD_SECONDS",
         "PREFERENCE_SECONDS",
         "WITNESS_SECONDS",
     ),
+    pings: ("PING_TIMEOUT_SECONDS",),
     succession: (
         "SILENCE_SECONDS",
         "RANK_SECONDS",
@@ -87,7 +87,7 @@
 
 class ElectionTest(unittest.TestCase):
     def setUp(self):
-        for module in (election_module, succession):
+        for module in (election_module, pings, succession):
             for name in SCALED[module]:
                 patch = mock.patch.object(module, name, getattr(module, name) * SCALE)
                 patch.start()
@@ -328,7 +328,7 @@
         self._wait(lambda: any(node.tentative for node in others))
         for node in others:
             if not node.tentative:
-                node._begin_tentative(node.coordinator)
+                node._tentative.begin(node.coordinator)
         self._wait(lambda: sum(node.tentative for node in others) == 1)
         (left,) = [node for node in others if node.tentative]
         self.assertEqual(left.node_id, min(node.node_id for node in others))
