Judge an outage of the store once per node, not by each copy's own tries

Cause: each copy counted an outage from its own first to its own last failure, and kept lapsed documents only if it had itself failed in the 1.5 s before. All tasks of a node take turns to try a store that is away, so a copy's own tries may be 5 s apart (seen in the lab: a coordinator's copy of the servers failed once in an outage of 6 s, and dropped all of them when the store was back); nodes that follow others try each 1.5 s. Ruled out: the shorter pause between tries as a cure (the calls have their price).

--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -189,6 +189,7 @@
             self._watch_seconds,
             self._follower.store_needed,
             LAPSE_SECONDS,
+            lambda: store.returned_at,
             first_list=Freshness.ANY_AGE,
         )
         self._watchers = [self._routing_watcher, self._backend_watcher]
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -21,6 +21,7 @@
     HistoryLostError,
 )
 from runkeel.errors import RunkeelError
+from runkeel.state.lapsed_documents import LapsedDocuments
 
 WATCH_SECONDS = 29.0
 """Longest wait of a watch if nothing shorter is asked for.
@@ -34,21 +35,12 @@
 TIMELY_MARGIN_SECONDS = 0.4
 """An answer so much later than the watch's wait proves nothing about now. Chosen, not measured."""
 
-LAPSE_OUTAGE_SECONDS = 2.0
-"""An outage of the store has to last so long for documents that need heartbeats to lapse in it."""
-
-TIMER_MARGIN_SECONDS = 0.05
-"""Timers may fire so much early or late. Chosen, not measured."""
-
 RESTING_PROBE_SECONDS = 2.0
 """A watcher that follows a feed asks the store itself so often while the store is lost.
 
 Chosen, not measured.
 """
 
-LAPSE_RECENT_SECONDS = 1.5
-"""The store must have failed so lately for its first answer to show when it came back."""
-
 MAXIMUM_REMOVALS = 4_000
 """Removals that are remembered for other nodes."""
 
@@ -71,6 +63,7 @@
             often: refused calls have their price too.
         lapse_seconds: documents that lapsed in an outage of the store are kept for so long after
             its end, since those whose owners live come back.
+        returned_at: monotonic time at which the store was back after the last such outage.
         first_list: how new the very first list must be. One that is old is as good where the
             watch that follows is waited for: it brings at once what has come since.
 
@@ -93,6 +86,7 @@
         watch_seconds: Callable[[], float] = lambda: WATCH_SECONDS,
         needed: Event | None = None,
         lapse_seconds: float = 0.0,
+        returned_at: Callable[[], float] = lambda: 0.0,
         resting_probe_seconds: float = RESTING_PROBE_SECONDS,
         first_list: Freshness = Freshness.CURRENT,
     ) -> None:
@@ -100,13 +94,7 @@
         self._resting_probe_seconds = resting_probe_seconds
         self._store = store
         self._kind = kind
-        self._lapse_seconds = lapse_seconds
-        self._lapse_ends_at = 0.0
-        self._lapsed: set[str] = set()
-        self._expired: list[str] = []
-        """Lapsed documents that were given up since the last change of the revision."""
-        self._failing_since = 0.0
-        self._failed_at = 0.0
+        self._lapsed = LapsedDocuments(kind, lapse_seconds, returned_at, self._remove)
         self._needed = needed
         self._listeners = [on_change]
         self._pause_seconds = pause_seconds
@@ -175,7 +163,7 @@
         before, self.revision = self.revision, page.revision
         self.unbroken_since = page.revision
         self.removals.clear()
-        self._expired.clear()
+        self._lapsed.take_expired()
         if page.whole:
             self._list_due = False
         present = {document.name for document in page.documents}
@@ -210,7 +198,6 @@
         # After a failure an answer is wanted at once: it shows that the store is back.
         wait_seconds = 0.0 if self._failures else self._watch_seconds()
         changes = self._store.watch(self._kind, self.revision, wait_seconds)
-        self._answered()
         self._take_changes(changes)
         self._succeeded(started)
         if changes.changes:
@@ -223,52 +210,29 @@
         if self.revision > before:
             self._note_expired()
         for change in changes.changes:
-            if change.removed and self._hold_lapsed(change.document.name):
+            if change.removed and self._keep_lapsed(change.document.name):
                 continue
             if change.removed:
                 self._note_removal(change.document.name)
             if change.removed or change.document.revision > before:
                 self._apply(change.document, change.removed)
 
-    def _answered(self) -> None:
-        """Take note of an answer before it is read: it may be the first after an outage."""
-        now = time.monotonic()
-        outage_seconds = self._failed_at - self._failing_since if self._failing_since else 0.0
-        recent = now - self._failed_at <= LAPSE_RECENT_SECONDS
-        if self._lapse_seconds and outage_seconds >= LAPSE_OUTAGE_SECONDS and recent:
-            self._lapse_ends_at = now + self._lapse_seconds
-            gevent.spawn_later(self._lapse_seconds, self._give_up_lapsed)
-        self._failing_since = 0.0
-
-    def _hold_lapsed(self, name: str) -> bool:
+    def _keep_lapsed(self, name: str) -> bool:
         """Keep a document that the store no longer has; False when it is to be removed."""
-        if time.monotonic() >= self._lapse_ends_at or name not in self.documents:
-            return False
-        self._lapsed.add(name)
-        return True
-
-    def _give_up_lapsed(self) -> None:
-        """Remove the lapsed documents that have not come back."""
-        if time.monotonic() < self._lapse_ends_at - TIMER_MARGIN_SECONDS:
-            return
-        for name in sorted(self._lapsed):
-            self._remove(name)
-            self._expired.append(name)
-        self._lapsed.clear()
+        return name in self.documents and self._lapsed.keep(name)
 
     def _note_expired(self) -> None:
         """Have other nodes told of what was given up: at a revision that they don't have yet."""
-        for name in self._expired:
+        for name in self._lapsed.take_expired():
             if name not in self.documents:
                 self._note_removal(name)
-        self._expired.clear()
 
     def _remove(self, name: str) -> None:
         if name in self.documents:
             self._apply(self.documents[name], removed=True)
 
     def _remove_listed(self, name: str) -> None:
-        if not self._hold_lapsed(name):
+        if not self._keep_lapsed(name):
             self._remove(name)
 
     def _note_removal(self, name: str) -> None:
@@ -279,7 +243,6 @@
 
     def _list(self, freshness: Freshness) -> None:
         listing = self._store.list(self._kind, freshness=freshness)
-        self._answered()
         if listing.revision < self.revision:
             return
         self._list_due = False
@@ -332,8 +295,6 @@
                 revision=self.revision,
             )
         self._failures += 1
-        self._failed_at = time.monotonic()
-        self._failing_since = self._failing_since or self._failed_at
 
     def _await_turn(self) -> None:
         """Let one of the node's watchers try a store that fails, not all of them."""
--- a/src/runkeel/state/observed_store.py
+++ b/src/runkeel/state/observed_store.py
@@ -31,6 +31,22 @@
 There are many of them, and each call to a store that is away has its price.
 """
 
+OUTAGE_SECONDS = 2.0
+"""After an outage of this length, from the first failure to the next answer, documents that need
+heartbeats may have lapsed: servers do after 3.6 s without one, the last of which may have been
+1.2 s before the outage (three heartbeats, and one, of the users' deployments).
+"""
+
+CERTAIN_OUTAGE_SECONDS = 0.5
+"""The failures of an outage span so long at the least: one lost connection fails all calls that
+wait on it at once. Below the shortest pause between two tries of an outage of 2 s, 0.8 s.
+"""
+
+RECENT_FAILURE_SECONDS = 3.0
+"""An answer shows when the store came back only if a call has failed so shortly before. Nodes that
+follow others try a store that is away each 1.5 s, and wait 1 s for its answer.
+"""
+
 
 class ObservedStore:
     """Passes every call on to a store and notes how it ended.
@@ -41,6 +57,8 @@
     Attributes:
         failing_since: monotonic time of the first failure after the last answer, 0 when the last
             call was answered.
+        returned_at: monotonic time of the first answer after the last outage that was long enough
+            for documents to lapse, 0 before the first one.
     """
 
     def __init__(
@@ -49,6 +67,8 @@
         self._store = store
         self._probe_seconds = probe_seconds
         self.failing_since = 0.0
+        self.returned_at = 0.0
+        self._failed_at = 0.0
         self._next_probe_at = 0.0
         self._regained = Event()
 
@@ -145,12 +165,21 @@
             self._answered()
             raise
         except RunkeelError:
-            self.failing_since = self.failing_since or time.monotonic()
+            self._failed_at = time.monotonic()
+            self.failing_since = self.failing_since or self._failed_at
             raise
         self._answered()
 
     def _answered(self) -> None:
         if self.failing_since:
+            self._note_return(time.monotonic())
             self.failing_since = 0.0
             self._regained.set()
             self._regained = Event()
+
+    def _note_return(self, now: float) -> None:
+        """Take note of the end of an outage, if documents may have lapsed in it."""
+        long = now - self.failing_since >= OUTAGE_SECONDS
+        certain = self._failed_at - self.failing_since >= CERTAIN_OUTAGE_SECONDS
+        if long and certain and now - self._failed_at <= RECENT_FAILURE_SECONDS:
+            self.returned_at = now
--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -13,7 +13,8 @@
     DocumentPage,
     Freshness,
 )
-from runkeel.state.document_watcher import LAPSE_OUTAGE_SECONDS, DocumentWatcher
+from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.state.observed_store import OUTAGE_SECONDS, ObservedStore
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 
 KIND = DocumentKind.BACKEND
@@ -179,12 +180,14 @@
 
     def _come_back_without(self, lapse_seconds, outage_seconds, compacted=False):
         """Let documents vanish in an outage; returns the watcher once the store is back."""
+        observed = ObservedStore(self.store, lambda: 0.01)
         watcher = DocumentWatcher(
-            self.store,
+            observed,
             KIND,
             self._note,
             watch_seconds=lambda: 0.02,
             lapse_seconds=lapse_seconds,
+            returned_at=lambda: observed.returned_at,
         )
         self.addCleanup(watcher.stop)
         for name in ("a", "b"):
@@ -193,7 +196,7 @@
         self._wait(watcher.listed.is_set)
         self.store.down = True
         self._wait(lambda: not watcher.reachable)
-        watcher._failing_since -= outage_seconds
+        observed.failing_since -= outage_seconds
         self.store.remove(KIND, "a")
         self.store.remove(KIND, "b")
         if compacted:
@@ -205,7 +208,7 @@
     def test_what_lapsed_in_an_outage_is_kept_for_a_while_unless_it_comes_back(self):
         for compacted in (False, True):
             with self.subTest(compacted=compacted):
-                watcher = self._come_back_without(0.4, LAPSE_OUTAGE_SECONDS, compacted)
+                watcher = self._come_back_without(0.4, OUTAGE_SECONDS, compacted)
                 self.changes.clear()
                 self.assertEqual(sorted(watcher.documents), ["a", "b"])
                 self.store.put(KIND, "b", 2)
@@ -216,7 +219,7 @@
                 watcher.stop()
 
     def test_other_copies_hear_of_what_was_given_up(self):
-        watcher = self._come_back_without(0.05, LAPSE_OUTAGE_SECONDS)
+        watcher = self._come_back_without(0.05, OUTAGE_SECONDS)
         known = watcher.revision
         self._wait(lambda: not watcher.documents)
         self.assertEqual(list(watcher.removals), [])
@@ -229,7 +232,7 @@
         self._wait(lambda: not watcher.documents)
 
     def test_word_of_another_copy_removes_what_lapsed(self):
-        watcher = self._come_back_without(10.0, LAPSE_OUTAGE_SECONDS)
+        watcher = self._come_back_without(10.0, OUTAGE_SECONDS)
         watcher.take(self._page(watcher.revision + 1, removed=("a", "b")))
         self.assertEqual(watcher.documents, {})
 
--- a/tests/base/test_observed_store.py
+++ b/tests/base/test_observed_store.py
@@ -1,13 +1,20 @@
 """While the store fails, one task of a node tries it at a time."""
 
+import time
 import unittest
 
 import gevent
 
-from runkeel.api.documents import DocumentKind
+from runkeel.api.documents import CALL_TIMEOUT_SECONDS, DocumentKind
 from runkeel.errors import RunkeelError
 from runkeel.state.document_watcher import DocumentWatcher
-from runkeel.state.observed_store import ObservedStore
+from runkeel.state.observed_store import (
+    CERTAIN_OUTAGE_SECONDS,
+    FOLLOWER_PROBE_SECONDS,
+    OUTAGE_SECONDS,
+    RECENT_FAILURE_SECONDS,
+    ObservedStore,
+)
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 
 
@@ -29,6 +36,34 @@
         self.store.get(DocumentKind.JOB, "x")
         self.assertTrue(self.store.reachable)
 
+    def _fail_for(self, seconds, gap=0.0, ago=0.0):
+        """Let the store fail for so long; its last failure was so long ago."""
+        self._fail()
+        now = time.monotonic()
+        self.store.failing_since = now - ago - seconds
+        self.store._failed_at = now - ago - gap
+        self.memory.down = False
+        self.store.get(DocumentKind.JOB, "x")
+        return self.store.returned_at >= now
+
+    def test_return_after_an_outage_is_noted_once_for_all_copies(self):
+        """Copies that judged by their own tries disagreed: some dropped what others kept."""
+        self.assertTrue(self._fail_for(OUTAGE_SECONDS))
+
+    def test_outage_that_was_tried_seldom_counts(self):
+        """A node that follows others may have failed twice only, 1.5 s before the answer."""
+        gap = FOLLOWER_PROBE_SECONDS + CALL_TIMEOUT_SECONDS - 0.1
+        self.assertTrue(self._fail_for(gap + CERTAIN_OUTAGE_SECONDS, gap))
+
+    def test_short_failure_is_no_outage(self):
+        self.assertFalse(self._fail_for(OUTAGE_SECONDS - 0.1))
+
+    def test_lost_connection_that_is_noticed_late_is_no_outage(self):
+        self.assertFalse(self._fail_for(OUTAGE_SECONDS, gap=OUTAGE_SECONDS))
+
+    def test_return_that_may_have_been_long_ago_is_not_noted(self):
+        self.assertFalse(self._fail_for(OUTAGE_SECONDS, ago=RECENT_FAILURE_SECONDS + 0.1))
+
     def test_conflict_is_an_answer(self):
         self._fail()
         self.memory.down = False
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -32,6 +32,7 @@
 
     def __init__(self, network, store, name, grace=0.0, lapse=0.0):
         self.name = name
+        self.returned_at = 0.0
         self.coordinator = None
         self.since = None
         self.successor = None
@@ -51,6 +52,7 @@
             watch_seconds=lambda: WATCH_SECONDS,
             needed=self.follower.store_needed,
             lapse_seconds=lapse,
+            returned_at=lambda: self.returned_at,
         )
         self.feed = DocumentFeed(
             peers, [self.watcher], lambda: self.since, successor=lambda: self.successor
@@ -310,7 +312,7 @@
         """Let the document lapse; some nodes see the outage, and then that it is gone."""
         self.store.remove(KIND, "s1")
         for node in nodes:
-            node.see_outage(document_watcher.LAPSE_OUTAGE_SECONDS)
+            node.see_outage()
             node.watcher._step()
 
     def told(self):
@@ -373,11 +375,9 @@
         if removed or before != document.content:
             self.feed.note(document, removed)
 
-    def see_outage(self, seconds):
-        """Have this node's copy remember that the store failed for so long until just now."""
-        now = time.monotonic()
-        self.watcher._failing_since = now - seconds
-        self.watcher._failed_at = now
+    def see_outage(self):
+        """Have this node remember that the store is back just now after an outage."""
+        self.returned_at = time.monotonic()
 
 
 class _OwnAddress:
