Tell followers of each document that lapsed and came back, also where it was kept meanwhile

Cause: the feed tells what has changed in the coordinator's eyes. It had kept the servers through the outage and saw no change when they wrote themselves again; a node that had asked the store itself had seen them go, gave them up two seconds later, and never heard of them again. Ruled out: leaving the decision to the coordinator alone while following (what it dropped at an earlier revision would stay known for good); longer keeping (only moves the moment). Change: a watcher says which documents came back from a lapse, and the feed notes them as changed. Conclusion: the incident's cause is mended; that two copies may differ unnoticed at one revision is not yet.

--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -110,6 +110,10 @@
     ) -> None:
         self._successor = successor
         self._kinds = {watcher.kind: _KindFeed(watcher) for watcher in watchers}
+        # A document that lapsed in an outage and came back may be no change here, where it was kept
+        # meanwhile; a node that had asked the store itself may have dropped it, or be about to.
+        for watcher in watchers:
+            watcher.on_return(lambda document: self.note(document, removed=False))
         self._coordinating_since = coordinating_since
         self._fresh_for = fresh_for
         self._changed = Event()
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -97,6 +97,7 @@
         self._lapsed = LapsedDocuments(kind, lapse_seconds, returned_at, self._remove)
         self._needed = needed
         self._listeners = [on_change]
+        self._return_listeners: list[Callable[[Document], None]] = []
         self._pause_seconds = pause_seconds
         self._watch_seconds = watch_seconds
         self._list_due = True
@@ -127,6 +128,13 @@
         """Have a further listener called, after those before it."""
         self._listeners.append(listener)
 
+    def on_return(self, listener: Callable[[Document], None]) -> None:
+        """Have a listener called with each document that had lapsed here and came back.
+
+        It was kept meanwhile, so that a listener to changes may see none.
+        """
+        self._return_listeners.append(listener)
+
     def refresh(self, reason: str) -> None:
         """Give up the pending watch, which may be mute, and list again."""
         if self._task is None or not self.listed.is_set():
@@ -250,7 +258,7 @@
         self._take_page(page, self._remove_listed)
 
     def _apply(self, document: Document, removed: bool) -> None:
-        self._lapsed.discard(document.name)
+        returned = self._lapsed.discard(document.name) and not removed
         known = self.documents.get(document.name)
         if removed:
             if known is None or document.revision < known.revision:
@@ -260,6 +268,13 @@
             if known is not None and known.revision >= document.revision:
                 return
             self.documents[document.name] = document
+        self._tell(document, removed)
+        if returned:
+            for listener in self._return_listeners:
+                listener(document)
+
+    def _tell(self, document: Document, removed: bool) -> None:
+        """Call the listeners; one that can't read the document doesn't end the watch."""
         try:
             for listener in self._listeners:
                 listener(document, removed)
