Compare each follower's copies with the coordinator's at the same revision

Cause: a copy was taken to hold what its revision says. One that decides something by itself (keeps what lapsed in an outage, drops it, or saw no outage) may differ, and nothing told it: a server that the coordinator had given up stayed known to others until the store's next change, 30 s and more in a quiet deployment. Ruled out: telling the whole at each change of coordinator or after each outage (1.2 MB for 4,200 servers, mostly in vain); digests that make the coordinator send the whole at once (what is only late comes meanwhile). Change: a reply of the feed carries revision and digest of the names of each copy (25 bytes a kind); a node whose own differs at the same revision for 1 s asks for the whole, with a line copy_differs. A digest is one XOR per name that comes or goes.

--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -18,6 +18,7 @@
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import (
+    FeedCopy,
     FeedDocument,
     FeedPage,
     FeedRead,
@@ -140,10 +141,15 @@
             ends = now >= deadline
             pages = self._pages_after(revisions, even_if_empty=ends)
             if pages or ends:
-                return FeedReadReply(state, pages, None, 0)
+                return FeedReadReply(state, pages, None, 0, self._copies())
             stale_at = self._confirmed_at() + self._fresh_for
             self._changed.wait(max(0.0, min(deadline, stale_at) - now))
 
+    def _copies(self) -> dict[str, FeedCopy]:
+        """Return what this node's copies hold, for a node to compare its own with."""
+        watchers = [feed.watcher for feed in self._kinds.values()]
+        return {str(one.kind): FeedCopy(one.revision, one.digest) for one in watchers}
+
     def _without_news(self, state: int) -> FeedReadReply:
         after = self._successor() if state == FeedState.NOT_COORDINATOR else None
         if after is None:
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -17,6 +17,7 @@
 
 from runkeel.api.documents import Document, DocumentKind, DocumentPage
 from runkeel.coordination.coordinator_document import Coordinator
+from runkeel.coordination.copy_comparison import CopyComparison
 from runkeel.errors import RunkeelError
 from runkeel.metrics import FEED_READS
 from runkeel.state.document_watcher import DocumentWatcher
@@ -115,6 +116,7 @@
         self._coordinator = coordinator
         self._hold_seconds = hold_seconds
         self._watchers: dict[DocumentKind, DocumentWatcher] = {}
+        self._comparison = CopyComparison()
         self._task: gevent.Greenlet | None = None
         self._started_at = 0.0
         self._resting = False
@@ -148,6 +150,7 @@
             logger.info("feed not followed", code="feed_lost", reason=reason)
         self._resting = False
         self._lost_at = 0.0
+        self._comparison.forget()
         self.store_needed.set()
         self.coordinator_needed.set()
 
@@ -205,7 +208,11 @@
         held = self._hold_seconds if self._resting else 0.0
         known = self._resting or self.store_needed.is_set()
         answer_seconds = ANSWER_SECONDS if known else FIRST_ANSWER_SECONDS
-        message = FeedRead(self._shard, self._revisions(), int(held * 1000))
+        asked_from = {
+            str(kind): self._comparison.revision_to_ask_from(watcher)
+            for kind, watcher in self._watchers.items()
+        }
+        message = FeedRead(self._shard, asked_from, int(held * 1000))
         try:
             reply = self._network.call(
                 coordinator.node_id,
@@ -222,6 +229,8 @@
                 return "replaced"
             for page in reply.pages:
                 self._take(page)
+            for kind, theirs in (reply.copies or {}).items():
+                self._comparison.note(self._watchers[DocumentKind(kind)], theirs)
         except RunkeelError as error:
             return str(error.code)
         except (KeyError, ValueError) as error:
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -22,6 +22,7 @@
 )
 from runkeel.errors import RunkeelError
 from runkeel.state.lapsed_documents import LapsedDocuments
+from runkeel.state.name_digest import NameDigest
 
 WATCH_SECONDS = 29.0
 """Longest wait of a watch if nothing shorter is asked for.
@@ -107,6 +108,7 @@
         self.unbroken_since = 0
         self.removals: deque[tuple[int, str]] = deque()
         self.documents: dict[str, Document] = {}
+        self._names = NameDigest()
         self.listed = Event()
         self.fresh_at = 0.0
 
@@ -119,6 +121,11 @@
         """Start to follow."""
         self._task = gevent.spawn(self._run)
 
+    @property
+    def digest(self) -> int:
+        """Digest of the names of the documents."""
+        return self._names.value
+
     @property
     def kind(self) -> DocumentKind:
         """The kind of documents."""
@@ -264,9 +271,12 @@
             if known is None or document.revision < known.revision:
                 return
             del self.documents[document.name]
+            self._names.toggle(document.name)
         else:
             if known is not None and known.revision >= document.revision:
                 return
+            if known is None:
+                self._names.toggle(document.name)
             self.documents[document.name] = document
         self._tell(document, removed)
         if returned:
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -60,11 +60,18 @@
   5: list<string> removed,
 }
 
+/** What a copy of one kind holds, so that another copy at the same revision can be compared. */
+struct FeedCopy {
+  1: i64 revision,          // the store's revision that the copy reflects
+  2: i64 digest,            // of the documents' names
+}
+
 struct FeedReadReply {
   1: i32 state,
   2: list<FeedPage> pages,
   3: optional NodeAddress successor, // who replaced this node, if it has heard from that one
   4: i64 successor_epoch,
+  5: optional map<string, FeedCopy> copies, // of the coordinator, by kind; only where it is current
 }
 
 /** Asked of other nodes by one that can't reach the coordinator. */
