Soak of operations: stops, restarts, configurations and outages that overlap, with kept connections

Cause: the soak's servers never lapsed, its configurations never changed, its nodes never stopped as planned and its clients opened a connection for each request; the incident's order of events could not come about.

--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -49,7 +49,15 @@
     return EXIT_OK
 
 
-def soak(*, seed: int = 1, runs: int = 1, seconds: float = 20.0, record: Path | None = None) -> int:
+def soak(
+    *,
+    seed: int = 1,
+    runs: int = 1,
+    seconds: float = 20.0,
+    operations: bool = False,
+    edges: int = 3,
+    record: Path | None = None,
+) -> int:
     """Disturb deployments on the stand-in of the users' platform and check what was acknowledged.
 
     Example: ``runkeel-lab soak --seed 100 --runs 20``
@@ -57,11 +65,18 @@
     :param seed: seed of the first run; each further one takes the next seed.
     :param runs: number of runs, one after another.
     :param seconds: length of the disturbed part of each run in s.
+    :param operations: instead of single faults, series that overlap: stops, restarts, changes of
+        configuration, outages in which servers lapse; beside clients that keep their connections.
+    :param edges: number of nodes that serve clients; only with operations.
     :param record: file for a trace of the last run, which ``replay`` plays again.
     """
-    from runkeel_lab.users_platform.soak import run_soaks
+    from runkeel_lab.users_platform.operations_soak import OperationsSoak
+    from runkeel_lab.users_platform.soak import Soak, run_soaks
 
-    return EXIT_OK if run_soaks(seed, runs, seconds, record) else EXIT_VIOLATED
+    def make_soak(number: int) -> Soak:
+        return OperationsSoak(number, seconds, edges) if operations else Soak(number, seconds)
+
+    return EXIT_OK if run_soaks(seed, runs, make_soak, record) else EXIT_VIOLATED
 
 
 def replay(*traces: Path) -> int:
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -209,6 +209,16 @@
         if process is not None:
             process.kill()
 
+    def stop_node(self, name: str) -> None:
+        """Stop a machine's process as planned; returns once it is gone, also if it was killed."""
+        slot = self._machines[name]
+        process = slot.process
+        if process is None:
+            return
+        process.drain_and_stop()
+        if slot.process is process:
+            slot.process = None
+
     def wait_ready(self, seconds: float = 10.0) -> None:
         """Wait until every running node knows the configuration and one coordinates."""
         with gevent.Timeout(seconds):
--- a/src/runkeel_lab/users_platform/soak.py
+++ b/src/runkeel_lab/users_platform/soak.py
@@ -9,6 +9,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -46,10 +47,11 @@
 class Soak:
     """One soak with a seed; the same seed gives the same plan of faults."""
 
-    def __init__(self, seed: int, seconds: float) -> None:
+    def __init__(self, seed: int, seconds: float, sizes: dict[str, int] = _SIZES) -> None:
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._deployment = Deployment(seed, order_pause_seconds=_ORDER_PAUSE_SECONDS, **_SIZES)
+        self._sizes = sizes
+        self._deployment = Deployment(seed, order_pause_seconds=_ORDER_PAUSE_SECONDS, **sizes)
         self._faults = Faults(self._deployment)
         self._events: list[TraceEvent] = []
         self._began = 0.0
@@ -65,24 +67,31 @@
             deployment.wait_ready()
             self._began = time.monotonic()
             end = time.monotonic() + self._seconds
-            tasks = [
-                gevent.spawn(self._repeat, end, _JOB_SECONDS, self._submit),
-                gevent.spawn(self._repeat, end, _REQUEST_SECONDS, self._request),
-                gevent.spawn(self._repeat, end, _READ_SECONDS, self._read_some),
-                gevent.spawn(self._repeat, end, _FAULT_SECONDS, self._disturb),
-            ]
-            gevent.joinall(tasks)
+            gevent.joinall(self._start_tasks(end))
             self._heal()
-            self._check_jobs()
-            self._check_runs()
-            self._check_orders()
+            self._check()
         finally:
             deployment.stop()
         return self._report
 
+    def _start_tasks(self, end: float) -> list[gevent.Greenlet]:
+        """Start what goes on until the end of the disturbed part."""
+        return [
+            gevent.spawn(self._repeat, end, _JOB_SECONDS, self._submit),
+            gevent.spawn(self._repeat, end, _REQUEST_SECONDS, self._request),
+            gevent.spawn(self._repeat, end, _READ_SECONDS, self._read_some),
+            gevent.spawn(self._repeat, end, _FAULT_SECONDS, self._disturb),
+        ]
+
+    def _check(self) -> None:
+        """Compare what was acknowledged with what there is in the end."""
+        self._check_jobs()
+        self._check_runs()
+        self._check_orders()
+
     def trace(self) -> Trace:
         """Return what was done, once it is over."""
-        return Trace(dict(_SIZES), tuple(self._events))
+        return Trace(dict(self._sizes), tuple(self._events))
 
     def _now(self) -> float:
         return round(time.monotonic() - self._began, 3)
@@ -208,16 +217,22 @@
         self._report.violations.append(text)
 
 
-def run_soaks(seed: int, runs: int, seconds: float, record: Path | None = None) -> bool:
+def run_soaks(
+    seed: int,
+    runs: int,
+    make_soak: Callable[[int], Soak],
+    record: Path | None = None,
+) -> bool:
     """Run several soaks and print a line for each; True when nothing was violated.
 
     Args:
+        make_soak: makes the soak of a seed.
         record: file for a trace of the last one.
     """
     logger.remove()
     holds = True
     for number in range(seed, seed + runs):
-        soak = Soak(number, seconds)
+        soak = make_soak(number)
         report = soak.run()
         holds = holds and not report.violations
         faults = sum(report.faults.values())
