Failing tests: requests under which servers end are sent on and on, plain and as an item

Stand-in: servers that a request ends while they run it; another one comes 0.4 s later at the same address under another id, the old entry goes 1 s after the end. Three edge nodes, six application servers, the request every 0.25 s at the nodes in turn. Seen: servers reached later than 1 s after the third had ended: 21 by the plain request, 7 by the item; 3 are allowed.

--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -18,6 +18,7 @@
 from runkeel.errors import RunkeelError
 from runkeel.fleet_node import FleetSettings
 from runkeel_lab.users_platform import use_adapter
+from runkeel_lab.users_platform.crashes import CrashPlan
 from runkeel_lab.users_platform.duty_server import DutyServer
 from runkeel_lab.users_platform.servers import PlatformEngine, PlatformServer
 from runkeel_lab.users_platform.store_server import StoreServer
@@ -122,6 +123,7 @@
         self._tenants = tenants
         self._usage = usage
         self._starts = 0
+        self._successors = 0
         self.duties = DutyServer()
         self.duties.start()
         self.store = StoreServer(seed)
@@ -134,6 +136,9 @@
             PlatformServer(f"a{n}", APPLICATION, ZONES[n % 3], self.store, seed)
             for n in range(applications)
         ]
+        self.crashes = CrashPlan(self._replace_crashed)
+        for server in [*self.engines, *self.applications]:
+            server.plan = self.crashes
         self._order_pause_seconds = order_pause_seconds
         self._metrics = _LOOPBACK if metrics else None
         self._machines: dict[str, _Slot] = {}
@@ -163,6 +168,21 @@
         self.duties.stop()
         self._disks.cleanup()
 
+    def crash(self, server: PlatformServer) -> None:
+        """End a server without a word, as by chance; another one comes in its place."""
+        server.crash()
+        self._replace_crashed(server)
+
+    def _replace_crashed(self, server: PlatformServer) -> None:
+        gevent.spawn_later(self.crashes.restart_seconds, self._start_successor, server)
+
+    def _start_successor(self, server: PlatformServer) -> None:
+        self._successors += 1
+        servers = self.engines if server in self.engines else self.applications
+        after = server.successor(self._successors)
+        after.start()
+        servers[servers.index(server)] = after
+
     def configure(self, content: dict[str, Any]) -> None:
         """Write a configuration, as the operator does."""
         self.store.objects.put("config", "main", content)
--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -13,9 +13,13 @@
 from gevent.pywsgi import WSGIServer
 
 from runkeel.api.machines import Address
-from runkeel_lab.standins.http import AnswerAbortedError, Handler
+from runkeel_lab.standins.http import AnswerAbortedError, Connection, Handler
+from runkeel_lab.users_platform.crashes import CrashPlan
 from runkeel_lab.users_platform.store_server import StoreServer
 
+LAPSE_SECONDS = 1.0
+"""The entry of a server that crashed goes after so long."""
+
 _CONNECTION = "runkeel.connection"
 Environment = dict[str, Any]
 StartResponse = Callable[..., Any]
@@ -73,9 +77,16 @@
         self.slots = 6
         self.draining = False
         self.running = 0
+        self.ended = False
+        self.plan: CrashPlan | None = None
+        self.seed = seed
         self._store = store
         self._random = random.Random(f"{seed} {server_id}")
-        self._server = WSGIServer(("127.0.0.1", 0), self._answer, log=None, handler_class=Handler)
+        self._connections: list[Connection] = []
+        self._server = self._listener(0)
+
+    def _listener(self, port: int) -> WSGIServer:
+        return WSGIServer(("127.0.0.1", port), self._answer, log=None, handler_class=Handler)
 
     @property
     def address(self) -> Address:
@@ -92,6 +103,27 @@
         self._server.stop(timeout=0)
         self._store.objects.remove("servers", self.server_id)
 
+    def crash(self) -> None:
+        """End without a word: the listener and all connections at once, the entry later."""
+        if self.ended:
+            return
+        self.ended = True
+        self._server.stop(timeout=0)
+        for connection in self._connections:
+            connection.abort()
+        gevent.spawn_later(LAPSE_SECONDS, self._store.objects.remove, "servers", self.server_id)
+
+    def successor(self, number: int) -> PlatformServer:
+        """Return what is started in this server's place: another id, the same address."""
+        after = self._like(f"{self.server_id.partition('.')[0]}.{number}")
+        after.plan, after.faults = self.plan, self.faults
+        after.work_seconds, after.slots = self.work_seconds, self.slots
+        after._server = after._listener(self.address.port)
+        return after
+
+    def _like(self, server_id: str) -> PlatformServer:
+        return PlatformServer(server_id, self.service, self.zone, self._store, self.seed)
+
     def drain(self) -> None:
         """Say that this server takes no new work."""
         self.draining = True
@@ -111,6 +143,7 @@
         }
 
     def _answer(self, environment: Environment, start_response: StartResponse) -> Iterable[bytes]:
+        self._connections.append(environment[_CONNECTION])
         expected = environment.get("HTTP_EXPECT_INSTANCE")
         if expected and expected != self.server_id:
             start_response("421 Misdirected Request", [("Instance-Id", self.server_id)])
@@ -120,8 +153,21 @@
         if self.faults.refused or self.running >= 4 * self.slots:
             start_response("503 Service Unavailable", [("Not-Executed", "1")])
             return [b""]
+        if self.plan is not None and self.plan.crashes(environment["PATH_INFO"]):
+            self._crash_under(environment)
         return self._run(environment, start_response)
 
+    def _crash_under(self, environment: Environment) -> None:
+        """Begin to run a request, and end while doing so."""
+        environment["wsgi.input"].read()
+        self.plan.note_reached(environment["PATH_INFO"], self.server_id)
+        self._note_run(environment)
+        gevent.sleep(self.plan.seconds)
+        if not self.ended:
+            self.crash()
+            self.plan.note_ended(environment["PATH_INFO"], self)
+        raise AnswerAbortedError
+
     def _answer_control(
         self, environment: Environment, start_response: StartResponse
     ) -> Iterable[bytes]:
@@ -194,6 +240,13 @@
         self._sequence = 0
         self._busy = False
 
+    def _like(self, server_id: str) -> PlatformEngine:
+        models = tuple(self.versions)
+        after = PlatformEngine(server_id, self.service, self.zone, self._store, self.seed, models)
+        after.versions = dict(self.versions)
+        after.event_seconds, after.load_seconds = self.event_seconds, self.load_seconds
+        return after
+
     def _entry(self) -> dict[str, Any]:
         models = [
             {"Name": model, "Version": version, "Adapters": []}
