--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -9,7 +9,6 @@
 import contextlib
 import re
 import struct
-import time
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
@@ -17,6 +16,7 @@
 from geventhttpclient.response import HTTPParseError, HTTPProtocolViolationError, HTTPResponse
 
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, may_have_run, not_run
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -204,7 +204,7 @@
         """Send a request and return the whole answer.
 
         Args:
-            deadline: monotonic time at which to give up.
+            deadline: steady time at which to give up.
             before_send: called once, right before the first byte is written; if it raises,
                 nothing is sent.
             accept: an answer for which it returns False is dropped with its connection.
@@ -245,7 +245,7 @@
         if self._closed or not reusable or len(self._idle) >= MAXIMUM_IDLE_CONNECTIONS:
             sock.close()
             return
-        self._idle.append((sock, time.monotonic() + answer.idle_seconds))
+        self._idle.append((sock, steady_seconds() + answer.idle_seconds))
 
     @property
     def idle_connections(self) -> int:
@@ -280,7 +280,7 @@
         return sock, answer
 
     def _connection(self, deadline: float) -> gevent.socket.socket:
-        now = time.monotonic()
+        now = steady_seconds()
         while self._idle:
             sock, usable_until = self._idle.pop()
             if now < usable_until and _is_quiet(sock):
@@ -354,7 +354,7 @@
 
 
 def _send(sock: gevent.socket.socket, data: bytes, deadline: float) -> None:
-    sock.settimeout(max(0.001, deadline - time.monotonic()))
+    sock.settimeout(max(0.001, deadline - steady_seconds()))
     try:
         sock.sendall(data)
     except TimeoutError as error:
@@ -364,7 +364,7 @@
 
 
 def _receive_into(sock: gevent.socket.socket, answer: _Answer, deadline: float) -> None:
-    sock.settimeout(max(0.001, deadline - time.monotonic()))
+    sock.settimeout(max(0.001, deadline - steady_seconds()))
     try:
         data = sock.recv(RECEIVE_BYTES)
     except TimeoutError as error:
--- a/src/runkeel/coordination/copy_comparison.py
+++ b/src/runkeel/coordination/copy_comparison.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from loguru import logger
 
 from runkeel.api.documents import DocumentKind
+from runkeel.clock import steady_seconds
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.wire.generated.jobs.ttypes import FeedCopy
 
@@ -27,10 +27,10 @@
     """Which kinds of one node's copies differ from the coordinator's, and since when.
 
     Args:
-        now: monotonic time.
+        now: steady time.
     """
 
-    def __init__(self, now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, now: Callable[[], float] = steady_seconds) -> None:
         self._now = now
         self._differs_since: dict[DocumentKind, float] = {}
 
--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import json
-import time
 from collections.abc import Callable, Sequence
 
 from gevent.event import Event
 
 from runkeel.api.documents import Document
+from runkeel.clock import steady_seconds
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.wire.generated.common.ttypes import MessageType
@@ -96,7 +96,7 @@
 
     Args:
         watchers: of the kinds that are told.
-        coordinating_since: monotonic time since which this node coordinates; None: it does not.
+        coordinating_since: steady time since which this node coordinates; None: it does not.
         fresh_for: a confirmation by the store counts for so long, in seconds.
         successor: the coordinator that replaced this node, as far as it was told.
     """
@@ -132,12 +132,12 @@
 
     def read(self, revisions: dict[str, int], wait_seconds: float) -> FeedReadReply:
         """Return what a node lacks, waiting for a change if it lacks nothing."""
-        deadline = time.monotonic() + min(LONGEST_WAIT_SECONDS, wait_seconds)
+        deadline = steady_seconds() + min(LONGEST_WAIT_SECONDS, wait_seconds)
         while True:
             state = self._state()
             if state != FeedState.CURRENT:
                 return self._without_news(state)
-            now = time.monotonic()
+            now = steady_seconds()
             ends = now >= deadline
             pages = self._pages_after(revisions, even_if_empty=ends)
             if pages or ends:
@@ -170,7 +170,7 @@
         if since is None:
             return FeedState.NOT_COORDINATOR
         confirmed_at = self._confirmed_at()
-        if confirmed_at < since or time.monotonic() - confirmed_at >= self._fresh_for:
+        if confirmed_at < since or steady_seconds() - confirmed_at >= self._fresh_for:
             return FeedState.STALE
         return FeedState.CURRENT
 
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -26,6 +25,7 @@
     Freshness,
 )
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.coordination import pings
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.peers import LAST_RANK, PeerRegistry
@@ -248,13 +248,13 @@
 
     @property
     def coordinating_since(self) -> float | None:
-        """Monotonic time at which this node became coordinator; None: it is not."""
+        """Steady time at which this node became coordinator; None: it is not."""
         return self._gained_at if self.coordinating else None
 
     @property
     def verified(self) -> bool:
         """Whether the store said a moment ago that this node is the coordinator."""
-        age = time.monotonic() - max(self._watcher.fresh_at, self._gained_at)
+        age = steady_seconds() - max(self._watcher.fresh_at, self._gained_at)
         return self.coordinating and age <= VERIFIED_SECONDS
 
     def note_successor(self, address: NodeAddress, epoch: int) -> None:
@@ -429,7 +429,7 @@
 
     def _follow(self, known: Coordinator) -> float:
         """Ping the coordinator, replace it if that is due; returns when to ping again."""
-        asked_at = time.monotonic()
+        asked_at = steady_seconds()
         pong = self._pings.ping(known.node_id, known.epoch)
         pause = PING_SECONDS
         if pong is not None:
@@ -441,7 +441,7 @@
                 address = NodeAddress(known.node_id, str(known.address), known.zone)
                 self.note_successor(address, pong.epoch)
         # Time in which this process itself stood still doesn't count.
-        asked_at = max(asked_at, time.monotonic() - pings.PING_TIMEOUT_SECONDS)
+        asked_at = max(asked_at, steady_seconds() - pings.PING_TIMEOUT_SECONDS)
         if self._succession.serves(pong):
             self._succession.note_contact()
             self._store_probed = False
@@ -492,7 +492,7 @@
 
         The store would tell as well; but a call to it has its price, and each node would make some.
         """
-        now = time.monotonic()
+        now = steady_seconds()
         if now - self._asked_successors_at < ASK_SUCCESSORS_SECONDS:
             return
         self._asked_successors_at = now
@@ -598,7 +598,7 @@
         else:
             self._tentative.end("another term begins")
         self._epoch, self._unanswered_epoch = epoch, 0
-        self._gained_at = time.monotonic()
+        self._gained_at = steady_seconds()
         self._watcher.rewatch()
         self._peers.clear()
         COORDINATING.labels(self._shard).set(1)
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import json
-import time
 from collections.abc import Callable, Sequence
 
 import gevent
@@ -16,6 +15,7 @@
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentKind, DocumentPage
+from runkeel.clock import steady_seconds
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.copy_comparison import CopyComparison
 from runkeel.errors import RunkeelError
@@ -110,7 +110,7 @@
         self._grace_seconds = grace_seconds
         self._on_successor = on_successor
         self._lost_at = 0.0
-        """Monotonic time at which the feed was lost that is waited for; 0: none is."""
+        """Steady time at which the feed was lost that is waited for; 0: none is."""
         self._network = network
         self._shard = shard
         self._coordinator = coordinator
@@ -136,7 +136,7 @@
             delay_seconds: the first coordinator is waited for so much longer.
         """
         self._watchers = {watcher.kind: watcher for watcher in watchers}
-        self._started_at = time.monotonic() + delay_seconds
+        self._started_at = steady_seconds() + delay_seconds
         self._task = gevent.spawn(self._run)
 
     def stop(self) -> None:
@@ -158,7 +158,7 @@
         while True:
             coordinator = self._coordinator()
             if coordinator is None:
-                if time.monotonic() - self._started_at >= START_SECONDS:
+                if steady_seconds() - self._started_at >= START_SECONDS:
                     self.ask_store("no other coordinator")
                 gevent.sleep(IDLE_SECONDS)
                 continue
@@ -175,7 +175,7 @@
 
     def _lost(self, problem: str) -> None:
         """Have the store asked, unless the feed may be back before that is necessary."""
-        now = time.monotonic()
+        now = steady_seconds()
         self._lost_at = self._lost_at or now
         if not self._resting or now - self._lost_at >= self._grace_seconds:
             self.ask_store(problem)
--- a/src/runkeel/coordination/load_pacing.py
+++ b/src/runkeel/coordination/load_pacing.py
@@ -52,7 +52,7 @@
         return max(CONCURRENT_LOADS, int(self._bound())) - loading
 
     def observe(self, started: float, ended: float) -> None:
-        """Take a load that has ended; times are monotonic."""
+        """Take a load that has ended; times are those of the steady clock."""
         seconds = ended - started
         self._shortest = min(self._shortest, seconds)
         if seconds <= SLOW_LOAD_RATIO * self._shortest:
--- a/src/runkeel/coordination/order_lease.py
+++ b/src/runkeel/coordination/order_lease.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
 from typing import Any
 
@@ -16,6 +15,7 @@
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, not_run
 
 VALIDITY_SECONDS = 0.6
@@ -39,7 +39,7 @@
     revision: int
     confirmed_at: float
     orders_from: float
-    """Monotonic time before which no order may be sent."""
+    """Steady time before which no order may be sent."""
 
 
 class OrderLease:
@@ -76,7 +76,7 @@
             self._confirm()
 
     def _confirm(self) -> None:
-        started = time.monotonic()
+        started = steady_seconds()
         if self._claim is None:
             self._take(started)
             return
@@ -101,11 +101,11 @@
         """Return how long this node has to wait before its first order."""
         if self._claim is None:
             return self._pause_seconds
-        return max(0.0, self._claim.orders_from - time.monotonic())
+        return max(0.0, self._claim.orders_from - steady_seconds())
 
     def check(self) -> None:
         """Call right before an order is sent. Raises RunkeelError when it must not be."""
-        now = time.monotonic()
+        now = steady_seconds()
         claim = self._claim
         if claim is None or now < claim.orders_from:
             raise not_run(ErrorCode.STALE_FENCE, "the order lease is not held yet")
@@ -117,7 +117,7 @@
         """Revision of the last confirmation and the seconds since before it; revision 0: none."""
         if self._claim is None:
             return 0, 0.0
-        return self._claim.revision, time.monotonic() - self._claim.confirmed_at
+        return self._claim.revision, steady_seconds() - self._claim.confirmed_at
 
     def observe(self, revision: int, age_seconds: float) -> None:
         """Note what another holder told of its last confirmation, at the receipt of its word.
@@ -125,7 +125,7 @@
         A successor that finds the lease at this revision knows since when no order was sent.
         """
         if revision:
-            self._observed = (revision, time.monotonic() - age_seconds)
+            self._observed = (revision, steady_seconds() - age_seconds)
 
     def forget(self) -> None:
         """Give up the lease; nothing is written."""
@@ -178,12 +178,12 @@
         revision, confirmed_at = self._observed
         if revision != current.revision or self._unsettled:
             return pause
-        return max(0.0, confirmed_at + pause - time.monotonic())
+        return max(0.0, confirmed_at + pause - steady_seconds())
 
     def _accept(self, stored: Document, content: dict[str, Any], started: float) -> None:
         pause = float(content["pause"])
         self._unsettled = False
-        self._claim = _Claim(content, stored.revision, started, time.monotonic() + pause)
+        self._claim = _Claim(content, stored.revision, started, steady_seconds() + pause)
         logger.info(
             "order lease taken",
             code="order_lease",
--- a/src/runkeel/coordination/peers.py
+++ b/src/runkeel/coordination/peers.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
 
+from runkeel.clock import steady_seconds
 from runkeel.wire.generated.jobs.ttypes import NodeAddress
 
 LAST_RANK = 3
@@ -70,14 +70,14 @@
         """Take note of a ping; returns the node's rank: preferred nodes first, by first ping."""
         known = self._peers.setdefault(node_id, _Peer(preferred, address))
         known.address = address
-        known.seen_at = time.monotonic()
+        known.seen_at = steady_seconds()
         if not preferred:
             return LAST_RANK
         return min(self._succession().index(node_id), LAST_RANK)
 
     def silent(self, seconds: float) -> int:
         """Return how many nodes pinged lately, but not for so long."""
-        now = time.monotonic()
+        now = steady_seconds()
         return sum(1 for _, one in self._live() if now - one.seen_at > seconds)
 
     def address(self, node_id: str) -> NodeAddress | None:
@@ -124,12 +124,12 @@
 
     def _succession(self) -> list[str]:
         """Return the preferred nodes in the order in which they are to step in."""
-        now = time.monotonic()
+        now = steady_seconds()
         preferred = [(name, one) for name, one in self._live() if one.preferred]
         # Sorting keeps the order of the first pings among those that have pinged just now.
         preferred.sort(key=lambda one: now - one[1].seen_at > RECENT_SECONDS)
         return [name for name, _ in preferred]
 
     def _live(self) -> list[tuple[str, _Peer]]:
-        oldest = time.monotonic() - PEER_SECONDS
+        oldest = steady_seconds() - PEER_SECONDS
         return [(name, known) for name, known in self._peers.items() if known.seen_at > oldest]
--- a/src/runkeel/coordination/succession.py
+++ b/src/runkeel/coordination/succession.py
@@ -7,9 +7,9 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
+from runkeel.clock import steady_seconds
 from runkeel.coordination.peers import LAST_RANK
 from runkeel.wire.generated.jobs.ttypes import CoordinatorPong
 
@@ -61,13 +61,13 @@
     @property
     def silent_seconds(self) -> float:
         """Time since the coordinator was last known to serve."""
-        return time.monotonic() - self._last_contact
+        return steady_seconds() - self._last_contact
 
     @property
     def may_be_replaced(self) -> bool:
         """Whether the first in rank has had the time to replace a silent coordinator."""
         failing_since = self._failing_since
-        return bool(failing_since) and time.monotonic() - failing_since > SILENCE_SECONDS
+        return bool(failing_since) and steady_seconds() - failing_since > SILENCE_SECONDS
 
     @property
     def may_serve_tentatively(self) -> bool:
@@ -75,7 +75,7 @@
         if self._reaches_store() or self._rank >= LAST_RANK or not self._failing_since:
             return False
         turn = SILENCE_SECONDS + TENTATIVE_SECONDS + RANK_SECONDS * self._rank
-        return time.monotonic() - self._failing_since >= turn
+        return steady_seconds() - self._failing_since >= turn
 
     def begin(self) -> None:
         """Follow another coordinator from now on."""
@@ -84,7 +84,7 @@
 
     def note_contact(self) -> None:
         """Take note that the coordinator serves, or need not be waited for."""
-        self._last_contact = time.monotonic()
+        self._last_contact = steady_seconds()
         self._failing_since = 0.0
 
     def serves(self, pong: CoordinatorPong | None) -> bool:
@@ -92,7 +92,7 @@
         if pong is None:
             return False
         self._rank = pong.rank
-        now = time.monotonic()
+        now = steady_seconds()
         if pong.store_reachable:
             self._lost_store_at = 0.0
         elif not self._lost_store_at:
@@ -105,9 +105,9 @@
 
         Args:
             pong: its latest answer, None without one.
-            asked_at: monotonic time of the ping.
+            asked_at: steady time of the ping.
         """
-        now = time.monotonic()
+        now = steady_seconds()
         self._failing_since = self._failing_since or asked_at
         silence = silence_seconds(pong)
         if pong is None and not self._preferred:
--- a/src/runkeel/coordination/tentative_place.py
+++ b/src/runkeel/coordination/tentative_place.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.pings import PingSender
 from runkeel.coordination.succession import Succession
@@ -112,7 +112,7 @@
 
     def comes_second(self, known: Coordinator) -> bool:
         """Return whether another node that began at the same moment comes first, by its name."""
-        now = time.monotonic()
+        now = steady_seconds()
         if now - self._compared_at < COMPARE_SECONDS:
             return False
         self._compared_at = now
@@ -127,8 +127,8 @@
         if not any(pong.tentative for pong in self._ask_others(known).values()):
             self._yielded_since = 0.0
             return False
-        self._yielded_since = self._yielded_since or time.monotonic()
-        return time.monotonic() - self._yielded_since < YIELD_SECONDS
+        self._yielded_since = self._yielded_since or steady_seconds()
+        return steady_seconds() - self._yielded_since < YIELD_SECONDS
 
     def _ask_others(self, known: Coordinator) -> dict[str, CoordinatorPong]:
         others = [one for one in self._told.successors if one not in (self._node_id, known.node_id)]
--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -22,6 +21,7 @@
     VersionOrder,
 )
 from runkeel.api.fleet import RoutingConfiguration
+from runkeel.clock import steady_seconds
 from runkeel.coordination.load_pacing import SLOW_LOAD_RATIO, LoadPacing
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.rollout_plan import (
@@ -162,9 +162,9 @@
         while True:
             self._wake.wait(IDLE_CHECK_SECONDS)
             self._wake.clear()
-            started = time.monotonic()
+            started = steady_seconds()
             due = self._due()
-            compared_seconds = time.monotonic() - started
+            compared_seconds = steady_seconds() - started
             try:
                 self._order_all(due)
             except RunkeelError as error:
@@ -189,7 +189,7 @@
             self._wake.set()
             return
         for change in due:
-            started = time.monotonic()
+            started = steady_seconds()
             self._changing[change.state.backend_id] = _Change(change.model, change.version, started)
             task = gevent.spawn(self._change, change.state, change.model, change.version)
             self._tasks.add(task)
@@ -221,7 +221,7 @@
         return self._pacing.setdefault(service, LoadPacing(EXPECTED_LOAD_SECONDS))
 
     def _standing(self, state: BackendState, model: str) -> EngineStanding:
-        now = time.monotonic()
+        now = steady_seconds()
         avoided = state.avoided(now)
         resting = now < self._retry_at.get(state.backend_id, 0.0)
         available = state.backend_id not in self._changing and not resting and not avoided
@@ -247,7 +247,7 @@
 
     def _change(self, state: BackendState, model: str, version: int) -> None:
         """Order one engine and wait for the effect."""
-        started = time.monotonic()
+        started = steady_seconds()
         reached = False
         try:
             report = self._report(state)
@@ -270,7 +270,7 @@
                 self._actual[(state.backend_id, model)] = version
                 self._on_version(state.backend_id, model, version)
             else:
-                self._retry_at[state.backend_id] = time.monotonic() + RETRY_SECONDS
+                self._retry_at[state.backend_id] = steady_seconds() + RETRY_SECONDS
             logger.info(
                 "engine change ended",
                 code="engine_version",
@@ -278,7 +278,7 @@
                 model=model,
                 version=version,
                 reached=reached,
-                ms=int((time.monotonic() - started) * 1000),
+                ms=int((steady_seconds() - started) * 1000),
             )
             self._wake.set()
 
@@ -290,7 +290,7 @@
             model, version, self._holder, self._lease.token, expected_sequence=sequence
         )
         outgoing = self._protocol.encode_order(order, state.backend)
-        deadline = time.monotonic() + CALL_SECONDS
+        deadline = steady_seconds() + CALL_SECONDS
         outcome: EngineOrderOutcome | None = None
         try:
             answer = state.pool.request(outgoing, deadline, before_send=self._lease.check)
@@ -316,29 +316,29 @@
     ) -> bool:
         if outcome is EngineOrderOutcome.IN_FORCE:
             return True
-        started = time.monotonic()
+        started = steady_seconds()
         gevent.sleep(EXPECTED_LOAD_SECONDS)
         interval = REPORT_INTERVAL_SECONDS
         limit = LONGEST_LOAD_SECONDS
-        while time.monotonic() - started < limit:
+        while steady_seconds() - started < limit:
             report = self._report(state)
             if report is not None and report.model_versions.get(model, 0) >= version:
-                self._pacing_of(state.backend.service).observe(started, time.monotonic())
+                self._pacing_of(state.backend.service).observe(started, steady_seconds())
                 return True
             if report is not None and not report.busy:
-                if time.monotonic() - started > UNANSWERED_SECONDS:
+                if steady_seconds() - started > UNANSWERED_SECONDS:
                     return False
             elif report is not None:
                 limit = LONGEST_BUSY_SECONDS
             gevent.sleep(interval)
-            if time.monotonic() - started > SLOW_LOAD_RATIO * EXPECTED_LOAD_SECONDS:
+            if steady_seconds() - started > SLOW_LOAD_RATIO * EXPECTED_LOAD_SECONDS:
                 interval = min(LONGEST_REPORT_INTERVAL_SECONDS, interval * REPORT_INTERVAL_GROWTH)
         return False
 
     def _report(self, state: BackendState) -> EngineReport | None:
         outgoing = self._protocol.encode_report_query(state.backend)
         try:
-            answer = state.pool.request(outgoing, time.monotonic() + CALL_SECONDS)
+            answer = state.pool.request(outgoing, steady_seconds() + CALL_SECONDS)
             if answer.status == 200:
                 return self._protocol.parse_report(answer.body)
             problem = f"status {answer.status}"
--- a/src/runkeel/decision_log.py
+++ b/src/runkeel/decision_log.py
@@ -11,11 +11,11 @@
 import json
 import os
 import sys
-import time
 from typing import Any
 
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.metrics import LOG_LINES_DROPPED
 
 BYTES_PER_SECOND = 60_000.0
@@ -33,7 +33,7 @@
         self._burst = burst
         self._reserve = reserve
         self._available = burst
-        self._updated = time.monotonic()
+        self._updated = steady_seconds()
 
     def has_room(self, important: bool) -> bool:
         """Return whether a line of common size would be taken; asked before it is built."""
@@ -50,7 +50,7 @@
         return True
 
     def _refill(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         self._available += (now - self._updated) * self._rate
         self._available = min(self._burst, self._available)
         self._updated = now
--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable, Collection, Iterable
 
 from runkeel.api.fleet import Backend
 from runkeel.backends.http_connection import HttpConnectionPool
+from runkeel.clock import steady_seconds
 from runkeel.gateway.directory_news import DirectoryNews
 from runkeel.gateway.indexed_set import IndexedSet
 
@@ -52,13 +52,13 @@
 
     def refused(self) -> None:
         """Note that the server was full."""
-        self.avoid_until = max(self.avoid_until, time.monotonic() + REFUSAL_PAUSE_SECONDS)
+        self.avoid_until = max(self.avoid_until, steady_seconds() + REFUSAL_PAUSE_SECONDS)
 
     def failed(self) -> None:
         """Note a lost connection or answer; repeated ones take the server out for longer."""
         self.failures += 1
         pause = min(LONGEST_EJECTION_SECONDS, FIRST_EJECTION_SECONDS * 2 ** (self.failures - 1))
-        self.avoid_until = time.monotonic() + pause
+        self.avoid_until = steady_seconds() + pause
 
     def avoided(self, now: float) -> bool:
         """Return whether requests should go elsewhere for the moment."""
@@ -130,7 +130,7 @@
         if len(members) <= CANDIDATES:
             return list(members)
         preferred = self._preferred_of(service, members)
-        now = time.monotonic()
+        now = steady_seconds()
         if any(one.backend_id not in tried and not one.avoided(now) for one in preferred):
             return preferred
         return [*preferred, *members.sample(CANDIDATES)]
@@ -171,7 +171,7 @@
     Servers that failed lately come last; among equals, one with an open connection, then one of
     this zone.
     """
-    now = time.monotonic()
+    now = steady_seconds()
     untried = [state for state in candidates if state.backend_id not in tried]
     if not untried:
         return None
--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass, field
 
 import gevent
@@ -13,6 +12,7 @@
 from runkeel.api.backend_protocol import AnswerClass, BackendProtocol, PlainRequest
 from runkeel.api.fleet import Route
 from runkeel.backends.http_connection import HttpAnswer
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
 from runkeel.metrics import ATTEMPTS
@@ -100,13 +100,13 @@
         """Return the answer of a server of the service.
 
         Args:
-            deadline: monotonic time at which the answer is due.
+            deadline: steady time at which the answer is due.
             gone: set when the client has left; the attempts are then ended.
 
         Raises:
             RunkeelError: with verdict NOT_RUN only when no server runs the request.
         """
-        progress = _Progress(request, route, service, deadline, time.monotonic())
+        progress = _Progress(request, route, service, deadline, steady_seconds())
         leaver = gevent.spawn(_report_gone, gone, progress.results) if gone is not None else None
         metered = self._meter.open(request.tenant)
         try:
@@ -124,7 +124,7 @@
             try:
                 outcome = progress.results.get(timeout=self._patience(progress))
             except Empty:
-                if time.monotonic() >= progress.deadline:
+                if steady_seconds() >= progress.deadline:
                     raise self._given_up(progress, ErrorCode.DEADLINE_EXCEEDED) from None
                 self._start_attempt(progress, "hedge")
                 continue
@@ -162,7 +162,7 @@
         raise failure.error
 
     def _patience(self, progress: _Progress) -> float:
-        now = time.monotonic()
+        now = steady_seconds()
         remaining = max(0.0, progress.deadline - now)
         if not self._may_hedge(progress):
             return remaining
@@ -172,7 +172,7 @@
     def _may_hedge(self, progress: _Progress) -> bool:
         if not progress.route.repeatable or progress.sent >= progress.route.maximum_attempts:
             return False
-        if progress.deadline - time.monotonic() < MINIMUM_ATTEMPT_SECONDS:
+        if progress.deadline - steady_seconds() < MINIMUM_ATTEMPT_SECONDS:
             return False
         candidates = self._directory.candidates(progress.service, progress.tried)
         return any(state.backend_id not in progress.tried for state in candidates)
@@ -180,7 +180,7 @@
     def _start_attempt(self, progress: _Progress, reason: str = "first") -> None:
         if progress.sent >= progress.route.maximum_attempts:
             return
-        if progress.deadline - time.monotonic() < MINIMUM_ATTEMPT_SECONDS:
+        if progress.deadline - steady_seconds() < MINIMUM_ATTEMPT_SECONDS:
             return
         candidates = self._directory.candidates(progress.service, progress.tried)
         state = choose_backend(candidates, progress.tried, self._zone)
@@ -200,7 +200,7 @@
                 reason=reason,
                 backend=state.backend_id,
                 attempts=len(progress.tried),
-                age_ms=int((time.monotonic() - progress.started) * 1000),
+                age_ms=int((steady_seconds() - progress.started) * 1000),
             )
 
     def _attempt(self, progress: _Progress, state: BackendState) -> None:
@@ -214,7 +214,7 @@
 
     def _exchange(self, progress: _Progress, state: BackendState) -> _Outcome:
         request = progress.request
-        remaining = progress.deadline - time.monotonic()
+        remaining = progress.deadline - steady_seconds()
         seen: list[AnswerClass] = []
 
         def accept(status: int, headers: list[tuple[str, str]]) -> bool:
@@ -242,7 +242,7 @@
             backend=outcome.state.backend_id,
             outcome=outcome.label,
             detail=outcome.error.detail if outcome.error else "",
-            age_ms=int((time.monotonic() - progress.started) * 1000),
+            age_ms=int((steady_seconds() - progress.started) * 1000),
         )
 
 
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -13,6 +12,7 @@
 from runkeel.api.backend_protocol import AnswerClass, BackendProtocol, PlainRequest
 from runkeel.api.fleet import Route
 from runkeel.backends.http_connection import HttpAnswerStream
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
 from runkeel.gateway.event_order import follows
@@ -93,7 +93,7 @@
         """Open a run at a server; returns a server's own failure answer if there is no better."""
         failure: OpenedStream | None = None
         error = not_run(ErrorCode.QUEUE_FULL, relay.service, RETRY_AFTER_SECONDS)
-        while time.monotonic() < relay.deadline and not relay.gone.is_set():
+        while steady_seconds() < relay.deadline and not relay.gone.is_set():
             if relay.sent >= relay.route.maximum_attempts:
                 break
             candidates = self._directory.candidates(relay.service, relay.tried)
@@ -130,7 +130,7 @@
             None when its stream is open, an answer without status when it refused, else its
             failure.
         """
-        remaining = relay.deadline - time.monotonic()
+        remaining = relay.deadline - steady_seconds()
         request = replace(relay.request, resume_after=relay.last_event_id)
         outgoing = self._protocol.encode_plain(request, state.backend, remaining)
         state.in_flight += 1
@@ -186,7 +186,7 @@
         """Relay one run; the generator's value is the error that broke it off, or None."""
         buffer = b""
         while True:
-            limit = time.monotonic() + LONGEST_SILENCE_SECONDS
+            limit = steady_seconds() + LONGEST_SILENCE_SECONDS
             patience = min(relay.deadline, limit) if relay.route.resumable else relay.deadline
             try:
                 chunk = relay.stream.read_chunk(patience)
--- a/src/runkeel/handoff/hint_client.py
+++ b/src/runkeel/handoff/hint_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,6 +10,7 @@
 from gevent.queue import Empty, Queue
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.jobs.job_documents import EncodedJob, job_text
 from runkeel.wire.generated.common.ttypes import MessageType
@@ -98,12 +98,12 @@
         return any(task.value for task in tasks)
 
     def _judge(self, replies: Queue, count: int) -> HintOutcome:
-        deadline = time.monotonic() + HINT_SECONDS
+        deadline = steady_seconds() + HINT_SECONDS
         kept = 0
         unsure = False
         for _ in range(count):
             try:
-                reply = replies.get(timeout=max(0.0, deadline - time.monotonic()))
+                reply = replies.get(timeout=max(0.0, deadline - steady_seconds()))
             except Empty:
                 unsure = True
                 break
--- a/src/runkeel/http/frontend.py
+++ b/src/runkeel/http/frontend.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import http.client
-import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,6 +20,7 @@
 
 from runkeel.api.fleet import ClientLimits
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 
 _BACKLOG = 512
 _BODILESS_STATUSES = (204, 304)
@@ -34,7 +34,7 @@
 
     Attributes:
         target: path and query, undecoded.
-        received_at: monotonic time at which its head was read.
+        received_at: steady time at which its head was read.
         gone: set when the client has closed its connection.
         tenant: on whose behalf it is answered, once that is known.
     """
@@ -236,7 +236,7 @@
             return ClientAnswer(500)
 
     def _read(self, environment: dict[str, Any], connection: _Handler) -> ClientRequest | None:
-        received_at = time.monotonic()
+        received_at = steady_seconds()
         limit = self._limits().maximum_body_bytes
         body = _read_body(environment, limit)
         if body is None:
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -13,6 +13,7 @@
 
 from runkeel.api.documents import Document, DocumentKind, DocumentStore
 from runkeel.api.jobs import BatchJob, ResultPage
+from runkeel.clock import steady_seconds
 from runkeel.coordination.rollout_plan import ModelDemand
 from runkeel.errors import RunkeelError
 from runkeel.jobs.job_copies import CopiedJob
@@ -100,7 +101,7 @@
         self._job_store = JobStore(store)
         self._epoch = epoch
         self._on_superseded = on_superseded
-        self._started_at = time.monotonic()
+        self._started_at = steady_seconds()
         self._newest_version = newest_version
         self._recent_items: dict[str, deque[int]] = {}
         self._latest_minimum: dict[str, _Acceptance] = {}
@@ -230,15 +231,15 @@
         self._ends.listed.wait()
         self._submissions.start()
         self._submissions.listed.wait()
-        deadline = time.monotonic() + FIRST_LOAD_SECONDS
-        while self._loading and time.monotonic() < deadline:
+        deadline = steady_seconds() + FIRST_LOAD_SECONDS
+        while self._loading and steady_seconds() < deadline:
             gevent.sleep(_POLL_SECONDS)
         self.loaded.set()
         if self._texts_expected and self._jobs:
-            gevent.sleep(max(0.0, self._started_at + TEXTS_SECONDS - time.monotonic()))
+            gevent.sleep(max(0.0, self._started_at + TEXTS_SECONDS - steady_seconds()))
         items = sum(len(state.items) for state in self._jobs.values() if not state.ended)
         over_at = self._started_at + self._earlier_runs_seconds(items)
-        gevent.sleep(max(0.0, over_at - time.monotonic()))
+        gevent.sleep(max(0.0, over_at - steady_seconds()))
         self._scheduler.start()
 
     def _end_changed(self, document: Document, removed: bool) -> None:
@@ -381,7 +382,7 @@
 
     def _submitted_in_this_term(self) -> bool:
         """Return whether a job that comes now can't have been run by another coordinator."""
-        return time.monotonic() - self._started_at > TERM_SETTLE_SECONDS
+        return steady_seconds() - self._started_at > TERM_SETTLE_SECONDS
 
     def _write(self, write: Callable[[], None]) -> bool:
         """Run a part of a writer; False when another coordinator has taken over."""
--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Iterable
 
 from runkeel.api.jobs import BatchJob, JobItem
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendDirectory, BackendState
 from runkeel.gateway.indexed_set import IndexedSet
 from runkeel.jobs.engine_speeds import EngineSpeeds, RunSample
@@ -127,7 +127,7 @@
         besides: BackendState | None,
     ) -> BackendState | None:
         """Return the cheapest usable engine; ``home`` has run the item's group."""
-        now = time.monotonic()
+        now = steady_seconds()
         best: BackendState | None = None
         best_cost = 0.0
         if home is not None:
@@ -180,7 +180,7 @@
 
     def observe(self, samples: Iterable[RunSample]) -> None:
         """Take how many events the runs have received so far."""
-        self._speeds.observe(samples, time.monotonic())
+        self._speeds.observe(samples, steady_seconds())
 
     def slowness(self, engine: BackendState) -> float:
         """Return how many times slower an engine is than the fastest one."""
--- a/src/runkeel/jobs/engine_versions.py
+++ b/src/runkeel/jobs/engine_versions.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterable
 
 from gevent.pool import Pool
 from loguru import logger
 
 from runkeel.api.backend_protocol import BackendProtocol
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.gateway.backends import BackendDirectory, BackendState
 
@@ -36,7 +36,7 @@
 def _ask(state: BackendState, protocol: BackendProtocol) -> dict[str, int]:
     outgoing = protocol.encode_report_query(state.backend)
     try:
-        answer = state.pool.request(outgoing, time.monotonic() + REPORT_SECONDS)
+        answer = state.pool.request(outgoing, steady_seconds() + REPORT_SECONDS)
         return protocol.parse_report(answer.body).model_versions if answer.status == 200 else {}
     except (RunkeelError, ValueError, KeyError) as error:
         logger.info(
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -4,12 +4,12 @@
 
 import enum
 import itertools
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from runkeel.api.backend_protocol import AnswerClass, BackendProtocol, GenerationRequest
 from runkeel.backends.http_connection import HttpAnswerStream
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.event_order import follows
@@ -125,11 +125,11 @@
 
     def run(self, deadline: float) -> RunOutcome:
         """Run until the end; see :class:`RunOutcome`."""
-        remaining = deadline - time.monotonic()
+        remaining = deadline - steady_seconds()
         outgoing = self._protocol.encode_generation(self._request, self._state.backend, remaining)
-        self.last_event_at = time.monotonic()
+        self.last_event_at = steady_seconds()
         try:
-            first_deadline = min(deadline, time.monotonic() + FIRST_EVENT_SECONDS)
+            first_deadline = min(deadline, steady_seconds() + FIRST_EVENT_SECONDS)
             stream = self._state.pool.open_stream(outgoing, first_deadline)
         except RunkeelError as error:
             self.detail = error.detail
@@ -160,7 +160,7 @@
     def _drain_failure(self, stream: HttpAnswerStream, answer_class: AnswerClass) -> RunOutcome:
         self.detail = f"status {stream.status}"
         try:
-            for _ in stream.chunks(time.monotonic() + STALL_SECONDS):
+            for _ in stream.chunks(steady_seconds() + STALL_SECONDS):
                 pass
         except RunkeelError as error:
             self.detail += f", {error.detail}"
@@ -191,9 +191,9 @@
                 return stream.read_chunk(patience)
             except RunkeelError as error:
                 timed_out = error.code is ErrorCode.DEADLINE_EXCEEDED
-                if not timed_out or time.monotonic() >= deadline or not self.loading():
+                if not timed_out or steady_seconds() >= deadline or not self.loading():
                     raise
-                if time.monotonic() >= self.last_event_at + LOADING_STALL_SECONDS:
+                if steady_seconds() >= self.last_event_at + LOADING_STALL_SECONDS:
                     raise
 
     def _take(self, block: bytes, version: int) -> int:
@@ -215,7 +215,7 @@
         self._partial.pieces.append(event.data)
         if event.event_id:
             self._partial.last_event_id = event.event_id
-        now = time.monotonic()
+        now = steady_seconds()
         self.events += 1
         self.first_event_at = self.first_event_at or now
         self.last_event_at = now
--- a/src/runkeel/jobs/item_queue.py
+++ b/src/runkeel/jobs/item_queue.py
@@ -9,12 +9,12 @@
 
 import heapq
 import itertools
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from runkeel.api.fleet import Route
+from runkeel.clock import steady_seconds
 from runkeel.gateway.routing import choose_service
 from runkeel.jobs.item_task import ItemTask
 
@@ -40,7 +40,7 @@
     Attributes:
         rank: of the job's tenant or route; the smallest is placed first.
         service: empty while the items have no route.
-        waiting_since: monotonic time since which items have waited for an engine; 0: none waits.
+        waiting_since: steady time since which items have waited for an engine; 0: none waits.
     """
 
     rank: int
@@ -109,7 +109,7 @@
         if task.partial.whole or task.next_engine is not None:
             self._valid[number] = task, None
             self._ready[task.key] = task
-        elif task.not_before > time.monotonic():
+        elif task.not_before > steady_seconds():
             self._valid[number] = task, None
             heapq.heappush(self._resting, (task.not_before, number))
         else:
--- a/src/runkeel/jobs/item_runner.py
+++ b/src/runkeel/jobs/item_runner.py
@@ -11,6 +11,7 @@
 from runkeel.api.backend_protocol import BackendProtocol, GenerationRequest
 from runkeel.api.fleet import Route
 from runkeel.api.jobs import ItemResult, ResultState, ScorerCall
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.generation_run import GenerationRun, RunOutcome
@@ -68,7 +69,7 @@
     def generate(self, task: ItemTask, route: Route) -> RunOutcome:
         """Run an item at its engine; the text grows in the task."""
         resumed_after = task.partial.last_event_id
-        started = time.monotonic()
+        started = steady_seconds()
         deadline = started + _seconds_left(task, route)
         runner = self._runners.runner_for(task.engine) if self._runners is not None else None
         if runner is not None:
@@ -96,7 +97,7 @@
             events=run.events,
             versions=list(task.partial.versions),
             resumed_after=resumed_after,
-            ms=int((time.monotonic() - started) * 1000),
+            ms=int((steady_seconds() - started) * 1000),
         )
         return outcome
 
@@ -106,7 +107,7 @@
         if task.scoring_problem:
             return given_up(task, f"scoring: {task.scoring_problem}")
         if task.item.scorer is not None and not score:
-            deadline = time.monotonic() + _seconds_left(task, route)
+            deadline = steady_seconds() + _seconds_left(task, route)
             try:
                 score = self._scorer.score(task.item.scorer, deadline)
             except ScoringFailedError as error:
--- a/src/runkeel/jobs/item_task.py
+++ b/src/runkeel/jobs/item_task.py
@@ -19,7 +19,7 @@
 
     Attributes:
         failures: runs that an engine answered with a failure.
-        not_before: monotonic time before which it isn't run again.
+        not_before: steady time before which it isn't run again.
         score: the scorer's stamp, where the node that ran it has had it scored.
         scoring_problem: why that node could not; empty if it could or had not to.
     """
--- a/src/runkeel/jobs/run_mover.py
+++ b/src/runkeel/jobs/run_mover.py
@@ -8,12 +8,12 @@
 from __future__ import annotations
 
 import heapq
-import time
 from collections.abc import Callable, Iterable
 
 from loguru import logger
 
 from runkeel.api.fleet import Route
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import choose_service
 from runkeel.jobs.engine_placement import EnginePlacement
@@ -73,7 +73,7 @@
 
     def move_from_slow_engines(self, tasks: Iterable[ItemTask]) -> None:
         """Move items of slower engines, the longest first, as far as faster ones have room."""
-        now = time.monotonic()
+        now = steady_seconds()
         generating = [task for task in tasks if _generates(task)]
         self._placement.observe(
             RunSample(task.engine.backend_id, id(task.run), task.run.events) for task in generating
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -12,6 +12,7 @@
 from runkeel.api.backend_protocol import BackendProtocol
 from runkeel.api.fleet import Route, RoutingConfiguration
 from runkeel.api.jobs import ItemResult, JobItem, ResultState
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import RoutingTable, choose_service
 from runkeel.jobs.engine_placement import EnginePlacement
@@ -90,7 +91,7 @@
         """The configuration by which the queue is arranged."""
         self._pressed_at: dict[str, float] = {}
         self._checked_at = 0.0
-        self._created_at = time.monotonic()
+        self._created_at = steady_seconds()
         self._wake = Event()
         self._loop: gevent.Greenlet | None = None
 
@@ -121,7 +122,7 @@
         if running is not None:
             return _is_worth_going_back_to(running, precedence)
         task = self._queue.of_item(item_id)
-        if task is None and time.monotonic() - self._created_at > UNKNOWN_ITEM_SECONDS:
+        if task is None and steady_seconds() - self._created_at > UNKNOWN_ITEM_SECONDS:
             return False
         known = task.partial if task is not None else self._kept.get(item_id)
         return known is None or known.precedence < precedence
@@ -176,7 +177,7 @@
 
     def pressed(self, model: str) -> bool:
         """Return whether items of a model have lately waited long for an engine."""
-        return time.monotonic() - self._pressed_at.get(model, -PRESSED_SECONDS) < PRESSED_SECONDS
+        return steady_seconds() - self._pressed_at.get(model, -PRESSED_SECONDS) < PRESSED_SECONDS
 
     def wake(self) -> None:
         """Look again whether an item can be placed."""
@@ -227,11 +228,11 @@
         rested_at = self._queue.next_rested_at()
         if rested_at is None:
             return IDLE_CHECK_SECONDS
-        return min(IDLE_CHECK_SECONDS, max(0.0, rested_at - time.monotonic()))
+        return min(IDLE_CHECK_SECONDS, max(0.0, rested_at - steady_seconds()))
 
     def _place_all(self) -> None:
         """Start every item that can run now; see :class:`ItemQueue` for what is looked at."""
-        now = time.monotonic()
+        now = steady_seconds()
         configuration = self._routing.configuration
         if configuration is not self._arranged_for:
             self._arranged_for = configuration
@@ -334,7 +335,7 @@
         self._finish(task, given_up(task, reason))
 
     def _move_runs(self) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         if now - self._checked_at >= IDLE_CHECK_SECONDS:
             self._checked_at = now
             self._mover.move_from_slow_engines(self._running)
@@ -389,7 +390,7 @@
         if not task.partial.fits(job.minimum_version, route.single_version):
             task.partial.clear()
         if outcome is not RunOutcome.MOVED:
-            task.not_before = time.monotonic() + REQUEUE_SECONDS
+            task.not_before = steady_seconds() + REQUEUE_SECONDS
             self._release_reserved(task)
         task.engine = None
         if not task.state.ended:
--- a/src/runkeel/jobs/scorer.py
+++ b/src/runkeel/jobs/scorer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import time
 from dataclasses import replace
 
 import gevent
@@ -12,6 +11,7 @@
 from runkeel.api.backend_protocol import AnswerClass, BackendProtocol
 from runkeel.api.fleet import Route
 from runkeel.api.jobs import ScorerCall
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable, choose_service
@@ -44,7 +44,7 @@
             ScoringFailedError: the route's attempts are used up by failures, or time ran out.
         """
         failures = 0
-        while time.monotonic() < deadline:
+        while steady_seconds() < deadline:
             route = self._routing.match(call.host.lower(), call.path.partition("?")[0])
             if route is not None:
                 stamp, failed = self._call_once(call, route, deadline)
@@ -63,7 +63,7 @@
         )
         single = replace(route, maximum_attempts=1)
         service = choose_service(route, call.request_id)
-        call_deadline = min(deadline, time.monotonic() + CALL_SECONDS)
+        call_deadline = min(deadline, steady_seconds() + CALL_SECONDS)
         try:
             answer = self._forwarder.forward(request, single, service, call_deadline)
         except RunkeelError as error:
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -11,6 +11,7 @@
 
 from runkeel.api.documents import DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.api.jobs import BatchJob, ItemResult, JobReference, ResultPage, ResultState
+from runkeel.clock import steady_seconds
 from runkeel.coordination.election import Election
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.handoff.hint_client import HintClient, HintOutcome
@@ -139,7 +140,7 @@
                     verdict = Verdict.MAY_HAVE_RUN
                 if verdict is Verdict.NOT_RUN:
                     submission.discard_parts()
-                if verdict is Verdict.NOT_RUN or time.monotonic() > deadline:
+                if verdict is Verdict.NOT_RUN or steady_seconds() > deadline:
                     self._refuse(job, error, verdict)
                 gevent.sleep(STORE_RETRY_SECONDS)
             else:
@@ -200,7 +201,7 @@
             except DocumentConflictError:
                 break
             except RunkeelError as error:
-                if time.monotonic() > deadline:
+                if steady_seconds() > deadline:
                     raise RunkeelError(
                         error.code, error.detail, Verdict.MAY_HAVE_RUN, RETRY_AFTER_SECONDS
                     ) from error
--- a/src/runkeel/jobs/text_hand_over.py
+++ b/src/runkeel/jobs/text_hand_over.py
@@ -6,13 +6,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import Protocol
 
 import gevent
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.jobs.generation_run import PartialText
 from runkeel.jobs.text_replication import CALL_SECONDS, TextCopies, text_update
@@ -94,8 +94,8 @@
 
     def _deliver(self, coordinator: str, epoch: int, updates: list[TextUpdate]) -> list[str]:
         """Send until an answer comes, while that coordinator is the latest that is known."""
-        deadline = time.monotonic() + OFFER_SECONDS
-        while time.monotonic() < deadline and self._offered_epoch == epoch:
+        deadline = steady_seconds() + OFFER_SECONDS
+        while steady_seconds() < deadline and self._offered_epoch == epoch:
             wanted = self._send(coordinator, updates)
             if wanted is not None:
                 return wanted
--- a/src/runkeel/jobs/text_journal.py
+++ b/src/runkeel/jobs/text_journal.py
@@ -23,6 +23,7 @@
 from gevent.lock import Semaphore
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.wire.codec import decode, encode
 from runkeel.wire.generated.jobs.ttypes import TextReplication
@@ -94,7 +95,7 @@
                 size; other tasks have their turn between two of them.
         """
         with self._lock:
-            if time.monotonic() - self._failed_at < RETRY_SECONDS:
+            if steady_seconds() - self._failed_at < RETRY_SECONDS:
                 return
             begins = self._begins_file()
             records = []
@@ -153,7 +154,7 @@
             os.close(folder)
 
     def _failed(self, error: OSError) -> None:
-        self._failed_at = time.monotonic()
+        self._failed_at = steady_seconds()
         self.close()
         logger.warning("texts not kept on disk", code="text_journal_failed", error=str(error))
 
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.jobs.generation_run import PartialText
 from runkeel.jobs.text_journal import JournalRecord, TextJournal
@@ -253,12 +253,12 @@
             self._epoch = epoch
         known = self._copies.get(item_id)
         if known is None or known.text.precedence < text.precedence:
-            self._copies[item_id] = _Copy(text, time.monotonic())
+            self._copies[item_id] = _Copy(text, steady_seconds())
             self._forget_old()
 
     def fresh(self) -> dict[str, PartialText]:
         """Return the copies that are still fresh; they stay, and must not be changed."""
-        oldest = time.monotonic() - KEPT_SECONDS
+        oldest = steady_seconds() - KEPT_SECONDS
         return {
             item_id: copy.text
             for item_id, copy in self._copies.items()
@@ -288,14 +288,14 @@
             if message.epoch > self._epoch:
                 self._copies.clear()
                 self._epoch = message.epoch
-            now = time.monotonic()
+            now = steady_seconds()
             missing = [one.item_id for one in message.updates if not self._apply(one, now)]
             self._forget_old()
             self._write(message)
         return MessageType.TEXT_REPLICATION_REPLY, TextReplicationReply(missing)
 
     def _restore(self, records: list[JournalRecord]) -> None:
-        now = time.monotonic()
+        now = steady_seconds()
         for record in records:
             if record.message.epoch > self._epoch:
                 self._copies.clear()
@@ -334,7 +334,7 @@
         return True
 
     def _forget_old(self) -> None:
-        oldest = time.monotonic() - KEPT_SECONDS
+        oldest = steady_seconds() - KEPT_SECONDS
         for item_id in [one for one, copy in self._copies.items() if copy.updated_at < oldest]:
             del self._copies[item_id]
         while len(self._copies) > MAXIMUM_COPIES:
--- a/src/runkeel/lateness.py
+++ b/src/runkeel/lateness.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import time
-
 import gevent
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.metrics import LOOP_LATE_SECONDS
 
 INTERVAL_SECONDS = 0.1
@@ -38,7 +37,7 @@
 
     def seconds(self) -> float:
         """Return how late the latest timers were, the largest of the last second."""
-        oldest = time.monotonic() - MEMORY_SECONDS
+        oldest = steady_seconds() - MEMORY_SECONDS
         return max((late for at, late in self._recent if at >= oldest), default=0.0)
 
     def _tell(self, late: float, now: float) -> None:
@@ -49,9 +48,9 @@
 
     def _run(self) -> None:
         while True:
-            due = time.monotonic() + INTERVAL_SECONDS
+            due = steady_seconds() + INTERVAL_SECONDS
             gevent.sleep(INTERVAL_SECONDS)
-            now = time.monotonic()
+            now = steady_seconds()
             late = max(0.0, now - due)
             LOOP_LATE_SECONDS.observe(late)
             self._tell(late, now)
--- a/src/runkeel/operators/fleet_tables.py
+++ b/src/runkeel/operators/fleet_tables.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from runkeel.clock import steady_seconds
 from runkeel.operators.sources import QuerySources, Row
 
 if TYPE_CHECKING:
@@ -85,7 +86,7 @@
         ]
 
     def _backend_rows(self) -> list[Row]:
-        now = time.monotonic()
+        now = steady_seconds()
         rows: list[Row] = []
         for state in self._node.directory.all():
             backend = state.backend
--- a/src/runkeel/operators/local_queries.py
+++ b/src/runkeel/operators/local_queries.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 from dataclasses import dataclass
 
+from runkeel.clock import steady_seconds
 from runkeel.operators.diagnostics import bad_command
 from runkeel.operators.language import parse_statement
 from runkeel.operators.selection import check_columns, select
@@ -42,7 +42,7 @@
     if not isinstance(query, ShowQuery):
         raise bad_command(text, 0, "not a query; what runs on a platform is changed there")
     source = find_source(sources, text, query)
-    started_at = time.monotonic()
+    started_at = steady_seconds()
     rows = select(query, source.columns, source.provider())
     return QueryAnswer(source.columns, rows, age_ms(source.columns, rows, started_at))
 
@@ -64,7 +64,7 @@
 
 def age_ms(columns: tuple[str, ...], rows: list[Row], started_at: float) -> int:
     """Return an upper bound of the age of what the rows show."""
-    collecting_ms = int((time.monotonic() - started_at) * 1000)
+    collecting_ms = int((steady_seconds() - started_at) * 1000)
     if AGE_COLUMN not in columns:
         return collecting_ms
     index = columns.index(AGE_COLUMN)
--- a/src/runkeel/runners/hosted_run.py
+++ b/src/runkeel/runners/hosted_run.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import gevent
 
 from runkeel.api.backend_protocol import BackendProtocol, GenerationRequest
 from runkeel.api.jobs import ScorerCall
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendState
 from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
@@ -38,7 +38,7 @@
         self._message = message
         self._scorer = scorer
         self._on_ended = on_ended
-        self._deadline = time.monotonic() + message.remaining_ms / 1000.0
+        self._deadline = steady_seconds() + message.remaining_ms / 1000.0
         self._text = PartialText([], message.resume_after or None, list(message.versions))
         self._run = GenerationRun(
             protocol,
--- a/src/runkeel/runners/pool.py
+++ b/src/runkeel/runners/pool.py
@@ -4,13 +4,13 @@
 
 import itertools
 import math
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import gevent
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.gateway.backends import BackendDirectory, BackendState
 from runkeel.gateway.indexed_set import IndexedSet
@@ -120,7 +120,7 @@
     @property
     def needed(self) -> bool:
         """Whether more is open lately, and has room at engines, than this node reads itself."""
-        recent = time.monotonic() - self._demanded_at < DEMAND_SECONDS
+        recent = steady_seconds() - self._demanded_at < DEMAND_SECONDS
         return recent and self.may_be_used
 
     @property
@@ -131,7 +131,7 @@
     def note_open(self, items: int) -> None:
         """Take how many items wait or run."""
         if items > LOCAL_RUNS:
-            self._demanded_at = time.monotonic()
+            self._demanded_at = steady_seconds()
 
     @property
     def has_room(self) -> bool:
@@ -232,7 +232,7 @@
         """Return nodes to invite, so that each zone has as many runners as its engines need."""
         if not self.needed:
             return []
-        now = time.monotonic()
+        now = steady_seconds()
         by_zone: dict[str, list[NodeAddress]] = {}
         for address in self._peers():
             by_zone.setdefault(address.zone, []).append(address)
@@ -250,7 +250,7 @@
         return known is None or now - known[1] >= INVITE_AGAIN_SECONDS
 
     def _invite(self, address: NodeAddress) -> None:
-        self._invited[address.node_id] = address, time.monotonic()
+        self._invited[address.node_id] = address, steady_seconds()
         message = RunnerInvite(self._shard, self._epoch, self._own_address())
         try:
             self._network.call(
@@ -313,7 +313,7 @@
         if runner.session != message.session:
             self._lose_runs(runner, "the runner's lease has lapsed")
             runner.session = message.session
-        runner.heard_at = time.monotonic()
+        runner.heard_at = steady_seconds()
         runner.late_ms = message.late_ms
         unknown = self._take_updates(runner, message)
         if not self.needed and not runner.runs:
@@ -361,7 +361,7 @@
 
     def _drop_lost(self) -> None:
         """Give up runners that have been silent until their leases have lapsed for certain."""
-        oldest = time.monotonic() - LOST_SECONDS
+        oldest = steady_seconds() - LOST_SECONDS
         for runner in [one for one in self._runners.values() if one.heard_at < oldest]:
             self._remove(runner)
             logger.info(
@@ -369,7 +369,7 @@
                 code="runner_lost",
                 runner=runner.node_id,
                 runs=len(runner.runs),
-                silent_ms=int((time.monotonic() - runner.heard_at) * 1000),
+                silent_ms=int((steady_seconds() - runner.heard_at) * 1000),
             )
             self._lose_runs(runner, "the runner is silent")
 
--- a/src/runkeel/runners/remote_run.py
+++ b/src/runkeel/runners/remote_run.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 from gevent.event import Event
 
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.jobs.generation_run import PartialText, RunOutcome
 from runkeel.runners.hosted_run import SCORING_FAILED
@@ -82,13 +82,13 @@
 
     def run(self, deadline: float) -> RunOutcome:
         """Run until the end; see :class:`RunOutcome`."""
-        self._start.remaining_ms = max(1, int((deadline - time.monotonic()) * 1000))
+        self._start.remaining_ms = max(1, int((deadline - steady_seconds()) * 1000))
         try:
             problem = self._begin()
             if problem:
                 self.detail = problem
                 return RunOutcome.REFUSED
-            if not self._ended.wait(deadline + OVERTIME_SECONDS - time.monotonic()):
+            if not self._ended.wait(deadline + OVERTIME_SECONDS - steady_seconds()):
                 self.detail = "the runner did not end it in time"
                 self._await_end()
             return self._outcome
@@ -109,7 +109,7 @@
             return
         fresh = update.pieces[known:]
         if fresh:
-            now = time.monotonic()
+            now = steady_seconds()
             partial.pieces.extend(fresh)
             partial.last_event_id = update.last_event_id or None
             partial.versions = list(update.versions)
--- a/src/runkeel/runners/service.py
+++ b/src/runkeel/runners/service.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import secrets
-import time
 from collections.abc import Callable
 
 import gevent
@@ -16,6 +15,7 @@
 from loguru import logger
 
 from runkeel.api.backend_protocol import BackendProtocol
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.jobs.generation_run import PartialText, RunOutcome
@@ -163,7 +163,7 @@
         self._service = service
         self._coordinator = coordinator
         self._session = _new_session()
-        self._renewed_at = time.monotonic()
+        self._renewed_at = steady_seconds()
         self._answered_at = self._renewed_at
         self._runs: dict[str, HostedRun] = {}
         self._refused: dict[str, None] = {}
@@ -220,19 +220,19 @@
             self._exchange()
             if self._service.superseded(self.epoch):
                 self.stop("another coordinator is known")
-            elif time.monotonic() - self._answered_at > DISENGAGED_SECONDS:
+            elif steady_seconds() - self._answered_at > DISENGAGED_SECONDS:
                 self.stop("the coordinator has been silent")
             self._await_news()
 
     def _watch_lease(self) -> None:
         """End the runs at the moment that the lease lapses, whatever is waited for just then."""
         while not self.over:
-            gevent.sleep(max(0.0, self._renewed_at + RUN_LEASE_SECONDS - time.monotonic()))
+            gevent.sleep(max(0.0, self._renewed_at + RUN_LEASE_SECONDS - steady_seconds()))
             if self._lapsed():
                 self._end_runs("no answer of the coordinator")
                 self._session = _new_session()
                 # The coordinator is told on: it may take this node again.
-                self._renewed_at = time.monotonic()
+                self._renewed_at = steady_seconds()
 
     def _await_news(self) -> None:
         has_news = any(run.has_news for run in self._runs.values())
@@ -246,7 +246,7 @@
         never_begun, self._never_begun = self._never_begun, []
         updates += [_never_begun(run_id) for run_id in never_begun]
         message = ItemRunProgress("", self.epoch, self._session, updates, 0)
-        sent_at = time.monotonic()
+        sent_at = steady_seconds()
         try:
             reply = self._service.send_progress(self._coordinator, message)
         except RunkeelError as error:
@@ -278,7 +278,7 @@
             self._never_begun.append(run_id)
 
     def _lapsed(self) -> bool:
-        return time.monotonic() - self._renewed_at >= RUN_LEASE_SECONDS
+        return steady_seconds() - self._renewed_at >= RUN_LEASE_SECONDS
 
     def _end_runs(self, reason: str) -> None:
         if self._runs:
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections import deque
 from collections.abc import Callable
 
@@ -20,6 +19,7 @@
     Freshness,
     HistoryLostError,
 )
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.state.lapsed_documents import LapsedDocuments
 from runkeel.state.name_digest import NameDigest
@@ -64,7 +64,7 @@
             often: refused calls have their price too.
         lapse_seconds: documents that lapsed in an outage of the store are kept for so long after
             its end, since those whose owners live come back.
-        returned_at: monotonic time at which the store was back after the last such outage.
+        returned_at: steady time at which the store was back after the last such outage.
         first_list: how new the very first list must be. One that is old is as good where the
             watch that follows is waited for: it brings at once what has come since.
 
@@ -75,7 +75,7 @@
             and went before, in a gap between two lists, it may never have known.
         removals: names that are gone since then, each with the revision at which it was noticed.
         listed: set once the first list has been read.
-        fresh_at: monotonic time at which the documents were those of the store, at least.
+        fresh_at: steady time at which the documents were those of the store, at least.
     """
 
     def __init__(
@@ -204,7 +204,7 @@
                 self._await_turn()
 
     def _step(self) -> None:
-        started = time.monotonic()
+        started = steady_seconds()
         if self._list_due:
             freshness, self._list_freshness = self._list_freshness, Freshness.CURRENT
             self._list(freshness)
@@ -305,7 +305,7 @@
         self._failures = 0
         if not confirms:
             return
-        now = time.monotonic()
+        now = steady_seconds()
         # An answer that took much longer than asked for may have lain unread in a paused process.
         timely = now - started <= self._watch_seconds() + TIMELY_MARGIN_SECONDS
         self.fresh_at = now if timely else started
--- a/src/runkeel/state/lapsed_documents.py
+++ b/src/runkeel/state/lapsed_documents.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import gevent
 from loguru import logger
 
 from runkeel.api.documents import DocumentKind
+from runkeel.clock import steady_seconds
 
 NAMES = 20
 """So many documents are named in a line; the others are counted."""
@@ -22,7 +22,7 @@
 
     Args:
         keep_seconds: documents are kept for so long after the end of an outage; 0: never.
-        returned_at: monotonic time at which the store was back after the last outage that may have
+        returned_at: steady time at which the store was back after the last outage that may have
             let documents lapse, 0 before the first one. The node's word counts, not that of one
             watcher: all of a node's tasks take turns to try a store that is away.
         give_up: removes a document from the copy.
@@ -47,7 +47,7 @@
         """Keep a document that the store no longer has; False when it is to be removed."""
         returned_at = self._returned_at()
         ends_at = returned_at + self._keep_seconds
-        now = time.monotonic()
+        now = steady_seconds()
         if not returned_at or now >= ends_at:
             return False
         if ends_at > self._ends_at:
--- a/src/runkeel/state/observed_store.py
+++ b/src/runkeel/state/observed_store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import time
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -20,6 +19,7 @@
     Freshness,
     HistoryLostError,
 )
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 
 PROBE_SECONDS = 0.4
@@ -55,9 +55,9 @@
         probe_seconds: while the store fails, it is tried so often.
 
     Attributes:
-        failing_since: monotonic time of the first failure after the last answer, 0 when the last
+        failing_since: steady time of the first failure after the last answer, 0 when the last
             call was answered.
-        returned_at: monotonic time of the first answer after the last outage that was long enough
+        returned_at: steady time of the first answer after the last outage that was long enough
             for documents to lapse, 0 before the first one.
     """
 
@@ -83,7 +83,7 @@
         Of all tasks that wait only one at a time tries, since refused calls have their price.
         """
         while self.failing_since:
-            now = time.monotonic()
+            now = steady_seconds()
             if now >= self._next_probe_at:
                 self._next_probe_at = now + self._probe_seconds()
                 return
@@ -165,14 +165,14 @@
             self._answered()
             raise
         except RunkeelError:
-            self._failed_at = time.monotonic()
+            self._failed_at = steady_seconds()
             self.failing_since = self.failing_since or self._failed_at
             raise
         self._answered()
 
     def _answered(self) -> None:
         if self.failing_since:
-            self._note_return(time.monotonic())
+            self._note_return(steady_seconds())
             self.failing_since = 0.0
             self._regained.set()
             self._regained = Event()
--- a/src/runkeel/usage/clock.py
+++ b/src/runkeel/usage/clock.py
@@ -6,6 +6,8 @@
 import time
 from collections import deque
 
+from runkeel.clock import steady_seconds
+
 SAMPLES = 61
 """The clock goes by the median of so many comparisons with the steady clock, one a second.
 
@@ -26,7 +28,7 @@
 
     def time(self) -> float:
         """Return the seconds since the epoch."""
-        now = time.monotonic()
+        now = steady_seconds()
         if not self._offsets or now - self._sampled_at >= SAMPLE_SECONDS:
             self._sampled_at = now
             self._offsets.append(time.time() - now)
--- a/src/runkeel/usage/duty.py
+++ b/src/runkeel/usage/duty.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,6 +11,7 @@
 
 from runkeel.api.documents import Document, DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.api.duties import DutyHolder, DutyPlatform, UsageReport, UsageSettings
+from runkeel.clock import steady_seconds
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.errors import RunkeelError
 from runkeel.metrics import USAGE_REPORTS
@@ -170,7 +170,7 @@
 
     def _may_write(self) -> bool:
         pause = max(CHECKPOINT_SECONDS, self._written_bytes / CHECKPOINT_BYTES_PER_SECOND)
-        return time.monotonic() - self._written_at >= pause
+        return steady_seconds() - self._written_at >= pause
 
     def _load(self) -> None:
         """Read the ledger of the terms before, and write this term into it."""
@@ -249,7 +249,7 @@
         """Replace the ledger; what was decided counts once this is confirmed."""
         self._dirty = False
         content = self._ledger.encode()
-        started = time.monotonic()
+        started = steady_seconds()
         try:
             stored = self._store.replace(
                 DocumentKind.USAGE_LEDGER, self._name, content, self._revision
@@ -312,7 +312,7 @@
 
     def _report(self, window: int) -> bool:
         """Report a window; False when it is to be tried again."""
-        started = time.monotonic()
+        started = steady_seconds()
         try:
             self._lease.confirm()
             wait = self._lease.seconds_until_orders()
@@ -344,6 +344,6 @@
             tenants=len(counts),
             token=holder.fencing_token,
             age_ms=int((self._clock() - self._end_of(window)) * 1000),
-            ms=int((time.monotonic() - started) * 1000),
+            ms=int((steady_seconds() - started) * 1000),
         )
         return True
--- a/src/runkeel/usage/teller.py
+++ b/src/runkeel/usage/teller.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 
 import gevent
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.errors import RunkeelError
 from runkeel.usage.meter import UsageMeter
@@ -109,7 +109,7 @@
         complete = self._meter.complete_before
         windows = [UsageWindow(number, counts) for number, counts in sorted(lacking.items())]
         message = UsageCounts(self._shard, known.epoch, self._source, windows, int(complete * 1000))
-        started = time.monotonic()
+        started = steady_seconds()
         try:
             reply = self._network.call(
                 known.node_id, MessageType.USAGE_COUNTS, message, UsageCountsReply, CALL_SECONDS
@@ -128,7 +128,7 @@
         if self._failing:
             self._failing = False
             logger.info(
-                "usage told again", code="usage_told", ms=int((time.monotonic() - started) * 1000)
+                "usage told again", code="usage_told", ms=int((steady_seconds() - started) * 1000)
             )
         return True
 
--- a/src/runkeel/wire/connection.py
+++ b/src/runkeel/wire/connection.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -15,6 +14,7 @@
 from gevent.event import Event
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.wire import metrics
 from runkeel.wire.frames import CONNECTION_STREAM, FINISH, Frame, FrameDecoder, encode_frame
@@ -81,9 +81,9 @@
         self._queued_bytes = 0
         self._queue_filled = Event()
         self._queue_drained = Event()
-        self._received_at = time.monotonic()
+        self._received_at = steady_seconds()
         self._unanswered_ping_at: float | None = None
-        self._used_at = time.monotonic()
+        self._used_at = steady_seconds()
         self._tasks: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -115,10 +115,10 @@
 
     def write(self, stream: Stream, message_type: int, body: bytes) -> None:
         """Queue an application frame; blocks while too much is queued."""
-        deadline = time.monotonic() + WRITE_ROOM_TIMEOUT_SECONDS
+        deadline = steady_seconds() + WRITE_ROOM_TIMEOUT_SECONDS
         while self._queued_bytes >= MAXIMUM_QUEUED_BYTES and not self.closed:
             self._queue_drained.clear()
-            if not self._queue_drained.wait(max(0.0, deadline - time.monotonic())):
+            if not self._queue_drained.wait(max(0.0, deadline - steady_seconds())):
                 raise RunkeelError(ErrorCode.DEADLINE_EXCEEDED, "the connection does not drain")
         if self.closed:
             raise RunkeelError(ErrorCode.PEER_LOST, f"lost {self.peer_node_id}")
@@ -133,7 +133,7 @@
         """Drop a stream that is over."""
         if self._streams.get(stream.stream_id) is stream:
             del self._streams[stream.stream_id]
-            self._used_at = time.monotonic()
+            self._used_at = steady_seconds()
 
     def check(self, now: float) -> None:
         """Probe a silent peer, and close a lost or unused connection; called regularly."""
@@ -194,7 +194,7 @@
         due = 0.0
         if policy is not None:
             delay = policy.delay_seconds(self._peer_zone)
-            due = time.monotonic() + delay if delay else 0.0
+            due = steady_seconds() + delay if delay else 0.0
         self._queue.append(_QueuedFrame(stream, data, due))
         self._queued_bytes += len(data)
         self._queue_filled.set()
@@ -215,7 +215,7 @@
         """Hold the queue's head back as the emulated link demands."""
         if self._link_policy is None:
             return
-        delay = self._queue[0].due - time.monotonic()
+        delay = self._queue[0].due - steady_seconds()
         if delay > 0:
             gevent.sleep(delay)
         self._wait_while_cut()
@@ -229,7 +229,7 @@
         """Take the frames that are due; from here on they count as handed to the kernel."""
         parts = []
         size = 0
-        now = time.monotonic() if self._link_policy is not None else 0.0
+        now = steady_seconds() if self._link_policy is not None else 0.0
         while self._queue and size < _BATCH_BYTES and self._queue[0].due <= now:
             stream, data, _ = self._queue.popleft()
             self._queued_bytes -= len(data)
@@ -260,7 +260,7 @@
                 if not chunk:
                     self.fail("closed by the peer") if self._streams else self.close("closed")
                     return
-                self._received_at = time.monotonic()
+                self._received_at = steady_seconds()
                 self._unanswered_ping_at = None
                 metrics.BYTES_RECEIVED.inc(len(chunk))
                 for frame in decoder.feed(chunk):
--- a/src/runkeel/wire/dialing.py
+++ b/src/runkeel/wire/dialing.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -12,6 +11,7 @@
 from gevent.event import Event
 
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.wire import metrics
 from runkeel.wire.connection import Connection
@@ -67,7 +67,7 @@
                 self._start_dial(node_id, peer)
             dialling = peer.dialling
             failures = peer.failures
-            if not dialling.wait(max(0.0, deadline - time.monotonic())):
+            if not dialling.wait(max(0.0, deadline - steady_seconds())):
                 raise not_run(ErrorCode.PEER_UNREACHABLE, f"no connection to {node_id} in time")
             if peer.connection is None and peer.failures > failures:
                 raise self._unreachable(node_id, peer)
@@ -114,7 +114,7 @@
             raise not_run(ErrorCode.QUEUE_FULL, "too many peers")
 
     def _start_dial(self, node_id: str, peer: _Peer) -> None:
-        if time.monotonic() < peer.retry_at:
+        if steady_seconds() < peer.retry_at:
             raise self._unreachable(node_id, peer)
         peer.dialling = Event()
         task = gevent.spawn(self._dial, node_id, peer)
@@ -122,7 +122,7 @@
         task.rawlink(self._dials.discard)
 
     def _unreachable(self, node_id: str, peer: _Peer) -> RunkeelError:
-        retry_after = max(0.0, peer.retry_at - time.monotonic())
+        retry_after = max(0.0, peer.retry_at - steady_seconds())
         return not_run(ErrorCode.PEER_UNREACHABLE, f"can't connect to {node_id}", retry_after)
 
     def _dial(self, node_id: str, peer: _Peer) -> None:
@@ -147,7 +147,7 @@
     def _back_off(self, peer: _Peer) -> None:
         backoff = min(LONGEST_BACKOFF_SECONDS, FIRST_BACKOFF_SECONDS * 2 ** min(peer.failures, 10))
         peer.failures += 1
-        peer.retry_at = time.monotonic() + backoff * random.uniform(0.5, 1.0)
+        peer.retry_at = steady_seconds() + backoff * random.uniform(0.5, 1.0)
 
     def _connect(self, node_id: str, peer: _Peer) -> Connection:
         policy = self._link_policy if peer.zone != self._identity.zone else None
--- a/src/runkeel/wire/network.py
+++ b/src/runkeel/wire/network.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from typing import Any
 
@@ -11,6 +10,7 @@
 from loguru import logger
 
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.wire import metrics
 from runkeel.wire.codec import decode, encode
@@ -124,10 +124,10 @@
             RunkeelError: PEER_UNREACHABLE (NOT_RUN: no byte was sent), PEER_LOST or
                 DEADLINE_EXCEEDED (MAY_HAVE_RUN), or the error that the peer reported.
         """
-        deadline = time.monotonic() + timeout_seconds
+        deadline = steady_seconds() + timeout_seconds
         stream = self._open(node_id, message_type, message, deadline)
         try:
-            reply_type, body = stream.receive(deadline - time.monotonic())
+            reply_type, body = stream.receive(deadline - steady_seconds())
         except BaseException as error:
             timed_out = isinstance(error, RunkeelError) and not stream.cancelled
             stream.cancel()
@@ -141,7 +141,7 @@
 
     def open_stream(self, node_id: str, message_type: int, message: Any) -> Stream:
         """Open a stream with its first message. Raises like :meth:`call`."""
-        return self._open(node_id, message_type, message, time.monotonic() + DIAL_TIMEOUT_SECONDS)
+        return self._open(node_id, message_type, message, steady_seconds() + DIAL_TIMEOUT_SECONDS)
 
     def _open(self, node_id: str, message_type: int, message: Any, deadline: float) -> Stream:
         try:
@@ -206,10 +206,10 @@
 
     def _check_connections(self) -> None:
         """Probe silent peers, unless it was this process that stood still."""
-        last = time.monotonic()
+        last = steady_seconds()
         while True:
             gevent.sleep(CHECK_INTERVAL_SECONDS)
-            now = time.monotonic()
+            now = steady_seconds()
             paused = now - last > CHECK_INTERVAL_SECONDS + _PAUSE_SECONDS
             last = now
             for connection in [*self._accepted, *self._dialer.connections()]:
--- a/src/runkeel/wire/streams.py
+++ b/src/runkeel/wire/streams.py
@@ -9,12 +9,12 @@
 from __future__ import annotations
 
 import dataclasses
-import time
 from collections import deque
 from typing import Any, Protocol
 
 from gevent.event import Event
 
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run, not_run
 from runkeel.wire.codec import decode, encode
 from runkeel.wire.frames import FINISH
@@ -100,7 +100,7 @@
 
     def receive(self, timeout_seconds: float | None = None) -> tuple[int, bytes]:
         """Return the next message's type and body; ``(0, b"")`` at the end. Raises RunkeelError."""
-        deadline = None if timeout_seconds is None else time.monotonic() + timeout_seconds
+        deadline = None if timeout_seconds is None else steady_seconds() + timeout_seconds
         while not self._inbox:
             if self._receive_error is not None:
                 raise dataclasses.replace(self._receive_error)
@@ -233,7 +233,7 @@
         self._sink.write_control(self, MessageType.WINDOW, encode(update))
 
     def _wait_for_credit(self) -> None:
-        deadline = time.monotonic() + SEND_TIMEOUT_SECONDS
+        deadline = steady_seconds() + SEND_TIMEOUT_SECONDS
         while self._send_error is None and self._send_credit <= 0:
             if not self._wait_for_change(deadline):
                 raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, "the peer does not read")
@@ -246,7 +246,7 @@
         self._changed.clear()
         if deadline is None:
             return self._changed.wait()
-        remaining = deadline - time.monotonic()
+        remaining = deadline - steady_seconds()
         return remaining > 0 and self._changed.wait(remaining)
 
 
--- a/src/runkeel_lab/day_picture.py
+++ b/src/runkeel_lab/day_picture.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from pathlib import Path
 
 import matplotlib
 
+from runkeel.clock import steady_seconds
+
 matplotlib.use("Agg")
 
 from matplotlib import pyplot  # noqa: E402  (the backend must be chosen first)
@@ -16,10 +17,10 @@
 
 
 class DayPicture:
-    """Collects what happened; times are monotonic."""
+    """Collects what happened; times are those of the steady clock."""
 
     def __init__(self) -> None:
-        self._began = time.monotonic()
+        self._began = steady_seconds()
         self._requests: list[tuple[float, float, int]] = []
         self._steps: list[tuple[float, float, int]] = []
         self._versions: list[tuple[float, int]] = []
@@ -39,7 +40,7 @@
 
     def mark(self, text: str) -> None:
         """Take something that was done to the deployment just now."""
-        self._marks.append((time.monotonic() - self._began, text))
+        self._marks.append((steady_seconds() - self._began, text))
 
     def write(self, path: Path) -> None:
         """Draw everything into a PNG file."""
--- a/src/runkeel_lab/demo.py
+++ b/src/runkeel_lab/demo.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,6 +12,7 @@
 from rich.table import Table
 
 from runkeel.api.duties import UsageSettings
+from runkeel.clock import steady_seconds
 from runkeel_lab.day_picture import DayPicture
 from runkeel_lab.users_platform.deployment import (
     COUNT_PREFIX,
@@ -79,32 +79,32 @@
             ("what the tenants used", self._usage),
         )
         for title, part in parts:
-            began = time.monotonic()
+            began = steady_seconds()
             self._picture.mark(title)
             try:
                 part()
             except NotSeenError as error:
                 self._check(title, False, str(error))
-            console.print(f"{title}: {time.monotonic() - began:.1f} s", markup=False)
+            console.print(f"{title}: {steady_seconds() - began:.1f} s", markup=False)
 
     def _check(self, name: str, holds: bool, evidence: str) -> None:
         self.checks.append(Check(name, holds, evidence))
 
     def _wait(self, what: str, condition: Callable[[], object]) -> object:
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while not (value := condition()):
-            if time.monotonic() > deadline:
+            if steady_seconds() > deadline:
                 raise NotSeenError(f"{what}: not within {LONGEST_WAIT_SECONDS:.0f} s")
             gevent.sleep(_POLL_SECONDS)
         return value
 
     def _send(self, edge: str, prefix: str, request_id: str, key: str = KITCHEN_KEY) -> int:
         """Send a request; returns the status, 0 without an answer that is its own."""
-        began = time.monotonic()
+        began = steady_seconds()
         headers = {"Attempt-Id": request_id} | _DEADLINE | with_key(key)
         answer = self._deployment.call(edge, "POST", f"{prefix}rice", headers, request_id.encode())
         status = answer.status if answer is not None else 0
-        self._picture.request(began, time.monotonic(), status)
+        self._picture.request(began, steady_seconds(), status)
         if status == 200 and answer.body != f"echo {request_id}".encode():
             return 0
         return status
@@ -141,12 +141,12 @@
         self._check("only known keys, servers told the tenant", holds, f"{statuses}, told {told}")
         tenants = (_KITCHEN, tenant("school", SCHOOL_SECOND_KEY))
         deployment.configure(configuration(2, tenants=tenants))
-        began = time.monotonic()
+        began = steady_seconds()
         self._wait(
             "the refusal of a key that was taken away",
             lambda: self._send("edge-1", COUNT_PREFIX, "taken", SCHOOL_KEY) == 401,
         )
-        detail = f"refused after {time.monotonic() - began:.2f} s"
+        detail = f"refused after {steady_seconds() - began:.2f} s"
         self._check("a key that is taken away", True, detail)
 
     def _usage(self) -> None:
@@ -229,14 +229,14 @@
         self._check("each sample labelled and scored truly", not problems, detail)
 
     def _step(self, version: int, job_id: str) -> list[dict]:
-        began = time.monotonic()
+        began = steady_seconds()
         items = [
             f"{job_id}-g{group}-{number}" for group in range(GROUPS) for number in range(GROUP_SIZE)
         ]
         if self._deployment.submit("edge-0", job_id, items, version, KITCHEN_KEY) != 202:
             raise NotSeenError(f"{job_id} was not accepted")
         results = self._whole(job_id, len(items))
-        self._picture.step(began, time.monotonic(), version)
+        self._picture.step(began, steady_seconds(), version)
         return results
 
     def _whole(self, job_id: str, count: int) -> list[dict]:
@@ -261,15 +261,15 @@
 
     def _next_version(self, version: int) -> None:
         """Name a version, as a trainer does; engines follow as far as the jobs need them."""
-        began = time.monotonic()
+        began = steady_seconds()
         self._deployment.name_version(version)
 
         def moved() -> int:
             return sum(one.versions[MODEL] == version for one in self._deployment.engines)
 
         self._wait(f"version {version} at an engine", moved)
-        seconds = time.monotonic() - began
-        self._picture.version(time.monotonic(), version)
+        seconds = steady_seconds() - began
+        self._picture.version(steady_seconds(), version)
         self._check(f"engines follow version {version}", True, f"{seconds:.1f} s after its name")
 
     def _drain(self) -> None:
@@ -319,7 +319,7 @@
         console = Console(width=_WIDTH_WITHOUT_TERMINAL)
     logger.remove()
     logger.add(out / "nodes.log", serialize=True, mode="w")
-    began = time.monotonic()
+    began = steady_seconds()
     tenants = (_KITCHEN, tenant("school", SCHOOL_KEY, SCHOOL_SECOND_KEY))
     deployment = Deployment(
         SEED, edges=3, disks=3, engines=4, applications=3, tenants=tenants, usage=USAGE
@@ -330,7 +330,7 @@
         console.print(
             f"{len(deployment.node_names)} nodes, {len(deployment.engines)} engines, "
             f"{len(deployment.applications)} servers on loopback, "
-            f"up after {time.monotonic() - began:.1f} s; log lines in {out / 'nodes.log'}"
+            f"up after {steady_seconds() - began:.1f} s; log lines in {out / 'nodes.log'}"
         )
         picture = DayPicture()
         demo = Demo(deployment, picture)
@@ -339,7 +339,7 @@
         deployment.stop()
     _print_checks(demo.checks, console)
     picture.write(out / "day.png")
-    console.print(f"picture of the day: {out / 'day.png'}; {time.monotonic() - began:.1f} s in all")
+    console.print(f"picture of the day: {out / 'day.png'}; {steady_seconds() - began:.1f} s in all")
     return all(check.holds for check in demo.checks)
 
 
--- a/src/runkeel_lab/users_platform/crashes.py
+++ b/src/runkeel_lab/users_platform/crashes.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
+from runkeel.clock import steady_seconds
+
 
 @dataclass(frozen=True, slots=True)
 class CrashEvent:
-    """A request at a server: it began to run it, or ended under it; ``at`` is monotonic time."""
+    """A request at a server: it began to run it, or ended under it; ``at`` is steady time."""
 
     at: float
     path: str
@@ -43,11 +44,11 @@
 
     def note_reached(self, path: str, server_id: str) -> None:
         """Take note that a server begins to run such a request."""
-        self.reached.append(CrashEvent(time.monotonic(), path, server_id))
+        self.reached.append(CrashEvent(steady_seconds(), path, server_id))
 
     def note_ended(self, path: str, server: Any) -> None:
         """Take note that a server has ended under such a request."""
-        self.ended.append(CrashEvent(time.monotonic(), path, server.server_id))
+        self.ended.append(CrashEvent(steady_seconds(), path, server.server_id))
         self._on_ended(server)
 
     def reached_late(self, path: str, seconds: float, ends: int = 3) -> int:
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -5,7 +5,6 @@
 import base64
 import json
 import tempfile
-import time
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -15,6 +14,7 @@
 from runkeel.api.duties import UsageSettings
 from runkeel.api.machines import Address
 from runkeel.backends.http_connection import HttpAnswer, HttpConnectionPool, OutgoingRequest
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.fleet_node import FleetSettings
 from runkeel_lab.users_platform import use_adapter
@@ -263,7 +263,7 @@
         pool = HttpConnectionPool(process.frontend_address)
         request = OutgoingRequest(method, target, list((headers or {}).items()), body, host=HOST)
         try:
-            return pool.request(request, time.monotonic() + seconds)
+            return pool.request(request, steady_seconds() + seconds)
         except RunkeelError:
             return None
         finally:
--- a/src/runkeel_lab/users_platform/operations_soak.py
+++ b/src/runkeel_lab/users_platform/operations_soak.py
@@ -12,7 +12,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any
@@ -21,6 +20,7 @@
 from loguru import logger
 
 from runkeel.backends.http_connection import HttpConnectionPool, OutgoingRequest
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError, Verdict
 from runkeel_lab.users_platform.deployment import (
     APPLICATION,
@@ -66,13 +66,13 @@
 
     def run(self, end: float) -> None:
         """Use each process's connection until the process is gone."""
-        while time.monotonic() < end:
+        while steady_seconds() < end:
             process = self._soak.process(self._edge)
             if process is None:
                 gevent.sleep(_REQUEST_SECONDS)
                 continue
             pool = HttpConnectionPool(process.frontend_address)
-            while self._soak.process(self._edge) is process and time.monotonic() < end:
+            while self._soak.process(self._edge) is process and steady_seconds() < end:
                 self._request(pool)
                 gevent.sleep(_REQUEST_SECONDS)
             pool.close()
@@ -84,7 +84,7 @@
         request = OutgoingRequest(
             "POST", f"{COUNT_PREFIX}x", headers, request_id.encode(), host=HOST
         )
-        started = time.monotonic()
+        started = steady_seconds()
         try:
             answer = pool.request(request, started + _ANSWER_SECONDS)
         except RunkeelError as error:
@@ -138,7 +138,7 @@
             for server in self._deployment.applications
             for run in server.runs
         )
-        seconds = time.monotonic() - sent_at
+        seconds = steady_seconds() - sent_at
         if passed_on or seconds > CUT_SECONDS:
             self._violated(f"{request_id} was cut after {seconds:.2f} s: {error.detail}")
 
@@ -182,7 +182,7 @@
         gevent.spawn_later(chance.uniform(0.0, 1.0), self._start_again, name)
 
     def _kill_named(self, name: str) -> None:
-        self._killed_at[name] = time.monotonic()
+        self._killed_at[name] = steady_seconds()
         self._deployment.kill_node(name)
         gevent.spawn_later(1.0, self._start_again, name)
 
@@ -244,7 +244,7 @@
     def _watch_versions(self, end: float) -> None:
         """See that no process goes back to an older configuration."""
         seen: dict[int, int] = {}
-        while time.monotonic() < end:
+        while steady_seconds() < end:
             for name in self._deployment.edge_names:
                 process = self.process(name)
                 known = process.node.routing.configuration if process is not None else None
--- a/src/runkeel_lab/users_platform/replay.py
+++ b/src/runkeel_lab/users_platform/replay.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterable
 from pathlib import Path
 
 import gevent
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel_lab.users_platform.deployment import RESERVE_PREFIX, Deployment
 from runkeel_lab.users_platform.faults import Faults
 from runkeel_lab.users_platform.servers import whole_text
@@ -48,10 +48,10 @@
         self._deployment.start()
         try:
             self._deployment.wait_ready()
-            began = time.monotonic()
+            began = steady_seconds()
             tasks = []
             for event in self._trace.events:
-                gevent.sleep(max(0.0, began + event.at - time.monotonic()))
+                gevent.sleep(max(0.0, began + event.at - steady_seconds()))
                 tasks.append(gevent.spawn(self._act, event))
             gevent.joinall(tasks)
             self._faults.heal()
@@ -99,14 +99,14 @@
             stated = event.act == "job" and event.outcome == COMPLETED
             if stated and event.subject not in self._accepted:
                 self.violations.append(f"{event.subject}: not accepted in {_TRIES} tries")
-        deadline = time.monotonic() + _SETTLE_SECONDS
+        deadline = steady_seconds() + _SETTLE_SECONDS
         for job_id, items in self._accepted.items():
             self._check_results(job_id, items, deadline)
 
     def _check_results(self, job_id: str, items: list[str], deadline: float) -> None:
         edge = self._deployment.edge_names[0]
         while len(results := self._deployment.results(edge, job_id) or []) < len(items):
-            if time.monotonic() > deadline:
+            if steady_seconds() > deadline:
                 break
             gevent.sleep(_POLL_SECONDS)
         if sorted(result["Id"] for result in results) != sorted(items):
--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -4,7 +4,6 @@
 
 import json
 import random
-import time
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -13,6 +12,7 @@
 from gevent.pywsgi import WSGIServer
 
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel_lab.standins.http import AnswerAbortedError, Connection, Handler
 from runkeel_lab.users_platform.crashes import CrashPlan
 from runkeel_lab.users_platform.store_server import StoreServer
@@ -180,7 +180,7 @@
             Run(
                 request_id,
                 environment["PATH_INFO"],
-                time.monotonic(),
+                steady_seconds(),
                 environment.get("HTTP_DEADLINE_MS", ""),
                 environment.get("HTTP_LAST_EVENT_ID", ""),
                 _headers(environment),
@@ -282,10 +282,10 @@
         lost = self._random.random() < self.faults.unanswered_orders
         if lost:
             late = self._random.uniform(0.1, 1.0)
-            gevent.spawn_later(late, self._carry_out, body, time.monotonic())
+            gevent.spawn_later(late, self._carry_out, body, steady_seconds())
             environment[_CONNECTION].abort()
             raise AnswerAbortedError
-        status = self._carry_out(body, time.monotonic())
+        status = self._carry_out(body, steady_seconds())
         start_response(status, [])
         return [b""]
 
--- a/src/runkeel_lab/users_platform/soak.py
+++ b/src/runkeel_lab/users_platform/soak.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -17,6 +16,7 @@
 import gevent
 from loguru import logger
 
+from runkeel.clock import steady_seconds
 from runkeel_lab.users_platform.deployment import COUNT_PREFIX, RESERVE_PREFIX, Deployment
 from runkeel_lab.users_platform.faults import Faults
 from runkeel_lab.users_platform.servers import whole_text
@@ -65,8 +65,8 @@
         deployment.start()
         try:
             deployment.wait_ready()
-            self._began = time.monotonic()
-            end = time.monotonic() + self._seconds
+            self._began = steady_seconds()
+            end = steady_seconds() + self._seconds
             gevent.joinall(self._start_tasks(end))
             self._heal()
             self._check()
@@ -94,10 +94,10 @@
         return Trace(dict(self._sizes), tuple(self._events))
 
     def _now(self) -> float:
-        return round(time.monotonic() - self._began, 3)
+        return round(steady_seconds() - self._began, 3)
 
     def _repeat(self, end: float, pause: float, action: Any) -> None:
-        while time.monotonic() < end:
+        while steady_seconds() < end:
             action()
             gevent.sleep(pause)
 
@@ -164,10 +164,10 @@
         self._faults.heal()
 
     def _check_jobs(self) -> None:
-        deadline = time.monotonic() + _SETTLE_SECONDS
+        deadline = steady_seconds() + _SETTLE_SECONDS
         for job_id, items in self._accepted.items():
             while len(self._read(job_id, self._edge()) or ()) < len(items):
-                if time.monotonic() > deadline:
+                if steady_seconds() > deadline:
                     self._violated(f"{job_id}: not whole at the end")
                     break
                 gevent.sleep(0.05)
--- a/src/runkeel_lab/users_platform/store_server.py
+++ b/src/runkeel_lab/users_platform/store_server.py
@@ -4,7 +4,6 @@
 
 import json
 import random
-import time
 from collections.abc import Callable, Iterable
 from typing import Any
 from urllib.parse import parse_qs, unquote
@@ -14,6 +13,7 @@
 
 from runkeel.api.documents import Document, DocumentConflictError, Freshness, HistoryLostError
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 from runkeel_lab.standins.http import AnswerAbortedError, Handler
@@ -58,7 +58,7 @@
 
     def mute_watches(self, kind: str) -> None:
         """Lose the answers of the watches that wait now; their connections stay open."""
-        self._muted_at[kind] = time.monotonic()
+        self._muted_at[kind] = steady_seconds()
 
     def start(self) -> None:
         """Listen."""
@@ -112,7 +112,7 @@
     def _read(self, kind: str, name: str, query: dict[str, str]) -> tuple[int, Any]:
         if "watch" in query:
             wait = float(query.get("WaitMs", 0)) / 1000.0
-            started = time.monotonic()
+            started = steady_seconds()
             changes = self.objects.watch(kind, int(query["watch"]), wait)
             if started < self._muted_at.get(kind, 0.0):
                 gevent.sleep(_MUTE_SECONDS)
--- a/tests/backends/test_http_connection.py
+++ b/tests/backends/test_http_connection.py
@@ -16,6 +16,7 @@
     HttpConnectionPool,
     OutgoingRequest,
 )
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
@@ -70,7 +71,7 @@
         return self.server
 
     def get(self, before_send=None, seconds=1.0, method="GET", target="/", accept=None):
-        deadline = time.monotonic() + seconds
+        deadline = steady_seconds() + seconds
         return self.pool.request(
             OutgoingRequest(method, target, [("A", "b")]), deadline, before_send, accept
         )
@@ -192,7 +193,7 @@
         body = b"x" * 4_000_000
         request = OutgoingRequest("POST", "/", [], body)
         with self.assertRaises(RunkeelError):
-            self.pool.request(request, time.monotonic() + 0.05)
+            self.pool.request(request, steady_seconds() + 0.05)
         accepted, _ = listener.accept()
         self.addCleanup(accepted.close)
         received = 0
@@ -210,7 +211,7 @@
         for give_up in (HttpAnswerStream.close, HttpAnswerStream.abort):
             with self.subTest(give_up):
                 request = OutgoingRequest("GET", "/")
-                give_up(pool.open_stream(request, time.monotonic() + 1.0))
+                give_up(pool.open_stream(request, steady_seconds() + 1.0))
                 self.assertEqual(ends.get(timeout=10.0), "reset")
 
     def test_line_breaks_do_not_smuggle_headers(self) -> None:
--- a/tests/base/test_decision_log.py
+++ b/tests/base/test_decision_log.py
@@ -2,9 +2,9 @@
 
 import json
 import os
-import time
 import unittest
 
+from runkeel.clock import steady_seconds
 from runkeel.decision_log import LineBudget, LineWriter
 
 MANY = 5_000
@@ -29,10 +29,10 @@
 
     def test_reader_that_does_not_read_holds_nothing_up(self):
         writer = self._writer()
-        started = time.monotonic()
+        started = steady_seconds()
         for number in range(MANY):
             writer.write({"code": "x" * 100, "n": number}, important=False)
-        self.assertLess(time.monotonic() - started, 5.0)
+        self.assertLess(steady_seconds() - started, 5.0)
 
     def test_lines_left_out_are_counted(self):
         writer = self._writer()
--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -1,6 +1,5 @@
 """The copy of a kind of documents: compaction, outages, mute watches, no way back."""
 
-import time
 import unittest
 
 import gevent
@@ -13,6 +12,7 @@
     DocumentPage,
     Freshness,
 )
+from runkeel.clock import steady_seconds
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import OUTAGE_SECONDS, ObservedStore
 from runkeel_lab.standins.document_store import MemoryDocumentStore
@@ -32,9 +32,9 @@
         self.changes.append((document.name, removed))
 
     def _wait(self, condition):
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while not condition():
-            self.assertLess(time.monotonic(), deadline, self.changes)
+            self.assertLess(steady_seconds(), deadline, self.changes)
             gevent.sleep(0.01)
 
     def test_list_then_changes(self):
--- a/tests/base/test_observed_store.py
+++ b/tests/base/test_observed_store.py
@@ -1,11 +1,11 @@
 """While the store fails, one task of a node tries it at a time."""
 
-import time
 import unittest
 
 import gevent
 
 from runkeel.api.documents import CALL_TIMEOUT_SECONDS, DocumentKind
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import (
@@ -39,7 +39,7 @@
     def _fail_for(self, seconds, gap=0.0, ago=0.0):
         """Let the store fail for so long; its last failure was so long ago."""
         self._fail()
-        now = time.monotonic()
+        now = steady_seconds()
         self.store.failing_since = now - ago - seconds
         self.store._failed_at = now - ago - gap
         self.memory.down = False
--- a/tests/coordination/feed_machine.py
+++ b/tests/coordination/feed_machine.py
@@ -7,8 +7,6 @@
 A document's state only moves forward and names are not used again, as with servers.
 """
 
-import time
-
 from hypothesis import strategies
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
@@ -18,6 +16,7 @@
     DocumentPage,
     HistoryLostError,
 )
+from runkeel.clock import steady_seconds
 from runkeel.coordination import document_feed
 from runkeel.coordination.document_feed import DocumentFeed
 from runkeel.state.document_watcher import DocumentWatcher
@@ -42,7 +41,7 @@
 
     def __init__(self, store):
         self.watcher = DocumentWatcher(store, KIND, self._changed)
-        self.watcher.fresh_at = time.monotonic()
+        self.watcher.fresh_at = steady_seconds()
         self.feed = DocumentFeed(_NoNetwork(), [self.watcher], lambda: 0.0, FOREVER_SECONDS)
         self.states = {}
         self.highest = {}
--- a/tests/coordination/lapse_machine.py
+++ b/tests/coordination/lapse_machine.py
@@ -5,12 +5,11 @@
 the store: what it has when all is quiet, every node has in the end, and nothing else.
 """
 
-import time
-
 from hypothesis import strategies
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from runkeel.api.documents import Document, DocumentKind, DocumentPage, HistoryLostError
+from runkeel.clock import steady_seconds
 from runkeel.coordination.copy_comparison import DIFFERENCE_SECONDS, CopyComparison
 from runkeel.coordination.document_feed import DocumentFeed, json
 from runkeel.state.document_watcher import DocumentWatcher
@@ -44,7 +43,7 @@
             lapse_seconds=FOREVER_SECONDS,
             returned_at=lambda: self.returned_at,
         )
-        self.watcher.fresh_at = time.monotonic()
+        self.watcher.fresh_at = steady_seconds()
         self.feed = DocumentFeed(_NoNetwork(), [self.watcher], lambda: 0.0, FOREVER_SECONDS)
         self.comparison = CopyComparison(now)
 
@@ -126,7 +125,7 @@
     def ask_store(self, number, after_outage):
         """A node asks the store; what lapsed is kept from now on if it saw an outage."""
         if after_outage:
-            self.nodes[number].returned_at = time.monotonic()
+            self.nodes[number].returned_at = steady_seconds()
         self.nodes[number].ask_store()
 
     @rule(number=strategies.integers(0, FOLLOWERS - 1))
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -1,6 +1,5 @@
 """Nodes follow the coordinator's copy and ask the store only when they can't."""
 
-import time
 import unittest
 import unittest.mock
 from types import SimpleNamespace
@@ -9,6 +8,7 @@
 
 from runkeel.api.documents import DocumentKind
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.coordination import document_feed, feed_follower
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.document_feed import DocumentFeed
@@ -68,7 +68,7 @@
         self.follower.start([self.watcher])
 
     def coordinate(self):
-        self.since = time.monotonic()
+        self.since = steady_seconds()
         self.coordinator = None
         self.follower.ask_store("coordinates")
         self.watcher.rewatch()
@@ -113,9 +113,9 @@
         return node, store
 
     def wait(self, condition, seconds=LONGEST_WAIT_SECONDS):
-        deadline = time.monotonic() + seconds
+        deadline = steady_seconds() + seconds
         while not condition():
-            self.assertLess(time.monotonic(), deadline, "waited too long")
+            self.assertLess(steady_seconds(), deadline, "waited too long")
             gevent.sleep(0.01)
 
     def test_changes_arrive_without_calls_to_the_store(self):
@@ -194,7 +194,7 @@
         node = self._node("d", self.objects)
         self.wait(lambda: node.content)
         node.watcher.stop()
-        node.since = time.monotonic()
+        node.since = steady_seconds()
         self.assertEqual(node.feed.read({}, 0.0).state, FeedState.STALE)
 
     def test_node_that_does_not_coordinate_says_so_at_once(self):
@@ -377,7 +377,7 @@
 
     def see_outage(self):
         """Have this node remember that the store is back just now after an outage."""
-        self.returned_at = time.monotonic()
+        self.returned_at = steady_seconds()
 
 
 class _OwnAddress:
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -1,6 +1,5 @@
 """Election and succession of the coordinator, with the times cut to a tenth."""
 
-import time
 import unittest
 from unittest import mock
 
@@ -8,6 +7,7 @@
 
 from runkeel.api.documents import Document, DocumentKind
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.coordination import election as election_module
 from runkeel.coordination import pings, succession
 from runkeel.coordination.election import Candidate, Election
@@ -120,9 +120,9 @@
         return [self._node(name, preferred) for name in names]
 
     def _wait(self, condition):
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while not condition():
-            self.assertLess(time.monotonic(), deadline, f"terms so far: {self.terms}")
+            self.assertLess(steady_seconds(), deadline, f"terms so far: {self.terms}")
             gevent.sleep(0.01)
 
     def _coordinator(self, nodes):
--- a/tests/coordination/test_order_lease.py
+++ b/tests/coordination/test_order_lease.py
@@ -13,25 +13,26 @@
 )
 from runkeel.errors import RunkeelError
 from runkeel_lab.standins.document_store import MemoryDocumentStore, StoreFault
+from tests.suspension import suspended_for
 
 PAUSE = 3.0
 FULL_PAUSE = PAUSE + VALIDITY_SECONDS + MARGIN_SECONDS
 
 
 class Clock:
-    """Replaces the monotonic clock of the lease's module."""
+    """Replaces the steady clock of the lease's module."""
 
     def __init__(self):
         self.now = 100.0
 
-    def monotonic(self):
+    def steady_seconds(self):
         return self.now
 
 
 class OrderLeaseTest(unittest.TestCase):
     def setUp(self):
         self.clock = Clock()
-        patch = mock.patch.object(order_lease, "time", self.clock)
+        patch = mock.patch.object(order_lease, "steady_seconds", self.clock.steady_seconds)
         patch.start()
         self.addCleanup(patch.stop)
         self.store = MemoryDocumentStore()
@@ -160,5 +161,19 @@
         self.assertEqual(self.store.names(DocumentKind.ORDER_LEASE), ["fleet"])
 
 
+class SuspendedHolderTest(unittest.TestCase):
+    """A machine was suspended for seconds; another node may have given orders meanwhile."""
+
+    def test_holder_that_was_suspended_sends_nothing_until_it_has_confirmed(self):
+        lease = OrderLease(MemoryDocumentStore(), "fleet", "a", PAUSE)
+        lease.confirm()
+        lease.check()
+        with suspended_for(5.0):
+            with self.assertRaises(RunkeelError):
+                lease.check()
+            lease.confirm()
+            lease.check()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/coordination/test_peers.py
+++ b/tests/coordination/test_peers.py
@@ -37,7 +37,7 @@
     def setUp(self):
         self.peers = PeerRegistry("near")
         self.now = 100.0
-        patch = mock.patch.object(peers.time, "monotonic", lambda: self.now)
+        patch = mock.patch.object(peers, "steady_seconds", lambda: self.now)
         patch.start()
         self.addCleanup(patch.stop)
 
--- a/tests/coordination/test_version_rollout.py
+++ b/tests/coordination/test_version_rollout.py
@@ -1,7 +1,6 @@
 """Which engines are moved to a new version, and how orders without an answer are settled."""
 
 import json
-import time
 import unittest
 
 import gevent
@@ -11,6 +10,7 @@
 from runkeel.api.fleet import Backend, RoutingConfiguration, ServiceDescription
 from runkeel.api.machines import Address
 from runkeel.backends.http_connection import OutgoingRequest
+from runkeel.clock import steady_seconds
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.rollout_plan import ModelDemand
 from runkeel.coordination.version_rollout import LONGEST_LOAD_SECONDS, VersionRollout
@@ -154,9 +154,9 @@
         return sorted(engine.versions[model] for engine in self.engines)
 
     def _wait_versions(self, *expected):
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while self._versions() != sorted(expected):
-            self.assertLess(time.monotonic(), deadline, self._versions())
+            self.assertLess(steady_seconds(), deadline, self._versions())
             gevent.sleep(0.02)
         gevent.sleep(0.3)
         self.assertEqual(self._versions(), sorted(expected))
@@ -236,9 +236,9 @@
         self.engines[0].load_seconds = LONGEST_LOAD_SECONDS + 1.0
         self._name(2)
         self._wait_versions(2)
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while not self.reached:
-            self.assertLess(time.monotonic(), deadline)
+            self.assertLess(steady_seconds(), deadline)
             gevent.sleep(0.02)
         self.assertEqual(len(self.engines[0].orders), 1)
 
@@ -262,9 +262,9 @@
         self._name(3)
         gevent.sleep(1.2)
         self.store.away = False
-        back_at = time.monotonic()
+        back_at = steady_seconds()
         self._wait_versions(3)
-        self.assertLess(time.monotonic() - back_at, 3.0)
+        self.assertLess(steady_seconds() - back_at, 3.0)
 
 
 if __name__ == "__main__":
--- a/tests/gateway/scripted_servers.py
+++ b/tests/gateway/scripted_servers.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import time
-
 import gevent
 
 from runkeel.api.backend_protocol import AnswerClass, GenerationEvent
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
 from runkeel.backends.http_connection import HttpAnswer, OutgoingRequest
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, may_have_run, not_run
 from runkeel.gateway.backends import BackendDirectory
 
@@ -112,7 +111,7 @@
 
 def silent(deadline: float):
     """Say nothing until the deadline."""
-    gevent.sleep(max(0.0, deadline - time.monotonic()))
+    gevent.sleep(max(0.0, deadline - steady_seconds()))
     raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, "silent")
 
 
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -1,10 +1,10 @@
 """Which servers a request's is chosen among, and which one is."""
 
-import time
 import unittest
 
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import CANDIDATES, BackendDirectory, choose_backend
 
 MANY = 300
@@ -68,7 +68,7 @@
         for name in names:
             self.directory.get(name).failed()
         state = choose_backend(self.directory.candidates(SERVICE), set(), "here")
-        self.assertFalse(state.avoided(time.monotonic()))
+        self.assertFalse(state.avoided(steady_seconds()))
 
 
 class ChooseBackendTest(unittest.TestCase):
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -1,6 +1,5 @@
 """Attempts, retries, hedges and deadlines of plain requests."""
 
-import time
 import unittest
 
 import gevent
@@ -8,6 +7,7 @@
 
 from runkeel.api.backend_protocol import PlainRequest
 from runkeel.api.fleet import Route, RouteKind, ServiceShare
+from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.usage.meter import UsageMeter
@@ -38,7 +38,7 @@
 
     def forward(self, route, seconds=2.0, gone=None, **pools):
         forwarder = Forwarder(directory_of(**pools), StatusProtocol(), "here", self.meter)
-        return forwarder.forward(REQUEST, route, SERVICE, time.monotonic() + seconds, gone)
+        return forwarder.forward(REQUEST, route, SERVICE, steady_seconds() + seconds, gone)
 
     def failure(self, route, seconds=2.0, gone=None, **pools):
         with self.assertRaises(RunkeelError) as caught:
@@ -121,7 +121,7 @@
         forwarder = Forwarder(directory, StatusProtocol(), "here", self.meter)
         directory.get("a").failed()
         for _ in range(3):
-            forwarder.forward(REQUEST, make_route(), SERVICE, time.monotonic() + 2.0)
+            forwarder.forward(REQUEST, make_route(), SERVICE, steady_seconds() + 2.0)
         self.assertEqual(directory.get("a").pool.requests, 0)
 
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -1,12 +1,12 @@
 """Relayed streams: opened, continued elsewhere, broken off."""
 
-import time
 import unittest
 
 from gevent.event import Event
 
 from runkeel.api.backend_protocol import PlainRequest
 from runkeel.api.fleet import Route, RouteKind, ServiceShare
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.gateway.streams import StreamForwarder
 from runkeel.http.frontend import AnswerBrokenOffError
@@ -42,7 +42,7 @@
         for name in last:
             self.directory.get(name).failed()
         forwarder = StreamForwarder(self.directory, self.protocol, "here", self.meter)
-        return forwarder.open(REQUEST, route, SERVICE, time.monotonic() + 5.0, self.gone)
+        return forwarder.open(REQUEST, route, SERVICE, steady_seconds() + 5.0, self.gone)
 
     @property
     def counted(self):
--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -9,6 +9,7 @@
 
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import BatchJob, JobItem
+from runkeel.clock import steady_seconds
 from runkeel.handoff import hint_service
 from runkeel.handoff.hint_client import HintClient, HintOutcome
 from runkeel.handoff.hint_log import HintLog
@@ -38,9 +39,9 @@
         self.folder = Path(folder.name)
 
     def wait(self, condition):
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while not condition():
-            self.assertLess(time.monotonic(), deadline)
+            self.assertLess(steady_seconds(), deadline)
             gevent.sleep(0.01)
 
 
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -1,6 +1,5 @@
 """Terms of coordinators on one store: nothing is listed behind the back of a later one."""
 
-import time
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -9,6 +8,7 @@
 
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import ItemResult, ResultState
+from runkeel.clock import steady_seconds
 from runkeel.jobs import coordinator as coordinator_module
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.job_documents import encode_job
@@ -79,9 +79,9 @@
         return coordinator.job(JOB_ID)
 
     def _wait(self, condition):
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while not condition():
-            self.assertLess(time.monotonic(), deadline)
+            self.assertLess(steady_seconds(), deadline)
             gevent.sleep(0.01)
 
     def _ids(self, state):
--- a/tests/jobs/test_engine_placement.py
+++ b/tests/jobs/test_engine_placement.py
@@ -1,11 +1,11 @@
 """The choice of an engine: slots, versions, groups, speed."""
 
-import time
 import unittest
 from unittest import mock
 
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.jobs import engine_placement
 from runkeel.jobs.engine_placement import CANDIDATES, EnginePlacement
@@ -101,11 +101,11 @@
         self.assertIsNone(self._choose())
 
     def _observe_speeds(self, **events):
-        clock = mock.patch.object(engine_placement.time, "monotonic")
-        now = time.monotonic()
-        with clock as monotonic:
+        clock = mock.patch.object(engine_placement, "steady_seconds")
+        now = steady_seconds()
+        with clock as steady:
             for second in (0.0, 1.0):
-                monotonic.return_value = now + second
+                steady.return_value = now + second
                 self.placement.observe(
                     RunSample(name, index, int(count * second))
                     for index, (name, count) in enumerate(events.items())
--- a/tests/jobs/test_item_queue.py
+++ b/tests/jobs/test_item_queue.py
@@ -1,10 +1,10 @@
 """The order of waiting items, and what is looked at to find the next one."""
 
-import time
 import unittest
 from dataclasses import replace
 
 from runkeel.api.fleet import Route, RouteKind, ServiceShare
+from runkeel.clock import steady_seconds
 from runkeel.jobs.item_queue import ItemQueue
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
@@ -60,12 +60,12 @@
 
     def test_item_that_rests_takes_its_place_later(self):
         task = self._task()
-        task.not_before = time.monotonic() + 60.0
+        task.not_before = steady_seconds() + 60.0
         self.queue.put(task)
         self.assertEqual(self.queue.lanes(), [])
         self.assertEqual(self.queue.next_rested_at(), task.not_before)
         task.not_before -= 120.0
-        self.queue.wake_rested(time.monotonic() + 61.0)
+        self.queue.wake_rested(steady_seconds() + 61.0)
         self.assertEqual(self._in_order(), [task])
 
     def test_item_is_found_by_its_id_and_gone_once_removed(self):
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -8,6 +8,7 @@
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import BatchJob, ItemResult, JobItem, JobReference, ResultState
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
@@ -86,7 +87,7 @@
         self.service = JobService(self.store, SilentNetwork(), NoCoordinator(), "shard")
 
     def _deadline(self, seconds=0.5):
-        return time.monotonic() + seconds
+        return steady_seconds() + seconds
 
     def _put_results(self, number, results):
         name = segment_name(JOB_ID, number)
@@ -109,12 +110,12 @@
 
     def test_refused_at_once_when_nothing_was_done(self):
         self.store.down = True
-        started = time.monotonic()
+        started = steady_seconds()
         with self.assertRaises(RunkeelError) as caught:
             self.service.accept(make_job(), self._deadline(5.0))
         self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
         self.assertIsNotNone(caught.exception.retry_after_seconds)
-        self.assertLess(time.monotonic() - started, 2.0)
+        self.assertLess(steady_seconds() - started, 2.0)
 
     def test_never_says_not_run_after_an_unknown_outcome(self):
         self.store.fail_next_write(StoreFault.ANSWER_LOST)
--- a/tests/jobs/test_run_mover.py
+++ b/tests/jobs/test_run_mover.py
@@ -1,11 +1,11 @@
 """Which running items go on at another engine."""
 
-import time
 import unittest
 from dataclasses import replace
 
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.engine_placement import EnginePlacement
@@ -25,7 +25,7 @@
 
     def __init__(self, events):
         self.events = events
-        self.first_event_at = time.monotonic() - 2 * LEAST_SECONDS_BEFORE_MOVE
+        self.first_event_at = steady_seconds() - 2 * LEAST_SECONDS_BEFORE_MOVE
         self.moved = False
 
     def loading(self):
@@ -64,7 +64,7 @@
                     RunSample(name, id(name), each * second)
                     for name, each in events_per_second.items()
                 ],
-                time.monotonic() - 1 + second,
+                steady_seconds() - 1 + second,
             )
 
     def _running(self, engine, guessed_tokens, events=5):
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -1,6 +1,5 @@
 """The scheduler's book-keeping: slots, texts, items without a route."""
 
-import time
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -18,6 +17,7 @@
 from runkeel.api.jobs import ItemResult, ResultState
 from runkeel.api.machines import Address
 from runkeel.backends.http_connection import OutgoingRequest
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import REFUSAL_PAUSE_SECONDS, BackendDirectory
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.engine_placement import EnginePlacement
@@ -93,11 +93,11 @@
         self.scheduler.start()
         self.scheduler.add(self.state)
         engine = self.directory.get("e")
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while not engine.failures:
-            self.assertLess(time.monotonic(), deadline)
+            self.assertLess(steady_seconds(), deadline)
             gevent.sleep(0.01)
-        self.assertTrue(engine.avoided(time.monotonic() + REFUSAL_PAUSE_SECONDS))
+        self.assertTrue(engine.avoided(steady_seconds() + REFUSAL_PAUSE_SECONDS))
 
     def test_waiting_item_goes_on_from_a_longer_text(self):
         item_id = f"{JOB_ID}-0"
@@ -192,7 +192,7 @@
         self.scheduler._place_all()
         self.assertEqual(self.state.unlisted, [])
         for task in self.scheduler._queue.tasks():
-            task.route_missing_since = time.monotonic() - 60.0
+            task.route_missing_since = steady_seconds() - 60.0
         self.scheduler._place_all()
         self.assertEqual(len(self.state.unlisted), len(self.state.items))
 
--- a/tests/jobs/test_text_hand_over.py
+++ b/tests/jobs/test_text_hand_over.py
@@ -1,10 +1,10 @@
 """A node that keeps copies hands them to a coordinator that has none."""
 
-import time
 import unittest
 
 import gevent
 
+from runkeel.clock import steady_seconds
 from runkeel.jobs.text_hand_over import TextHandOver
 from runkeel.jobs.text_replication import TextCopies, TextSender
 from runkeel_lab.standins.peer_network import MemoryNetwork
@@ -45,9 +45,9 @@
         return TextHandOver(peers, "fleet", TextCopies(peers), receiver)
 
     def _wait(self, condition):
-        deadline = time.monotonic() + LONGEST_WAIT_SECONDS
+        deadline = steady_seconds() + LONGEST_WAIT_SECONDS
         while not condition():
-            self.assertLess(time.monotonic(), deadline)
+            self.assertLess(steady_seconds(), deadline)
             gevent.sleep(0.01)
 
     def test_texts_that_are_wanted_are_handed_over_whole(self):
--- a/tests/runners/test_lease.py
+++ b/tests/runners/test_lease.py
@@ -1,6 +1,5 @@
 """What a runner does without its coordinator, and the coordinator without its runner."""
 
-import time
 import unittest
 from unittest import mock
 
@@ -8,6 +7,7 @@
 
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
+from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.jobs.generation_run import PartialText, RunOutcome
 from runkeel.runners import lease, pool, remote_run, service
@@ -129,9 +129,9 @@
         return self.hosted[-1]
 
     def _wait(self, condition, seconds=LONGEST_WAIT_SECONDS):
-        deadline = time.monotonic() + seconds
+        deadline = steady_seconds() + seconds
         while not (value := condition()):
-            self.assertLess(time.monotonic(), deadline, "waited too long")
+            self.assertLess(steady_seconds(), deadline, "waited too long")
             gevent.sleep(0.005)
         return value
 
@@ -158,7 +158,7 @@
     def _begin(self):
         """Start a run; returns it and the task that waits for its end."""
         run = self._new_run()
-        task = gevent.spawn(run.run, time.monotonic() + LONGEST_WAIT_SECONDS)
+        task = gevent.spawn(run.run, steady_seconds() + LONGEST_WAIT_SECONDS)
         self._wait(lambda: run.events)
         return run, task
 
@@ -184,7 +184,7 @@
         gevent.sleep(2 * lease.LOST_SECONDS * SCALE)
         self.network.heal()
         self._joined()
-        self.assertIs(run.run(time.monotonic() + 1.0), RunOutcome.REFUSED)
+        self.assertIs(run.run(steady_seconds() + 1.0), RunOutcome.REFUSED)
         self.assertEqual(self.hosted, [])
 
     def test_run_that_is_ended_before_its_start_comes_never_begins(self):
@@ -192,7 +192,7 @@
         run._want_end(run.run_id)
         self._wait(lambda: run._ended.is_set())
         self.assertIs(run._outcome, RunOutcome.REFUSED)
-        self.assertIs(run.run(time.monotonic() + 1.0), RunOutcome.REFUSED)
+        self.assertIs(run.run(steady_seconds() + 1.0), RunOutcome.REFUSED)
         self.assertEqual(self.hosted, [])
 
     def test_killed_run_is_ended_at_its_runner(self):
--- a/tests/runners/test_remote_runs.py
+++ b/tests/runners/test_remote_runs.py
@@ -1,12 +1,12 @@
 """Items of a large fleet run on many nodes, on the stand-in of the platform."""
 
-import time
 import unittest
 from unittest import mock
 
 import gevent
 
 from runkeel import coordinator_term
+from runkeel.clock import steady_seconds
 from runkeel.runners import pool
 from runkeel_lab.users_platform.deployment import Deployment
 from runkeel_lab.users_platform.servers import event_count, whole_text
@@ -32,9 +32,9 @@
         return deployment
 
     def wait(self, condition, seconds=LONGEST_WAIT_SECONDS):
-        deadline = time.monotonic() + seconds
+        deadline = steady_seconds() + seconds
         while not (value := condition()):
-            self.assertLess(time.monotonic(), deadline, "waited too long")
+            self.assertLess(steady_seconds(), deadline, "waited too long")
             gevent.sleep(0.02)
         return value
 
--- a/tests/users_platform/deployment_case.py
+++ b/tests/users_platform/deployment_case.py
@@ -1,10 +1,10 @@
 """Common to the tests of the whole path: starts a deployment and waits for what it does."""
 
-import time
 import unittest
 
 import gevent
 
+from runkeel.clock import steady_seconds
 from runkeel_lab.users_platform.deployment import Deployment
 
 LONGEST_WAIT_SECONDS = 30.0
@@ -19,9 +19,9 @@
         return deployment
 
     def wait(self, condition, seconds=LONGEST_WAIT_SECONDS):
-        deadline = time.monotonic() + seconds
+        deadline = steady_seconds() + seconds
         while not (value := condition()):
-            self.assertLess(time.monotonic(), deadline, "waited too long")
+            self.assertLess(steady_seconds(), deadline, "waited too long")
             gevent.sleep(0.02)
         return value
 
--- a/tests/users_platform/test_batch_jobs.py
+++ b/tests/users_platform/test_batch_jobs.py
@@ -1,10 +1,10 @@
 """Batch jobs on the stand-in of the platform: results, versions, take-overs, lost machines."""
 
-import time
 import unittest
 
 import gevent
 
+from runkeel.clock import steady_seconds
 from runkeel_lab.users_platform.servers import event_count, whole_text
 from tests.users_platform.deployment_case import DeploymentTestCase
 
@@ -186,11 +186,11 @@
         deployment = self.start(engines=2)
         deployment.engines[0].faults.slow_factor = 30.0
         items = [f"j10-g{n}-{n}" for n in range(200) if event_count(f"j10-g{n}-{n}") > 20][:4]
-        started = time.monotonic()
+        started = steady_seconds()
         deployment.submit("edge-0", "j10", items)
         results = self.whole_job(deployment, "edge-0", "j10", len(items))
         self.check_results(results, items)
-        self.assertLess(time.monotonic() - started, 0.3 * 30)
+        self.assertLess(steady_seconds() - started, 0.3 * 30)
 
     def test_orders_come_from_one_holder_at_a_time(self):
         deployment = self.start(disks=2, order_pause_seconds=0.5)
--- a/tests/users_platform/test_deployment.py
+++ b/tests/users_platform/test_deployment.py
@@ -1,10 +1,10 @@
 """Plain requests and streams on the stand-in of the platform, and nodes cut from the store."""
 
-import time
 import unittest
 
 import gevent
 
+from runkeel.clock import steady_seconds
 from runkeel_lab.users_platform.deployment import (
     CHAT_PREFIX,
     COUNT_PREFIX,
@@ -58,19 +58,19 @@
     def test_slow_server_is_hedged(self):
         deployment = self.start()
         deployment.applications[0].faults.slow_factor = 200.0
-        started = time.monotonic()
+        started = steady_seconds()
         for number in range(4):
             self.assertEqual(self.count(deployment, f"r{number}").status, 200)
-        self.assertLess(time.monotonic() - started, 2.0)
+        self.assertLess(steady_seconds() - started, 2.0)
 
     def test_deadline_is_answered_at_once(self):
         deployment = self.start()
         for server in deployment.applications:
             server.faults.slow_factor = 500.0
-        started = time.monotonic()
+        started = steady_seconds()
         answer = self.count(deployment, deadline="300")
         self.assertEqual(answer.status, 504)
-        self.assertLess(time.monotonic() - started, 0.8)
+        self.assertLess(steady_seconds() - started, 0.8)
 
     def test_request_that_cannot_be_repeated_runs_once(self):
         deployment = self.start()
@@ -193,10 +193,10 @@
         deployment = self.start()
         gevent.sleep(1.0)
         deployment.store.mute_watches("runkeel-jobs")
-        started = time.monotonic()
+        started = steady_seconds()
         self.assertEqual(deployment.submit("edge-0", "mute", ["mute-g0-0"]), 202)
         self.whole_job(deployment, "edge-0", "mute", 1)
-        self.assertLess(time.monotonic() - started, 5.0)
+        self.assertLess(steady_seconds() - started, 5.0)
 
 
 class RefusedMachineTest(DeploymentTestCase):
--- a/tests/users_platform/test_planned_stop.py
+++ b/tests/users_platform/test_planned_stop.py
@@ -1,12 +1,12 @@
 """A planned stop cuts off no request, whenever it comes."""
 
-import time
 import unittest
 from unittest import mock
 
 import gevent
 from gevent import socket
 
+from runkeel.clock import steady_seconds
 from runkeel_lab.users_platform.deployment import COUNT_PREFIX, HOST, Deployment
 
 ROTATION_SECONDS = 0.5
@@ -26,13 +26,13 @@
         self.process = self.deployment.node("edge-0")
 
     def _stop(self):
-        self.started = time.monotonic()
+        self.started = steady_seconds()
         task = gevent.spawn(self.process.drain_and_stop)
         self.addCleanup(task.kill)
         return task
 
     def _sleep_until(self, seconds):
-        gevent.sleep(max(0.0, self.started + seconds - time.monotonic()))
+        gevent.sleep(max(0.0, self.started + seconds - steady_seconds()))
 
     def _connect(self):
         address = self.process.frontend_address
