Quarantine: a request under which servers end is held back on all nodes

Cause: attempts were counted for each id at each node; no node remembered under which request a server had ended, and a run of an item or a scorer's call whose server ended was repeated without a bound. Class: state that must be the fleet's was kept for one attempt. Change: a broken connection is judged at once (nobody listens at the address: the server has ended) or by later news (entry gone, address taken); requests are told apart by a keyed digest of caller, method, host, path and body; records are merged without regard to order and told to neighbours in a ring, compared by a digest in the coordinator's pongs, kept in one document of the store and read at a start. From the third end on a request is refused as not run (request_quarantined), but for three trials, one at a time for a service, that the coordinator grants; a success clears it. Plain requests, retries, hedges, streams and their continuation, items here and at runners, scorers' calls go by the same check.

--- a/src/runkeel/api/documents.py
+++ b/src/runkeel/api/documents.py
@@ -51,6 +51,8 @@
     """A segment of a batch job's results; never changed."""
     USAGE_LEDGER = "usage_ledger"
     """What is reported of the tenants' usage; changed by compare-and-swap."""
+    QUARANTINE = "quarantine"
+    """Requests under which servers have ended; changed by compare-and-swap."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextlib
+import enum
 import re
 import struct
 from collections.abc import Callable, Iterator
@@ -44,6 +45,9 @@
 UNACKNOWLEDGED_MILLISECONDS = 3_000
 """A peer that acknowledges nothing for so long is taken as gone."""
 
+PROBED_IDLE_SECONDS = 2.0
+"""A connection that was made to see whether a server is there is kept for use for so long."""
+
 _FIRST_FINAL_STATUS = 200
 _LINGER_NOT = struct.pack("ii", 1, 0)
 """Value of SO_LINGER by which closing resets the connection."""
@@ -51,6 +55,17 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)")
 
 
+class Reachability(enum.StrEnum):
+    """What an attempt to connect to a back end showed."""
+
+    OPEN = "open"
+    """Somebody listens at the address."""
+    REFUSED = "refused"
+    """Nobody does, so that the back end has ended."""
+    UNKNOWN = "unknown"
+    """Neither was heard in time."""
+
+
 class _Answer(HTTPResponse):
     """Parser of exactly one answer; bytes beyond its end are an error."""
 
@@ -247,6 +262,32 @@
             return
         self._idle.append((sock, steady_seconds() + answer.idle_seconds))
 
+    def probe(self, seconds: float) -> Reachability:
+        """Find out whether the back end is there; a connection that comes about is kept for use.
+
+        Args:
+            seconds: longest wait.
+        """
+        sock = gevent.socket.socket()
+        try:
+            sock.settimeout(seconds)
+            sock.connect(self._address)
+            _set_options(sock)
+        except ConnectionRefusedError:
+            sock.close()
+            return Reachability.REFUSED
+        except OSError:
+            sock.close()
+            return Reachability.UNKNOWN
+        except BaseException:
+            sock.close()
+            raise
+        if self._closed or len(self._idle) >= MAXIMUM_IDLE_CONNECTIONS:
+            sock.close()
+        else:
+            self._idle.append((sock, steady_seconds() + PROBED_IDLE_SECONDS))
+        return Reachability.OPEN
+
     @property
     def idle_connections(self) -> int:
         """Connections that are open and not in use."""
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -28,6 +28,7 @@
 from runkeel.clock import steady_seconds
 from runkeel.coordination import pings
 from runkeel.coordination.coordinator_document import Coordinator
+from runkeel.coordination.overlay import Overlay, neighbours_digest
 from runkeel.coordination.peers import LAST_RANK, PeerRegistry
 from runkeel.coordination.pings import PingSender
 from runkeel.coordination.succession import Succession
@@ -153,6 +154,8 @@
         store_reachable: whether the store has answered this node's last call.
         store_needed: set while the store has to be asked for the coordinator's document; None:
             always.
+        quarantine_digest: of what this node knows of requests under which servers ended.
+        on_quarantine_digest: called with the coordinator's name and its digest.
     """
 
     def __init__(
@@ -164,6 +167,8 @@
         terms: Terms,
         store_reachable: Callable[[], bool],
         store_needed: Event | None = None,
+        quarantine_digest: Callable[[], int] = lambda: 0,
+        on_quarantine_digest: Callable[[str, int], None] = lambda node_id, digest: None,
     ) -> None:
         self._store = store
         self._network = network
@@ -196,6 +201,9 @@
         self._unanswered_epoch = 0
         """Epoch that it has claimed and of which the store has not answered yet; 0: none."""
         self._peers = PeerRegistry(candidate.zone)
+        self._overlay = Overlay(lambda: [*self._peers.addresses(), self._pings.own_address])
+        self._quarantine_digest = quarantine_digest
+        self._on_quarantine_digest = on_quarantine_digest
         self._predecessor: Coordinator | None = None
         self._told = ToldNodes()
         self._tentative = TentativePlace(
@@ -314,6 +322,14 @@
         """Nodes that pinged this coordinator lately and have fallen silent."""
         return self._peers.silent(SILENT_PINGS * self._slow_pause())
 
+    def neighbours(self) -> list[str]:
+        """Return the nodes that this one tells its news to, as last told by a coordinator."""
+        if self.coordinating:
+            known = self._overlay.neighbours(self._node_id)
+        else:
+            known = self._told.neighbours
+        return [one.node_id for one in known]
+
     @property
     def own_address(self) -> NodeAddress:
         """Where this node is reached by its peers."""
@@ -435,7 +451,7 @@
         if pong is not None:
             pause = pong.interval_ms / 1000.0
             self._lease.observe(pong.lease_revision, pong.lease_age_ms / 1000.0)
-            self._told.note(pong)
+            self._take_told(known, pong)
             if pong.coordinator and (pong.epoch or 0) > known.epoch:
                 # It has restarted, and coordinates in a later term.
                 address = NodeAddress(known.node_id, str(known.address), known.zone)
@@ -472,6 +488,13 @@
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
+    def _take_told(self, known: Coordinator, pong: CoordinatorPong) -> None:
+        """Take what the coordinator tells of other nodes and of requests that are held back."""
+        self._told.note(pong)
+        self._pings.neighbours_digest = neighbours_digest(self._told.neighbours)
+        if pong.coordinator:
+            self._on_quarantine_digest(known.node_id, pong.quarantine_digest or 0)
+
     def _is_own(self, told: Coordinator) -> bool:
         """Return whether a coordinator's document is a claim of this process, unanswered so far."""
         return told.node_id == self._node_id and told.epoch == self._unanswered_epoch
@@ -544,9 +567,19 @@
             self._peers.successors(),
             self._epoch,
             self.tentative,
+            self._neighbours_unknown_to(peer, ping),
+            self._quarantine_digest(),
         )
         return MessageType.COORDINATOR_PONG, pong
 
+    def _neighbours_unknown_to(self, peer: str, ping: CoordinatorPing) -> list[NodeAddress] | None:
+        """Return a node's neighbours, None where it knows them already."""
+        if not self.coordinating:
+            return None
+        neighbours = self._overlay.neighbours(peer)
+        same = neighbours_digest(neighbours) == (ping.neighbours_digest or 0)
+        return None if same else neighbours
+
     def _slow_pause(self) -> float:
         """Return the time between pings of nodes out of rank."""
         return max(SLOW_PING_SECONDS, len(self._peers) / PINGS_PER_SECOND)
--- a/src/runkeel/coordination/pings.py
+++ b/src/runkeel/coordination/pings.py
@@ -20,6 +20,8 @@
 
     Attributes:
         own_address: where this node is reached; told with each ping.
+        neighbours_digest: of the neighbours that this node was told; it is told others if they
+            differ from the coordinator's view.
     """
 
     def __init__(
@@ -29,6 +31,7 @@
         self._shard = shard
         self._preferred = preferred
         self.own_address = own_address
+        self.neighbours_digest = 0
 
     def ping(self, node_id: str, epoch: int, coordinating: bool = False) -> CoordinatorPong | None:
         """Ping a node; None without an answer.
@@ -38,7 +41,12 @@
             coordinating: this node coordinates in that term.
         """
         message = CoordinatorPing(
-            self._shard, epoch, self._preferred, self.own_address, coordinating
+            self._shard,
+            epoch,
+            self._preferred,
+            self.own_address,
+            coordinating,
+            self.neighbours_digest,
         )
         try:
             return self._network.call(
--- a/src/runkeel/coordination/told_nodes.py
+++ b/src/runkeel/coordination/told_nodes.py
@@ -16,6 +16,12 @@
     def __init__(self) -> None:
         self._witnesses: dict[str, NodeAddress] = {}
         self._successors: dict[str, NodeAddress] = {}
+        self._neighbours: dict[str, NodeAddress] = {}
+
+    @property
+    def neighbours(self) -> list[NodeAddress]:
+        """Nodes that this one tells its news to."""
+        return list(self._neighbours.values())
 
     @property
     def witnesses(self) -> list[str]:
@@ -29,12 +35,15 @@
 
     def address(self, node_id: str) -> NodeAddress | None:
         """Return where a node is reached."""
-        return self._witnesses.get(node_id) or self._successors.get(node_id)
+        known = self._witnesses.get(node_id) or self._successors.get(node_id)
+        return known or self._neighbours.get(node_id)
 
     def note(self, pong: CoordinatorPong) -> None:
         """Take what an answer tells."""
         if pong.witnesses:
             self.note_witnesses(pong.witnesses)
+        if pong.neighbours is not None:
+            self._neighbours = {one.node_id: one for one in pong.neighbours}
         self._note_successors(pong.successors or [])
 
     def note_witnesses(self, witnesses: Iterable[NodeAddress]) -> None:
--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -27,6 +27,7 @@
 from runkeel.jobs.scorer import Scorer
 from runkeel.jobs.text_journal import TextJournal
 from runkeel.jobs.text_replication import TextSender
+from runkeel.quarantine.quarantine import Quarantine
 from runkeel.runners.lease import LOCAL_RUNS, LOST_SECONDS
 from runkeel.runners.pool import RunnerPool
 from runkeel.state.document_watcher import DocumentWatcher
@@ -72,6 +73,7 @@
     routing: RoutingTable
     directory: BackendDirectory
     scorer: Scorer
+    quarantine: Quarantine
     lease: OrderLease
     election: Election
     journal: TextJournal | None
@@ -119,6 +121,7 @@
             parts.protocol,
             parts.scorer,
             lambda backend_id, model: self._rollout.is_loading(backend_id, model),
+            parts.quarantine,
             self.runners,
         )
         self.scheduler.keep_texts(texts)
--- a/src/runkeel/errors.py
+++ b/src/runkeel/errors.py
@@ -53,6 +53,7 @@
     BACKEND_UNREACHABLE = "backend_unreachable"
     BACKEND_LOST = "backend_lost"
     BACKEND_REFUSED = "backend_refused"
+    REQUEST_QUARANTINED = "request_quarantined"
     TRUNCATED_ANSWER = "truncated_answer"
     CANCELLED = "cancelled"
     DUPLICATE_REQUEST = "duplicate_request"
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -45,6 +45,7 @@
 from runkeel.jobs.text_journal import TextJournal
 from runkeel.jobs.text_replication import TextCopies
 from runkeel.lateness import Lateness
+from runkeel.quarantine.service import QuarantineService
 from runkeel.runners.service import RunnerService
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import (
@@ -143,7 +144,6 @@
         usage = settings.usage
         clock = SteadyWallClock()
         self.meter = UsageMeter(usage.window_seconds if usage else 0.0, clock.time)
-        self.forwarder = Forwarder(self.directory, protocol, settings.zone, self.meter)
         self._network = PeerNetwork(
             settings.node_id,
             settings.zone,
@@ -153,6 +153,19 @@
             settings.peer_address,
             lambda node_id: self._election.peer_address(node_id),
         )
+        self._quarantine = QuarantineService(
+            self._network,
+            SHARD,
+            store,
+            settings.cluster_key,
+            lambda: self._election.other_coordinator,
+            lambda: self._election.neighbours(),
+            lambda: self._term is not None,
+        )
+        self.quarantine = self._quarantine.quarantine
+        self.forwarder = Forwarder(
+            self.directory, protocol, settings.zone, self.meter, self.quarantine
+        )
         # Two machines may bear one name, one after the other.
         machine = f"{settings.node_id}@{settings.peer_address.host}"
         self._lease = OrderLease(store, SHARD, machine, settings.order_pause_seconds)
@@ -172,6 +185,8 @@
             self,
             lambda: store.reachable,
             self._follower.coordinator_needed,
+            lambda: self.quarantine.ledger.digest,
+            self._quarantine.gossip.note_digest,
         )
         self._routing_watcher = DocumentWatcher(
             store,
@@ -233,6 +248,7 @@
             self.directory,
             protocol,
             scorer,
+            self.quarantine,
             lambda: self._election.known_epoch,
             self._invited,
             self._copies.hold,
@@ -249,6 +265,7 @@
             self.routing,
             self.directory,
             scorer,
+            self.quarantine,
             self._lease,
             self._election,
             self._journal,
@@ -310,9 +327,10 @@
 
     @property
     def configured(self) -> bool:
-        """Whether this node knows a configuration and the servers."""
+        """Whether this node knows a configuration, the servers, and what is held back."""
         listed = all(watcher.listed.is_set() for watcher in self._watchers)
-        return self.routing.configuration is not None and listed
+        caught_up = self._quarantine.caught_up.is_set()
+        return self.routing.configuration is not None and listed and caught_up
 
     def start(self) -> None:
         """Start every part. Raises OSError when the peer address is in use."""
@@ -324,6 +342,7 @@
         self._election.start(self._network.address, delay)
         self._follower.start(self._followed, delay)
         self.hints.start()
+        self._quarantine.start(self._settings.first_start)
         if self._settings.usage is not None:
             self._teller.start()
 
@@ -346,6 +365,7 @@
         self._teller.stop()
         self.hints.stop()
         self.end_term()
+        self._quarantine.stop()
         self._runner.stop()
         self._lateness.stop()
         self._election.stop()
@@ -377,6 +397,7 @@
 
     def _backend_changed(self, document: Document, removed: bool) -> None:
         if removed:
+            self._quarantine.backend_gone(self.directory.get(document.name))
             self.directory.remove(document.name)
             self._feed.note(document, removed)
             return
@@ -384,6 +405,8 @@
         known = self.directory.get(document.name)
         before = known.backend if known is not None else None
         self.directory.put(backend)
+        if before is None:
+            self._quarantine.backend_joined(backend)
         # Weight versions change often, and only the coordinator goes by them.
         if before is None or not _same_to_clients(before, backend):
             self._feed.note(document, removed)
@@ -432,6 +455,7 @@
         if self._term is None:
             self._make_term(epoch)
         self._term.start()
+        self._quarantine.begin_term()
         self._follower.ask_store("this node coordinates")
         self._routing_watcher.rewatch()
         # What it has been told leaves out the weight versions.
@@ -445,6 +469,7 @@
         """Coordinate no more; called by the election."""
         term, self._term = self._term, None
         self.jobs.local = None
+        self._quarantine.end_term()
         self._feed.wake()
         if term is not None:
             term.stop()
--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -31,7 +31,12 @@
 
 
 class BackendState:
-    """A server and what this node knows of it from its own requests."""
+    """A server and what this node knows of it from its own requests.
+
+    Attributes:
+        answered_at: steady time of its last answer to a request of this node.
+        ended: nobody listens at its address any more.
+    """
 
     def __init__(self, backend: Backend) -> None:
         self.backend = backend
@@ -39,6 +44,8 @@
         self.in_flight = 0
         self.failures = 0
         self.avoid_until = 0.0
+        self.answered_at = 0.0
+        self.ended = False
 
     @property
     def backend_id(self) -> str:
@@ -47,6 +54,7 @@
 
     def succeeded(self) -> None:
         """Note an answer."""
+        self.answered_at = steady_seconds()
         self.failures = 0
         self.avoid_until = 0.0
 
@@ -62,7 +70,7 @@
 
     def avoided(self, now: float) -> bool:
         """Return whether requests should go elsewhere for the moment."""
-        return now < self.avoid_until
+        return self.ended or now < self.avoid_until
 
 
 class BackendDirectory:
--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
 from runkeel.metrics import ATTEMPTS
+from runkeel.quarantine.quarantine import Quarantine, WatchedRequest
 from runkeel.usage.meter import UsageMeter
 
 HEDGE_SHARE = 0.5
@@ -59,6 +60,7 @@
     """One request's attempts."""
 
     request: PlainRequest
+    watched: WatchedRequest
     route: Route
     service: str
     deadline: float
@@ -79,11 +81,18 @@
 
     Args:
         meter: counts the requests that servers began to run.
+        quarantine: keeps requests that crash servers away from further ones.
     """
 
     def __init__(
-        self, directory: BackendDirectory, protocol: BackendProtocol, zone: str, meter: UsageMeter
+        self,
+        directory: BackendDirectory,
+        protocol: BackendProtocol,
+        zone: str,
+        meter: UsageMeter,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._meter = meter
         self._directory = directory
         self._protocol = protocol
@@ -106,12 +115,17 @@
         Raises:
             RunkeelError: with verdict NOT_RUN only when no server runs the request.
         """
-        progress = _Progress(request, route, service, deadline, steady_seconds())
+        watched = self._quarantine.watch(
+            lambda: self._quarantine.fingerprints.of_plain(request), service, request.request_id
+        )
+        progress = _Progress(request, watched, route, service, deadline, steady_seconds())
         leaver = gevent.spawn(_report_gone, gone, progress.results) if gone is not None else None
         metered = self._meter.open(request.tenant)
         try:
             return self._drive(progress)
         finally:
+            if not progress.sent:
+                watched.return_trial()
             began_at = progress.began_at if progress.sent else None
             self._meter.close(metered, request.tenant, began_at)
             if leaver is not None:
@@ -172,6 +186,9 @@
     def _may_hedge(self, progress: _Progress) -> bool:
         if not progress.route.repeatable or progress.sent >= progress.route.maximum_attempts:
             return False
+        if progress.watched.suspected:
+            # A second server would end at the same time as the first.
+            return False
         if progress.deadline - steady_seconds() < MINIMUM_ATTEMPT_SECONDS:
             return False
         candidates = self._directory.candidates(progress.service, progress.tried)
@@ -184,7 +201,7 @@
             return
         candidates = self._directory.candidates(progress.service, progress.tried)
         state = choose_backend(candidates, progress.tried, self._zone)
-        if state is None:
+        if state is None or not self._admitted(progress):
             return
         progress.tried.add(state.backend_id)
         progress.running += 1
@@ -203,6 +220,19 @@
                 age_ms=int((steady_seconds() - progress.started) * 1000),
             )
 
+    def _admitted(self, progress: _Progress) -> bool:
+        """Return whether one more server may be asked.
+
+        Raises:
+            RunkeelError: REQUEST_QUARANTINED where none was; that has the coordinator asked.
+        """
+        if not progress.watched.held:
+            return True
+        if progress.sent:
+            return False
+        progress.watched.admit()
+        return progress.deadline - steady_seconds() >= MINIMUM_ATTEMPT_SECONDS
+
     def _attempt(self, progress: _Progress, state: BackendState) -> None:
         state.in_flight += 1
         try:
@@ -225,7 +255,13 @@
             outgoing = self._protocol.encode_plain(request, state.backend, remaining)
             answer = state.pool.request(outgoing, progress.deadline, accept=accept)
         except RunkeelError as error:
+            progress.watched.lost(state, error)
             return _Outcome(state, error=error)
+        progress.watched.note_reached()
+        if seen[-1] is AnswerClass.SUCCESS:
+            progress.watched.succeeded()
+        elif seen[-1] is AnswerClass.MISDIRECTED:
+            self._quarantine.ends.address_taken(state)
         return _Outcome(state, answer_class=seen[-1], answer=answer)
 
     def _given_up(self, progress: _Progress, code: ErrorCode) -> RunkeelError:
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -18,6 +18,7 @@
 from runkeel.gateway.event_order import follows
 from runkeel.http.frontend import AnswerBrokenOffError
 from runkeel.metrics import ATTEMPTS
+from runkeel.quarantine.quarantine import Quarantine, WatchedRequest
 from runkeel.usage.meter import UsageMeter
 
 RETRY_AFTER_SECONDS = 0.2
@@ -43,6 +44,7 @@
     """One client stream and its runs at servers."""
 
     request: PlainRequest
+    watched: WatchedRequest
     route: Route
     service: str
     deadline: float
@@ -59,11 +61,18 @@
 
     Args:
         meter: counts the streams that servers began.
+        quarantine: keeps requests that crash servers away from further ones.
     """
 
     def __init__(
-        self, directory: BackendDirectory, protocol: BackendProtocol, zone: str, meter: UsageMeter
+        self,
+        directory: BackendDirectory,
+        protocol: BackendProtocol,
+        zone: str,
+        meter: UsageMeter,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._meter = meter
         self._directory = directory
         self._protocol = protocol
@@ -77,12 +86,17 @@
         Raises:
             RunkeelError: with verdict NOT_RUN only when no server runs the request.
         """
-        relay = _Relay(request, route, service, deadline, gone)
+        watched = self._quarantine.watch(
+            lambda: self._quarantine.fingerprints.of_plain(request), service, request.request_id
+        )
+        relay = _Relay(request, watched, route, service, deadline, gone)
         relay.last_event_id = request.resume_after
         metered = self._meter.open(request.tenant)
         try:
             failure = self._connect(relay)
         finally:
+            if not relay.sent:
+                watched.return_trial()
             began_at = self._meter.now() if relay.sent else None
             self._meter.close(metered, request.tenant, began_at)
         if failure is not None:
@@ -100,12 +114,17 @@
             state = choose_backend(candidates, relay.tried, self._zone)
             if state is None:
                 break
+            if relay.watched.held:
+                if relay.sent:
+                    break
+                relay.watched.admit()
             relay.tried.add(state.backend_id)
             try:
                 outcome = self._try(relay, state)
             except RunkeelError as caught:
                 ATTEMPTS.labels(relay.service, str(caught.code)).inc()
                 state.failed()
+                relay.watched.lost(state, caught)
                 if caught.verdict is Verdict.NOT_RUN:
                     continue
                 relay.sent += 1
@@ -142,6 +161,7 @@
             leaver.kill(block=False)
             if stream is None:
                 state.in_flight -= 1
+        relay.watched.note_reached()
         answer_class = self._protocol.classify(request.request_id, stream.status, stream.headers)
         ATTEMPTS.labels(relay.service, answer_class.value).inc()
         if answer_class is AnswerClass.SUCCESS:
@@ -164,6 +184,8 @@
             state.in_flight -= 1
         if answer_class in (AnswerClass.REFUSED, AnswerClass.MISDIRECTED):
             state.refused()
+            if answer_class is AnswerClass.MISDIRECTED:
+                self._quarantine.ends.address_taken(state)
             return OpenedStream(0, [], b"")
         relay.sent += 1
         if answer_class is AnswerClass.FOREIGN:
@@ -176,6 +198,8 @@
             while True:
                 error = yield from self._relay_run(relay)
                 if error is None:
+                    relay.state.succeeded()
+                    relay.watched.succeeded()
                     return
                 self._resume(relay, error)
         finally:
@@ -229,6 +253,7 @@
             resumable=relay.route.resumable,
         )
         relay.state.failed()
+        relay.watched.lost(relay.state, error)
         self._release(relay)
         if not relay.route.resumable or relay.gone.is_set():
             raise AnswerBrokenOffError(error.detail)
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -13,6 +13,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.event_order import follows
+from runkeel.quarantine.quarantine import WatchedRequest
 
 FIRST_EVENT_SECONDS = 2.0
 """A run without a first event for so long is given up. Chosen, not measured."""
@@ -88,6 +89,7 @@
     """One run; its text grows as events arrive.
 
     Args:
+        watched: tells whether the engine ended under the request.
         partial: text of earlier runs, continued in place.
         minimum_version: oldest version that may make an event.
         loading: tells whether the engine is loading a version, so that a pause is expected.
@@ -98,11 +100,13 @@
         protocol: BackendProtocol,
         state: BackendState,
         request: GenerationRequest,
+        watched: WatchedRequest,
         partial: PartialText,
         minimum_version: int,
         single_version: bool,
         loading: Callable[[], bool] = lambda: False,
     ) -> None:
+        self._watched = watched
         self._protocol = protocol
         self._state = state
         self._request = request
@@ -133,7 +137,10 @@
             stream = self._state.pool.open_stream(outgoing, first_deadline)
         except RunkeelError as error:
             self.detail = error.detail
+            self._watched.lost(self._state, error)
+            self._watched.return_trial()
             return _outcome_without_answer(error)
+        self._watched.note_reached()
         self._stream = stream
         try:
             return self._read(stream, deadline)
@@ -155,7 +162,10 @@
             return self._read_events(stream, version, deadline)
         except RunkeelError as error:
             self.detail = error.detail
-            return RunOutcome.MOVED if self._moved else RunOutcome.BROKEN
+            if self._moved:
+                return RunOutcome.MOVED
+            self._watched.lost(self._state, error)
+            return RunOutcome.BROKEN
 
     def _drain_failure(self, stream: HttpAnswerStream, answer_class: AnswerClass) -> RunOutcome:
         self.detail = f"status {stream.status}"
@@ -180,6 +190,8 @@
                 if version < 0:
                     return RunOutcome.OLD_VERSION
         self._partial.whole = True
+        self._state.answered_at = steady_seconds()
+        self._watched.succeeded()
         return RunOutcome.COMPLETE
 
     def _next_chunk(self, stream: HttpAnswerStream, deadline: float) -> bytes | None:
--- a/src/runkeel/jobs/item_runner.py
+++ b/src/runkeel/jobs/item_runner.py
@@ -18,6 +18,7 @@
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
 from runkeel.metrics import ITEM_RUNS
+from runkeel.quarantine.quarantine import Quarantine, WatchedRequest
 from runkeel.runners.pool import Runner, RunnerPool
 from runkeel.runners.remote_run import RemoteRun
 from runkeel.wire.generated.common.ttypes import HttpHeader
@@ -26,6 +27,9 @@
 LEAST_RUN_SECONDS = 0.1
 """A run is given so long at least; its deadline may have passed while it waited for an engine."""
 
+HELD_CHECK_SECONDS = (0.25, 5.0)
+"""Shortest and longest pause before it is looked again whether an item is still held back."""
+
 LEAST_URGENT = 9
 """The largest priority class that engines know."""
 
@@ -35,6 +39,7 @@
 
     Args:
         is_loading: tells whether an engine is loading a version of a model.
+        quarantine: keeps items that crash engines away from further ones.
         runners: other nodes that run items; None: there are none.
     """
 
@@ -44,8 +49,10 @@
         scorer: Scorer,
         routing: RoutingTable,
         is_loading: Callable[[str, str], bool],
+        quarantine: Quarantine,
         runners: RunnerPool | None = None,
     ) -> None:
+        self._quarantine = quarantine
         self._protocol = protocol
         self._routing = routing
         self._scorer = scorer
@@ -61,6 +68,35 @@
         """Return whether an earlier run of an item may still be going on at another node."""
         return self._runners is not None and self._runners.goes_on(item_id)
 
+    def seconds_held(self, task: ItemTask, service: str) -> float:
+        """Return how long an item is to wait since engines ended under it; 0: it may run now.
+
+        One that is held back may run once if the trial is granted, which is asked for by this.
+        """
+        if not len(self._quarantine.ledger):
+            return 0.0
+        watched = self._watched(task, service)
+        if watched.on_trial or not watched.held:
+            return 0.0
+        answer = watched.ask_trial()
+        if answer.granted:
+            return 0.0
+        shortest, longest = HELD_CHECK_SECONDS
+        return max(shortest, min(longest, answer.retry_after_seconds))
+
+    def _watched(self, task: ItemTask, service: str) -> WatchedRequest:
+        if task.watched is None:
+            job, item = task.state.job, task.item
+            fingerprints = self._quarantine.fingerprints
+            task.watched = self._quarantine.watch(
+                lambda: fingerprints.of_item(
+                    job.tenant, job.host, item.path, base64.b64decode(item.body)
+                ),
+                service,
+                item.item_id,
+            )
+        return task.watched
+
     @property
     def has_room(self) -> bool:
         """Whether one more run would be read in time."""
@@ -145,6 +181,7 @@
             self._protocol,
             task.engine,
             request,
+            self._watched(task, task.engine.backend.service),
             task.partial,
             job.minimum_version,
             route.single_version,
@@ -168,9 +205,17 @@
             single_version=route.single_version,
             scorer=None if scorer is None else _scorer_message(scorer),
             tenant=job.tenant,
+            on_trial=self._take_trial(task),
         )
         return self._runners.new_run(runner, start, task.partial, self._loading(task))
 
+    def _take_trial(self, task: ItemTask) -> bool:
+        """Return whether a run is a trial; what comes of it is noted by the node that runs it."""
+        on_trial = task.watched is not None and task.watched.on_trial
+        if on_trial:
+            task.watched.note_reached()
+        return on_trial
+
     def _urgency(self, task: ItemTask, route: Route) -> int:
         return min(LEAST_URGENT, self._routing.rank(route, task.state.job.tenant))
 
--- a/src/runkeel/jobs/item_task.py
+++ b/src/runkeel/jobs/item_task.py
@@ -10,6 +10,7 @@
 from runkeel.gateway.backends import BackendState
 from runkeel.jobs.generation_run import GenerationRun, PartialText
 from runkeel.jobs.job_state import JobState
+from runkeel.quarantine.quarantine import WatchedRequest
 from runkeel.runners.remote_run import RemoteRun
 
 
@@ -40,6 +41,8 @@
     """A longer text that came while it ran; it goes on from that once its run has ended."""
     begun: bool = False
     """Its greenlet has begun to run; one that is killed before never cleans up."""
+    watched: WatchedRequest | None = None
+    """Whether the item may be run, as far as crashes of engines go."""
     next_engine: BackendState | None = None
     """Engine with a slot kept for this item, which is leaving a slow one."""
 
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -27,6 +27,7 @@
 from runkeel.jobs.run_mover import RunMover
 from runkeel.jobs.running_items import RunningItems
 from runkeel.jobs.scorer import Scorer
+from runkeel.quarantine.quarantine import Quarantine
 from runkeel.runners.pool import RunnerPool
 
 IDLE_CHECK_SECONDS = 0.25
@@ -66,6 +67,7 @@
     Args:
         placement: chooses the engines.
         is_loading: tells whether an engine is loading a version of a model.
+        quarantine: keeps items that crash engines away from further ones.
         runners: other nodes that run items; None: this one runs all.
     """
 
@@ -76,11 +78,12 @@
         protocol: BackendProtocol,
         scorer: Scorer,
         is_loading: Callable[[str, str], bool],
+        quarantine: Quarantine,
         runners: RunnerPool | None = None,
     ) -> None:
         self._placement = placement
         self._routing = routing
-        self._runner = ItemRunner(protocol, scorer, routing, is_loading, runners)
+        self._runner = ItemRunner(protocol, scorer, routing, is_loading, quarantine, runners)
         self._running = RunningItems()
         self._kept = KeptTexts()
         self._finished = FinishedItems()
@@ -255,7 +258,7 @@
             self._start(task, route, None)
         else:
             reserved = self._release_reserved(task)
-            if route is None or reserved is None:
+            if route is None or reserved is None or self._is_held(task, reserved.backend.service):
                 self._queue.put(task)
             elif self._placement.usable(task.state.job, reserved):
                 self._start(task, route, reserved)
@@ -289,12 +292,22 @@
             if engine is None:
                 self._note_waiting(lane, task.state.job.model, now)
                 return starts
+            if self._is_held(task, service):
+                self._queue.put(task)
+                continue
             self._start(task, route, engine)
             starts += 1
             if starts % STARTS_PER_TURN == 0:
                 gevent.sleep(0)
         return starts
 
+    def _is_held(self, task: ItemTask, service: str) -> bool:
+        """Return whether an item has to rest since engines ended under it; notes how long."""
+        wait = self._runner.seconds_held(task, service)
+        if wait:
+            task.not_before = steady_seconds() + wait
+        return bool(wait)
+
     def _note_waiting(self, lane: Lane, model: str, now: float) -> None:
         lane.waiting_since = lane.waiting_since or now
         if now - lane.waiting_since > PRESSED_AFTER_SECONDS:
--- a/src/runkeel/jobs/scorer.py
+++ b/src/runkeel/jobs/scorer.py
@@ -12,7 +12,7 @@
 from runkeel.api.fleet import Route
 from runkeel.api.jobs import ScorerCall
 from runkeel.clock import steady_seconds
-from runkeel.errors import RunkeelError
+from runkeel.errors import ErrorCode, RunkeelError
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable, choose_service
 
@@ -22,6 +22,9 @@
 RETRY_SECONDS = 0.1
 """Pause before another scorer is tried. Chosen, not measured."""
 
+HELD_RETRY_SECONDS = 5.0
+"""Longest pause before a call is tried again that is held back since scorers ended under it."""
+
 
 class ScoringFailedError(Exception):
     """The scorer answered with as many failures as its route allows attempts."""
@@ -44,20 +47,21 @@
             ScoringFailedError: the route's attempts are used up by failures, or time ran out.
         """
         failures = 0
+        pause = RETRY_SECONDS
         while steady_seconds() < deadline:
             route = self._routing.match(call.host.lower(), call.path.partition("?")[0])
             if route is not None:
-                stamp, failed = self._call_once(call, route, deadline)
+                stamp, failed, pause = self._call_once(call, route, deadline)
                 if stamp:
                     return stamp
                 failures += failed
                 if failures >= route.maximum_attempts:
                     raise ScoringFailedError(f"{failures} failures")
-            gevent.sleep(RETRY_SECONDS)
+            gevent.sleep(max(0.0, min(pause, deadline - steady_seconds())))
         raise ScoringFailedError("out of time")
 
-    def _call_once(self, call: ScorerCall, route: Route, deadline: float) -> tuple[str, int]:
-        """Return the stamp (empty: none) and the number of failures answered."""
+    def _call_once(self, call: ScorerCall, route: Route, deadline: float) -> tuple[str, int, float]:
+        """Return the stamp (empty: none), the failures answered, and the pause after it."""
         request = self._protocol.score_request(
             call.request_id, call.host, call.path, base64.b64decode(call.body)
         )
@@ -74,14 +78,16 @@
                 error=str(error.code),
                 detail=error.detail,
             )
-            return "", 0
+            held = error.code is ErrorCode.REQUEST_QUARANTINED
+            asked = min(HELD_RETRY_SECONDS, error.retry_after_seconds or 0.0) if held else 0.0
+            return "", 0, max(RETRY_SECONDS, asked)
         answer_class = self._protocol.classify(call.request_id, answer.status, answer.headers)
         if answer_class is AnswerClass.SUCCESS:
-            return self._protocol.stamp(answer.headers), 0
+            return self._protocol.stamp(answer.headers), 0, RETRY_SECONDS
         logger.info(
             "scorer answered with failure",
             code="score",
             request=call.request_id,
             status=answer.status,
         )
-        return "", 1
+        return "", 1, RETRY_SECONDS
--- a/src/runkeel/metrics.py
+++ b/src/runkeel/metrics.py
@@ -13,6 +13,18 @@
     "runkeel_gateway_request_seconds", "Time to the answer", ["route"], buckets=_LATENCY_BUCKETS
 )
 ATTEMPTS = Counter("runkeel_gateway_attempts_total", "Attempts at servers", ["service", "outcome"])
+SERVERS_ENDED = Counter(
+    "runkeel_servers_ended_total", "Servers that ended under a request", ["service", "evidence"]
+)
+QUARANTINE_RECORDS = Gauge(
+    "runkeel_quarantine_records", "Requests under which servers have ended, as known here"
+)
+QUARANTINE_REFUSALS = Counter(
+    "runkeel_quarantine_refusals_total", "Requests that were held back", ["service"]
+)
+QUARANTINE_TRIALS = Counter(
+    "runkeel_quarantine_trials_total", "Trials of requests that are held back", ["outcome"]
+)
 STORE_CALL_SECONDS = Histogram(
     "runkeel_store_call_seconds",
     "Calls to the store",
--- /dev/null
+++ b/src/runkeel/quarantine/crash_ledger.py
@@ -0,0 +1,143 @@
+"""A node's table of the requests under which servers have ended; bounded in size and time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from runkeel.clock import steady_seconds
+from runkeel.quarantine.crash_record import CrashRecord, merged
+
+MAXIMUM_RECORDS = 1_024
+"""Most requests that are remembered, about 300 bytes each; those that matter least go first."""
+
+SUSPECT_SECONDS = 600.0
+"""A request that is not held back is forgotten so long after the last server ended under it.
+
+Clients come again within seconds; a long item of a batch job runs for 8 minutes.
+"""
+
+HELD_SECONDS = 6 * 3600.0
+"""One that is held back is forgotten after so long: servers may run other software by then."""
+
+CLEARED_SECONDS = 60.0
+"""A clearance is remembered for so long, against older news that is still on its way."""
+
+ChangeListener = Callable[[CrashRecord, str], None]
+"""Called with a record that has changed, and the node from which the news came; empty: this one."""
+
+
+class CrashLedger:
+    """The records of a node.
+
+    Args:
+        now: the steady clock.
+        maximum: records that are kept.
+    """
+
+    def __init__(
+        self, now: Callable[[], float] = steady_seconds, maximum: int = MAXIMUM_RECORDS
+    ) -> None:
+        self._now = now
+        self._maximum = maximum
+        self._records: dict[str, CrashRecord] = {}
+        self._listeners: list[ChangeListener] = []
+        self._digest: int | None = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def on_change(self, listener: ChangeListener) -> None:
+        """Have a listener called with each record that changes."""
+        self._listeners.append(listener)
+
+    def get(self, fingerprint: str) -> CrashRecord | None:
+        """Return what is known of a request, None for nothing."""
+        record = self._records.get(fingerprint)
+        if record is not None and self._expired(record):
+            self._forget(fingerprint)
+            return None
+        return record
+
+    def records(self) -> list[CrashRecord]:
+        """Return all records; what is too old is forgotten."""
+        for fingerprint in list(self._records):
+            self.get(fingerprint)
+        return list(self._records.values())
+
+    @property
+    def digest(self) -> int:
+        """Number that is the same for ledgers that say the same."""
+        if self._digest is None:
+            self._digest = 0
+            for record in self._records.values():
+                self._digest ^= record.digest
+        return self._digest
+
+    def note_ended(self, fingerprint: str, service: str, backend_id: str) -> CrashRecord:
+        """Take note that a server ended under a request."""
+        known = self.get(fingerprint) or CrashRecord(fingerprint, service)
+        ended = CrashRecord(
+            fingerprint, service, known.clearance, frozenset((backend_id,)), 0, 0, self._now()
+        )
+        return self._put(merged(known, ended), "")
+
+    def clear(self, fingerprint: str) -> bool:
+        """Forget the ends under a request, here and elsewhere; False where none are known."""
+        known = self.get(fingerprint)
+        if known is None or not known.ended:
+            return False
+        cleared = CrashRecord(fingerprint, known.service, known.clearance + 1)
+        self._put(replace(cleared, changed_at=self._now()), "")
+        return True
+
+    def note_trial(self, fingerprint: str) -> None:
+        """Take note of a trial that was granted."""
+        known = self.get(fingerprint)
+        if known is not None:
+            self._put(replace(known, trials=known.trials + 1, changed_at=self._now()), "")
+
+    def note_trial_returned(self, fingerprint: str) -> None:
+        """Take note that no server was reached by a trial."""
+        known = self.get(fingerprint)
+        if known is not None and known.trials_returned < known.trials:
+            self._put(replace(known, trials_returned=known.trials_returned + 1), "")
+
+    def take(self, record: CrashRecord, source: str) -> bool:
+        """Take another node's record; returns whether anything of it was new."""
+        known = self.get(record.fingerprint)
+        if known is None:
+            if self._expired(record):
+                return False
+            self._put(record, source)
+            return True
+        together = merged(known, record)
+        if together.same_as(known):
+            return False
+        self._put(together, source)
+        return True
+
+    def _put(self, record: CrashRecord, source: str) -> CrashRecord:
+        self._records[record.fingerprint] = record
+        self._digest = None
+        if len(self._records) > self._maximum:
+            self._forget(min(self._records.values(), key=_worth).fingerprint)
+        for listener in self._listeners:
+            listener(record, source)
+        return record
+
+    def _forget(self, fingerprint: str) -> None:
+        del self._records[fingerprint]
+        self._digest = None
+
+    def _expired(self, record: CrashRecord) -> bool:
+        if not record.ended:
+            kept_for = CLEARED_SECONDS
+        else:
+            kept_for = HELD_SECONDS if record.held else SUSPECT_SECONDS
+        return self._now() - record.changed_at >= kept_for
+
+
+def _worth(record: CrashRecord) -> tuple[bool, int, float]:
+    """Return the order in which records are given up where there are too many."""
+    return record.held, len(record.ended), record.changed_at
--- a/src/runkeel/runners/hosted_run.py
+++ b/src/runkeel/runners/hosted_run.py
@@ -12,6 +12,7 @@
 from runkeel.gateway.backends import BackendState
 from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
 from runkeel.jobs.scorer import Scorer, ScoringFailedError
+from runkeel.quarantine.quarantine import Quarantine
 from runkeel.wire.generated.jobs.ttypes import ItemRunStart, ItemRunUpdate
 
 SCORING_FAILED = "scoring_failed"
@@ -32,6 +33,7 @@
         state: BackendState,
         protocol: BackendProtocol,
         scorer: Scorer,
+        quarantine: Quarantine,
         loading: Callable[[], bool],
         on_ended: Callable[[], None],
     ) -> None:
@@ -40,10 +42,18 @@
         self._on_ended = on_ended
         self._deadline = steady_seconds() + message.remaining_ms / 1000.0
         self._text = PartialText([], message.resume_after or None, list(message.versions))
+        request = _request(message)
+        self._watched = quarantine.watch(
+            lambda: quarantine.fingerprints.of_generation(request),
+            state.backend.service,
+            request.request_id,
+        )
+        self._watched.on_trial = bool(message.on_trial)
         self._run = GenerationRun(
             protocol,
             state,
-            _request(message),
+            request,
+            self._watched,
             self._text,
             message.minimum_version,
             message.single_version,
@@ -56,6 +66,11 @@
         self._score = ""
         self._task: gevent.Greenlet | None = None
 
+    @property
+    def held(self) -> bool:
+        """Whether engines ended under the item, and this run is no trial."""
+        return self._watched.held and not self._watched.on_trial
+
     @property
     def kept_text(self) -> PartialText | None:
         """The item's text as far as it is known here; None if the run began in the midst of it."""
--- a/src/runkeel/runners/service.py
+++ b/src/runkeel/runners/service.py
@@ -21,6 +21,7 @@
 from runkeel.jobs.generation_run import PartialText, RunOutcome
 from runkeel.jobs.scorer import Scorer
 from runkeel.metrics import HOSTED_RUNS
+from runkeel.quarantine.quarantine import Quarantine
 from runkeel.runners.hosted_run import HostedRun
 from runkeel.runners.lease import (
     DISENGAGED_SECONDS,
@@ -67,6 +68,7 @@
         directory: BackendDirectory,
         protocol: BackendProtocol,
         scorer: Scorer,
+        quarantine: Quarantine,
         known_epoch: Callable[[], int],
         on_coordinator: Callable[[NodeAddress, int], None],
         keep_text: Callable[[int, str, PartialText], None] = lambda epoch, item, text: None,
@@ -77,6 +79,7 @@
         self._directory = directory
         self._protocol = protocol
         self._scorer = scorer
+        self._quarantine = quarantine
         self._known_epoch = known_epoch
         self._on_coordinator = on_coordinator
         self.keep_text = keep_text
@@ -151,7 +154,10 @@
             return "unknown back end"
         if state.backend.draining:
             return "the back end is draining"
-        return HostedRun(message, state, self._protocol, self._scorer, loading, on_ended)
+        run = HostedRun(
+            message, state, self._protocol, self._scorer, self._quarantine, loading, on_ended
+        )
+        return "back ends ended under the item" if run.held else run
 
 
 class Engagement:
--- a/src/runkeel_lab/decisions.py
+++ b/src/runkeel_lab/decisions.py
@@ -25,6 +25,8 @@
 from runkeel.jobs.engine_placement import EnginePlacement
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scheduler import Scheduler
+from runkeel.quarantine.quarantine import Quarantine
+from runkeel.quarantine.trials import TrialAnswer
 
 SIZES = (40, 400, 4_200)
 _SERVICE = "engines"
@@ -94,7 +96,12 @@
     description = ServiceDescription(_SERVICE, models=(_MODEL,))
     routing.apply(RoutingConfiguration(1, (route,), {_SERVICE: description}))
     scheduler = Scheduler(
-        placement, routing, _SilentProtocol(), None, lambda backend_id, model: False
+        placement,
+        routing,
+        _SilentProtocol(),
+        None,
+        lambda backend_id, model: False,
+        Quarantine(b"decisions", lambda record: TrialAnswer(False)),
     )
     scheduler.add(JobState(job))
     return scheduler
--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -95,7 +95,12 @@
 
     def start(self) -> None:
         """Listen and enter the store's list."""
-        self._server.start()
+        try:
+            self._server.start()
+        except OSError:
+            # The address of the server before has gone to somebody else meanwhile.
+            self._server = self._listener(0)
+            self._server.start()
         self.report_state()
 
     def stop(self) -> None:
--- a/tests/gateway/scripted_servers.py
+++ b/tests/gateway/scripted_servers.py
@@ -7,7 +7,7 @@
 from runkeel.api.backend_protocol import AnswerClass, GenerationEvent
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
-from runkeel.backends.http_connection import HttpAnswer, OutgoingRequest
+from runkeel.backends.http_connection import HttpAnswer, OutgoingRequest, Reachability
 from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, may_have_run, not_run
 from runkeel.gateway.backends import BackendDirectory
@@ -41,6 +41,7 @@
     """Answers as scripted: a status, an error, or a function of the deadline."""
 
     idle_connections = 0
+    reachability = Reachability.OPEN
 
     def __init__(self, *script):
         self.script = list(script)
@@ -55,6 +56,9 @@
     def open_stream(self, outgoing, deadline):
         return ScriptedStream(self._next(deadline), self._pieces())
 
+    def probe(self, seconds):
+        return self.reachability
+
     def close(self):
         pass
 
--- a/tests/gateway/test_forwarder.py
+++ b/tests/gateway/test_forwarder.py
@@ -21,6 +21,7 @@
     silent,
     unreachable,
 )
+from tests.open_quarantine import open_quarantine
 
 REQUEST = PlainRequest("r", "POST", "/p", "h", (), b"", tenant="parish")
 
@@ -37,7 +38,9 @@
         self.meter = UsageMeter(5.0, lambda: 1_000.0)
 
     def forward(self, route, seconds=2.0, gone=None, **pools):
-        forwarder = Forwarder(directory_of(**pools), StatusProtocol(), "here", self.meter)
+        forwarder = Forwarder(
+            directory_of(**pools), StatusProtocol(), "here", self.meter, open_quarantine()
+        )
         return forwarder.forward(REQUEST, route, SERVICE, steady_seconds() + seconds, gone)
 
     def failure(self, route, seconds=2.0, gone=None, **pools):
@@ -118,7 +121,7 @@
 
     def test_server_that_lost_an_answer_comes_last(self):
         directory = directory_of(a=ScriptedPool(lost(), 200), b=ScriptedPool(200, 200, 200))
-        forwarder = Forwarder(directory, StatusProtocol(), "here", self.meter)
+        forwarder = Forwarder(directory, StatusProtocol(), "here", self.meter, open_quarantine())
         directory.get("a").failed()
         for _ in range(3):
             forwarder.forward(REQUEST, make_route(), SERVICE, steady_seconds() + 2.0)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -19,6 +19,7 @@
     lost,
     unreachable,
 )
+from tests.open_quarantine import open_quarantine
 
 REQUEST = PlainRequest("r", "POST", "/p", "h", (), b"", tenant="parish")
 
@@ -41,7 +42,9 @@
         self.directory = directory_of(**pools)
         for name in last:
             self.directory.get(name).failed()
-        forwarder = StreamForwarder(self.directory, self.protocol, "here", self.meter)
+        forwarder = StreamForwarder(
+            self.directory, self.protocol, "here", self.meter, open_quarantine()
+        )
         return forwarder.open(REQUEST, route, SERVICE, steady_seconds() + 5.0, self.gone)
 
     @property
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -32,6 +32,7 @@
     Scheduler,
 )
 from tests.jobs.test_job_service import JOB_ID, make_job
+from tests.open_quarantine import open_quarantine
 
 SERVICE = "engines"
 DEAD_ADDRESS = Address("127.0.0.1", 1)
@@ -78,12 +79,19 @@
         self.placement = EnginePlacement(self.directory, lambda *key: False)
         self.routing = RoutingTable()
         self.scheduler = Scheduler(
-            self.placement, self.routing, RefusingProtocol(), None, lambda *key: False
+            self.placement,
+            self.routing,
+            RefusingProtocol(),
+            None,
+            lambda *key: False,
+            open_quarantine(),
         )
         self.state = JobState(make_job())
 
     def _use_protocol(self, protocol):
-        self.scheduler = Scheduler(self.placement, self.routing, protocol, None, lambda *key: False)
+        self.scheduler = Scheduler(
+            self.placement, self.routing, protocol, None, lambda *key: False, open_quarantine()
+        )
         self.addCleanup(self.scheduler.stop)
 
     def test_engine_that_refuses_connections_is_left_for_longer_than_a_full_one(self):
--- /dev/null
+++ b/tests/quarantine/test_trials.py
@@ -0,0 +1,79 @@
+"""Which sends of requests that are held back are granted."""
+
+import unittest
+
+from runkeel.quarantine.crash_ledger import CrashLedger
+from runkeel.quarantine.crash_record import CrashRecord
+from runkeel.quarantine.trials import (
+    BUSY_RETRY_SECONDS,
+    TRIAL_PAUSES_SECONDS,
+    TRIAL_SECONDS,
+    TrialArbiter,
+)
+
+
+class TrialTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        self.ledger = CrashLedger(lambda: self.now)
+        self.arbiter = TrialArbiter(self.ledger, lambda: self.now)
+
+    def hold(self, fingerprint, service="ledger"):
+        for number in range(3):
+            self.ledger.note_ended(fingerprint, service, f"{fingerprint}{number}")
+        return self.ledger.get(fingerprint)
+
+    def ask(self, fingerprint):
+        return self.arbiter.ask(self.ledger.get(fingerprint), "node")
+
+    def test_first_trial_is_granted_at_once_and_each_further_one_after_a_pause(self):
+        self.hold("f")
+        for number, pause in enumerate(TRIAL_PAUSES_SECONDS):
+            if pause:
+                self.now += pause - 0.1
+                denied = self.ask("f")
+                self.assertFalse(denied.granted)
+                self.assertAlmostEqual(denied.retry_after_seconds, 0.1)
+                self.now += 0.1
+            self.assertTrue(self.ask("f").granted)
+            self.ledger.note_ended("f", "ledger", f"trial{number}")
+        self.now += 10_000.0
+        self.assertFalse(self.ask("f").granted)
+
+    def test_one_request_of_a_service_is_on_trial_at_a_time(self):
+        self.hold("f")
+        self.hold("g")
+        self.hold("other", "engines")
+        self.assertTrue(self.ask("f").granted)
+        self.assertEqual(self.ask("g").retry_after_seconds, BUSY_RETRY_SECONDS)
+        self.assertTrue(self.ask("other").granted)
+        self.ledger.clear("f")
+        self.assertTrue(self.ask("g").granted)
+
+    def test_trial_of_which_nothing_is_heard_is_over_after_a_while(self):
+        self.hold("f")
+        self.hold("g")
+        self.ask("f")
+        self.now += TRIAL_SECONDS
+        self.assertTrue(self.ask("g").granted)
+
+    def test_trial_that_reached_no_server_is_not_counted(self):
+        self.hold("f")
+        for _ in range(5):
+            self.assertTrue(self.ask("f").granted)
+            self.ledger.note_trial_returned("f")
+        self.assertEqual(self.ledger.get("f").trials_used, 0)
+
+    def test_request_that_was_cleared_meanwhile_is_not_on_trial(self):
+        record = self.hold("f")
+        self.ledger.clear("f")
+        self.assertTrue(self.arbiter.ask(record, "node").granted)
+        self.assertEqual(self.ledger.get("f").trials, 0)
+
+    def test_what_the_asking_node_knows_counts(self):
+        record = CrashRecord("f", "ledger", 0, frozenset("abcd"), 3, 0, self.now)
+        self.assertFalse(self.arbiter.ask(record, "node").granted)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/runners/test_lease.py
+++ b/tests/runners/test_lease.py
@@ -21,6 +21,7 @@
     NodeAddress,
 )
 from runkeel_lab.standins.peer_network import MemoryNetwork
+from tests.open_quarantine import open_quarantine
 
 SERVICE = "engines"
 LONGEST_WAIT_SECONDS = 10.0
@@ -95,6 +96,7 @@
             self.directory,
             None,
             None,
+            open_quarantine(),
             lambda: self.epoch,
             lambda address, epoch: None,
             lambda epoch, item, text: self.kept.append((epoch, item, text.pieces)),
--- a/wire/common.thrift
+++ b/wire/common.thrift
@@ -43,6 +43,10 @@
   JOB_HINT_LOOKUP_REPLY = 727,
   JOB_COPIES = 728,
   JOB_COPIES_REPLY = 729,
+  QUARANTINE_NEWS = 730,
+  QUARANTINE_NEWS_REPLY = 731,
+  QUARANTINE_TRIAL = 732,
+  QUARANTINE_TRIAL_REPLY = 733,
 }
 
 /** An error sent to a peer; verdict is runkeel.errors.Verdict. */
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -16,6 +16,7 @@
   3: bool preferred,        // the sender should succeed before nodes that are not preferred
   4: NodeAddress sender,
   5: bool coordinating,     // the sender is the coordinator of this epoch itself
+  6: i64 neighbours_digest, // of the neighbours that the sender knows; 0: none
 }
 
 struct CoordinatorPong {
@@ -30,6 +31,8 @@
   10: list<NodeAddress> successors, // who replaces the coordinator, the likeliest first
   11: i64 epoch,            // in which the receiver coordinates; 0: it does not
   12: bool tentative,       // it runs items until the store is back and can say who coordinates
+  13: optional list<NodeAddress> neighbours, // of the receiver, to which it tells news; only where they differ
+  14: i64 quarantine_digest, // of what the sender knows of requests under which servers have ended
 }
 
 enum FeedState {
@@ -211,6 +214,7 @@
   16: i64 remaining_ms,
   17: optional ItemScorer scorer,
   18: string tenant,        // whose job the item is of; empty: nobody's
+  19: bool on_trial,        // engines ended under the item; this one run of it was granted
 }
 
 struct ItemRunStartReply {
