Operators see requests that are held back and can let one go; copies of open jobs are compared

show quarantine, release request FINGERPRINT [--dry-run]: a release spreads as any clearance. Cost: the names of the open jobs each two seconds to two successors, 400 bytes at 20 jobs.

--- a/src/runkeel/jobs/job_copies.py
+++ b/src/runkeel/jobs/job_copies.py
@@ -26,6 +26,13 @@
 CALL_SECONDS = 1.0
 """Longest wait for a successor's receipt."""
 
+COMPARED_ROUNDS = 4
+"""In one of so many rounds a successor is asked whether it still has what it was told.
+
+One that was started anew has nothing; it lacks open jobs for two seconds then. The names of 20 open
+jobs are 400 bytes.
+"""
+
 MAXIMUM_BYTES = 32 * 1024 * 1024
 """Texts of jobs that a successor keeps; the oldest go first. A tenth of its memory."""
 
@@ -65,6 +72,7 @@
         self._epoch = epoch
         self._jobs = jobs
         self._successors = successors
+        self._rounds = 0
         self._told: dict[str, dict[str, int]] = {}
         """By successor and job: how many results it has been told of."""
         self._task: gevent.Greenlet | None = None
@@ -85,6 +93,7 @@
 
     def send_once(self) -> None:
         """Tell each successor what it lacks."""
+        self._rounds += 1
         successors = self._successors()
         self._told = {one: told for one, told in self._told.items() if one in successors}
         gevent.joinall([gevent.spawn(self._send_to, one) for one in successors])
@@ -93,9 +102,11 @@
         told = self._told.setdefault(successor, {})
         states = {state.job.job_id: state for state in self._jobs()}
         copies = [copy for state in states.values() if (copy := _lacking(state, told)) is not None]
-        if not copies:
+        compares = self._rounds % COMPARED_ROUNDS == 0
+        before = list(told) if compares else []
+        if not copies and not before:
             return
-        message = JobCopies(self._shard, self._epoch, copies)
+        message = JobCopies(self._shard, self._epoch, copies, before)
         try:
             reply = self._network.call(
                 successor, MessageType.JOB_COPIES, message, JobCopiesReply, CALL_SECONDS
@@ -165,6 +176,9 @@
             self._epoch = message.epoch
             self._kept.clear()
         missing = [copy.job_id for copy in message.jobs if not self._take(copy)]
+        ended = {copy.job_id for copy in message.jobs if copy.ended}
+        lost = {job_id for job_id in message.told or () if job_id not in self._kept} - ended
+        missing += sorted(lost.difference(missing))
         self._forget_oldest()
         return MessageType.JOB_COPIES_REPLY, JobCopiesReply(missing)
 
--- a/src/runkeel/operators/fleet_commands.py
+++ b/src/runkeel/operators/fleet_commands.py
@@ -16,7 +16,8 @@
 from runkeel.errors import ErrorCode, RunkeelError, not_run
 from runkeel.operators.diagnostics import bad_command
 from runkeel.operators.language import parse_statement
-from runkeel.operators.statements import Change
+from runkeel.operators.statements import Change, ReleaseRequest
+from runkeel.quarantine.crash_ledger import CrashLedger
 
 ACCEPTED = "accepted"
 DRY_RUN = "would be accepted"
@@ -48,11 +49,13 @@
     Args:
         node_id: this node.
         stop: begins this node's planned stop.
+        ledger: the requests under which servers ended.
     """
 
-    def __init__(self, node_id: str, stop: Callable[[], None]) -> None:
+    def __init__(self, node_id: str, stop: Callable[[], None], ledger: CrashLedger) -> None:
         self._node_id = node_id
         self._stop = stop
+        self._ledger = ledger
 
     def run(self, text: str, command_id: str) -> CommandOutcome:
         """Carry a command out, or say what it would do if it ends with ``dry run``.
@@ -62,12 +65,34 @@
                 somebody else has to write. Nothing was changed.
         """
         change = parse_statement(text)
+        if isinstance(change, ReleaseRequest):
+            return self._release(change, command_id)
         if not isinstance(change, Change):
             raise bad_command(text, 0, "not a command")
         if change.verb == "stop":
             return self._stop_node(change, command_id)
         raise _refusal(change)
 
+    def _release(self, release: ReleaseRequest, command_id: str) -> CommandOutcome:
+        """Let a request go; the other nodes hear of it as of any other clearance."""
+        record = self._ledger.get(release.fingerprint)
+        if record is None or not record.ended:
+            raise not_run(ErrorCode.NOT_FOUND, f"no such request: {release.fingerprint}")
+        ended = len(record.ended)
+        changes = f"what {ended} servers ended under may be sent to {record.service} again"
+        logger.info(
+            "command",
+            code="operator_command",
+            command=command_id,
+            verb="release",
+            fingerprint=release.fingerprint,
+            dry_run=release.dry_run,
+        )
+        if release.dry_run:
+            return CommandOutcome(DRY_RUN, command_id, changes)
+        self._ledger.clear(release.fingerprint)
+        return CommandOutcome(ACCEPTED, command_id, changes)
+
     def _stop_node(self, change: Change, command_id: str) -> CommandOutcome:
         if change.name != self._node_id:
             detail = f"this is {self._node_id}; {change.name} is asked itself"
--- a/src/runkeel/operators/fleet_routes.py
+++ b/src/runkeel/operators/fleet_routes.py
@@ -64,6 +64,6 @@
 
         document = parse_document(body)
         command_id = str(document.get("command_id") or uuid.uuid4().hex)
-        commands = FleetCommands(self._node.node_id, self._stop)
+        commands = FleetCommands(self._node.node_id, self._stop, self._node.quarantine.ledger)
         outcome = commands.run(text_of(document, "command"), command_id)
         return ClientAnswer(200, [_JSON], json.dumps(asdict(outcome)).encode())
--- a/src/runkeel/operators/fleet_tables.py
+++ b/src/runkeel/operators/fleet_tables.py
@@ -48,6 +48,16 @@
 VERSION_COLUMNS = ("model", "version")
 TENANT_COLUMNS = ("tenant", "rank", "keys")
 USAGE_COLUMNS = ("window", "state", "requests", "tenants", "ended_ms_ago")
+QUARANTINE_COLUMNS = (
+    "request",
+    "service",
+    "state",
+    "ended",
+    "servers",
+    "trials",
+    "clearances",
+    "changed_ms_ago",
+)
 KEPT_JOB_COLUMNS = ("job", "model", "step", "items", "submitted_ms_ago")
 
 
@@ -66,6 +76,7 @@
         sources.add("versions", VERSION_COLUMNS, self._version_rows)
         sources.add("tenants", TENANT_COLUMNS, self._tenant_rows)
         sources.add("usage", USAGE_COLUMNS, self._usage_rows)
+        sources.add("quarantine", QUARANTINE_COLUMNS, self._quarantine_rows)
         sources.add("kept_jobs", KEPT_JOB_COLUMNS, self._kept_job_rows)
 
     def _node_rows(self) -> list[Row]:
@@ -151,6 +162,23 @@
             for one in self._node.usage_windows()
         ]
 
+    def _quarantine_rows(self) -> list[Row]:
+        now = steady_seconds()
+        return [
+            (
+                record.fingerprint,
+                record.service,
+                "held" if record.held else "suspected",
+                len(record.ended),
+                ", ".join(sorted(record.ended)),
+                record.trials_used,
+                record.clearance,
+                int((now - record.changed_at) * 1000),
+            )
+            for record in self._node.quarantine.ledger.records()
+            if record.ended
+        ]
+
     def _kept_job_rows(self) -> list[Row]:
         now = time.time()
         return [
--- a/src/runkeel/operators/grammar.py
+++ b/src/runkeel/operators/grammar.py
@@ -2,7 +2,7 @@
 
 OPERATORS_GRAMMAR = r"""
 start: show_command | show_rollout | show | deploy | drain | undrain | stop
-     | set_object | set_engine_role | create | delete
+     | set_object | set_engine_role | create | delete | release
 
 show: "show" WORD [where] [order] [limit]
 show_command: "show" "command" word
@@ -20,6 +20,7 @@
 set_engine_role: "set" "engine" name "role" WORD suffix*
 create: "create" WORD name [assignment ("," assignment)*] suffix*
 delete: "delete" WORD name suffix*
+release: "release" "request" name [dry_run]
 
 assignment: field value
 // LALR(1) merges what may follow a name, so these keywords win over WORD there.
--- a/src/runkeel/operators/language.py
+++ b/src/runkeel/operators/language.py
@@ -17,6 +17,7 @@
     ChangeMode,
     Comparison,
     Condition,
+    ReleaseRequest,
     Scalar,
     ShowCommand,
     ShowQuery,
@@ -184,6 +185,10 @@
     def _delete(self, children: list) -> Change:
         return self._object_change("delete", ChangeMode.DELETE, children)
 
+    def _release(self, children: list) -> ReleaseRequest:
+        name, dry_run = children
+        return ReleaseRequest(_value(name).text, dry_run is not None)
+
     def _object_change(self, verb: str, mode: ChangeMode, children: list) -> Change:
         kind_token, name, *rest = children
         kind = self._kind(_word(kind_token))
--- a/src/runkeel/operators/statements.py
+++ b/src/runkeel/operators/statements.py
@@ -88,4 +88,12 @@
     dry_run: bool = False
 
 
-Statement = ShowQuery | ShowCommand | Change
+@dataclass(frozen=True, slots=True)
+class ReleaseRequest:
+    """``release request FINGERPRINT``: a request that is held back may be sent to servers again."""
+
+    fingerprint: str
+    dry_run: bool = False
+
+
+Statement = ShowQuery | ShowCommand | Change | ReleaseRequest
--- a/tests/users_platform/test_operator_queries.py
+++ b/tests/users_platform/test_operator_queries.py
@@ -4,10 +4,13 @@
 import io
 import unittest
 
+import gevent
+
 from runkeel.api.duties import UsageSettings
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
 from runkeel.operators.client import OperatorClient
 from runkeel.operators.ctl import ExitCode, run_ctl
+from runkeel.operators.fleet_commands import DRY_RUN
 from runkeel_lab.users_platform.deployment import tenant, with_key
 from tests.users_platform.deployment_case import DeploymentTestCase
 
@@ -81,6 +84,31 @@
         self.assertEqual(client.send("stop node edge-1").document["outcome"], "accepted")
         self.assertTrue(process.stop_requested.is_set())
 
+    def test_request_that_is_held_back_is_shown_and_let_go(self):
+        path = "/count/crash"
+        plan = self.deployment.crashes
+        plan.paths.add(path)
+        headers = {"Attempt-Id": "crash", "Deadline-Ms": "1500"}
+        held = 'show quarantine where state = "held"'
+        for _ in range(20):
+            self.deployment.call("edge-0", "POST", path, headers, b"rice")
+            gevent.sleep(0.3)
+            if self.rows(held):
+                break
+        (row,) = self.wait(lambda: self.rows(held, "edge-1"))
+        self.assertEqual((row["service"], row["ended"]), ("ledger", 3))
+        plan.paths.clear()
+        client = OperatorClient(self.url("edge-1"))
+        command = f"release request {row['request']}"
+        self.assertEqual(client.send(f"{command} --dry-run").document["outcome"], DRY_RUN)
+        self.assertEqual(len(self.rows(held)), 1)
+        self.assertEqual(client.send(command).document["outcome"], "accepted")
+        self.wait(lambda: not self.rows(held))
+        self.assertEqual(self.refusal(command).code, ErrorCode.NOT_FOUND)
+        gevent.sleep(1.0)
+        answer = self.deployment.call("edge-0", "POST", path, headers, b"rice")
+        self.assertEqual(answer.status, 200)
+
     def test_command_line(self):
         output = io.StringIO()
         with contextlib.redirect_stdout(output):
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -310,6 +310,7 @@
   1: string shard,
   2: i64 epoch,
   3: list<JobCopy> jobs,
+  4: list<string> told,     // jobs that the receiver should have from before; not in every message
 }
 
 struct JobCopiesReply {
