Soak of requests that crash servers; a node that starts asks the store and the coordinator at once

Soak: crashing requests that come again at all nodes, servers that end by chance, beside stops, kills, configurations and outages. Catching up at a start: one after the other, a silent store held a node back for 0.5 s.

--- a/src/runkeel/quarantine/service.py
+++ b/src/runkeel/quarantine/service.py
@@ -111,12 +111,15 @@
             self.quarantine.ends.backend_gone(state)
 
     def _catch_up(self) -> None:
+        """Ask the store and the coordinator, both at once: either may be silent."""
         started = steady_seconds()
-        source = ""
-        while not source and steady_seconds() - started < CATCH_UP_SECONDS:
-            source = self._read_store() or self._ask_coordinator()
-            if not source:
-                gevent.sleep(CATCH_UP_RETRY_SECONDS)
+        sources = (self._read_store, self._ask_coordinator)
+        asking = [gevent.spawn(self._repeat, ask) for ask in sources]
+        try:
+            done = gevent.wait(asking, timeout=CATCH_UP_SECONDS, count=1)
+        finally:
+            gevent.killall(asking, block=False)
+        source = next((one.value for one in done), "")
         logger.info(
             "requests that are held back are known",
             code="quarantine_caught_up",
@@ -126,6 +129,12 @@
         )
         self.caught_up.set()
 
+    def _repeat(self, ask: Callable[[], str]) -> str:
+        """Ask until there is an answer; returns its source."""
+        while not (source := ask()):
+            gevent.sleep(CATCH_UP_RETRY_SECONDS)
+        return source
+
     def _read_store(self) -> str:
         """Return the source of the records, empty when the store gave no answer."""
         try:
--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -55,6 +55,7 @@
     runs: int = 1,
     seconds: float = 20.0,
     operations: bool = False,
+    crashes: bool = False,
     edges: int = 3,
     record: Path | None = None,
 ) -> int:
@@ -67,13 +68,17 @@
     :param seconds: length of the disturbed part of each run in s.
     :param operations: instead of single faults, series that overlap: stops, restarts, changes of
         configuration, outages in which servers lapse; beside clients that keep their connections.
-    :param edges: number of nodes that serve clients; only with operations.
+    :param crashes: the same, and requests that crash servers, and servers that end by chance.
+    :param edges: number of nodes that serve clients; only with operations or crashes.
     :param record: file for a trace of the last run, which ``replay`` plays again.
     """
+    from runkeel_lab.users_platform.crash_soak import CrashSoak
     from runkeel_lab.users_platform.operations_soak import OperationsSoak
     from runkeel_lab.users_platform.soak import Soak, run_soaks
 
     def make_soak(number: int) -> Soak:
+        if crashes:
+            return CrashSoak(number, seconds, edges)
         return OperationsSoak(number, seconds, edges) if operations else Soak(number, seconds)
 
     return EXIT_OK if run_soaks(seed, runs, make_soak, record) else EXIT_VIOLATED
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -122,8 +122,11 @@
         self._tolerated_losses = (disks - 1) // 2 if tolerated_losses is None else tolerated_losses
         self._tenants = tenants
         self._usage = usage
+        self._stopped = False
         self._starts = 0
         self._successors = 0
+        self.former_servers: list[PlatformServer] = []
+        """Those in whose place others are now; they know what they ran."""
         self.duties = DutyServer()
         self.duties.start()
         self.store = StoreServer(seed)
@@ -158,6 +161,7 @@
 
     def stop(self) -> None:
         """Stop everything."""
+        self._stopped = True
         for name in self._machines:
             self.kill_node(name)
         for server in [*self.engines, *self.applications]:
@@ -170,14 +174,18 @@
 
     def crash(self, server: PlatformServer) -> None:
         """End a server without a word, as by chance; another one comes in its place."""
-        server.crash()
-        self._replace_crashed(server)
+        if not server.ended:
+            server.crash()
+            self._replace_crashed(server)
 
     def _replace_crashed(self, server: PlatformServer) -> None:
         gevent.spawn_later(self.crashes.restart_seconds, self._start_successor, server)
 
     def _start_successor(self, server: PlatformServer) -> None:
+        if self._stopped:
+            return
         self._successors += 1
+        self.former_servers.append(server)
         servers = self.engines if server in self.engines else self.applications
         after = server.successor(self._successors)
         after.start()
--- a/src/runkeel_lab/users_platform/operations_soak.py
+++ b/src/runkeel_lab/users_platform/operations_soak.py
@@ -109,6 +109,8 @@
         self._killed_at: dict[str, float] = {}
         self._out = 0
         """Outages that are under way; servers are back after the last one."""
+        self._frequent_acts = ("outage", "outage")
+        """These are drawn more often than the others."""
         self._acts: dict[str, Callable[[random.Random], None]] = {
             "stop": self._stop,
             "kill": self._kill,
@@ -135,7 +137,7 @@
             return
         passed_on = any(
             run.request_id == request_id
-            for server in self._deployment.applications
+            for server in [*self._deployment.applications, *self._deployment.former_servers]
             for run in server.runs
         )
         seconds = steady_seconds() - sent_at
@@ -153,7 +155,7 @@
     def _disturb(self) -> None:
         """Begin one act after another for a while; the plan is drawn by the seed."""
         for _ in range(self._random.randint(1, 4)):
-            act = self._random.choice([*sorted(self._acts), "outage", "outage"])
+            act = self._random.choice([*sorted(self._acts), *self._frequent_acts])
             chance = random.Random(self._random.randrange(1 << 30))
             self._report.faults[act] = self._report.faults.get(act, 0) + 1
             logger.info("act", code="act", act=act)
--- a/src/runkeel_lab/users_platform/soak.py
+++ b/src/runkeel_lab/users_platform/soak.py
@@ -191,7 +191,8 @@
 
     def _check_runs(self) -> None:
         runs: dict[str, int] = {}
-        for server in self._deployment.applications:
+        deployment = self._deployment
+        for server in [*deployment.applications, *deployment.former_servers]:
             for run in server.runs:
                 if run.path.startswith(RESERVE_PREFIX):
                     runs[run.request_id] = runs.get(run.request_id, 0) + 1
@@ -200,7 +201,8 @@
                 self._violated(f"{request_id} ran {count} times")
 
     def _check_orders(self) -> None:
-        for engine in self._deployment.engines:
+        former = [one for one in self._deployment.former_servers if hasattr(one, "orders")]
+        for engine in [*self._deployment.engines, *former]:
             # A late order counts at the time it was sent, which is what its holder decides.
             orders = sorted(engine.orders, key=lambda order: order.sent_at)
             for before, after in zip(orders, orders[1:], strict=False):
