A server that fails more than 1,024 times in a row no longer ends its attempts without a word

Found by the soak of crashing requests with the quarantine taken out: the pause grew by a power of two of all losses and became too large for a number; the attempt's task ended with an OverflowError and its request waited for its deadline in vain. The count is bounded at 100; the pause was at its longest from the fourth loss on. The test fails before by the same error.

--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -26,6 +26,9 @@
 LONGEST_EJECTION_SECONDS = 4.0
 """A server that came back is found after so long at the latest."""
 
+MOST_FAILURES = 100
+"""Losses in a row are counted up to here; the pause has its full length from the fourth on."""
+
 REFUSAL_PAUSE_SECONDS = 0.05
 """A full server is left for so long, about as long as one request runs there."""
 
@@ -64,7 +67,8 @@
 
     def failed(self) -> None:
         """Note a lost connection or answer; repeated ones take the server out for longer."""
-        self.failures += 1
+        # Bounded: from 1,025 on the power is no number that a pause can be made of.
+        self.failures = min(MOST_FAILURES, self.failures + 1)
         pause = min(LONGEST_EJECTION_SECONDS, FIRST_EJECTION_SECONDS * 2 ** (self.failures - 1))
         self.avoid_until = steady_seconds() + pause
 
--- a/src/runkeel_lab/users_platform/crash_soak.py
+++ b/src/runkeel_lab/users_platform/crash_soak.py
@@ -47,6 +47,7 @@
         self._frequent_acts = ("request", "chance", "chance")
 
     def _start_tasks(self, end: float) -> list[gevent.Greenlet]:
+        self._crash_by_request(random.Random(self._random.random()))
         innocent = [gevent.spawn(self._send_again, path, end) for path in self._innocent]
         return [*super()._start_tasks(end), *innocent]
 
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -5,7 +5,12 @@
 from runkeel.api.fleet import Backend
 from runkeel.api.machines import Address
 from runkeel.clock import steady_seconds
-from runkeel.gateway.backends import CANDIDATES, BackendDirectory, choose_backend
+from runkeel.gateway.backends import (
+    CANDIDATES,
+    LONGEST_EJECTION_SECONDS,
+    BackendDirectory,
+    choose_backend,
+)
 
 MANY = 300
 SERVICE = "ledger"
@@ -32,6 +37,16 @@
         self.directory.put(make_backend("other", service="other"))
         self.assertEqual(self._names(), ["a"])
 
+    def test_server_that_fails_for_hours_is_left_for_a_bounded_time(self):
+        """From the 1,025th loss in a row on, the attempt ended without a word to its request."""
+        self.directory.put(make_backend("a"))
+        state = self.directory.get("a")
+        for _ in range(5_000):
+            state.failed()
+        now = steady_seconds()
+        self.assertTrue(state.avoided(now + LONGEST_EJECTION_SECONDS - 0.1))
+        self.assertFalse(state.avoided(now + LONGEST_EJECTION_SECONDS + 0.1))
+
     def test_server_that_begins_to_leave_is_no_candidate(self):
         self.directory.put(make_backend("a"))
         self.directory.put(make_backend("a", draining=True))
--- /dev/null
+++ b/tests/gateway/test_forwarder_quarantine.py
@@ -0,0 +1,162 @@
+"""What the forwarders send of requests under which servers have ended."""
+
+import unittest
+
+from gevent.event import Event
+
+from runkeel.api.backend_protocol import PlainRequest
+from runkeel.backends.http_connection import Reachability
+from runkeel.clock import steady_seconds
+from runkeel.errors import ErrorCode, RunkeelError, Verdict
+from runkeel.gateway.forwarder import Forwarder
+from runkeel.gateway.streams import StreamForwarder
+from runkeel.quarantine.trials import TrialAnswer
+from runkeel.usage.meter import UsageMeter
+from tests.gateway.scripted_servers import (
+    SERVICE,
+    ScriptedPool,
+    StatusProtocol,
+    after,
+    directory_of,
+    lost,
+    silent,
+    unreachable,
+)
+from tests.gateway.test_forwarder import REQUEST, make_route
+from tests.open_quarantine import RETRY_SECONDS, open_quarantine
+
+
+class EndingPool(ScriptedPool):
+    """A server that has ended when anybody looks whether it is there."""
+
+    reachability = Reachability.REFUSED
+
+
+def ending(*names):
+    return {name: EndingPool(lost()) for name in names}
+
+
+class ForwarderQuarantineTest(unittest.TestCase):
+    def setUp(self):
+        self.granted = False
+        self.asked = 0
+        self.quarantine = open_quarantine(self.ask_trial)
+        self.ledger = self.quarantine.ledger
+
+    def ask_trial(self, record):
+        self.asked += 1
+        return TrialAnswer(self.granted, 0.0 if self.granted else RETRY_SECONDS)
+
+    def forward(self, route, pools, request=REQUEST):
+        meter = UsageMeter(5.0, lambda: 1_000.0)
+        self.directory = directory_of(**pools)
+        forwarder = Forwarder(self.directory, StatusProtocol(), "here", meter, self.quarantine)
+        return forwarder.forward(request, route, SERVICE, steady_seconds() + 2.0)
+
+    def failure(self, route, pools, request=REQUEST):
+        with self.assertRaises(RunkeelError) as caught:
+            self.forward(route, pools, request)
+        return caught.exception
+
+    def hold(self):
+        fingerprint = self.quarantine.fingerprints.of_plain(REQUEST)
+        for name in ("x", "y", "z"):
+            self.ledger.note_ended(fingerprint, SERVICE, name)
+        return fingerprint
+
+    def requests(self, pools):
+        return sum(pool.requests for pool in pools.values())
+
+    def test_no_server_after_the_third_that_ended_whatever_the_route_allows(self):
+        pools = ending("a", "b", "c", "d", "e")
+        error = self.failure(make_route(attempts=5), pools)
+        self.assertIs(error.verdict, Verdict.MAY_HAVE_RUN)
+        self.assertEqual(self.requests(pools), 3)
+
+    def test_request_that_is_held_back_is_refused_as_not_run(self):
+        fingerprint = self.hold()
+        pools = {"a": ScriptedPool(200)}
+        error = self.failure(make_route(), pools)
+        self.assertEqual(error.code, ErrorCode.REQUEST_QUARANTINED)
+        self.assertEqual((error.verdict, error.http_status), (Verdict.NOT_RUN, 503))
+        self.assertEqual(error.retry_after_seconds, RETRY_SECONDS)
+        self.assertIn(fingerprint, error.detail)
+        self.assertEqual(self.requests(pools), 0)
+
+    def test_other_requests_are_not_concerned(self):
+        self.hold()
+        other = PlainRequest("r", "POST", "/p", "h", (), b"", tenant="school")
+        self.assertEqual(self.forward(make_route(), {"a": ScriptedPool(200)}, other).status, 200)
+
+    def test_trial_reaches_one_server_only(self):
+        self.granted = True
+        self.hold()
+        pools = ending("a", "b", "c")
+        self.failure(make_route(), pools)
+        self.assertEqual(self.requests(pools), 1)
+
+    def test_trial_that_succeeds_clears(self):
+        self.granted = True
+        fingerprint = self.hold()
+        self.assertEqual(self.forward(make_route(), {"a": ScriptedPool(200)}).status, 200)
+        self.assertFalse(self.ledger.get(fingerprint).held)
+
+    def test_trial_that_a_server_refused_is_used_up(self):
+        self.granted = True
+        self.hold()
+        pools = {"a": ScriptedPool(503), "b": ScriptedPool(503)}
+        self.failure(make_route(), pools)
+        self.assertEqual(self.asked, self.requests(pools))
+
+    def test_trial_that_reached_nobody_goes_on_and_is_given_back(self):
+        self.granted = True
+        fingerprint = self.hold()
+        self.ledger.note_trial(fingerprint)
+        pools = {name: ScriptedPool(unreachable()) for name in ("a", "b")}
+        self.failure(make_route(), pools)
+        self.assertEqual((self.asked, self.requests(pools)), (1, 2))
+        self.assertEqual(self.ledger.get(fingerprint).trials_used, 0)
+
+    def test_suspected_request_is_not_hedged(self):
+        fingerprint = self.quarantine.fingerprints.of_plain(REQUEST)
+        self.ledger.note_ended(fingerprint, SERVICE, "x")
+        pools = {name: ScriptedPool(after(0.1, 200)) for name in ("a", "b")}
+        self.forward(make_route(target=0.02), pools)
+        self.assertEqual(self.requests(pools), 1)
+
+    def test_broken_connection_to_a_server_that_lives_is_no_end(self):
+        pools = {"a": ScriptedPool(lost()), "b": ScriptedPool(lost())}
+        self.failure(make_route(attempts=2), pools)
+        self.assertEqual(len(self.ledger), 0)
+
+    def test_server_that_goes_after_its_silence_has_ended(self):
+        self.failure(make_route(attempts=1), {"a": ScriptedPool(silent)})
+        self.assertEqual(len(self.ledger), 0)
+        self.quarantine.ends.backend_gone(self.directory.get("a"))
+        self.assertEqual(len(self.ledger), 1)
+
+    def test_server_that_answered_since_has_not_ended_under_the_request(self):
+        self.failure(make_route(attempts=1), {"a": ScriptedPool(lost())})
+        state = self.directory.get("a")
+        state.succeeded()
+        self.quarantine.ends.backend_gone(state)
+        self.assertEqual(len(self.ledger), 0)
+
+
+class StreamQuarantineTest(ForwarderQuarantineTest):
+    """Streams go by the same."""
+
+    def forward(self, route, pools, request=REQUEST):
+        meter = UsageMeter(5.0, lambda: 1_000.0)
+        self.directory = directory_of(**pools)
+        forwarder = StreamForwarder(
+            self.directory, StatusProtocol(), "here", meter, self.quarantine
+        )
+        stream = forwarder.open(request, route, SERVICE, steady_seconds() + 2.0, Event())
+        if not isinstance(stream.body, bytes):
+            list(stream.body)
+        return stream
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/users_platform/test_crash_soak.py
@@ -0,0 +1,29 @@
+"""A short soak of requests that crash servers, beside stops, kills and outages; fixed seeds.
+
+Longer ones: ``runkeel-lab soak --crashes``.
+"""
+
+import unittest
+from unittest import mock
+
+from runkeel.quarantine import crash_record
+from runkeel_lab.users_platform.crash_soak import CrashSoak
+
+SECONDS = 12.0
+NEVER = 1_000_000
+
+
+class CrashSoakTest(unittest.TestCase):
+    def test_seed_2(self):
+        report = CrashSoak(2, SECONDS).run()
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.answered, 100)
+
+    def test_requests_that_are_never_held_back_are_found(self):
+        with mock.patch.object(crash_record, "ENDS_UNTIL_HELD", NEVER):
+            report = CrashSoak(2, SECONDS).run()
+        self.assertTrue([text for text in report.violations if "reached late" in text])
+
+
+if __name__ == "__main__":
+    unittest.main()
