A request that is held back costs the coordinator nothing further: denials are kept for a while

Each arrival of a held request asked the coordinator for a trial: calls and lines grew with traffic. A node keeps a denial until it runs out (5 s at the most) or more is known; 50 sends in a row asked 50 times before, once after (test). The names of held requests were kept for good beside the ledger; the ledger tells what a record was before instead, and a line tells when one is forgotten.

--- a/src/runkeel/quarantine/crash_ledger.py
+++ b/src/runkeel/quarantine/crash_ledger.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from loguru import logger
+
 from runkeel.clock import steady_seconds
 from runkeel.quarantine.crash_record import CrashRecord, merged
 
@@ -23,8 +25,10 @@
 CLEARED_SECONDS = 60.0
 """A clearance is remembered for so long, against older news that is still on its way."""
 
-ChangeListener = Callable[[CrashRecord, str], None]
-"""Called with a record that has changed, and the node from which the news came; empty: this one."""
+ChangeListener = Callable[[CrashRecord, CrashRecord | None, str], None]
+"""Called with a record that has changed, what it was before, and the node from which the news came;
+empty: this one.
+"""
 
 
 class CrashLedger:
@@ -118,17 +122,27 @@
         return True
 
     def _put(self, record: CrashRecord, source: str) -> CrashRecord:
+        before = self._records.get(record.fingerprint)
         self._records[record.fingerprint] = record
         self._digest = None
         if len(self._records) > self._maximum:
             self._forget(min(self._records.values(), key=_worth).fingerprint)
         for listener in self._listeners:
-            listener(record, source)
+            listener(record, before, source)
         return record
 
     def _forget(self, fingerprint: str) -> None:
-        del self._records[fingerprint]
+        record = self._records.pop(fingerprint)
         self._digest = None
+        if record.held:
+            logger.warning(
+                "request held back no more: it is forgotten",
+                code="request_forgotten",
+                fingerprint=fingerprint,
+                service=record.service,
+                ended=sorted(record.ended),
+                age_ms=int((self._now() - record.changed_at) * 1000),
+            )
 
     def _expired(self, record: CrashRecord) -> bool:
         if not record.ended:
--- a/src/runkeel/quarantine/gossip.py
+++ b/src/runkeel/quarantine/gossip.py
@@ -108,7 +108,7 @@
                 "ledgers differed and were exchanged", code="quarantine_exchanged", peer=node_id
             )
 
-    def _note(self, record: CrashRecord, source: str) -> None:
+    def _note(self, record: CrashRecord, before: CrashRecord | None, source: str) -> None:
         coordinator = self._coordinator()
         first = [coordinator] if coordinator is not None and not source else []
         for neighbour in dict.fromkeys([*first, *self._neighbours()]):
--- a/src/runkeel/quarantine/quarantine.py
+++ b/src/runkeel/quarantine/quarantine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import gevent
 from loguru import logger
@@ -15,7 +16,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.gateway.backends import BackendState
 from runkeel.metrics import QUARANTINE_RECORDS, QUARANTINE_REFUSALS, SERVERS_ENDED
-from runkeel.quarantine.crash_ledger import CrashLedger
+from runkeel.quarantine.crash_ledger import MAXIMUM_RECORDS, CrashLedger
 from runkeel.quarantine.crash_record import CrashRecord
 from runkeel.quarantine.fingerprint import Fingerprinter
 from runkeel.quarantine.server_ends import EndEvidence, LostConnection, ServerEnds
@@ -24,12 +25,31 @@
 TRIAL_WAIT_SECONDS = 0.3
 """A request waits so long while another one of its service is on trial; most take less."""
 
+LONGEST_DENIAL_SECONDS = 5.0
+"""A node asks again after so long at the latest: an operator may have let the request go, or the
+coordinator that denied it may have been replaced.
+"""
+
 _CONNECTION_LOSSES = (ErrorCode.BACKEND_LOST, ErrorCode.TRUNCATED_ANSWER)
 
 TrialAsker = Callable[[CrashRecord], TrialAnswer]
 """Asks the coordinator whether one send of a request that is held back is granted."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Denial:
+    """A trial that was not granted for a record with this digest.
+
+    Attributes:
+        until: steady time from which on it is asked for again.
+        retry_at: steady time at which it may be granted, as the coordinator said.
+    """
+
+    digest: int
+    until: float
+    retry_at: float
+
+
 class Quarantine:
     """A node's view of the requests under which servers have ended.
 
@@ -43,7 +63,7 @@
         self.ledger = CrashLedger()
         self.ends = ServerEnds(self._ended)
         self._ask_trial = ask_trial
-        self._held: set[str] = set()
+        self._denials: dict[str, _Denial] = {}
         self.ledger.on_change(self._changed)
 
     def watch(self, identify: Callable[[], str], service: str, request_id: str) -> WatchedRequest:
@@ -59,12 +79,29 @@
         """Ask for one send; waits a little while another request of the service is on trial."""
         deadline = steady_seconds() + wait_seconds
         while True:
-            answer = self._ask_trial(record)
+            answer = self._ask_once(record)
             busy = not answer.granted and answer.retry_after_seconds <= BUSY_RETRY_SECONDS
             if not busy or steady_seconds() + answer.retry_after_seconds > deadline:
                 return answer
             gevent.sleep(answer.retry_after_seconds)
 
+    def _ask_once(self, record: CrashRecord) -> TrialAnswer:
+        """Ask, unless a denial still holds: the coordinator's load must not grow with traffic."""
+        now = steady_seconds()
+        denial = self._denials.get(record.fingerprint)
+        if denial is not None and now < denial.until and denial.digest == record.digest:
+            return TrialAnswer(False, max(0.0, denial.retry_at - now))
+        answer = self._ask_trial(record)
+        if answer.granted:
+            self._denials.pop(record.fingerprint, None)
+            return answer
+        until = now + min(answer.retry_after_seconds, LONGEST_DENIAL_SECONDS)
+        retry_at = now + answer.retry_after_seconds
+        self._denials[record.fingerprint] = _Denial(record.digest, until, retry_at)
+        if len(self._denials) > MAXIMUM_RECORDS:
+            self._denials.pop(next(iter(self._denials)))
+        return answer
+
     def _ended(self, lost: LostConnection, evidence: EndEvidence) -> None:
         SERVERS_ENDED.labels(lost.service, str(evidence)).inc()
         record = self.ledger.note_ended(lost.fingerprint, lost.service, lost.state.backend_id)
@@ -80,15 +117,10 @@
             age_ms=int((steady_seconds() - lost.lost_at) * 1000),
         )
 
-    def _changed(self, record: CrashRecord, source: str) -> None:
+    def _changed(self, record: CrashRecord, before: CrashRecord | None, source: str) -> None:
         QUARANTINE_RECORDS.set(len(self.ledger))
-        was_held = record.fingerprint in self._held
-        if record.held == was_held:
+        if record.held == (before is not None and before.held):
             return
-        if record.held:
-            self._held.add(record.fingerprint)
-        else:
-            self._held.discard(record.fingerprint)
         logger.warning(
             "request held back" if record.held else "request held back no more",
             code="request_held" if record.held else "request_released",
--- a/src/runkeel/quarantine/record_keeper.py
+++ b/src/runkeel/quarantine/record_keeper.py
@@ -78,7 +78,7 @@
             self._task.kill(block=False)
         self._task = None
 
-    def _note(self, record: CrashRecord, source: str) -> None:
+    def _note(self, record: CrashRecord, before: CrashRecord | None, source: str) -> None:
         self._changed.set()
 
     def _run(self) -> None:
--- a/tests/gateway/test_forwarder_quarantine.py
+++ b/tests/gateway/test_forwarder_quarantine.py
@@ -83,6 +83,20 @@
         self.assertIn(fingerprint, error.detail)
         self.assertEqual(self.requests(pools), 0)
 
+    def test_coordinator_is_not_asked_for_each_request_that_is_held_back(self):
+        self.hold()
+        for _ in range(50):
+            error = self.failure(make_route(), {"a": ScriptedPool(200)})
+        self.assertEqual(self.asked, 1)
+        self.assertAlmostEqual(error.retry_after_seconds, RETRY_SECONDS, delta=1.0)
+
+    def test_coordinator_is_asked_again_once_more_is_known(self):
+        fingerprint = self.hold()
+        self.failure(make_route(), {"a": ScriptedPool(200)})
+        self.ledger.note_ended(fingerprint, SERVICE, "w")
+        self.failure(make_route(), {"a": ScriptedPool(200)})
+        self.assertEqual(self.asked, 2)
+
     def test_other_requests_are_not_concerned(self):
         self.hold()
         other = PlainRequest("r", "POST", "/p", "h", (), b"", tenant="school")
--- a/tests/quarantine/test_crash_ledger.py
+++ b/tests/quarantine/test_crash_ledger.py
@@ -16,7 +16,7 @@
         self.now = 100.0
         self.ledger = CrashLedger(lambda: self.now, maximum=8)
         self.changes = []
-        self.ledger.on_change(lambda record, source: self.changes.append((record, source)))
+        self.ledger.on_change(lambda *change: self.changes.append(change))
 
     def end_servers(self, fingerprint, *servers):
         for server in servers:
