News of many ends at once are paced; one class for tasks that go on until they are stopped

A zone's loss (700 servers, six requests on each) made 4,200 news of 109 bytes to each neighbour at once. A message of 128 records each 0.1 s now, and only what the ledger still holds: 2,048 at the most to a neighbour (test). BackgroundTask in place of start and stop written out in lateness, job copies, text replication, usage teller and record keeper.

--- a/src/runkeel/jobs/job_copies.py
+++ b/src/runkeel/jobs/job_copies.py
@@ -13,6 +13,7 @@
 from loguru import logger
 
 from runkeel.api.jobs import BatchJob
+from runkeel.background_task import BackgroundTask
 from runkeel.errors import RunkeelError
 from runkeel.jobs.job_documents import decode_encoded_job, encode_job, job_from_text, job_text
 from runkeel.jobs.job_state import JobState
@@ -75,16 +76,15 @@
         self._rounds = 0
         self._told: dict[str, dict[str, int]] = {}
         """By successor and job: how many results it has been told of."""
-        self._task: gevent.Greenlet | None = None
+        self._task = BackgroundTask(self._run)
 
     def start(self) -> None:
         """Start to tell."""
-        self._task = gevent.spawn(self._run)
+        self._task.start()
 
     def stop(self) -> None:
         """Tell no more."""
-        if self._task is not None:
-            self._task.kill(block=False)
+        self._task.stop()
 
     def _run(self) -> None:
         while True:
--- a/src/runkeel/jobs/text_replication.py
+++ b/src/runkeel/jobs/text_replication.py
@@ -14,6 +14,7 @@
 import gevent
 from loguru import logger
 
+from runkeel.background_task import BackgroundTask
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.jobs.generation_run import PartialText
@@ -81,16 +82,15 @@
         self._texts = texts
         self._successors = successors
         self._sent: dict[str, dict[str, SentText]] = {}
-        self._task: gevent.Greenlet | None = None
+        self._task = BackgroundTask(self._run)
 
     def start(self) -> None:
         """Start to send."""
-        self._task = gevent.spawn(self._run)
+        self._task.start()
 
     def stop(self) -> None:
         """Stop to send."""
-        if self._task is not None:
-            self._task.kill(block=False)
+        self._task.stop()
 
     def _run(self) -> None:
         while True:
--- a/src/runkeel/lateness.py
+++ b/src/runkeel/lateness.py
@@ -5,6 +5,7 @@
 import gevent
 from loguru import logger
 
+from runkeel.background_task import BackgroundTask
 from runkeel.clock import steady_seconds
 from runkeel.metrics import LOOP_LATE_SECONDS
 
@@ -24,16 +25,15 @@
     def __init__(self) -> None:
         self._recent: list[tuple[float, float]] = []
         self._told_at = 0.0
-        self._task: gevent.Greenlet | None = None
+        self._task = BackgroundTask(self._run)
 
     def start(self) -> None:
         """Start to measure."""
-        self._task = gevent.spawn(self._run)
+        self._task.start()
 
     def stop(self) -> None:
         """Stop to measure."""
-        if self._task is not None:
-            self._task.kill(block=False)
+        self._task.stop()
 
     def seconds(self) -> float:
         """Return how late the latest timers were, the largest of the last second."""
--- a/src/runkeel/quarantine/gossip.py
+++ b/src/runkeel/quarantine/gossip.py
@@ -14,7 +14,7 @@
 
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
-from runkeel.quarantine.crash_ledger import CrashLedger
+from runkeel.quarantine.crash_ledger import MAXIMUM_RECORDS, CrashLedger
 from runkeel.quarantine.crash_record import CrashRecord, from_wire, to_wire
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.quarantine.ttypes import QuarantineNews, QuarantineNewsReply
@@ -32,6 +32,12 @@
 BATCH = 128
 """Records in a message, 12.6 KB (measured); a full ledger goes out in eight."""
 
+MESSAGE_PAUSE_SECONDS = 0.1
+"""Pause after each message to a neighbour: 126 KB/s at the most, whatever ends at once.
+
+What is forgotten meanwhile is not sent: a full ledger forgets most of what a zone's loss brings.
+"""
+
 DIFFERENT_SECONDS = 0.3
 """Ledgers that differ for so long are exchanged: news on their way take less."""
 
@@ -114,7 +120,10 @@
         for neighbour in dict.fromkeys([*first, *self._neighbours()]):
             if neighbour == source:
                 continue
-            self._untold.setdefault(neighbour, set()).add(record.fingerprint)
+            untold = self._untold.setdefault(neighbour, set())
+            untold.add(record.fingerprint)
+            if len(untold) > 2 * MAXIMUM_RECORDS:
+                untold.intersection_update({one.fingerprint for one in self._ledger.records()})
             if neighbour not in self._senders:
                 self._senders[neighbour] = gevent.spawn(self._tell, neighbour)
 
@@ -125,9 +134,12 @@
             while untold := self._untold.get(neighbour):
                 batch = [untold.pop() for _ in range(min(BATCH, len(untold)))]
                 records = [one for name in batch if (one := self._ledger.get(name)) is not None]
+                if not records:
+                    continue
                 try:
                     self._call(neighbour, records)
                     failing_since = 0.0
+                    gevent.sleep(MESSAGE_PAUSE_SECONDS)
                 except RunkeelError as error:
                     failing_since = failing_since or steady_seconds()
                     if steady_seconds() - failing_since > GIVEN_UP_SECONDS:
--- a/src/runkeel/quarantine/record_keeper.py
+++ b/src/runkeel/quarantine/record_keeper.py
@@ -19,6 +19,7 @@
     DocumentKind,
     DocumentStore,
 )
+from runkeel.background_task import BackgroundTask
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.quarantine.crash_ledger import CrashLedger
@@ -63,20 +64,17 @@
         self._changed = Event()
         self._written: set[int] = set()
         """Digests of the records in the document."""
-        self._task: gevent.Greenlet | None = None
+        self._task = BackgroundTask(self._run)
         ledger.on_change(self._note)
 
     def start(self) -> None:
         """Start to keep records; those that the store has are taken first."""
-        self.stop()
         self._changed.set()
-        self._task = gevent.spawn(self._run)
+        self._task.start()
 
     def stop(self) -> None:
         """Keep no more."""
-        if self._task is not None:
-            self._task.kill(block=False)
-        self._task = None
+        self._task.stop()
 
     def _note(self, record: CrashRecord, before: CrashRecord | None, source: str) -> None:
         self._changed.set()
--- a/src/runkeel/usage/teller.py
+++ b/src/runkeel/usage/teller.py
@@ -7,6 +7,7 @@
 import gevent
 from loguru import logger
 
+from runkeel.background_task import BackgroundTask
 from runkeel.clock import steady_seconds
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.errors import RunkeelError
@@ -57,16 +58,15 @@
         self._told_complete = 0.0
         self._pause = GATHER_SECONDS
         self._failing = False
-        self._task: gevent.Greenlet | None = None
+        self._task = BackgroundTask(self._run)
 
     def start(self) -> None:
         """Start to tell."""
-        self._task = gevent.spawn(self._run)
+        self._task.start()
 
     def stop(self) -> None:
         """Tell no more."""
-        if self._task is not None:
-            self._task.kill(block=False)
+        self._task.stop()
 
     def flush(self) -> None:
         """Tell what is not told yet: this node is about to stop."""
--- a/tests/quarantine/test_gossip.py
+++ b/tests/quarantine/test_gossip.py
@@ -6,7 +6,7 @@
 
 from runkeel.clock import steady_seconds
 from runkeel.quarantine import gossip
-from runkeel.quarantine.crash_ledger import CrashLedger
+from runkeel.quarantine.crash_ledger import MAXIMUM_RECORDS, CrashLedger
 from runkeel.quarantine.gossip import QuarantineGossip
 from runkeel_lab.standins.peer_network import MemoryNetwork
 
@@ -107,6 +107,25 @@
         self.wait(lambda: len(self.ledgers["c"]) == 3 * gossip.BATCH)
         self.assertLessEqual(max(sizes), gossip.BATCH)
 
+    def test_loss_of_a_zone_is_told_within_bounds(self):
+        """4,200 requests at 700 servers: no more is sent than a ledger holds, and not at once."""
+        messages = []
+        receive = self.gossips["b"]._receive
+
+        def counted(peer, message):
+            messages.append((steady_seconds(), len(message.records)))
+            return receive(peer, message)
+
+        self.network.register("b", gossip.MessageType.QUARANTINE_NEWS, counted)
+        for number in range(4_200):
+            self.end_servers("a", f"s{number % 700}", fingerprint=f"f{number}")
+        self.assertLessEqual(len(self.gossips["a"]._untold["b"]), 2 * MAXIMUM_RECORDS)
+        self.wait(lambda: not self.gossips["a"]._untold)
+        self.assertLessEqual(sum(size for _, size in messages), 2 * MAXIMUM_RECORDS)
+        seconds = messages[-1][0] - messages[0][0]
+        self.assertGreaterEqual(seconds, gossip.MESSAGE_PAUSE_SECONDS * (len(messages) - 1))
+        self.assertEqual(len(self.ledgers["c"]), MAXIMUM_RECORDS)
+
 
 if __name__ == "__main__":
     unittest.main()
