A node that starts in an outage asks for what is held back at growing pauses

It asked a store that refuses 20 times a second until it answered; each call has its price. The pause doubles from 0.05 to 1 s now: a node that starts in an outage of 10 s asks 14 times, not 200 (worked out). The tests of starts without anybody to ask pass.

--- a/src/runkeel/quarantine/service.py
+++ b/src/runkeel/quarantine/service.py
@@ -35,8 +35,10 @@
 """So often it is looked whether either is known. Chosen, not measured."""
 
 CATCH_UP_CALL_SECONDS = 0.5
-CATCH_UP_RETRY_SECONDS = 0.05
-"""Longest wait for the store's answer then, and the pause before it is asked again."""
+CATCH_UP_RETRY_SECONDS = (0.05, 1.0)
+"""Longest wait for the store's answer then; the first pause before it is asked again, which doubles,
+and the longest: in an outage each question has its price.
+"""
 
 
 class QuarantineService:
@@ -157,8 +159,10 @@
 
     def _repeat(self, ask: Callable[[], str]) -> str:
         """Ask until there is an answer; returns its source."""
+        pause, longest = CATCH_UP_RETRY_SECONDS
         while not (source := ask()):
-            gevent.sleep(CATCH_UP_RETRY_SECONDS)
+            gevent.sleep(pause)
+            pause = min(longest, 2 * pause)
         return source
 
     def _read_store(self) -> str:
