--- a/src/runkeel/quarantine/service.py
+++ b/src/runkeel/quarantine/service.py
@@ -36,8 +36,9 @@
 
 CATCH_UP_CALL_SECONDS = 0.5
 CATCH_UP_RETRY_SECONDS = (0.05, 1.0)
-"""Longest wait for the store's answer then; the first pause before it is asked again, which doubles,
-and the longest: in an outage each question has its price.
+"""Longest wait for the store's answer then; the first pause and the longest before it is asked again.
+
+Pauses double: in an outage each question has its price.
 """
 
 
