--- a/src/runkeel/quarantine/service.py
+++ b/src/runkeel/quarantine/service.py
@@ -36,7 +36,7 @@
 
 CATCH_UP_CALL_SECONDS = 0.5
 CATCH_UP_RETRY_SECONDS = (0.05, 1.0)
-"""Longest wait for the store's answer then; the first pause and the longest before it is asked again.
+"""Longest wait for the store's answer then, and the first and the longest pause before the next.
 
 Pauses double: in an outage each question has its price.
 """
