--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -135,7 +135,9 @@
         self.report_state()
 
     def report_state(self) -> None:
-        """Write this server's entry."""
+        """Write this server's entry; one that has ended writes nothing more."""
+        if self.ended:
+            return
         self._store.objects.put("servers", self.server_id, self._entry())
 
     def _entry(self) -> dict[str, Any]:
