A server that ends after its client has left counts, too

Cause: an attempt that is ended since the client has left, or its time is up, was forgotten; a client that gives up early hid under which request servers ended. Found by reading. Change: the server of such an attempt is doubted, and counts if its entry goes, or its address is taken, within 10 s without an answer in between; not where another server answered the request. Tests, for plain requests and streams: 0 ends known before, 1 after; none after a hedge that was answered.

--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -13,7 +13,7 @@
 from runkeel.api.fleet import Route
 from runkeel.backends.http_connection import HttpAnswer
 from runkeel.clock import steady_seconds
-from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
 from runkeel.metrics import ATTEMPTS
 from runkeel.quarantine.quarantine import Quarantine, WatchedRequest
@@ -69,6 +69,7 @@
     tasks: list[gevent.Greenlet] = field(default_factory=list)
     tried: set[str] = field(default_factory=set)
     running: int = 0
+    answered: bool = False
     sent: int = 0
     """Attempts that may have run, those still under way included."""
     failure: _Outcome | None = None
@@ -146,6 +147,7 @@
                 raise self._given_up(progress, ErrorCode.CANCELLED)
             answer = self._take(progress, outcome)
             if answer is not None:
+                progress.answered = True
                 return answer
             if not progress.running or not progress.route.repeatable:
                 self._start_attempt(progress, "retry")
@@ -240,6 +242,11 @@
         state.in_flight += 1
         try:
             outcome = self._exchange(progress, state)
+        except gevent.GreenletExit:
+            if not progress.answered:
+                # Its server may end of it later, though nobody waits for the answer any more.
+                progress.watched.lost(state, may_have_run(ErrorCode.CANCELLED))
+            raise
         finally:
             state.in_flight -= 1
         _judge(state, outcome)
--- a/src/runkeel/quarantine/quarantine.py
+++ b/src/runkeel/quarantine/quarantine.py
@@ -30,6 +30,9 @@
 coordinator that denied it may have been replaced.
 """
 
+_SILENCES = (ErrorCode.DEADLINE_EXCEEDED, ErrorCode.CANCELLED)
+"""Nothing was heard until the attempt was given up; its server may have ended meanwhile."""
+
 _CONNECTION_LOSSES = (ErrorCode.BACKEND_LOST, ErrorCode.TRUNCATED_ANSWER)
 
 TrialAsker = Callable[[CrashRecord], TrialAnswer]
@@ -205,7 +208,7 @@
         if error.verdict is Verdict.NOT_RUN:
             return
         self.note_reached()
-        silent = error.code is ErrorCode.DEADLINE_EXCEEDED
+        silent = error.code in _SILENCES
         if error.code not in _CONNECTION_LOSSES and not silent:
             return
         lost = LostConnection(
--- a/tests/gateway/test_forwarder_quarantine.py
+++ b/tests/gateway/test_forwarder_quarantine.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import gevent
 from gevent.event import Event
 
 from runkeel.api.backend_protocol import PlainRequest
@@ -36,7 +37,7 @@
     return {name: EndingPool(lost()) for name in names}
 
 
-class ForwarderQuarantineTest(unittest.TestCase):
+class QuarantineCase(unittest.TestCase):
     def setUp(self):
         self.granted = False
         self.asked = 0
@@ -47,11 +48,11 @@
         self.asked += 1
         return TrialAnswer(self.granted, 0.0 if self.granted else RETRY_SECONDS)
 
-    def forward(self, route, pools, request=REQUEST):
+    def forward(self, route, pools, request=REQUEST, gone=None):
         meter = UsageMeter(5.0, lambda: 1_000.0)
         self.directory = directory_of(**pools)
         forwarder = Forwarder(self.directory, StatusProtocol(), "here", meter, self.quarantine)
-        return forwarder.forward(request, route, SERVICE, steady_seconds() + 2.0)
+        return forwarder.forward(request, route, SERVICE, steady_seconds() + 2.0, gone)
 
     def failure(self, route, pools, request=REQUEST):
         with self.assertRaises(RunkeelError) as caught:
@@ -67,6 +68,8 @@
     def requests(self, pools):
         return sum(pool.requests for pool in pools.values())
 
+
+class ForwarderQuarantineTest(QuarantineCase):
     def test_no_server_after_the_third_that_ended_whatever_the_route_allows(self):
         pools = ending("a", "b", "c", "d", "e")
         error = self.failure(make_route(attempts=5), pools)
@@ -149,6 +152,16 @@
         self.quarantine.ends.backend_gone(self.directory.get("a"))
         self.assertEqual(len(self.ledger), 1)
 
+    def test_server_that_goes_after_the_client_has_left_has_ended(self):
+        """A client that gives up early must not hide under which request servers end."""
+        gone = Event()
+        gevent.spawn_later(0.05, gone.set)
+        with self.assertRaises(RunkeelError):
+            self.forward(make_route(attempts=1), {"a": ScriptedPool(silent)}, gone=gone)
+        gevent.sleep(0)
+        self.quarantine.ends.backend_gone(self.directory.get("a"))
+        self.assertEqual(len(self.ledger), 1)
+
     def test_server_that_answered_since_has_not_ended_under_the_request(self):
         self.failure(make_route(attempts=1), {"a": ScriptedPool(lost())})
         state = self.directory.get("a")
@@ -157,16 +170,30 @@
         self.assertEqual(len(self.ledger), 0)
 
 
+class HedgeQuarantineTest(QuarantineCase):
+    """Attempts of which another one was answered."""
+
+    def test_server_that_goes_after_another_one_answered_is_no_reason_for_suspicion(self):
+        pools = {name: ScriptedPool(silent) for name in ("a", "b")}
+        pools["c"] = ScriptedPool(200)
+        self.forward(make_route(target=0.02), pools)
+        gevent.sleep(0)
+        for state in self.directory.all():
+            self.quarantine.ends.backend_gone(state)
+        self.assertEqual(len(self.ledger), 0)
+
+
 class StreamQuarantineTest(ForwarderQuarantineTest):
     """Streams go by the same."""
 
-    def forward(self, route, pools, request=REQUEST):
+    def forward(self, route, pools, request=REQUEST, gone=None):
         meter = UsageMeter(5.0, lambda: 1_000.0)
         self.directory = directory_of(**pools)
         forwarder = StreamForwarder(
             self.directory, StatusProtocol(), "here", meter, self.quarantine
         )
-        stream = forwarder.open(request, route, SERVICE, steady_seconds() + 2.0, Event())
+        deadline = steady_seconds() + 2.0
+        stream = forwarder.open(request, route, SERVICE, deadline, gone or Event())
         if not isinstance(stream.body, bytes):
             list(stream.body)
         return stream
