--- a/src/runkeel/api/backend_protocol.py
+++ b/src/runkeel/api/backend_protocol.py
@@ -104,13 +104,19 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineReport:
-    """State of an engine, some hundred milliseconds old."""
+    """State of an engine, some hundred milliseconds old.
+
+    Attributes:
+        sequence: orders taken since its start.
+        start: tells this start from others under its id; empty: it doesn't say.
+    """
 
     sequence: int
     busy: bool
     running: int
     queued: int
     model_versions: dict[str, int]
+    start: str = ""
 
 
 class BackendProtocol(Protocol):
@@ -153,4 +159,4 @@
         """Build the query for an engine's state."""
 
     def parse_report(self, body: bytes) -> EngineReport:
-        """Parse an engine's state. Raises ValueError or KeyError."""
+        """Parse an engine's state. Raises ValueError for one of another form."""
--- a/src/runkeel/api/documents.py
+++ b/src/runkeel/api/documents.py
@@ -122,6 +122,13 @@
         super().__init__(ErrorCode.CONFLICT, f"{kind} since {revision}", Verdict.NOT_RUN)
 
 
+class UnreadableDocumentError(ValueError):
+    """A document names nothing that can be used; the message says which part of it, and why.
+
+    It holds no value of the document: those may be long, or somebody's secret.
+    """
+
+
 class DocumentStore(Protocol):
     """The store. Every method raises RunkeelError when no answer came.
 
@@ -190,8 +197,8 @@
 class DocumentTranslator(Protocol):
     """Reads documents that belong to the operators and the platform.
 
-    Every method raises AttributeError, KeyError, TypeError or ValueError for a document of another
-    form.
+    Every method raises an exception for a document of another form, UnreadableDocumentError where
+    the part that is wrong is known. Whatever it raises, the document counts as unreadable.
     """
 
     def routing_configuration(self, document: Document) -> RoutingConfiguration:
@@ -203,5 +210,8 @@
     def model_version(self, document: Document) -> tuple[str, int]:
         """Translate a named version to the model and the version."""
 
+    def check_retirement(self, document: Document) -> None:
+        """Check that a document asks for a machine to be emptied."""
+
     def retirement_status(self, completed: bool) -> Any:
         """Build the status of a retirement."""
--- a/src/runkeel/api/fleet.py
+++ b/src/runkeel/api/fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from runkeel.api.machines import Address
 from runkeel.tenants.directory import TenantDirectory
@@ -110,12 +110,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Backend:
-    """One incarnation of a server.
+    """One start of a server.
 
     Attributes:
-        backend_id: names this incarnation; never reused.
+        backend_id: the server's id on the platform; it may start again under it, knowing nothing
+            of before.
         draining: it takes no new work.
         model_versions: weight version of each model that it serves, as last reported.
+        start: tells this start from others under the id; empty: no other is known of.
+        orders_taken: orders that it has taken since it started; None: it doesn't say.
+        unreadable: why its entry can't be read any more, so that it takes no new work; empty: it
+            can.
     """
 
     backend_id: str
@@ -125,3 +130,24 @@
     slots: int = 1
     draining: bool = False
     model_versions: dict[str, int] = field(default_factory=dict)
+    start: str = ""
+    orders_taken: int | None = None
+    unreadable: str = ""
+
+    @property
+    def incarnation(self) -> str:
+        """Names this start of the server, on all nodes alike; never reused."""
+        return f"{self.backend_id}@{self.start}" if self.start else self.backend_id
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether new work may be sent to it."""
+        return not self.draining and not self.unreadable
+
+    def same_to_clients(self, other: Backend) -> bool:
+        """Return whether two states of a server are the same to a node that gives no orders."""
+        return _without_engine_state(self) == _without_engine_state(other)
+
+
+def _without_engine_state(backend: Backend) -> Backend:
+    return replace(backend, model_versions={}, orders_taken=None)
--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -185,7 +185,7 @@
         """Reset the connection now; a task that reads the answer gets BACKEND_LOST."""
         sock, self._sock = self._sock, None
         if sock is not None:
-            _reset(sock)
+            self._pool.drop(sock)
 
 
 class HttpConnectionPool:
@@ -207,7 +207,9 @@
         self._maximum_answer_bytes = maximum_answer_bytes
         self._ends_with_connection = ends_with_connection
         self._idle: list[tuple[gevent.socket.socket, float]] = []
+        self._in_use: set[gevent.socket.socket] = set()
         self._closed = False
+        self._over = False
 
     def request(
         self,
@@ -253,15 +255,21 @@
 
     def give_back(self, sock: gevent.socket.socket, answer: _Answer) -> None:
         """Keep a connection whose answer ended cleanly; reset one that is given up midway."""
-        if not answer.finished:
-            _reset(sock)
+        if not answer.finished or sock not in self._in_use:
+            self.drop(sock)
             return
+        self._in_use.discard(sock)
         reusable = not answer.closed_by_peer and not answer.should_close()
         if self._closed or not reusable or len(self._idle) >= MAXIMUM_IDLE_CONNECTIONS:
             sock.close()
             return
         self._idle.append((sock, steady_seconds() + answer.idle_seconds))
 
+    def drop(self, sock: gevent.socket.socket) -> None:
+        """Reset a connection in use."""
+        self._in_use.discard(sock)
+        _reset(sock)
+
     def probe(self, seconds: float) -> Reachability:
         """Find out whether the back end is there; a connection that comes about is kept for use.
 
@@ -299,6 +307,17 @@
         while self._idle:
             self._idle.pop()[0].close()
 
+    def abort(self) -> None:
+        """Reset all connections, those in use too, and make no more: the back end is over.
+
+        Whoever waits for an answer gets BACKEND_LOST or TRUNCATED_ANSWER now. A back end whose
+        machine lost power says nothing, so that its callers would wait until their time is up.
+        """
+        self._over = True
+        self.close()
+        for sock in list(self._in_use):
+            self.drop(sock)
+
     def _exchange_headers(
         self,
         request: OutgoingRequest,
@@ -307,6 +326,7 @@
     ) -> tuple[gevent.socket.socket, _Answer]:
         head = _encode_head(request, self._host)
         sock = self._connection(deadline)
+        self._in_use.add(sock)
         answer = _Answer(request.method)
         answer.ends_with_connection = self._ends_with_connection
         try:
@@ -316,7 +336,7 @@
             while not answer.final_headers_complete:
                 _receive_into(sock, answer, deadline)
         except BaseException:
-            _reset(sock)
+            self.drop(sock)
             raise
         return sock, answer
 
@@ -332,6 +352,7 @@
     def _connect(self, remaining_seconds: float) -> gevent.socket.socket:
         if remaining_seconds <= 0:
             raise not_run(ErrorCode.DEADLINE_EXCEEDED, "no time left to connect")
+        self._check_not_over()
         sock = gevent.socket.socket()
         try:
             sock.settimeout(min(CONNECT_TIMEOUT_SECONDS, remaining_seconds))
@@ -343,8 +364,15 @@
         except BaseException:
             sock.close()
             raise
+        if self._over:
+            sock.close()
+        self._check_not_over()
         return sock
 
+    def _check_not_over(self) -> None:
+        if self._over:
+            raise not_run(ErrorCode.BACKEND_UNREACHABLE, f"{self._host}: started anew")
+
 
 def _set_options(sock: gevent.socket.socket) -> None:
     """Send small requests at once, and notice a peer that has fallen silent."""
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -9,6 +9,7 @@
 
 import json
 from collections.abc import Callable, Sequence
+from typing import Any
 
 import gevent
 from gevent.event import Event
@@ -23,6 +24,7 @@
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import (
+    FeedDocument,
     FeedPage,
     FeedRead,
     FeedReadReply,
@@ -241,11 +243,18 @@
     def _take(self, page: FeedPage) -> None:
         kind = DocumentKind(page.kind)
         documents = tuple(
-            Document(kind, one.name, one.revision, json.loads(one.content))
-            for one in page.documents
+            Document(kind, one.name, one.revision, _content(one)) for one in page.documents
         )
         taken = DocumentPage(kind, page.revision, page.whole, documents, tuple(page.removed))
         self._watchers[kind].take(taken)
 
     def _revisions(self) -> dict[str, int]:
         return {str(kind): watcher.revision for kind, watcher in self._watchers.items()}
+
+
+def _content(told: FeedDocument) -> Any:
+    """Return a document's content; one that can't be read costs only itself, and is told so."""
+    try:
+        return json.loads(told.content)
+    except (ValueError, RecursionError):
+        return None
--- a/src/runkeel/coordination/version_rollout.py
+++ b/src/runkeel/coordination/version_rollout.py
@@ -104,7 +104,7 @@
         demand: Callable[[str], ModelDemand],
         on_version: Callable[[str, str, int], None],
         running_at: Callable[[str], int],
-        before_load: Callable[[str], None] = lambda backend_id: None,
+        before_load: Callable[[str], None] = lambda incarnation: None,
     ) -> None:
         self._directory = directory
         self._protocol = protocol
@@ -149,13 +149,22 @@
                 task.kill(block=False)
         self._changing.clear()
 
+    def forget(self, state: BackendState) -> None:
+        """Forget what an engine had loaded: it is gone, or has started anew.
+
+        A change that is under way ends by itself, by the engine's next answer or for want of one.
+        """
+        for key in [key for key in self._actual if key[0] == state.incarnation]:
+            del self._actual[key]
+        self._retry_at.pop(state.incarnation, None)
+
     def wake(self) -> None:
         """Compare again: a version was named or an engine changed."""
         self._wake.set()
 
-    def is_loading(self, backend_id: str, model: str) -> bool:
+    def is_loading(self, incarnation: str, model: str) -> bool:
         """Return whether an engine is under way to another version of a model."""
-        change = self._changing.get(backend_id)
+        change = self._changing.get(incarnation)
         return change is not None and change.model == model
 
     def _run(self) -> None:
@@ -190,7 +199,9 @@
             return
         for change in due:
             started = steady_seconds()
-            self._changing[change.state.backend_id] = _Change(change.model, change.version, started)
+            self._changing[change.state.incarnation] = _Change(
+                change.model, change.version, started
+            )
             task = gevent.spawn(self._change, change.state, change.model, change.version)
             self._tasks.add(task)
             task.rawlink(self._tasks.discard)
@@ -211,7 +222,7 @@
 
     def _due_of_service(self, service: str, targets: dict[str, int]) -> list[PlannedChange]:
         engines = self._directory.of_service(service)
-        loading = sum(1 for state in engines if state.backend_id in self._changing)
+        loading = sum(1 for state in engines if state.incarnation in self._changing)
         room = self._pacing_of(service).room(len(engines), loading)
         if room <= 0:
             return []
@@ -223,12 +234,12 @@
     def _standing(self, state: BackendState, model: str) -> EngineStanding:
         now = steady_seconds()
         avoided = state.avoided(now)
-        resting = now < self._retry_at.get(state.backend_id, 0.0)
-        available = state.backend_id not in self._changing and not resting and not avoided
+        resting = now < self._retry_at.get(state.incarnation, 0.0)
+        available = state.incarnation not in self._changing and not resting and not avoided
         return EngineStanding(
             state,
             self._version_ahead(state, model),
-            self._running_at(state.backend_id),
+            self._running_at(state.incarnation),
             available,
             avoided,
         )
@@ -236,14 +247,14 @@
     def _version_ahead(self, state: BackendState, model: str) -> int:
         """Return the version that an engine has or is under way to."""
         version = self._version(state, model)
-        change = self._changing.get(state.backend_id)
+        change = self._changing.get(state.incarnation)
         if change is not None and change.model == model:
             version = max(version, change.version)
         return version
 
     def _version(self, state: BackendState, model: str) -> int:
         reported = state.backend.model_versions.get(model, 0)
-        return max(reported, self._actual.get((state.backend_id, model), 0))
+        return max(reported, self._actual.get((state.incarnation, model), 0))
 
     def _change(self, state: BackendState, model: str, version: int) -> None:
         """Order one engine and wait for the effect."""
@@ -255,7 +266,7 @@
                 # One order at a time: this one would be refused.
                 return
             if report.model_versions.get(model, 0) < version:
-                self._before_load(state.backend_id)
+                self._before_load(state.incarnation)
                 outcome = self._order(state, model, version, report.sequence)
                 if outcome is EngineOrderOutcome.WRONG_SERVER:
                     state.failed()
@@ -265,16 +276,18 @@
             else:
                 reached = True
         finally:
-            self._changing.pop(state.backend_id, None)
-            if reached:
-                self._actual[(state.backend_id, model)] = version
-                self._on_version(state.backend_id, model, version)
+            self._changing.pop(state.incarnation, None)
+            if state.replaced:
+                reached = False
+            elif reached:
+                self._actual[(state.incarnation, model)] = version
+                self._on_version(state.incarnation, model, version)
             else:
-                self._retry_at[state.backend_id] = steady_seconds() + RETRY_SECONDS
+                self._retry_at[state.incarnation] = steady_seconds() + RETRY_SECONDS
             logger.info(
                 "engine change ended",
                 code="engine_version",
-                backend=state.backend_id,
+                backend=state.incarnation,
                 model=model,
                 version=version,
                 reached=reached,
@@ -302,7 +315,7 @@
         logger.info(
             "order sent",
             code="engine_order",
-            backend=state.backend_id,
+            backend=state.incarnation,
             model=model,
             version=version,
             token=order.fencing_token,
@@ -340,9 +353,19 @@
         try:
             answer = state.pool.request(outgoing, steady_seconds() + CALL_SECONDS)
             if answer.status == 200:
-                return self._protocol.parse_report(answer.body)
+                return self._of_this_start(state, self._protocol.parse_report(answer.body))
             problem = f"status {answer.status}"
         except (RunkeelError, ValueError, KeyError) as error:
             problem = str(error)
-        logger.info("no report", code="engine_report_lost", backend=state.backend_id, error=problem)
+        logger.info(
+            "no report", code="engine_report_lost", backend=state.incarnation, error=problem
+        )
         return None
+
+    def _of_this_start(self, state: BackendState, report: EngineReport) -> EngineReport | None:
+        """Return a report, None where it shows that the engine has started anew.
+
+        Its count of orders would be right for an order by chance, and its versions are another's.
+        """
+        self._directory.note_reported(state, report.start)
+        return None if state.replaced else report
--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -15,7 +15,7 @@
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordination.version_rollout import VersionRollout
 from runkeel.errors import RunkeelError
-from runkeel.gateway.backends import BackendDirectory
+from runkeel.gateway.backends import BackendDirectory, BackendState
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.engine_placement import EnginePlacement
@@ -104,7 +104,7 @@
         self._services = lambda: _generating_services(parts.routing)
         self._starter: gevent.Greenlet | None = None
         self._placement = EnginePlacement(
-            parts.directory, lambda backend_id, model: self._rollout.is_loading(backend_id, model)
+            parts.directory, lambda incarnation, model: self._rollout.is_loading(incarnation, model)
         )
         self.runners = RunnerPool(
             parts.network,
@@ -120,7 +120,7 @@
             parts.routing,
             parts.protocol,
             parts.scorer,
-            lambda backend_id, model: self._rollout.is_loading(backend_id, model),
+            lambda incarnation, model: self._rollout.is_loading(incarnation, model),
             parts.quarantine,
             self.runners,
         )
@@ -248,6 +248,11 @@
         self._rollout.wake()
         self.scheduler.wake()
 
+    def forget(self, state: BackendState) -> None:
+        """Forget what a server had loaded: it is gone, or has started anew."""
+        self._placement.forget(state)
+        self._rollout.forget(state)
+
     def _version_named(self, document: Document, removed: bool) -> None:
         if removed:
             return
@@ -264,13 +269,14 @@
         )
         self._rollout.wake()
 
-    def _version_reached(self, backend_id: str, model: str, version: int) -> None:
-        self._placement.versions[(backend_id, model)] = version
+    def _version_reached(self, incarnation: str, model: str, version: int) -> None:
+        self._placement.versions[(incarnation, model)] = version
         self.scheduler.wake()
 
     def _retirement_asked(self, document: Document, removed: bool) -> None:
         """No machine keeps data of its own, so a machine is empty as soon as it is asked."""
         if not removed:
+            self._translator.check_retirement(document)
             gevent.spawn(self._retire, document.name)
 
     def _retire(self, name: str) -> None:
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from pathlib import Path
 
 from runkeel.api.backend_protocol import BackendProtocol
@@ -30,7 +30,7 @@
 from runkeel.coordination.feed_follower import FeedFollower, grace_seconds, wait_seconds
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordinator_term import CoordinatorTerm, TermParts, UsageParts
-from runkeel.gateway.backends import BackendDirectory
+from runkeel.gateway.backends import BackendDirectory, BackendState
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable
 from runkeel.handoff.hint_client import HintClient
@@ -209,6 +209,7 @@
             lambda: store.returned_at,
             first_list=Freshness.ANY_AGE,
         )
+        self._backend_watcher.on_unreadable(self._backend_unreadable)
         self._watchers = [self._routing_watcher, self._backend_watcher]
         self._followed = [*self._watchers, self._election.watcher]
         self._feed = DocumentFeed(
@@ -283,6 +284,7 @@
         )
         self._network.on_call(MessageType.USAGE_COUNTS, UsageCounts, self._answer_usage)
         self.directory.on_change(self._directory_changed)
+        self.directory.on_end(self._start_over)
 
     @property
     def coordinating(self) -> bool:
@@ -403,20 +405,35 @@
 
     def _backend_changed(self, document: Document, removed: bool) -> None:
         if removed:
-            self._quarantine.backend_gone(self.directory.get(document.name))
             self.directory.remove(document.name)
             self._feed.note(document, removed)
             return
         backend = self._translator.backend(document)
-        known = self.directory.get(document.name)
-        before = known.backend if known is not None else None
-        self.directory.put(backend)
-        if before is None:
-            self._quarantine.backend_joined(backend)
+        before = self._known(document.name)
+        if not self.directory.put(backend, document.revision):
+            return
+        present = self._known(document.name)
+        if before is None or before.incarnation != present.incarnation:
+            self._quarantine.backend_joined(present)
         # Weight versions change often, and only the coordinator goes by them.
-        if before is None or not _same_to_clients(before, backend):
+        if before is None or not before.same_to_clients(present):
             self._feed.note(document, removed)
 
+    def _known(self, backend_id: str) -> Backend | None:
+        state = self.directory.get(backend_id)
+        return state.backend if state is not None else None
+
+    def _backend_unreadable(self, document: Document, reason: str) -> None:
+        """Send nothing more to the server, and have the nodes told that follow this one."""
+        self.directory.note_unreadable(document.name, reason)
+        self._feed.note(document, removed=False)
+
+    def _start_over(self, state: BackendState) -> None:
+        """Have all forget a server's start that is over."""
+        self._quarantine.start_over(state)
+        if self._term is not None:
+            self._term.forget(state)
+
     def _invited(self, address: NodeAddress, epoch: int) -> None:
         """Take note of a coordinator that wants this node to run items."""
         self._election.note_successor(address, epoch)
@@ -480,8 +497,3 @@
         if term is not None:
             term.stop()
         self._lease.forget()
-
-
-def _same_to_clients(one: Backend, other: Backend) -> bool:
-    """Return whether two states of a server are the same to a node that does not coordinate."""
-    return replace(one, model_versions={}) == replace(other, model_versions={})
--- a/src/runkeel/gateway/directory_news.py
+++ b/src/runkeel/gateway/directory_news.py
@@ -28,7 +28,7 @@
 
     def put(self, before: Backend | None, backend: Backend) -> None:
         """Take note of a server's new state; ``before`` is None for one that was not known."""
-        name = backend.backend_id
+        name = backend.incarnation
         if before is None:
             self._joined[name] = backend
         elif backend.draining and not before.draining:
@@ -39,7 +39,7 @@
 
     def gone(self, backend: Backend) -> None:
         """Take note of a server that has left."""
-        self._gone[backend.backend_id] = backend
+        self._gone[backend.incarnation] = backend
         self._tell_soon()
 
     def _tell_soon(self) -> None:
@@ -67,5 +67,5 @@
 
 def _named(backends: Iterable[Backend]) -> list[str]:
     """Return id, service and address of servers, as many as are named."""
-    names = [f"{one.backend_id} {one.service} {one.address}" for one in backends]
+    names = [f"{one.incarnation} {one.service} {one.address}" for one in backends]
     return names[:NAMES]
--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -194,7 +194,7 @@
         if progress.deadline - steady_seconds() < MINIMUM_ATTEMPT_SECONDS:
             return False
         candidates = self._directory.candidates(progress.service, progress.tried)
-        return any(state.backend_id not in progress.tried for state in candidates)
+        return any(state.incarnation not in progress.tried for state in candidates)
 
     def _start_attempt(self, progress: _Progress, reason: str = "first") -> None:
         if progress.sent >= progress.route.maximum_attempts:
@@ -208,7 +208,7 @@
         state = choose_backend(candidates, progress.tried, self._zone)
         if state is None or not self._admitted(progress):
             return
-        progress.tried.add(state.backend_id)
+        progress.tried.add(state.incarnation)
         progress.running += 1
         if not progress.sent:
             progress.began_at = self._meter.now()
@@ -220,7 +220,7 @@
                 code="attempt",
                 request=progress.request.request_id,
                 reason=reason,
-                backend=state.backend_id,
+                backend=state.incarnation,
                 attempts=len(progress.tried),
                 age_ms=int((steady_seconds() - progress.started) * 1000),
             )
@@ -285,7 +285,7 @@
             "attempt failed",
             code="attempt",
             request=progress.request.request_id,
-            backend=outcome.state.backend_id,
+            backend=outcome.state.incarnation,
             outcome=outcome.label,
             detail=outcome.error.detail if outcome.error else "",
             age_ms=int((steady_seconds() - progress.started) * 1000),
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -120,7 +120,7 @@
                 if relay.sent:
                     break
                 relay.watched.admit()
-            relay.tried.add(state.backend_id)
+            relay.tried.add(state.incarnation)
             try:
                 outcome = self._try(relay, state)
             except RunkeelError as caught:
@@ -249,7 +249,7 @@
             "stream broken",
             code="stream_broken",
             request=relay.request.request_id,
-            backend=relay.state.backend_id,
+            backend=relay.state.incarnation,
             after=relay.last_event_id,
             error=error.detail,
             resumable=relay.route.resumable,
--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -66,27 +66,32 @@
         self._speeds = EngineSpeeds()
         self.versions: dict[tuple[str, str], int] = {}
 
-    def load(self, backend_id: str) -> int:
+    def load(self, incarnation: str) -> int:
         """Return the number of slots of an engine that are taken."""
-        return self._loads.get(backend_id, 0)
+        return self._loads.get(incarnation, 0)
 
     def take(self, engine: BackendState) -> None:
         """Take a slot."""
-        self._loads[engine.backend_id] = self.load(engine.backend_id) + 1
+        self._loads[engine.incarnation] = self.load(engine.incarnation) + 1
         self._update_room(engine)
 
     def release(self, engine: BackendState) -> None:
         """Give a slot back."""
-        left = self.load(engine.backend_id) - 1
+        left = self.load(engine.incarnation) - 1
         if left > 0:
-            self._loads[engine.backend_id] = left
+            self._loads[engine.incarnation] = left
         else:
-            self._loads.pop(engine.backend_id, None)
+            self._loads.pop(engine.incarnation, None)
         self._update_room(engine)
 
+    def forget(self, engine: BackendState) -> None:
+        """Forget what an engine had loaded: it is gone, or has started anew."""
+        for key in [key for key in self.versions if key[0] == engine.incarnation]:
+            del self.versions[key]
+
     def note_group(self, job: BatchJob, item: JobItem, engine: BackendState) -> None:
         """Remember where an item of a group runs; its prompt is there."""
-        self._groups[job.job_id, item.group] = engine.backend_id
+        self._groups[job.job_id, item.group] = engine.incarnation
         while len(self._groups) > MAXIMUM_GROUPS:
             self._groups.pop(next(iter(self._groups)))
 
@@ -135,9 +140,9 @@
         for state in candidates:
             if state is besides or state.avoided(now) or not self.usable(job, state):
                 continue
-            cost = self.load(state.backend_id) / max(1, state.backend.slots)
+            cost = self.load(state.incarnation) / max(1, state.backend.slots)
             cost -= GROUP_BONUS if state is home else 0.0
-            cost += SLOWNESS_COST * length * (self._speeds.slowness(state.backend_id) - 1.0)
+            cost += SLOWNESS_COST * length * (self._speeds.slowness(state.incarnation) - 1.0)
             if job.model and self._version(state, job.model) <= job.minimum_version:
                 cost += OLD_VERSION_COST * length
             if best is None or cost < best_cost:
@@ -154,7 +159,7 @@
             room = self._rooms[service] = IndexedSet()
             for state in self._directory.of_service(service):
                 if self._has_slot(state):
-                    room.add(state.backend_id, state)
+                    room.add(state.incarnation, state)
         return room
 
     def _update_room(self, engine: BackendState) -> None:
@@ -163,18 +168,18 @@
         if room is None or self._rooms_as_of != self._directory.membership_changes:
             return
         if not self._has_slot(engine):
-            room.discard(engine.backend_id)
-        elif not engine.backend.draining and self._directory.get(engine.backend_id) is engine:
-            room.add(engine.backend_id, engine)
+            room.discard(engine.incarnation)
+        elif engine.backend.takes_work and self._directory.get(engine.backend_id) is engine:
+            room.add(engine.incarnation, engine)
 
     def _has_slot(self, engine: BackendState) -> bool:
-        return self.load(engine.backend_id) < max(1, engine.backend.slots)
+        return self.load(engine.incarnation) < max(1, engine.backend.slots)
 
     def usable(self, job: BatchJob, engine: BackendState) -> bool:
         """Return whether an engine's weights are such as a job accepts."""
         if not job.model:
             return True
-        if self._is_loading(engine.backend_id, job.model):
+        if self._is_loading(engine.incarnation, job.model):
             return False
         return self._version(engine, job.model) >= job.minimum_version
 
@@ -184,11 +189,11 @@
 
     def slowness(self, engine: BackendState) -> float:
         """Return how many times slower an engine is than the fastest one."""
-        return self._speeds.slowness(engine.backend_id)
+        return self._speeds.slowness(engine.incarnation)
 
     def seconds_per_event(self, engine: BackendState) -> float:
         """Return an engine's estimate, that of the fastest one when it is unknown."""
-        return self._speeds.seconds_per_event(engine.backend_id)
+        return self._speeds.seconds_per_event(engine.incarnation)
 
     def seconds_gained(self, engine: BackendState, other: BackendState, events: float) -> float:
         """Return how much sooner so many events are made by another engine.
@@ -210,4 +215,4 @@
 
     def _version(self, engine: BackendState, model: str) -> int:
         reported = engine.backend.model_versions.get(model, 0)
-        return max(reported, self.versions.get((engine.backend_id, model), 0))
+        return max(reported, self.versions.get((engine.incarnation, model), 0))
--- a/src/runkeel/jobs/engine_speeds.py
+++ b/src/runkeel/jobs/engine_speeds.py
@@ -42,7 +42,7 @@
 class RunSample:
     """Events that one run has received so far; ``run_key`` tells runs apart."""
 
-    backend_id: str
+    incarnation: str
     run_key: int
     events: int
 
@@ -69,33 +69,33 @@
             before = self._seen.get(sample.run_key)
             if before is None:
                 continue
-            runs[sample.backend_id] = runs.get(sample.backend_id, 0) + 1
-            events[sample.backend_id] = events.get(sample.backend_id, 0) + sample.events - before
+            runs[sample.incarnation] = runs.get(sample.incarnation, 0) + 1
+            events[sample.incarnation] = events.get(sample.incarnation, 0) + sample.events - before
         self._seen = seen
-        for backend_id, count in runs.items():
-            self._update(backend_id, elapsed * count, events[backend_id], now)
-        for backend_id in [
+        for incarnation, count in runs.items():
+            self._update(incarnation, elapsed * count, events[incarnation], now)
+        for incarnation in [
             one
             for one, estimate in self._estimates.items()
             if now - estimate.updated_at > FORGET_SECONDS
         ]:
-            del self._estimates[backend_id]
+            del self._estimates[incarnation]
         known = (one.seconds_per_event for one in self._estimates.values())
         self._fastest = min(known, default=0.0)
 
-    def slowness(self, backend_id: str) -> float:
+    def slowness(self, incarnation: str) -> float:
         """Return how many times slower an engine is than the fastest one; 1 when unknown."""
-        estimate = self._estimates.get(backend_id)
+        estimate = self._estimates.get(incarnation)
         if estimate is None or self._fastest <= 0:
             return 1.0
         return min(LARGEST_SLOWNESS, estimate.seconds_per_event / self._fastest)
 
-    def seconds_per_event(self, backend_id: str) -> float:
+    def seconds_per_event(self, incarnation: str) -> float:
         """Return an engine's estimate; the fastest one's when unknown, 0 when none is known."""
-        return self._fastest * self.slowness(backend_id)
+        return self._fastest * self.slowness(incarnation)
 
-    def _update(self, backend_id: str, run_seconds: float, events: int, now: float) -> None:
-        estimate = self._estimates.setdefault(backend_id, _Estimate(updated_at=now))
+    def _update(self, incarnation: str, run_seconds: float, events: int, now: float) -> None:
+        estimate = self._estimates.setdefault(incarnation, _Estimate(updated_at=now))
         faded = 0.5 ** ((now - estimate.updated_at) / HALF_LIFE_SECONDS)
         estimate.run_seconds = estimate.run_seconds * faded + run_seconds
         estimate.events = estimate.events * faded + events
--- a/src/runkeel/jobs/engine_versions.py
+++ b/src/runkeel/jobs/engine_versions.py
@@ -29,7 +29,7 @@
         lambda state: (state, _ask(state, protocol)), engines
     ):
         for model, version in reported.items():
-            versions[state.backend_id, model] = version
+            versions[state.incarnation, model] = version
     return versions
 
 
@@ -40,6 +40,6 @@
         return protocol.parse_report(answer.body).model_versions if answer.status == 200 else {}
     except (RunkeelError, ValueError, KeyError) as error:
         logger.info(
-            "no report", code="engine_report_lost", backend=state.backend_id, error=str(error)
+            "no report", code="engine_report_lost", backend=state.incarnation, error=str(error)
         )
         return {}
--- a/src/runkeel/jobs/item_runner.py
+++ b/src/runkeel/jobs/item_runner.py
@@ -126,7 +126,7 @@
             code="item_run",
             request=task.item.item_id,
             job=task.state.job.job_id,
-            backend=task.engine.backend_id,
+            backend=task.engine.incarnation,
             runner=runner.node_id if runner is not None else "",
             outcome=outcome.value,
             detail=run.detail,
@@ -192,7 +192,7 @@
         job, item = task.state.job, task.item
         scorer = item.scorer
         start = ItemRunStart(
-            backend_id=task.engine.backend_id,
+            backend_id=task.engine.incarnation,
             request_id=item.item_id,
             host=job.host,
             path=item.path,
@@ -220,8 +220,8 @@
         return min(LEAST_URGENT, self._routing.rank(route, task.state.job.tenant))
 
     def _loading(self, task: ItemTask) -> Callable[[], bool]:
-        backend_id, model = task.engine.backend_id, task.state.job.model
-        return lambda: self._is_loading(backend_id, model)
+        incarnation, model = task.engine.incarnation, task.state.job.model
+        return lambda: self._is_loading(incarnation, model)
 
 
 def _scorer_message(call: ScorerCall) -> ItemScorer:
--- a/src/runkeel/jobs/run_mover.py
+++ b/src/runkeel/jobs/run_mover.py
@@ -76,7 +76,7 @@
         now = steady_seconds()
         generating = [task for task in tasks if _generates(task)]
         self._placement.observe(
-            RunSample(task.engine.backend_id, id(task.run), task.run.events) for task in generating
+            RunSample(task.engine.incarnation, id(task.run), task.run.events) for task in generating
         )
         settled = [
             task
@@ -137,8 +137,8 @@
             "item goes on at another engine",
             code="item_moved",
             request=task.item.item_id,
-            backend=task.engine.backend_id,
-            to=other.backend_id,
+            backend=task.engine.incarnation,
+            to=other.incarnation,
             reason=reason,
             gain_ms=int(gain * 1000),
             remaining=int(self.remaining_events(task)),
--- a/src/runkeel/jobs/running_items.py
+++ b/src/runkeel/jobs/running_items.py
@@ -31,8 +31,8 @@
         self._by_job.setdefault(task.key[0], {})[task.key] = task
         self._by_item.setdefault(task.key[1], {})[task.key] = task
         if task.engine is not None:
-            self._engines[task.key] = task.engine.backend_id
-            self._by_engine.setdefault(task.engine.backend_id, {})[task.key] = task
+            self._engines[task.key] = task.engine.incarnation
+            self._by_engine.setdefault(task.engine.incarnation, {})[task.key] = task
 
     def remove(self, task: ItemTask) -> None:
         """Forget a task; does nothing when it isn't known."""
@@ -56,9 +56,9 @@
         """Return the tasks of a job."""
         return list(self._by_job.get(job_id, {}).values())
 
-    def at_engine(self, backend_id: str) -> list[ItemTask]:
+    def at_engine(self, incarnation: str) -> list[ItemTask]:
         """Return the tasks that run at an engine."""
-        return list(self._by_engine.get(backend_id, {}).values())
+        return list(self._by_engine.get(incarnation, {}).values())
 
     def clear(self) -> None:
         """Forget all tasks."""
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -216,9 +216,9 @@
                 if task.engine is not None:
                     self._placement.release(task.engine)
 
-    def leave_engine(self, backend_id: str) -> None:
+    def leave_engine(self, incarnation: str) -> None:
         """Let long items go on elsewhere: the engine is about to stand still for a load."""
-        self._mover.move_before_load(self._running.at_engine(backend_id))
+        self._mover.move_before_load(self._running.at_engine(incarnation))
 
     def _run(self) -> None:
         while True:
@@ -399,7 +399,7 @@
             self._finish(task, given_up(task, outcome.value))
             return
         if outcome is RunOutcome.OLD_VERSION:
-            self._placement.versions.pop((task.engine.backend_id, job.model), None)
+            self._placement.versions.pop((task.engine.incarnation, job.model), None)
         if not task.partial.fits(job.minimum_version, route.single_version):
             task.partial.clear()
         if outcome is not RunOutcome.MOVED:
--- a/src/runkeel/metrics.py
+++ b/src/runkeel/metrics.py
@@ -31,6 +31,9 @@
     ["call", "kind", "outcome"],
     buckets=(0.01, 0.1, 1),
 )
+UNREADABLE_DOCUMENTS = Counter(
+    "runkeel_unreadable_documents_total", "Documents of others that can't be read", ["kind"]
+)
 FEED_READS = Counter(
     "runkeel_feed_reads_total", "Reads of the coordinator's document feed", ["outcome"]
 )
--- a/src/runkeel/operators/fleet_tables.py
+++ b/src/runkeel/operators/fleet_tables.py
@@ -30,6 +30,10 @@
     "in_flight",
     "failures",
     "avoided",
+    "ended",
+    "start",
+    "unreadable",
+    "reason",
     "model",
     "version",
 )
@@ -110,9 +114,17 @@
                 state.in_flight,
                 state.failures,
                 state.avoided(now),
+                state.ended,
+                backend.start or None,
+                bool(backend.unreadable),
+                backend.unreadable or None,
             )
             versions = backend.model_versions or {None: None}
             rows.extend((*common, model, version) for model, version in versions.items())
+        rows.extend(
+            _unreadable_row(backend_id, reason)
+            for backend_id, reason in self._node.directory.unreadable.items()
+        )
         return rows
 
     def _route_rows(self) -> list[Row]:
@@ -191,3 +203,10 @@
             )
             for job_id, encoded in self._node.hints.jobs()
         ]
+
+
+def _unreadable_row(backend_id: str, reason: str) -> Row:
+    """Return the row of an entry that names no server."""
+    row = dict.fromkeys(BACKEND_COLUMNS)
+    row.update(backend=backend_id, unreadable=True, reason=reason)
+    return tuple(row.values())
--- a/src/runkeel/quarantine/crash_ledger.py
+++ b/src/runkeel/quarantine/crash_ledger.py
@@ -72,11 +72,11 @@
             self.get(fingerprint)
         return list(self._records.values())
 
-    def note_ended(self, fingerprint: str, service: str, backend_id: str) -> CrashRecord:
+    def note_ended(self, fingerprint: str, service: str, incarnation: str) -> CrashRecord:
         """Take note that a server ended under a request."""
         known = self.get(fingerprint) or CrashRecord(fingerprint, service)
         ended = CrashRecord(
-            fingerprint, service, known.clearance, frozenset((backend_id,)), 0, 0, self._now()
+            fingerprint, service, known.clearance, frozenset((incarnation,)), 0, 0, self._now()
         )
         return self._put(merged(known, ended), "")
 
--- a/src/runkeel/quarantine/quarantine.py
+++ b/src/runkeel/quarantine/quarantine.py
@@ -107,14 +107,14 @@
 
     def _ended(self, lost: LostConnection, evidence: EndEvidence) -> None:
         SERVERS_ENDED.labels(lost.service, str(evidence)).inc()
-        record = self.ledger.note_ended(lost.fingerprint, lost.service, lost.state.backend_id)
+        record = self.ledger.note_ended(lost.fingerprint, lost.service, lost.state.incarnation)
         logger.warning(
             "server ended under a request",
             code="server_ended",
             request=lost.request_id,
             fingerprint=lost.fingerprint,
             service=lost.service,
-            backend=lost.state.backend_id,
+            backend=lost.state.incarnation,
             evidence=str(evidence),
             ended=len(record.ended),
             age_ms=int((steady_seconds() - lost.lost_at) * 1000),
--- a/src/runkeel/quarantine/server_ends.py
+++ b/src/runkeel/quarantine/server_ends.py
@@ -1,8 +1,8 @@
 """Finds out whether a server has ended under a request, or only a connection to it.
 
 A connection that breaks proves nothing: resets, cuts and lost answers break it too. The server has
-ended if nobody listens at its address any more, if another one does, or if its entry goes without a
-word of draining while nothing was heard of it.
+ended if nobody listens at its address any more, if another one does, if it has started anew under
+its id, or if its entry goes without a word of draining while nothing was heard of it.
 """
 
 from __future__ import annotations
@@ -42,6 +42,8 @@
     """Nobody listens at its address."""
     REPLACED = "replaced"
     """Another server has its address."""
+    RESTARTED = "restarted"
+    """It has started anew under its id."""
     GONE = "gone"
     """Its entry has gone, and it never said that it drains."""
 
@@ -74,12 +76,16 @@
         Args:
             probe: False where nothing broke, and the server was only silent.
         """
+        if lost.state.replaced:
+            if not lost.state.backend.draining:
+                self._on_ended(lost, EndEvidence.RESTARTED)
+            return
         if lost.state.ended:
             self._on_ended(lost, EndEvidence.REFUSED)
             return
         reached = lost.state.pool.probe(PROBE_SECONDS) if probe else Reachability.UNKNOWN
         if reached is Reachability.REFUSED:
-            lost.state.ended = True
+            lost.state.note_ended()
             self._on_ended(lost, EndEvidence.REFUSED)
             return
         logger.info(
@@ -87,7 +93,7 @@
             code="server_doubted",
             request=lost.request_id,
             fingerprint=lost.fingerprint,
-            backend=lost.state.backend_id,
+            backend=lost.state.incarnation,
             reached=str(reached),
         )
         self._doubts.append(lost)
@@ -97,7 +103,7 @@
         if self._doubts:
             self._settle(
                 lambda state: (
-                    state.backend_id != backend.backend_id
+                    state.incarnation != backend.incarnation
                     and state.backend.address == backend.address
                 ),
                 EndEvidence.REPLACED,
@@ -108,6 +114,14 @@
         if self._doubts:
             self._settle(lambda doubted: doubted is state, EndEvidence.REPLACED)
 
+    def backend_restarted(self, state: BackendState) -> None:
+        """Take the news that a server has started anew: what ran at its last start has ended.
+
+        One that drained before has ended as planned.
+        """
+        if self._doubts and not state.backend.draining:
+            self._settle(lambda doubted: doubted is state, EndEvidence.RESTARTED)
+
     def backend_gone(self, state: BackendState) -> None:
         """Take the news that a server's entry has gone."""
         if self._doubts and not state.backend.draining:
--- a/src/runkeel/quarantine/service.py
+++ b/src/runkeel/quarantine/service.py
@@ -119,18 +119,20 @@
         """Take the news of a server that has come."""
         self.quarantine.ends.backend_joined(backend)
 
-    def backend_gone(self, state: BackendState | None) -> None:
-        """Take the news of a server that has gone."""
-        if state is not None:
+    def start_over(self, state: BackendState) -> None:
+        """Take the news that a server has gone, or started anew under its id."""
+        if state.replaced:
+            self.quarantine.ends.backend_restarted(state)
+        else:
             self.quarantine.ends.backend_gone(state)
 
     def _leave_ended(self, record: CrashRecord, before: CrashRecord | None, source: str) -> None:
         """Send nothing more to servers that ended: their entries go some seconds later only."""
         known = before.ended if before is not None else frozenset()
-        for backend_id in record.ended - known:
-            state = self._directory.get(backend_id)
+        for incarnation in record.ended - known:
+            state = self._directory.find(incarnation)
             if state is not None:
-                state.ended = True
+                state.note_ended()
 
     def _catch_up(self) -> None:
         """Ask the store and the coordinator, both at once, until one of them has answered."""
--- a/src/runkeel/runners/pool.py
+++ b/src/runkeel/runners/pool.py
@@ -155,7 +155,7 @@
         """Return the node that is to run an item at an engine; None: this one itself."""
         if self._local_runs < LOCAL_RUNS or not self._runners:
             return None
-        runner = self._of_engine.get(engine.backend_id)
+        runner = self._of_engine.get(engine.incarnation)
         if runner is not None and runner.node_id in self._runners and runner.has_room:
             return runner
         near = self._zones.get(engine.backend.zone) or self._all
@@ -163,7 +163,7 @@
             free = [one for one in runners.sample(CHOICES) if one.has_room]
             if free:
                 chosen = min(free, key=lambda one: len(one.runs))
-                self._of_engine[engine.backend_id] = chosen
+                self._of_engine[engine.incarnation] = chosen
                 return chosen
         return None
 
--- a/src/runkeel/runners/service.py
+++ b/src/runkeel/runners/service.py
@@ -149,11 +149,11 @@
         self, message: ItemRunStart, loading: Callable[[], bool], on_ended: Callable[[], None]
     ) -> HostedRun | str:
         """Return a run that has not begun, or why there is none."""
-        state = self._directory.get(message.backend_id)
+        state = self._directory.find(message.backend_id)
         if state is None:
             return "unknown back end"
-        if state.backend.draining:
-            return "the back end is draining"
+        if not state.backend.takes_work:
+            return "the back end takes no new work"
         run = HostedRun(
             message, state, self._protocol, self._scorer, self._quarantine, loading, on_ended
         )
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -18,11 +18,13 @@
     DocumentStore,
     Freshness,
     HistoryLostError,
+    UnreadableDocumentError,
 )
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.state.lapsed_documents import LapsedDocuments
 from runkeel.state.name_digest import NameDigest
+from runkeel.state.unreadable_documents import UnreadableDocuments
 
 WATCH_SECONDS = 29.0
 """Longest wait of a watch if nothing shorter is asked for.
@@ -45,6 +47,9 @@
 MAXIMUM_REMOVALS = 4_000
 """Removals that are remembered for other nodes."""
 
+LONGEST_REASON = 200
+"""Characters of an exception that a line gives as the reason; it may quote the document."""
+
 ChangeListener = Callable[[Document, bool], None]
 """Called with a document and whether it was removed."""
 
@@ -99,6 +104,8 @@
         self._needed = needed
         self._listeners = [on_change]
         self._return_listeners: list[Callable[[Document], None]] = []
+        self._unreadable_listeners: list[Callable[[Document, str], None]] = []
+        self._unreadable = UnreadableDocuments()
         self._pause_seconds = pause_seconds
         self._watch_seconds = watch_seconds
         self._list_due = True
@@ -142,6 +149,10 @@
         """
         self._return_listeners.append(listener)
 
+    def on_unreadable(self, listener: Callable[[Document, str], None]) -> None:
+        """Have a listener called with a document that can't be read, and why, once it is news."""
+        self._unreadable_listeners.append(listener)
+
     def refresh(self, reason: str) -> None:
         """Give up the pending watch, which may be mute, and list again."""
         if self._task is None or not self.listed.is_set():
@@ -202,6 +213,18 @@
                 self._failed(error)
                 gevent.sleep(self._retry_delay())
                 self._await_turn()
+            except Exception as error:
+                # An answer that was not foreseen costs this step; a watch that ended would leave
+                # the copy as it is for good, without a word.
+                logger.error(
+                    "step of a watch failed",
+                    code="watch_step_failed",
+                    kind=str(self._kind),
+                    error=repr(error)[:LONGEST_REASON],
+                )
+                self._list_due = True
+                self._failures += 1
+                gevent.sleep(self._retry_delay())
 
     def _step(self) -> None:
         started = steady_seconds()
@@ -284,19 +307,24 @@
                 listener(document)
 
     def _tell(self, document: Document, removed: bool) -> None:
-        """Call the listeners; one that can't read the document doesn't end the watch."""
+        """Call the listeners; one that can't read the document doesn't end the watch.
+
+        What others wrote may make any exception of a parser, so that all are caught here.
+        """
         try:
             for listener in self._listeners:
                 listener(document, removed)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
-            logger.warning(
-                "document ignored",
-                code="bad_document",
-                document=document.name,
-                kind=str(self._kind),
-                revision=document.revision,
-                error=repr(error),
-            )
+        except UnreadableDocumentError as error:
+            self._found_unreadable(document, str(error))
+        except Exception as error:
+            self._found_unreadable(document, repr(error)[:LONGEST_REASON])
+        else:
+            self._unreadable.note_readable(document.kind, document.name)
+
+    def _found_unreadable(self, document: Document, reason: str) -> None:
+        if self._unreadable.note(document.kind, document.name, reason):
+            for listener in self._unreadable_listeners:
+                listener(document, reason)
 
     def _succeeded(self, started: float, confirms: bool = True) -> None:
         """Take note of an answer; ``confirms`` when it shows that the copy is current."""
--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -56,6 +56,7 @@
     seconds: float = 20.0,
     operations: bool = False,
     crashes: bool = False,
+    servers: bool = False,
     edges: int = 3,
     record: Path | None = None,
 ) -> int:
@@ -69,14 +70,19 @@
     :param operations: instead of single faults, series that overlap: stops, restarts, changes of
         configuration, outages in which servers lapse; beside clients that keep their connections.
     :param crashes: the same, and requests that crash servers, and servers that end by chance.
-    :param edges: number of nodes that serve clients; only with operations or crashes.
+    :param servers: the same, and servers that start again under their id, and entries of servers
+        that another writer wrote.
+    :param edges: number of nodes that serve clients; only with operations, crashes or servers.
     :param record: file for a trace of the last run, which ``replay`` plays again.
     """
     from runkeel_lab.users_platform.crash_soak import CrashSoak
     from runkeel_lab.users_platform.operations_soak import OperationsSoak
+    from runkeel_lab.users_platform.servers_soak import ServersSoak
     from runkeel_lab.users_platform.soak import Soak, run_soaks
 
     def make_soak(number: int) -> Soak:
+        if servers:
+            return ServersSoak(number, seconds, edges)
         if crashes:
             return CrashSoak(number, seconds, edges)
         return OperationsSoak(number, seconds, edges) if operations else Soak(number, seconds)
--- a/src/runkeel_lab/users_platform/crashes.py
+++ b/src/runkeel_lab/users_platform/crashes.py
@@ -28,6 +28,7 @@
         paths: requests to these end the server that runs them.
         seconds: from the beginning of the run to the server's end.
         restart_seconds: from its end to the start of the next server in its place.
+        keeps_id: the next server bears the same id.
     """
 
     def __init__(self, on_ended: Callable[[Any], None]) -> None:
@@ -35,6 +36,7 @@
         self.paths: set[str] = set()
         self.seconds = 0.02
         self.restart_seconds = 0.4
+        self.keeps_id = False
         self.reached: list[CrashEvent] = []
         self.ended: list[CrashEvent] = []
 
--- a/src/runkeel_lab/users_platform/servers.py
+++ b/src/runkeel_lab/users_platform/servers.py
@@ -4,6 +4,7 @@
 
 import json
 import random
+import time
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Any
@@ -79,6 +80,9 @@
         self.running = 0
         self.ended = False
         self.plan: CrashPlan | None = None
+        self.born_ms = 0
+        self.heir: PlatformServer | None = None
+        """The next start under this id."""
         self.seed = seed
         self._store = store
         self._random = random.Random(f"{seed} {server_id}")
@@ -95,6 +99,8 @@
 
     def start(self) -> None:
         """Listen and enter the store's list."""
+        # Two starts within a millisecond would be one to everybody.
+        self.born_ms = max(int(time.time() * 1000), self.born_ms + 1)
         try:
             self._server.start()
         except OSError:
@@ -116,11 +122,24 @@
         self._server.stop(timeout=0)
         for connection in self._connections:
             connection.abort()
-        gevent.spawn_later(LAPSE_SECONDS, self._store.objects.remove, "servers", self.server_id)
-
-    def successor(self, number: int) -> PlatformServer:
-        """Return what is started in this server's place: another id, the same address."""
-        after = self._like(f"{self.server_id.partition('.')[0]}.{number}")
+        gevent.spawn_later(LAPSE_SECONDS, self._lapse)
+
+    def _lapse(self) -> None:
+        """Take the entry away, unless the next start has written it anew."""
+        if self.heir is None:
+            self._store.objects.remove("servers", self.server_id)
+
+    def successor(self, number: int, keeps_id: bool = False) -> PlatformServer:
+        """Return what is started in this server's place, at the same address.
+
+        Args:
+            number: makes its id, unless it keeps this one's.
+        """
+        server_id = f"{self.server_id.partition('.')[0]}.{number}"
+        after = self._like(self.server_id if keeps_id else server_id)
+        if keeps_id:
+            self.heir = after
+            after.born_ms = self.born_ms
         after.plan, after.faults = self.plan, self.faults
         after.work_seconds, after.slots = self.work_seconds, self.slots
         after._server = after._listener(self.address.port)
@@ -147,8 +166,22 @@
             "Zone": self.zone,
             "Slots": self.slots,
             "State": "draining" if self.draining else "ready",
+            "Version": "v1",
+            "ColdRemainingMs": 0,
+            "Sequence": self.orders_taken,
+            "born": self.born_ms,
         }
 
+    @property
+    def entry(self) -> dict[str, Any]:
+        """Its entry as it would write it now."""
+        return self._entry()
+
+    @property
+    def orders_taken(self) -> int:
+        """Orders since its start."""
+        return 0
+
     def _answer(self, environment: Environment, start_response: StartResponse) -> Iterable[bytes]:
         self._connections.append(environment[_CONNECTION])
         expected = environment.get("HTTP_EXPECT_INSTANCE")
@@ -247,6 +280,11 @@
         self._sequence = 0
         self._busy = False
 
+    @property
+    def orders_taken(self) -> int:
+        """Orders since its start."""
+        return self._sequence
+
     def _like(self, server_id: str) -> PlatformEngine:
         models = tuple(self.versions)
         after = PlatformEngine(server_id, self.service, self.zone, self._store, self.seed, models)
@@ -273,6 +311,7 @@
 
     def _report(self) -> dict[str, Any]:
         return {
+            "born": self.born_ms,
             "Sequence": self._sequence,
             "Busy": self._busy,
             "RunningCount": self.running,
@@ -289,13 +328,21 @@
         lost = self._random.random() < self.faults.unanswered_orders
         if lost:
             late = self._random.uniform(0.1, 1.0)
-            gevent.spawn_later(late, self._carry_out, body, steady_seconds())
+            gevent.spawn_later(late, self._carry_out_late, body, steady_seconds())
             environment[_CONNECTION].abort()
             raise AnswerAbortedError
         status = self._carry_out(body, steady_seconds())
         start_response(status, [])
         return [b""]
 
+    def _carry_out_late(self, body: dict[str, Any], sent_at: float) -> None:
+        """Carry an order out, at the start that bears the id by now."""
+        present = self
+        while present.heir is not None:
+            present = present.heir
+        if not present.ended:
+            present._carry_out(body, sent_at)
+
     def _carry_out(self, body: dict[str, Any], sent_at: float) -> str:
         fits = body.get("ExpectedRevision") in (None, self._sequence)
         accepted = fits and not self._busy
--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -11,6 +11,7 @@
     DocumentKind,
     DocumentPage,
     Freshness,
+    UnreadableDocumentError,
 )
 from runkeel.clock import steady_seconds
 from runkeel.state.document_watcher import DocumentWatcher
@@ -122,6 +123,64 @@
         self.store.put(KIND, "b", 1)
         self._wait(lambda: sorted(self.changes) == ["a", "b"])
 
+    def test_no_exception_of_a_reader_ends_the_watch(self):
+        """An OverflowError of one server's entry had ended the watch of all servers, for good."""
+        problems = [
+            OverflowError("x"),
+            RecursionError(),
+            IndexError(),
+            UnicodeError(),
+            MemoryError(),
+        ]
+
+        def refuse(document, removed):
+            self.changes.append((document.name, removed))
+            if document.content == "bad":
+                raise problems.pop()
+
+        watcher = DocumentWatcher(self.store, KIND, refuse)
+        self.addCleanup(watcher.stop)
+        unreadable = []
+        watcher.on_unreadable(lambda document, reason: unreadable.append(document.name))
+        watcher.start()
+        names = [f"bad-{number}" for number in range(len(problems))]
+        for name in names:
+            self.store.put(KIND, name, "bad")
+        self.store.put(KIND, "good", 1)
+        self._wait(lambda: ("good", False) in self.changes)
+        self.assertEqual(unreadable, names)
+
+    def test_answer_that_was_not_foreseen_does_not_end_the_watch(self):
+        class OddStore(MemoryDocumentStore):
+            odd = True
+
+            def list(self, kind, **more):
+                if self.odd:
+                    self.odd = False
+                    raise KeyError("Metadata")
+                return super().list(kind, **more)
+
+        store = OddStore()
+        watcher = DocumentWatcher(store, KIND, self._note)
+        self.addCleanup(watcher.stop)
+        watcher.start()
+        store.put(KIND, "a", 1)
+        self._wait(lambda: self.changes == [("a", False)])
+
+    def test_document_that_stays_unreadable_is_told_once_for_each_cause(self):
+        reasons = []
+
+        def refuse(document, removed):
+            if not removed and document.content != "good":
+                raise UnreadableDocumentError(document.content)
+
+        watcher = DocumentWatcher(self.store, KIND, refuse)
+        watcher.on_unreadable(lambda document, reason: reasons.append(reason))
+        contents = ["Slots", "Slots", "Slots", "State", "State", "good", "State"]
+        for revision, content in enumerate(contents, 1):
+            watcher._apply(Document(KIND, "a", revision, content), removed=False)
+        self.assertEqual(reasons, ["Slots", "State", "State"])
+
     def test_another_copy_brings_the_news(self):
         self.watcher.take(self._page(5, ("a", 3), ("b", 5), whole=True))
         self.assertTrue(self.watcher.listed.is_set())
--- a/tests/coordination/test_version_rollout.py
+++ b/tests/coordination/test_version_rollout.py
@@ -44,7 +44,8 @@
 
     def parse_report(self, body):
         report = json.loads(body)
-        return EngineReport(report["sequence"], report["busy"], 0, 0, report["versions"])
+        versions, start = report["versions"], report["born"]
+        return EngineReport(report["sequence"], report["busy"], 0, 0, versions, start)
 
 
 class SlowStore(MemoryDocumentStore):
@@ -74,13 +75,19 @@
         self.load_seconds = load_seconds
         self.lose = 0
         self.late_seconds = 0.0
+        self.born = ""
         self.server = WSGIServer(("127.0.0.1", 0), self._answer, log=None)
         self.server.start()
 
     @property
     def backend(self):
         address = Address("127.0.0.1", self.server.server_port)
-        return Backend(self.backend_id, SERVICE, address, "zone", 8, False, {})
+        return Backend(self.backend_id, SERVICE, address, "zone", 8, False, {}, self.born)
+
+    def restart(self, born, version):
+        """Start anew under the same id: it knows nothing of before."""
+        self.born, self.sequence, self.busy = born, 0, False
+        self.versions = dict.fromkeys(self.versions, version)
 
     def _answer(self, environment, start_response):
         if environment["PATH_INFO"] == "/report":
@@ -88,6 +95,7 @@
                 "sequence": self.sequence,
                 "busy": self.busy,
                 "versions": self.versions,
+                "born": self.born,
             }
             start_response("200 OK", [])
             return [json.dumps(report).encode()]
@@ -220,6 +228,52 @@
         orders = self.engines[0].orders
         self.assertEqual([order["sequence"] for order in orders], [0, 0])
 
+    def _put_anew(self, revision):
+        self.directory.put(self.engines[0].backend, revision)
+
+    def test_engine_that_starts_anew_with_an_older_version_is_moved_again(self):
+        """The version that it once had was remembered by its id, so that it got no order."""
+        self._start(1)
+        self.engines[0].restart("1000", 1)
+        self._put_anew(1)
+        self._name(2)
+        self._wait_versions(2)
+        self.engines[0].restart("2000", 1)
+        self._put_anew(2)
+        self._wait_versions(2)
+        self.assertEqual([order["sequence"] for order in self.engines[0].orders], [0, 0])
+
+    def test_report_of_another_start_is_no_ground_for_an_order(self):
+        """Its count of orders would fit by chance; what it says is for the new start to begin."""
+        self._start(1)
+        self.engines[0].restart("1000", 1)
+        self._put_anew(1)
+        before = self.directory.get("engine-0")
+        self.engines[0].restart("2000", 1)
+        self.assertIsNone(self.rollout._report(before))
+        self.assertTrue(before.replaced)
+        self.assertEqual(self.directory.get("engine-0").backend.start, "2000")
+        self._name(2)
+        self._wait_versions(2)
+        self.assertEqual(len(self.engines[0].orders), 1)
+
+    def test_order_that_reaches_the_next_start_late_leaves_the_right_version(self):
+        """Its expected count fits once more; the version that is wanted comes all the same."""
+        self._start(1)
+        engine = self.engines[0]
+        engine.restart("1000", 1)
+        self._put_anew(1)
+        engine.lose, engine.late_seconds = 1, 0.6
+        self._name(2)
+        gevent.sleep(0.2)
+        engine.restart("2000", 1)
+        self._put_anew(2)
+        self._name(3)
+        self._wait_versions(3)
+        late, *after = engine.orders
+        self.assertEqual(late["version"], 2)
+        self.assertEqual({order["version"] for order in after}, {3})
+
     def test_engine_that_is_busy_gets_no_order_until_it_is_not(self):
         """Trial with 241 engines: 3,190 of 3,700 orders met an engine that was still loading."""
         self._start(1)
--- a/tests/gateway/test_forwarder_quarantine.py
+++ b/tests/gateway/test_forwarder_quarantine.py
@@ -1,16 +1,21 @@
 """What the forwarders send of requests under which servers have ended."""
 
 import unittest
+from dataclasses import replace
 
 import gevent
 from gevent.event import Event
 
 from runkeel.api.backend_protocol import PlainRequest
+from runkeel.api.fleet import Backend
+from runkeel.api.machines import Address
 from runkeel.backends.http_connection import Reachability
 from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict
+from runkeel.gateway.backends import BackendState
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.streams import StreamForwarder
+from runkeel.quarantine.server_ends import LostConnection
 from runkeel.quarantine.trials import TrialAnswer
 from runkeel.usage.meter import UsageMeter
 from tests.gateway.scripted_servers import (
@@ -162,6 +167,46 @@
         self.quarantine.ends.backend_gone(self.directory.get("a"))
         self.assertEqual(len(self.ledger), 1)
 
+    def test_server_that_starts_anew_under_its_id_has_ended(self):
+        """Neither its entry goes nor another id comes, so that the crash was not counted."""
+        self.failure(make_route(attempts=1), {"a": ScriptedPool(lost())})
+        before = self.directory.get("a")
+        self.assertEqual(len(self.ledger), 0)
+        before.pool.abort = lambda: None
+        self.directory.on_end(self.quarantine.ends.backend_restarted)
+        self.directory.put(replace(before.backend, start="2000"), 2)
+        (record,) = self.ledger.records()
+        self.assertEqual(record.ended, {"a"})
+
+    def test_server_that_drained_and_starts_anew_has_ended_as_planned(self):
+        self.failure(make_route(attempts=1), {"a": ScriptedPool(lost())})
+        state = self.directory.get("a")
+        state.backend = replace(state.backend, draining=True)
+        self.quarantine.ends.backend_restarted(state)
+        self.assertEqual(len(self.ledger), 0)
+
+    def test_connection_that_breaks_once_the_server_has_started_anew(self):
+        """Its news may be quicker than the end of the connection."""
+        fingerprint = self.quarantine.fingerprints.of_plain(REQUEST)
+        self.failure(make_route(attempts=1), {"a": ScriptedPool(silent)})
+        state = self.directory.get("a")
+        state.replaced = True
+        self.quarantine.ends.judge(
+            LostConnection("r", fingerprint, SERVICE, state, steady_seconds())
+        )
+        self.assertEqual(len(self.ledger), 1)
+
+    def test_three_starts_under_one_id_are_three_servers(self):
+        fingerprint = self.quarantine.fingerprints.of_plain(REQUEST)
+        for start in ("1000", "2000", "3000"):
+            backend = Backend("a", SERVICE, Address("127.0.0.1", 1), "here", start=start)
+            state = BackendState(backend)
+            state.replaced = True
+            self.quarantine.ends.judge(
+                LostConnection("r", fingerprint, SERVICE, state, steady_seconds())
+            )
+        self.assertTrue(self.ledger.get(fingerprint).held)
+
     def test_server_that_answered_since_has_not_ended_under_the_request(self):
         self.failure(make_route(attempts=1), {"a": ScriptedPool(lost())})
         state = self.directory.get("a")
--- /dev/null
+++ b/tests/gateway/test_server_starts.py
@@ -0,0 +1,235 @@
+"""A server that starts again under its id: nothing of a start is taken for the next one."""
+
+import unittest
+from unittest import mock
+
+import gevent
+from gevent.server import StreamServer
+
+from runkeel.api.fleet import Backend
+from runkeel.api.machines import Address
+from runkeel.backends.http_connection import OutgoingRequest
+from runkeel.clock import steady_seconds
+from runkeel.errors import RunkeelError, Verdict
+from runkeel.gateway import backends
+from runkeel.gateway.backends import MAXIMUM_UNREADABLE, BackendDirectory
+from runkeel.gateway.server_starts import EARLIER_STARTS
+
+SERVICE = "ledger"
+ADDRESS = Address("127.0.0.1", 1)
+NAME = "server-1"
+
+
+def started(at="", orders=None, address=ADDRESS, **more):
+    return Backend(NAME, SERVICE, address, "here", 8, start=at, orders_taken=orders, **more)
+
+
+class ServerStartsTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = BackendDirectory()
+        self.over = []
+        self.directory.on_end(self.over.append)
+        self.revision = 0
+
+    def put(self, backend):
+        self.revision += 1
+        return self.directory.put(backend, self.revision)
+
+    def state(self):
+        return self.directory.get(NAME)
+
+    def test_ended_server_that_comes_back_under_its_id_is_used_at_once(self):
+        """Before, it stayed avoided for good: only an answer cleared it, and none was asked."""
+        self.put(started("1000"))
+        before = self.state()
+        before.note_ended()
+        for _ in range(50):
+            before.failed()
+        self.put(started("2000"))
+        self.assertFalse(self.state().avoided(steady_seconds()))
+        self.assertEqual((self.state().failures, self.state().in_flight), (0, 0))
+        self.assertEqual(self.directory.of_service(SERVICE), [self.state()])
+        self.assertEqual(self.over, [before])
+        self.assertTrue(before.ended)
+
+    def test_start_at_an_earlier_time_is_a_new_one(self):
+        """The clock of the server's machine may have jumped back; the entry's revision decides."""
+        self.put(started("2000"))
+        self.put(started("1000"))
+        self.assertEqual(self.state().backend.start, "1000")
+
+    def test_late_news_of_an_earlier_start_is_passed_over(self):
+        self.put(started("1000"))
+        self.put(started("2000"))
+        self.assertFalse(self.put(started("1000", draining=True)))
+        self.assertEqual(self.state().backend.start, "2000")
+        self.assertTrue(self.state().backend.takes_work)
+        self.assertEqual(len(self.over), 1)
+
+    def test_earlier_starts_are_remembered_in_a_bounded_number(self):
+        for number in range(3 * EARLIER_STARTS):
+            self.put(started(str(1000 + number)))
+        known = self.directory._starts._known[NAME]
+        self.assertEqual(len(known.earlier), EARLIER_STARTS)
+
+    def test_news_of_the_same_start_keeps_what_is_known(self):
+        self.put(started("1000", orders=1))
+        before = self.state()
+        before.failed()
+        self.put(started("1000", orders=5, model_versions={"m": 2}))
+        self.assertIs(self.state(), before)
+        self.assertEqual((before.failures, before.backend.model_versions), (1, {"m": 2}))
+
+    def test_entry_without_a_start_serves_as_before(self):
+        self.put(started())
+        before = self.state()
+        self.put(started(draining=True))
+        self.assertIs(self.state(), before)
+        self.assertEqual(before.incarnation, NAME)
+
+    def test_count_of_orders_that_goes_back_is_a_new_start(self):
+        self.put(started(orders=7))
+        before = self.state()
+        self.put(started(orders=7))
+        self.assertIs(self.state(), before)
+        self.put(started(orders=0))
+        self.assertIsNot(self.state(), before)
+        self.assertNotEqual(self.state().incarnation, before.incarnation)
+
+    def test_other_address_is_a_new_start(self):
+        """Its connections go to the address before, where nobody or somebody else listens."""
+        self.put(started())
+        before = self.state()
+        self.put(started(address=Address("127.0.0.1", 2)))
+        self.assertIsNot(self.state(), before)
+        self.assertEqual(self.state().backend.address.port, 2)
+
+    def test_server_that_begins_to_tell_its_start_has_started_anew(self):
+        self.put(started())
+        self.put(started("1000"))
+        self.assertEqual(len(self.over), 1)
+
+    def test_answer_shows_a_new_start_before_the_entry_does(self):
+        self.put(started("1000", orders=4, model_versions={"m": 3}))
+        before = self.state()
+        self.directory.note_reported(before, "2000")
+        self.assertEqual(self.state().backend.start, "2000")
+        self.assertEqual(self.state().backend.model_versions, {})
+        self.assertFalse(self.put(started("1000", orders=4)))
+        present = self.state()
+        self.put(started("2000", orders=0, model_versions={"m": 1}))
+        self.assertIs(self.state(), present)
+        self.assertEqual(present.backend.model_versions, {"m": 1})
+
+    def test_answer_of_an_earlier_start_changes_nothing(self):
+        self.put(started("1000"))
+        before = self.state()
+        self.put(started("2000"))
+        present = self.state()
+        self.directory.note_reported(before, "1000")
+        self.directory.note_reported(present, "1000")
+        self.assertIs(self.state(), present)
+
+    def test_answer_tells_nothing_where_the_entry_says_nothing(self):
+        self.put(started())
+        before = self.state()
+        self.directory.note_reported(before, "1000")
+        self.assertIs(self.state(), before)
+
+    def test_server_that_left_and_comes_back_is_new(self):
+        self.put(started("1000"))
+        self.directory.remove(NAME)
+        self.assertTrue(self.put(started("1000")))
+        self.assertEqual(len(self.directory.of_service(SERVICE)), 1)
+
+    def test_start_that_another_node_names(self):
+        self.put(started("1000"))
+        self.assertIs(self.directory.find(f"{NAME}@1000"), self.state())
+        for other in (f"{NAME}@2000", NAME, "nobody"):
+            self.assertIsNone(self.directory.find(other), other)
+
+    def test_start_that_only_counts_showed_may_be_named_otherwise_elsewhere(self):
+        self.put(started(orders=2))
+        self.assertIs(self.directory.find(f"{NAME}@r17"), self.state())
+        self.put(started(orders=1))
+        self.assertIs(self.directory.find(NAME), self.state())
+
+    def test_server_that_ended_is_tried_again_after_a_while(self):
+        """One that came back without saying so got no work for good."""
+        self.put(started())
+        self.state().note_ended()
+        self.assertTrue(self.state().avoided(steady_seconds()))
+        with mock.patch.object(backends, "ENDED_SECONDS", 0.0):
+            self.assertFalse(self.state().avoided(steady_seconds()))
+
+
+class WaitingRequestsTest(unittest.TestCase):
+    """A machine that lost power says nothing: who waits for it is told by its next start."""
+
+    def setUp(self):
+        self.accepted = []
+        listener = StreamServer(("127.0.0.1", 0), self._hold)
+        listener.start()
+        self.addCleanup(listener.stop)
+        self.address = Address(*listener.address)
+        self.directory = BackendDirectory()
+        self.directory.put(started("1000", address=self.address), 1)
+
+    def _hold(self, sock, peer):
+        self.accepted.append(sock)
+        gevent.sleep(30.0)
+
+    def test_requests_at_the_earlier_start_end_at_once(self):
+        state = self.directory.get(NAME)
+
+        def ask():
+            try:
+                state.pool.request(OutgoingRequest("GET", "/"), steady_seconds() + 20.0)
+            except RunkeelError as error:
+                return error
+            return None
+
+        asking = [gevent.spawn(ask) for _ in range(3)]
+        with gevent.Timeout(10.0):
+            while len(self.accepted) < 3:
+                gevent.sleep(0.01)
+            self.directory.put(started("2000", address=self.address), 2)
+            gevent.joinall(asking)
+        self.assertEqual([task.value.verdict for task in asking], [Verdict.MAY_HAVE_RUN] * 3)
+
+    def test_nothing_more_is_sent_by_who_still_holds_the_earlier_start(self):
+        state = self.directory.get(NAME)
+        self.directory.put(started("2000", address=self.address), 2)
+        with self.assertRaises(RunkeelError) as caught:
+            state.pool.request(OutgoingRequest("GET", "/"), steady_seconds() + 5.0)
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual(self.accepted, [])
+
+
+class UnreadableEntryTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = BackendDirectory()
+        self.directory.put(started("1000"), 1)
+
+    def test_known_server_takes_no_new_work_until_its_entry_can_be_read(self):
+        before = self.directory.get(NAME)
+        self.directory.note_unreadable(NAME, "Slots: not a whole number")
+        self.assertEqual(self.directory.of_service(SERVICE), [])
+        self.assertFalse(before.replaced)
+        self.directory.put(started("1000"), 3)
+        self.assertEqual(self.directory.of_service(SERVICE), [before])
+
+    def test_entry_that_names_no_known_server_is_remembered_for_operators(self):
+        self.directory.note_unreadable("other", "State: missing")
+        self.assertEqual(dict(self.directory.unreadable), {"other": "State: missing"})
+        self.directory.remove("other")
+        self.assertFalse(self.directory.unreadable)
+
+    def test_entries_without_end_are_remembered_in_a_bounded_number(self):
+        for number in range(MAXIMUM_UNREADABLE + 10):
+            self.directory.note_unreadable(f"other-{number}", "State: missing")
+        self.assertEqual(len(self.directory.unreadable), MAXIMUM_UNREADABLE)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/gateway/test_starts_fuzz.py
@@ -0,0 +1,39 @@
+"""Fuzz of a server's starts; a directory that keeps what an earlier start left is found."""
+
+import unittest
+from unittest import mock
+
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from runkeel.gateway import backends
+from runkeel.gateway.server_starts import ServerStarts
+from tests.fuzzing import find_violation
+from tests.gateway.starts_machine import StartsMachine
+
+OPTIONS = settings(max_examples=150, stateful_step_count=25, deadline=None, derandomize=True)
+FEW = settings(max_examples=60, stateful_step_count=25, deadline=None, derandomize=True)
+
+
+class StartsFuzzTest(unittest.TestCase):
+    def test_only_the_present_start_counts(self):
+        run_state_machine_as_test(StartsMachine, settings=OPTIONS)
+
+    def test_holder_that_keeps_the_earlier_start_is_found(self):
+        with mock.patch.object(backends, "_is_another", lambda known, backend: False):
+            self.assertIsNotNone(find_violation(StartsMachine, FEW))
+
+    def test_news_of_an_earlier_start_that_is_taken_is_found(self):
+        settle = ServerStarts.settle
+
+        def forgetful(starts, backend, revision):
+            for known in starts._known.values():
+                known.earlier.clear()
+            return settle(starts, backend, revision)
+
+        with mock.patch.object(ServerStarts, "settle", forgetful):
+            self.assertIsNotNone(find_violation(StartsMachine, FEW))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -151,6 +151,7 @@
         content = {
             "Service": "m",
             "Address": "10.0.0.9:8080",
+            "Zone": "a",
             "Slots": 8,
             "State": "draining",
             "Models": [{"Name": "x", "Version": 3}],
--- /dev/null
+++ b/tests/users_platform/test_servers_soak.py
@@ -0,0 +1,58 @@
+"""A short soak of servers that start again under their id, beside another writer; fixed seeds.
+
+Longer ones: ``runkeel-lab soak --servers``.
+"""
+
+import unittest
+from unittest import mock
+
+from runkeel.api.documents import UnreadableDocumentError
+from runkeel.api.fleet import Backend
+from runkeel.api.machines import Address
+from runkeel.gateway.server_starts import ServerStarts
+from runkeel_lab.users_platform import use_adapter
+from runkeel_lab.users_platform.servers_soak import ServersSoak
+
+use_adapter()
+
+from runkeel_platform import translation  # noqa: E402
+
+SECONDS = 10.0
+
+
+class ServersSoakTest(unittest.TestCase):
+    def test_seed_3(self):
+        report = ServersSoak(3, SECONDS).run()
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.answered, 100)
+
+    def test_directory_that_passes_new_starts_over_is_found(self):
+        settle = ServerStarts.settle
+
+        def deaf(starts, backend, revision):
+            known = starts._known.get(backend.backend_id)
+            over = known is not None and known.start != backend.start
+            return None if over else settle(starts, backend, revision)
+
+        with mock.patch.object(ServerStarts, "settle", deaf):
+            report = ServersSoak(3, SECONDS).run()
+        self.assertTrue([text for text in report.violations if "does not use" in text])
+
+    def test_parser_that_lets_wrong_entries_pass_is_found(self):
+        strict = translation.read_server
+
+        def lenient(document):
+            try:
+                return strict(document)
+            except UnreadableDocumentError:
+                entry = document.content
+                address = Address.parse(entry["Address"])
+                return Backend(document.name, entry["Service"], address, "a")
+
+        with mock.patch.object(translation, "read_server", lenient):
+            report = ServersSoak(3, SECONDS).run()
+        self.assertTrue([text for text in report.violations if "wrong entries" in text])
+
+
+if __name__ == "__main__":
+    unittest.main()
