Only failed attempts that the platform counts give an item up; clocks that differ give none up early

A call had one second whatever its route's target; a scorer that is six times slower than its 0.2 s answers later. Running out of time counted as failure, and the time was taken from two machines' clocks as if they agreed. A route without MaxQueueS gave up each item as soon as it was looked at.

Ruled out: an item that both fails and is listed by two coordinators (results are fenced by epoch).

--- a/src/runkeel/api/backend_protocol.py
+++ b/src/runkeel/api/backend_protocol.py
@@ -140,6 +140,12 @@
     ) -> AnswerClass:
         """Tell what an answer's head says of the request."""
 
+    def is_failed_attempt(self, status: int) -> bool:
+        """Return whether a FAILURE is one of those after which work may be given up.
+
+        A server that ran out of time, or that says anything else, has not tried and failed.
+        """
+
     def stamp(self, headers: Iterable[tuple[str, str]]) -> str:
         """Return the server's signature of its answer, empty when there is none."""
 
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -176,7 +176,7 @@
             self.detail += f", {error.detail}"
         if answer_class in (AnswerClass.REFUSED, AnswerClass.MISDIRECTED):
             return RunOutcome.REFUSED
-        if answer_class is AnswerClass.FAILURE and stream.status >= 500:
+        if answer_class is AnswerClass.FAILURE and self._protocol.is_failed_attempt(stream.status):
             return RunOutcome.FAILED
         return RunOutcome.BROKEN
 
--- a/src/runkeel/jobs/item_runner.py
+++ b/src/runkeel/jobs/item_runner.py
@@ -16,7 +16,7 @@
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.generation_run import GenerationRun, RunOutcome
 from runkeel.jobs.item_task import ItemTask
-from runkeel.jobs.scorer import Scorer, ScoringFailedError
+from runkeel.jobs.scorer import Scorer, ScoringFailedError, ScoringUnfinishedError
 from runkeel.metrics import ITEM_RUNS
 from runkeel.quarantine.quarantine import Quarantine, WatchedRequest
 from runkeel.runners.pool import Runner, RunnerPool
@@ -137,8 +137,8 @@
         )
         return outcome
 
-    def score(self, task: ItemTask, route: Route) -> ItemResult:
-        """Have a whole text scored; returns the result to be listed."""
+    def score(self, task: ItemTask, route: Route) -> ItemResult | None:
+        """Have a whole text scored; returns the result to be listed, None if it must wait."""
         score = task.score
         if task.scoring_problem:
             return given_up(task, f"scoring: {task.scoring_problem}")
@@ -148,6 +148,15 @@
                 score = self._scorer.score(task.item.scorer, deadline)
             except ScoringFailedError as error:
                 return given_up(task, f"scoring: {error}")
+            except ScoringUnfinishedError as error:
+                logger.info(
+                    "text not scored yet",
+                    code="score",
+                    request=task.item.item_id,
+                    job=task.state.job.job_id,
+                    reason=str(error),
+                )
+                return None
         return ItemResult(
             task.item.item_id,
             ResultState.COMPLETED,
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -16,6 +16,7 @@
 from runkeel.gateway.backends import BackendState
 from runkeel.gateway.routing import RoutingTable, choose_service
 from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.expiry import expires_at
 from runkeel.jobs.finished_items import FinishedItems
 from runkeel.jobs.generation_run import PartialText, RunOutcome
 from runkeel.jobs.item_queue import ItemQueue, Lane
@@ -253,6 +254,8 @@
         route = self._route(task)
         if self._is_over(task):
             self._withdraw(task)
+        elif route is not None and time.time() > expires_at(task.state.job, route):
+            self._give_up(task, "waited too long")
         elif route is not None and task.partial.whole:
             self._release_reserved(task)
             self._start(task, route, None)
@@ -275,7 +278,7 @@
             if route is None:
                 self._give_up_without_route(lane, now)
                 return starts
-            if time.time() > task.state.job.submitted_at + route.maximum_queue_seconds > 0:
+            if time.time() > expires_at(task.state.job, route):
                 self._give_up(task, "waited too long")
                 continue
             if self._runner.goes_on(task.item.item_id):
@@ -371,13 +374,23 @@
                 if outcome is not RunOutcome.COMPLETE:
                     self._after_break(task, route, outcome)
                     return
-            self._finish(task, self._runner.score(task, route))
+            self._score(task, route)
         finally:
             if task not in self._queue:
                 self._release_reserved(task)
             self._running.remove(task)
             self.wake()
 
+    def _score(self, task: ItemTask, route: Route) -> None:
+        """Have a whole text scored, later once more if nobody has scored it in time."""
+        result = self._runner.score(task, route)
+        if result is not None:
+            self._finish(task, result)
+            return
+        task.engine = None
+        if not task.state.ended:
+            self._queue.put(task)
+
     def _generate(self, task: ItemTask, route: Route) -> RunOutcome:
         engine = task.engine
         try:
--- a/src/runkeel/jobs/scorer.py
+++ b/src/runkeel/jobs/scorer.py
@@ -17,7 +17,14 @@
 from runkeel.gateway.routing import RoutingTable, choose_service
 
 CALL_SECONDS = 1.0
-"""Longest wait for one answer; a call may be repeated."""
+"""Shortest limit of one call; a server that is silent is left then, and the call repeated."""
+
+CALL_SHARE = 2.0
+"""A call's limit as a multiple of its route's target.
+
+A scorer that is six times slower than usual still answers within it where the target is four times
+the usual time: with a second for all, each of its answers was 504, and its work in vain.
+"""
 
 RETRY_SECONDS = 0.1
 """Pause before another scorer is tried. Chosen, not measured."""
@@ -30,6 +37,10 @@
     """The scorer answered with as many failures as its route allows attempts."""
 
 
+class ScoringUnfinishedError(Exception):
+    """No scorer has answered with success in time; the text may be scored later."""
+
+
 class Scorer:
     """Calls scorers until one answers with success."""
 
@@ -44,7 +55,8 @@
         """Return the stamp of a successful answer.
 
         Raises:
-            ScoringFailedError: the route's attempts are used up by failures, or time ran out.
+            ScoringFailedError: the route's attempts are used up by failures.
+            ScoringUnfinishedError: time ran out before.
         """
         failures = 0
         pause = RETRY_SECONDS
@@ -58,7 +70,7 @@
                 if failures >= route.maximum_attempts:
                     raise ScoringFailedError(f"{failures} failures")
             gevent.sleep(max(0.0, min(pause, deadline - steady_seconds())))
-        raise ScoringFailedError("out of time")
+        raise ScoringUnfinishedError(f"out of time, {failures} failures")
 
     def _call_once(self, call: ScorerCall, route: Route, deadline: float) -> tuple[str, int, float]:
         """Return the stamp (empty: none), the failures answered, and the pause after it."""
@@ -67,7 +79,8 @@
         )
         single = replace(route, maximum_attempts=1)
         service = choose_service(route, call.request_id)
-        call_deadline = min(deadline, steady_seconds() + CALL_SECONDS)
+        limit = max(CALL_SECONDS, CALL_SHARE * route.target_latency_seconds)
+        call_deadline = min(deadline, steady_seconds() + limit)
         try:
             answer = self._forwarder.forward(request, single, service, call_deadline)
         except RunkeelError as error:
@@ -84,10 +97,12 @@
         answer_class = self._protocol.classify(call.request_id, answer.status, answer.headers)
         if answer_class is AnswerClass.SUCCESS:
             return self._protocol.stamp(answer.headers), 0, RETRY_SECONDS
+        counts = self._protocol.is_failed_attempt(answer.status)
         logger.info(
             "scorer answered with failure",
             code="score",
             request=call.request_id,
             status=answer.status,
+            counts=counts,
         )
-        return "", 1, RETRY_SECONDS
+        return "", int(counts), RETRY_SECONDS
--- a/src/runkeel/runners/hosted_run.py
+++ b/src/runkeel/runners/hosted_run.py
@@ -11,7 +11,7 @@
 from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendState
 from runkeel.jobs.generation_run import GenerationRun, PartialText, RunOutcome
-from runkeel.jobs.scorer import Scorer, ScoringFailedError
+from runkeel.jobs.scorer import Scorer, ScoringFailedError, ScoringUnfinishedError
 from runkeel.quarantine.quarantine import Quarantine
 from runkeel.wire.generated.jobs.ttypes import ItemRunStart, ItemRunUpdate
 
@@ -136,6 +136,9 @@
                 self._detail = str(error)
                 self._finish(SCORING_FAILED)
                 return
+            except ScoringUnfinishedError as error:
+                # The coordinator has it scored, or gives it up once its time is over.
+                self._detail = str(error)
         self._finish(outcome.value)
 
     def _finish(self, outcome: str) -> None:
