A job's acceptance and a "no such job" always meet, by what the deployment says may be lost

Cause: an acceptance by storage machines counted machines in whatever zones, though a whole zone may be lost at once, which no earlier deployment said. A reader took machines that it did not reach for machines that had denied. A machine with an empty disk denied as if it remembered, and a job could be handed on between the reading of the store and the question.

Ruled out: 404 by machines alone (503 only where more than two are unheard): a job kept in one zone would be lost with it.

Change: one predicate of machines, zones and regions says which sets keep a job for certain, and which unheard ones rule it out; every "no such" goes by it. A node that has just started denies nothing for 3 s. Successors that keep jobs are spread over the zones.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -36,6 +36,7 @@
 from runkeel.coordination.told_nodes import ToldNodes
 from runkeel.coordination.witnesses import reached_by_others
 from runkeel.errors import RunkeelError, Verdict
+from runkeel.handoff.keeper_quorum import Keeper, KnownKeepers
 from runkeel.metrics import COORDINATING
 from runkeel.state.document_watcher import (
     RESTING_PROBE_SECONDS,
@@ -83,6 +84,12 @@
 ASKED_SUCCESSORS = 2
 """So many are asked; where both are lost as well, the store tells."""
 
+KEEPERS_TOLD_SECONDS = 3.0
+"""A node that has started may not have been told of all that keep jobs until then.
+
+It pings at once; a coordinator that has started with it hears of the others within 2 s.
+"""
+
 ASK_SUCCESSORS_SECONDS = 0.2
 """Pause between questions to the likeliest successors: all nodes ask them at once."""
 
@@ -219,6 +226,7 @@
             terms.end_term,
         )
         self._asked_successors_at = 0.0
+        self._started_at = steady_seconds()
         self._store_probed = False
         """Whether the store was asked since the coordinator was last heard."""
         self._stopping = False
@@ -309,15 +317,22 @@
         """Return the nodes that get copies of the open jobs: those that are asked first."""
         return [one.node_id for one in self._peers.successors()[:ASKED_SUCCESSORS]]
 
-    def keepers(self) -> list[str]:
+    def keepers(self) -> KnownKeepers:
         """Return the nodes that keep jobs for the store: the coordinator and its successors."""
         known = self._coordinator
+        keepers = [Keeper(one.node_id, one.zone) for one in self._told.successor_addresses]
         if self.coordinating:
-            successors = [one.node_id for one in self._peers.successors()]
-            return list(dict.fromkeys([self._node_id, *successors, *self._told.successors]))
-        own = [self._node_id] if self._preferred else []
-        leading = [known.node_id] if known is not None else []
-        return list(dict.fromkeys([*own, *leading, *self._told.successors]))
+            own_successors = [Keeper(one.node_id, one.zone) for one in self._peers.successors()]
+            keepers = [Keeper(self._node_id, self._zone), *own_successors, *keepers]
+        else:
+            own = [Keeper(self._node_id, self._zone)] if self._preferred else []
+            leading = [Keeper(known.node_id, known.zone)] if known is not None else []
+            keepers = [*own, *leading, *keepers]
+        told = self.coordinating or self._told.heard
+        settled = steady_seconds() - self._started_at >= KEEPERS_TOLD_SECONDS
+        # The same machine may be known by more than one of these.
+        distinct = {one.node_id: one for one in reversed(keepers)}
+        return KnownKeepers(tuple(reversed(distinct.values())), told and settled)
 
     @property
     def silent_peers(self) -> int:
--- a/src/runkeel/coordination/peers.py
+++ b/src/runkeel/coordination/peers.py
@@ -34,6 +34,9 @@
 Together with the coordinator that is twice as many as must keep a job where two may be lost.
 """
 
+LIKELIEST_SUCCESSORS = 2
+"""So many are told in the order of the succession, whatever their zones: they are asked first."""
+
 WITNESSES = 6
 """Nodes asked whether they reach the coordinator: two in each of three zones."""
 
@@ -106,8 +109,20 @@
         return [*successors, *further[:KEEPERS]]
 
     def successors(self) -> list[NodeAddress]:
-        """Return the preferred nodes that are likeliest to replace this coordinator, in order."""
-        return [self._peers[name].address for name in self._succession()[:TOLD_SUCCESSORS]]
+        """Return the preferred nodes that are likeliest to replace this coordinator, in order.
+
+        After the first two they are spread over the zones: they keep jobs for the store, too, and
+        a whole zone may be lost.
+        """
+        order = [self._peers[name].address for name in self._succession()]
+        chosen, others = order[:LIKELIEST_SUCCESSORS], order[LIKELIEST_SUCCESSORS:]
+        zones = [self._zone, *(one.zone for one in chosen)]
+        while others and len(chosen) < TOLD_SUCCESSORS:
+            following = min(others, key=lambda one: zones.count(one.zone))
+            others.remove(following)
+            chosen.append(following)
+            zones.append(following.zone)
+        return chosen
 
     def witnesses_for(self, node_id: str) -> list[NodeAddress]:
         """Return some other nodes of all zones, in each those that are not preferred first."""
--- a/src/runkeel/coordination/told_nodes.py
+++ b/src/runkeel/coordination/told_nodes.py
@@ -14,6 +14,7 @@
     """What the coordinators' answers said of other nodes."""
 
     def __init__(self) -> None:
+        self._heard = False
         self._witnesses: dict[str, NodeAddress] = {}
         self._successors: dict[str, NodeAddress] = {}
         self._neighbours: dict[str, NodeAddress] = {}
@@ -28,11 +29,21 @@
         """Nodes to ask whether they reach the coordinator."""
         return list(self._witnesses)
 
+    @property
+    def heard(self) -> bool:
+        """Whether any coordinator has told of others."""
+        return self._heard
+
     @property
     def successors(self) -> list[str]:
         """Nodes that may replace the coordinator, the likeliest first."""
         return list(self._successors)
 
+    @property
+    def successor_addresses(self) -> list[NodeAddress]:
+        """Their addresses and zones."""
+        return list(self._successors.values())
+
     def address(self, node_id: str) -> NodeAddress | None:
         """Return where a node is reached."""
         known = self._witnesses.get(node_id) or self._successors.get(node_id)
@@ -40,6 +51,7 @@
 
     def note(self, pong: CoordinatorPong) -> None:
         """Take what an answer tells."""
+        self._heard = self._heard or pong.coordinator
         if pong.witnesses:
             self.note_witnesses(pong.witnesses)
         if pong.neighbours is not None:
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from runkeel.api.backend_protocol import BackendProtocol
@@ -36,6 +37,7 @@
 from runkeel.handoff.hint_client import HintClient
 from runkeel.handoff.hint_log import HintLog
 from runkeel.handoff.hint_service import HintService
+from runkeel.handoff.keeper_quorum import KeeperQuorum, LossTolerance
 from runkeel.jobs.job_copies import JobCopyKeeper
 from runkeel.jobs.job_documents import EncodedJob
 from runkeel.jobs.job_state import JobState
@@ -106,7 +108,9 @@
         data_folder: on this machine's disk; None: it has none.
         first_start: the whole system starts for the first time; there is no coordinator yet.
         usage: what the platform wants to be told of tenants' usage; None: nothing.
-        tolerated_losses: machines with disks that may be lost at once; None: there are none.
+        loss_tolerance: what may be lost at once, where there are machines with disks; None: there
+            are none.
+        zone_regions: the region of each zone.
     """
 
     node_id: str
@@ -121,7 +125,8 @@
     data_folder: Path | None = None
     first_start: bool = False
     usage: UsageSettings | None = None
-    tolerated_losses: int | None = None
+    loss_tolerance: LossTolerance | None = None
+    zone_regions: Mapping[str, str] = field(default_factory=dict)
 
 
 class FleetNode:
@@ -222,8 +227,9 @@
         self._routing_watcher.on_change(self._feed.note)
         self._election.watcher.on_change(self._feed.note)
         folder = settings.data_folder
-        copies = settings.tolerated_losses + 1 if settings.tolerated_losses is not None else 0
-        hints = HintClient(self._network, SHARD, self._election.keepers, copies)
+        tolerance = settings.loss_tolerance
+        quorum = KeeperQuorum(tolerance, settings.zone_regions) if tolerance else None
+        hints = HintClient(self._network, SHARD, self._election.keepers, quorum)
         self.jobs = JobService(store, self._network, self._election, SHARD, hints)
         self.hints = HintService(
             self._network,
@@ -231,6 +237,7 @@
             store,
             HintLog(folder / HINT_FOLDER) if folder is not None else None,
             self._job_handed_over,
+            settings.first_start,
         )
         self._journal = TextJournal(folder / TEXT_FOLDER) if folder is not None else None
         self._copies = TextCopies(self._network, self._journal)
--- a/src/runkeel/handoff/hint_client.py
+++ b/src/runkeel/handoff/hint_client.py
@@ -12,6 +12,7 @@
 
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError, Verdict
+from runkeel.handoff.keeper_quorum import Keeper, KeeperQuorum, KnownKeepers
 from runkeel.jobs.job_documents import EncodedJob, job_text
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import (
@@ -27,7 +28,21 @@
 """Longest wait for the machines' answers: a call to a silent store, and a sync after it."""
 
 LOOKUP_SECONDS = 0.4
-"""Longest wait for the machines that may keep a job of which the store knows nothing."""
+"""Longest wait for the machines that may keep a job of which the store knows nothing.
+
+A reader of a job that there isn't waits for it; a machine that is later counts as not heard.
+"""
+
+
+class JobTrace(enum.Enum):
+    """What the machines that keep jobs say of one that the store doesn't have."""
+
+    KEPT = "kept"
+    """One has it, so that it will be in the store."""
+    RULED_OUT = "ruled_out"
+    """It can't have been accepted."""
+    UNSURE = "unsure"
+    """Too few of them were heard."""
 
 
 class HintOutcome(enum.Enum):
@@ -45,61 +60,82 @@
 class _Reply:
     """A machine's answer; ``state`` is None without one."""
 
+    keeper: Keeper
     state: int | None
     may_be_kept: bool
 
 
 class HintClient:
-    """Hands jobs to the machines that keep hints.
+    """Hands jobs to the machines that keep hints, and asks them for what the store doesn't have.
 
     Args:
         keepers: the machines with disks that are known to be up.
-        copies: a job must last on so many; 0: there are no such machines.
+        quorum: which of them are enough; None: there are no such machines.
     """
 
     def __init__(
         self,
         network: PeerNetwork,
         shard: str,
-        keepers: Callable[[], list[str]],
-        copies: int,
+        keepers: Callable[[], KnownKeepers],
+        quorum: KeeperQuorum | None,
     ) -> None:
         self._network = network
         self._shard = shard
         self._keepers = keepers
-        self._copies = copies
+        self._quorum = quorum
 
     def keep(self, job_id: str, encoded: EncodedJob) -> HintOutcome:
         """Hand a job to all machines; returns as soon as it is certain to last."""
-        keepers = self._keepers() if self._copies else []
-        if len(keepers) < self._copies or not keepers:
+        keepers = self._keepers().keepers
+        if self._quorum is None or not self._quorum.lasts(keepers):
             return HintOutcome.REFUSED
         message = JobHint(self._shard, job_id, job_text(encoded))
         replies: Queue = Queue()
-        for node_id in keepers:
-            gevent.spawn(self._hand_over, node_id, message, replies)
-        outcome = self._judge(replies, len(keepers))
+        for keeper in keepers:
+            gevent.spawn(self._hand_over, keeper, message, replies)
+        kept: set[Keeper] = set()
+        outcome = self._judge(replies, len(keepers), kept)
         logger.info(
             "job handed over",
             code="job_handed_over",
             job=job_id,
             keepers=len(keepers),
+            kept=sorted(one.node_id for one in kept),
             outcome=outcome.value,
         )
         return outcome
 
-    def may_be_kept(self, job_id: str) -> bool:
-        """Return whether a machine keeps a job that the store does not have yet."""
-        if not self._copies:
-            return False
+    def trace(self, job_id: str) -> JobTrace:
+        """Find out whether a job that the store doesn't have may have been accepted."""
+        if self._quorum is None:
+            return JobTrace.RULED_OUT
+        known = self._keepers()
         message = JobHintLookup(self._shard, job_id)
-        tasks = [gevent.spawn(self._look_up, node_id, message) for node_id in self._keepers()]
-        gevent.joinall(tasks, timeout=LOOKUP_SECONDS)
-        return any(task.value for task in tasks)
+        asking = {one: gevent.spawn(self._look_up, one, message) for one in known.keepers}
+        gevent.joinall(list(asking.values()), timeout=LOOKUP_SECONDS)
+        replies = {one: task.value for one, task in asking.items() if task.value is not None}
+        unheard = [one for one in known.keepers if one not in replies or not replies[one].remembers]
+        if any(reply.kept for reply in replies.values()):
+            trace = JobTrace.KEPT
+        elif known.complete and self._quorum.rules_out(unheard):
+            trace = JobTrace.RULED_OUT
+        else:
+            trace = JobTrace.UNSURE
+        logger.info(
+            "job looked up",
+            code="job_looked_up",
+            job=job_id,
+            trace=trace.value,
+            keepers=len(known.keepers),
+            complete=known.complete,
+            unheard=sorted(one.node_id for one in unheard),
+        )
+        return trace
 
-    def _judge(self, replies: Queue, count: int) -> HintOutcome:
+    def _judge(self, replies: Queue, count: int, kept: set[Keeper]) -> HintOutcome:
+        """Wait for the answers; ``kept`` takes the machines that have the job."""
         deadline = steady_seconds() + HINT_SECONDS
-        kept = 0
         unsure = False
         for _ in range(count):
             try:
@@ -109,35 +145,43 @@
                 break
             if reply.state == JobHintState.STORED:
                 return HintOutcome.ACCEPTED
-            kept += reply.state == JobHintState.KEPT
+            if reply.state == JobHintState.KEPT:
+                kept.add(reply.keeper)
             unsure = unsure or reply.may_be_kept
-            if kept >= self._copies:
+            if self._quorum.lasts(kept):
                 return HintOutcome.ACCEPTED
         return HintOutcome.UNSURE if unsure else HintOutcome.REFUSED
 
-    def _hand_over(self, node_id: str, message: JobHint, replies: Queue) -> None:
+    def _hand_over(self, keeper: Keeper, message: JobHint, replies: Queue) -> None:
         try:
             reply = self._network.call(
-                node_id, MessageType.JOB_HINT, message, JobHintReply, HINT_SECONDS
+                keeper.node_id, MessageType.JOB_HINT, message, JobHintReply, HINT_SECONDS
             )
         except RunkeelError as error:
-            logger.info(
-                "keeper not reached", code="keeper_unreached", keeper=node_id, error=str(error.code)
-            )
-            replies.put(_Reply(None, error.verdict is not Verdict.NOT_RUN))
+            _log_unreached(keeper, error)
+            replies.put(_Reply(keeper, None, error.verdict is not Verdict.NOT_RUN))
             return
-        replies.put(_Reply(reply.state, reply.state != JobHintState.REFUSED))
+        replies.put(_Reply(keeper, reply.state, reply.state != JobHintState.REFUSED))
 
-    def _look_up(self, node_id: str, message: JobHintLookup) -> bool:
+    def _look_up(self, keeper: Keeper, message: JobHintLookup) -> JobHintLookupReply | None:
         try:
-            reply = self._network.call(
-                node_id,
+            return self._network.call(
+                keeper.node_id,
                 MessageType.JOB_HINT_LOOKUP,
                 message,
                 JobHintLookupReply,
                 LOOKUP_SECONDS,
             )
         except RunkeelError as error:
-            logger.debug("keeper not reached: {}", error.code, code="keeper_unreached")
-            return False
-        return bool(reply.kept)
+            _log_unreached(keeper, error)
+            return None
+
+
+def _log_unreached(keeper: Keeper, error: RunkeelError) -> None:
+    logger.info(
+        "keeper not reached",
+        code="keeper_unreached",
+        keeper=keeper.node_id,
+        zone=keeper.zone,
+        error=str(error.code),
+    )
--- a/src/runkeel/handoff/hint_log.py
+++ b/src/runkeel/handoff/hint_log.py
@@ -13,6 +13,9 @@
 from loguru import logger
 
 _SUFFIX = ".job"
+_MARK = "remembers"
+"""Lies in a folder that holds all that was given to the machine: a new disk has none."""
+
 _HEADER = struct.Struct(">II")
 """Length of the body and its checksum."""
 
@@ -43,6 +46,15 @@
             logger.warning("hints not read", code="hint_log_failed", error=str(error))
         return hints
 
+    @property
+    def marked(self) -> bool:
+        """Whether this folder holds all that may have been given to the machine."""
+        return (self._folder / _MARK).exists()
+
+    def mark(self) -> None:
+        """Take note that it does, from now on."""
+        self._off_loop(_write, self._folder, self._folder / _MARK, b"")
+
     def put(self, job_id: str, text: str) -> bool:
         """Keep a job; True once it lasts."""
         return self._off_loop(_write, self._folder, self._path(job_id), _encode(job_id, text))
--- a/src/runkeel/handoff/hint_service.py
+++ b/src/runkeel/handoff/hint_service.py
@@ -44,6 +44,12 @@
 Below the age at which coordinators remove jobs (150 s), so that none comes back after that.
 """
 
+REMEMBER_SECONDS = EXPIRY_SECONDS + 5.0
+"""A machine whose disk was empty when it started doesn't know for so long what it was given before.
+
+Whatever that was has been dropped by then.
+"""
+
 MAXIMUM_HINT_BYTES = 64 * 1024 * 1024
 """Texts that are kept at once; beyond that a hint is refused. A fifth of the smallest disk."""
 
@@ -54,6 +60,7 @@
     Args:
         log: on the machine's disk; None: it has none.
         on_hint: called with each job that this node keeps; what it refuses must not run.
+        first_start: the whole system starts for the first time: there is nothing to remember.
     """
 
     def __init__(
@@ -63,12 +70,16 @@
         store: ObservedStore,
         log: HintLog | None,
         on_hint: Callable[[str, EncodedJob], None],
+        first_start: bool = False,
     ) -> None:
         self._shard = shard
         self._store = store
         self._log = log
         self._on_hint = on_hint
         self._hints: dict[str, str] = {}
+        self._remembers = log is None or first_start
+        """Whether this node would know of a job that it was given; without a disk it takes none."""
+        self._memory_task: gevent.Greenlet | None = None
         self._waiting = Event()
         self._task: gevent.Greenlet | None = None
         network.on_call(MessageType.JOB_HINT, JobHint, self._serve_hint)
@@ -88,6 +99,7 @@
         if self._log is None:
             return
         self._hints = self._log.load()
+        self._memory_task = gevent.spawn(self._begin_to_remember)
         if self._hints:
             logger.info("hints read", code="hints_read", jobs=len(self._hints))
             self._waiting.set()
@@ -95,8 +107,22 @@
 
     def stop(self) -> None:
         """Hand on no more."""
-        if self._task is not None:
-            self._task.kill(block=False)
+        for task in (self._task, self._memory_task):
+            if task is not None:
+                task.kill(block=False)
+
+    def _begin_to_remember(self) -> None:
+        """Vouch for what this disk holds, once it holds all that may have been given before."""
+        if not self._log.marked:
+            if not self._remembers:
+                logger.warning(
+                    "disk is new: what was kept on it before is not known",
+                    code="hints_forgotten",
+                    seconds=REMEMBER_SECONDS,
+                )
+                gevent.sleep(REMEMBER_SECONDS)
+            self._log.mark()
+        self._remembers = True
 
     def _serve_hint(self, peer: str, message: JobHint) -> tuple[int, JobHintReply]:
         state = self._take(peer, message)
@@ -104,7 +130,9 @@
         return MessageType.JOB_HINT_REPLY, JobHintReply(state)
 
     def _serve_lookup(self, peer: str, message: JobHintLookup) -> tuple[int, JobHintLookupReply]:
-        return MessageType.JOB_HINT_LOOKUP_REPLY, JobHintLookupReply(message.job_id in self._hints)
+        return MessageType.JOB_HINT_LOOKUP_REPLY, JobHintLookupReply(
+            message.job_id in self._hints, self._remembers
+        )
 
     def _take(self, peer: str, message: JobHint) -> int:
         try:
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -14,7 +14,7 @@
 from runkeel.clock import steady_seconds
 from runkeel.coordination.election import Election
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
-from runkeel.handoff.hint_client import HintClient, HintOutcome
+from runkeel.handoff.hint_client import HintClient, HintOutcome, JobTrace
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.job_documents import decode_segment, may_be_of_tenant, segment_name
 from runkeel.jobs.job_state import JobState, page_of
@@ -332,12 +332,29 @@
             RunkeelError: the store gave no answer, or the job is still on its way there.
         """
         cached = self._read_job(job.job_id)
-        if cached is None and self._hints is not None and self._hints.may_be_kept(job.job_id):
-            raise not_run(
-                ErrorCode.STORE_UNAVAILABLE, "the job is not stored yet", RETRY_AFTER_SECONDS
-            )
+        if cached is None:
+            cached = self._rule_out(job.job_id)
         return cached if cached is not None and cached.job.tenant == job.tenant else None
 
+    def _rule_out(self, job_id: str) -> _CachedJob | None:
+        """Return None if there is certainly no such job, whoever may have accepted it.
+
+        Every answer that says so goes by this. What was accepted stands in the store, or on the
+        disks of machines that hand it on; so the store is read once more after these were asked.
+
+        Raises:
+            RunkeelError: the job is on its way to the store, or too few machines were heard.
+        """
+        if self._hints is None:
+            return None
+        trace = self._hints.trace(job_id)
+        if trace is JobTrace.RULED_OUT:
+            return self._read_job(job_id)
+        detail = "the job is not stored yet"
+        if trace is JobTrace.UNSURE:
+            detail = "too few of the machines that may keep the job were heard"
+        raise not_run(ErrorCode.STORE_UNAVAILABLE, detail, RETRY_AFTER_SECONDS)
+
     def _read_job(self, job_id: str) -> _CachedJob | None:
         cached = self._cache.get(job_id)
         if cached is not None:
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -17,6 +17,7 @@
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.fleet_node import FleetSettings
+from runkeel.handoff.keeper_quorum import LossTolerance
 from runkeel_lab.users_platform import use_adapter
 from runkeel_lab.users_platform.crashes import CrashPlan
 from runkeel_lab.users_platform.duty_server import DutyServer
@@ -104,6 +105,7 @@
         tenants: of the first configuration; none: requests need no key.
         usage: what is to be reported of the tenants' usage; None: nothing.
         tolerated_losses: of machines with disks; None: a minority of them.
+        tolerated_zones: zones that may be lost whole.
     """
 
     def __init__(
@@ -118,8 +120,10 @@
         tenants: tuple[dict[str, Any], ...] = (),
         usage: UsageSettings | None = None,
         tolerated_losses: int | None = None,
+        tolerated_zones: int = 0,
     ) -> None:
-        self._tolerated_losses = (disks - 1) // 2 if tolerated_losses is None else tolerated_losses
+        machines = (disks - 1) // 2 if tolerated_losses is None else tolerated_losses
+        self._loss_tolerance = LossTolerance(machines, tolerated_zones)
         self._tenants = tenants
         self._usage = usage
         self._stopped = False
@@ -157,7 +161,7 @@
         for server in [*self.engines, *self.applications]:
             server.start()
         for name in self._machines:
-            self.start_node(name)
+            self.start_node(name, first=True)
 
     def stop(self) -> None:
         """Stop everything."""
@@ -222,11 +226,15 @@
         running = [(name, slot.process) for name, slot in self._machines.items() if slot.process]
         return [name for name, process in running if process.node.coordinating]
 
-    def start_node(self, name: str) -> None:
-        """Start the process of a machine."""
+    def start_node(self, name: str, first: bool = False) -> None:
+        """Start the process of a machine.
+
+        Args:
+            first: all machines start for the first time.
+        """
         slot = self._machines[name]
         self._starts += 1
-        fleet = replace(slot.settings.fleet, incarnation=self._starts)
+        fleet = replace(slot.settings.fleet, incarnation=self._starts, first_start=first)
         slot.process = NodeProcess(replace(slot.settings, fleet=fleet))
         slot.process.start()
 
@@ -327,7 +335,7 @@
             preferred_coordinator=not serves_clients,
             data_folder=None if serves_clients else Path(self._disks.name) / name,
             usage=self._usage,
-            tolerated_losses=self._tolerated_losses,
+            loss_tolerance=self._loss_tolerance,
         )
         listener = _LOOPBACK if serves_clients else None
         store = StoreServer(len(self._machines), behind=self.store)
--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 import gevent
 
@@ -11,9 +12,15 @@
 from runkeel.api.jobs import BatchJob, JobItem
 from runkeel.clock import steady_seconds
 from runkeel.handoff import hint_service
-from runkeel.handoff.hint_client import HintClient, HintOutcome
+from runkeel.handoff.hint_client import HintClient, HintOutcome, JobTrace
 from runkeel.handoff.hint_log import HintLog
 from runkeel.handoff.hint_service import HintService
+from runkeel.handoff.keeper_quorum import (
+    Keeper,
+    KeeperQuorum,
+    KnownKeepers,
+    LossTolerance,
+)
 from runkeel.jobs.job_documents import encode_job, job_from_text, job_text
 from runkeel.state.observed_store import ObservedStore
 from runkeel.wire.generated.common.ttypes import MessageType
@@ -81,11 +88,16 @@
         self.taken = []
         self.services = {}
 
-    def keeper(self, name="k1", disk=True, store=None):
+    def keeper(self, name="k1", disk=True, store=None, first_start=False):
         observed = ObservedStore(store or self.objects)
         log = HintLog(self.folder / name) if disk else None
         service = HintService(
-            self.network.node(name), SHARD, observed, log, lambda job, _: self.taken.append(job)
+            self.network.node(name),
+            SHARD,
+            observed,
+            log,
+            lambda job, _: self.taken.append(job),
+            first_start,
         )
         service.start()
         self.addCleanup(service.stop)
@@ -174,8 +186,10 @@
 
 
 class HintClientTest(HintServiceTest):
-    def client(self, copies=2):
-        return HintClient(self.network.node("edge"), SHARD, lambda: list(KEEPERS), copies)
+    def client(self, copies=2, complete=True):
+        quorum = KeeperQuorum(LossTolerance(copies - 1)) if copies else None
+        known = KnownKeepers(tuple(Keeper(name, "z") for name in KEEPERS), complete)
+        return HintClient(self.network.node("edge"), SHARD, lambda: known, quorum)
 
     def test_accepted_once_enough_disks_have_it(self):
         for name in KEEPERS:
@@ -206,11 +220,48 @@
 
     def test_job_that_is_kept_is_not_said_to_be_unknown(self):
         for name in KEEPERS:
-            self.keeper(name)
+            self.keeper(name, first_start=True)
         self.objects.down = True
         self.hand(make_encoded(), name="k2")
-        self.assertTrue(self.client().may_be_kept("j"))
-        self.assertFalse(self.client().may_be_kept("other"))
+        self.assertIs(self.client().trace("j"), JobTrace.KEPT)
+        self.assertIs(self.client().trace("other"), JobTrace.RULED_OUT)
+
+    def test_job_is_ruled_out_only_by_the_word_of_enough_machines(self):
+        """Machines that gave no answer counted as if they had denied it."""
+        for name in KEEPERS:
+            self.keeper(name, first_start=True)
+        self.network.silent.add("k1")
+        self.assertIs(self.client().trace("j"), JobTrace.RULED_OUT)
+        self.network.silent.add("k2")
+        self.assertIs(self.client().trace("j"), JobTrace.UNSURE)
+
+    def test_machine_whose_disk_is_new_can_deny_nothing(self):
+        self.keeper("k1", first_start=True)
+        self.keeper("k2")
+        self.keeper("k3")
+        self.assertIs(self.client().trace("j"), JobTrace.UNSURE)
+
+    def test_disk_that_vouched_once_does_so_after_a_restart(self):
+        self.keeper("k1", first_start=True)
+        self.wait(lambda: HintLog(self.folder / "k1").marked)
+        self.services["k1"].stop()
+        self.assertTrue(self.remembers(self.keeper("k1")))
+
+    def test_new_disk_vouches_once_all_before_has_expired(self):
+        with mock.patch.object(hint_service, "REMEMBER_SECONDS", 0.05):
+            service = self.keeper("k1")
+            self.assertFalse(service._remembers)
+            self.assertTrue(self.remembers(service))
+            self.wait(lambda: HintLog(self.folder / "k1").marked)
+
+    def remembers(self, service):
+        self.wait(lambda: service._remembers)
+        return True
+
+    def test_node_that_has_just_started_denies_nothing(self):
+        for name in KEEPERS:
+            self.keeper(name, first_start=True)
+        self.assertIs(self.client(complete=False).trace("j"), JobTrace.UNSURE)
 
 
 class JobTextTest(unittest.TestCase):
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -295,6 +295,7 @@
 
 struct JobHintLookupReply {
   1: bool kept,
+  2: bool remembers,        // the receiver would know of a job that it was given
 }
 
 /** What a successor lacks of an open job. */
