Requests of one moment are spread; calls that can wait leave room to callers; Retry-After by the servers' state

Cause: an attempt was counted when its task began, so that all requests of one turn of the loop chose among servers that looked empty, and the tie went to the own zone. Beside it, nothing bounded scorers' calls on the servers that callers use, and Retry-After was 0.1 s whatever the servers' state.

--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -32,6 +32,7 @@
 from runkeel.coordination.order_lease import OrderLease
 from runkeel.coordinator_term import CoordinatorTerm, TermParts, UsageParts
 from runkeel.gateway.backends import BackendDirectory, BackendState
+from runkeel.gateway.deferrable_calls import DeferrableCalls
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable
 from runkeel.handoff.hint_client import HintClient
@@ -250,7 +251,8 @@
         )
         self._election.on_coordinator(self._offer_texts)
         self._term: CoordinatorTerm | None = None
-        scorer = Scorer(self.forwarder, self.routing, protocol)
+        self.deferrable_calls = DeferrableCalls(self.directory)
+        scorer = Scorer(self.forwarder, self.routing, protocol, self.deferrable_calls)
         self._lateness = Lateness()
         self._runner = RunnerService(
             self._network,
--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -46,6 +46,9 @@
 """A full server is left for so long, about as long as one request runs there."""
 
 
+ANSWER_WEIGHT = 0.3
+"""Weight of the newest answer: a server that turned slow shows after three."""
+
 MAXIMUM_UNREADABLE = 1_000
 """Entries that name no server and are remembered for operators; a writer may make them without
 end."""
@@ -56,6 +59,7 @@
 
     Attributes:
         answered_at: steady time of its last answer to a request of this node.
+        answer_seconds: how long its answers take, those of late weighing most; 0: not known.
         replaced: the server has started anew under its id, so that this start is over.
     """
 
@@ -66,6 +70,7 @@
         self.failures = 0
         self.avoid_until = 0.0
         self.answered_at = 0.0
+        self.answer_seconds = 0.0
         self.replaced = False
         self._ended_at = -ENDED_SECONDS
 
@@ -95,6 +100,11 @@
         self.failures = 0
         self.avoid_until = 0.0
 
+    def note_answer_time(self, seconds: float) -> None:
+        """Take how long an answer took."""
+        before = self.answer_seconds or seconds
+        self.answer_seconds = before + ANSWER_WEIGHT * (seconds - before)
+
     def refused(self) -> None:
         """Note that the server was full."""
         self.avoid_until = max(self.avoid_until, steady_seconds() + REFUSAL_PAUSE_SECONDS)
--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -15,6 +15,7 @@
 from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
+from runkeel.gateway.return_time import seconds_until_room
 from runkeel.metrics import ATTEMPTS
 from runkeel.quarantine.quarantine import Quarantine, WatchedRequest
 from runkeel.usage.meter import UsageMeter
@@ -25,9 +26,6 @@
 Its answer can then still come within the target.
 """
 
-RETRY_AFTER_SECONDS = 0.1
-"""When a client may come back: full servers have room again after a request or two."""
-
 MINIMUM_ATTEMPT_SECONDS = 0.005
 """With less time left no server is asked: a request takes some milliseconds at the least."""
 
@@ -172,7 +170,7 @@
         failure = progress.failure
         if failure is None:
             code = ErrorCode.QUEUE_FULL if progress.tried else ErrorCode.NO_BACKEND
-            raise not_run(code, progress.service, RETRY_AFTER_SECONDS)
+            raise not_run(code, progress.service, self._seconds_until_room(progress))
         if failure.answer is not None:
             return failure.answer
         raise failure.error
@@ -213,7 +211,12 @@
         if not progress.sent:
             progress.began_at = self._meter.now()
         progress.sent += 1
-        progress.tasks.append(gevent.spawn(self._attempt, progress, state))
+        # Counted before the task runs: requests that come at one moment would all see servers
+        # without any, and all choose those of this zone.
+        state.in_flight += 1
+        task = gevent.spawn(self._attempt, progress, state)
+        task.rawlink(lambda ended: _release(state))
+        progress.tasks.append(task)
         if reason != "first":
             logger.info(
                 "another attempt",
@@ -239,7 +242,7 @@
         return progress.deadline - steady_seconds() >= MINIMUM_ATTEMPT_SECONDS
 
     def _attempt(self, progress: _Progress, state: BackendState) -> None:
-        state.in_flight += 1
+        started = steady_seconds()
         try:
             outcome = self._exchange(progress, state)
         except gevent.GreenletExit:
@@ -247,9 +250,9 @@
                 # Its server may end of it later, though nobody waits for the answer any more.
                 progress.watched.lost(state, may_have_run(ErrorCode.CANCELLED))
             raise
-        finally:
-            state.in_flight -= 1
         _judge(state, outcome)
+        if outcome.answer_class is AnswerClass.SUCCESS:
+            state.note_answer_time(steady_seconds() - started)
         progress.results.put(outcome)
 
     def _exchange(self, progress: _Progress, state: BackendState) -> _Outcome:
@@ -278,7 +281,11 @@
         verdict = Verdict.MAY_HAVE_RUN if progress.sent else Verdict.NOT_RUN
         if verdict is Verdict.NOT_RUN:
             code = ErrorCode.QUEUE_FULL
-        return RunkeelError(code, progress.service, verdict, RETRY_AFTER_SECONDS)
+        return RunkeelError(code, progress.service, verdict, self._seconds_until_room(progress))
+
+    def _seconds_until_room(self, progress: _Progress) -> float:
+        servers = self._directory.candidates(progress.service)
+        return seconds_until_room(servers, steady_seconds())
 
     def _log_attempt(self, progress: _Progress, outcome: _Outcome) -> None:
         logger.info(
@@ -302,6 +309,11 @@
         state.failed()
 
 
+def _release(state: BackendState) -> None:
+    """Count an attempt no more; also one that was ended before it began."""
+    state.in_flight -= 1
+
+
 def _report_gone(gone: Event, results: Queue) -> None:
     gone.wait()
     results.put(_GONE)
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -16,14 +16,12 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
 from runkeel.gateway.event_order import follows
+from runkeel.gateway.return_time import seconds_until_room
 from runkeel.http.frontend import AnswerBrokenOffError
 from runkeel.metrics import ATTEMPTS
 from runkeel.quarantine.quarantine import Quarantine, WatchedRequest
 from runkeel.usage.meter import UsageMeter
 
-RETRY_AFTER_SECONDS = 0.2
-"""When a caller may come back that no engine had room for. Chosen, not measured."""
-
 LONGEST_SILENCE_SECONDS = 3.0
 """After so long without a byte a resumable stream is continued elsewhere."""
 
@@ -106,7 +104,7 @@
     def _connect(self, relay: _Relay) -> OpenedStream | None:
         """Open a run at a server; returns a server's own failure answer if there is no better."""
         failure: OpenedStream | None = None
-        error = not_run(ErrorCode.QUEUE_FULL, relay.service, RETRY_AFTER_SECONDS)
+        error = not_run(ErrorCode.QUEUE_FULL, relay.service)
         while steady_seconds() < relay.deadline and not relay.gone.is_set():
             if relay.sent >= relay.route.maximum_attempts:
                 break
@@ -142,6 +140,9 @@
                     return failure
         if failure is not None:
             return failure
+        if error.code is ErrorCode.QUEUE_FULL:
+            servers = self._directory.candidates(relay.service)
+            error.retry_after_seconds = seconds_until_room(servers, steady_seconds())
         raise error
 
     def _try(self, relay: _Relay, state: BackendState) -> OpenedStream | None:
--- a/src/runkeel/operators/fleet_tables.py
+++ b/src/runkeel/operators/fleet_tables.py
@@ -62,6 +62,7 @@
     "clearances",
     "changed_ms_ago",
 )
+LIMIT_COLUMNS = ("service", "limit", "under_way", "waiting")
 KEPT_JOB_COLUMNS = ("job", "model", "step", "items", "submitted_ms_ago")
 
 
@@ -81,6 +82,7 @@
         sources.add("tenants", TENANT_COLUMNS, self._tenant_rows)
         sources.add("usage", USAGE_COLUMNS, self._usage_rows)
         sources.add("quarantine", QUARANTINE_COLUMNS, self._quarantine_rows)
+        sources.add("limits", LIMIT_COLUMNS, self._limit_rows)
         sources.add("kept_jobs", KEPT_JOB_COLUMNS, self._kept_job_rows)
 
     def _node_rows(self) -> list[Row]:
@@ -191,6 +193,13 @@
             if record.ended
         ]
 
+    def _limit_rows(self) -> list[Row]:
+        calls = self._node.deferrable_calls
+        limits = [(service, calls.limit_of(service)) for service in calls.services()]
+        return [
+            (service, one.limit, one.under_way, calls.waiting(service)) for service, one in limits
+        ]
+
     def _kept_job_rows(self) -> list[Row]:
         now = time.time()
         return [
--- a/tests/jobs/test_scorer.py
+++ b/tests/jobs/test_scorer.py
@@ -8,6 +8,8 @@
 from runkeel.backends.http_connection import HttpAnswer
 from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, may_have_run
+from runkeel.gateway.backends import BackendDirectory
+from runkeel.gateway.deferrable_calls import DeferrableCalls
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs.scorer import (
     CALL_SECONDS,
@@ -62,7 +64,8 @@
         routing = RoutingTable()
         routing.apply(RoutingConfiguration(1, (route,)))
         self.forwarder = ScriptedForwarder(*statuses)
-        scorer = Scorer(self.forwarder, routing, ScorerProtocol())
+        calls = DeferrableCalls(BackendDirectory())
+        scorer = Scorer(self.forwarder, routing, ScorerProtocol(), calls)
         return scorer.score(CALL, steady_seconds() + seconds)
 
     def test_success(self):
