A coordinator that has not read a job's listing leaves readers to the store

A job was sent again into a zone that was cut off and kept there by two machines; all machines lost power; the next coordinator took the job from its disk, with nothing listed, and was confirmed by the store. Until it had read the listing it told readers, as the store's coordinator, that there was nothing at positions that had been read.

Ruled out: the node's own cache (it grows only), the answer of an unconfirmed coordinator (mended before).

Change: a job that was handed over, or copied, counts as told only once its listing was read from the store; until then the reader's node reads the store itself, or answers 503.

Tests: test_job_service and test_coordinator, both fail before.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -163,6 +163,7 @@
 
     def _run_unconfirmed(self, state: JobState) -> None:
         job_id = state.job.job_id
+        state.listing_known = False
         self._jobs[job_id] = self._unconfirmed[job_id] = state
         self._log_loaded(state, ended=False)
         self._note_acceptance(state.job)
@@ -316,6 +317,7 @@
         writer = ResultWriter(self._store, state, self._epoch, self._listed)
         logger.info("job in the store", code="job_confirmed", job=state.job.job_id)
         fenced = self._write(writer.fence)
+        state.listing_known = fenced
         self._scheduler.add_items(state, state.drop_said_listed())
         if fenced and not state.complete:
             self._write(writer.run)
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -20,6 +20,8 @@
 
     Attributes:
         results: listed results in order; they stand in the store.
+        listing_known: whether the store has been asked what is listed; a job that was handed over,
+            or copied, may have results there that this coordinator doesn't know of.
         segments: number of results segments in the store.
         unlisted: results that are ready but not in the store yet.
         ended: the trainer has ended the job.
@@ -35,6 +37,7 @@
         self.unloaded = False
         self.items = {item.item_id: item for item in job.items}
         self.results: list[ItemResult] = []
+        self.listing_known = True
         self.segments = 0
         self.unlisted: list[ItemResult] = []
         self.ended = False
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -280,7 +280,7 @@
             if state is None:
                 return None
             page = self.local.page(state, position, wait_seconds, MAXIMUM_PAGE_BYTES)
-            return _CoordinatorPage(page, self._election.verified)
+            return _CoordinatorPage(page, self._election.verified and state.listing_known)
         # Only what this node has not read yet is asked for.
         known = self._results.from_position(job, position)
         wait = 0.0 if known else wait_seconds
@@ -380,7 +380,7 @@
             return MessageType.JOB_READ_REPLY, JobReadReply(JobLookup.UNKNOWN, 0, 0, [], False)
         page = local.page(state, message.position, message.wait_ms / 1000.0, message.maximum_bytes)
         results = [_to_wire(result) for result in page.results]
-        verified = self._election.verified
+        verified = self._election.verified and state.listing_known
         reply = JobReadReply(JobLookup.FOUND, page.total, page.position, results, verified)
         return MessageType.JOB_READ_REPLY, reply
 
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -11,7 +11,7 @@
 from runkeel.clock import steady_seconds
 from runkeel.jobs import coordinator as coordinator_module
 from runkeel.jobs.coordinator import JobCoordinator
-from runkeel.jobs.job_documents import encode_job
+from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 from tests.jobs.test_job_service import JOB_ID, make_job
@@ -41,6 +41,11 @@
         return False
 
 
+class ConfirmingScheduler(IdleScheduler):
+    def add_items(self, state, items):
+        pass
+
+
 class RecordingScheduler(IdleScheduler):
     """Notes in which order it is given jobs and started."""
 
@@ -149,6 +154,22 @@
         second.add_unlisted(result(3))
         self._wait(lambda: len(second.results) == 2)
 
+    def test_job_that_was_handed_over_has_its_listing_read_before_it_is_told(self):
+        """A job sent again into a cut zone: 48 results had been read, the next term had none."""
+        self.store.put(
+            DocumentKind.JOB_RESULTS, segment_name(JOB_ID, 0), encode_segment(1, [result(0)])
+        )
+        coordinator = JobCoordinator(
+            self.store, ConfirmingScheduler(), 2, lambda model: 1, self.superseded.append
+        )
+        self.addCleanup(coordinator.stop)
+        coordinator.handed_over(JOB_ID, encode_job(make_job(), "part"))
+        state = coordinator.job(JOB_ID)
+        self.assertEqual((len(state.results), state.listing_known), (0, False))
+        coordinator.start()
+        self._wait(lambda: state.listing_known)
+        self.assertEqual(len(state.results), 1)
+
     def test_listed_items_are_not_listed_twice(self):
         first = self._term(1)
         first.add_unlisted(result(0))
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -12,8 +12,9 @@
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
+from runkeel.jobs.job_state import JobState
 from runkeel.jobs.service import JobService
-from runkeel.wire.generated.jobs.ttypes import JobLookup, JobReadReply, JobResult
+from runkeel.wire.generated.jobs.ttypes import JobLookup, JobRead, JobReadReply, JobResult
 from runkeel_lab.standins.document_store import MemoryDocumentStore, StoreFault
 
 JOB_ID = "job-1"
@@ -77,6 +78,23 @@
     coordinator = Coordinator("node-2", Address("127.0.0.1", 1), "zone", 1)
 
 
+class VerifiedCoordinator(OtherCoordinator):
+    verified = True
+
+
+class LocalCoordinator:
+    """The coordinator's part at this node, with one job."""
+
+    def __init__(self, state):
+        self.state = state
+
+    def job(self, job_id):
+        return self.state
+
+    def page(self, state, position, wait, maximum_bytes):
+        return state.page(position, maximum_bytes)
+
+
 class NoCoordinator:
     node_id = "node-1"
     coordinator = None
@@ -206,6 +224,18 @@
         network.results = make_results(3)
         self.assertEqual(len(service.read(JobReference(JOB_ID), 2, 0.0).results), 1)
 
+    def test_coordinator_that_has_not_read_a_listing_leaves_it_to_the_store(self):
+        self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
+        self._put_results(0, make_results(3))
+        state = JobState(make_job())
+        state.listing_known = False
+        self.service.local = LocalCoordinator(state)
+        self.service._election = VerifiedCoordinator()
+        page = self.service.read(JobReference(JOB_ID), 2, 0.0)
+        self.assertEqual([one.text for one in page.results], ["text 2"])
+        reply = self.service._serve_read("node-3", JobRead("shard", JOB_ID, 2, 0, 1_000, ""))[1]
+        self.assertFalse(reply.verified)
+
     def test_item_body(self):
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
         self.assertEqual(self.service.item_body(JobReference(JOB_ID), f"{JOB_ID}-2"), "Ym9keQ==")
