--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -63,6 +63,16 @@
     return ItemResult(f"{JOB_ID}-{number}", ResultState.COMPLETED, f"text {number}", (1,), "s")
 
 
+class OffsetClock:
+    """The steady clock, advanced by ``offset`` seconds."""
+
+    def __init__(self):
+        self.offset = 0.0
+
+    def __call__(self):
+        return steady_seconds() + self.offset
+
+
 class CoordinatorTest(unittest.TestCase):
     def setUp(self):
         self.store = MemoryDocumentStore()
@@ -175,6 +185,50 @@
         self._wait(lambda: state.listing_known)
         self.assertEqual(len(state.results), 1)
 
+    def _start_late_term(self, tentative):
+        """Start a coordinator whose term began 10 s ago; returns it."""
+        clock = OffsetClock()
+        patch = mock.patch.object(coordinator_module, "steady_seconds", clock)
+        patch.start()
+        self.addCleanup(patch.stop)
+        coordinator = JobCoordinator(
+            self.store, ConfirmingScheduler(), 2, lambda model: 1, self.superseded.append
+        )
+        self.addCleanup(coordinator.stop)
+        if tentative:
+            coordinator.resume_from_copies([])
+            clock.offset = 10.0
+            coordinator.start()
+        else:
+            coordinator.start()
+            self._wait(coordinator.loaded.is_set)
+            clock.offset = 10.0
+        return coordinator
+
+    def _first_known_listing(self, coordinator, job_id):
+        """Return the results of a job when the coordinator first knows its listing."""
+        self._wait(lambda: (state := coordinator.job(job_id)) is not None and state.listing_known)
+        return [one.item_id for one in coordinator.job(job_id).results]
+
+    def test_tentative_term_does_not_hide_results_listed_meanwhile(self):
+        """Guards against an empty listing after a partition, while which another node listed."""
+        self.store.put(
+            DocumentKind.JOB_RESULTS, segment_name(JOB_ID, 0), encode_segment(1, [result(0)])
+        )
+        coordinator = self._start_late_term(tentative=True)
+        self.assertEqual(self._first_known_listing(coordinator, JOB_ID), [result(0).item_id])
+
+    def test_job_found_late_in_a_term_does_not_hide_results_of_the_previous_coordinator(self):
+        """Guards against an empty listing of a job that a replaced coordinator has run, too."""
+        coordinator = self._start_late_term(tentative=False)
+        listed = ItemResult("late-0", ResultState.COMPLETED, "text", (1,), "s")
+        self.store.put(
+            DocumentKind.JOB_RESULTS, segment_name("late", 0), encode_segment(1, [listed])
+        )
+        job = make_job(job_id="late")
+        self.store.put(DocumentKind.JOB, "late", encode_job(job, "part").content)
+        self.assertEqual(self._first_known_listing(coordinator, "late"), ["late-0"])
+
     def test_listed_items_are_not_listed_twice(self):
         first_state = self._start_term(1)
         first_state.add_unlisted(result(0))
