Log a read beyond the listed results

The lines could not tell whether results that a reader missed were missing at the coordinator, and at which epoch, or were dropped on the way. A read at a position beyond a listing that counts as known is now counted (runkeel_jobs_total{event="short_listing"}) and logged once per job as listing_short, with the coordinator's epoch and what it has.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -239,8 +239,28 @@
         """Return results from a position on, waiting up to ``wait_seconds`` for the first."""
         if wait_seconds > 0:
             state.wait_for_position(position, wait_seconds)
+        if state.listing_known and len(state.results) < position <= len(state.items):
+            self._report_short_listing(state, position)
         return state.page(position, max_bytes)
 
+    def _report_short_listing(self, state: JobState, position: int) -> None:
+        """Log once per job that a reader expects more results than are listed here."""
+        JOBS.labels("short_listing").inc()
+        if state.short_listing_reported:
+            return
+        state.short_listing_reported = True
+        logger.warning(
+            "read beyond the listed results",
+            code="listing_short",
+            job=state.job.job_id,
+            epoch=self._epoch,
+            position=position,
+            listed=len(state.results),
+            total=len(state.items),
+            segments=state.segments,
+            ended=state.ended,
+        )
+
     def _spawn(self, function: Callable[..., None], *arguments: object) -> None:
         task = gevent.spawn(function, *arguments)
         self._tasks.add(task)
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -23,6 +23,7 @@
         listing_known: whether ``results`` includes all that was listed before; false for a job that
             was handed over or copied, until its segments have been read from the store.
         segments: number of results segments in the store.
+        short_listing_reported: whether a read beyond the listed results has been logged.
         unlisted: results that are ready but not in the store yet.
         ended: whether the trainer has ended the job.
         parts: names of the job's part documents; empty if its own document has the items.
@@ -39,6 +40,7 @@
         self.results: list[ItemResult] = []
         self.listing_known = True
         self.segments = 0
+        self.short_listing_reported = False
         self.unlisted: list[ItemResult] = []
         self.ended = False
         self.ready = Event()
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import gevent
+from loguru import logger
 
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import ItemResult, ResultState
@@ -229,6 +230,18 @@
         self.store.put(DocumentKind.JOB, "late", encode_job(job, "part").content)
         self.assertEqual(self._first_known_listing(coordinator, "late"), ["late-0"])
 
+    def test_read_beyond_the_listing_is_logged_once(self):
+        """Guards against results that go missing without a trace in the logs."""
+        state = self._start_term(1)
+        lines = []
+        handler = logger.add(lambda message: lines.append(message.record["extra"].get("code")))
+        self.addCleanup(logger.remove, handler)
+        self.coordinator.page(state, 0, 0.0, 1_000)
+        self.assertNotIn("listing_short", lines)
+        for _ in range(2):
+            self.coordinator.page(state, 3, 0.0, 1_000)
+        self.assertEqual(lines.count("listing_short"), 1)
+
     def test_listed_items_are_not_listed_twice(self):
         first_state = self._start_term(1)
         first_state.add_unlisted(result(0))
