Read a job's segments before its listing counts as known, in every case

What callers saw: after a zone had been cut off, a node of that zone answered reads of a job with no result at positions that had been read before; for good if the job had ended.

Cause: the coordinator skipped reading a job's segments once its term was older than 3 s, and then counted the empty listing as known. The age stood for "no other coordinator can have listed results of this job", which it does not show: a tentative term is older than its confirmation, and the store may give a job's document late.

Why this works: a listing is unknown until ResultWriter.fence has read the segments and has written one of this epoch after them, which no earlier coordinator can list past. Reads are served from the store until then. Whether items wait for that is decided by the revision of the job's document: items of a job that was stored after this term listed the jobs start at once. Cost: one write for each new job.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -57,9 +57,6 @@
 An unloaded job's items and results are dropped from memory; reads go to the store.
 """
 
-TERM_SETTLE_SECONDS = 3.0
-"""Jobs read later than this in a term are assumed not to have run under another term."""
-
 INITIAL_LOAD_TIMEOUT_SECONDS = 0.6
 """Longest time that scheduling waits for stored jobs to load at the start of a term."""
 
@@ -125,6 +122,8 @@
         self._jobs: dict[str, JobState] = {}
         self._ended_ids: set[str] = set()
         self._loading: set[str] = set()
+        self._first_list_revision: int | None = None
+        """Revision of the store as of which this term has listed the jobs; None until then."""
         self._unconfirmed: dict[str, JobState] = {}
         """Running jobs that have not been seen in the store yet."""
         self._tasks: set[gevent.Greenlet] = set()
@@ -179,7 +178,6 @@
 
     def _run_unconfirmed(self, state: JobState) -> None:
         job_id = state.job.job_id
-        state.listing_known = False
         self._jobs[job_id] = self._unconfirmed[job_id] = state
         self._log_loaded(state, ended=False)
         self._record_job_statistics(state.job)
@@ -277,6 +275,7 @@
         self._end_watcher.first_list_applied.wait()
         self._job_watcher.start()
         self._job_watcher.first_list_applied.wait()
+        self._first_list_revision = self._job_watcher.revision
         deadline = steady_seconds() + INITIAL_LOAD_TIMEOUT_SECONDS
         while self._loading and steady_seconds() < deadline:
             gevent.sleep(_POLL_INTERVAL_SECONDS)
@@ -371,28 +370,27 @@
     def _confirm_stored(self, state: JobState, parts: tuple[str, ...]) -> None:
         """Read the listed results of a running job found in the store, then list the others."""
         state.parts = parts
-        writer = ResultWriter(self._store, state, self._epoch, self._on_listed)
         logger.info("running job found in store", code="job_confirmed", job=state.job.job_id)
+        writer = self._writer(state)
         fenced = self._run_unless_superseded(writer.fence)
-        state.listing_known = fenced
         self._scheduler.add_items(state, state.clear_reported_listed())
-        if fenced and not state.complete:
-            self._run_unless_superseded(writer.run)
+        if fenced:
+            self._list_results(state, writer)
 
     def _load(self, document: Document) -> None:
         """Load a job and run its unlisted items.
 
-        Its listed results are read first, and coordinators of earlier terms are stopped from
-        listing more, unless the term has lasted for more than :data:`TERM_SETTLE_SECONDS` when the
-        job has been read.
+        Another coordinator may have listed results of any job, so its segments are always read, and
+        coordinators of earlier terms are stopped from listing more. The items of a job that may
+        have run in an earlier term start after that, those of a new job at once.
         """
         job = self._read(document)
         if job is None:
             self._loading.discard(document.name)
             return
         state = JobState(job, part_names(document.content))
-        writer = ResultWriter(self._store, state, self._epoch, self._on_listed)
-        if not self._has_term_settled() and not self._run_unless_superseded(writer.fence):
+        writer = self._writer(state)
+        if self._is_from_earlier_term(document) and not self._run_unless_superseded(writer.fence):
             return
         self._jobs[document.name] = state
         self._loading.discard(document.name)
@@ -404,8 +402,22 @@
             state.end()
         elif not state.complete:
             self._scheduler.add(state)
+        self._list_results(state, writer)
+
+    def _is_from_earlier_term(self, document: Document) -> bool:
+        """Return whether a job may have been stored before this term listed the stored jobs."""
+        listed_at = self._first_list_revision
+        return listed_at is None or document.revision <= listed_at
+
+    def _writer(self, state: JobState) -> ResultWriter:
+        return ResultWriter(self._store, state, self._epoch, self._on_listed)
+
+    def _list_results(self, state: JobState, writer: ResultWriter) -> None:
+        """Write a job's results to the store until all are listed or this node is superseded."""
+        if not state.listing_known and not self._run_unless_superseded(writer.fence):
+            return
         if not state.complete:
-            self._spawn(self._run_unless_superseded, writer.run)
+            self._run_unless_superseded(writer.run)
 
     def _log_loaded(self, state: JobState, ended: bool) -> None:
         job = state.job
@@ -445,13 +457,6 @@
         recent = self._recent_item_counts.setdefault(job.model, deque(maxlen=MAX_RECENT_JOBS))
         recent.append(len(job.items) + others)
 
-    def _has_term_settled(self) -> bool:
-        """Return whether the term has lasted for longer than :data:`TERM_SETTLE_SECONDS`.
-
-        Jobs that have been read after that are assumed not to have run under another term.
-        """
-        return steady_seconds() - self._started_at > TERM_SETTLE_SECONDS
-
     def _run_unless_superseded(self, write: Callable[[], None]) -> bool:
         """Call a writer's method; returns False if another coordinator has taken over."""
         try:
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -20,8 +20,8 @@
 
     Attributes:
         results: listed results in order.
-        listing_known: whether ``results`` includes all that was listed before; false for a job that
-            was handed over or copied, until its segments have been read from the store.
+        listing_known: whether ``results`` includes all that other coordinators have listed; false
+            until :meth:`ResultWriter.fence` has read the job's segments from the store.
         segments: number of results segments in the store.
         short_listing_reported: whether a read beyond the listed results has been logged.
         unlisted: results that are ready but not in the store yet.
@@ -38,7 +38,7 @@
         self.unloaded = False
         self.items = {item.item_id: item for item in job.items}
         self.results: list[ItemResult] = []
-        self.listing_known = True
+        self.listing_known = False
         self.segments = 0
         self.short_listing_reported = False
         self.unlisted: list[ItemResult] = []
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -60,14 +60,14 @@
     def fence(self) -> None:
         """Read all existing segments and create an empty one after the last.
 
-        This stops coordinators of earlier epochs from listing more. Raises SupersededError.
+        This stops coordinators of earlier epochs from listing more, so that the listing is known
+        from then on. Raises SupersededError.
         """
-        before = -1
-        while self._state.segments != before and not self._state.complete:
-            before = self._state.segments
+        while not self._state.complete:
             self._write_segment([], allow_empty=True)
             if self._last_segment_own:
-                return
+                break
+        self._state.listing_known = True
 
     def run(self) -> None:
         """Write until every item is listed. Raises SupersededError."""
