Check a job and the term again after a read has waited

What callers saw: nothing yet; found while looking for other ways to an empty listing.

Cause: a read takes the job's state, waits up to a second for results, and builds its answer after that. If the job was unloaded meanwhile to save memory, the answer was an empty page with a total of 0 that counted as verified; edge nodes also kept that total. If the node's term had ended and another had begun, the page of the earlier term was verified by the later one.

Evidence: both tests failed before ([], total 0, instead of two of 4 results; verified True for a page of an earlier term).

Why this works: after the wait an unloaded job counts as unknown, so that the store is read, and a page counts as verified only if its coordinator is still this node's.

--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -283,8 +283,7 @@
             state = self._local_state(job)
             if state is None:
                 return None
-            page = self.local.page(state, position, wait_seconds, MAX_PAGE_BYTES)
-            return _CoordinatorPage(page, self._election.verified and state.listing_known)
+            return self._page_from_local(self.local, state, position, wait_seconds)
         # Request only results that this node has not cached.
         known = self._result_cache.from_position(job, position)
         wait = 0.0 if known else wait_seconds
@@ -301,6 +300,24 @@
         )
         return _CoordinatorPage(self._page_from_cache(job, position), reply.verified)
 
+    def _page_from_local(
+        self,
+        local: JobCoordinator,
+        state: JobState,
+        position: int,
+        wait_seconds: float,
+        max_bytes: int = MAX_PAGE_BYTES,
+    ) -> _CoordinatorPage | None:
+        """Return a page of this node's coordinator; None if the job was unloaded during the wait.
+
+        It is not verified if the term has ended during the wait, even if another one has begun.
+        """
+        page = local.page(state, position, wait_seconds, max_bytes)
+        if state.unloaded:
+            return None
+        verified = self.local is local and self._election.verified and state.listing_known
+        return _CoordinatorPage(page, verified)
+
     def _page_from_cache(self, job: JobReference, position: int) -> ResultPage:
         """Return the cached results from a position on."""
         results = self._result_cache.from_position(job, position)
@@ -388,12 +405,17 @@
             reply = JobReadReply(JobLookup.NOT_COORDINATOR, 0, 0, [], False)
             return MessageType.JOB_READ_REPLY, reply
         state = self._local_state(JobReference(message.job_id, message.tenant or ""))
-        if state is None:
+        wait_seconds = message.wait_ms / 1000.0
+        answer = None
+        if state is not None:
+            answer = self._page_from_local(
+                local, state, message.position, wait_seconds, message.maximum_bytes
+            )
+        if answer is None:
             return MessageType.JOB_READ_REPLY, JobReadReply(JobLookup.UNKNOWN, 0, 0, [], False)
-        page = local.page(state, message.position, message.wait_ms / 1000.0, message.maximum_bytes)
+        page = answer.page
         results = [_to_wire(result) for result in page.results]
-        verified = self._election.verified and state.listing_known
-        reply = JobReadReply(JobLookup.FOUND, page.total, page.position, results, verified)
+        reply = JobReadReply(JobLookup.FOUND, page.total, page.position, results, answer.verified)
         return MessageType.JOB_READ_REPLY, reply
 
     def _serve_accepted(self, peer: str, message: JobAccepted) -> tuple[int, JobAcceptedReply]:
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -95,6 +95,27 @@
         return state.page(position, maximum_bytes)
 
 
+class UnloadingCoordinator(LocalCoordinator):
+    """Unloads the job while a read waits for results."""
+
+    def page(self, state, position, wait, maximum_bytes):
+        state.unload()
+        return state.page(position, maximum_bytes)
+
+
+class RestartedCoordinator(LocalCoordinator):
+    """The node begins a later term while a read waits for results."""
+
+    def __init__(self, state, service, later):
+        super().__init__(state)
+        self.service = service
+        self.later = later
+
+    def page(self, state, position, wait, maximum_bytes):
+        self.service.local = self.later
+        return state.page(position, maximum_bytes)
+
+
 class NoCoordinator:
     node_id = "node-1"
     coordinator = None
@@ -236,6 +257,33 @@
         reply = self.service._serve_read("node-3", JobRead("shard", JOB_ID, 2, 0, 1_000, ""))[1]
         self.assertFalse(reply.verified)
 
+    def test_job_unloaded_during_a_read_is_read_from_the_store(self):
+        """Guards against an empty page with no total once memory runs short."""
+        self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
+        self._put_results(0, make_results(3))
+        state = JobState(make_job())
+        state.listing_known = True
+        state.append_segment(make_results(3))
+        self.service.local = UnloadingCoordinator(state)
+        self.service._election = VerifiedCoordinator()
+        page = self.service.read(JobReference(JOB_ID), 1, 0.0)
+        self.assertEqual(
+            ([one.text for one in page.results], page.total), (["text 1", "text 2"], 4)
+        )
+        self.assertEqual(self._serve_read().lookup, JobLookup.UNKNOWN)
+
+    def test_page_of_an_earlier_term_is_not_verified_by_the_current_one(self):
+        """Guards against hiding results that were listed between two terms of a node."""
+        state = JobState(make_job())
+        state.listing_known = True
+        later = LocalCoordinator(JobState(make_job()))
+        self.service.local = RestartedCoordinator(state, self.service, later)
+        self.service._election = VerifiedCoordinator()
+        self.assertFalse(self._serve_read().verified)
+
+    def _serve_read(self):
+        return self.service._serve_read("node-3", JobRead("shard", JOB_ID, 0, 0, 1_000, ""))[1]
+
     def test_item_body(self):
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
         self.assertEqual(self.service.item_body(JobReference(JOB_ID), f"{JOB_ID}-2"), "Ym9keQ==")
