Build a page from the results at hand, not from the cache again

What callers saw: nothing yet; found while looking for other ways to an empty listing.

Cause: an edge node asks the coordinator only for what its cache lacks, and then built the page from the cache alone. If other jobs' results had evicted the first part during the call, the page was empty although it counted as verified.

Why this works: the page is made of the results that were known when the read began and of those in the reply.

--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -295,10 +295,11 @@
         )
         if reply is None or reply.lookup != JobLookup.FOUND:
             return None
-        self._result_cache.add(
-            job, reply.total, first, (_from_wire(result) for result in reply.results)
-        )
-        return _CoordinatorPage(self._page_from_cache(job, position), reply.verified)
+        new = [_from_wire(result) for result in reply.results]
+        self._result_cache.add(job, reply.total, first, new)
+        # The cache may have evicted the known results during the call.
+        page = make_page([*known, *new], reply.total, 0, MAX_PAGE_BYTES)
+        return _CoordinatorPage(replace(page, position=position), reply.verified)
 
     def _page_from_local(
         self,
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -13,6 +13,7 @@
 from runkeel.errors import RunkeelError, Verdict
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
+from runkeel.jobs.result_cache import MAX_BYTES
 from runkeel.jobs.service import JobService
 from runkeel.wire.generated.jobs.ttypes import JobLookup, JobRead, JobReadReply, JobResult
 from runkeel_lab.standins.document_store import MemoryDocumentStore, StoreFault
@@ -61,11 +62,14 @@
         self.positions = []
         self.silent = False
         self.verified = True
+        self.on_next_call = lambda: None
 
     def call(self, node_id, message_type, message, reply_class, timeout):
         if self.silent:
             raise RunkeelError("peer_unreachable", "silent", Verdict.NOT_RUN)
         self.positions.append(message.position)
+        self.on_next_call()
+        self.on_next_call = lambda: None
         found = [
             JobResult(one.item_id, one.state.value, one.text, list(one.versions), one.score)
             for one in self.results[message.position :]
@@ -230,6 +234,19 @@
         with self.assertRaises(RunkeelError):
             service.read(JobReference(JOB_ID), 2, 0.0)
 
+    def test_results_evicted_during_a_read_are_still_served(self):
+        """Guards against hiding results that this node had cached when the read began."""
+        network = CoordinatorNetwork(4)
+        service = JobService(self.store, network, OtherCoordinator(), "shard")
+        network.results = make_results(3)
+        service.read(JobReference(JOB_ID), 0, 0.0)
+        network.on_next_call = lambda: service._result_cache.add(JobReference("large"), 1, 0, large)
+        large = [ItemResult("large-0", ResultState.COMPLETED, "x" * MAX_BYTES, (1,), "s")]
+        network.results = make_results(4)
+        page = service.read(JobReference(JOB_ID), 1, 0.0)
+        self.assertEqual([one.text for one in page.results], ["text 1", "text 2", "text 3"])
+        self.assertEqual(page.position, 1)
+
     def test_empty_page_of_an_unverified_coordinator_is_not_served(self):
         """Guards against hiding listed results in a network partition.
 
