Ask a silent coordinator on a new connection before a node that was cut off replaces it

What callers saw: after a zone had been cut off, a node of that zone took the term from a coordinator that was healthy and that the store confirmed.

Cause: such a node claims as soon as it reaches the store again. Its pings still fail then: the connection waits for the dialer's backoff (up to 2 s) or for a dial that was sent into the partition. It took that silence for the coordinator's.

Why this works: what hid the coordinator hid the store, too, so that once the store answers, a new connection shows whether the coordinator serves.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -488,11 +488,14 @@
 
         The tentative term ends if the coordinator turns out to serve.
         """
-        pong = self._pings.ping(known.node_id, known.epoch)
+        reaches_store = self._reaches_store()
+        # If a partition has healed, a new connection shows whether the coordinator serves.
+        ping = self._pings.ping_anew if reaches_store else self._pings.ping
+        pong = ping(known.node_id, known.epoch)
         if pong is not None and pong.coordinator:
             self._tentative.end(f"{known.node_id} serves")
             self._succession.note_contact()
-        elif self._reaches_store():
+        elif reaches_store:
             self._claim(known, "the store is reachable again")
         elif self._tentative.loses_tie(known):
             self._tentative.end("another tentative term takes precedence")
@@ -543,11 +546,18 @@
             return PING_INTERVAL_SECONDS
         if pong is None and self._tentative.defers_claim(known):
             return STORE_CHECK_INTERVAL_SECONDS
+        if pong is None and self._succession.regained_store and self._serves_after_all(known):
+            self._succession.note_contact()
+            return PING_INTERVAL_SECONDS
         if self._coordinator is known:
             silent = self._succession.silent_seconds
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
+    def _serves_after_all(self, known: Coordinator) -> bool:
+        """Return whether the coordinator answers on a new connection that it serves."""
+        return self._succession.is_serving(self._pings.ping_anew(known.node_id, known.epoch))
+
     def _record_advertised(self, known: Coordinator, pong: CoordinatorPong) -> None:
         """Record the nodes named in an answer, and pass on its quarantine digest."""
         self._advertised.record(pong)
--- a/src/runkeel/coordination/pings.py
+++ b/src/runkeel/coordination/pings.py
@@ -58,6 +58,11 @@
         except RunkeelError:
             return None
 
+    def ping_anew(self, node_id: str, epoch: int) -> CoordinatorPong | None:
+        """Ping a node on a new connection; returns None if it does not answer."""
+        self._network.reconnect(node_id)
+        return self.ping(node_id, epoch)
+
     def ping_all(self, node_ids: Iterable[str], epoch: int) -> dict[str, CoordinatorPong]:
         """Ping nodes concurrently; returns the answers by node."""
         tasks = {one: gevent.spawn(self.ping, one, epoch) for one in node_ids}
--- a/src/runkeel/coordination/succession.py
+++ b/src/runkeel/coordination/succession.py
@@ -79,6 +79,14 @@
         )
         return steady_seconds() - self._failing_since >= rank_delay
 
+    @property
+    def regained_store(self) -> bool:
+        """Whether this node lost the store and reached it again while the coordinator was silent.
+
+        It may have been cut off itself, from the store and from a coordinator that serves.
+        """
+        return bool(self._failing_since) and self._own_store_back_at >= self._failing_since
+
     def reset(self) -> None:
         """Reset the state for a new coordinator."""
         self.note_contact()
--- a/src/runkeel/wire/dialing.py
+++ b/src/runkeel/wire/dialing.py
@@ -85,6 +85,12 @@
         if peer is not None:
             peer.retry_at = 0.0
 
+    def discard(self, node_id: str) -> None:
+        """Drop a peer's connection, pending dial and backoff, so that the next call dials."""
+        peer = self._peers.pop(node_id, None)
+        if peer is not None and peer.connection is not None:
+            peer.connection.close("replaced by a new connection")
+
     def stop(self) -> None:
         """Close all connections and cancel pending dials."""
         self._stopped = True
--- a/src/runkeel/wire/network.py
+++ b/src/runkeel/wire/network.py
@@ -146,6 +146,14 @@
             raise RunkeelError(ErrorCode.PROTOCOL_ERROR, "the peer sent no reply")
         return decode(reply_class, body)
 
+    def reconnect(self, node_id: str) -> None:
+        """Use a new connection for the next call to a peer, without waiting for the backoff.
+
+        For use after a partition: the old connection, or a dial that began meanwhile, may not
+        recover for seconds. Calls in flight on the old connection fail.
+        """
+        self._dialer.discard(node_id)
+
     def open_stream(self, node_id: str, message_type: int, message: Any) -> Stream:
         """Open a stream with its first message.
 
--- a/src/runkeel_lab/standins/peer_network.py
+++ b/src/runkeel_lab/standins/peer_network.py
@@ -24,6 +24,8 @@
         self.unreachable: set[str] = set()
         self.unresponsive: set[str] = set()
         self._partitions: set[frozenset[str]] = set()
+        self._stale: set[frozenset[str]] = set()
+        """Pairs of nodes between which calls fail until one of them reconnects."""
         self._handlers: dict[tuple[str, int], Handler] = {}
 
     def node(self, node_id: str) -> NodeNetwork:
@@ -38,6 +40,15 @@
         """Remove all partitions."""
         self._partitions.clear()
 
+    def heal_without_reconnecting(self) -> None:
+        """Remove all partitions; calls across them fail until one of the nodes reconnects."""
+        self._stale.update(self._partitions)
+        self._partitions.clear()
+
+    def reconnect(self, caller: str, node_id: str) -> None:
+        """Replace the connection between two nodes."""
+        self._stale.discard(frozenset((caller, node_id)))
+
     def register(self, node_id: str, message_type: int, handler: Handler) -> None:
         """Register a node's handler for a message type."""
         self._handlers[node_id, message_type] = handler
@@ -46,9 +57,8 @@
         """Deliver a message to a node and return its reply."""
         gevent.sleep(0)
         handler = self._handlers.get((node_id, message_type))
-        unreachable = (
-            frozenset((caller, node_id)) in self._partitions or node_id in self.unreachable
-        )
+        pair = frozenset((caller, node_id))
+        unreachable = pair in self._partitions or pair in self._stale or node_id in self.unreachable
         if handler is None or unreachable or caller in self.unreachable:
             raise not_run(ErrorCode.PEER_UNREACHABLE, node_id)
         return handler(caller, message)[1]
@@ -76,3 +86,6 @@
             gevent.sleep(timeout_seconds)
             raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, f"{timeout_seconds} s")
         return self._network.call(self._node_id, node_id, message_type, message)
+
+    def reconnect(self, node_id: str) -> None:
+        self._network.reconnect(self._node_id, node_id)
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -16,6 +16,7 @@
 from runkeel.coordination import election as election_module
 from runkeel.coordination import pings, succession
 from runkeel.coordination.election import Candidate, Election
+from runkeel.coordination.tentative_term import TentativeTerm
 from runkeel.state import document_watcher
 from runkeel.wire.generated.jobs.ttypes import CoordinatorPong, NodeAddress
 from runkeel_lab.standins.document_store import MemoryDocumentStore, StoreFault
@@ -322,6 +323,46 @@
         self.assertEqual(len(self.terms), 1, self.terms)
         self.assertEqual(len(self.ended_terms), 1, self.ended_terms)
 
+    def _partition(self, nodes, inside):
+        """Cut nodes off from the others and from the store."""
+        for node in inside:
+            self.stores[node.node_id].cut = True
+            for other in nodes:
+                if other not in inside:
+                    self.network.cut(node.node_id, other.node_id)
+
+    def _heal(self, inside):
+        """End the partition; the connections across it are not used until they are replaced."""
+        self.network.heal_without_reconnecting()
+        for node in inside:
+            self.stores[node.node_id].cut = False
+
+    def test_node_with_a_tentative_term_does_not_replace_a_healthy_coordinator(self):
+        """Guards against running all items again when a partition heals."""
+        nodes = self._nodes("a", "b", "c", "d")
+        first = self._coordinator(nodes)
+        gevent.sleep(SETTLE_SECONDS)
+        inside = [node for node in nodes if node is not first][:2]
+        self._partition(nodes, inside)
+        self._wait(lambda: any(node.tentative for node in inside))
+        self._heal(inside)
+        self._wait(lambda: not any(node.tentative for node in inside))
+        gevent.sleep(SETTLE_SECONDS)
+        self.assertEqual(len(self.terms), 1, self.terms)
+
+    def test_node_that_was_cut_off_does_not_replace_a_healthy_coordinator(self):
+        """Guards against running all items again when a partition heals."""
+        nodes = self._nodes("a", "b", "c", "d")
+        first = self._coordinator(nodes)
+        gevent.sleep(SETTLE_SECONDS)
+        inside = [next(node for node in nodes if node is not first)]
+        self._partition(nodes, inside)
+        with mock.patch.object(TentativeTerm, "may_begin", lambda *arguments: False):
+            gevent.sleep(SETTLE_SECONDS)
+            self._heal(inside)
+            gevent.sleep(SETTLE_SECONDS)
+        self.assertEqual(len(self.terms), 1, self.terms)
+
     def test_simultaneous_tentative_terms(self):
         """Of two nodes that began tentative terms at the same time, only one may remain."""
         nodes = self._nodes("a", "b", "c")
--- a/tests/wire/test_network.py
+++ b/tests/wire/test_network.py
@@ -88,6 +88,23 @@
             action = lambda target=target: self.call(target)  # noqa: E731
             self.assert_fails(ErrorCode.PEER_UNREACHABLE, Verdict.NOT_RUN, action)
 
+    def test_reconnecting_does_not_wait_for_the_backoff(self):
+        """Guards against a peer that seems silent for seconds after a partition."""
+        address = self.b.address
+        self.b.stop()
+        for _ in range(8):
+            self._dial_without_backoff()
+        restarted = self.network("b", address=address)
+        restarted.on_call(CALL, HttpHeader, echo)
+        self.assert_fails(ErrorCode.PEER_UNREACHABLE, Verdict.NOT_RUN, self.call)
+        self.a.reconnect("b")
+        self.assertEqual(self.call().value, "x")
+
+    def _dial_without_backoff(self):
+        """Make a dial that fails, so that the next backoff is longer."""
+        self.a._dialer.reset_backoff("b")
+        self.assert_fails(ErrorCode.PEER_UNREACHABLE, Verdict.NOT_RUN, self.call)
+
     def test_peer_loss_after_the_send_may_have_run_and_calls_work_after_its_restart(self):
         started = Event()
 
