Don't vouch for a listing that is shorter than a reader expects

What callers saw: nothing yet; a way to the same answer that is left after the fixes before.

Cause: a replaced coordinator counts as verified for up to a second after the store's last confirmation. A reader that has read further results from its successor meanwhile got an empty page from it.

Evidence: the test failed before (verified for position 2 of a listing with no result).

Why this works: a read from a position beyond the listing shows that results were listed elsewhere, so that the page is not verified and the store is read.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -237,7 +237,7 @@
         """Return results from a position on, waiting up to ``wait_seconds`` for the first."""
         if wait_seconds > 0:
             state.wait_for_position(position, wait_seconds)
-        if state.listing_known and len(state.results) < position <= len(state.items):
+        if state.listing_known and state.is_beyond_listing(position):
             self._report_short_listing(state, position)
         return state.page(position, max_bytes)
 
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -71,6 +71,10 @@
         """Return whether an item's result is listed, or reported as listed."""
         return item_id in self._listed or item_id in self._reported_listed
 
+    def is_beyond_listing(self, position: int) -> bool:
+        """Return whether a read from this position shows that there are further listed results."""
+        return len(self.results) < position <= len(self.items)
+
     def open_items(self) -> list[JobItem]:
         """Return the items without a result that is listed or reported as listed."""
         return [item for item in self.job.items if not self.is_listed(item.item_id)]
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -311,13 +311,15 @@
     ) -> _CoordinatorPage | None:
         """Return a page of this node's coordinator; None if the job was unloaded during the wait.
 
-        It is not verified if the term has ended during the wait, even if another one has begun.
+        It is not verified if the term has ended during the wait, even if another one has begun, or
+        if the reader expects more results than are listed, as a later coordinator may have them.
         """
         page = local.page(state, position, wait_seconds, max_bytes)
         if state.unloaded:
             return None
-        verified = self.local is local and self._election.verified and state.listing_known
-        return _CoordinatorPage(page, verified)
+        current = self.local is local and self._election.verified
+        listed = state.listing_known and not state.is_beyond_listing(position)
+        return _CoordinatorPage(page, current and listed)
 
     def _page_from_cache(self, job: JobReference, position: int) -> ResultPage:
         """Return the cached results from a position on."""
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -298,8 +298,22 @@
         self.service._election = VerifiedCoordinator()
         self.assertFalse(self._serve_read().verified)
 
-    def _serve_read(self):
-        return self.service._serve_read("node-3", JobRead("shard", JOB_ID, 0, 0, 1_000, ""))[1]
+    def test_replaced_coordinator_does_not_deny_results_that_a_reader_expects(self):
+        """Guards against hiding results listed by a successor that the store has just confirmed."""
+        state = JobState(make_job())
+        state.listing_known = True
+        self.service.local = LocalCoordinator(state)
+        self.service._election = VerifiedCoordinator()
+        self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
+        self._put_results(0, make_results(3))
+        self.assertTrue(self._serve_read(0).verified)
+        self.assertFalse(self._serve_read(2).verified)
+        page = self.service.read(JobReference(JOB_ID), 2, 0.0)
+        self.assertEqual([one.text for one in page.results], ["text 2"])
+
+    def _serve_read(self, position=0):
+        message = JobRead("shard", JOB_ID, position, 0, 1_000, "")
+        return self.service._serve_read("node-3", message)[1]
 
     def test_item_body(self):
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
