Put back reasons that reworded comments had lost

Eight got a sentence back, in seven files: the bounds that constants of the election, tentative terms, load pacing, server ejection, job acceptance and trials must respect, and when a read must be current.

--- a/src/runkeel/api/documents.py
+++ b/src/runkeel/api/documents.py
@@ -25,7 +25,10 @@
     """Consistency that a read requires."""
 
     CURRENT = "current"
-    """Reflects every write acknowledged before the read."""
+    """Reflects every write acknowledged before the read.
+
+    Needed where a decision depends on the read alone.
+    """
     STALE_ALLOWED = "any_age"
     """May be some seconds stale. Costs a tenth of a current read and is not rate-limited."""
 
--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -85,7 +85,10 @@
 """Number of successors that nodes query first and that get copies of the open jobs."""
 
 STORAGE_NODES_SETTLE_SECONDS = 3.0
-"""How long after its start a node's list of storage nodes may be incomplete."""
+"""How long after its start a node's list of storage nodes may be incomplete.
+
+A coordinator that has started at the same time usually hears of the other nodes within 2 s.
+"""
 
 SUCCESSOR_QUERY_INTERVAL_SECONDS = 0.2
 """Minimum interval between queries to the likeliest successors.
@@ -111,7 +114,10 @@
 """
 
 CLAIM_TIMEOUT_SECONDS = 0.6
-"""Timeout of a claim; a claim that the store applies after that is still recognized."""
+"""Timeout of a claim; a claim that the store applies after that is still recognized.
+
+Exceeds the response time of a slow store.
+"""
 
 STORE_PROBE_TIMEOUT_SECONDS = 0.5
 """Timeout of the probe by which a node checks the store while the coordinator does not answer.
--- a/src/runkeel/coordination/load_pacing.py
+++ b/src/runkeel/coordination/load_pacing.py
@@ -15,7 +15,10 @@
 """Initial value and upper bound of the limit, as a share of a service's engines."""
 
 SLOW_LOAD_RATIO = 1.6
-"""A load counts as slow if it takes more than this many times the shortest one."""
+"""A load counts as slow if it takes more than this many times the shortest one.
+
+Allows for the interval of report queries, by which the end of a load may be noticed late.
+"""
 
 CONSECUTIVE_SLOW_LOADS = 3
 """Consecutive slow loads that decrease the limit; a single one may be due to its engine."""
--- a/src/runkeel/coordination/tentative_term.py
+++ b/src/runkeel/coordination/tentative_term.py
@@ -28,7 +28,11 @@
 """Interval between checks for another node in a tentative term."""
 
 MAX_DEFER_SECONDS = 1.0
-"""How long other nodes delay their claims after a store outage if a node has a tentative term."""
+"""How long other nodes delay their claims after a store outage if a node has a tentative term.
+
+That node already runs the items, so it claims first. Must exceed the interval at which it probes
+the store, 0.4 s, so that it has noticed the recovery by then.
+"""
 
 
 class TentativeTerm:
--- a/src/runkeel/gateway/backends.py
+++ b/src/runkeel/gateway/backends.py
@@ -41,8 +41,9 @@
 ENDED_RETRY_SECONDS = 10.0
 """An ended server whose entry still exists is tried again after this time.
 
-Exceeds the time after which an entry without heartbeats expires in the document store. If the entry
-still exists by then, the server has restarted without reporting it, or the store is unavailable.
+Exceeds the time until an entry without heartbeats has expired in the document store and its removal
+has reached the nodes. If the entry still exists by then, the server has restarted without reporting
+it, or the store is unavailable.
 """
 
 REFUSAL_BACKOFF_SECONDS = 0.05
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -44,7 +44,10 @@
 """Longest wait for the coordinator's reply, on top of the wait that the caller requested."""
 
 STORE_TIMEOUT_SECONDS = 0.5
-"""Longest wait for the store to take a job before storage nodes are asked to keep it as a hint."""
+"""Longest wait for the store to take a job before storage nodes are asked to keep it as a hint.
+
+Exceeds the response time of a slow store.
+"""
 
 STORE_RETRY_DELAY_SECONDS = 0.1
 """Pause before a write to the store is retried."""
--- a/src/runkeel/quarantine/trials.py
+++ b/src/runkeel/quarantine/trials.py
@@ -26,7 +26,8 @@
 TRIAL_TIMEOUT_SECONDS = 3.0
 """A trial without a reported outcome no longer blocks others of its service after this time.
 
-The node that sent it may have crashed, or the server neither responded nor crashed.
+The node that sent it may have crashed, or the server neither responded nor crashed. Exceeds the
+duration of requests that are neither streamed nor items of batch jobs.
 """
 
 BUSY_RETRY_SECONDS = 0.1
