Fail items without a route only by what the store has confirmed

Callers would see: items of an accepted batch job listed as failed, for good, although their route is in the stored configuration.

Cause: an item failed once this node had known no route for it for 5 s. The age stood for "the configuration no longer has the route". It doesn't show that: the job may have been accepted under a newer configuration that this node lacks, as its watch is unanswered, its first list was a stale one, or the store is away in a tentative term. Nor was the time reset when the route came back, although the field's description says so: a second removal failed the items at once.

Why it works: the time counts only up to the last confirmation by the store that the copy is current (`current_as_of` of the routing watcher). Jobs are found after they were accepted, so a copy confirmed 5 s after that includes every configuration under which the job can have been accepted. The time is reset when a configuration has the route, and when the item starts.

--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -64,6 +64,8 @@
         journal: journal of partial outputs on the local disk; None on a node without data folder.
         hand_over_coordination: ends this node's term and keeps it from claiming another one.
         usage: None if the platform wants no usage reports.
+        configuration_confirmed_at: returns the steady time at which the routing configuration was
+            last known to equal the stored one.
     """
 
     node_id: str
@@ -81,6 +83,7 @@
     journal: PartialOutputJournal | None
     hand_over_coordination: Callable[[], None]
     usage: UsageDependencies | None
+    configuration_confirmed_at: Callable[[], float]
 
 
 class CoordinatorTerm:
@@ -129,6 +132,7 @@
             lambda incarnation, model: self._rollout.is_loading(incarnation, model),
             dependencies.quarantine,
             self.runners,
+            dependencies.configuration_confirmed_at,
         )
         self.scheduler.restore_outputs(partial_outputs)
         self._output_sender = PartialOutputSender(
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -310,6 +310,7 @@
             self._journal,
             self.leave,
             UsageDependencies(usage, usage_sink, clock.time) if usage and usage_sink else None,
+            lambda: self._routing_watcher.current_as_of,
         )
         self._usage_reporter = UsageReporter(
             self._network,
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -50,7 +50,7 @@
 """
 
 MISSING_ROUTE_TIMEOUT_SECONDS = 5.0
-"""An item fails when its route has been missing from the configuration for this long."""
+"""An item fails when its route has been missing from the stored configuration for this long."""
 
 BACKLOG_WAIT_SECONDS = 1.0
 """A model is backlogged when one of its items has waited longer than this for an engine.
@@ -76,6 +76,8 @@
         is_loading: returns whether an engine is loading a version of a model.
         quarantine: withholds items that crash engines.
         runners: other nodes that run items; None: this node runs all items.
+        configuration_confirmed_at: returns the steady time at which the routing configuration was
+            last known to equal the stored one.
     """
 
     def __init__(
@@ -87,7 +89,9 @@
         is_loading: Callable[[str, str], bool],
         quarantine: Quarantine,
         runners: RunnerPool | None = None,
+        configuration_confirmed_at: Callable[[], float] = steady_seconds,
     ) -> None:
+        self._configuration_confirmed_at = configuration_confirmed_at
         self._placement = placement
         self._routing = routing
         self._runner = ItemRunner(protocol, scorer, routing, is_loading, quarantine, runners)
@@ -260,6 +264,7 @@
         if configuration is not self._queue_configuration:
             self._queue_configuration = configuration
             self._queue.rebuild_lanes()
+            self._note_routes_found()
         self._queue.requeue_delayed(now)
         self._runner.set_open_items(len(self._queue) + len(self._running))
         for task in self._queue.ready():
@@ -370,15 +375,23 @@
     def _fail_without_route(self, lane: Lane, now: float) -> None:
         """Fail items whose route has been missing for MISSING_ROUTE_TIMEOUT_SECONDS.
 
-        No item fails while this node has no routing configuration.
+        Only time up to the last confirmation by the store counts: the job may have been accepted
+        under a configuration that this node has not received yet.
         """
         if self._routing.configuration is None:
             return
+        confirmed_at = self._configuration_confirmed_at()
         for task in self._queue.of_lane(lane):
             task.route_missing_since = task.route_missing_since or now
-            if now - task.route_missing_since >= MISSING_ROUTE_TIMEOUT_SECONDS:
+            if confirmed_at - task.route_missing_since >= MISSING_ROUTE_TIMEOUT_SECONDS:
                 self._fail(task, "route missing from the configuration")
 
+    def _note_routes_found(self) -> None:
+        """Reset the time without a route of the queued items that have one now."""
+        for task in self._queue.tasks():
+            if task.route_missing_since and self._route(task) is not None:
+                task.route_missing_since = 0.0
+
     def _fail(self, task: ItemTask, reason: str) -> None:
         self._withdraw(task)
         self._finish(task, failed_result(task, reason))
@@ -391,6 +404,7 @@
 
     def _start(self, task: ItemTask, route: Route, engine: BackendState | None) -> None:
         self._queue.remove(task)
+        task.route_missing_since = 0.0
         task.engine = engine
         task.started = False
         if engine is not None:
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -20,6 +20,7 @@
 from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import REFUSAL_BACKOFF_SECONDS, BackendDirectory
 from runkeel.gateway.routing import RoutingTable
+from runkeel.jobs import scheduler
 from runkeel.jobs.engine_placement import EnginePlacement
 from runkeel.jobs.generation_run import PartialOutput, RunOutcome
 from runkeel.jobs.item_task import ItemTask
@@ -78,6 +79,7 @@
         self.directory.put(Backend("e", SERVICE, DEAD_ADDRESS, "z", 8, False, {"m": 1}))
         self.placement = EnginePlacement(self.directory, lambda *key: False)
         self.routing = RoutingTable()
+        self.configuration_confirmed_at = None
         self.scheduler = Scheduler(
             self.placement,
             self.routing,
@@ -85,6 +87,9 @@
             None,
             lambda *key: False,
             standalone_quarantine(),
+            configuration_confirmed_at=lambda: (
+                self.configuration_confirmed_at or scheduler.steady_seconds()
+            ),
         )
         self.state = JobState(make_job())
 
@@ -216,6 +221,39 @@
         self.scheduler._place_all()
         self.assertEqual(len(self.state.unlisted), len(self.state.items))
 
+    def test_items_do_not_fail_on_a_configuration_that_the_store_has_not_confirmed(self):
+        """Guards against failing items of a route that only a newer configuration has."""
+        self.configuration_confirmed_at = steady_seconds()
+        self.routing.apply(make_configuration(prefix="/other/"))
+        self.scheduler.add(self.state)
+        self.scheduler._place_all()
+        for task in self.scheduler._queue.tasks():
+            task.route_missing_since = self.configuration_confirmed_at - 1.0
+        later = steady_seconds() + 60.0
+        with mock.patch.object(scheduler, "steady_seconds", lambda: later):
+            self.scheduler._place_all()
+            self.assertEqual(self.state.unlisted, [])
+            self.configuration_confirmed_at = later
+            self.scheduler._place_all()
+        self.assertEqual(len(self.state.unlisted), len(self.state.items))
+
+    def test_time_without_a_route_does_not_add_up_over_configurations(self):
+        """Guards against failing items at once when their route is removed a second time."""
+        missing = make_configuration(prefix="/other/")
+        self.routing.apply(missing)
+        self.scheduler.add(self.state)
+        self.scheduler._place_all()
+        for task in self.scheduler._queue.tasks():
+            task.route_missing_since = steady_seconds() - 4.0
+        self.directory.put(Backend("e", SERVICE, DEAD_ADDRESS, "z", 8, True, {"m": 1}), 2)
+        self.routing.apply(replace(make_configuration(), version=2))
+        self.scheduler._place_all()
+        self.routing.apply(replace(missing, version=3))
+        later = steady_seconds() + 2.0
+        with mock.patch.object(scheduler, "steady_seconds", lambda: later):
+            self.scheduler._place_all()
+        self.assertEqual(self.state.unlisted, [])
+
     def test_slots_of_items_killed_before_they_start_are_released(self):
         self.routing.apply(make_configuration())
         self.scheduler.add(self.state)
