Count a term of the usage aggregator from its confirmation by the store

Callers would see: a window's usage reported too low, and a report is final.

Cause: the aggregator decides a window early, 0.3 s after its end, once all nodes that have sent counts in this term have completed it; a window that began before the term waits for its deadline, since other nodes may still send to the previous coordinator. The term's age was counted from the making of the object. In a term that was tentative first that is seconds before the store confirmed it and nodes learned of it, so that a window that began in the tentative part was decided without the nodes that had not sent their counts here yet.

Evidence: the test failed before: a window that began 0.5 s after the start of a tentative term was reported 0.5 s after its end, {'a': 2} instead of {'a': 3}, without a node that sent its counts then; 5 s were left.

Why it works: the time is taken in start(), which the term calls when the store has confirmed it. Windows that began earlier wait for their deadline.

--- a/src/runkeel/usage/usage_aggregator.py
+++ b/src/runkeel/usage/usage_aggregator.py
@@ -118,6 +118,7 @@
         self._clock = clock
         self._nodes = nodes
         self._started_at = clock()
+        """Start of the confirmed term; nodes send no counts here before it."""
         self._ledger = UsageLedger(epoch)
         self._revision = 0
         """Revision of the ledger's document last read or written in this term; 0 before."""
@@ -151,7 +152,8 @@
         return WindowSummary(window, state, sum(counts.values()), len(counts), ended_ms_ago)
 
     def start(self) -> None:
-        """Start the tasks that update the ledger and report windows."""
+        """Start the tasks that update the ledger and report windows, in a confirmed term."""
+        self._started_at = self._clock()
         self._tasks = [gevent.spawn(self._run_ledger), gevent.spawn(self._report_all)]
 
     def stop(self) -> None:
--- a/tests/usage/test_usage_aggregator.py
+++ b/tests/usage/test_usage_aggregator.py
@@ -71,6 +71,11 @@
         self.now = FIRST * 5.0 + 1.0
 
     def aggregator(self, epoch, node="n"):
+        aggregator = self.new_aggregator(epoch, node)
+        aggregator.start()
+        return aggregator
+
+    def new_aggregator(self, epoch, node):
         lease = OrderLease(self.store, SHARD, node, 0.0)
         aggregator = UsageAggregator(
             self.store,
@@ -84,7 +89,6 @@
             lambda: 3,
         )
         self.addCleanup(aggregator.stop)
-        aggregator.start()
         return aggregator
 
     def send_counts(self, aggregator, source, windows, complete=None):
@@ -120,6 +124,22 @@
         # The first window began before the term, so it is decided only when due, without counts.
         self.assertEqual(self.reported(FIRST), [{}])
 
+    def test_window_that_began_in_a_tentative_term_waits_for_unknown_sources(self):
+        """Guards against an early decision without nodes that still send to the predecessor."""
+        self.now = FIRST * 5.0 - 0.5
+        aggregator = self.new_aggregator(2, "n")
+        self.now = FIRST * 5.0 + 4.0
+        aggregator.start()
+        self.send_counts(aggregator, "x", {FIRST: {"a": 2}})
+        self.now = (FIRST + 1) * 5.0 + 0.5
+        self.send_counts(aggregator, "x", {})
+        gevent.sleep(0.4)
+        self.assertEqual(self.reported(FIRST), [])
+        self.send_counts(aggregator, "y", {FIRST: {"a": 1}})
+        self.now = (FIRST + 1) * 5.0 + 5.1
+        self.wait_until(lambda: self.reported(FIRST))
+        self.assertEqual(self.reported(FIRST), [{"a": 3}])
+
     def test_window_is_decided_in_time_despite_a_silent_source(self):
         aggregator = self.aggregator(1)
         self.send_counts(aggregator, "x", {FIRST: {"a": 2}})
