Deny no job by a list of storage nodes too short to accept one

Callers would see: 404 for a batch job whose 202 they have, for up to a second after an outage of the store in which processes were killed.

Cause: a node's list of storage nodes counted as complete 3 s after its process had started, if it coordinates or a coordinator has answered it. A coordinator that has restarted, or an edge node that it answers, may know of the coordinator alone then: an outage of the store may last longer than 3 s, and the others' pings come after the claim. If the coordinator was down when the job was accepted, it denies it, as does the store until the others have handed the job off. With nobody unheard the job was ruled out.

Evidence: the test failed before (RULED_OUT, UNSURE expected) for a job that two nodes keep, looked up with a list of the third only.

Why it works: every job that has been accepted is kept by a durable set of nodes. A list that is not durable itself can't be all of them, so the answer is 503. With three storage nodes and one loss to be borne, as with 2n + 1 and n, any list that passes meets every set that can have accepted.

--- a/src/runkeel/handoff/hint_client.py
+++ b/src/runkeel/handoff/hint_client.py
@@ -120,7 +120,12 @@
         ]
         if any(reply.kept for reply in replies.values()):
             result = HintLookupResult.KEPT
-        elif known.complete and self._quorum.rules_out(unheard):
+        elif (
+            known.complete
+            # A list on which no job can be accepted lacks nodes that may have accepted this one.
+            and self._quorum.is_durable(known.nodes)
+            and self._quorum.rules_out(unheard)
+        ):
             result = HintLookupResult.RULED_OUT
         else:
             result = HintLookupResult.UNSURE
--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -192,9 +192,9 @@
 
 
 class HintClientTest(HintServiceTest):
-    def client(self, copies=2, complete=True):
+    def client(self, copies=2, complete=True, names=STORAGE_NODES):
         quorum = StorageQuorum(LossTolerance(copies - 1)) if copies else None
-        known = KnownStorageNodes(tuple(StorageNode(name, "z") for name in STORAGE_NODES), complete)
+        known = KnownStorageNodes(tuple(StorageNode(name, "z") for name in names), complete)
         return HintClient(self.network.node("edge"), SHARD, lambda: known, quorum)
 
     def test_accepted_once_enough_disks_have_it(self):
@@ -269,6 +269,15 @@
             self.start_node(name, first_start=True)
         self.assertIs(self.client(complete=False).look_up("j"), HintLookupResult.UNSURE)
 
+    def test_nodes_too_few_to_accept_a_job_do_not_rule_it_out(self):
+        """Guards against denials by a new coordinator that no other storage node has pinged yet."""
+        for name in STORAGE_NODES:
+            self.start_node(name, first_start=True)
+        self.shared_store.down = True
+        self.send_hint(make_encoded(), name="k2")
+        self.send_hint(make_encoded(), name="k3")
+        self.assertIs(self.client(names=["k1"]).look_up("j"), HintLookupResult.UNSURE)
+
 
 class SerializedJobTest(unittest.TestCase):
     def test_serialized_job_holds_document_and_parts(self):
