Count jobs that are still loading for the wait for a previous term's runners

Callers would see: items of a large fleet at two engines at once after a change of coordinator, if the store is slow or the jobs are large.

With jobs that load more slowly (parts, segments to be read, a slow store) the count was too low, nothing was waited for, and items started as soon as their jobs were loaded.

Why it works: the document of a job, which the list has delivered, names its number of items, so that no job needs to be loaded to be counted. Ended jobs are never loaded, and don't count. A document without the number, as builds before wrote it, counts as before, once it is loaded.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -25,6 +25,7 @@
     EncodedJob,
     decode_encoded_job,
     decode_job,
+    item_count,
     part_names,
 )
 from runkeel.jobs.job_state import JobState
@@ -121,7 +122,8 @@
         self._scheduler = scheduler
         self._jobs: dict[str, JobState] = {}
         self._ended_ids: set[str] = set()
-        self._loading: set[str] = set()
+        self._loading: dict[str, int] = {}
+        """Number of items of each job that is being loaded."""
         self._first_list_revision: int | None = None
         """Revision of the store as of which this term has listed the jobs; None until then."""
         self._unconfirmed: dict[str, JobState] = {}
@@ -284,11 +286,15 @@
             gevent.sleep(
                 max(0.0, self._started_at + PARTIAL_OUTPUT_WAIT_SECONDS - steady_seconds())
             )
-        items = sum(len(state.items) for state in self._jobs.values() if not state.ended)
-        drained_at = self._started_at + self._previous_term_drain_seconds(items)
+        drained_at = self._started_at + self._previous_term_drain_seconds(self._count_open_items())
         gevent.sleep(max(0.0, drained_at - steady_seconds()))
         self._scheduler.start()
 
+    def _count_open_items(self) -> int:
+        """Return the number of items of all open jobs, including those that are still loading."""
+        loaded = sum(len(state.items) for state in self._jobs.values() if not state.ended)
+        return loaded + sum(self._loading.values())
+
     def _end_changed(self, document: Document, removed: bool) -> None:
         if not removed:
             self.end(document.name)
@@ -364,7 +370,7 @@
             return
         if name in self._jobs or name in self._ended_ids or name in self._loading:
             return
-        self._loading.add(name)
+        self._loading[name] = item_count(document.content)
         self._spawn(self._load, document)
 
     def _confirm_stored(self, state: JobState, parts: tuple[str, ...]) -> None:
@@ -386,14 +392,14 @@
         """
         job = self._read(document)
         if job is None:
-            self._loading.discard(document.name)
+            self._loading.pop(document.name, None)
             return
         state = JobState(job, part_names(document.content))
         writer = self._writer(state)
         if self._is_from_earlier_term(document) and not self._run_unless_superseded(writer.fence):
             return
         self._jobs[document.name] = state
-        self._loading.discard(document.name)
+        self._loading.pop(document.name, None)
         JOBS.labels("loaded").inc()
         ended = document.name in self._ended_ids
         self._log_loaded(state, ended)
--- a/src/runkeel/jobs/job_documents.py
+++ b/src/runkeel/jobs/job_documents.py
@@ -117,6 +117,12 @@
     return job_tenant(document.content) == tenant
 
 
+def item_count(content: dict[str, Any]) -> int:
+    """Return the number of items of a job, without its parts; 0 if its document is malformed."""
+    count = content.get("item_count")
+    return count if isinstance(count, int) else 0
+
+
 def part_names(content: dict[str, Any]) -> tuple[str, ...]:
     """Return the names of a job's parts; empty if its document has the items."""
     return tuple(content.get("parts", ()))
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -121,6 +121,27 @@
         self._wait(lambda: len(scheduler.events) == 3)
         self.assertEqual(scheduler.events[-1], "start")
 
+    def test_jobs_that_load_slowly_count_for_the_wait_for_runners(self):
+        """Guards against starting items that runners still run for the previous coordinator."""
+        counted = []
+        self.store.put(DocumentKind.JOB, "ended", encode_job(make_job(), "part").content)
+        self.store.put(DocumentKind.JOB_END, "ended", {})
+        self.store.call_seconds = 0.05
+        coordinator = JobCoordinator(
+            self.store,
+            IdleScheduler(),
+            2,
+            lambda model: 1,
+            self.superseded.append,
+            previous_term_drain_seconds=lambda items: counted.append(items) or 0.0,
+        )
+        with mock.patch.object(coordinator_module, "INITIAL_LOAD_TIMEOUT_SECONDS", 0.01):
+            coordinator.start()
+            self.addCleanup(coordinator.stop)
+            self._wait(lambda: counted)
+        self.assertIsNone(coordinator.job(JOB_ID))
+        self.assertEqual(counted, [len(make_job().items)])
+
     def test_demand_is_known_once_jobs_are_loaded(self):
         """Guards against version orders to every engine while demand is still unknown."""
         self.store.call_seconds = 0.02
