Test: an empty page of a coordinator that was replaced during the read

Cause: an edge node trusts a verified empty page of the coordinator that it asked, although it has learned of a later one while the read waited; only reads at the coordinator itself check the term again.

Seen: 0 of 3 results that the store has.

--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -247,6 +247,21 @@
         self.assertEqual([one.text for one in page.results], ["text 1", "text 2", "text 3"])
         self.assertEqual(page.position, 1)
 
+    def test_empty_page_of_a_coordinator_replaced_during_a_read_is_not_served(self):
+        """Guards against hiding results of a successor that this node learned of while it waited.
+
+        The replaced coordinator may still count as verified when it replies.
+        """
+        network = CoordinatorNetwork(4)
+        election = OtherCoordinator()
+        service = JobService(self.store, network, election, "shard")
+        self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
+        self._put_results(0, make_results(3))
+        later = Coordinator("node-3", Address("127.0.0.1", 1), "zone", 2)
+        network.on_next_call = lambda: setattr(election, "coordinator", later)
+        page = service.read(JobReference(JOB_ID), 0, 0.0)
+        self.assertEqual(len(page.results), 3)
+
     def test_empty_page_of_an_unverified_coordinator_is_not_served(self):
         """Guards against hiding listed results in a network partition.
 
