--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -78,6 +78,26 @@
         self._wait_until(lambda: self.watcher.current_as_of)
         self.assertEqual(sorted(self.watcher.documents), ["a"])
 
+    def test_late_answer_to_a_watch_that_did_not_wait_confirms_only_its_start(self):
+        """Guards against a replaced coordinator that counts as confirmed for a second too long.
+
+        The store may have answered at once, so that any delay lies after the state that it saw.
+        """
+        self.watcher = DocumentWatcher(
+            self.store, KIND, self._record_change, watch_seconds=lambda: 0.7
+        )
+        self.addCleanup(self.watcher.stop)
+        self.watcher.start()
+        self._wait_until(lambda: self.watcher.current_as_of)
+        self.store.down = True
+        self._wait_until(lambda: not self.watcher.reachable)
+        self.store.call_seconds = 1.0
+        started = steady_seconds()
+        self.store.down = False
+        self._wait_until(lambda: self.watcher.reachable)
+        self.assertGreater(steady_seconds() - started, 0.9)
+        self.assertLess(self.watcher.current_as_of - started, 0.9)
+
     def test_current_list_follows_if_history_after_a_stale_list_is_compacted(self):
         self.store.snapshot_for_stale_reads()
         self.store.put(KIND, "a", 1)
