Test: a claim that was sent into a partition arrives once it heals

Cause: the first node in rank is due 0.75 s after a cut (two pings), before its probe of the store has timed out (0.85 s), unless another call failed earlier. It queries witnesses for 0.8 s and then claims without checking again that it reaches the store, nor asks the coordinator on a new connection, as it has not noticed the loss of the store. The store may receive the claim when the cut has ended, with its condition still met.

--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -5,18 +5,20 @@
 preferred, nodes called ``edge-N`` are not.
 """
 
+import contextlib
 import unittest
 from unittest import mock
 
 import gevent
 
-from runkeel.api.documents import Document, DocumentKind
+from runkeel.api.documents import Document, DocumentConflictError, DocumentKind
 from runkeel.api.machines import Address
 from runkeel.clock import steady_seconds
 from runkeel.coordination import election as election_module
 from runkeel.coordination import pings, succession
 from runkeel.coordination.election import Candidate, Election
 from runkeel.coordination.tentative_term import TentativeTerm
+from runkeel.errors import ErrorCode, may_have_run
 from runkeel.state import document_watcher
 from runkeel.wire.generated.jobs.ttypes import CoordinatorPong, NodeAddress
 from runkeel_lab.standins.document_store import MemoryDocumentStore, StoreFault
@@ -63,6 +65,51 @@
         return call
 
 
+class DelayingStore:
+    """A store proxy whose link can be cut: calls time out, and writes arrive once it heals."""
+
+    def __init__(self, store):
+        self._store = store
+        self._late_writes = []
+        self.cut = False
+        self.reachable = True
+
+    def get(self, kind, name, timeout_seconds=1.0, *arguments):
+        return self._call(timeout_seconds, self._store.get, kind, name)
+
+    def list(self, kind, timeout_seconds=1.0, *arguments, **named):
+        return self._call(timeout_seconds, self._store.list, kind)
+
+    def watch(self, kind, revision, wait_seconds):
+        return self._call(29.0 * SCALE, self._store.watch, kind, revision, wait_seconds)
+
+    def replace(self, kind, name, content, expected_revision, timeout_seconds=1.0):
+        arguments = (kind, name, content, expected_revision)
+        if self.cut:
+            self._late_writes.append(arguments)
+        return self._call(timeout_seconds, self._store.replace, *arguments)
+
+    def heal(self):
+        self.cut = False
+        for arguments in self._late_writes:
+            with contextlib.suppress(DocumentConflictError):
+                self._store.replace(*arguments)
+
+    def _call(self, timeout_seconds, method, *arguments):
+        if self.cut:
+            gevent.sleep(timeout_seconds)
+            self.reachable = False
+            raise may_have_run(ErrorCode.STORE_OUTCOME_UNKNOWN, "no answer")
+        self.reachable = True
+        return method(*arguments)
+
+
+def time_out(node_id, message_type, message, reply_class, timeout_seconds):
+    """A call into a partition, whose packets are dropped."""
+    gevent.sleep(timeout_seconds)
+    raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, "no answer")
+
+
 class NoLease:
     """An order lease without a confirmation."""
 
@@ -363,6 +410,33 @@
             gevent.sleep(SETTLE_SECONDS)
         self.assertEqual(len(self.terms), 1, self.terms)
 
+    def test_claim_sent_into_a_partition_does_not_replace_a_healthy_coordinator(self):
+        """Guards against a claim that the store receives only once the partition has healed."""
+        store = DelayingStore(self.store)
+        nodes = self._nodes("a", "b", "c", "d")
+        first = self._coordinator(nodes)
+        gevent.sleep(SETTLE_SECONDS)
+        inside = min(
+            (one for one in nodes if one is not first), key=lambda one: one._succession._rank
+        )
+        self.assertEqual(inside._succession._rank, 0)
+        inside._store = inside._watcher._store = store
+        inside._store_reachable = lambda: store.reachable
+        gevent.sleep(SETTLE_SECONDS)
+        with (
+            mock.patch.object(election_module, "STORE_PROBE_TIMEOUT_SECONDS", 0.5 * SCALE),
+            mock.patch.object(election_module, "CLAIM_TIMEOUT_SECONDS", 0.6 * SCALE),
+            mock.patch.object(election_module, "PING_RETRY_SECONDS", 0.05 * SCALE),
+            mock.patch.object(TentativeTerm, "may_begin", lambda *arguments: False),
+        ):
+            store.cut = True
+            inside._network.call = time_out
+            gevent.sleep(SETTLE_SECONDS)
+            del inside._network.call
+            store.heal()
+            gevent.sleep(SETTLE_SECONDS)
+        self.assertEqual(len(self.terms), 1, self.terms)
+
     def test_simultaneous_tentative_terms(self):
         """Of two nodes that began tentative terms at the same time, only one may remain."""
         nodes = self._nodes("a", "b", "c")
