Test: a call that waits for a discarded dial

Cause: Dialer.discard forgets a dial that hangs, but calls that wait for it wait on until it ends or their own deadline, although another call has connected meanwhile.

Seen: such a call fails with "connecting to b timed out" after 1.0 s; the one made after the reconnect was answered at once.

--- a/tests/wire/test_network.py
+++ b/tests/wire/test_network.py
@@ -100,6 +100,20 @@
         self.a.reconnect("b")
         self.assertEqual(self.call().value, "x")
 
+    def test_call_that_waits_for_a_discarded_dial_uses_the_new_connection(self):
+        """Guards against calls that fail with a dial into a partition although it has healed."""
+        self.b.on_call(CALL, HttpHeader, echo)
+        stalled = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(stalled.close)
+        address = self.addresses["b"]
+        self.addresses["b"] = (Address("127.0.0.1", stalled.getsockname()[1]), "zone-1")
+        waiting = gevent.spawn(self.call, timeout=1.0)
+        gevent.sleep(0.1)
+        self.addresses["b"] = address
+        self.a.reconnect("b")
+        self.assertEqual(self.call().value, "x")
+        self.assertEqual(waiting.get(timeout=5.0).value, "x")
+
     def _dial_without_backoff(self):
         """Make a dial that fails, so that the next backoff is longer."""
         self.a._dialer.reset_backoff("b")
