Test: ages of a tentative term that stand for the age of its confirmation

Cause: Scheduler counts UNKNOWN_ITEM_GRACE_SECONDS (3 s), and JobCoordinator the wait for outputs and the drain of the previous coordinator's runners, from when the objects were made. For a tentative term this is its beginning, although jobs that another coordinator ran meanwhile are loaded only once the store has confirmed the term.

Seen, for a term that was tentative for 10 s: partial outputs of such a job are turned away, and its items are placed at once instead of after the 1.0 s for which runners may still run them.

--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -10,12 +10,18 @@
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import ItemResult, ResultState
 from runkeel.clock import steady_seconds
+from runkeel.gateway.backends import BackendDirectory
+from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs import coordinator as coordinator_module
+from runkeel.jobs import scheduler as scheduler_module
 from runkeel.jobs.coordinator import JobCoordinator
+from runkeel.jobs.engine_placement import EnginePlacement
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
+from runkeel.jobs.scheduler import Scheduler
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 from tests.jobs.test_job_service import JOB_ID, make_job
+from tests.standalone_quarantine import standalone_quarantine
 
 WAIT_TIMEOUT_SECONDS = 10.0
 
@@ -206,6 +212,51 @@
             clock.offset = 10.0
         return coordinator
 
+    def test_confirmed_tentative_term_accepts_outputs_of_jobs_that_are_not_loaded_yet(self):
+        """Guards against running items from their beginning after a long tentative term."""
+        clock = OffsetClock()
+        patch = mock.patch.object(scheduler_module, "steady_seconds", clock)
+        patch.start()
+        self.addCleanup(patch.stop)
+        scheduler = Scheduler(
+            EnginePlacement(BackendDirectory(), lambda *key: False),
+            RoutingTable(),
+            None,
+            None,
+            lambda *key: False,
+            standalone_quarantine(),
+        )
+        coordinator = JobCoordinator(
+            self.store, scheduler, 2, lambda model: 1, self.superseded.append
+        )
+        self.addCleanup(coordinator.stop)
+        coordinator.resume_from_copies([])
+        clock.offset = 10.0
+        coordinator.start()
+        self.assertTrue(scheduler.needs_output(result(0).item_id, (1, 2)))
+
+    def test_confirmed_tentative_term_waits_for_runners_of_the_previous_coordinator(self):
+        """Guards against items that run twice at once after a long tentative term."""
+        scheduler = RecordingScheduler()
+        clock = OffsetClock()
+        patch = mock.patch.object(coordinator_module, "steady_seconds", clock)
+        patch.start()
+        self.addCleanup(patch.stop)
+        coordinator = JobCoordinator(
+            self.store,
+            scheduler,
+            2,
+            lambda model: 1,
+            self.superseded.append,
+            previous_term_drain_seconds=lambda items: 1.0,
+        )
+        self.addCleanup(coordinator.stop)
+        coordinator.resume_from_copies([])
+        clock.offset = 10.0
+        coordinator.start()
+        gevent.sleep(0.5)
+        self.assertFalse({"start", JOB_ID} <= set(scheduler.events), scheduler.events)
+
     def _first_known_listing(self, coordinator, job_id):
         """Return the results of a job when the coordinator first knows its listing."""
         self._wait(lambda: (state := coordinator.job(job_id)) is not None and state.listing_known)
