Test: results whose write the store has not answered

Cause: a coordinator vouches for a listing while its own write of a segment is unanswered. The store may have applied the write, and other nodes may have read its results there.

Seen: 1 s after another node has read 4 results, the coordinator answers verified with none. This lasts for as long as the answers to its writes are lost while its watch is answered.

--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -1,5 +1,6 @@
 """Jobs under one or successive coordinators on one store: loading, demand, unloading, listing."""
 
+import contextlib
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -7,9 +8,10 @@
 import gevent
 from loguru import logger
 
-from runkeel.api.documents import DocumentKind
-from runkeel.api.jobs import ItemResult, ResultState
+from runkeel.api.documents import CALL_TIMEOUT_SECONDS, DocumentConflictError, DocumentKind
+from runkeel.api.jobs import ItemResult, JobReference, ResultState
 from runkeel.clock import steady_seconds
+from runkeel.errors import ErrorCode, may_have_run
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs import coordinator as coordinator_module
@@ -19,11 +21,14 @@
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scheduler import Scheduler
+from runkeel.jobs.service import JobService
 from runkeel_lab.standins.document_store import MemoryDocumentStore
-from tests.jobs.test_job_service import JOB_ID, make_job
+from tests.jobs.test_job_service import JOB_ID, SilentNetwork, VerifiedCoordinator, make_job
 from tests.standalone_quarantine import standalone_quarantine
 
 WAIT_TIMEOUT_SECONDS = 10.0
+SETTLE_SECONDS = 1.0
+"""Time from which a result that was read once must be found at every node."""
 
 
 class IdleScheduler:
@@ -70,6 +75,25 @@
     return ItemResult(f"{JOB_ID}-{number}", ResultState.COMPLETED, f"text {number}", (1,), "s")
 
 
+class UnansweredStore:
+    """A store proxy that applies writes of results; while ``silent``, it does not answer them."""
+
+    def __init__(self, store):
+        self._store = store
+        self.silent = False
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    def create(self, kind, name, content, timeout_seconds=CALL_TIMEOUT_SECONDS):
+        if not self.silent or kind is not DocumentKind.JOB_RESULTS:
+            return self._store.create(kind, name, content, timeout_seconds)
+        with contextlib.suppress(DocumentConflictError):
+            self._store.create(kind, name, content, timeout_seconds)
+        gevent.sleep(timeout_seconds)
+        raise may_have_run(ErrorCode.STORE_OUTCOME_UNKNOWN, "no answer")
+
+
 class OffsetClock:
     """The steady clock, advanced by ``offset`` seconds."""
 
@@ -293,6 +317,24 @@
             self.coordinator.page(state, 3, 0.0, 1_000)
         self.assertEqual(lines.count("listing_short"), 1)
 
+    def test_results_whose_write_is_unanswered_are_not_denied(self):
+        """Guards against hiding results that other nodes have read from the store meanwhile."""
+        stored, self.store = self.store, UnansweredStore(self.store)
+        state = self._start_term(1)
+        self._wait(lambda: state.listing_known)
+        self.store.silent = True
+        for number in range(4):
+            state.add_unlisted(result(number))
+        self._wait(lambda: len(stored.names(DocumentKind.JOB_RESULTS)) == 2)
+        network, election = SilentNetwork(), VerifiedCoordinator()
+        at_coordinator = JobService(self.store, network, election, "shard")
+        at_coordinator.local = self.coordinator
+        elsewhere = JobService(self.store, network, election, "shard")
+        job = JobReference(JOB_ID)
+        self.assertEqual(len(elsewhere.read(job, 0, 0.0).results), 4)
+        gevent.sleep(SETTLE_SECONDS)
+        self.assertEqual(len(at_coordinator.read(job, 0, 0.0).results), 4)
+
     def test_listed_items_are_not_listed_twice(self):
         first_state = self._start_term(1)
         first_state.add_unlisted(result(0))
