Test: copies of jobs that are resumed after the store has confirmed the term

Cause: a tentative term resumes copies only after it has queried the engines, 32 at a time with a timeout of 0.5 s each. CoordinatorTerm.start does not wait for that, nor end it, and JobCoordinator.resume_from_copies, unlike add_handed_over, does not check whether a job is loaded or has ended.

Seen: a loaded job is replaced by a state whose document the watch has already delivered, so that its listing stays unknown and none of 3 further results is listed; items of an ended job are run.

--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -18,6 +18,7 @@
 from runkeel.jobs import scheduler as scheduler_module
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.job_copies import CopiedJob
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.scheduler import Scheduler
@@ -236,6 +237,34 @@
             clock.offset = 10.0
         return coordinator
 
+    def test_copies_that_come_after_the_jobs_were_loaded_do_not_replace_them(self):
+        """Guards against a job whose results are never listed again.
+
+        Copies are resumed once the engines have been queried, maybe after the store is back.
+        """
+        state = self._start_term(2)
+        state.add_unlisted(result(0))
+        self._wait(lambda: state.results)
+        self.coordinator.resume_from_copies([CopiedJob(make_job(), (), frozenset())])
+        current = self.coordinator.job(JOB_ID)
+        for number in range(1, 4):
+            current.add_unlisted(result(number))
+        gevent.sleep(SETTLE_SECONDS)
+        self.assertEqual((len(current.results), current.listing_known), (4, True))
+
+    def test_copies_of_a_job_that_has_ended_are_not_run(self):
+        """Guards against items that run after their job's end has been acknowledged."""
+        self.store.put(DocumentKind.JOB_END, JOB_ID, {"ended_at": 0.0})
+        scheduler = RecordingScheduler()
+        coordinator = JobCoordinator(
+            self.store, scheduler, 2, lambda model: 1, self.superseded.append
+        )
+        coordinator.start()
+        self.addCleanup(coordinator.stop)
+        self._wait(coordinator.loaded.is_set)
+        coordinator.resume_from_copies([CopiedJob(make_job(), (), frozenset())])
+        self.assertNotIn(JOB_ID, scheduler.events)
+
     def test_confirmed_tentative_term_accepts_outputs_of_jobs_that_are_not_loaded_yet(self):
         """Guards against running items from their beginning after a long tentative term."""
         clock = OffsetClock()
