--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -1,5 +1,6 @@
 """Jobs under one or successive coordinators on one store: loading, demand, unloading, listing."""
 
+import contextlib
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -7,17 +8,28 @@
 import gevent
 from loguru import logger
 
-from runkeel.api.documents import DocumentKind
-from runkeel.api.jobs import ItemResult, ResultState
+from runkeel.api.documents import CALL_TIMEOUT_SECONDS, DocumentConflictError, DocumentKind
+from runkeel.api.jobs import ItemResult, JobReference, ResultState
 from runkeel.clock import steady_seconds
+from runkeel.errors import ErrorCode, may_have_run
+from runkeel.gateway.backends import BackendDirectory
+from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs import coordinator as coordinator_module
+from runkeel.jobs import scheduler as scheduler_module
 from runkeel.jobs.coordinator import JobCoordinator
+from runkeel.jobs.engine_placement import EnginePlacement
+from runkeel.jobs.job_copies import CopiedJob
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
+from runkeel.jobs.scheduler import Scheduler
+from runkeel.jobs.service import JobService
 from runkeel_lab.standins.document_store import MemoryDocumentStore
-from tests.jobs.test_job_service import JOB_ID, make_job
+from tests.jobs.test_job_service import JOB_ID, SilentNetwork, VerifiedCoordinator, make_job
+from tests.standalone_quarantine import standalone_quarantine
 
 WAIT_TIMEOUT_SECONDS = 10.0
+SETTLE_SECONDS = 1.0
+"""Time from which a result that was read once must be found at every node."""
 
 
 class IdleScheduler:
@@ -64,6 +76,25 @@
     return ItemResult(f"{JOB_ID}-{number}", ResultState.COMPLETED, f"text {number}", (1,), "s")
 
 
+class UnansweredStore:
+    """A store proxy that applies writes of results; while ``silent``, it does not answer them."""
+
+    def __init__(self, store):
+        self._store = store
+        self.silent = False
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    def create(self, kind, name, content, timeout_seconds=CALL_TIMEOUT_SECONDS):
+        if not self.silent or kind is not DocumentKind.JOB_RESULTS:
+            return self._store.create(kind, name, content, timeout_seconds)
+        with contextlib.suppress(DocumentConflictError):
+            self._store.create(kind, name, content, timeout_seconds)
+        gevent.sleep(timeout_seconds)
+        raise may_have_run(ErrorCode.STORE_OUTCOME_UNKNOWN, "no answer")
+
+
 class OffsetClock:
     """The steady clock, advanced by ``offset`` seconds."""
 
@@ -227,6 +258,79 @@
             clock.offset = 10.0
         return coordinator
 
+    def test_copies_that_come_after_the_jobs_were_loaded_do_not_replace_them(self):
+        """Guards against a job whose results are never listed again.
+
+        Copies are resumed once the engines have been queried, maybe after the store is back.
+        """
+        state = self._start_term(2)
+        state.add_unlisted(result(0))
+        self._wait(lambda: state.results)
+        self.coordinator.resume_from_copies([CopiedJob(make_job(), (), frozenset())])
+        current = self.coordinator.job(JOB_ID)
+        for number in range(1, 4):
+            current.add_unlisted(result(number))
+        gevent.sleep(SETTLE_SECONDS)
+        self.assertEqual((len(current.results), current.listing_known), (4, True))
+
+    def test_copies_of_a_job_that_has_ended_are_not_run(self):
+        """Guards against items that run after their job's end has been acknowledged."""
+        self.store.put(DocumentKind.JOB_END, JOB_ID, {"ended_at": 0.0})
+        scheduler = RecordingScheduler()
+        coordinator = JobCoordinator(
+            self.store, scheduler, 2, lambda model: 1, self.superseded.append
+        )
+        coordinator.start()
+        self.addCleanup(coordinator.stop)
+        self._wait(coordinator.loaded.is_set)
+        coordinator.resume_from_copies([CopiedJob(make_job(), (), frozenset())])
+        self.assertNotIn(JOB_ID, scheduler.events)
+
+    def test_confirmed_tentative_term_accepts_outputs_of_jobs_that_are_not_loaded_yet(self):
+        """Guards against running items from their beginning after a long tentative term."""
+        clock = OffsetClock()
+        patch = mock.patch.object(scheduler_module, "steady_seconds", clock)
+        patch.start()
+        self.addCleanup(patch.stop)
+        scheduler = Scheduler(
+            EnginePlacement(BackendDirectory(), lambda *key: False),
+            RoutingTable(),
+            None,
+            None,
+            lambda *key: False,
+            standalone_quarantine(),
+        )
+        coordinator = JobCoordinator(
+            self.store, scheduler, 2, lambda model: 1, self.superseded.append
+        )
+        self.addCleanup(coordinator.stop)
+        coordinator.resume_from_copies([])
+        clock.offset = 10.0
+        coordinator.start()
+        self.assertTrue(scheduler.needs_output(result(0).item_id, (1, 2)))
+
+    def test_confirmed_tentative_term_waits_for_runners_of_the_previous_coordinator(self):
+        """Guards against items that run twice at once after a long tentative term."""
+        scheduler = RecordingScheduler()
+        clock = OffsetClock()
+        patch = mock.patch.object(coordinator_module, "steady_seconds", clock)
+        patch.start()
+        self.addCleanup(patch.stop)
+        coordinator = JobCoordinator(
+            self.store,
+            scheduler,
+            2,
+            lambda model: 1,
+            self.superseded.append,
+            previous_term_drain_seconds=lambda items: 1.0,
+        )
+        self.addCleanup(coordinator.stop)
+        coordinator.resume_from_copies([])
+        clock.offset = 10.0
+        coordinator.start()
+        gevent.sleep(0.5)
+        self.assertFalse({"start", JOB_ID} <= set(scheduler.events), scheduler.events)
+
     def _first_known_listing(self, coordinator, job_id):
         """Return the results of a job when the coordinator first knows its listing."""
         self._wait(lambda: (state := coordinator.job(job_id)) is not None and state.listing_known)
@@ -263,6 +367,24 @@
             self.coordinator.page(state, 3, 0.0, 1_000)
         self.assertEqual(lines.count("listing_short"), 1)
 
+    def test_results_whose_write_is_unanswered_are_not_denied(self):
+        """Guards against hiding results that other nodes have read from the store meanwhile."""
+        stored, self.store = self.store, UnansweredStore(self.store)
+        state = self._start_term(1)
+        self._wait(lambda: state.listing_known)
+        self.store.silent = True
+        for number in range(4):
+            state.add_unlisted(result(number))
+        self._wait(lambda: len(stored.names(DocumentKind.JOB_RESULTS)) == 2)
+        network, election = SilentNetwork(), VerifiedCoordinator()
+        at_coordinator = JobService(self.store, network, election, "shard")
+        at_coordinator.local = self.coordinator
+        elsewhere = JobService(self.store, network, election, "shard")
+        job = JobReference(JOB_ID)
+        self.assertEqual(len(elsewhere.read(job, 0, 0.0).results), 4)
+        gevent.sleep(SETTLE_SECONDS)
+        self.assertEqual(len(at_coordinator.read(job, 0, 0.0).results), 4)
+
     def test_listed_items_are_not_listed_twice(self):
         first_state = self._start_term(1)
         first_state.add_unlisted(result(0))
