Don't vouch for a listing while the outcome of a write is unknown

What callers saw: nothing yet; found in review. Results that one reader had read from the store were missing for a reader at the coordinator, for as long as the store left the coordinator's write unanswered.

Cause: a segment counts as listed only once the store has answered. If its answer is lost or late, the store has the segment and the coordinator's listing lacks it, but it still counted as known.

Why this works: a listing is known only if it is fenced and no write is pending. Otherwise the store is read.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -420,7 +420,7 @@
 
     def _list_results(self, state: JobState, writer: ResultWriter) -> None:
         """Write a job's results to the store until all are listed or this node is superseded."""
-        if not state.listing_known and not self._run_unless_superseded(writer.fence):
+        if not state.fenced and not self._run_unless_superseded(writer.fence):
             return
         if not state.complete:
             self._run_unless_superseded(writer.run)
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -20,8 +20,8 @@
 
     Attributes:
         results: listed results in order.
-        listing_known: whether ``results`` includes all that other coordinators have listed; false
-            until :meth:`ResultWriter.fence` has read the job's segments from the store.
+        fenced: whether the job's segments have been read and no earlier coordinator can list more.
+        write_pending: whether a segment may be in the store that ``results`` lacks.
         segments: number of results segments in the store.
         short_listing_reported: whether a read beyond the listed results has been logged.
         unlisted: results that are ready but not in the store yet.
@@ -38,7 +38,8 @@
         self.unloaded = False
         self.items = {item.item_id: item for item in job.items}
         self.results: list[ItemResult] = []
-        self.listing_known = False
+        self.fenced = False
+        self.write_pending = False
         self.segments = 0
         self.short_listing_reported = False
         self.unlisted: list[ItemResult] = []
@@ -56,6 +57,11 @@
         """Items that another node reported as listed, until the segments have been read."""
         self._changed = Event()
 
+    @property
+    def listing_known(self) -> bool:
+        """Whether ``results`` includes all results that are listed in the store."""
+        return self.fenced and not self.write_pending
+
     @property
     def complete(self) -> bool:
         """Whether every item has a listed result."""
@@ -104,6 +110,7 @@
             self._listed.add(result.item_id)
             self._record_result(result.item_id)
         self.segments += 1
+        self.write_pending = False
         self.unlisted = [one for one in self.unlisted if one.item_id not in self._listed]
         if not self.unlisted:
             self.ready.clear()
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -67,7 +67,7 @@
             self._write_segment([], allow_empty=True)
             if self._last_segment_own:
                 break
-        self._state.listing_known = True
+        self._state.fenced = True
 
     def run(self) -> None:
         """Write until every item is listed. Raises SupersededError."""
@@ -95,6 +95,7 @@
         name = segment_name(state.job.job_id, state.segments)
         content = encode_segment(self._epoch, batch)
         while batch or allow_empty:
+            state.write_pending = True
             try:
                 self._store.create(DocumentKind.JOB_RESULTS, name, content)
             except DocumentConflictError as conflict:
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -281,7 +281,6 @@
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
         self._put_results(0, make_results(3))
         state = JobState(make_job())
-        state.listing_known = False
         self.service.local = LocalCoordinator(state)
         self.service._election = VerifiedCoordinator()
         page = self.service.read(JobReference(JOB_ID), 2, 0.0)
@@ -294,7 +293,7 @@
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
         self._put_results(0, make_results(3))
         state = JobState(make_job())
-        state.listing_known = True
+        state.fenced = True
         state.append_segment(make_results(3))
         self.service.local = UnloadingCoordinator(state)
         self.service._election = VerifiedCoordinator()
@@ -307,7 +306,7 @@
     def test_page_of_an_earlier_term_is_not_verified_by_the_current_one(self):
         """Guards against hiding results that were listed between two terms of a node."""
         state = JobState(make_job())
-        state.listing_known = True
+        state.fenced = True
         later = LocalCoordinator(JobState(make_job()))
         self.service.local = RestartedCoordinator(state, self.service, later)
         self.service._election = VerifiedCoordinator()
@@ -316,7 +315,7 @@
     def test_replaced_coordinator_does_not_deny_results_that_a_reader_expects(self):
         """Guards against hiding results listed by a successor that the store has just confirmed."""
         state = JobState(make_job())
-        state.listing_known = True
+        state.fenced = True
         self.service.local = LocalCoordinator(state)
         self.service._election = VerifiedCoordinator()
         self.store.put(DocumentKind.JOB, JOB_ID, encode_job(make_job(), "part").content)
