Resume no copies of jobs once the store has told of them

What callers saw: nothing yet; found in review. Results of a job were never listed, or items of a job whose end had been acknowledged ran.

Cause: a tentative term queries the engines, for up to seconds, before it resumes the copies of jobs. If the store confirms the term meanwhile, jobs are loaded from the store first, and the late copies replaced them. Nothing confirmed these again.

Why this works: the confirmation ends the tentative start, and a copy of a job that is known, loading or ended is left out.

--- a/src/runkeel/coordinator_term.py
+++ b/src/runkeel/coordinator_term.py
@@ -224,6 +224,9 @@
     def start(self) -> None:
         """Start coordinating, or continue a tentative term that the store has confirmed."""
         self.tentative = False
+        if self._startup_greenlet is not None:
+            # From now on the store tells of all jobs.
+            self._startup_greenlet.kill(block=False)
         for watcher in self._watchers:
             watcher.start()
         self.runners.start()
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -157,7 +157,7 @@
 
     def add_handed_over(self, job_id: str, encoded: EncodedJob) -> None:
         """Run a job that storage nodes keep; its results are listed once the store has it."""
-        if job_id in self._jobs or job_id in self._ended_ids or job_id in self._loading:
+        if self._is_known(job_id):
             return
         try:
             job = decode_encoded_job(job_id, encoded)
@@ -170,14 +170,20 @@
     def resume_from_copies(self, copies: Iterable[CopiedJob]) -> None:
         """Run copied jobs of the previous coordinator while the store is unavailable.
 
-        Their results are listed once :meth:`start` has found the jobs in the store.
+        Their results are listed once :meth:`start` has found the jobs in the store. Jobs that it has
+        found already, or that have ended, are left out.
         """
         for copy in copies:
+            if self._is_known(copy.job.job_id):
+                continue
             state = JobState(copy.job, copy.parts)
             state.set_reported_listed(copy.listed)
             self._run_unconfirmed(state)
         self._scheduler.start()
 
+    def _is_known(self, job_id: str) -> bool:
+        return job_id in self._jobs or job_id in self._ended_ids or job_id in self._loading
+
     def _run_unconfirmed(self, state: JobState) -> None:
         job_id = state.job.job_id
         self._jobs[job_id] = self._unconfirmed[job_id] = state
@@ -368,7 +374,7 @@
         if unconfirmed is not None:
             self._spawn(self._confirm_stored, unconfirmed, part_names(document.content))
             return
-        if name in self._jobs or name in self._ended_ids or name in self._loading:
+        if self._is_known(name):
             return
         self._loading[name] = item_count(document.content)
         self._spawn(self._load, document)
