Wait for the store's answer to a probe before replacing a silent coordinator

What callers saw: nothing yet; found in review. A healthy coordinator was replaced by a claim from a zone that had been cut off, and its items ran again.

Cause: the first node in rank may be due 0.75 s after the coordinator fell silent, before its probe of the store has failed (0.85 s). It took the last call before the partition for the store's being reachable, and its claim reached the store once the partition had healed.

Evidence: the test failed before in 3 of 3 runs (2 terms instead of 1).

Why this works: the claim waits for the probe that was sent when the coordinator fell silent, 0.5 s at most, and is not made if that failed. A store that answers has done so by then, so that nothing is delayed.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -249,8 +249,8 @@
         )
         self._successors_queried_at = 0.0
         self._started_at = steady_seconds()
-        self._store_probed = False
-        """Whether the store was probed since the coordinator last served."""
+        self._store_probe: gevent.Greenlet | None = None
+        """Probe of the store since the coordinator last served; None: none was made."""
         self._leaving = False
         self._coordinating_since = 0.0
         self._task: gevent.Greenlet | None = None
@@ -529,11 +529,10 @@
         pinged_at = max(pinged_at, steady_seconds() - pings.PING_TIMEOUT_SECONDS)
         if self._succession.is_serving(pong):
             self._succession.note_contact()
-            self._store_probed = False
+            self._store_probe = None
             return pause
-        if pong is None and self._preferred and not self._store_probed:
-            self._store_probed = True
-            gevent.spawn(self._probe_store)
+        if pong is None and self._preferred and self._store_probe is None:
+            self._store_probe = gevent.spawn(self._probe_store)
         if not self._succession.is_due(pong, pinged_at):
             if self._succession.may_be_replaced:
                 self._query_successors(known)
@@ -555,11 +554,22 @@
         if pong is None and self._succession.regained_store and self._serves_after_all(known):
             self._succession.note_contact()
             return PING_INTERVAL_SECONDS
+        if pong is None and not self._reaches_store_after_probe():
+            return PING_RETRY_SECONDS
         if self._coordinator is known:
             silent = self._succession.silent_seconds
             self._claim(known, f"{known.node_id} silent for {silent:.1f} s")
         return 0.0
 
+    def _reaches_store_after_probe(self) -> bool:
+        """Return whether the store has answered since the coordinator fell silent.
+
+        A claim that is sent into a partition may reach the store once it has healed.
+        """
+        if self._store_probe is not None:
+            self._store_probe.join(STORE_PROBE_TIMEOUT_SECONDS)
+        return self._reaches_store()
+
     def _serves_after_all(self, known: Coordinator) -> bool:
         """Return whether the coordinator answers on a new connection that it serves."""
         return self._succession.is_serving(self._pings.ping_anew(known.node_id, known.epoch))
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -170,8 +170,8 @@
     def resume_from_copies(self, copies: Iterable[CopiedJob]) -> None:
         """Run copied jobs of the previous coordinator while the store is unavailable.
 
-        Their results are listed once :meth:`start` has found the jobs in the store. Jobs that it has
-        found already, or that have ended, are left out.
+        Their results are listed once :meth:`start` has found the jobs in the store. Jobs that are
+        known already, or have ended, are left out.
         """
         for copy in copies:
             if self._is_known(copy.job.job_id):
