Don't serve the page of a coordinator that was replaced during the call

What callers saw: nothing yet; found in review. A node answered with no result although it had learned of a later coordinator, which had listed some, while it waited.

Cause: the reply says whether the replaced coordinator counted itself as confirmed, which it does for a second; the node did not compare it with what it had learned meanwhile.

Evidence: the test failed before (0 instead of 3 results).

Why this works: a page counts as verified only if the known epoch is the same before and after the call; otherwise the store is read.

--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -293,6 +293,7 @@
         first = position + len(known)
         wait_ms = int(wait * 1000)
         message = JobRead(self._shard, job.job_id, first, wait_ms, MAX_PAGE_BYTES, job.tenant)
+        epoch = self._known_epoch()
         reply = self._call_coordinator(
             MessageType.JOB_READ, message, JobReadReply, wait + PEER_TIMEOUT_SECONDS
         )
@@ -302,7 +303,13 @@
         self._result_cache.add(job, reply.total, first, new)
         # The cache may have evicted the known results during the call.
         page = make_page([*known, *new], reply.total, 0, MAX_PAGE_BYTES)
-        return _CoordinatorPage(replace(page, position=position), reply.verified)
+        # A coordinator that was replaced during the call may still count as verified.
+        verified = reply.verified and self._known_epoch() == epoch
+        return _CoordinatorPage(replace(page, position=position), verified)
+
+    def _known_epoch(self) -> int:
+        coordinator = self._election.coordinator
+        return 0 if coordinator is None else coordinator.epoch
 
     def _page_from_local(
         self,
