Judge how late a watch's answer is by the wait that was asked for

What callers saw: nothing yet; found in review. A replaced coordinator counted itself as confirmed for up to a second longer than it may.

Cause: after a failure a watch asks the store not to wait. Its answer was taken as on time if it came within the usual wait (0.7 s) and 0.4 s, so that one that had been under way for a second was taken to show the present state.

Why this works: the answer to a call that doesn't wait shows the state at its arrival only if it comes within the 0.4 s that any answer may be late, else that at the call's start.

--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -237,13 +237,13 @@
         if self._list_due:
             freshness, self._next_list_freshness = self._next_list_freshness, Freshness.CURRENT
             self._list(freshness)
-            self._on_success(started, confirms=freshness is Freshness.CURRENT)
+            self._on_success(started, 0.0, confirms=freshness is Freshness.CURRENT)
             return
         # After a failure, do not wait for changes: any response shows that the store recovered.
         wait_seconds = 0.0 if self._failures else self._watch_seconds()
         changes = self._store.watch(self._kind, self.revision, wait_seconds)
         self._take_changes(changes)
-        self._on_success(started)
+        self._on_success(started, wait_seconds)
         if changes.changes:
             gevent.sleep(self._pause_seconds())
 
@@ -339,8 +339,13 @@
             for listener in self._unreadable_listeners:
                 listener(document, reason)
 
-    def _on_success(self, started: float, confirms: bool = True) -> None:
-        """Handle a successful call; ``confirms`` says whether it shows that the copy is current."""
+    def _on_success(self, started: float, wait_seconds: float, confirms: bool = True) -> None:
+        """Handle a successful call.
+
+        Args:
+            wait_seconds: how long the store was asked to wait for a change.
+            confirms: whether the call shows that the copy is current.
+        """
         if self._failures:
             logger.info("store reachable again", code="store_regained", kind=str(self._kind))
         self._failures = 0
@@ -348,7 +353,7 @@
             return
         now = steady_seconds()
         # A response that took much longer may have been buffered while the process was paused.
-        on_time = now - started <= self._watch_seconds() + MAX_WATCH_OVERRUN_SECONDS
+        on_time = now - started <= wait_seconds + MAX_WATCH_OVERRUN_SECONDS
         self.current_as_of = now if on_time else started
 
     def _on_failure(self, error: RunkeelError) -> None:
