Let calls that wait for a dropped dial use the new connection

What callers saw: nothing yet; found in review. Calls to the coordinator failed for up to two seconds after a partition, although a new connection worked.

Cause: reconnecting dropped the pending dial, but the calls that waited for it went on waiting. A node with a tentative term also reconnected before it had pinged, which may drop a healthy connection once.

Why this works: the waiting calls are woken and dial anew; a tentative term reconnects only after a ping that failed.

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -494,10 +494,11 @@
 
         The tentative term ends if the coordinator turns out to serve.
         """
+        pong = self._pings.ping(known.node_id, known.epoch)
         reaches_store = self._reaches_store()
-        # If a partition has healed, a new connection shows whether the coordinator serves.
-        ping = self._pings.ping_anew if reaches_store else self._pings.ping
-        pong = ping(known.node_id, known.epoch)
+        if pong is None and reaches_store:
+            # If a partition has healed, a new connection shows whether the coordinator serves.
+            pong = self._pings.ping_anew(known.node_id, known.epoch)
         if pong is not None and pong.coordinator:
             self._tentative.end(f"{known.node_id} serves")
             self._succession.note_contact()
--- a/src/runkeel/wire/dialing.py
+++ b/src/runkeel/wire/dialing.py
@@ -86,10 +86,17 @@
             peer.retry_at = 0.0
 
     def discard(self, node_id: str) -> None:
-        """Drop a peer's connection, pending dial and backoff, so that the next call dials."""
+        """Drop a peer's connection, pending dial and backoff, so that the next call dials.
+
+        Calls that wait for the pending dial use the new one.
+        """
         peer = self._peers.pop(node_id, None)
-        if peer is not None and peer.connection is not None:
+        if peer is None:
+            return
+        if peer.connection is not None:
             peer.connection.close("replaced by a new connection")
+        if peer.dial_done is not None:
+            peer.dial_done.set()
 
     def stop(self) -> None:
         """Close all connections and cancel pending dials."""
