Count the waits of a term from its confirmation by the store

What callers saw: nothing yet; found in review. After a long tentative term, items of jobs that the other side of a partition had run began anew, at once and beside their earlier runs.

How long partial outputs of unknown items are accepted, how long scheduling waits for offered ones, and how long other nodes may run items for the previous coordinator were counted from the start of the tentative term, while the other side ran on.

Why this works: the confirmation starts these times anew. Items of jobs that the term finds in the store wait until the previous term's runs are over, although its own already run.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -115,6 +115,10 @@
         self._epoch = epoch
         self._on_superseded = on_superseded
         self._started_at = steady_seconds()
+        """Start of the term; from :meth:`start` on, of the confirmed one."""
+        self._resumed_copies = False
+        self._previous_term_drained = Event()
+        """Set once no other node runs items for the previous coordinator any more."""
         self._newest_version = newest_version
         self._recent_item_counts: dict[str, deque[int]] = {}
         self._latest_job_versions: dict[str, _AcceptedVersions] = {}
@@ -134,6 +138,8 @@
 
     def start(self) -> None:
         """Load the stored jobs, then watch the store. Ends are read before jobs."""
+        self._started_at = steady_seconds()
+        self._scheduler.begin_loading()
         self._spawn(self._load_and_start)
         self._spawn(self._remove_expired)
 
@@ -179,6 +185,7 @@
             state = JobState(copy.job, copy.parts)
             state.set_reported_listed(copy.listed)
             self._run_unconfirmed(state)
+        self._resumed_copies = True
         self._scheduler.start()
 
     def _is_known(self, job_id: str) -> bool:
@@ -294,6 +301,7 @@
             )
         drained_at = self._started_at + self._previous_term_drain_seconds(self._count_open_items())
         gevent.sleep(max(0.0, drained_at - steady_seconds()))
+        self._previous_term_drained.set()
         self._scheduler.start()
 
     def _count_open_items(self) -> int:
@@ -412,10 +420,16 @@
         self._record_job_statistics(state.job)
         if ended:
             state.end()
-        elif not state.complete:
-            self._scheduler.add(state)
+        self._schedule(state, document)
         self._list_results(state, writer)
 
+    def _schedule(self, state: JobState, document: Document) -> None:
+        if self._resumed_copies and self._is_from_earlier_term(document):
+            # The scheduler runs the copied jobs already.
+            self._previous_term_drained.wait()
+        if not state.ended and not state.complete:
+            self._scheduler.add(state)
+
     def _is_from_earlier_term(self, document: Document) -> bool:
         """Return whether a job may have been stored before this term listed the stored jobs."""
         listed_at = self._first_list_revision
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -44,10 +44,7 @@
 """Items started before the scheduling pass yields to other greenlets. Bounds the event loop lag."""
 
 UNKNOWN_ITEM_GRACE_SECONDS = 3.0
-"""Partial outputs of unknown items are accepted until the scheduler is this old.
-
-Until then, the items' jobs may still be loading.
-"""
+"""How long partial outputs of unknown items are accepted, as the items' jobs may be loading."""
 
 MISSING_ROUTE_TIMEOUT_SECONDS = 5.0
 """An item fails when its route has been missing from the stored configuration for this long."""
@@ -105,7 +102,8 @@
         """The routing configuration from which the queue's lanes were built."""
         self._backlogged_at: dict[str, float] = {}
         self._moves_checked_at = 0.0
-        self._created_at = steady_seconds()
+        self._loading_since = steady_seconds()
+        """Steady time since which the jobs of other terms may be loading."""
         self._wake = Event()
         self._loop: gevent.Greenlet | None = None
 
@@ -115,6 +113,10 @@
             return
         self._loop = gevent.spawn(self._run)
 
+    def begin_loading(self) -> None:
+        """Accept partial outputs of unknown items from now on, as jobs are being loaded."""
+        self._loading_since = steady_seconds()
+
     def stop(self) -> None:
         """Stop scheduling and kill all runs."""
         if self._loop is not None:
@@ -136,7 +138,7 @@
         if running is not None:
             return _is_worth_switching_to(running, precedence)
         task = self._queue.of_item(item_id)
-        if task is None and steady_seconds() - self._created_at > UNKNOWN_ITEM_GRACE_SECONDS:
+        if task is None and steady_seconds() - self._loading_since > UNKNOWN_ITEM_GRACE_SECONDS:
             return False
         known = task.partial if task is not None else self._retained.get(item_id)
         return known is None or known.precedence < precedence
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -38,6 +38,9 @@
     def start(self):
         pass
 
+    def begin_loading(self):
+        pass
+
     def stop(self):
         pass
 
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -186,7 +186,7 @@
 
     def test_output_of_an_unknown_item_is_accepted_only_for_a_while_after_the_start(self):
         self.assertTrue(self.scheduler.needs_output("other", (1, 2)))
-        self.scheduler._created_at -= UNKNOWN_ITEM_GRACE_SECONDS
+        self.scheduler._loading_since -= UNKNOWN_ITEM_GRACE_SECONDS
         self.assertFalse(self.scheduler.needs_output("other", (1, 2)))
         self.scheduler.add(self.state)
         self.assertTrue(self.scheduler.needs_output(f"{JOB_ID}-0", (1, 2)))
