Seed the fault of the partition soak in terms of the listing's present state

The soak was written beside the changes of how a listing counts as known: its seeded fault set a property that can't be set any more, and counted the term's age from its start, which the confirmation resets now. It trusts an empty listing after a tentative term instead. All three tests pass; with the fault seeded, missing results are found as before.

--- a/tests/users_platform/test_partition_soak.py
+++ b/tests/users_platform/test_partition_soak.py
@@ -7,7 +7,6 @@
 from contextlib import ExitStack
 from unittest import mock
 
-from runkeel.clock import steady_seconds
 from runkeel.coordination.pings import PingSender
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.job_state import JobState
@@ -18,15 +17,12 @@
 SEED = 734
 """Two long partitions, each with a kill of the coordinator when it ends."""
 
-TRUSTED_TERM_SECONDS = 3.0
-"""Age of a term, also of a tentative one, from which the seeded fault trusts an empty listing."""
-
 FINAL_READ_TIMEOUT_SECONDS = 2.0
 """Timeout of the final reads with the seeded fault; some results never appear again."""
 
 
 def trust_empty_listings():
-    """Seed a fault: late in a term, a loaded job's listing is known without reading its segments.
+    """Seed a fault: after a tentative term, a loaded job's listing is known without its segments.
 
     The checks that make it rarer or hide it are absent: a reader that expects more results is not
     referred to the store, and a coordinator that was cut off is not asked on a new connection.
@@ -35,9 +31,8 @@
 
     def writer(coordinator, state):
         built = writer_of(coordinator, state)
-        late = steady_seconds() - coordinator._started_at > TRUSTED_TERM_SECONDS
-        if late and state.job.job_id not in coordinator._jobs:
-            built.fence = lambda: setattr(state, "listing_known", True)
+        if coordinator._resumed_copies and state.job.job_id not in coordinator._jobs:
+            built.fence = lambda: setattr(state, "fenced", True)
         return built
 
     faults = ExitStack()
