Add a soak of partitioned zones

The faults of the other soaks last at most 5 s, cut off no zone, and their readers stop with the job. So none of them could show that results which had been read were missing from a listing after a long tentative term.

Shared: Deployment starts, restarts and reads; the check of a result's contents.

--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -57,6 +57,7 @@
     operations: bool = False,
     crashes: bool = False,
     servers: bool = False,
+    partitions: bool = False,
     edges: int = 3,
     record: Path | None = None,
 ) -> int:
@@ -72,15 +73,19 @@
     :param crashes: as operations, with requests that crash servers and random crashes.
     :param servers: as crashes, with servers restarted under the same id and invalid server
         entries by another writer.
+    :param partitions: cut off zones instead, with kills, stops and store faults that overlap.
     :param edges: number of nodes that serve clients; only with operations, crashes or servers.
     :param record: file for a trace of the last run, for ``replay``.
     """
     from runkeel_lab.users_platform.crash_soak import CrashSoak
     from runkeel_lab.users_platform.operations_soak import OperationsSoak
+    from runkeel_lab.users_platform.partition_soak import PartitionSoak
     from runkeel_lab.users_platform.servers_soak import ServersSoak
     from runkeel_lab.users_platform.soak import Soak, run_soaks
 
     def make_soak(number: int) -> Soak:
+        if partitions:
+            return PartitionSoak(number, seconds)
         if servers:
             return ServersSoak(number, seconds, edges)
         if crashes:
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -4,7 +4,9 @@
 
 import base64
 import json
+import shutil
 import tempfile
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -31,6 +33,9 @@
 
 HOST = "pantry.example"
 MODEL = "allocation"
+MODELS = (MODEL, "forecast")
+"""Names of the models; a deployment serves the first ones."""
+
 ENGINES = "engines"
 APPLICATION = "ledger"
 COUNT_PREFIX = "/count/"
@@ -69,6 +74,7 @@
     version: int,
     more_routes: tuple[dict[str, Any], ...] = (),
     tenants: tuple[dict[str, Any], ...] = (),
+    models: tuple[str, ...] = (MODEL,),
 ) -> dict[str, Any]:
     """Build a configuration with at least one route of each kind."""
     routes = [
@@ -80,7 +86,7 @@
         *more_routes,
     ]
     services = [
-        {"Name": ENGINES, "Engine": {"Slots": 8, "Models": [{"Name": MODEL}]}},
+        {"Name": ENGINES, "Engine": {"Slots": 8, "Models": [{"Name": one} for one in models]}},
         {"Name": APPLICATION},
     ]
     content = {"Version": version, "Routes": routes, "Services": services, "Limits": {}}
@@ -108,6 +114,10 @@
         usage: settings of usage reports; None disables them.
         tolerated_losses: number of machines with disks that may be lost; None: a minority.
         tolerated_zones: number of whole zones that may be lost.
+        models: number of models that every engine serves, at most ``len(MODELS)``.
+
+    Attributes:
+        before_start: called with each new process of a machine before it starts; None: nothing.
     """
 
     def __init__(
@@ -123,7 +133,10 @@
         usage: UsageSettings | None = None,
         tolerated_losses: int | None = None,
         tolerated_zones: int = 0,
+        models: int = 1,
     ) -> None:
+        self.before_start: Callable[[NodeProcess], None] | None = None
+        self.models = MODELS[:models]
         machines = (disks - 1) // 2 if tolerated_losses is None else tolerated_losses
         self._loss_tolerance = LossTolerance(machines, tolerated_zones)
         self._tenants = tenants
@@ -138,7 +151,7 @@
         self.store = StoreServer(seed)
         self.store.start()
         self.engines = [
-            PlatformEngine(f"e{n}", ENGINES, ZONES[n % 3], self.store, seed, (MODEL,))
+            PlatformEngine(f"e{n}", ENGINES, ZONES[n % 3], self.store, seed, self.models)
             for n in range(engines)
         ]
         self.applications = [
@@ -159,7 +172,7 @@
 
     def start(self) -> None:
         """Write the initial configuration, then start the servers and the nodes."""
-        self.configure(configuration(1, tenants=self._tenants))
+        self.configure(configuration(1, tenants=self._tenants, models=self.models))
         for server in [*self.engines, *self.applications]:
             server.start()
         for name in self._machines:
@@ -218,6 +231,10 @@
         """Return the process on a machine, or None while it is down."""
         return self._machines[name].process
 
+    def zone(self, name: str) -> str:
+        """Return the zone of a machine."""
+        return self._machines[name].settings.fleet.zone
+
     def store_endpoint(self, name: str) -> StoreServer:
         """Return a machine's own store endpoint, for faults that affect only this machine."""
         return self._machines[name].store
@@ -241,8 +258,15 @@
         if machine.settings.frontend is None:
             fleet = replace(fleet, first_start=first)
         machine.process = NodeProcess(replace(machine.settings, fleet=fleet))
+        if self.before_start is not None:
+            self.before_start(machine.process)
         machine.process.start()
 
+    def start_if_down(self, name: str) -> None:
+        """Start the process of a machine unless one is running."""
+        if self._machines[name].process is None:
+            self.start_node(name)
+
     def kill_node(self, name: str) -> None:
         """Kill a machine's process without draining it."""
         machine = self._machines[name]
@@ -260,6 +284,22 @@
         if machine.process is process:
             machine.process = None
 
+    def restart_node(self, name: str, pause_seconds: float) -> None:
+        """Drain a machine's process and start the next one; nothing if it is stopping already."""
+        process = self._machines[name].process
+        if process is None or process.stop_requested.is_set():
+            return
+        process.stop_requested.set()
+        self.stop_node(name)
+        gevent.sleep(pause_seconds)
+        self.start_if_down(name)
+
+    def replace_disk(self, name: str) -> None:
+        """Give a machine a new, empty disk if it has one; its process must be down."""
+        folder = self._machines[name].settings.fleet.data_folder
+        if folder is not None:
+            shutil.rmtree(folder, ignore_errors=True)
+
     def wait_ready(self, seconds: float = 10.0) -> None:
         """Wait until a coordinator is elected and every running node has a configuration."""
         with gevent.Timeout(seconds):
@@ -300,14 +340,17 @@
         min_version: int = 1,
         key: str = "",
         item_headers: dict[str, str] | None = None,
+        model: str = MODEL,
     ) -> int:
         """Submit a batch job; return the HTTP status, 0 without a response."""
         body = {
             "Step": 0,
-            "Model": MODEL,
+            "Model": model,
             "MinVersion": min_version,
             "DesiredCount": 1,
-            "Items": [_item(item_id, item_headers or {}) for item_id in items],
+            "Items": [
+                _item(item_id, {"Model": model, **(item_headers or {})}) for item_id in items
+            ],
         }
         headers = {"Attempt-Id": job_id, "Content-Type": "application/json", **key_header(key)}
         response = self.call(
@@ -319,12 +362,19 @@
         self, edge: str, job_id: str, position: int = 0, key: str = ""
     ) -> list[dict[str, Any]] | None:
         """Return a job's results, or None unless the response has status 200."""
-        target = f"/runkeel/lots/{job_id}?AfterRevision={position}"
-        response = self.call(edge, "GET", target, {"Wait-Ms": "200", **key_header(key)})
+        response = self.read(edge, job_id, position, key=key)
         if response is None or response.status != 200:
             return None
         return json.loads(response.body)["Results"]
 
+    def read(
+        self, edge: str, job_id: str, position: int = 0, wait_ms: int = 200, key: str = ""
+    ) -> HttpResponse | None:
+        """Read a job's results from a position on; return None if there was no response."""
+        target = f"/runkeel/lots/{job_id}?AfterRevision={position}"
+        headers = {"Wait-Ms": str(wait_ms), **key_header(key)}
+        return self.call(edge, "GET", target, headers)
+
     def end(self, edge: str, job_id: str, key: str = "") -> int:
         """End a job; return the HTTP status, 0 without a response."""
         response = self.call(edge, "DELETE", f"/runkeel/lots/{job_id}", key_header(key))
@@ -368,7 +418,7 @@
     return {
         "Id": item_id,
         "Path": f"{DRAFT_PREFIX}{item_id}",
-        "Headers": {"Model": MODEL, **headers},
+        "Headers": headers,
         "Body": base64.b64encode(f"body {item_id}".encode()).decode(),
         "TokenCount": 10,
         "Group": item_id.rpartition("-")[0],
--- a/src/runkeel_lab/users_platform/faults.py
+++ b/src/runkeel_lab/users_platform/faults.py
@@ -25,7 +25,8 @@
 _SERVER_FAULTS = {"lost_share": (0.5, 0.0), "failed_share": (0.3, 0.0), "slow_factor": (8.0, 1.0)}
 """Attribute of ``ServerFaults`` -> its value during the fault, and its normal value."""
 
-_STORE_FAULTS = {"lost_share": (0.4, 0.0), "refused": (True, False), "slow_seconds": (0.15, 0.0)}
+STORE_FAULTS = {"lost_share": (0.4, 0.0), "refused": (True, False), "slow_seconds": (0.15, 0.0)}
+"""Attribute of ``StoreServer`` -> its value during the fault, and its normal value."""
 
 
 class Faults:
@@ -52,7 +53,7 @@
             down = round(rng.uniform(_MIN_DOWNTIME_SECONDS, _MAX_FAULT_SECONDS), 3)
             return TraceEvent(at, act, rng.choice(names), details={"seconds": down})
         if act == "store":
-            kind = rng.choice(sorted(_STORE_FAULTS))
+            kind = rng.choice(sorted(STORE_FAULTS))
             return TraceEvent(at, act, details={"kind": kind, "seconds": seconds})
         if act == "server":
             target = rng.choice(self._servers()).server_id
@@ -78,7 +79,7 @@
         """Wait until every fault is over, then start the nodes that are down."""
         gevent.sleep(RECOVERY_SECONDS)
         for name in self._deployment.node_names:
-            self._start_if_down(name)
+            self._deployment.start_if_down(name)
 
     def _servers(self) -> list[PlatformServer]:
         return [*self._deployment.engines, *self._deployment.applications]
@@ -93,15 +94,11 @@
         for name in names:
             if self._deployment.node(name) is not None:
                 self._deployment.kill_node(name)
-                gevent.spawn_later(event.details["seconds"], self._start_if_down, name)
-
-    def _start_if_down(self, name: str) -> None:
-        if self._deployment.node(name) is None:
-            self._deployment.start_node(name)
+                gevent.spawn_later(event.details["seconds"], self._deployment.start_if_down, name)
 
     def _degrade_store(self, event: TraceEvent) -> None:
         kind = event.details["kind"]
-        self._set_temporarily(self._deployment.store, kind, *_STORE_FAULTS[kind], event)
+        self._set_temporarily(self._deployment.store, kind, *STORE_FAULTS[kind], event)
 
     def _degrade_server(self, event: TraceEvent) -> None:
         kind = event.details["kind"]
--- a/src/runkeel_lab/users_platform/operations_soak.py
+++ b/src/runkeel_lab/users_platform/operations_soak.py
@@ -177,32 +177,20 @@
     def _stop(self, rng: random.Random) -> None:
         """Drain and restart a machine; sometimes kill it while it drains."""
         name = rng.choice(self._deployment.node_names)
-        gevent.spawn(self._restart, name, self.process(name), rng.uniform(0.0, 0.5))
+        gevent.spawn(self._deployment.restart_node, name, rng.uniform(0.0, 0.5))
         if rng.random() < 0.2:
             gevent.spawn_later(rng.uniform(0.0, 3.0), self._kill_machine, name)
 
-    def _restart(self, name: str, process: Any, pause: float) -> None:
-        if process is None or process.stop_requested.is_set():
-            return
-        process.stop_requested.set()
-        self._deployment.stop_node(name)
-        gevent.sleep(pause)
-        self._start_if_down(name)
-
     def _kill(self, rng: random.Random) -> None:
         coordinators = self._deployment.coordinators()
         name = rng.choice([*self._deployment.node_names, *coordinators])
         self._kill_machine(name)
-        gevent.spawn_later(rng.uniform(0.0, 1.0), self._start_if_down, name)
+        gevent.spawn_later(rng.uniform(0.0, 1.0), self._deployment.start_if_down, name)
 
     def _kill_machine(self, name: str) -> None:
         self._killed_at[name] = steady_seconds()
         self._deployment.kill_node(name)
-        gevent.spawn_later(1.0, self._start_if_down, name)
-
-    def _start_if_down(self, name: str) -> None:
-        if self.process(name) is None:
-            self._deployment.start_node(name)
+        gevent.spawn_later(1.0, self._deployment.start_if_down, name)
 
     def _configure(self, rng: random.Random) -> None:
         """Write several configurations in quick succession; each adds a route and may drop one."""
@@ -274,7 +262,7 @@
     def _recover(self) -> None:
         gevent.sleep(SETTLE_SECONDS)
         for name in self._deployment.node_names:
-            self._start_if_down(name)
+            self._deployment.start_if_down(name)
         self._deployment.wait_ready()
         gevent.sleep(SETTLE_SECONDS)
 
--- a/src/runkeel_lab/users_platform/soak.py
+++ b/src/runkeel_lab/users_platform/soak.py
@@ -40,6 +40,7 @@
     """Counts of a soak run, and the violations found."""
 
     accepted: int = 0
+    reads: int = 0
     completed_items: int = 0
     failed_items: int = 0
     answered: int = 0
@@ -189,6 +190,10 @@
             self._report_violation(
                 f"{job_id}: wrong set of results: {[result['Id'] for result in results]}"
             )
+        self._check_contents(results)
+
+    def _check_contents(self, results: list[dict[str, Any]]) -> None:
+        """Check that each completed result has the complete output and score of its item."""
         for result in results:
             if result["State"] != "completed":
                 self._report.failed_items += 1
@@ -250,10 +255,11 @@
         report = soak.run()
         passed = passed and not report.violations
         faults = sum(report.faults.values())
+        reads = f"{report.reads} reads, " if report.reads else ""
         print(
             f"seed {number}: {report.accepted} jobs, {report.completed_items} items completed, "
-            f"{report.failed_items} failed, {report.answered} requests answered, {faults} faults, "
-            f"{len(report.violations)} violations",
+            f"{report.failed_items} failed, {report.answered} requests answered, {reads}"
+            f"{faults} faults, {len(report.violations)} violations",
             flush=True,
         )
         for violation in report.violations[:5]:
