--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -424,6 +424,7 @@
         self._list_results(state, writer)
 
     def _schedule(self, state: JobState, document: Document) -> None:
+        """Add a loaded job to the scheduler, unless it has ended or is complete."""
         if self._resumed_copies and self._is_from_earlier_term(document):
             # The scheduler runs the copied jobs already.
             self._previous_term_drained.wait()
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -22,7 +22,7 @@
         results: listed results in order.
         fenced: whether the job's segments have been read and no earlier coordinator can list more.
         write_pending: whether a segment may be in the store that ``results`` lacks.
-        segments: number of results segments in the store.
+        segments: number of results segments read or written.
         short_listing_reported: whether a read beyond the listed results has been logged.
         unlisted: results that are ready but not in the store yet.
         ended: whether the trainer has ended the job.
@@ -78,7 +78,7 @@
         return item_id in self._listed or item_id in self._reported_listed
 
     def is_beyond_listing(self, position: int) -> bool:
-        """Return whether a read from this position shows that there are further listed results."""
+        """Return whether a read starts after the last result listed here."""
         return len(self.results) < position <= len(self.items)
 
     def open_items(self) -> list[JobItem]:
