--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -79,10 +79,7 @@
         self.assertEqual(sorted(self.watcher.documents), ["a"])
 
     def test_late_answer_to_a_watch_that_did_not_wait_confirms_only_its_start(self):
-        """Guards against a replaced coordinator that counts as confirmed for a second too long.
-
-        The store may have answered at once, so that any delay lies after the state that it saw.
-        """
+        """Guards against a replaced coordinator that counts as confirmed for a second too long."""
         self.watcher = DocumentWatcher(
             self.store, KIND, self._record_change, watch_seconds=lambda: 0.7
         )
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -262,10 +262,7 @@
         return coordinator
 
     def test_copies_that_come_after_the_jobs_were_loaded_do_not_replace_them(self):
-        """Guards against a job whose results are never listed again.
-
-        Copies are resumed once the engines have been queried, maybe after the store is back.
-        """
+        """Guards against a job whose results are never listed again."""
         state = self._start_term(2)
         state.add_unlisted(result(0))
         self._wait(lambda: state.results)
@@ -340,7 +337,7 @@
         return [one.item_id for one in coordinator.job(job_id).results]
 
     def test_tentative_term_does_not_hide_results_listed_meanwhile(self):
-        """Guards against an empty listing after a partition, while which another node listed."""
+        """Guards against an empty listing of what another node listed during a partition."""
         self.store.put(
             DocumentKind.JOB_RESULTS, segment_name(JOB_ID, 0), encode_segment(1, [result(0)])
         )
@@ -348,7 +345,7 @@
         self.assertEqual(self._first_known_listing(coordinator, JOB_ID), [result(0).item_id])
 
     def test_job_found_late_in_a_term_does_not_hide_results_of_the_previous_coordinator(self):
-        """Guards against an empty listing of a job that a replaced coordinator has run, too."""
+        """Guards against an empty listing of a job that a replaced coordinator ran as well."""
         coordinator = self._start_late_term(tentative=False)
         listed = ItemResult("late-0", ResultState.COMPLETED, "text", (1,), "s")
         self.store.put(
