--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -248,7 +248,7 @@
         self.assertEqual(page.position, 1)
 
     def test_empty_page_of_a_coordinator_replaced_during_a_read_is_not_served(self):
-        """Guards against hiding results of a successor that this node learned of while it waited."""
+        """Guards against hiding results of a successor that this node has learned of."""
         network = CoordinatorNetwork(4)
         election = OtherCoordinator()
         service = JobService(self.store, network, election, "shard")
