End retries of a lost feed with the grace period

Cause: the grace period of a lost feed is checked after each read only. The retry during it asked the coordinator to hold the reply, so at a silent coordinator it lasted for 1.4 s, whatever was left of the period.

Fix: a retry during the grace period is not held, and its timeout is at most what is left of the period. A held retry gains nothing: the reply to one that is not held ends the failure at once.

Test: the timeouts of the retries at a silent coordinator sum up to 1.4 s with a grace period of 1.0 s before, at most 1.0 s now.

--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -216,12 +216,8 @@
 
     def _read(self, coordinator: Coordinator) -> str:
         """Read the feed once; returns the problem, or an empty string if there was none."""
-        # The first reply must not be held, as the watchers use the store until it arrives.
-        held = self._hold_seconds if self._watchers_suspended else 0.0
-        has_document_source = self._watchers_suspended or self.store_needed.is_set()
-        answer_timeout_seconds = (
-            ANSWER_TIMEOUT_SECONDS if has_document_source else FIRST_ANSWER_TIMEOUT_SECONDS
-        )
+        held = self._requested_hold_seconds()
+        answer_timeout_seconds = self._answer_timeout_seconds()
         revisions = {
             str(kind): self._comparison.revision_to_read_from(watcher)
             for kind, watcher in self._watchers.items()
@@ -252,6 +248,25 @@
             return "not_understood"
         return ""
 
+    def _requested_hold_seconds(self) -> float:
+        """Return how long the coordinator may hold the next reply.
+
+        The first reply after a start or a failure must not be held: until it arrives, this node has
+        no source of changes, or reads the store.
+        """
+        follows_without_failure = self._watchers_suspended and not self._lost_at
+        return self._hold_seconds if follows_without_failure else 0.0
+
+    def _answer_timeout_seconds(self) -> float:
+        """Return the timeout of the next reply, in addition to the time for which it is held."""
+        if not self._watchers_suspended:
+            has_documents = self.store_needed.is_set()
+            return ANSWER_TIMEOUT_SECONDS if has_documents else FIRST_ANSWER_TIMEOUT_SECONDS
+        if not self._lost_at:
+            return ANSWER_TIMEOUT_SECONDS
+        remaining_grace_seconds = self._lost_at + self._grace_seconds - steady_seconds()
+        return min(ANSWER_TIMEOUT_SECONDS, max(0.0, remaining_grace_seconds))
+
     def _apply_page(self, page: FeedPage) -> None:
         kind = DocumentKind(page.kind)
         documents = tuple(
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -181,6 +181,24 @@
         self.wait(lambda: node.content == {"s1": "draining"}, GRACE_SECONDS + 1.5)
         self.assertFalse(node.following)
 
+    def test_retry_at_a_silent_coordinator_does_not_outlast_the_grace_period(self):
+        """Changes would reach this node later than the propagation time allows."""
+        node, _ = self.follower(grace=GRACE_SECONDS)
+        self.wait(lambda: node.follower.following)
+        timeouts = []
+
+        def record_timeout(*arguments):
+            timeouts.append(arguments[-1])
+            return call(*arguments)
+
+        call = node.follower._network.call
+        with unittest.mock.patch.object(node.follower._network, "call", record_timeout):
+            self.network.unresponsive.add("c")
+            self.wait(lambda: not node.following)
+        retries = timeouts[1:]
+        self.assertGreater(len(retries), 0)
+        self.assertLessEqual(sum(retries), GRACE_SECONDS)
+
     def test_no_grace_period_for_a_short_propagation_time(self):
         self.assertEqual(
             feed_follower.grace_seconds(2.0, document_feed.max_copy_age_seconds(2.0)), 0.0
