Remove jobs from the store that ended before the coordinator's term

Cause: a coordinator loads no job that has ended already, and the removal of expired jobs looks at loaded ones only. A removal that failed after the job's own document had the same effect, as the watch drops the job's state then.

Fix: the term records when it learned of each end; a job that is not loaded by the end of the retention period is removed by its id alone. Results are removed from the last to the first and the end last, so that an interrupted removal can be continued.

--- a/src/runkeel/jobs/job_store.py
+++ b/src/runkeel/jobs/job_store.py
@@ -153,10 +153,26 @@
         return None if document is None else self.read(document)
 
     def remove(self, job_id: str, parts: tuple[str, ...], segments: int) -> None:
-        """Remove all documents of a job: its own, its parts, its results and its end."""
+        """Remove all documents of a job: its own, its parts, its results and its end.
+
+        The end is removed last, and the results from the last to the first, so that
+        :meth:`remove_unread` can complete a removal that was interrupted after the parts.
+        """
         self._store.delete(DocumentKind.JOB, job_id)
         for name in parts:
             self._store.delete(DocumentKind.JOB_PART, name)
-        for number in range(segments):
+        for number in reversed(range(segments)):
             self._store.delete(DocumentKind.JOB_RESULTS, segment_name(job_id, number))
         self._store.delete(DocumentKind.JOB_END, job_id)
+
+    def remove_unread(self, job_id: str) -> None:
+        """Remove all documents of a job of which only the id is known."""
+        document = get_immutable(self._store, DocumentKind.JOB, job_id)
+        parts = () if document is None else part_names(document.content)
+        self.remove(job_id, parts, self._count_segments(job_id))
+
+    def _count_segments(self, job_id: str) -> int:
+        count = 0
+        while self._store.get(DocumentKind.JOB_RESULTS, segment_name(job_id, count)) is not None:
+            count += 1
+        return count
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -15,6 +15,7 @@
 from runkeel.gateway.backends import BackendDirectory
 from runkeel.gateway.routing import RoutingTable
 from runkeel.jobs import coordinator as coordinator_module
+from runkeel.jobs import job_documents
 from runkeel.jobs import scheduler as scheduler_module
 from runkeel.jobs.coordinator import JobCoordinator
 from runkeel.jobs.engine_placement import EnginePlacement
@@ -407,6 +408,61 @@
         gevent.sleep(0.3)
         self.assertIsNone(coordinator.job(JOB_ID))
 
+    def _coordinate_past_retention(self):
+        """Start a term whose clock is advanced past the retention period once it knows the jobs."""
+        clock = OffsetClock()
+        for name, value in (("steady_seconds", clock), ("SWEEP_INTERVAL_SECONDS", 0.05)):
+            patch = mock.patch.object(coordinator_module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        coordinator = JobCoordinator(
+            self.store, IdleScheduler(), 2, lambda model: 1, self.superseded.append
+        )
+        coordinator.start()
+        self.addCleanup(coordinator.stop)
+        self._wait(coordinator.loaded.is_set)
+        gevent.sleep(0.2)
+        self.assertIsNotNone(self.store.get(DocumentKind.JOB_END, JOB_ID))
+        clock.offset = coordinator_module.RETENTION_SECONDS + 1.0
+
+    def _put_ended_job(self):
+        """Put a job with parts, two segments and an end; returns the names of its documents."""
+        with mock.patch.multiple(job_documents, MAX_PART_BYTES=1, MAX_CONTENT_BYTES=1):
+            encoded = encode_job(make_job(), "p")
+        self.assertGreater(len(encoded.parts), 1)
+        documents = [(DocumentKind.JOB, JOB_ID, encoded.content)]
+        documents += [(DocumentKind.JOB_PART, name, part) for name, part in encoded.parts.items()]
+        documents += [
+            (DocumentKind.JOB_RESULTS, segment_name(JOB_ID, n), encode_segment(1, [result(n)]))
+            for n in range(2)
+        ]
+        documents.append((DocumentKind.JOB_END, JOB_ID, {}))
+        for kind, name, content in documents:
+            self.store.put(kind, name, content)
+        return [(kind, name) for kind, name, _ in documents]
+
+    def _stored(self, documents):
+        return [one for one in documents if self.store.get(*one) is not None]
+
+    def test_job_ended_before_the_term_does_not_stay_in_the_store_forever(self):
+        documents = self._put_ended_job()
+        self._coordinate_past_retention()
+        self._wait(lambda: not self._stored(documents))
+
+    def test_interrupted_removal_of_a_job_is_completed(self):
+        """Guards against results left in the store after their job's document is gone."""
+        documents = self._put_ended_job()
+        failing = mock.patch.object(
+            self.store, "delete", side_effect=may_have_run(ErrorCode.STORE_OUTCOME_UNKNOWN, "")
+        )
+        self._coordinate_past_retention()
+        with failing:
+            self.store.remove(DocumentKind.JOB, JOB_ID)
+            self.store.remove(DocumentKind.JOB_RESULTS, segment_name(JOB_ID, 1))
+            gevent.sleep(0.3)
+        left = [one for one in documents if one[0] is not DocumentKind.JOB_PART]
+        self._wait(lambda: not self._stored(left))
+
     def test_event_is_set_once_enough_groups_are_complete(self):
         job = make_job()
         half = len({item.group for item in job.items}) // 2
