--- a/src/runkeel/jobs/partial_output_journal.py
+++ b/src/runkeel/jobs/partial_output_journal.py
@@ -20,6 +20,7 @@
 from pathlib import Path
 
 import gevent
+from gevent.event import AsyncResult
 from gevent.lock import Semaphore
 from loguru import logger
 
@@ -75,6 +76,8 @@
         self._failed_at = -RETRY_DELAY_SECONDS
         self._paths: list[Path] = []
         self._lock = Semaphore()
+        self._write_in_flight: AsyncResult | None = None
+        """The latest write; it continues in the thread pool if its greenlet is killed."""
 
     def load(self) -> list[JournalRecord]:
         """Return the records of earlier processes, oldest first; called once, at startup."""
@@ -101,6 +104,7 @@
         with self._lock:
             if steady_seconds() - self._failed_at < RETRY_DELAY_SECONDS:
                 return
+            self._await_write_in_flight()
             starts_file = self._needs_new_file()
             records = []
             for message in messages(starts_file):
@@ -109,16 +113,31 @@
             if not records:
                 return
             data = b"".join(records)
-            error = gevent.get_hub().threadpool.apply(self._write, (data, starts_file))
+            self._write_in_flight = gevent.get_hub().threadpool.spawn(
+                self._write, data, starts_file
+            )
+            error = self._write_in_flight.get()
         if error is not None:
             self._note_failure(error)
 
+    def _await_write_in_flight(self) -> None:
+        """Wait for the write of a sender that was killed meanwhile."""
+        if self._write_in_flight is not None:
+            self._write_in_flight.wait()
+
     def _needs_new_file(self) -> bool:
         largest = max(self._max_file_bytes, MIN_GROWTH_FACTOR * self._initial_bytes)
         return self._descriptor is None or self._file_bytes >= largest
 
     def close(self) -> None:
-        """Close the current file."""
+        """Close the current file, once no write to it is in flight."""
+        write = self._write_in_flight
+        if write is None or write.ready():
+            self._close_file()
+        else:
+            write.rawlink(lambda _: self._close_file())
+
+    def _close_file(self) -> None:
         if self._descriptor is not None:
             os.close(self._descriptor)
             self._descriptor = None
@@ -142,7 +161,7 @@
         last = self._paths[-1].name[len(_PREFIX) : -len(_SUFFIX)] if self._paths else "0"
         path = self._folder / f"{_PREFIX}{int(last) + 1:08d}{_SUFFIX}"
         descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        self.close()
+        self._close_file()
         self._descriptor = descriptor
         self._file_bytes = 0
         self._paths.append(path)
--- a/tests/jobs/test_partial_output_journal.py
+++ b/tests/jobs/test_partial_output_journal.py
@@ -6,6 +6,9 @@
 from pathlib import Path
 from unittest import mock
 
+import gevent
+from gevent.monkey import get_original
+
 from runkeel.jobs import partial_output_journal, partial_output_replication
 from runkeel.jobs.generation_run import PartialOutput
 from runkeel.jobs.partial_output_journal import PartialOutputJournal
@@ -14,8 +17,11 @@
     PartialOutputCopies,
     PartialOutputSender,
 )
+from runkeel.wire.generated.jobs.ttypes import TextReplication
 from runkeel_lab.standins.peer_network import MemoryNetwork
 
+RECORD = TextReplication("fleet", 1, [], False)
+
 
 class PartialOutputJournalTest(unittest.TestCase):
     def setUp(self):
@@ -60,6 +66,50 @@
         self.assertEqual(copy.pieces, ["p0", "p1", "p2", "p3", "p4"])
         self.assertEqual((copy.last_event_id, copy.versions), ("5", [1]))
 
+    def _append_slowly(self, journal, running_counts):
+        """Start to append a record whose write takes 0.2 s, then kill the sender.
+
+        Args:
+            running_counts: gets the number of writes that are running at the start of each.
+        """
+        sleep_in_thread = get_original("time", "sleep")
+        write_all = partial_output_journal._write_all
+        running = []
+
+        def write_slowly(descriptor, data):
+            running.append(data)
+            running_counts.append(len(running))
+            sleep_in_thread(0.2)
+            write_all(descriptor, data)
+            running.remove(data)
+
+        patch = mock.patch.object(partial_output_journal, "_write_all", write_slowly)
+        patch.start()
+        self.addCleanup(patch.stop)
+        journal.load()
+        sender = gevent.spawn(journal.append, lambda starts_file: [RECORD])
+        gevent.sleep(0.1)
+        sender.kill()
+
+    def test_write_that_outlives_its_sender_is_finished_before_the_file_is_closed(self):
+        """Otherwise it fails, or reaches whatever file or connection has the descriptor next."""
+        journal = PartialOutputJournal(self.folder)
+        self._append_slowly(journal, [])
+        journal.close()
+        gevent.sleep(0.3)
+        self.assertIsNone(journal._descriptor)
+        self.assertEqual(len(PartialOutputJournal(self.folder).load()), 1)
+
+    def test_write_that_outlives_its_sender_does_not_overlap_the_next(self):
+        """Guards against damaged records when another term starts within one write."""
+        journal = PartialOutputJournal(self.folder)
+        self.addCleanup(journal.close)
+        running_counts = []
+        self._append_slowly(journal, running_counts)
+        journal.append(lambda starts_file: [RECORD])
+        self.assertEqual(running_counts, [1, 1])
+        self.assertEqual(len(PartialOutputJournal(self.folder).load()), 2)
+
     def test_damaged_end_is_ignored(self):
         sender, _ = self._process()
         self.outputs["i"] = self._make_output(1)
