Restart every server under its id at the end of the servers soak

Cause: the check after recovery can only find this fault at servers that restarted under their id and at nodes that have not restarted since.

Fix: after recovery the soak restarts every server under its id, and only then checks that all nodes use the current incarnations. Sound nodes are now checked for that at every server as well, which is stricter than before.

New names for a list that was built three times.

--- a/src/runkeel_lab/users_platform/servers_soak.py
+++ b/src/runkeel_lab/users_platform/servers_soak.py
@@ -7,7 +7,8 @@
 Checked in addition to that module:
 
 - No connection is made to the address in an invalid entry, and no node lists one as a server.
-- After recovery, every node uses the current incarnation of every server.
+- After recovery, every server restarts once more under its id, and every node uses the current
+  incarnation of every server.
 """
 
 from __future__ import annotations
@@ -81,7 +82,7 @@
     def _write_invalid_entries(self, rng: random.Random) -> None:
         """Write invalid entries under new names and over the entry of a running server."""
         objects = self._deployment.store.objects
-        servers = [*self._deployment.engines, *self._deployment.applications]
+        servers = self._servers()
         server = rng.choice(servers)
         objects.put("servers", server.server_id, draw_invalid_entry(server.entry, rng))
         gevent.spawn_later(HEARTBEAT_INTERVAL_SECONDS, self._write_entry, server)
@@ -90,15 +91,31 @@
             entry = {**rng.choice(servers).entry, "Address": f"{host}:{port}"}
             objects.put("servers", f"{FOREIGN_PREFIX}{number}", draw_invalid_entry(entry, rng))
 
+    def _servers(self) -> list[PlatformServer]:
+        return [*self._deployment.engines, *self._deployment.applications]
+
     def _check(self) -> None:
         self._honeypot.stop()
         if self._honeypot_connections:
             self._report_violation(
                 f"{self._honeypot_connections} connections to the address of wrong entries"
             )
+        self._restart_all_servers()
         self._check_servers()
         super()._check()
 
+    def _restart_all_servers(self) -> None:
+        """Restart every server under its id, and return when all have been started again.
+
+        During the faults, an outage in which entries expire makes all nodes forget the previous
+        incarnations, so that a node that does not recognize a new one goes unnoticed.
+        """
+        self._deployment.crashes.reuse_id = True
+        for server in self._servers():
+            self._deployment.crash(server)
+        while any(server.crashed for server in self._servers()):
+            gevent.sleep(_CHECK_INTERVAL_SECONDS)
+
     def _check_servers(self) -> None:
         deadline = steady_seconds() + SETTLE_TIMEOUT_SECONDS
         while problems := self._unused_servers():
@@ -109,11 +126,10 @@
             gevent.sleep(_CHECK_INTERVAL_SECONDS)
 
     def _unused_servers(self) -> list[str]:
-        servers = [*self._deployment.engines, *self._deployment.applications]
         return [
             f"{name}: does not use {server.server_id}, which began at {server.born_ms}"
             for name in self._deployment.node_names
-            for server in servers
+            for server in self._servers()
             if not server.crashed and not self._uses(name, server)
         ]
 
