A storage node whose disk fails while hints are read denies no jobs

Callers would see: 404 for an accepted job that only storage machines keep.

Cause: reading the hints stopped at the first error of the disk, and the node vouched for its history all the same, as the marker of a complete history was on the disk. Something unread counted as something that does not exist.

Fix: a file that can't be read costs itself only, and the node does not vouch for its history until all hints it can't know have expired, as on a new disk.

--- a/src/runkeel/handoff/hint_log.py
+++ b/src/runkeel/handoff/hint_log.py
@@ -7,6 +7,7 @@
 import os
 import struct
 import zlib
+from dataclasses import dataclass
 from pathlib import Path
 
 import gevent
@@ -20,6 +21,19 @@
 """Length and CRC-32 of the body."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoredHints:
+    """Hints as read from disk.
+
+    Attributes:
+        jobs: the serialized jobs by id.
+        complete: whether all files could be read; False after an error of the disk.
+    """
+
+    jobs: dict[str, str]
+    complete: bool
+
+
 class HintLog:
     """The hints in a folder, which a single process writes to.
 
@@ -31,23 +45,30 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
 
-    def load(self) -> dict[str, str]:
-        """Return the serialized jobs by id, as earlier processes left them; called once."""
-        hints: dict[str, str] = {}
+    def load(self) -> StoredHints:
+        """Return the hints that earlier processes left; called once."""
+        jobs: dict[str, str] = {}
         try:
-            self._folder.mkdir(parents=True, exist_ok=True)
-            for path in sorted(self._folder.glob(f"*{_SUFFIX}")):
-                found = _read(path)
-                if found is None:
-                    logger.info(
-                        "deleting truncated or corrupt hint", code="hint_damaged", file=path.name
-                    )
-                    path.unlink()
-                else:
-                    hints[found[0]] = found[1]
+            paths = self._hint_paths()
         except OSError as error:
-            logger.warning("reading hints failed", code="hint_log_failed", error=str(error))
-        return hints
+            _log_read_failure(self._folder, error)
+            return StoredHints(jobs, complete=False)
+        complete = True
+        for path in paths:
+            try:
+                hint = _read_or_delete(path)
+            except OSError as error:
+                _log_read_failure(path, error)
+                complete = False
+                continue
+            if hint is not None:
+                job_id, serialized_job = hint
+                jobs[job_id] = serialized_job
+        return StoredHints(jobs, complete)
+
+    def _hint_paths(self) -> list[Path]:
+        self._folder.mkdir(parents=True, exist_ok=True)
+        return sorted(self._folder.glob(f"*{_SUFFIX}"))
 
     @property
     def history_complete(self) -> bool:
@@ -86,6 +107,19 @@
     return _HEADER.pack(len(body), zlib.crc32(body)) + body
 
 
+def _log_read_failure(path: Path, error: OSError) -> None:
+    logger.warning("reading hints failed", code="hint_log_failed", file=path.name, error=str(error))
+
+
+def _read_or_delete(path: Path) -> tuple[str, str] | None:
+    """Return the job id and serialized job of a file; deletes it and returns None if damaged."""
+    hint = _read(path)
+    if hint is None:
+        logger.info("deleting truncated or corrupt hint", code="hint_damaged", file=path.name)
+        path.unlink()
+    return hint
+
+
 def _read(path: Path) -> tuple[str, str] | None:
     data = path.read_bytes()
     if len(data) < _HEADER.size:
--- a/src/runkeel/handoff/hint_service.py
+++ b/src/runkeel/handoff/hint_service.py
@@ -112,8 +112,9 @@
         """Load the hints on disk and start handing them off."""
         if self._hint_log is None:
             return
-        self._hints = self._hint_log.load()
-        self._history_task = gevent.spawn(self._wait_for_history)
+        stored = self._hint_log.load()
+        self._hints = stored.jobs
+        self._history_task = gevent.spawn(self._wait_for_history, stored.complete)
         if self._hints:
             logger.info("loaded hints from disk", code="hints_read", jobs=len(self._hints))
             self._has_hints.set()
@@ -125,19 +126,22 @@
             if task is not None:
                 task.kill(block=False)
 
-    def _wait_for_history(self) -> None:
+    def _wait_for_history(self, all_files_read: bool) -> None:
         """Mark the history as complete.
 
-        On a new disk, waits until any hints that were lost with the previous one have expired.
+        On a new disk, or if the disk failed while the hints were read, waits until any hints that
+        are unknown have expired.
         """
-        if not self._hint_log.history_complete:
-            if not self._knows_all_hints:
-                logger.warning(
-                    "hint disk is new; earlier hints are unknown until they expire",
-                    code="hints_forgotten",
-                    seconds=NEW_DISK_WAIT_SECONDS,
-                )
-                gevent.sleep(NEW_DISK_WAIT_SECONDS)
+        was_complete = self._hint_log.history_complete
+        if not all_files_read or not (was_complete or self._knows_all_hints):
+            self._knows_all_hints = False
+            logger.warning(
+                "hint disk is new or has failed; earlier hints are unknown until they expire",
+                code="hints_forgotten",
+                seconds=NEW_DISK_WAIT_SECONDS,
+            )
+            gevent.sleep(NEW_DISK_WAIT_SECONDS)
+        if not was_complete:
             self._hint_log.mark_history_complete()
         self._knows_all_hints = True
 
--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -11,9 +11,9 @@
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import BatchJob, JobItem
 from runkeel.clock import steady_seconds
-from runkeel.handoff import hint_service
+from runkeel.handoff import hint_log, hint_service
 from runkeel.handoff.hint_client import HintClient, HintLookupResult, HintOutcome
-from runkeel.handoff.hint_log import HintLog
+from runkeel.handoff.hint_log import HintLog, StoredHints
 from runkeel.handoff.hint_service import HintService
 from runkeel.handoff.storage_quorum import (
     KnownStorageNodes,
@@ -57,15 +57,18 @@
 class HintLogTest(HintCase):
     def test_hints_survive_a_restart(self):
         log = HintLog(self.folder / "jobs")
-        self.assertEqual(log.load(), {})
+        self.assertEqual(log.load(), StoredHints({}, complete=True))
         self.assertTrue(log.put("../a job/1", "text"))
         self.assertTrue(log.put("other", "more"))
         self.assertEqual(
-            HintLog(self.folder / "jobs").load(), {"../a job/1": "text", "other": "more"}
+            HintLog(self.folder / "jobs").load(),
+            StoredHints({"../a job/1": "text", "other": "more"}, complete=True),
         )
         log.remove("other")
         log.remove("other")
-        self.assertEqual(HintLog(self.folder / "jobs").load(), {"../a job/1": "text"})
+        self.assertEqual(
+            HintLog(self.folder / "jobs").load(), StoredHints({"../a job/1": "text"}, complete=True)
+        )
 
     def test_truncated_file_is_ignored(self):
         log = HintLog(self.folder)
@@ -75,7 +78,9 @@
         for length in range(len(path.read_bytes())):
             log.put("cut", "text")
             path.write_bytes(path.read_bytes()[:length])
-            self.assertEqual(HintLog(self.folder).load(), {"whole": "text"})
+            self.assertEqual(
+                HintLog(self.folder).load(), StoredHints({"whole": "text"}, complete=True)
+            )
 
     def test_put_fails_when_the_disk_fails(self):
         log = HintLog(self.folder / "missing")
@@ -135,7 +140,7 @@
         self.shared_store.down = False
         self.wait(self.stored)
         self.wait(lambda: not self.services["k1"].hint_count)
-        self.assertEqual(HintLog(self.folder / "k1").load(), {})
+        self.assertEqual(HintLog(self.folder / "k1").load().jobs, {})
 
     def test_hint_survives_the_process(self):
         self.start_node()
@@ -253,6 +258,29 @@
         self.services["k1"].stop()
         self.assertTrue(self.history_completes(self.start_node("k1")))
 
+    def test_node_that_cannot_read_one_of_its_hints_does_not_deny_jobs(self):
+        """Guards against a 404 for a job whose hint is on a disk that failed while it was read."""
+        self.shared_store.down = True
+        for name in STORAGE_NODES:
+            self.start_node(name, first_start=True)
+        self.wait(lambda: HintLog(self.folder / "k1").history_complete)
+        for job_id in ("a", "b", "c"):
+            self.send_hint(make_encoded(), job_id, name="k1")
+        self.services["k1"].stop()
+        read = hint_log._read
+        unreadable = sorted((self.folder / "k1").glob("*.job"))[0]
+
+        def read_failing(path):
+            if path == unreadable:
+                raise OSError("input/output error")
+            return read(path)
+
+        with mock.patch.object(hint_log, "_read", read_failing):
+            service = self.start_node("k1")
+        gevent.sleep(0.1)
+        self.assertFalse(service._knows_all_hints)
+        self.assertEqual(service.hint_count, 2)
+
     def test_history_of_a_new_disk_completes_after_earlier_hints_expired(self):
         with mock.patch.object(hint_service, "NEW_DISK_WAIT_SECONDS", 0.05):
             service = self.start_node("k1")
