--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -1,5 +1,6 @@
 """Hinted handoff: jobs survive store outages and are denied only when they can't exist."""
 
+import errno
 import tempfile
 import time
 import unittest
@@ -7,6 +8,7 @@
 from unittest import mock
 
 import gevent
+from gevent.monkey import get_original
 
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import BatchJob, JobItem
@@ -281,6 +283,81 @@
         self.assertFalse(service._knows_all_hints)
         self.assertEqual(service.hint_count, 2)
 
+    def test_node_that_cannot_list_its_hints_does_not_deny_jobs(self):
+        """Guards against a 404 for an accepted job; :meth:`Path.glob` hides a PermissionError."""
+        self.shared_store.down = True
+        self.start_node("k1", first_start=True)
+        self.wait(lambda: HintLog(self.folder / "k1").history_complete)
+        self.send_hint(make_encoded(), "a", name="k1")
+        self.services["k1"].stop()
+        with mock.patch("os.scandir", side_effect=PermissionError("permission denied")):
+            service = self.start_node("k1")
+        gevent.sleep(0.1)
+        self.assertEqual(service.hint_count, 0)
+        self.assertFalse(service._knows_all_hints)
+
+    def test_unreadable_hint_survives_a_failed_write_of_the_same_job(self):
+        """Guards against a 404 for an accepted job after its sender has sent it again.
+
+        The failed write truncates the file of the accepted hint, which the next start takes for a
+        hint that was never acknowledged.
+        """
+        self.shared_store.down = True
+        self.start_node("k1", first_start=True)
+        self.wait(lambda: HintLog(self.folder / "k1").history_complete)
+        self.assertEqual(self.send_hint(make_encoded(), "a", name="k1"), JobHintState.KEPT)
+        self.services["k1"].stop()
+        with mock.patch.object(hint_log, "_read", side_effect=OSError("input/output error")):
+            self.start_node("k1")
+        with mock.patch.object(hint_log.os, "write", side_effect=OSError("input/output error")):
+            self.assertEqual(self.send_hint(make_encoded(), "a", name="k1"), JobHintState.REFUSED)
+        self.services["k1"].stop()
+        service = self.start_node("k1")
+        gevent.sleep(0.1)
+        self.assertTrue(service.hint_count or not service._knows_all_hints)
+
+    def test_two_hints_of_a_job_at_once_do_not_damage_its_file(self):
+        """Guards against a 404 for a job that a client has sent to two nodes.
+
+        Each submission encodes the job anew, so that the lengths differ.
+        """
+        self.shared_store.down = True
+        self.start_node("k1", first_start=True)
+        write = hint_log.os.write
+
+        def write_slowly(descriptor, data):
+            get_original("time", "sleep")(0.1)
+            return write(descriptor, data)
+
+        with mock.patch.object(hint_log.os, "write", write_slowly):
+            sends = []
+            for body in ("Ym9keQ==" * 100, "YQ=="):
+                sends.append(gevent.spawn(self.send_hint, make_encoded(body=body)))
+                gevent.sleep(0.02)
+            gevent.joinall(sends)
+        self.assertEqual([one.value for one in sends], [JobHintState.KEPT] * 2)
+        self.services["k1"].stop()
+        self.assertEqual(self.start_node("k1").hint_count, 1)
+
+    def test_history_completes_after_the_marker_could_not_be_read(self):
+        """Guards against 503 instead of 404 until the node is restarted."""
+        marker_path = self.folder / "k1" / hint_log._HISTORY_MARKER
+        stat = Path.stat
+
+        def stat_failing(path, **arguments):
+            if path == marker_path:
+                raise OSError(errno.EIO, "input/output error")
+            return stat(path, **arguments)
+
+        with (
+            mock.patch.object(hint_service, "NEW_DISK_WAIT_SECONDS", 0.05),
+            mock.patch.object(Path, "stat", stat_failing),
+        ):
+            service = self.start_node("k1")
+            gevent.sleep(0.1)
+        gevent.sleep(0.2)
+        self.assertTrue(service._knows_all_hints)
+
     def test_history_of_a_new_disk_completes_after_earlier_hints_expired(self):
         with mock.patch.object(hint_service, "NEW_DISK_WAIT_SECONDS", 0.05):
             service = self.start_node("k1")
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -1,6 +1,7 @@
 """Jobs under one or successive coordinators on one store: loading, demand, unloading, listing."""
 
 import contextlib
+import time
 import unittest
 from dataclasses import replace
 from unittest import mock
@@ -463,6 +464,52 @@
         left = [one for one in documents if one[0] is not DocumentKind.JOB_PART]
         self._wait(lambda: not self._stored(left))
 
+    def test_open_job_given_up_as_unstored_is_not_removed_from_the_store(self):
+        """Guards against the loss of an open job, and of results that clients have read.
+
+        The store stops answering as the term is confirmed, so that a copied job can't be confirmed
+        within the sweep; no document says that the job has ended.
+        """
+        job = make_job(submitted_at=time.time() - coordinator_module.RETENTION_SECONDS - 10.0)
+        self.store.put(DocumentKind.JOB, JOB_ID, encode_job(job, "part").content)
+        segment = segment_name(JOB_ID, 0)
+        self.store.put(DocumentKind.JOB_RESULTS, segment, encode_segment(1, [result(0)]))
+        clock = OffsetClock()
+        for name, value in (("steady_seconds", clock), ("SWEEP_INTERVAL_SECONDS", 0.05)):
+            patch = mock.patch.object(coordinator_module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        coordinator = JobCoordinator(
+            self.store, ConfirmingScheduler(), 2, lambda model: 1, self.superseded.append
+        )
+        self.addCleanup(coordinator.stop)
+        coordinator.resume_from_copies([CopiedJob(job, (), frozenset())])
+        self.store.down = True
+        coordinator.start()
+        self._wait(lambda: coordinator.job(JOB_ID) is None)
+        self.store.down = False
+        self._wait(coordinator.loaded.is_set)
+        clock.offset = coordinator_module.RETENTION_SECONDS + 1.0
+        gevent.sleep(0.3)
+        documents = [(DocumentKind.JOB, JOB_ID), (DocumentKind.JOB_RESULTS, segment)]
+        self.assertEqual(self._stored(documents), documents)
+
+    def test_malformed_ended_job_does_not_keep_others_in_the_store(self):
+        """Guards against the end of the task that removes the jobs of the whole term."""
+        malformed = "a-malformed-job"
+        self.store.put(DocumentKind.JOB, malformed, None)
+        self.store.put(DocumentKind.JOB_END, malformed, {})
+        self._put_ended_job()
+        self._coordinate_past_retention()
+        gevent.sleep(0.3)
+        job = make_job(
+            job_id="later", submitted_at=time.time() - coordinator_module.RETENTION_SECONDS - 10.0
+        )
+        self.store.put(DocumentKind.JOB, "later", encode_job(job, "part").content)
+        gevent.sleep(0.3)
+        self.store.put(DocumentKind.JOB_END, "later", {})
+        self._wait(lambda: not self._stored([(DocumentKind.JOB, "later")]))
+
     def test_event_is_set_once_enough_groups_are_complete(self):
         job = make_job()
         half = len({item.group for item in job.items}) // 2
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -10,7 +11,8 @@
 from runkeel.api.machines import Address
 from runkeel.clock import steady_seconds
 from runkeel.coordination.coordinator_document import Coordinator
-from runkeel.errors import RunkeelError, Verdict
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run
+from runkeel.jobs import job_documents, job_store
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.result_cache import MAX_BYTES
@@ -161,6 +163,24 @@
         self.assertIsNotNone(caught.exception.retry_after_seconds)
         self.assertLess(steady_seconds() - started, 2.0)
 
+    def test_large_job_is_refused_in_time_when_the_store_does_not_answer(self):
+        """Guards against clients that wait for several timeouts of the parts of their job."""
+
+        def create_unanswered(kind, name, content, timeout_seconds):
+            gevent.sleep(timeout_seconds)
+            raise may_have_run(ErrorCode.STORE_OUTCOME_UNKNOWN, "no answer")
+
+        job = make_job()
+        started = steady_seconds()
+        with (
+            mock.patch.multiple(job_documents, MAX_PART_BYTES=1, MAX_CONTENT_BYTES=1),
+            mock.patch.object(job_store, "PART_TIMEOUT_SECONDS", 0.3),
+            mock.patch.object(self.store, "create", create_unanswered),
+            self.assertRaises(RunkeelError),
+        ):
+            self.service.accept(job, self._deadline(0.1))
+        self.assertLess(steady_seconds() - started, 0.6)
+
     def test_never_says_not_run_after_an_unknown_outcome(self):
         self.store.fail_next_write(StoreFault.RESPONSE_LOST)
         self.store.fail_next_write(StoreFault.DOWN, times=50)
--- a/tests/jobs/test_partial_output_journal.py
+++ b/tests/jobs/test_partial_output_journal.py
@@ -110,6 +110,29 @@
         self.assertEqual(running_counts, [1, 1])
         self.assertEqual(len(PartialOutputJournal(self.folder).load()), 2)
 
+    def test_file_closed_while_records_are_encoded_fails_no_append(self):
+        """Guards against a TypeError of a term's last write while its node is stopped."""
+        journal = PartialOutputJournal(self.folder)
+        self.addCleanup(journal.close)
+        journal.load()
+        journal.append(lambda starts_file: [RECORD])
+        append = gevent.spawn(journal.append, lambda starts_file: [RECORD, RECORD])
+        gevent.sleep(0)
+        journal.close()
+        append.join()
+        self.assertIsNone(append.exception)
+
+    def test_file_closed_while_an_append_waits_for_a_write_fails_no_append(self):
+        """As above, for a write that waits for the write of a killed handler."""
+        journal = PartialOutputJournal(self.folder)
+        self.addCleanup(journal.close)
+        self._append_slowly(journal, [])
+        append = gevent.spawn(journal.append, lambda starts_file: [RECORD])
+        gevent.sleep(0.02)
+        journal.close()
+        append.join()
+        self.assertIsNone(append.exception)
+
     def test_damaged_end_is_ignored(self):
         sender, _ = self._process()
         self.outputs["i"] = self._make_output(1)
--- a/tests/users_platform/test_servers_soak.py
+++ b/tests/users_platform/test_servers_soak.py
@@ -3,6 +3,7 @@
 ``runkeel-lab soak --servers`` runs longer ones.
 """
 
+import time
 import unittest
 from unittest import mock
 
@@ -38,6 +39,31 @@
             report = ServersSoak(3, SECONDS).run()
         self.assertTrue([text for text in report.violations if "does not use" in text])
 
+    def test_directory_that_ignores_restarts_only_during_the_faults_is_detected(self):
+        """Guards against a check that sees only restarts without any other fault."""
+        resolve = IncarnationTracker.resolve
+        check = ServersSoak._check
+        faults_ended_ms = []
+
+        def note_end_of_faults(soak):
+            faults_ended_ms.append(int(time.time() * 1000))
+            check(soak)
+
+        def resolve_ignoring_restarts(starts, backend, revision):
+            known = starts._known.get(backend.backend_id)
+            is_new_incarnation = known is not None and known.start != backend.start
+            during_faults = not faults_ended_ms or int(backend.start or 0) <= faults_ended_ms[0]
+            if is_new_incarnation and during_faults:
+                return None
+            return resolve(starts, backend, revision)
+
+        with (
+            mock.patch.object(ServersSoak, "_check", note_end_of_faults),
+            mock.patch.object(IncarnationTracker, "resolve", resolve_ignoring_restarts),
+        ):
+            report = ServersSoak(3, SECONDS).run()
+        self.assertTrue([text for text in report.violations if "does not use" in text])
+
     def test_parser_that_accepts_invalid_entries_is_detected(self):
         strict = translation.read_server
 
