Remove only jobs whose end is in the store, and give up none before a listing

Removal now goes by the ends that this term has seen in the store. The job is also not given up before the term has listed the stored jobs: until then it may be stored (older fault; the job stopped running for that term). - A malformed job ended the task that removes jobs; a job whose removal always failed kept the others from being removed; a job that was still loading could be removed.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -52,8 +52,8 @@
 SWEEP_INTERVAL_SECONDS = 10.0
 """Interval between two removals of expired jobs."""
 
-MAX_UNREAD_REMOVALS = 50
-"""Maximum number of jobs removed per sweep without being loaded; limits calls to the store."""
+MAX_UNLOADED_REMOVALS = 10
+"""Maximum number of jobs per sweep that are removed without having been loaded."""
 
 MAX_MEMORY_BYTES = 64 * 1024 * 1024
 """Total size of items and results above which ended jobs are unloaded.
@@ -128,8 +128,9 @@
         """By model, the versions that the most recently submitted job accepts."""
         self._scheduler = scheduler
         self._jobs: dict[str, JobState] = {}
-        self._ended_at: dict[str, float] = {}
-        """Steady time at which this term learned of the end of each ended job."""
+        self._ended_ids: set[str] = set()
+        self._end_seen_at: dict[str, float] = {}
+        """Steady time at which this term first saw the end of each job whose end is in the store."""
         self._loading: dict[str, int] = {}
         """Number of items of each job that is being loaded."""
         self._first_list_revision: int | None = None
@@ -162,7 +163,7 @@
 
     def on_accepted(self, job_id: str) -> None:
         """Handle a report that a job is in the store; fetches it if the watch misses it."""
-        if job_id not in self._jobs and job_id not in self._ended_at:
+        if job_id not in self._jobs and job_id not in self._ended_ids:
             self._spawn(self._fetch, job_id)
 
     def add_handed_over(self, job_id: str, encoded: EncodedJob) -> None:
@@ -193,7 +194,7 @@
         self._scheduler.start()
 
     def _is_known(self, job_id: str) -> bool:
-        return job_id in self._jobs or job_id in self._ended_at or job_id in self._loading
+        return job_id in self._jobs or job_id in self._ended_ids or job_id in self._loading
 
     def _run_unconfirmed(self, state: JobState) -> None:
         job_id = state.job.job_id
@@ -204,7 +205,7 @@
 
     def end(self, job_id: str) -> None:
         """Stop running a job whose end is in the store."""
-        self._ended_at.setdefault(job_id, steady_seconds())
+        self._ended_ids.add(job_id)
         state = self._jobs.get(job_id)
         if state is None or state.ended:
             return
@@ -314,8 +315,11 @@
         return loaded + sum(self._loading.values())
 
     def _end_changed(self, document: Document, removed: bool) -> None:
-        if not removed:
-            self.end(document.name)
+        if removed:
+            self._end_seen_at.pop(document.name, None)
+            return
+        self._end_seen_at.setdefault(document.name, steady_seconds())
+        self.end(document.name)
 
     def _job_changed(self, document: Document, removed: bool) -> None:
         if removed:
@@ -323,7 +327,7 @@
             self._unconfirmed.pop(document.name, None)
             return
         self._load_once(document)
-        if document.name in self._ended_at and document.name not in self._jobs:
+        if document.name in self._ended_ids and document.name not in self._jobs:
             self._record_ended_job_statistics(document)
         # The job's state holds the content; drop the watcher's copy of it.
         self._job_watcher.documents[document.name] = Document(
@@ -419,7 +423,7 @@
         self._jobs[document.name] = state
         self._loading.pop(document.name, None)
         JOBS.labels("loaded").inc()
-        ended = document.name in self._ended_at
+        ended = document.name in self._ended_ids
         self._log_loaded(state, ended)
         self._record_job_statistics(state.job)
         if ended:
@@ -513,7 +517,7 @@
         while True:
             gevent.sleep(SWEEP_INTERVAL_SECONDS)
             self._remove_expired_loaded()
-            self._remove_expired_unread()
+            self._remove_expired_unloaded()
 
     def _remove_expired_loaded(self) -> None:
         now = time.time()
@@ -521,29 +525,32 @@
             old = now - state.job.submitted_at > RETENTION_SECONDS
             if old and state.ended:
                 self._remove(job_id, state)
-            elif old and job_id in self._unconfirmed:
+            elif old and job_id in self._unconfirmed and self._first_list_revision is not None:
                 # Its hints on storage nodes have expired, so that none of them can store it.
                 logger.warning("job lost: it was never stored", code="job_lost", job=job_id)
                 self.end(job_id)
                 self._unconfirmed.pop(job_id)
                 self._jobs.pop(job_id)
 
-    def _remove_expired_unread(self) -> None:
-        """Remove jobs that ended before this term, or whose removal was interrupted.
+    def _remove_expired_unloaded(self) -> None:
+        """Remove ended jobs that are not loaded.
 
-        Their age is unknown, so it is counted from when this term learned of their end.
+        They ended before this term, or their removal was interrupted. Their retention period starts
+        when this term first sees their end.
         """
         latest = steady_seconds() - RETENTION_SECONDS
         expired = [
             job_id
-            for job_id, ended_at in self._ended_at.items()
-            if ended_at < latest and job_id not in self._jobs
+            for job_id, seen_at in self._end_seen_at.items()
+            if seen_at < latest and job_id not in self._jobs and job_id not in self._loading
         ]
-        for job_id in expired[:MAX_UNREAD_REMOVALS]:
+        for job_id in expired[:MAX_UNLOADED_REMOVALS]:
             try:
-                self._job_store.remove_unread(job_id)
+                self._job_store.remove_by_id(job_id)
             except RunkeelError as error:
                 self._log_removal_failed(job_id, error)
+                # Moved to the end, so that the next sweep tries the other jobs first.
+                self._end_seen_at[job_id] = self._end_seen_at.pop(job_id)
                 return
             self._forget_removed(job_id)
 
@@ -557,7 +564,8 @@
         self._forget_removed(job_id)
 
     def _forget_removed(self, job_id: str) -> None:
-        self._ended_at.pop(job_id, None)
+        self._ended_ids.discard(job_id)
+        self._end_seen_at.pop(job_id, None)
         logger.info("job removed", code="job_removed", job=job_id)
 
     def _log_removal_failed(self, job_id: str, error: RunkeelError) -> None:
--- a/src/runkeel/jobs/job_store.py
+++ b/src/runkeel/jobs/job_store.py
@@ -156,7 +156,8 @@
         """Remove all documents of a job: its own, its parts, its results and its end.
 
         The end is removed last, and the results from the last to the first, so that
-        :meth:`remove_unread` can complete a removal that was interrupted after the parts.
+        :meth:`remove_by_id` can complete a removal that was interrupted after the parts. Parts left
+        by an earlier interruption stay in the store.
         """
         self._store.delete(DocumentKind.JOB, job_id)
         for name in parts:
@@ -165,10 +166,11 @@
             self._store.delete(DocumentKind.JOB_RESULTS, segment_name(job_id, number))
         self._store.delete(DocumentKind.JOB_END, job_id)
 
-    def remove_unread(self, job_id: str) -> None:
-        """Remove all documents of a job of which only the id is known."""
+    def remove_by_id(self, job_id: str) -> None:
+        """Remove all documents of a job that is not loaded."""
         document = get_immutable(self._store, DocumentKind.JOB, job_id)
-        parts = () if document is None else part_names(document.content)
+        is_malformed = document is not None and not isinstance(document.content, dict)
+        parts = () if document is None or is_malformed else part_names(document.content)
         self.remove(job_id, parts, self._count_segments(job_id))
 
     def _count_segments(self, job_id: str) -> int:
