Write hints atomically, and vouch only for a history that could be read

A hint is now written to a file of its own and renamed. - A failed write truncated the accepted hint of the same job. The rename leaves it whole. - Path.glob hides a PermissionError, so that a folder that can't be listed counted as empty. os.scandir raises it. - A marker that can't be read ended the task that completes the history, so that the node vouched for nothing until its restart. It counts as missing now.

A node at the first start of its deployment vouches at once, as before, even if a file could not be read.

--- a/src/runkeel/handoff/hint_log.py
+++ b/src/runkeel/handoff/hint_log.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 import json
 import os
+import secrets
 import struct
 import zlib
 from dataclasses import dataclass
@@ -14,6 +16,9 @@
 from loguru import logger
 
 _SUFFIX = ".job"
+_TEMPORARY_SUFFIX = ".tmp"
+"""Suffix of files that are being written, and are renamed once they are durable."""
+
 _HISTORY_MARKER = "remembers"
 """File that marks a folder as holding every unexpired hint of the node; a new disk lacks it."""
 
@@ -27,19 +32,19 @@
 
     Attributes:
         jobs: the serialized jobs by id.
-        complete: whether all files could be read; False after an error of the disk.
+        all_files_read: False if the disk failed while the files were read.
     """
 
     jobs: dict[str, str]
-    complete: bool
+    all_files_read: bool
 
 
 class HintLog:
     """The hints in a folder, which a single process writes to.
 
-    Files that are truncated or fail their checksum are deleted on load; a hint whose write was
-    interrupted was never acknowledged. Writes and removals run in gevent's thread pool, so that a
-    slow disk does not block the event loop.
+    Files that are truncated or fail their checksum are deleted on load. A hint whose write was
+    interrupted was never acknowledged, and leaves the previous file of its job whole. Writes and
+    removals run in gevent's thread pool, so that a slow disk does not block the event loop.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -52,43 +57,58 @@
             paths = self._hint_paths()
         except OSError as error:
             _log_read_failure(self._folder, error)
-            return StoredHints(jobs, complete=False)
-        complete = True
+            return StoredHints(jobs, all_files_read=False)
+        all_files_read = True
         for path in paths:
             try:
                 hint = _read_or_delete(path)
             except OSError as error:
                 _log_read_failure(path, error)
-                complete = False
+                all_files_read = False
                 continue
             if hint is not None:
                 job_id, serialized_job = hint
                 jobs[job_id] = serialized_job
-        return StoredHints(jobs, complete)
+        return StoredHints(jobs, all_files_read)
 
     def _hint_paths(self) -> list[Path]:
+        """Return the files of all hints, and delete those of interrupted writes."""
         self._folder.mkdir(parents=True, exist_ok=True)
-        return sorted(self._folder.glob(f"*{_SUFFIX}"))
+        # Unlike Path.glob, this raises an error if the folder can't be read.
+        with os.scandir(self._folder) as entries:
+            paths = sorted(Path(entry.path) for entry in entries)
+        for path in paths:
+            if path.suffix == _TEMPORARY_SUFFIX:
+                with contextlib.suppress(OSError):
+                    path.unlink()
+        return [path for path in paths if path.suffix == _SUFFIX]
 
     @property
     def history_complete(self) -> bool:
-        """Whether this folder holds every unexpired hint that the node has accepted."""
-        return (self._folder / _HISTORY_MARKER).exists()
+        """Whether this folder is known to hold every unexpired hint that the node has accepted."""
+        try:
+            return (self._folder / _HISTORY_MARKER).exists()
+        except OSError as error:
+            _log_read_failure(self._folder / _HISTORY_MARKER, error)
+            return False
 
     def mark_history_complete(self) -> None:
         """Record on disk that the history is complete from now on."""
-        self._run_in_threadpool(_write, self._folder, self._folder / _HISTORY_MARKER, b"")
+        self._write(self._folder / _HISTORY_MARKER, b"")
 
     def put(self, job_id: str, serialized_job: str) -> bool:
         """Write a hint; returns whether it is durable."""
-        return self._run_in_threadpool(
-            _write, self._folder, self._path(job_id), _encode(job_id, serialized_job)
-        )
+        return self._write(self._path(job_id), _encode(job_id, serialized_job))
 
     def remove(self, job_id: str) -> None:
         """Delete a hint; not synced, since the job of a hint that reappears is in the store."""
         self._run_in_threadpool(_remove, self._path(job_id))
 
+    def _write(self, path: Path, data: bytes) -> bool:
+        # Unique, as several hints of a job may be written at once.
+        temporary_path = path.with_suffix(f".{secrets.token_hex(4)}{_TEMPORARY_SUFFIX}")
+        return self._run_in_threadpool(_write, path, temporary_path, data)
+
     def _run_in_threadpool(self, function, *arguments) -> bool:
         error = gevent.get_hub().threadpool.apply(function, arguments)
         if error is not None:
@@ -132,27 +152,40 @@
     return job_id, serialized_job
 
 
-def _write(folder: Path, path: Path, data: bytes) -> OSError | None:
-    """Write a file and sync it and its directory; returns the error if that failed."""
+def _write(path: Path, temporary_path: Path, data: bytes) -> OSError | None:
+    """Replace a file at once and durably; returns the error if that failed."""
     try:
-        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        try:
-            view = memoryview(data)
-            while view:
-                view = view[os.write(descriptor, view) :]
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
-        directory = os.open(folder, os.O_RDONLY)
         try:
-            os.fsync(directory)
-        finally:
-            os.close(directory)
+            _write_and_sync(temporary_path, data)
+            os.replace(temporary_path, path)
+        except OSError:
+            temporary_path.unlink(missing_ok=True)
+            raise
+        _sync_folder(path.parent)
     except OSError as error:
         return error
     return None
 
 
+def _write_and_sync(path: Path, data: bytes) -> None:
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    try:
+        view = memoryview(data)
+        while view:
+            view = view[os.write(descriptor, view) :]
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
 def _remove(path: Path) -> OSError | None:
     try:
         path.unlink(missing_ok=True)
--- a/src/runkeel/handoff/hint_service.py
+++ b/src/runkeel/handoff/hint_service.py
@@ -49,10 +49,10 @@
 """
 
 NEW_DISK_WAIT_SECONDS = HINT_EXPIRY_SECONDS + 5.0
-"""Time for which a node with a new disk replies to lookups that its history is incomplete.
+"""Time for which a node with a new or failing disk replies that its history is incomplete.
 
-Afterwards, all hints that it may have lost with the previous disk have expired, so that a lookup
-that finds no hint shows that this node has not lost one either.
+Afterwards, all hints that it may have lost have expired, so that a lookup that finds no hint shows
+that this node has not lost one either.
 """
 
 MAX_TOTAL_HINT_BYTES = 64 * 1024 * 1024
@@ -88,7 +88,7 @@
         """Whether this node has every unexpired hint that it ever accepted.
 
         False until the hints on disk are loaded; for longer on a new disk, as the previous disk may
-        have held hints. A node without a disk accepts none.
+        have held hints, or after hints could not be read. A node without a disk accepts none.
         """
         self._history_task: gevent.Greenlet | None = None
         self._has_hints = Event()
@@ -114,7 +114,7 @@
             return
         stored = self._hint_log.load()
         self._hints = stored.jobs
-        self._history_task = gevent.spawn(self._wait_for_history, stored.complete)
+        self._history_task = gevent.spawn(self._wait_for_history, stored.all_files_read)
         if self._hints:
             logger.info("loaded hints from disk", code="hints_read", jobs=len(self._hints))
             self._has_hints.set()
@@ -129,12 +129,11 @@
     def _wait_for_history(self, all_files_read: bool) -> None:
         """Mark the history as complete.
 
-        On a new disk, or if the disk failed while the hints were read, waits until any hints that
-        are unknown have expired.
+        On a new disk, or if the disk failed while the hints were read, waits until all hints that
+        this node may not know have expired.
         """
         was_complete = self._hint_log.history_complete
-        if not all_files_read or not (was_complete or self._knows_all_hints):
-            self._knows_all_hints = False
+        if not self._knows_all_hints and not (was_complete and all_files_read):
             logger.warning(
                 "hint disk is new or has failed; earlier hints are unknown until they expire",
                 code="hints_forgotten",
--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -130,7 +130,7 @@
         self._jobs: dict[str, JobState] = {}
         self._ended_ids: set[str] = set()
         self._end_seen_at: dict[str, float] = {}
-        """Steady time at which this term first saw the end of each job whose end is in the store."""
+        """Steady time at which this term first saw the end of each job whose end is stored."""
         self._loading: dict[str, int] = {}
         """Number of items of each job that is being loaded."""
         self._first_list_revision: int | None = None
--- a/src/runkeel/jobs/partial_output_journal.py
+++ b/src/runkeel/jobs/partial_output_journal.py
@@ -77,7 +77,8 @@
         self._paths: list[Path] = []
         self._lock = Semaphore()
         self._write_in_flight: AsyncResult | None = None
-        """The latest write; it continues in the thread pool if its greenlet is killed."""
+        """The latest write until it is handled; it runs on if its greenlet is killed."""
+        self._closed = False
 
     def load(self) -> list[JournalRecord]:
         """Return the records of earlier processes, oldest first; called once, at startup."""
@@ -102,35 +103,39 @@
                 of two messages.
         """
         with self._lock:
-            if steady_seconds() - self._failed_at < RETRY_DELAY_SECONDS:
+            self._finish_write()
+            if self._closed or steady_seconds() - self._failed_at < RETRY_DELAY_SECONDS:
                 return
-            self._await_write_in_flight()
             starts_file = self._needs_new_file()
             records = []
             for message in messages(starts_file):
                 records.append(_encode(message))
                 gevent.sleep(0)
-            if not records:
+            if self._closed or not records:
                 return
             data = b"".join(records)
             self._write_in_flight = gevent.get_hub().threadpool.spawn(
                 self._write, data, starts_file
             )
-            error = self._write_in_flight.get()
+            self._finish_write()
+
+    def _finish_write(self) -> None:
+        """Wait for the latest write, which may be of a killed greenlet, and handle its error."""
+        write = self._write_in_flight
+        if write is None:
+            return
+        error = write.get()
+        self._write_in_flight = None
         if error is not None:
             self._note_failure(error)
 
-    def _await_write_in_flight(self) -> None:
-        """Wait for the write of a sender that was killed meanwhile."""
-        if self._write_in_flight is not None:
-            self._write_in_flight.wait()
-
     def _needs_new_file(self) -> bool:
         largest = max(self._max_file_bytes, MIN_GROWTH_FACTOR * self._initial_bytes)
         return self._descriptor is None or self._file_bytes >= largest
 
     def close(self) -> None:
-        """Close the current file, once no write to it is in flight."""
+        """Close the journal, once no write is in flight; later messages are not written."""
+        self._closed = True
         write = self._write_in_flight
         if write is None or write.ready():
             self._close_file()
@@ -181,7 +186,7 @@
 
     def _note_failure(self, error: OSError) -> None:
         self._failed_at = steady_seconds()
-        self.close()
+        self._close_file()
         logger.warning(
             "disk error in journal of partial outputs; writing is suspended",
             code="text_journal_failed",
--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -59,17 +59,18 @@
 class HintLogTest(HintCase):
     def test_hints_survive_a_restart(self):
         log = HintLog(self.folder / "jobs")
-        self.assertEqual(log.load(), StoredHints({}, complete=True))
+        self.assertEqual(log.load(), StoredHints({}, all_files_read=True))
         self.assertTrue(log.put("../a job/1", "text"))
         self.assertTrue(log.put("other", "more"))
         self.assertEqual(
             HintLog(self.folder / "jobs").load(),
-            StoredHints({"../a job/1": "text", "other": "more"}, complete=True),
+            StoredHints({"../a job/1": "text", "other": "more"}, all_files_read=True),
         )
         log.remove("other")
         log.remove("other")
         self.assertEqual(
-            HintLog(self.folder / "jobs").load(), StoredHints({"../a job/1": "text"}, complete=True)
+            HintLog(self.folder / "jobs").load(),
+            StoredHints({"../a job/1": "text"}, all_files_read=True),
         )
 
     def test_truncated_file_is_ignored(self):
@@ -81,7 +82,7 @@
             log.put("cut", "text")
             path.write_bytes(path.read_bytes()[:length])
             self.assertEqual(
-                HintLog(self.folder).load(), StoredHints({"whole": "text"}, complete=True)
+                HintLog(self.folder).load(), StoredHints({"whole": "text"}, all_files_read=True)
             )
 
     def test_put_fails_when_the_disk_fails(self):
