Bound the writes of a large job's parts by the caller's deadline

Callers saw: the answer to a large job came after up to 9 s while the store did not answer, whatever their deadline, and a storage node asked to keep the job replied after the sender had stopped waiting (1.2 s).

Cause: a part is tried three times for 3 s each, and the deadline was checked after all of them. Found in a review for deadlines that are checked only after a long call.

The hand-off of kept jobs has no deadline.

--- a/src/runkeel/handoff/hint_service.py
+++ b/src/runkeel/handoff/hint_service.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import time
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from loguru import logger
 
 from runkeel.api.documents import DocumentConflictError
+from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.handoff.hint_log import HintLog
 from runkeel.jobs.job_documents import (
@@ -161,7 +163,9 @@
             logger.warning("malformed hint", code="bad_hint", sender=peer, error=repr(error))
             return JobHintState.REFUSED
         if self._store.reachable:
-            stored = self._write_to_store(message.job_id, encoded)
+            # The sender of the hint does not wait as long as the parts of a large job may take.
+            deadline = steady_seconds() + STORE_TIMEOUT_SECONDS
+            stored = self._write_to_store(message.job_id, encoded, deadline)
             if stored is not None:
                 return JobHintState.STORED if stored else JobHintState.REFUSED
         state = self._store_hint(message.job_id, message.content)
@@ -189,15 +193,20 @@
             self._has_hints.set()
         return JobHintState.KEPT
 
-    def _write_to_store(self, job_id: str, encoded: EncodedJob) -> bool | None:
+    def _write_to_store(
+        self, job_id: str, encoded: EncodedJob, deadline: float = math.inf
+    ) -> bool | None:
         """Write a job to the store.
 
+        Args:
+            deadline: steady time after which no part of the job is waited for.
+
         Returns:
             True if the store has the job; also after a conflict with a document whose content is
             unknown. False if another tenant uses its id; None if the store failed.
         """
         try:
-            JobSubmission(self._store, job_id, encoded).write(STORE_TIMEOUT_SECONDS)
+            JobSubmission(self._store, job_id, encoded).write(STORE_TIMEOUT_SECONDS, deadline)
         except DocumentConflictError as conflict:
             return may_belong_to_tenant(conflict.current, job_tenant(encoded.content))
         except RunkeelError as error:
--- a/src/runkeel/jobs/job_store.py
+++ b/src/runkeel/jobs/job_store.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 
 import gevent
@@ -20,7 +21,8 @@
     DocumentStore,
 )
 from runkeel.api.jobs import BatchJob
-from runkeel.errors import RunkeelError, Verdict, not_run
+from runkeel.clock import steady_seconds
+from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.jobs.job_documents import (
     EncodedJob,
     decode_job,
@@ -57,17 +59,20 @@
         prefix = f"{job.job_id}-{secrets.token_hex(_PREFIX_RANDOM_BYTES)}"
         return cls(store, job.job_id, encode_job(job, prefix))
 
-    def write(self, timeout_seconds: float = CALL_TIMEOUT_SECONDS) -> None:
+    def write(
+        self, timeout_seconds: float = CALL_TIMEOUT_SECONDS, deadline: float = math.inf
+    ) -> None:
         """Write all parts not yet written, then the job's document.
 
         Args:
             timeout_seconds: longest wait for the reply to the write of the document.
+            deadline: steady time after which no part is waited for.
 
         Raises:
             DocumentConflictError: the job exists already.
             RunkeelError: with verdict NOT_RUN only if this call did not store the job.
         """
-        self._write_parts()
+        self._write_parts(deadline)
         self._store.create(DocumentKind.JOB, self._job_id, self.encoded.content, timeout_seconds)
 
     def discard_parts(self) -> None:
@@ -81,9 +86,9 @@
             return True
         return part_names(document.content) == tuple(self.encoded.parts)
 
-    def _write_parts(self) -> None:
+    def _write_parts(self, deadline: float = math.inf) -> None:
         writes = {
-            name: gevent.spawn(self._write_part, name, part)
+            name: gevent.spawn(self._write_part, name, part, deadline)
             for name, part in self._unwritten_parts.items()
         }
         gevent.joinall(list(writes.values()))
@@ -92,11 +97,15 @@
             # Some parts may have been written, but without its document the job does not exist.
             raise not_run(errors[0].code, errors[0].detail)
 
-    def _write_part(self, name: str, part: list[dict]) -> RunkeelError | None:
+    def _write_part(self, name: str, part: list[dict], deadline: float) -> RunkeelError | None:
         failure: RunkeelError | None = None
         for _ in range(MAX_PART_ATTEMPTS):
+            remaining_seconds = deadline - steady_seconds()
+            if remaining_seconds <= 0.0:
+                return failure or not_run(ErrorCode.DEADLINE_EXCEEDED, f"part {name}")
+            timeout_seconds = min(PART_TIMEOUT_SECONDS, remaining_seconds)
             try:
-                self._store.create(DocumentKind.JOB_PART, name, part, PART_TIMEOUT_SECONDS)
+                self._store.create(DocumentKind.JOB_PART, name, part, timeout_seconds)
             except DocumentConflictError:
                 # An earlier attempt wrote the part, and its reply was lost.
                 failure = None
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -124,7 +124,7 @@
         verdict = Verdict.NOT_RUN
         while True:
             try:
-                submission.write(STORE_TIMEOUT_SECONDS)
+                submission.write(STORE_TIMEOUT_SECONDS, deadline)
             except DocumentConflictError as conflict:
                 if not may_belong_to_tenant(conflict.current, job.tenant):
                     submission.discard_parts()
--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -13,8 +13,14 @@
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import BatchJob, JobItem
 from runkeel.clock import steady_seconds
+from runkeel.errors import ErrorCode, may_have_run
 from runkeel.handoff import hint_log, hint_service
-from runkeel.handoff.hint_client import HintClient, HintLookupResult, HintOutcome
+from runkeel.handoff.hint_client import (
+    HINT_TIMEOUT_SECONDS,
+    HintClient,
+    HintLookupResult,
+    HintOutcome,
+)
 from runkeel.handoff.hint_log import HintLog, StoredHints
 from runkeel.handoff.hint_service import HintService
 from runkeel.handoff.storage_quorum import (
@@ -23,6 +29,7 @@
     StorageNode,
     StorageQuorum,
 )
+from runkeel.jobs import job_documents
 from runkeel.jobs.job_documents import deserialize_job, encode_job, serialize_job
 from runkeel.state.observed_store import ObservedStore
 from runkeel.wire.generated.common.ttypes import MessageType
@@ -145,6 +152,22 @@
         self.wait(lambda: not self.services["k1"].hint_count)
         self.assertEqual(HintLog(self.folder / "k1").load().jobs, {})
 
+    def test_large_job_is_kept_in_time_when_the_store_does_not_answer(self):
+        """Guards against a sender that stops waiting before the parts of its job have timed out."""
+
+        def create_unanswered(kind, name, content, timeout_seconds):
+            gevent.sleep(timeout_seconds)
+            raise may_have_run(ErrorCode.STORE_OUTCOME_UNKNOWN, "no answer")
+
+        self.start_node()
+        with mock.patch.multiple(job_documents, MAX_PART_BYTES=1, MAX_CONTENT_BYTES=0):
+            encoded = make_encoded()
+        self.assertTrue(encoded.parts)
+        started = steady_seconds()
+        with mock.patch.object(self.shared_store, "create", create_unanswered):
+            self.assertEqual(self.send_hint(encoded), JobHintState.KEPT)
+        self.assertLess(steady_seconds() - started, HINT_TIMEOUT_SECONDS)
+
     def test_hint_survives_the_process(self):
         self.start_node()
         self.shared_store.down = True
