Check the servers before and after the final restart in the servers soak

The check runs before it as well now.

It restarts all servers itself now before it ends the phase in which restarts are ignored, so that the check before the final restart must find them; without that check it finds none.

--- a/src/runkeel_lab/users_platform/servers_soak.py
+++ b/src/runkeel_lab/users_platform/servers_soak.py
@@ -7,8 +7,8 @@
 Checked in addition to that module:
 
 - No connection is made to the address in an invalid entry, and no node lists one as a server.
-- After recovery, every server restarts once more under its id, and every node uses the current
-  incarnation of every server.
+- After recovery, and once more after every server has then restarted under its id, every node uses
+  the current incarnation of every server.
 """
 
 from __future__ import annotations
@@ -100,6 +100,7 @@
             self._report_violation(
                 f"{self._honeypot_connections} connections to the address of wrong entries"
             )
+        self._check_servers()
         self._restart_all_servers()
         self._check_servers()
         super()._check()
@@ -107,8 +108,8 @@
     def _restart_all_servers(self) -> None:
         """Restart every server under its id, and return when all have been started again.
 
-        During the faults, an outage in which entries expire makes all nodes forget the previous
-        incarnations, so that a node that does not recognize a new one goes unnoticed.
+        What the faults leave does not always show whether nodes recognize a new incarnation: the
+        last restarts may have been under new ids, or of the nodes.
         """
         self._deployment.crashes.reuse_id = True
         for server in self._servers():
--- a/tests/users_platform/test_servers_soak.py
+++ b/tests/users_platform/test_servers_soak.py
@@ -46,6 +46,7 @@
         faults_ended_ms = []
 
         def note_end_of_faults(soak):
+            soak._restart_all_servers()
             faults_ended_ms.append(int(time.time() * 1000))
             check(soak)
 
