Follow the feed after an unexpected error while it is read

Callers would see: a node that serves with an old configuration for good. Found by reading, not seen in a run of the system.

Cause: a page is applied in the follower's task, and an assertion error of a listener, or any error that was not foreseen (for example a reply without pages), ended that task. The watchers stayed suspended, so nothing updated the node any more. The watchers themselves survive such errors.

Fix: the error is logged and counts as a failed read. The feed is read again, and the store once the grace period is over.

--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -21,7 +21,7 @@
 from runkeel.coordination.copy_comparison import CopyComparison
 from runkeel.errors import RunkeelError
 from runkeel.metrics import FEED_READS
-from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.state.document_watcher import MAX_REASON_LENGTH, DocumentWatcher
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import (
     FeedDocument,
@@ -246,6 +246,15 @@
         except (KeyError, ValueError) as error:
             logger.warning("malformed reply of the feed", code="bad_feed", error=repr(error))
             return "not_understood"
+        except Exception as error:
+            # An unexpected error must not end the task, or the copies would silently stay out of
+            # date.
+            logger.error(
+                "unexpected error while reading the feed",
+                code="feed_read_failed",
+                error=repr(error)[:MAX_REASON_LENGTH],
+            )
+            return "unexpected_error"
         return ""
 
     def _requested_hold_seconds(self) -> float:
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -199,6 +199,20 @@
         self.assertGreater(len(retries), 0)
         self.assertLessEqual(sum(retries), GRACE_SECONDS)
 
+    def test_feed_is_followed_after_an_unexpected_error_of_a_listener(self):
+        node, _ = self.follower()
+        changed = []
+
+        def fail_once(document, removed):
+            changed.append(document.name)
+            assert len(changed) > 1, "a bug"
+
+        node.watcher.on_change(fail_once)
+        self.objects.put(KIND, "s2", "ready")
+        self.wait(lambda: changed)
+        self.objects.put(KIND, "s3", "ready")
+        self.wait(lambda: "s3" in node.content)
+
     def test_no_grace_period_for_a_short_propagation_time(self):
         self.assertEqual(
             feed_follower.grace_seconds(2.0, document_feed.max_copy_age_seconds(2.0)), 0.0
