Show two ways in which a configuration reaches a node too late

The coordinator's reply does not say how old its copy is, and the follower counts from the arrival of the reply:

- A coordinator that has lost the store passes for a current one for 1.3 s.
If it falls silent after its last such reply, the held read (1.4 s) and the grace period (0.65 s, up to 0.8 s with the last pause) follow: 3.5 s of 3.0 s.
- A reply that was held back by a link or a frozen coordinator, and arrives just before the timeout, is 1.4 s old and ends the grace period all the same.

They need no fault but those of the coordinator and its link; the node reaches the store all the time.

--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -24,6 +24,7 @@
 WAIT_TIMEOUT_SECONDS = 10.0
 WATCH_SECONDS = 0.2
 GRACE_SECONDS = 1.0
+PROPAGATION_SECONDS = 3.0
 EXPIRY_SECONDS = 0.1
 
 
@@ -199,6 +200,62 @@
         self.assertGreater(len(retries), 0)
         self.assertLessEqual(sum(retries), GRACE_SECONDS)
 
+    def follower_for_propagation_time(self):
+        max_copy_age = document_feed.max_copy_age_seconds(PROPAGATION_SECONDS)
+        node, _ = self.follower(
+            grace=feed_follower.grace_seconds(PROPAGATION_SECONDS, max_copy_age)
+        )
+        self.wait(lambda: node.follower.following)
+        return node
+
+    def check_change_arrives_in_time(self, node, written_at):
+        deadline = written_at + PROPAGATION_SECONDS
+        self.wait(lambda: node.content.get("s1") == "draining", deadline - steady_seconds())
+
+    def test_change_arrives_in_time_if_a_coordinator_that_lost_the_store_falls_silent(self):
+        """Its last reply passes for a fresh one, although its copy is as old as it may be."""
+        node = self.follower_for_propagation_time()
+        call = node.follower._network.call
+        written_at = []
+
+        def fail_after_replies(*arguments):
+            reply = call(*arguments)
+            if not written_at:
+                self.coordinator.watcher.stop()
+                self.objects.put(KIND, "s1", "draining")
+                written_at.append(steady_seconds())
+            else:
+                self.network.unresponsive.add("c")
+            return reply
+
+        with unittest.mock.patch.object(node.follower._network, "call", fail_after_replies):
+            self.wait(lambda: self.network.unresponsive)
+            self.assertEqual(self.coordinator.content, {"s1": "ready"})
+            self.check_change_arrives_in_time(node, written_at[0])
+
+    def test_change_arrives_in_time_if_the_coordinator_falls_silent_after_a_late_reply(self):
+        """A reply that a link held back passes for a fresh one."""
+        node = self.follower_for_propagation_time()
+        call = node.follower._network.call
+        written_at = []
+
+        def delay_reply(*arguments):
+            timeout_at = steady_seconds() + arguments[-1]
+            gevent.spawn_later(0.1, self.objects.put, KIND, "s2", "ready")
+            reply = call(*arguments)
+            self.objects.put(KIND, "s1", "draining")
+            written_at.append(steady_seconds())
+            gevent.sleep(max(0.0, timeout_at - 0.1 - steady_seconds()))
+            self.network.unresponsive.add("c")
+            return reply
+
+        def call_until_silent(*arguments):
+            return (call if self.network.unresponsive else delay_reply)(*arguments)
+
+        with unittest.mock.patch.object(node.follower._network, "call", call_until_silent):
+            self.wait(lambda: self.network.unresponsive)
+            self.check_change_arrives_in_time(node, written_at[0])
+
     def test_feed_is_followed_after_an_unexpected_error_of_a_listener(self):
         node, _ = self.follower()
         changed = []
