Make the two tests of a late configuration fail independently of stalls

As first written, a stall of the process of 0.1 to 0.25 s could let the copy become stale, or shorten the delay of the reply, so that the change arrived in time. The age of the replies is fixed now, as the fault allows it: a reply that was held for 1.0 s by a coordinator whose copy ages, and one that is delivered 0.2 s before its timeout. Bound unchanged: 3.0 s.

--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -16,7 +16,7 @@
 from runkeel.errors import ErrorCode, not_run
 from runkeel.state import document_watcher
 from runkeel.state.document_watcher import DocumentWatcher
-from runkeel.wire.generated.jobs.ttypes import FeedState
+from runkeel.wire.generated.jobs.ttypes import FeedReadReply, FeedState
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 from runkeel_lab.standins.peer_network import MemoryNetwork
 
@@ -218,19 +218,19 @@
         call = node.follower._network.call
         written_at = []
 
-        def fail_after_replies(*arguments):
-            reply = call(*arguments)
-            if not written_at:
-                self.coordinator.watcher.stop()
-                self.objects.put(KIND, "s1", "draining")
-                written_at.append(steady_seconds())
-            else:
-                self.network.unresponsive.add("c")
-            return reply
+        def reply_once_from_an_old_copy(*arguments):
+            if self.network.unresponsive:
+                return call(*arguments)
+            self.objects.put(KIND, "s1", "draining")
+            written_at.append(steady_seconds())
+            gevent.sleep(feed_follower.max_hold_seconds(PROPAGATION_SECONDS))
+            self.network.unresponsive.add("c")
+            return FeedReadReply(FeedState.CURRENT, [], None, 0)
 
-        with unittest.mock.patch.object(node.follower._network, "call", fail_after_replies):
+        with unittest.mock.patch.object(
+            node.follower._network, "call", reply_once_from_an_old_copy
+        ):
             self.wait(lambda: self.network.unresponsive)
-            self.assertEqual(self.coordinator.content, {"s1": "ready"})
             self.check_change_arrives_in_time(node, written_at[0])
 
     def test_change_arrives_in_time_if_the_coordinator_falls_silent_after_a_late_reply(self):
@@ -239,20 +239,18 @@
         call = node.follower._network.call
         written_at = []
 
-        def delay_reply(*arguments):
-            timeout_at = steady_seconds() + arguments[-1]
+        def delay_one_reply(*arguments):
+            if self.network.unresponsive:
+                return call(*arguments)
             gevent.spawn_later(0.1, self.objects.put, KIND, "s2", "ready")
             reply = call(*arguments)
             self.objects.put(KIND, "s1", "draining")
             written_at.append(steady_seconds())
-            gevent.sleep(max(0.0, timeout_at - 0.1 - steady_seconds()))
+            gevent.sleep(arguments[-1] - 0.2)
             self.network.unresponsive.add("c")
             return reply
 
-        def call_until_silent(*arguments):
-            return (call if self.network.unresponsive else delay_reply)(*arguments)
-
-        with unittest.mock.patch.object(node.follower._network, "call", call_until_silent):
+        with unittest.mock.patch.object(node.follower._network, "call", delay_one_reply):
             self.wait(lambda: self.network.unresponsive)
             self.check_change_arrives_in_time(node, written_at[0])
 
