--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -267,7 +267,10 @@
         return self._hold_seconds if follows_without_failure else 0.0
 
     def _answer_timeout_seconds(self) -> float:
-        """Return the timeout of the next reply, in addition to the time for which it is held."""
+        """Return the timeout of the next reply, in addition to the time for which it is held.
+
+        It does not exceed what is left of a grace period.
+        """
         if not self._watchers_suspended:
             has_documents = self.store_needed.is_set()
             return ANSWER_TIMEOUT_SECONDS if has_documents else FIRST_ANSWER_TIMEOUT_SECONDS
--- a/src/runkeel/handoff/hint_log.py
+++ b/src/runkeel/handoff/hint_log.py
@@ -132,7 +132,10 @@
 
 
 def _read_or_delete(path: Path) -> tuple[str, str] | None:
-    """Return the job id and serialized job of a file; deletes it and returns None if damaged."""
+    """Return the job id and serialized job of a file.
+
+    Deletes the file and returns None if it is damaged.
+    """
     hint = _read(path)
     if hint is None:
         logger.info("deleting truncated or corrupt hint", code="hint_damaged", file=path.name)
--- a/src/runkeel/jobs/partial_output_journal.py
+++ b/src/runkeel/jobs/partial_output_journal.py
@@ -124,8 +124,9 @@
         write = self._write_in_flight
         if write is None:
             return
-        error = write.get()
+        write.wait()
         self._write_in_flight = None
+        error = write.get()
         if error is not None:
             self._note_failure(error)
 
