--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -308,7 +308,7 @@
         self.assertEqual(service.hint_count, 2)
 
     def test_node_that_cannot_list_its_hints_does_not_deny_jobs(self):
-        """Guards against a 404 for an accepted job; :meth:`Path.glob` hides a PermissionError."""
+        """Guards against a 404 for an accepted job."""
         self.shared_store.down = True
         self.start_node("k1", first_start=True)
         self.wait(lambda: HintLog(self.folder / "k1").history_complete)
@@ -321,11 +321,7 @@
         self.assertFalse(service._knows_all_hints)
 
     def test_unreadable_hint_survives_a_failed_write_of_the_same_job(self):
-        """Guards against a 404 for an accepted job after its sender has sent it again.
-
-        The failed write truncates the file of the accepted hint, which the next start takes for a
-        hint that was never acknowledged.
-        """
+        """Guards against a 404 for an accepted job after its sender has sent it again."""
         self.shared_store.down = True
         self.start_node("k1", first_start=True)
         self.wait(lambda: HintLog(self.folder / "k1").history_complete)
@@ -341,10 +337,7 @@
         self.assertTrue(service.hint_count or not service._knows_all_hints)
 
     def test_two_hints_of_a_job_at_once_do_not_damage_its_file(self):
-        """Guards against a 404 for a job that a client has sent to two nodes.
-
-        Each submission encodes the job anew, so that the lengths differ.
-        """
+        """Guards against a 404 for a job that a client has sent to two nodes."""
         self.shared_store.down = True
         self.start_node("k1", first_start=True)
         write = hint_log.os.write
--- a/tests/jobs/test_partial_output_journal.py
+++ b/tests/jobs/test_partial_output_journal.py
@@ -101,7 +101,7 @@
         self.assertEqual(len(PartialOutputJournal(self.folder).load()), 1)
 
     def test_write_that_outlives_its_sender_does_not_overlap_the_next(self):
-        """Guards against damaged records when another term starts within one write."""
+        """Guards against damaged records of two writes at once."""
         journal = PartialOutputJournal(self.folder)
         self.addCleanup(journal.close)
         running_counts = []
