--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -491,6 +491,30 @@
         documents = [(DocumentKind.JOB, JOB_ID), (DocumentKind.JOB_RESULTS, segment)]
         self.assertEqual(self._stored(documents), documents)
 
+    def test_job_given_up_as_unstored_is_not_removed_if_it_is_stored_later(self):
+        """Guards against the loss of an open job whose end is not in the store."""
+        job = make_job(submitted_at=time.time() - coordinator_module.RETENTION_SECONDS - 10.0)
+        clock = OffsetClock()
+        for name, value in (("steady_seconds", clock), ("SWEEP_INTERVAL_SECONDS", 0.05)):
+            patch = mock.patch.object(coordinator_module, name, value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.store.remove(DocumentKind.JOB, JOB_ID)
+        coordinator = JobCoordinator(
+            self.store, ConfirmingScheduler(), 2, lambda model: 1, self.superseded.append
+        )
+        self.addCleanup(coordinator.stop)
+        coordinator.resume_from_copies([CopiedJob(job, (), frozenset())])
+        coordinator.start()
+        self._wait(lambda: coordinator.job(JOB_ID) is None)
+        segment = segment_name(JOB_ID, 0)
+        self.store.put(DocumentKind.JOB, JOB_ID, encode_job(job, "part").content)
+        self.store.put(DocumentKind.JOB_RESULTS, segment, encode_segment(1, [result(0)]))
+        clock.offset = coordinator_module.RETENTION_SECONDS + 1.0
+        gevent.sleep(0.3)
+        documents = [(DocumentKind.JOB, JOB_ID), (DocumentKind.JOB_RESULTS, segment)]
+        self.assertEqual(self._stored(documents), documents)
+
     def test_malformed_ended_job_does_not_keep_others_in_the_store(self):
         """Guards against the end of the task that removes the jobs of the whole term."""
         malformed = "a-malformed-job"
