Count an answer of a watch from when the store can have made it

Callers: a node took a configuration as current although it lacked a later one, so that requests were handled by the older one for longer than the propagation time; a replaced coordinator vouched for its listings for longer than the second that is meant.

Cause: DocumentWatcher set current_as_of to the arrival of a watch's answer if that came within the wait plus 0.4 s. A watch of 0.7 s that a change ends at once and that is held back on the way for 0.6 s confirmed the copy as of 0.6 s after the answer was made. Election.verified goes by the same time.

Change: an answer without changes counts from the end of the wait, one with changes from the start of the call. Copies then look older when changes come, so a coordinator's copy has a confirmation interval: watches, and the pauses that batch changes, are shortened to end within it. A new coordinator whose copy is old confirms it at once instead of after a whole watch.

Ruled out: that the wait alone is at fault (answers without changes were wrong by up to 0.4 s too).

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -222,6 +223,7 @@
             # A stale list may name a replaced coordinator; a claim based on it is rejected by the
             # store, as it is conditional on the replaced revision.
             first_list_freshness=Freshness.STALE_ALLOWED,
+            confirmation_interval_seconds=self._confirmation_interval_seconds,
         )
         self._coordinator: Coordinator | None = None
         self._listeners: list[Callable[[], None]] = []
@@ -637,6 +639,9 @@
     def _watch_seconds(self) -> float:
         return VERIFY_WATCH_SECONDS if self.coordinating else WATCH_TIMEOUT_SECONDS
 
+    def _confirmation_interval_seconds(self) -> float:
+        return VERIFY_WATCH_SECONDS if self.coordinating else math.inf
+
     def _reaches_store(self) -> bool:
         return self._watcher.reachable and self._store_reachable()
 
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -228,6 +229,7 @@
             watch_seconds=self._watch_seconds,
             store_needed=self._follower.store_needed,
             first_list_freshness=Freshness.STALE_ALLOWED,
+            confirmation_interval_seconds=self._confirmation_interval_seconds,
         )
         self._backend_watcher = DocumentWatcher(
             store,
@@ -239,6 +241,7 @@
             EXPIRED_BACKEND_GRACE_SECONDS,
             lambda: store.recovered_at,
             first_list_freshness=Freshness.STALE_ALLOWED,
+            confirmation_interval_seconds=self._confirmation_interval_seconds,
         )
         self._backend_watcher.on_unreadable(self._on_backend_unreadable)
         self._watchers = [self._routing_watcher, self._backend_watcher]
@@ -439,6 +442,10 @@
             return coordinator_watch_seconds(self._settings.max_propagation_seconds)
         return NODE_WATCH_SECONDS
 
+    def _confirmation_interval_seconds(self) -> float:
+        """Return how often the copies that other nodes follow must be confirmed, in seconds."""
+        return self._watch_seconds() if self.coordinating else math.inf
+
     def _backend_batching_seconds(self) -> float:
         if self.coordinating:
             return COORDINATOR_BATCHING_SECONDS
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from collections.abc import Callable
@@ -38,12 +39,6 @@
 MAX_RETRY_DELAY_SECONDS = 0.4
 """Upper bound of the retry delay."""
 
-MAX_WATCH_OVERRUN_SECONDS = 0.4
-"""Maximum time by which a response may exceed the watch's timeout.
-
-If a response is later than this, the copy is only known to have been current when the call started.
-"""
-
 IDLE_PROBE_INTERVAL_SECONDS = 2.0
 """Default interval between probes of a failed store while the watcher needn't query the store."""
 
@@ -77,6 +72,9 @@
             last such outage.
         first_list_freshness: required freshness of the first list. Any age is sufficient if the
             caller waits for the watch that follows, which returns all later changes at once.
+        confirmation_interval_seconds: returns the maximum time from one confirmation of the copy
+            until the call that yields the next one ends, without the store's response time. Watches
+            and the pauses between them are shortened accordingly.
 
     Attributes:
         documents: the copy, by name.
@@ -85,7 +83,8 @@
             created and removed before, between two lists, may have been missed.
         removals: names removed since then, each with the revision at which it was noticed.
         first_list_applied: set once the first list or page has been applied.
-        current_as_of: steady time, in seconds, at which the copy was last known to equal the store.
+        current_as_of: steady time, in seconds, as of which the copy is known to equal the store. It
+            is never too late, however long a response was delayed.
     """
 
     def __init__(
@@ -100,7 +99,9 @@
         recovered_at: Callable[[], float] = lambda: 0.0,
         idle_probe_interval_seconds: float = IDLE_PROBE_INTERVAL_SECONDS,
         first_list_freshness: Freshness = Freshness.CURRENT,
+        confirmation_interval_seconds: Callable[[], float] = lambda: math.inf,
     ) -> None:
+        self._confirmation_interval_seconds = confirmation_interval_seconds
         self._next_list_freshness = first_list_freshness
         self._idle_probe_interval_seconds = idle_probe_interval_seconds
         self._store = store
@@ -237,15 +238,26 @@
         if self._list_due:
             freshness, self._next_list_freshness = self._next_list_freshness, Freshness.CURRENT
             self._list(freshness)
-            self._on_success(started, 0.0, confirms=freshness is Freshness.CURRENT)
+            self._on_success(started if freshness is Freshness.CURRENT else None)
             return
-        # After a failure, do not wait for changes: any response shows that the store recovered.
-        wait_seconds = 0.0 if self._failures else self._watch_seconds()
+        wait_seconds = self._wait_seconds()
         changes = self._store.watch(self._kind, self.revision, wait_seconds)
         self._take_changes(changes)
-        self._on_success(started, wait_seconds)
+        self._on_success(_confirmed_by_watch(started, wait_seconds, changes))
         if changes.changes:
-            gevent.sleep(self._pause_seconds())
+            gevent.sleep(min(self._pause_seconds(), self._seconds_until_confirmation_due()))
+
+    def _wait_seconds(self) -> float:
+        """Return how long the store is asked to wait for a change, in whole milliseconds."""
+        if self._failures:
+            # Any response shows that the store recovered.
+            return 0.0
+        wait_seconds = min(self._watch_seconds(), self._seconds_until_confirmation_due())
+        return math.floor(wait_seconds * 1000) / 1000
+
+    def _seconds_until_confirmation_due(self) -> float:
+        due_at = self.current_as_of + self._confirmation_interval_seconds()
+        return max(0.0, due_at - steady_seconds())
 
     def _take_changes(self, changes: DocumentChanges) -> None:
         """Apply changes that the copy lacks; a page of another node may have included some."""
@@ -339,22 +351,18 @@
             for listener in self._unreadable_listeners:
                 listener(document, reason)
 
-    def _on_success(self, started: float, wait_seconds: float, confirms: bool = True) -> None:
+    def _on_success(self, confirmed_at: float | None) -> None:
         """Handle a successful call.
 
         Args:
-            wait_seconds: how long the store was asked to wait for a change.
-            confirms: whether the call shows that the copy is current.
+            confirmed_at: steady time, in seconds, as of which the call shows that the copy equals
+                the store; None if it does not show any.
         """
         if self._failures:
             logger.info("store reachable again", code="store_regained", kind=str(self._kind))
         self._failures = 0
-        if not confirms:
-            return
-        now = steady_seconds()
-        # A response that took much longer may have been buffered while the process was paused.
-        on_time = now - started <= wait_seconds + MAX_WATCH_OVERRUN_SECONDS
-        self.current_as_of = now if on_time else started
+        if confirmed_at is not None:
+            self.current_as_of = max(self.current_as_of, confirmed_at)
 
     def _on_failure(self, error: RunkeelError) -> None:
         if not self._failures:
@@ -376,3 +384,13 @@
     def _retry_delay(self) -> float:
         delay = min(MAX_RETRY_DELAY_SECONDS, BASE_RETRY_DELAY_SECONDS * 2 ** min(self._failures, 5))
         return delay * random.uniform(0.7, 1.0)
+
+
+def _confirmed_by_watch(started: float, wait_seconds: float, changes: DocumentChanges) -> float:
+    """Return the earliest steady time, in seconds, at which the store may have answered a watch.
+
+    A response may be delayed on its way, so its arrival does not count. Without changes, the store
+    answers after the wait; with changes, it may answer immediately.
+    """
+    waited = not changes.changes and steady_seconds() - started >= wait_seconds
+    return started + wait_seconds if waited else started
--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -1,6 +1,7 @@
 """Tests of the copy of a kind of documents: compaction, outages, hanging watches, ordering."""
 
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -95,6 +96,83 @@
         self.assertGreater(steady_seconds() - started, 0.9)
         self.assertLess(self.watcher.current_as_of - started, 0.9)
 
+    def _step_with_late_answer(self, held_seconds):
+        """Watch once; the answer is held back, and a document is written while it is on its way.
+
+        Returns the steady time of that write.
+        """
+        written_at = []
+        watch = self.store.watch
+
+        def hold_back(*arguments):
+            changes = watch(*arguments)
+            self.store.put(KIND, "later", 1)
+            written_at.append(steady_seconds())
+            gevent.sleep(held_seconds)
+            return changes
+
+        with mock.patch.object(self.store, "watch", hold_back):
+            self.watcher._step()
+        self.assertNotIn("later", self.watcher.documents)
+        return written_at[0]
+
+    def test_late_answer_with_a_change_does_not_confirm_what_was_written_meanwhile(self):
+        """Guards against a copy that counts as current although it lacks a change."""
+        for held_seconds in (0.3, 0.6):
+            with self.subTest(held_seconds=held_seconds):
+                self.watcher = DocumentWatcher(
+                    self.store, KIND, self._record_change, watch_seconds=lambda: 0.7
+                )
+                self.watcher._step()
+                gevent.spawn_later(0.05, self.store.put, KIND, "a", held_seconds)
+                written_at = self._step_with_late_answer(held_seconds)
+                self.assertLess(self.watcher.current_as_of, written_at)
+                self.store.remove(KIND, "later")
+
+    def test_late_answer_without_a_change_confirms_no_more_than_its_wait(self):
+        """Guards against a copy that counts as current although it lacks a change."""
+        self.watcher = DocumentWatcher(
+            self.store, KIND, self._record_change, watch_seconds=lambda: 0.2
+        )
+        self.watcher._step()
+        started = steady_seconds()
+        written_at = self._step_with_late_answer(0.3)
+        self.assertLess(self.watcher.current_as_of, written_at)
+        self.assertGreaterEqual(self.watcher.current_as_of, started + 0.2)
+
+    def test_empty_answer_before_the_end_of_the_wait_confirms_only_its_start(self):
+        """A store may end a watch early, and the answer may then be delayed."""
+        self.watcher = DocumentWatcher(
+            self.store, KIND, self._record_change, watch_seconds=lambda: 0.7
+        )
+        self.watcher._step()
+        answer = DocumentChanges((), self.store.revision)
+        with mock.patch.object(self.store, "watch", lambda *arguments: answer):
+            started = steady_seconds()
+            self.watcher._step()
+        self.assertLess(self.watcher.current_as_of, started + 0.6)
+
+    def test_copy_is_confirmed_within_the_interval_after_a_late_change(self):
+        """Guards against a copy that ages by a watch, a pause and another watch in a row."""
+        interval = 0.5
+        self.watcher = DocumentWatcher(
+            self.store,
+            KIND,
+            self._record_change,
+            pause_seconds=lambda: 0.4,
+            watch_seconds=lambda: interval,
+            confirmation_interval_seconds=lambda: interval,
+        )
+        self.addCleanup(self.watcher.stop)
+        self.watcher.start()
+        self._wait_until(lambda: self.watcher.current_as_of)
+        gevent.sleep(0.4)
+        self.store.put(KIND, "a", 1)
+        self._wait_until(lambda: self.changes)
+        for _ in range(100):
+            gevent.sleep(0.01)
+            self.assertLess(steady_seconds() - self.watcher.current_as_of, 1.0)
+
     def test_current_list_follows_if_history_after_a_stale_list_is_compacted(self):
         self.store.snapshot_for_stale_reads()
         self.store.put(KIND, "a", 1)
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -254,6 +254,32 @@
         gevent.sleep(2 * SETTLE_SECONDS)
         self.assertEqual(len(self.terms), 2, self.terms)
 
+    def test_replaced_coordinator_does_not_count_as_verified_by_a_late_answer(self):
+        """Guards against readers that are told that a replaced coordinator's listing is current."""
+        (node,) = self._nodes("a")
+        self._coordinator([node])
+        written_at = []
+
+        def hold_back(*arguments):
+            if written_at:
+                gevent.sleep(WAIT_TIMEOUT_SECONDS)
+            changes = self.store.watch(*arguments)
+            content = {"node": "b", "address": "127.0.0.1:1", "zone": "zone", "epoch": 9}
+            self.store.put(DocumentKind.COORDINATOR, "fleet", content)
+            written_at.append(steady_seconds())
+            gevent.sleep(0.6)
+            return changes
+
+        self.stores["a"].watch = hold_back
+        node.watcher.restart_watch()
+        gevent.sleep(0.05)
+        self.store.put(DocumentKind.COORDINATOR, "other", {})
+        self._wait(lambda: written_at)
+        self._wait(
+            lambda: steady_seconds() > written_at[0] + election_module.VERIFICATION_VALID_SECONDS
+        )
+        self.assertEqual((node.coordinating, node.verified), (True, False))
+
     def test_coordinator_cut_from_the_store_is_replaced(self):
         nodes = self._nodes("a", "b", "c")
         first = self._coordinator(nodes)
