Bound a follower's copies by one deadline since the store confirmed them

Callers: a configuration or the draining of a server took effect on some nodes later than the propagation time (3.0 s, and 2.0 s on small deployments), so that requests still went by the older one.

Cause: a follower of the feed did not know as of when its copy equals the store. A reply counted as fresh when it arrived, though the coordinator's copy may have been 1.3 s old and a link may have held the reply back for 1.4 s. Then came the next read (1.0 s held and 0.4 s) and the grace period (0.65 s): each limit is sound alone, and nothing bounded their sum.

Change: a reply says how long after the arrival of the request the store last confirmed the copy (FeedReadReply.confirmed_after_ms, optional). The follower counts that from when it sent the request, so that it never takes the copy for newer than it is, and no clocks need agree. Hold, timeout, retries and grace period all end by that time plus 0.65 of the propagation time; the rest is left for a read of the store. Why this works: the deadline depends on nothing that a delay on the way can move.

Replies without the field (older builds) count as 0.7 s old, from the end of their hold without changes and else from the request; an older follower ignores the field. Tests for both.

--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable, Sequence
 
 from gevent.event import Event
@@ -135,7 +136,8 @@
 
     def read(self, revisions: dict[str, int], wait_seconds: float) -> FeedReadReply:
         """Return the changes after these revisions, waiting for some if there are none."""
-        deadline = steady_seconds() + min(MAX_HOLD_SECONDS, wait_seconds)
+        arrived_at = steady_seconds()
+        deadline = arrived_at + min(MAX_HOLD_SECONDS, wait_seconds)
         while True:
             state = self._state()
             if state != FeedState.CURRENT:
@@ -144,7 +146,9 @@
             timed_out = now >= deadline
             pages = self._pages_after(revisions, even_if_empty=timed_out)
             if pages or timed_out:
-                return FeedReadReply(state, pages, None, 0, self._copies())
+                # Rounded down, since a follower must not take the copy for newer than it is.
+                confirmed_after_ms = math.floor((self._confirmed_at() - arrived_at) * 1000)
+                return FeedReadReply(state, pages, None, 0, self._copies(), confirmed_after_ms)
             stale_at = self._confirmed_at() + self._max_copy_age
             self._changed.wait(max(0.0, min(deadline, stale_at) - now))
 
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -19,6 +19,8 @@
 from runkeel.clock import steady_seconds
 from runkeel.coordination.coordinator_document import Coordinator
 from runkeel.coordination.copy_comparison import CopyComparison
+from runkeel.coordination.copy_deadline import CopyDeadline
+from runkeel.coordination.document_feed import MAX_COPY_AGE_SECONDS
 from runkeel.errors import RunkeelError
 from runkeel.metrics import FEED_READS
 from runkeel.state.document_watcher import MAX_REASON_LENGTH, DocumentWatcher
@@ -55,21 +57,31 @@
 """Polling interval while there is no other coordinator."""
 
 GRACE_SHARE = 0.65
-"""Share of the propagation time after which a node that has lost the feed reads the store.
+"""Share of the propagation time for which a node relies on copies that the store has confirmed.
 
-The grace period starts at the first failed read. It is shorter than this share by the maximum age
-of the coordinator's copy, since the copy may already be that old; see :func:`grace_seconds`. Most
-feeds recover within it, from the same coordinator or its successor. Without it, many nodes would
-read the store at once. It is 0 for a propagation time of up to 2 s.
+The rest is left for a read of the store. The share consists of the maximum age of the coordinator's
+copy and of the grace period; see :func:`grace_seconds`. A node that has lost the feed waits for it
+until the copies have reached the sum, since most feeds recover before, from the same coordinator or
+its successor. Otherwise, many nodes would read the store at once. The grace period is 0 for a
+propagation time of up to 2 s; such nodes read the store at the first failure.
 """
 
 START_GRACE_SECONDS = 1.0
 """How long a node waits for a coordinator after its start before it reads the store."""
 
 GRACE_RETRY_SECONDS = 0.15
-"""Pause before the feed is read again during the grace period."""
+"""Pause before a lost feed is read again while the copies may still be relied on."""
+
+MIN_HOLD_SECONDS = 0.1
+"""Minimum time for which a reply is held while the feed is followed.
+
+It bounds the rate of reads if the coordinator's copy is so old that it has to be confirmed again.
+"""
 
 STALE = "stale"
+OUTDATED = "outdated"
+"""The coordinator is current by its own account, but its reply was delayed for too long."""
+
 _STATE_NAMES = {FeedState.STALE: STALE, FeedState.NOT_COORDINATOR: "not_coordinator"}
 
 
@@ -83,7 +95,7 @@
 
 
 def grace_seconds(propagation_seconds: float, max_copy_age: float) -> float:
-    """Return how long a node that lost the feed waits before it reads the store, in seconds.
+    """Return by how much copies may exceed the maximum age while the feed is lost, in seconds.
 
     Args:
         propagation_seconds: maximum time in which a change must reach all nodes.
@@ -99,9 +111,11 @@
         coordinator: returns the coordinator known to this node; None if none is known
             or it is this node.
         hold_seconds: how long the coordinator may hold a reply.
-        grace_seconds: how long to wait for a lost feed before the store is read.
+        grace_seconds: by how much copies may exceed their maximum age while the feed is lost; if
+            it is 0, the store is read at the first failure.
         on_successor: called with the address and epoch of the successor that a replaced
             coordinator has reported.
+        max_copy_age: maximum time since the store has confirmed the coordinator's copy, in seconds.
 
     Attributes:
         store_needed: set while the watchers have to watch the store themselves.
@@ -117,11 +131,13 @@
         hold_seconds: float = MAX_HOLD_SECONDS,
         grace_seconds: float = 0.0,
         on_successor: Callable[[NodeAddress, int], None] = lambda address, epoch: None,
+        max_copy_age: float = MAX_COPY_AGE_SECONDS,
     ) -> None:
-        self._grace_seconds = grace_seconds
+        self._waits_for_lost_feed = grace_seconds > 0
         self._on_successor = on_successor
-        self._lost_at = 0.0
-        """Steady time at which the current grace period began; 0: there is none."""
+        self._feed_lost = False
+        """Whether the last read failed while the feed was followed."""
+        self._deadline = CopyDeadline(max_copy_age + grace_seconds)
         self._network = network
         self._shard = shard
         self._coordinator = coordinator
@@ -161,7 +177,7 @@
         if self._watchers_suspended or not self.store_needed.is_set():
             logger.info("watching the store directly", code="feed_lost", reason=reason)
         self._watchers_suspended = False
-        self._lost_at = 0.0
+        self._feed_lost = False
         self._comparison.reset()
         self.store_needed.set()
         self.store_needed_for_coordinator.set()
@@ -178,23 +194,28 @@
             FEED_READS.labels(problem or "current").inc()
             if problem:
                 self._on_feed_failure(problem)
-                gevent.sleep(RETRY_SECONDS if not self._watchers_suspended else GRACE_RETRY_SECONDS)
+                gevent.sleep(self._retry_pause_seconds())
             elif not self._watchers_suspended:
                 self._suspend_watchers(coordinator)
             else:
-                self._lost_at = 0.0
+                self._feed_lost = False
                 self.store_needed_for_coordinator.clear()
 
     def _on_feed_failure(self, problem: str) -> None:
-        """Have the watchers use the store, unless the grace period for the feed still runs."""
-        now = steady_seconds()
-        self._lost_at = self._lost_at or now
-        if not self._watchers_suspended or now - self._lost_at >= self._grace_seconds:
+        """Have the watchers use the store, unless the copies may still be relied on."""
+        self._feed_lost = True
+        waits = self._watchers_suspended and self._waits_for_lost_feed
+        if not waits or not self._deadline.remaining_seconds:
             self.use_store(problem)
         elif problem != STALE:
             # A new coordinator that its predecessor did not report is found in the store.
             self.store_needed_for_coordinator.set()
 
+    def _retry_pause_seconds(self) -> float:
+        if not self._watchers_suspended:
+            return RETRY_SECONDS
+        return min(GRACE_RETRY_SECONDS, self._deadline.remaining_seconds)
+
     def _suspend_watchers(self, coordinator: Coordinator) -> None:
         """Suspend the watchers, unless the coordinator has changed meanwhile."""
         if not self._is_current(coordinator):
@@ -216,20 +237,21 @@
 
     def _read(self, coordinator: Coordinator) -> str:
         """Read the feed once; returns the problem, or an empty string if there was none."""
-        held = self._requested_hold_seconds()
-        answer_timeout_seconds = self._answer_timeout_seconds()
+        hold_seconds = self._requested_hold_seconds()
+        timeout_seconds = self._timeout_seconds(hold_seconds)
         revisions = {
             str(kind): self._comparison.revision_to_read_from(watcher)
             for kind, watcher in self._watchers.items()
         }
-        message = FeedRead(self._shard, revisions, int(held * 1000))
+        message = FeedRead(self._shard, revisions, int(hold_seconds * 1000))
+        sent_at = steady_seconds()
         try:
             reply = self._network.call(
                 coordinator.node_id,
                 MessageType.FEED_READ,
                 message,
                 FeedReadReply,
-                held + answer_timeout_seconds,
+                timeout_seconds,
             )
             if reply.successor is not None:
                 self._on_successor(reply.successor, reply.successor_epoch)
@@ -241,6 +263,7 @@
                 self._apply_page(page)
             for kind, theirs in (reply.copies or {}).items():
                 self._comparison.compare(self._watchers[DocumentKind(kind)], theirs)
+            self._deadline.confirm(reply, sent_at, hold_seconds)
         except RunkeelError as error:
             return str(error.code)
         except (KeyError, ValueError) as error:
@@ -255,29 +278,35 @@
                 error=repr(error)[:MAX_REASON_LENGTH],
             )
             return "unexpected_error"
-        return ""
+        return "" if self._copies_are_recent() else OUTDATED
+
+    def _copies_are_recent(self) -> bool:
+        """Return whether the copies may be relied on at least until the next reply."""
+        if self._watchers_suspended:
+            return self._deadline.remaining_seconds > 0
+        return self._deadline.remaining_seconds >= ANSWER_TIMEOUT_SECONDS
 
     def _requested_hold_seconds(self) -> float:
         """Return how long the coordinator may hold the next reply.
 
         The first reply after a start or a failure must not be held: until it arrives, this node has
-        no source of changes, or reads the store.
+        no source of changes, or reads the store. Others must arrive before the deadline of the
+        copies.
         """
-        follows_without_failure = self._watchers_suspended and not self._lost_at
-        return self._hold_seconds if follows_without_failure else 0.0
-
-    def _answer_timeout_seconds(self) -> float:
-        """Return the timeout of the next reply, in addition to the time for which it is held.
-
-        It does not exceed what is left of a grace period.
-        """
-        if not self._watchers_suspended:
-            has_documents = self.store_needed.is_set()
-            return ANSWER_TIMEOUT_SECONDS if has_documents else FIRST_ANSWER_TIMEOUT_SECONDS
-        if not self._lost_at:
-            return ANSWER_TIMEOUT_SECONDS
-        remaining_grace_seconds = self._lost_at + self._grace_seconds - steady_seconds()
-        return min(ANSWER_TIMEOUT_SECONDS, max(0.0, remaining_grace_seconds))
+        if not self._watchers_suspended or self._feed_lost:
+            return 0.0
+        remaining = self._deadline.remaining_seconds
+        min_hold_seconds = min(MIN_HOLD_SECONDS, remaining / 2)
+        hold_seconds = max(min_hold_seconds, remaining - ANSWER_TIMEOUT_SECONDS)
+        return min(self._hold_seconds, hold_seconds)
+
+    def _timeout_seconds(self, hold_seconds: float) -> float:
+        """Return the timeout of the next reply, which ends by the deadline of the copies."""
+        if self._watchers_suspended:
+            timeout_seconds = hold_seconds + ANSWER_TIMEOUT_SECONDS
+            return min(timeout_seconds, self._deadline.remaining_seconds)
+        has_documents = self.store_needed.is_set()
+        return ANSWER_TIMEOUT_SECONDS if has_documents else FIRST_ANSWER_TIMEOUT_SECONDS
 
     def _apply_page(self, page: FeedPage) -> None:
         kind = DocumentKind(page.kind)
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -210,6 +210,7 @@
                 max_copy_age_seconds(settings.max_propagation_seconds),
             ),
             lambda address, epoch: self._election.note_successor(address, epoch),
+            max_copy_age_seconds(settings.max_propagation_seconds),
         )
         self._election = Election(
             store,
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -16,6 +16,7 @@
 from runkeel.errors import ErrorCode, not_run
 from runkeel.state import document_watcher
 from runkeel.state.document_watcher import DocumentWatcher
+from runkeel.wire.codec import decode, encode
 from runkeel.wire.generated.jobs.ttypes import FeedReadReply, FeedState
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 from runkeel_lab.standins.peer_network import MemoryNetwork
@@ -254,6 +255,66 @@
             self.wait(lambda: self.network.unresponsive)
             self.check_change_arrives_in_time(node, written_at[0])
 
+    def test_reply_says_when_the_store_last_confirmed_the_copy(self):
+        """Guards against followers that take an old copy for a fresh one."""
+        self.wait(lambda: self.coordinator.feed.read({}, 0.0).state == FeedState.CURRENT)
+        self.coordinator.watcher.stop()
+        gevent.sleep(WATCH_SECONDS)
+        started = steady_seconds()
+        reply = self.coordinator.feed.read({}, 0.0)
+        latest = self.coordinator.watcher.current_as_of - started
+        self.assertLess(reply.confirmed_after_ms, 0)
+        self.assertLessEqual(reply.confirmed_after_ms / 1000.0, latest)
+        self.assertGreater(reply.confirmed_after_ms / 1000.0, latest - 0.1)
+
+    def test_held_reply_counts_from_the_last_confirmation_while_it_was_held(self):
+        self.wait(lambda: self.coordinator.feed.read({}, 0.0).state == FeedState.CURRENT)
+        revisions = {str(KIND): self.coordinator.watcher.revision}
+        reply = self.coordinator.feed.read(revisions, 3 * WATCH_SECONDS)
+        self.assertGreater(reply.confirmed_after_ms, 0)
+
+    def replace_replies_by_those_of_an_older_build(self, node):
+        """Remove the field that an older build does not send; count the reads of the feed."""
+        call = node.follower._network.call
+        reads = []
+
+        def call_older_build(*arguments):
+            reads.append(steady_seconds())
+            reply = call(*arguments)
+            reply.confirmed_after_ms = None
+            return reply
+
+        patch = unittest.mock.patch.object(node.follower._network, "call", call_older_build)
+        patch.start()
+        self.addCleanup(patch.stop)
+        return reads
+
+    def test_nodes_do_not_read_the_store_while_the_coordinator_is_of_an_older_build(self):
+        """Guards against an upgrade in which all nodes read the store."""
+        for propagation in (2.0, PROPAGATION_SECONDS):
+            with self.subTest(propagation=propagation):
+                max_copy_age = document_feed.max_copy_age_seconds(propagation)
+                node, store = self.follower(
+                    f"n{propagation}", feed_follower.grace_seconds(propagation, max_copy_age)
+                )
+                self.wait(lambda node=node: node.follower.following)
+                reads = self.replace_replies_by_those_of_an_older_build(node)
+                gevent.sleep(2 * feed_follower.MAX_HOLD_SECONDS)
+                before = store.calls, len(reads)
+                self.objects.put(KIND, "s1", f"draining {propagation}")
+                self.wait(
+                    lambda node=node: node.content["s1"] == self.objects.get(KIND, "s1").content
+                )
+                gevent.sleep(3.0)
+                self.assertEqual((store.calls, node.following), (before[0], True))
+                self.assertLess(len(reads) - before[1], 3.0 / feed_follower.MIN_HOLD_SECONDS)
+
+    def test_older_build_understands_a_reply_with_the_age_of_the_copy(self):
+        reply = self.coordinator.feed.read({}, 0.0)
+        reply.confirmed_after_ms = -300
+        older = decode(_OlderFeedReadReply, encode(reply))
+        self.assertEqual((older.state, older.pages), (reply.state, reply.pages))
+
     def test_feed_is_followed_after_an_unexpected_error_of_a_listener(self):
         node, _ = self.follower()
         changed = []
@@ -474,6 +535,22 @@
         self.recovered_at = steady_seconds()
 
 
+class _OlderFeedReadReply:
+    """The reply as a build knows it that does not have the age of the copy."""
+
+    thrift_spec = FeedReadReply.thrift_spec[:6]
+
+    def __init__(self, state=None, pages=None, successor=None, successor_epoch=None, copies=None):
+        self.state = state
+        self.pages = pages
+        self.successor = successor
+        self.successor_epoch = successor_epoch
+        self.copies = copies
+
+    def read(self, protocol):
+        protocol._fast_decode(self, protocol, [type(self), self.thrift_spec])
+
+
 class _StoreConnection:
     """One node's connection to the store: counts calls and refuses them on demand."""
 
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -75,6 +75,7 @@
   3: optional NodeAddress successor, // who replaced this node, if it has heard from that one
   4: i64 successor_epoch,
   5: optional map<string, FeedCopy> copies, // of the coordinator, by kind; only where it is current
+  6: optional i64 confirmed_after_ms, // from the arrival of the request to when the store last confirmed the copy; negative: before; only where it is current
 }
 
 /** Asked of other nodes by one that can't reach the coordinator. */
