Add a soak of the feed that finds changes that arrive too late

Cause: the two tests of late configurations play one order of events each.

Change: feed-soak runs a node that follows one of two coordinators in memory, in real time and with the messages encoded as on the wire. Links, coordinators and their store stall and deliver late, and coordinators take over, by the seed. The node's own store always answers, so that every change must arrive within the propagation time.

--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -95,6 +95,24 @@
     return EXIT_OK if run_soaks(seed, runs, make_soak, record) else EXIT_VIOLATED
 
 
+def feed_soak(
+    *, seed: int = 1, runs: int = 50, seconds: float = 9.0, propagation: float = 3.0
+) -> int:
+    """Check that changes reach a node in time while links and coordinators stall.
+
+    Example: ``runkeel-lab feed-soak --seed 100 --runs 200``
+
+    :param seed: seed of the first run; it increases by one with each run.
+    :param runs: number of runs, of which up to 50 run at once.
+    :param seconds: time in seconds during which faults are injected in each run.
+    :param propagation: maximum time in seconds in which a change must reach the node.
+    """
+    from runkeel_lab.feed_soak import run_and_print
+
+    in_time = run_and_print(range(seed, seed + runs), seconds, propagation)
+    return EXIT_OK if in_time else EXIT_VIOLATED
+
+
 def replay(*traces: Path) -> int:
     """Replay recorded traces and check the outcomes stated in them.
 
@@ -198,7 +216,7 @@
     """Run the command line and exit with its code."""
     try:
         code = defopt.run(
-            [demo, up, soak, replay, decisions, steps, bound, story, worth],
+            [demo, up, soak, feed_soak, replay, decisions, steps, bound, story, worth],
             version=f"runkeel-lab {runkeel.__version__}",
             short={},
             argparse_kwargs={"prog": "runkeel-lab"},
