Split the soak of the feed into its faults, its links and the run

Change: feed_faults (drawn by the seed), stalling_links (connections), feed_soak (the run and its report). No change of behaviour; tests.lab.test_feed_soak passes.

--- a/src/runkeel_lab/feed_soak.py
+++ b/src/runkeel_lab/feed_soak.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-import enum
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -22,12 +21,10 @@
 import gevent
 
 from runkeel.api.documents import (
-    CALL_TIMEOUT_SECONDS,
     Document,
     DocumentChanges,
     DocumentKind,
     DocumentList,
-    Freshness,
 )
 from runkeel.api.machines import Address
 from runkeel.clock import steady_seconds
@@ -38,71 +35,26 @@
     max_copy_age_seconds,
 )
 from runkeel.coordination.feed_follower import FeedFollower, grace_seconds, max_hold_seconds
-from runkeel.errors import ErrorCode, may_have_run, not_run
 from runkeel.fleet_node import (
     COORDINATOR_BATCHING_SECONDS,
     NODE_BATCHING_FRACTION,
     NODE_WATCH_SECONDS,
 )
 from runkeel.state.document_watcher import DocumentWatcher
-from runkeel.wire.codec import decode, encode
+from runkeel_lab.feed_faults import Fault, FaultKind, draw_faults
+from runkeel_lab.stalling_links import StallingLink, StallingNetwork, StallingStore
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 
 FOLLOWER = "follower"
 COORDINATORS = ("coordinator-0", "coordinator-1")
 
 WRITE_INTERVAL_SECONDS = (0.1, 0.5)
-FAULT_INTERVAL_SECONDS = (0.1, 1.5)
-"""Range of the time between two faults; often shorter than a fault, so that they overlap."""
-
-FAULT_SECONDS = (0.2, 3.5)
-SHORT_FAULT_SECONDS = (0.2, 1.4)
-SERIES_SHARE = 0.5
-"""Share of the faults that begin a series: a short one, and another one soon after it ends."""
-
-SERIES_PAUSE_SECONDS = (0.01, 0.15)
-"""Range of the time between two faults of a series, in which a message or two gets through."""
-
-REPLY_DELAYS_SECONDS = (0.0, 0.05, 0.2)
-"""Additional delays of a message over a link that stalls."""
-
-NOTICE_SECONDS = (0.0, 1.5)
-"""Range of the time after which a node or a replaced coordinator learns of a takeover."""
-
 SAMPLE_INTERVAL_SECONDS = 0.02
 MAX_CONCURRENT_RUNS = 50
 
-STORE_MARGIN_SECONDS = 0.7
-"""Timeout of a watch of the store, in addition to its wait."""
-
 KIND = DocumentKind.BACKEND
 
 
-class FaultKind(enum.StrEnum):
-    """What a fault of the soak affects."""
-
-    LINK = "link"
-    STORE = "store"
-    FREEZE = "freeze"
-    TAKEOVER = "takeover"
-
-
-@dataclass(frozen=True, slots=True)
-class Fault:
-    """A fault of a run.
-
-    Attributes:
-        at: time since the start of the run, in seconds.
-        seconds: duration; of a takeover: time until the node learns of it.
-        reply_delay_seconds: additional delay of messages over the affected links.
-    """
-
-    kind: FaultKind
-    at: float
-    seconds: float
-    reply_delay_seconds: float
-
-
 @dataclass(slots=True)
 class FeedSoakReport:
     """Outcome of a run.
@@ -127,129 +79,6 @@
     process_lag_seconds: float = 0.0
 
 
-def draw_faults(seed: int, seconds: float) -> list[Fault]:
-    """Return the faults of a run, in the order of their times."""
-    chance = random.Random(seed)
-    faults = []
-    at = 1.0 + chance.uniform(*FAULT_INTERVAL_SECONDS)
-    while at < seconds:
-        if chance.random() < SERIES_SHARE:
-            first = _draw_fault(chance, at, SHORT_FAULT_SECONDS)
-            faults.append(first)
-            at += first.seconds + chance.uniform(*SERIES_PAUSE_SECONDS)
-        faults.append(_draw_fault(chance, at, FAULT_SECONDS))
-        at += chance.uniform(*FAULT_INTERVAL_SECONDS)
-    return faults
-
-
-def _draw_fault(chance: random.Random, at: float, duration: tuple[float, float]) -> Fault:
-    kind = chance.choice(list(FaultKind))
-    if kind is FaultKind.TAKEOVER:
-        duration = NOTICE_SECONDS
-    return Fault(kind, at, chance.uniform(*duration), chance.choice(REPLY_DELAYS_SECONDS))
-
-
-class StallingLink:
-    """A link whose messages wait until it no longer stalls."""
-
-    def __init__(self) -> None:
-        self._stalled_until = 0.0
-        self._delay_seconds = 0.0
-
-    def stall(self, seconds: float, delay_seconds: float) -> None:
-        """Hold all messages back for a time, and delay each by a further time."""
-        self._stalled_until = max(self._stalled_until, steady_seconds() + seconds)
-        self._delay_seconds = delay_seconds
-
-    def cross(self) -> None:
-        """Return once a message that is sent now has arrived."""
-        while (remaining := self._stalled_until - steady_seconds()) > 0:
-            gevent.sleep(remaining)
-            gevent.sleep(self._delay_seconds)
-
-
-class StallingStore:
-    """A coordinator's connection to the store, over a link that may stall."""
-
-    def __init__(self, store: MemoryDocumentStore, link: StallingLink) -> None:
-        self._store = store
-        self._link = link
-
-    def list(
-        self,
-        kind: DocumentKind,
-        timeout_seconds: float = CALL_TIMEOUT_SECONDS,
-        freshness: Freshness = Freshness.CURRENT,
-    ) -> DocumentList:
-        """Return all documents of a kind."""
-        return self._call(timeout_seconds, self._store.list, kind, timeout_seconds, freshness)
-
-    def watch(self, kind: DocumentKind, revision: int, wait_seconds: float) -> DocumentChanges:
-        """Wait for changes of a kind after a revision."""
-        timeout_seconds = wait_seconds + STORE_MARGIN_SECONDS
-        return self._call(timeout_seconds, self._store.watch, kind, revision, wait_seconds)
-
-    def _call(self, timeout_seconds: float, method: Callable, *arguments: Any) -> Any:
-        task = gevent.spawn(_call_over, self._link, method, *arguments)
-        try:
-            return task.get(timeout=timeout_seconds)
-        except gevent.Timeout:
-            raise not_run(ErrorCode.STORE_UNAVAILABLE, f"{timeout_seconds} s") from None
-
-
-def _call_over(link: StallingLink, method: Callable, *arguments: Any) -> Any:
-    link.cross()
-    outcome = method(*arguments)
-    link.cross()
-    return outcome
-
-
-class StallingNetwork:
-    """A node's peer network over links that may stall; messages are encoded as on the wire.
-
-    Args:
-        links: the links to the coordinators, by node.
-    """
-
-    def __init__(self, links: dict[str, StallingLink]) -> None:
-        self._links = links
-        self._handlers: dict[str, Callable] = {}
-        self.calls = 0
-
-    def handlers_of(self, node_id: str) -> _HandlerRegistry:
-        """Return the part of the network with which a node registers its handlers."""
-        return _HandlerRegistry(node_id, self._handlers)
-
-    def call(
-        self,
-        node_id: str,
-        message_type: int,
-        message: Any,
-        reply_class: type,
-        timeout_seconds: float,
-    ) -> Any:
-        """Send a request to a coordinator and return its reply."""
-        self.calls += 1
-        received = decode(type(message), encode(message))
-        task = gevent.spawn(
-            _call_over, self._links[node_id], self._handlers[node_id], FOLLOWER, received
-        )
-        try:
-            _, reply = task.get(timeout=timeout_seconds)
-        except gevent.Timeout:
-            raise may_have_run(ErrorCode.DEADLINE_EXCEEDED, f"{timeout_seconds} s") from None
-        return decode(reply_class, encode(reply))
-
-
-class _HandlerRegistry:
-    def __init__(self, node_id: str, handlers: dict[str, Callable]) -> None:
-        self._node_id = node_id
-        self._handlers = handlers
-
-    def on_call(self, message_type: int, request_class: type, handler: Callable) -> None:
-        self._handlers[self._node_id] = handler
-
-
 class _CountingStore:
     """The follower's connection to the store, which always works."""
 
@@ -319,7 +148,7 @@
         self._faults = draw_faults(seed, seconds)
         self._store = MemoryDocumentStore()
         self._links = {name: StallingLink() for name in COORDINATORS}
-        self._network = StallingNetwork(self._links)
+        self._network = StallingNetwork(FOLLOWER, self._links)
         self._coordinators = {
             name: _CoordinatorNode(name, self._store, self._network, propagation_seconds)
             for name in COORDINATORS
@@ -466,9 +295,8 @@
         found = run_feed_soaks([FeedSoak(seed, seconds, propagation_seconds) for seed in batch])
         for seed, report in zip(batch, found, strict=True):
             if report.late:
-                print(
-                    f"seed {seed}, process late by {report.process_lag_seconds:.2f} s: {report.late}"
-                )
+                lag = f"process late by {report.process_lag_seconds:.2f} s"
+                print(f"seed {seed}, {lag}: {report.late}")
         reports += found
     late_runs = sum(bool(one.late) for one in reports)
     print(
--- a/tests/lab/test_feed_soak.py
+++ b/tests/lab/test_feed_soak.py
@@ -8,7 +8,8 @@
 
 from runkeel.clock import steady_seconds
 from runkeel.coordination.copy_deadline import CopyDeadline
-from runkeel_lab.feed_soak import FaultKind, FeedSoak, draw_faults, run_feed_soaks
+from runkeel_lab.feed_faults import FaultKind, draw_faults
+from runkeel_lab.feed_soak import FeedSoak, run_feed_soaks
 
 SECONDS = 9.0
 SEEDS = range(1, 21)
