Count the confirmation of a term from when its claim was sent

Callers: a reader could be told that the listing of a coordinator is current although another one had replaced it for longer than the second that is meant.

Election.verified counted from the arrival of the store's answer to the claim, which may come 0.6 s after the store applied it, or later if the claim was found applied.

Evidence: the new test failed before: an answer that is held back for 0.5 s verified the term at 1.0 s after the claim was sent, while the watch hung.

Change: the time at which the claim was sent counts. coordinating_since stays the arrival, as the feed must not pass for current by a confirmation from before.

Looked at for the same fault and found sound, by reading: the order lease and the runners' leases (count from the sending), the observed confirmation of another holder's lease (late is safe), the time of a store's recovery, pongs and witnesses (late only delays a takeover).

--- a/src/runkeel/coordination/election.py
+++ b/src/runkeel/coordination/election.py
@@ -255,6 +255,8 @@
         """Probe of the store since the coordinator last served; None: none was made."""
         self._leaving = False
         self._coordinating_since = 0.0
+        self._claim_sent_at = 0.0
+        """Steady time at which the claim of this node's term was sent; 0: none was answered."""
         self._task: gevent.Greenlet | None = None
         self._starter: gevent.Greenlet | None = None
         network.on_call(MessageType.COORDINATOR_PING, CoordinatorPing, self._answer_ping)
@@ -295,7 +297,7 @@
     @property
     def verified(self) -> bool:
         """Whether the store has confirmed recently that this node is the coordinator."""
-        age = steady_seconds() - max(self._watcher.current_as_of, self._coordinating_since)
+        age = steady_seconds() - max(self._watcher.current_as_of, self._claim_sent_at)
         return self.coordinating and age <= VERIFICATION_VALID_SECONDS
 
     def note_successor(self, address: NodeAddress, epoch: int) -> None:
@@ -688,12 +690,14 @@
         epoch = (known.epoch if known else 0) + 1
         address = Address.parse(self._pings.own_address.address)
         claim = Coordinator(self._node_id, address, self._zone, epoch)
+        sent_at = steady_seconds()
         # The watch may deliver this claim before the store answers.
         pending_before, self._pending_claim_epoch = self._pending_claim_epoch, epoch
         try:
             claim.write(self._store, self._shard, known, CLAIM_TIMEOUT_SECONDS)
         except DocumentConflictError as conflict:
             if self._adopt_applied_claim(conflict.current, epoch):
+                self._claim_sent_at = sent_at
                 self._become_coordinator(epoch, reason)
                 return
             self._pending_claim_epoch = 0
@@ -712,6 +716,7 @@
             )
             gevent.sleep(_CLAIM_RETRY_SECONDS)
             return
+        self._claim_sent_at = sent_at
         self._become_coordinator(epoch, reason)
         if known is not None and known.node_id != self._node_id:
             self._predecessor = known
--- a/tests/coordination/test_election.py
+++ b/tests/coordination/test_election.py
@@ -280,6 +280,27 @@
         )
         self.assertEqual((node.coordinating, node.verified), (True, False))
 
+    def test_late_answer_to_a_claim_does_not_verify_the_term(self):
+        """Guards against a term that counts as confirmed although it has ended meanwhile."""
+        create = self.store.create
+        claimed_at = []
+
+        def hold_back(*arguments, **named):
+            claimed_at.append(steady_seconds())
+            document = create(*arguments, **named)
+            self.store.watch = lambda *arguments: gevent.sleep(WAIT_TIMEOUT_SECONDS)
+            gevent.sleep(0.5)
+            return document
+
+        self.store.create = hold_back
+        (node,) = self._nodes("a")
+        self._wait(lambda: node.coordinating)
+        self.assertTrue(node.verified)
+        self._wait(
+            lambda: steady_seconds() > claimed_at[0] + election_module.VERIFICATION_VALID_SECONDS
+        )
+        self.assertEqual((node.coordinating, node.verified), (True, False))
+
     def test_coordinator_cut_from_the_store_is_replaced(self):
         nodes = self._nodes("a", "b", "c")
         first = self._coordinator(nodes)
