--- a/src/runkeel/coordination/copy_deadline.py
+++ b/src/runkeel/coordination/copy_deadline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 from runkeel.clock import steady_seconds
@@ -26,17 +27,25 @@
     Args:
         max_age_seconds: maximum time since the store last confirmed the copies.
         now: returns the steady time in seconds.
+
+    Attributes:
+        max_age_seconds: as given.
     """
 
     def __init__(self, max_age_seconds: float, now: Callable[[], float] = steady_seconds) -> None:
-        self._max_age_seconds = max_age_seconds
+        self.max_age_seconds = max_age_seconds
         self._now = now
-        self._confirmed_at = float("-inf")
+        self._confirmed_at = -math.inf
+
+    @property
+    def age_seconds(self) -> float:
+        """Maximum time since the store confirmed the copies; infinite if it never has."""
+        return self._now() - self._confirmed_at
 
     @property
     def remaining_seconds(self) -> float:
         """Seconds until the deadline; 0 if it has passed or nothing has been confirmed."""
-        return max(0.0, self._confirmed_at + self._max_age_seconds - self._now())
+        return max(0.0, self.max_age_seconds - self.age_seconds)
 
     def confirm(self, reply: FeedReadReply, sent_at: float, hold_seconds: float) -> None:
         """Extend the deadline after a reply has been applied to the copies.
@@ -55,7 +64,7 @@
         self, reply: FeedReadReply, sent_at: float, hold_seconds: float
     ) -> float:
         made_at = sent_at if _has_changes(reply) else sent_at + hold_seconds
-        assumed_age = min(ASSUMED_COPY_AGE_SECONDS, ASSUMED_COPY_AGE_SHARE * self._max_age_seconds)
+        assumed_age = min(ASSUMED_COPY_AGE_SECONDS, ASSUMED_COPY_AGE_SHARE * self.max_age_seconds)
         return min(made_at, self._now()) - assumed_age
 
 
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -175,7 +176,14 @@
     def use_store(self, reason: str) -> None:
         """Have the watchers watch the store themselves."""
         if self._watchers_suspended or not self.store_needed.is_set():
-            logger.info("watching the store directly", code="feed_lost", reason=reason)
+            age_seconds = self._deadline.age_seconds
+            logger.info(
+                "watching the store directly",
+                code="feed_lost",
+                reason=reason,
+                copy_age_ms=int(age_seconds * 1000) if math.isfinite(age_seconds) else None,
+                max_copy_age_ms=int(self._deadline.max_age_seconds * 1000),
+            )
         self._watchers_suspended = False
         self._feed_lost = False
         self._comparison.reset()
