--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -18,6 +18,7 @@
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import MIN_OUTAGE_SECONDS, ObservedStore
 from runkeel_lab.standins.document_store import MemoryDocumentStore
+from tests.garbage_collection import suspend_garbage_collection
 
 KIND = DocumentKind.BACKEND
 WAIT_TIMEOUT_SECONDS = 10.0
@@ -154,6 +155,7 @@
 
     def test_copy_is_confirmed_within_the_interval_after_a_late_change(self):
         """Guards against a copy that ages by a watch, a pause and another watch in a row."""
+        suspend_garbage_collection(self)
         interval = 0.5
         self.watcher = DocumentWatcher(
             self.store,
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -20,6 +20,7 @@
 from runkeel.wire.generated.jobs.ttypes import FeedReadReply, FeedState
 from runkeel_lab.standins.document_store import MemoryDocumentStore
 from runkeel_lab.standins.peer_network import MemoryNetwork
+from tests.garbage_collection import suspend_garbage_collection
 
 KIND = DocumentKind.BACKEND
 WAIT_TIMEOUT_SECONDS = 10.0
@@ -291,6 +292,7 @@
 
     def test_nodes_do_not_read_the_store_while_the_coordinator_is_of_an_older_build(self):
         """Guards against an upgrade in which all nodes read the store."""
+        suspend_garbage_collection(self)
         for propagation in (2.0, PROPAGATION_SECONDS):
             with self.subTest(propagation=propagation):
                 max_copy_age = document_feed.max_copy_age_seconds(propagation)
