Name the follower's limit for what it is, and say what the soak's parts do

Cause: read again as a newcomer: GRACE_SHARE no longer described the limit, the maximum age of a copy was computed three times in a row, and a docstring of the soak did not say what a takeover does. Change: MAX_FOLLOWER_COPY_AGE_SHARE, one variable, docstrings. No change of behaviour; tests.coordination.test_document_feed and tests.lab.test_feed_soak pass.

--- a/src/runkeel/coordination/copy_deadline.py
+++ b/src/runkeel/coordination/copy_deadline.py
@@ -27,9 +27,6 @@
     Args:
         max_age_seconds: maximum time since the store last confirmed the copies.
         now: returns the steady time in seconds.
-
-    Attributes:
-        max_age_seconds: as given.
     """
 
     def __init__(self, max_age_seconds: float, now: Callable[[], float] = steady_seconds) -> None:
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -57,13 +57,13 @@
 NO_COORDINATOR_POLL_SECONDS = 0.1
 """Polling interval while there is no other coordinator."""
 
-GRACE_SHARE = 0.65
+MAX_FOLLOWER_COPY_AGE_SHARE = 0.65
 """Share of the propagation time for which a node relies on copies that the store has confirmed.
 
-The rest is left for a read of the store. The share consists of the maximum age of the coordinator's
-copy and of the grace period; see :func:`grace_seconds`. A node that has lost the feed waits for it
-until the copies have reached the sum, since most feeds recover before, from the same coordinator or
-its successor. Otherwise, many nodes would read the store at once. The grace period is 0 for a
+The rest is left for a read of the store. The share covers the maximum age of the coordinator's copy
+and the grace period; see :func:`grace_seconds`. A node that has lost the feed waits for it until
+its copies are that old, since most feeds recover before, from the same coordinator or its
+successor. Otherwise, many nodes would read the store at once. The grace period is 0 for a
 propagation time of up to 2 s; such nodes read the store at the first failure.
 """
 
@@ -102,7 +102,7 @@
         propagation_seconds: maximum time in which a change must reach all nodes.
         max_copy_age: maximum age of the coordinator's copy, in seconds.
     """
-    return max(0.0, GRACE_SHARE * propagation_seconds - max_copy_age)
+    return max(0.0, MAX_FOLLOWER_COPY_AGE_SHARE * propagation_seconds - max_copy_age)
 
 
 class FeedFollower:
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -200,17 +200,15 @@
         # A replacement machine may have the same node id.
         lease_holder = f"{settings.node_id}@{settings.peer_address.host}"
         self._lease = OrderLease(store, SHARD, lease_holder, settings.order_pause_seconds)
+        max_copy_age = max_copy_age_seconds(settings.max_propagation_seconds)
         self._follower = FeedFollower(
             self._network,
             SHARD,
             lambda: self._election.other_coordinator,
             max_hold_seconds(settings.max_propagation_seconds),
-            grace_seconds(
-                settings.max_propagation_seconds,
-                max_copy_age_seconds(settings.max_propagation_seconds),
-            ),
+            grace_seconds(settings.max_propagation_seconds, max_copy_age),
             lambda address, epoch: self._election.note_successor(address, epoch),
-            max_copy_age_seconds(settings.max_propagation_seconds),
+            max_copy_age,
         )
         self._election = Election(
             store,
@@ -251,7 +249,7 @@
             self._network,
             self._followed_watchers,
             lambda: self._election.coordinating_since,
-            max_copy_age_seconds(settings.max_propagation_seconds),
+            max_copy_age,
             lambda: self._election.known_successor,
         )
         self._routing_watcher.on_change(self._feed.record_change)
--- a/src/runkeel_lab/feed_faults.py
+++ b/src/runkeel_lab/feed_faults.py
@@ -11,6 +11,8 @@
 
 FAULT_SECONDS = (0.2, 3.5)
 SHORT_FAULT_SECONDS = (0.2, 1.4)
+"""Ranges of the duration of a fault; short ones often end before a read of the feed times out."""
+
 SERIES_SHARE = 0.5
 """Share of the faults that begin a series: a short one, and another one soon after it ends."""
 
--- a/src/runkeel_lab/feed_soak.py
+++ b/src/runkeel_lab/feed_soak.py
@@ -64,6 +64,7 @@
         worst_seconds: longest time from the write of a document until the node had it.
         late: documents that took longer than the propagation time, with their time in seconds.
         store_reads: calls of the node to the store.
+        feed_reads: calls of the node to a coordinator.
         store_share: share of the time in which the node did not follow the feed.
         faults: number of faults by kind.
         process_lag_seconds: how late a timer of this process has been at most.
@@ -228,9 +229,9 @@
             store_link.stall(fault.seconds, fault.reply_delay_seconds)
 
     def _take_over(self, notice_seconds: float) -> None:
-        """Let the other coordinator take over; the replaced one learns of it as late as the node.
+        """Let the other coordinator take over, even if the present one serves.
 
-        Neither has to be reachable.
+        The replaced coordinator and the node learn of it after ``notice_seconds``.
         """
         replaced = self._coordinators[self._active]
         self._active = next(name for name in COORDINATORS if name != self._active)
