Keep nodes on the feed when their coordinator falls silent

Cause: with the deadline of copies, a silent coordinator sent nearly all nodes to the store. A node's last reply was up to 1 s old and the coordinator's confirmation another 0.7 s, and the read of the silent coordinator lasted until the deadline although the successor was known.

Change: - The hold of a reply also ends when the store has confirmed the copies of all kinds again, so that a follower knows of a recent confirmation. Confirmations of all kinds are due at the same times. - A node reads from a new coordinator at once if it awaits a reply of the previous one.

The soak's coordinators list the documents when a term begins, as nodes do.

--- a/src/runkeel/coordination/document_feed.py
+++ b/src/runkeel/coordination/document_feed.py
@@ -47,6 +47,9 @@
 MAX_HOLD_SECONDS = 2.0
 """Maximum time for which a reply is held until there are changes; followers may ask for less."""
 
+MIN_CONFIRMATION_STEP_SECONDS = 0.1
+"""Minimum time by which a confirmation of all copies must be newer to end the hold of replies."""
+
 
 def max_copy_age_seconds(propagation_seconds: float) -> float:
     """Return the maximum age of the coordinator's copy, in seconds."""
@@ -119,9 +122,12 @@
         # not trigger a change, yet other nodes may have dropped them.
         for watcher in watchers:
             watcher.on_reappearance(lambda document: self.record_change(document, removed=False))
+            watcher.on_confirmation(self._on_confirmation)
         self._coordinating_since = coordinating_since
         self._max_copy_age = max_copy_age
         self._changed = Event()
+        self._announced_confirmation = 0.0
+        """The confirmation of all copies, as a steady time, that last ended the hold of replies."""
         network.on_call(MessageType.FEED_READ, FeedRead, self._on_read)
 
     def record_change(self, document: Document, removed: bool) -> None:
@@ -135,23 +141,36 @@
         self._changed = Event()
 
     def read(self, revisions: dict[str, int], wait_seconds: float) -> FeedReadReply:
-        """Return the changes after these revisions, waiting for some if there are none."""
+        """Return the changes after these revisions, waiting for some if there are none.
+
+        The wait also ends when the store has confirmed all copies again, so that a follower knows
+        of a recent confirmation if this node falls silent afterwards.
+        """
         arrived_at = steady_seconds()
+        confirmed_before = self._confirmed_at()
         deadline = arrived_at + min(MAX_HOLD_SECONDS, wait_seconds)
         while True:
             state = self._state()
             if state != FeedState.CURRENT:
                 return self._reply_without_pages(state)
             now = steady_seconds()
-            timed_out = now >= deadline
-            pages = self._pages_after(revisions, even_if_empty=timed_out)
-            if pages or timed_out:
+            confirmed = self._confirmed_at() - confirmed_before >= MIN_CONFIRMATION_STEP_SECONDS
+            hold_ended = now >= deadline or confirmed
+            pages = self._pages_after(revisions, even_if_empty=hold_ended)
+            if pages or hold_ended:
                 # Rounded down, since a follower must not take the copy for newer than it is.
                 confirmed_after_ms = math.floor((self._confirmed_at() - arrived_at) * 1000)
                 return FeedReadReply(state, pages, None, 0, self._copies(), confirmed_after_ms)
             stale_at = self._confirmed_at() + self._max_copy_age
             self._changed.wait(max(0.0, min(deadline, stale_at) - now))
 
+    def _on_confirmation(self) -> None:
+        """Wake held replies once per confirmation of all copies, not once per kind."""
+        confirmed_at = self._confirmed_at()
+        if confirmed_at - self._announced_confirmation >= MIN_CONFIRMATION_STEP_SECONDS:
+            self._announced_confirmation = confirmed_at
+            self.wake()
+
     def _copies(self) -> dict[str, FeedCopy]:
         """Return the revisions and digests of this node's copies, for comparison by a follower."""
         watchers = [feed.watcher for feed in self._kinds.values()]
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -146,6 +146,8 @@
         self._watchers: dict[DocumentKind, DocumentWatcher] = {}
         self._comparison = CopyComparison()
         self._task: gevent.Greenlet | None = None
+        self._awaited_node_id = ""
+        """Coordinator whose reply is awaited; empty if none is."""
         self._started_at = 0.0
         self._watchers_suspended = False
         self.store_needed = Event()
@@ -173,6 +175,17 @@
         if self._task is not None:
             self._task.kill(block=False)
 
+    def on_coordinator_changed(self) -> None:
+        """Read from the new coordinator at once if a reply of the previous one is awaited."""
+        coordinator = self._coordinator()
+        if not self._awaited_node_id or coordinator is None:
+            return
+        if coordinator.node_id == self._awaited_node_id:
+            return
+        self.stop()
+        self._feed_lost = self._watchers_suspended
+        self._task = gevent.spawn(self._run)
+
     def use_store(self, reason: str) -> None:
         """Have the watchers watch the store themselves."""
         if self._watchers_suspended or not self.store_needed.is_set():
@@ -254,13 +267,7 @@
         message = FeedRead(self._shard, revisions, int(hold_seconds * 1000))
         sent_at = steady_seconds()
         try:
-            reply = self._network.call(
-                coordinator.node_id,
-                MessageType.FEED_READ,
-                message,
-                FeedReadReply,
-                timeout_seconds,
-            )
+            reply = self._call(coordinator.node_id, message, timeout_seconds)
             if reply.successor is not None:
                 self._on_successor(reply.successor, reply.successor_epoch)
             if reply.state != FeedState.CURRENT:
@@ -288,6 +295,15 @@
             return "unexpected_error"
         return "" if self._copies_are_recent() else OUTDATED
 
+    def _call(self, node_id: str, message: FeedRead, timeout_seconds: float) -> FeedReadReply:
+        self._awaited_node_id = node_id
+        try:
+            return self._network.call(
+                node_id, MessageType.FEED_READ, message, FeedReadReply, timeout_seconds
+            )
+        finally:
+            self._awaited_node_id = ""
+
     def _copies_are_recent(self) -> bool:
         """Return whether the copies may be relied on at least until the next reply."""
         if self._watchers_suspended:
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -495,10 +495,11 @@
             self._term.jobs.add_handed_over(job_id, encoded)
 
     def _on_coordinator_changed(self) -> None:
-        """End runs of earlier coordinators and offer partial outputs to the new one.
+        """Follow the new coordinator, end runs of earlier ones and offer it partial outputs.
 
         The new coordinator may have no copies, since all likely coordinators may have lost power.
         """
+        self._follower.on_coordinator_changed()
         coordinator = self._election.other_coordinator
         if coordinator is not None:
             self._runner.end_earlier_terms(coordinator.epoch)
--- a/src/runkeel/state/document_watcher.py
+++ b/src/runkeel/state/document_watcher.py
@@ -39,6 +39,9 @@
 MAX_RETRY_DELAY_SECONDS = 0.4
 """Upper bound of the retry delay."""
 
+CONFIRMATION_SLACK_SHARE = 0.1
+"""Share of the confirmation interval by which a confirmation may precede the time it is due."""
+
 IDLE_PROBE_INTERVAL_SECONDS = 2.0
 """Default interval between probes of a failed store while the watcher needn't query the store."""
 
@@ -72,8 +75,8 @@
             last such outage.
         first_list_freshness: required freshness of the first list. Any age is sufficient if the
             caller waits for the watch that follows, which returns all later changes at once.
-        confirmation_interval_seconds: returns the maximum time from one confirmation of the copy
-            until the call that yields the next one ends, without the store's response time. Watches
+        confirmation_interval_seconds: returns the interval at which the copy is to be confirmed.
+            Confirmations are due at multiples of it, so that those of all kinds coincide; watches
             and the pauses between them are shortened accordingly.
 
     Attributes:
@@ -112,6 +115,7 @@
         self._store_needed = store_needed
         self._listeners = [on_change]
         self._reappearance_listeners: list[Callable[[Document], None]] = []
+        self._confirmation_listeners: list[Callable[[], None]] = []
         self._unreadable_listeners: list[Callable[[Document, str], None]] = []
         self._unreadable = UnreadableDocuments()
         self._pause_seconds = pause_seconds
@@ -155,6 +159,10 @@
         """
         self._reappearance_listeners.append(listener)
 
+    def on_confirmation(self, listener: Callable[[], None]) -> None:
+        """Register a listener that is called when ``current_as_of`` has advanced."""
+        self._confirmation_listeners.append(listener)
+
     def on_unreadable(self, listener: Callable[[Document, str], None]) -> None:
         """Register a listener for unreadable documents, called once per document and reason."""
         self._unreadable_listeners.append(listener)
@@ -256,8 +264,11 @@
         return math.floor(wait_seconds * 1000) / 1000
 
     def _seconds_until_confirmation_due(self) -> float:
-        due_at = self.current_as_of + self._confirmation_interval_seconds()
-        return max(0.0, due_at - steady_seconds())
+        interval = self._confirmation_interval_seconds()
+        if math.isinf(interval):
+            return interval
+        past_periods = math.floor(self.current_as_of / interval + CONFIRMATION_SLACK_SHARE)
+        return max(0.0, (past_periods + 1) * interval - steady_seconds())
 
     def _take_changes(self, changes: DocumentChanges) -> None:
         """Apply changes that the copy lacks; a page of another node may have included some."""
@@ -361,8 +372,11 @@
         if self._failures:
             logger.info("store reachable again", code="store_regained", kind=str(self._kind))
         self._failures = 0
-        if confirmed_at is not None:
-            self.current_as_of = max(self.current_as_of, confirmed_at)
+        if confirmed_at is None or confirmed_at <= self.current_as_of:
+            return
+        self.current_as_of = confirmed_at
+        for listener in self._confirmation_listeners:
+            listener()
 
     def _on_failure(self, error: RunkeelError) -> None:
         if not self._failures:
--- a/src/runkeel_lab/feed_soak.py
+++ b/src/runkeel_lab/feed_soak.py
@@ -66,6 +66,7 @@
         store_reads: calls of the node to the store.
         feed_reads: calls of the node to a coordinator.
         store_share: share of the time in which the node did not follow the feed.
+        departures: how often the node stopped following the feed.
         faults: number of faults by kind.
         process_lag_seconds: how late a timer of this process has been at most.
     """
@@ -76,6 +77,7 @@
     store_reads: int = 0
     feed_reads: int = 0
     store_share: float = 0.0
+    departures: int = 0
     faults: dict[str, int] = field(default_factory=dict)
     process_lag_seconds: float = 0.0
 
@@ -126,7 +128,7 @@
     def begin_term(self) -> None:
         self.since = steady_seconds()
         self.successor = None
-        self.watcher.restart_watch()
+        self.watcher.refresh("this node coordinates")
 
     def end_term(self, successor: Coordinator) -> None:
         self.since = None
@@ -140,13 +142,16 @@
     Args:
         seconds: length of the part of the run in which faults are injected.
         propagation_seconds: maximum time in which a change must reach the node.
+
+    Attributes:
+        faults: the faults to inject.
     """
 
     def __init__(self, seed: int, seconds: float = 9.0, propagation_seconds: float = 3.0) -> None:
         self._seconds = seconds
         self._propagation_seconds = propagation_seconds
         self._chance = random.Random(f"writes {seed}")
-        self._faults = draw_faults(seed, seconds)
+        self.faults = draw_faults(seed, seconds)
         self._store = MemoryDocumentStore()
         self._links = {name: StallingLink() for name in COORDINATORS}
         self._network = StallingNetwork(FOLLOWER, self._links)
@@ -174,7 +179,7 @@
         self._follower.start([self._watcher])
         started_at = steady_seconds()
         self._spawn(self._sample)
-        for fault in self._faults:
+        for fault in self.faults:
             self._tasks.append(gevent.spawn_later(fault.at, self._inject, fault))
         self._write_until(started_at + self._seconds)
         gevent.sleep(2 * self._propagation_seconds)
@@ -246,9 +251,11 @@
     def _learn(self, coordinator: Coordinator) -> None:
         if coordinator.epoch > self._known.epoch:
             self._known = coordinator
+            self._follower.on_coordinator_changed()
 
     def _sample(self) -> None:
         samples = outside = 0
+        followed = False
         while True:
             due = steady_seconds() + SAMPLE_INTERVAL_SECONDS
             gevent.sleep(SAMPLE_INTERVAL_SECONDS)
@@ -256,6 +263,8 @@
             self._report.process_lag_seconds = max(self._report.process_lag_seconds, lag)
             samples += 1
             outside += self._follower.store_needed.is_set()
+            self._report.departures += followed and not self._follower.following
+            followed = self._follower.following
             self._report.store_share = outside / samples
 
     def _stop(self) -> None:
--- a/tests/base/test_document_watcher.py
+++ b/tests/base/test_document_watcher.py
@@ -175,6 +175,29 @@
             gevent.sleep(0.01)
             self.assertLess(steady_seconds() - self.watcher.current_as_of, 1.0)
 
+    def test_confirmations_of_two_kinds_coincide(self):
+        """Guards against replies of the feed that confirm one kind but not the others."""
+        suspend_garbage_collection(self)
+        watchers = []
+        for kind in (KIND, DocumentKind.ROUTING):
+            watcher = DocumentWatcher(
+                self.store,
+                kind,
+                self._record_change,
+                watch_seconds=lambda: 0.5,
+                confirmation_interval_seconds=lambda: 0.5,
+            )
+            self.addCleanup(watcher.stop)
+            watcher.start()
+            watchers.append(watcher)
+            gevent.sleep(0.2)
+        gevent.sleep(1.0)
+        first, second = (watcher.current_as_of for watcher in watchers)
+        self.assertLess(abs(first - second), 0.1)
+        calls = self.store.calls["watch"]
+        gevent.sleep(2.0)
+        self.assertLessEqual(self.store.calls["watch"] - calls, 10)
+
     def test_current_list_follows_if_history_after_a_stale_list_is_compacted(self):
         self.store.snapshot_for_stale_reads()
         self.store.put(KIND, "a", 1)
--- a/tests/coordination/test_document_feed.py
+++ b/tests/coordination/test_document_feed.py
@@ -274,6 +274,33 @@
         reply = self.coordinator.feed.read(revisions, 3 * WATCH_SECONDS)
         self.assertGreater(reply.confirmed_after_ms, 0)
 
+    def test_confirmation_of_the_copy_ends_the_hold_of_a_reply(self):
+        """Guards against nodes that all read the store when a coordinator falls silent.
+
+        They would know only of a confirmation from before the hold.
+        """
+        self.wait(lambda: self.coordinator.feed.read({}, 0.0).state == FeedState.CURRENT)
+        revisions = {str(KIND): self.coordinator.watcher.revision}
+        started = steady_seconds()
+        reply = self.coordinator.feed.read(revisions, 2 * WAIT_TIMEOUT_SECONDS)
+        self.assertLess(steady_seconds() - started, document_feed.MAX_HOLD_SECONDS / 2)
+        self.assertEqual((reply.state, reply.pages), (FeedState.CURRENT, []))
+
+    def test_successor_is_read_at_once_while_a_reply_of_the_predecessor_is_awaited(self):
+        """Guards against nodes that wait for a silent coordinator until they read the store."""
+        node, store = self.follower(grace=GRACE_SECONDS)
+        successor, _ = self.follower("d")
+        self.wait(lambda: node.follower.following and successor.content)
+        self.network.unresponsive.add("c")
+        gevent.sleep(3 * WATCH_SECONDS)
+        before = store.calls
+        successor.coordinate()
+        self.follow(node, successor)
+        node.follower.on_coordinator_changed()
+        self.objects.put(KIND, "s1", "draining")
+        self.wait(lambda: node.content == {"s1": "draining"}, 3 * WATCH_SECONDS)
+        self.assertEqual((store.calls, node.following), (before, True))
+
     def replace_replies_by_those_of_an_older_build(self, node):
         """Remove the field that an older build does not send; count the reads of the feed."""
         call = node.follower._network.call
