Count an outage of the store from the last confirmation that a node relied on

Callers: after an outage of the store a node could answer 503 to plain requests, as it dropped servers whose entries had expired although they lived.

Cause: a node that follows the feed calls the store, and so notices an outage, only once its copies are too old. It counted the outage from its first failure and took one of 2.5 s for one of less than 2 s, in which no entry can have expired.

Change: the node counts from the time as of which its copies were confirmed, if that is at most 3 s before its first failure. The other conditions stay.

--- a/src/runkeel/coordination/copy_deadline.py
+++ b/src/runkeel/coordination/copy_deadline.py
@@ -27,17 +27,21 @@
     Args:
         max_age_seconds: maximum time since the store last confirmed the copies.
         now: returns the steady time in seconds.
+
+    Attributes:
+        confirmed_at: steady time, in seconds, as of which the store has confirmed the copies; -inf
+            if it never has.
     """
 
     def __init__(self, max_age_seconds: float, now: Callable[[], float] = steady_seconds) -> None:
         self.max_age_seconds = max_age_seconds
         self._now = now
-        self._confirmed_at = -math.inf
+        self.confirmed_at = -math.inf
 
     @property
     def age_seconds(self) -> float:
         """Maximum time since the store confirmed the copies; infinite if it never has."""
-        return self._now() - self._confirmed_at
+        return self._now() - self.confirmed_at
 
     @property
     def remaining_seconds(self) -> float:
@@ -55,7 +59,7 @@
             confirmed_at = self._assumed_confirmation(reply, sent_at, hold_seconds)
         else:
             confirmed_at = sent_at + reply.confirmed_after_ms / 1000.0
-        self._confirmed_at = max(self._confirmed_at, confirmed_at)
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
     def _assumed_confirmation(
         self, reply: FeedReadReply, sent_at: float, hold_seconds: float
--- a/src/runkeel/coordination/feed_follower.py
+++ b/src/runkeel/coordination/feed_follower.py
@@ -159,6 +159,11 @@
         """Whether the feed is followed and the watchers are suspended."""
         return self._watchers_suspended
 
+    @property
+    def confirmed_at(self) -> float:
+        """Steady time as of which the store has confirmed the copies; -inf if it never has."""
+        return self._deadline.confirmed_at
+
     def start(self, watchers: Sequence[DocumentWatcher], delay_seconds: float = 0.0) -> None:
         """Start following the feed.
 
--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -165,7 +165,7 @@
         # The callbacks below use attributes such as ``_election`` and ``_term`` that are set later
         # in this constructor; none is called before they are.
         self._settings = settings
-        store = ObservedStore(store, self._probe_seconds)
+        store = ObservedStore(store, self._probe_seconds, lambda: self._follower.confirmed_at)
         self._store = store
         self._document_parser = document_parser
         self.routing = RoutingTable()
--- a/src/runkeel/state/observed_store.py
+++ b/src/runkeel/state/observed_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from collections.abc import Callable, Iterator
 from typing import Any
 
@@ -34,8 +35,9 @@
 MIN_OUTAGE_SECONDS = 2.0
 """Minimum duration of an outage in which documents that need heartbeats may have expired.
 
-It counts from the first failure to the next response. Server entries expire after 3.6 s without a
-heartbeat, and the last one may have been sent 1.2 s before the outage.
+It counts from the first failure, or from the last confirmation before it, to the next response.
+Server entries expire after 3.6 s without a heartbeat, and the last one may have been sent 1.2 s
+before the outage.
 """
 
 MIN_FAILURE_SPAN_SECONDS = 0.5
@@ -53,12 +55,18 @@
 not preferred call a failing store every 1.5 s and wait 1 s for the response.
 """
 
+MAX_UNNOTICED_OUTAGE_SECONDS = 3.0
+"""Maximum time by which an outage may precede the first failure that this node noticed."""
+
 
 class ObservedStore:
     """Forwards every call to a store and records whether the store responded.
 
     Args:
         probe_interval_seconds: returns the interval between calls while the store fails.
+        confirmed_at: returns the steady time, in seconds, as of which another node's copies show
+            that the store responded. A node that relies on them calls the store, and notices an
+            outage, only once they are too old.
 
     Attributes:
         failing_since: steady time, in seconds, of the first failure after the last response; 0 if
@@ -71,7 +79,11 @@
         self,
         store: DocumentStore,
         probe_interval_seconds: Callable[[], float] = lambda: PROBE_INTERVAL_SECONDS,
+        confirmed_at: Callable[[], float] = lambda: -math.inf,
     ) -> None:
+        self._confirmed_at = confirmed_at
+        self._unnoticed_seconds = 0.0
+        """Maximum time by which the outage began before this node noticed a failure."""
         self._store = store
         self._probe_interval_seconds = probe_interval_seconds
         self.failing_since = 0.0
@@ -173,11 +185,19 @@
             self._on_response()
             raise
         except RunkeelError:
-            self._failed_at = steady_seconds()
-            self.failing_since = self.failing_since or self._failed_at
+            self._on_failure()
             raise
         self._on_response()
 
+    def _on_failure(self) -> None:
+        self._failed_at = steady_seconds()
+        if self.failing_since:
+            return
+        self.failing_since = self._failed_at
+        unnoticed_seconds = self.failing_since - self._confirmed_at()
+        relies_on_copies = unnoticed_seconds <= MAX_UNNOTICED_OUTAGE_SECONDS
+        self._unnoticed_seconds = unnoticed_seconds if relies_on_copies else 0.0
+
     def _on_response(self) -> None:
         if self.failing_since:
             self._record_recovery(steady_seconds())
@@ -187,7 +207,8 @@
 
     def _record_recovery(self, now: float) -> None:
         """Record a recovery if documents may have expired during the outage."""
-        long_enough = now - self.failing_since >= MIN_OUTAGE_SECONDS
-        span_long_enough = self._failed_at - self.failing_since >= MIN_FAILURE_SPAN_SECONDS
+        outage_since = self.failing_since - self._unnoticed_seconds
+        long_enough = now - outage_since >= MIN_OUTAGE_SECONDS
+        span_long_enough = self._failed_at - outage_since >= MIN_FAILURE_SPAN_SECONDS
         if long_enough and span_long_enough and now - self._failed_at <= MAX_FAILURE_AGE_SECONDS:
             self.recovered_at = now
--- a/tests/base/test_observed_store.py
+++ b/tests/base/test_observed_store.py
@@ -10,6 +10,7 @@
 from runkeel.state.document_watcher import DocumentWatcher
 from runkeel.state.observed_store import (
     MAX_FAILURE_AGE_SECONDS,
+    MAX_UNNOTICED_OUTAGE_SECONDS,
     MIN_FAILURE_SPAN_SECONDS,
     MIN_OUTAGE_SECONDS,
     NOT_PREFERRED_PROBE_INTERVAL_SECONDS,
@@ -55,6 +56,31 @@
     def test_recovery_after_an_outage_is_recorded(self):
         self.assertTrue(self._recover_after(MIN_OUTAGE_SECONDS))
 
+    def _recover_after_late_notice(self, confirmed_ago):
+        """Simulate one failure a second before the response of a store that was confirmed before.
+
+        Args:
+            confirmed_ago: time between the last confirmation of the copies and the failure.
+        """
+        now = steady_seconds()
+        self.store = ObservedStore(self.memory, confirmed_at=lambda: now - confirmed_ago)
+        self._fail()
+        self.store.failing_since -= 1.0
+        self.store._failed_at -= 1.0
+        self.memory.down = False
+        self.store.get(DocumentKind.JOB, "x")
+        return self.store.recovered_at >= now
+
+    def test_outage_that_a_node_noticed_late_counts_from_the_last_confirmation(self):
+        """Guards against servers that a node drops after an outage of which it saw only the end."""
+        self.assertTrue(self._recover_after_late_notice(MIN_OUTAGE_SECONDS - 1.0))
+
+    def test_failure_of_a_node_whose_copies_are_recent_is_no_outage(self):
+        self.assertFalse(self._recover_after_late_notice(0.3))
+
+    def test_old_confirmation_does_not_make_a_failure_an_outage(self):
+        self.assertFalse(self._recover_after_late_notice(MAX_UNNOTICED_OUTAGE_SECONDS + 1.0))
+
     def test_outage_with_few_probes_is_recorded(self):
         """A node may have seen only two failures, the last one 2.4 s before the response."""
         quiet_seconds = NOT_PREFERRED_PROBE_INTERVAL_SECONDS + CALL_TIMEOUT_SECONDS - 0.1
--- a/tests/lab/test_feed_soak.py
+++ b/tests/lab/test_feed_soak.py
@@ -29,7 +29,7 @@
 
 def count_from_arrival(deadline, reply, sent_at, hold_seconds):
     """Seed a fault: a reply confirms the copies as of its arrival."""
-    deadline._confirmed_at = steady_seconds()
+    deadline.confirmed_at = steady_seconds()
 
 
 class FeedSoakTest(unittest.TestCase):
