--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -40,6 +40,12 @@
 METRICS_PORT = 9464
 """Fixed by the project's settings; free on a loopback address of its own."""
 
+MEMORY_MB = {"edge": 300, "storage": 310}
+"""Memory of a machine's process, as in the site file."""
+
+RESTART_SECONDS = 0.5
+"""The platform starts a process that has ended again after a short delay."""
+
 HEARTBEATS_SECONDS = 3.6
 """After three heartbeats of silence a server's entry goes."""
 
@@ -93,6 +99,10 @@
         self._settings: dict[str, Path] = {}
         self.frontends: dict[str, tuple[str, int]] = {}
         self.server_notes: list[dict[str, Any]] = []
+        self.peak_mb: dict[str, int] = {}
+        self.own_ends: dict[str, int] = {}
+        """How often each node ended by itself, which includes by its memory."""
+        self._stopped = False
         self._run = _run_commands()
 
     def note(self, text: str) -> None:
@@ -188,6 +198,11 @@
         timer.daemon = True
         timer.start()
 
+    @property
+    def coordinator(self) -> str:
+        """Name of the machine that the store's object of the system names as its leader."""
+        return self.store.objects.get("runkeel-coordinators", "fleet")["Spec"]["node"]
+
     def is_running(self, name: str) -> bool:
         """Return whether a server's or a node's process runs."""
         return self._processes[name].poll() is None
@@ -230,7 +245,11 @@
             "Seeds": [],
             "Bootstrap": True,
             "LossCounts": machine_class == "storage",
-            "Limits": {"MemoryMb": 300, "MaxFds": 4100, "LinkMbps": 1000.0},
+            "Limits": {
+                "MemoryMb": MEMORY_MB[machine_class],
+                "MaxFds": 4100,
+                "LinkMbps": 1000.0,
+            },
             "DataDir": data,
             "Discovery": "platform",
             "Entry": "vip",
@@ -268,6 +287,37 @@
             self._run[machine_class].split(), cwd=ROOT, env=environment, stdout=log, stderr=log
         )
 
+    def restart_node(self, name: str) -> None:
+        """Start a node that has ended again, after a short delay."""
+        time.sleep(RESTART_SECONDS)
+        if self._stopped:
+            return
+        settings = json.loads(self._settings[name].read_text())
+        self._settings[name].write_text(json.dumps({**settings, "Bootstrap": False}))
+        self.start_node(name)
+        self.note(f"{name} is started again")
+
+    def watch_memory(self) -> None:
+        """Kill each node that is over its memory and start it again, as the platform does."""
+        threading.Thread(target=self._watch_memory, daemon=True).start()
+
+    def _watch_memory(self) -> None:
+        while not self._stopped:
+            time.sleep(0.01)
+            for name in self._settings:
+                self._check_memory(name, self._processes[name])
+
+    def _check_memory(self, name: str, process: subprocess.Popen) -> None:
+        used = _resident_mb(process.pid)
+        self.peak_mb[name] = max(used, self.peak_mb.get(name, 0))
+        if used <= MEMORY_MB[name.partition("-")[0]] or process.poll() is not None:
+            return
+        process.kill()
+        process.wait()
+        self.own_ends[name] = self.own_ends.get(name, 0) + 1
+        self.note(f"{name} is over its memory: {used} MB; the platform kills it")
+        threading.Thread(target=self.restart_node, args=(name,), daemon=True).start()
+
     def signal_node(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a node."""
         self.note(f"{number.name} to {name}")
@@ -364,6 +414,8 @@
 
     def stop(self) -> None:
         """End all processes that were started, and remove the temporary folder."""
+        self._stopped = True
+        time.sleep(2 * RESTART_SECONDS)
         for process in self._processes.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -432,6 +484,14 @@
     }
 
 
+def _resident_mb(pid: int) -> int:
+    try:
+        pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    except (OSError, IndexError):
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE") // 1_000_000
+
+
 def _run_commands() -> dict[str, str]:
     deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
     return {role["on"]: role["run"] for role in deploy["roles"].values()}
