--- a/review/1/case.py
+++ b/review/1/case.py
@@ -34,6 +34,7 @@
     time.sleep(1.0)
     large = [item(f"large{n}", 6, f"g{n}", b"x" * LARGE_BODY_BYTES) for n in range(4)]
     deployment.submit(edges[0], "a1a1a1a1", large)
+    time.sleep(0.5)
     accepted = []
     for number in range(3):
         job_id = f"b{number}b{number}b{number}b{number}"
