Hand off hints in turn, so that one that fails does not keep back the others

Cause: the hand-off loop went through the hints in order of arrival and ended the round at the first failure, and the next round began with the same hint. A job that the store never takes kept back all later ones.

Why it works: the hint with which the store failed is tried last from then on, so every other hint is tried before it. In an outage a round is still one call.

--- a/src/runkeel/handoff/hint_service.py
+++ b/src/runkeel/handoff/hint_service.py
@@ -223,13 +223,23 @@
         while True:
             self._has_hints.wait()
             self._store.await_turn()
-            for job_id, serialized_job in list(self._hints.items()):
-                if not self._hand_off(job_id, serialized_job):
-                    break
+            self._hand_off_all()
             if not self._hints:
                 self._has_hints.clear()
             gevent.sleep(HANDOFF_INTERVAL_SECONDS * random.uniform(0.5, 1.0))
 
+    def _hand_off_all(self) -> None:
+        """Hand off the hints in turn until the store fails.
+
+        The hint with which it failed is tried last from then on, as the failure may concern this
+        job alone.
+        """
+        for job_id, serialized_job in list(self._hints.items()):
+            if not self._hand_off(job_id, serialized_job):
+                if job_id in self._hints:
+                    self._hints[job_id] = self._hints.pop(job_id)
+                break
+
     def _hand_off(self, job_id: str, serialized_job: str) -> bool:
         """Write a job to the store or drop its expired hint; returns False if the store failed."""
         encoded = deserialize_job(serialized_job)
--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -13,7 +13,7 @@
 from runkeel.api.documents import DocumentKind
 from runkeel.api.jobs import BatchJob, JobItem
 from runkeel.clock import steady_seconds
-from runkeel.errors import ErrorCode, may_have_run
+from runkeel.errors import ErrorCode, may_have_run, not_run
 from runkeel.handoff import hint_log, hint_service
 from runkeel.handoff.hint_client import (
     HINT_TIMEOUT_SECONDS,
@@ -168,6 +168,28 @@
             self.assertEqual(self.send_hint(encoded), JobHintState.KEPT)
         self.assertLess(steady_seconds() - started, HINT_TIMEOUT_SECONDS)
 
+    def _kept_hints(self, jobs):
+        self.start_node()
+        self.shared_store.down = True
+        for job_id, encoded in jobs.items():
+            self.assertEqual(self.send_hint(encoded, job_id), JobHintState.KEPT)
+
+    def test_job_that_the_store_fails_to_take_does_not_keep_back_later_ones(self):
+        """Also covers two such jobs, and a store that gives no reason."""
+        names = ("bad-1", "bad-2", "good-1", "good-2")
+        self._kept_hints({name: make_encoded(name) for name in names})
+        create = self.shared_store.create
+
+        def fail_for_bad(kind, name, content, timeout_seconds):
+            if name.startswith("bad"):
+                raise not_run(ErrorCode.STORE_UNAVAILABLE, "busy")
+            return create(kind, name, content, timeout_seconds)
+
+        with mock.patch.object(self.shared_store, "create", fail_for_bad):
+            self.shared_store.down = False
+            self.wait(lambda: self.stored("good-1") and self.stored("good-2"))
+        self.wait(lambda: self.stored("bad-1") and self.stored("bad-2"))
+
     def test_hint_survives_the_process(self):
         self.start_node()
         self.shared_store.down = True
