Store jobs whatever the size of their items, and refuse the rest at once

Callers saw: a job with an item of 900,000 bytes got 202, also in calm, and was never listed.

Cause: whether a job fits into one document was judged by its number of parts times their usual size, so up to six larger items went into one document of any size; the store refused it with 413, which counted as an outage. The job went to the disks of storage nodes and was tried without end. An item above the size of a document had no form in which it could be stored.

Change: sizes are those of the JSON; an item above 780,000 bytes is cut into fragments, a part each. Hints of an older build that exceed a document are stored in parts. An older build reads all jobs without fragments as before; it could not store those with them.

--- a/src/runkeel/api/documents.py
+++ b/src/runkeel/api/documents.py
@@ -120,6 +120,15 @@
         self.current = current
 
 
+class DocumentRejectedError(RunkeelError):
+    """The store rejects a document for its content or size; sending it again can't succeed."""
+
+    def __init__(self, kind: DocumentKind, name: str, too_large: bool) -> None:
+        code = ErrorCode.BODY_TOO_LARGE if too_large else ErrorCode.BAD_REQUEST
+        reason = "is too large for the store" if too_large else "is not valid for the store"
+        super().__init__(code, f"{kind}/{name} {reason}", Verdict.NOT_RUN)
+
+
 class HistoryDiscardedError(RunkeelError):
     """The store has discarded changes after the requested revision; list again."""
 
@@ -142,7 +151,8 @@
     """The document store. Every method raises RunkeelError when it gets no response.
 
     ``STORE_UNAVAILABLE`` with ``NOT_RUN`` means that nothing was changed;
-    ``STORE_OUTCOME_UNKNOWN`` means that a write may have been or may still be applied.
+    ``STORE_OUTCOME_UNKNOWN`` means that a write may have been or may still be applied. Writes raise
+    DocumentRejectedError when the store rejects the document itself.
     """
 
     def list(
--- a/src/runkeel/handoff/hint_service.py
+++ b/src/runkeel/handoff/hint_service.py
@@ -14,13 +14,15 @@
 from gevent.event import Event
 from loguru import logger
 
-from runkeel.api.documents import DocumentConflictError
+from runkeel.api.documents import DocumentConflictError, DocumentRejectedError
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
 from runkeel.handoff.hint_log import HintLog
 from runkeel.jobs.job_documents import (
     EncodedJob,
+    decode_encoded_job,
     deserialize_job,
+    encode_job,
     job_tenant,
     may_belong_to_tenant,
 )
@@ -86,6 +88,8 @@
         self._hint_log = log
         self._on_hint = on_hint
         self._hints: dict[str, str] = {}
+        self._rejected: set[str] = set()
+        """Ids of the hinted jobs that the store has rejected."""
         self._knows_all_hints = log is None or first_start
         """Whether this node has every unexpired hint that it ever accepted.
 
@@ -159,13 +163,18 @@
     def _accept(self, peer: str, message: JobHint) -> int:
         try:
             encoded = deserialize_job(message.content)
+            decode_encoded_job(message.job_id, encoded)
         except (KeyError, TypeError, ValueError) as error:
             logger.warning("malformed hint", code="bad_hint", sender=peer, error=repr(error))
             return JobHintState.REFUSED
         if self._store.reachable:
             # The sender of the hint does not wait as long as the parts of a large job may take.
             deadline = steady_seconds() + STORE_TIMEOUT_SECONDS
-            stored = self._write_to_store(message.job_id, encoded, deadline)
+            try:
+                stored = self._write_to_store(message.job_id, encoded, deadline)
+            except DocumentRejectedError as rejection:
+                _log_rejected(message.job_id, rejection)
+                return JobHintState.REFUSED
             if stored is not None:
                 return JobHintState.STORED if stored else JobHintState.REFUSED
         state = self._store_hint(message.job_id, message.content)
@@ -204,11 +213,17 @@
         Returns:
             True if the store has the job; also after a conflict with a document whose content is
             unknown. False if another tenant uses its id; None if the store failed.
+
+        Raises:
+            DocumentRejectedError: the store can't take the job.
         """
         try:
-            JobSubmission(self._store, job_id, encoded).write(STORE_TIMEOUT_SECONDS, deadline)
+            stored_form = _fit_into_documents(job_id, encoded)
+            JobSubmission(self._store, job_id, stored_form).write(STORE_TIMEOUT_SECONDS, deadline)
         except DocumentConflictError as conflict:
             return may_belong_to_tenant(conflict.current, job_tenant(encoded.content))
+        except DocumentRejectedError:
+            raise
         except RunkeelError as error:
             logger.info(
                 "writing job to the store failed",
@@ -241,12 +256,23 @@
                 break
 
     def _hand_off(self, job_id: str, serialized_job: str) -> bool:
-        """Write a job to the store or drop its expired hint; returns False if the store failed."""
+        """Write a job to the store or drop its expired hint; returns False if the store failed.
+
+        A hint that the store rejects is kept until it expires, and not written again.
+        """
         encoded = deserialize_job(serialized_job)
         age_seconds = time.time() - float(encoded.content["submitted_at"])
         expired = age_seconds > HINT_EXPIRY_SECONDS
-        if not expired and self._write_to_store(job_id, encoded) is None:
-            return False
+        if not expired:
+            if job_id in self._rejected:
+                return True
+            try:
+                if self._write_to_store(job_id, encoded) is None:
+                    return False
+            except DocumentRejectedError as rejection:
+                _log_rejected(job_id, rejection)
+                self._rejected.add(job_id)
+                return True
         logger.log(
             "WARNING" if expired else "INFO",
             "dropped expired hint" if expired else "handed off job to the store",
@@ -256,10 +282,28 @@
         )
         JOB_HINTS.labels("expired" if expired else "handed_on").inc()
         self._hints.pop(job_id, None)
+        self._rejected.discard(job_id)
         self._hint_log.remove(job_id)
         return True
 
 
+def _log_rejected(job_id: str, rejection: DocumentRejectedError) -> None:
+    logger.warning(
+        "store rejected hinted job", code="job_hint_rejected", job=job_id, error=rejection.detail
+    )
+
+
+def _fit_into_documents(job_id: str, encoded: EncodedJob) -> EncodedJob:
+    """Return a job in a form that the store can take; a hint may come from an older build.
+
+    The names of the parts are the same on every node, so that several nodes write the same parts.
+    """
+    if encoded.fits_into_documents:
+        return encoded
+    return encode_job(decode_encoded_job(job_id, encoded), f"{job_id}{_HINT_PART_SUFFIX}")
+
+
+_HINT_PART_SUFFIX = "-hint"
 _STATE_NAMES = {
     JobHintState.STORED: "stored",
     JobHintState.KEPT: "kept",
--- a/src/runkeel/jobs/job_documents.py
+++ b/src/runkeel/jobs/job_documents.py
@@ -1,7 +1,8 @@
 """Encodes batch jobs and their results as documents in the store.
 
 A job is one document, created before the job is accepted. If it is too large for one document, its
-items are in part documents, created before it. Results are in segments named by job and number.
+items are in part documents, created before it. An item that is too large for one part is cut into
+fragments, each in a part of its own. Results are in segments named by job and number.
 Segments are immutable, and segment N+1 is created only by a coordinator that has read segment N.
 A new coordinator first creates an empty segment. A coordinator that finds a segment of a later
 epoch stops writing, so it can't list results that the new coordinator has not read. All readers
@@ -11,7 +12,7 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from typing import Any
 
@@ -24,6 +25,17 @@
 Small enough to be written well within a second at a few megabytes per second.
 """
 
+MAX_UNDIVIDED_ITEM_BYTES = 780_000
+"""Size of an item, as JSON in bytes, above which it is cut into fragments.
+
+A part with a single item of this size is below the limit on documents.
+"""
+
+MAX_FRAGMENT_CHARACTERS = 64_000
+"""Length of a fragment; escaping the quotes in it doubles its size in bytes at most."""
+
+_FRAGMENT = "fragment"
+_LAST_FRAGMENT = "last"
 _SEGMENT_SEPARATOR = "."
 _ITEM_SEPARATOR_BYTES = 2
 """Length of the separator between the items of a JSON list."""
@@ -36,11 +48,23 @@
     Attributes:
         content: content of the job's document.
         parts: contents of the part documents by name; empty if the job's document has the items.
+            A part is a list of items, or has one fragment of an item.
     """
 
     content: dict[str, Any]
     parts: dict[str, list[dict[str, Any]]]
 
+    @property
+    def fits_into_documents(self) -> bool:
+        """Whether the store can take each of the documents."""
+        contents = (self.content, *self.parts.values())
+        return all(content_bytes(content) <= MAX_CONTENT_BYTES for content in contents)
+
+
+def content_bytes(content: Any) -> int:
+    """Return the size of a document's content, as JSON in bytes."""
+    return len(json.dumps(content))
+
 
 def serialize_job(encoded: EncodedJob) -> str:
     """Serialize a job's document and parts as JSON."""
@@ -70,19 +94,27 @@
         part_prefix: prefix of the names of the parts.
     """
     items = [_encode_item(item) for item in job.items]
+    serialized_items = [json.dumps(item) for item in items]
     content = _encode_fields(job)
-    parts = _split_into_parts(items)
-    if len(parts) * MAX_PART_BYTES <= MAX_CONTENT_BYTES:
+    items_bytes = sum(len(item) + _ITEM_SEPARATOR_BYTES for item in serialized_items)
+    if content_bytes(content | {"items": []}) + items_bytes <= MAX_CONTENT_BYTES:
         return EncodedJob(content | {"items": items}, {})
+    parts = _split_into_parts(items, serialized_items)
     names = [f"{part_prefix}{_SEGMENT_SEPARATOR}{number:03d}" for number in range(len(parts))]
     return EncodedJob(content | {"parts": names}, dict(zip(names, parts, strict=True)))
 
 
-def _split_into_parts(items: list[dict[str, Any]]) -> list[list[dict[str, Any]]]:
+def _split_into_parts(
+    items: list[dict[str, Any]], serialized_items: list[str]
+) -> list[list[dict[str, Any]]]:
     parts: list[list[dict[str, Any]]] = []
     remaining = 0
-    for item in items:
-        size = len(json.dumps(item)) + _ITEM_SEPARATOR_BYTES
+    for item, serialized in zip(items, serialized_items, strict=True):
+        if len(serialized) > MAX_UNDIVIDED_ITEM_BYTES:
+            parts.extend([fragment] for fragment in _fragments(serialized))
+            remaining = 0
+            continue
+        size = len(serialized) + _ITEM_SEPARATOR_BYTES
         if size > remaining:
             parts.append([])
             remaining = MAX_PART_BYTES
@@ -91,6 +123,31 @@
     return parts
 
 
+def _fragments(serialized_item: str) -> Iterator[dict[str, Any]]:
+    """Cut an item's JSON into fragments, in order; each says whether it is the last one."""
+    for start in range(0, len(serialized_item), MAX_FRAGMENT_CHARACTERS):
+        end = start + MAX_FRAGMENT_CHARACTERS
+        yield {
+            _FRAGMENT: serialized_item[start:end],
+            _LAST_FRAGMENT: end >= len(serialized_item),
+        }
+
+
+def _join_fragments(entries: Iterable[dict[str, Any]]) -> Iterator[dict[str, Any]]:
+    """Yield the items of all parts in order. Raises KeyError or ValueError."""
+    fragments: list[str] = []
+    for entry in entries:
+        if _FRAGMENT not in entry:
+            yield entry
+            continue
+        fragments.append(entry[_FRAGMENT])
+        if entry[_LAST_FRAGMENT]:
+            yield json.loads("".join(fragments))
+            fragments.clear()
+    if fragments:
+        raise ValueError("the last fragment of an item is missing")
+
+
 def _encode_fields(job: BatchJob) -> dict[str, Any]:
     return {
         "host": job.host,
@@ -135,7 +192,8 @@
 
     Raises KeyError, TypeError or ValueError.
     """
-    items = [item for part in parts for item in part] if parts else content["items"]
+    entries = (entry for part in parts for entry in part)
+    items = _join_fragments(entries) if parts else content["items"]
     return BatchJob(
         job_id=job_id,
         host=content["host"],
--- a/src/runkeel/jobs/job_store.py
+++ b/src/runkeel/jobs/job_store.py
@@ -15,9 +15,11 @@
 
 from runkeel.api.documents import (
     CALL_TIMEOUT_SECONDS,
+    MAX_CONTENT_BYTES,
     Document,
     DocumentConflictError,
     DocumentKind,
+    DocumentRejectedError,
     DocumentStore,
 )
 from runkeel.api.jobs import BatchJob
@@ -25,6 +27,7 @@
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.jobs.job_documents import (
     EncodedJob,
+    content_bytes,
     decode_job,
     encode_job,
     part_names,
@@ -55,9 +58,20 @@
 
     @classmethod
     def of_job(cls, store: DocumentStore, job: BatchJob) -> JobSubmission:
-        """Return a submission of a job, with unique names for the job's parts."""
+        """Return a submission of a job, with unique names for the job's parts.
+
+        Raises:
+            RunkeelError: BODY_TOO_LARGE (NOT_RUN) if the job can't be stored, as its fields other
+                than its items exceed the size of a document.
+        """
         prefix = f"{job.job_id}-{secrets.token_hex(_PREFIX_RANDOM_BYTES)}"
-        return cls(store, job.job_id, encode_job(job, prefix))
+        encoded = encode_job(job, prefix)
+        if content_bytes(encoded.content) > MAX_CONTENT_BYTES:
+            raise not_run(
+                ErrorCode.BODY_TOO_LARGE,
+                f"the job's fields exceed {MAX_CONTENT_BYTES} bytes",
+            )
+        return cls(store, job.job_id, encoded)
 
     def write(
         self, timeout_seconds: float = CALL_TIMEOUT_SECONDS, deadline: float = math.inf
@@ -70,6 +84,7 @@
 
         Raises:
             DocumentConflictError: the job exists already.
+            DocumentRejectedError: the store can't take the job.
             RunkeelError: with verdict NOT_RUN only if this call did not store the job.
         """
         self._write_parts(deadline)
@@ -94,6 +109,11 @@
         gevent.joinall(list(writes.values()))
         errors = [write.value for write in writes.values() if write.value is not None]
         if errors:
+            rejection = next(
+                (error for error in errors if isinstance(error, DocumentRejectedError)), None
+            )
+            if rejection is not None:
+                raise rejection
             # Some parts may have been written, but without its document the job does not exist.
             raise not_run(errors[0].code, errors[0].detail)
 
--- a/src/runkeel/jobs/service.py
+++ b/src/runkeel/jobs/service.py
@@ -12,7 +12,12 @@
 import gevent
 from loguru import logger
 
-from runkeel.api.documents import DocumentConflictError, DocumentKind, DocumentStore
+from runkeel.api.documents import (
+    DocumentConflictError,
+    DocumentKind,
+    DocumentRejectedError,
+    DocumentStore,
+)
 from runkeel.api.jobs import BatchJob, ItemResult, JobReference, ResultPage, ResultState
 from runkeel.clock import steady_seconds
 from runkeel.coordination.election import Election
@@ -119,6 +124,7 @@
 
         Raises:
             RunkeelError: the job was not accepted (verdict NOT_RUN), or may have been.
+                BODY_TOO_LARGE or BAD_REQUEST (NOT_RUN) if it can never be stored.
         """
         submission = JobSubmission.of_job(self._store, job)
         verdict = Verdict.NOT_RUN
@@ -133,6 +139,10 @@
                 if not submission.owns(conflict.current):
                     submission.discard_parts()
                 return
+            except DocumentRejectedError as rejection:
+                submission.discard_parts()
+                _log_refused(job, rejection, Verdict.NOT_RUN)
+                raise
             except RunkeelError as error:
                 if error.verdict is not Verdict.NOT_RUN:
                     verdict = Verdict.MAY_HAVE_RUN
@@ -217,13 +227,7 @@
         return True
 
     def _fail_submission(self, job: BatchJob, error: RunkeelError, verdict: Verdict) -> None:
-        logger.warning(
-            "job submission failed",
-            code="job_refused",
-            job=job.job_id,
-            verdict=verdict.name,
-            error=error.detail,
-        )
+        _log_refused(job, error, verdict)
         raise RunkeelError(error.code, error.detail, verdict, RETRY_AFTER_SECONDS) from error
 
     def _local_state(self, job: JobReference) -> JobState | None:
@@ -474,6 +478,16 @@
     )
 
 
+def _log_refused(job: BatchJob, error: RunkeelError, verdict: Verdict) -> None:
+    logger.warning(
+        "job submission failed",
+        code="job_refused",
+        job=job.job_id,
+        verdict=verdict.name,
+        error=error.detail,
+    )
+
+
 def _log_accepted(job: BatchJob, by: str) -> None:
     JOBS.labels("accepted").inc()
     logger.info(
--- a/src/runkeel/state/observed_store.py
+++ b/src/runkeel/state/observed_store.py
@@ -16,6 +16,7 @@
     DocumentConflictError,
     DocumentKind,
     DocumentList,
+    DocumentRejectedError,
     DocumentStore,
     Freshness,
     HistoryDiscardedError,
@@ -178,10 +179,10 @@
 
     @contextlib.contextmanager
     def _observe_call(self) -> Iterator[None]:
-        """Record the outcome of a call; conflicts and lost history count as responses."""
+        """Record a call's outcome; conflicts, rejections and lost history count as responses."""
         try:
             yield
-        except (DocumentConflictError, HistoryDiscardedError):
+        except (DocumentConflictError, DocumentRejectedError, HistoryDiscardedError):
             self._on_response()
             raise
         except RunkeelError:
--- a/src/runkeel_lab/standins/document_store.py
+++ b/src/runkeel_lab/standins/document_store.py
@@ -4,6 +4,7 @@
 
 import copy
 import enum
+import json
 from typing import Any
 
 import gevent
@@ -17,11 +18,15 @@
     DocumentConflictError,
     DocumentKind,
     DocumentList,
+    DocumentRejectedError,
     Freshness,
     HistoryDiscardedError,
 )
 from runkeel.errors import ErrorCode, RunkeelError, may_have_run, not_run
 
+MAX_DOCUMENT_BYTES = 1_048_576
+"""Size of a document's content, as JSON in bytes, above which writes are rejected."""
+
 
 class StoreFault(enum.Enum):
     """Fault injected into the next write."""
@@ -118,6 +123,7 @@
         timeout_seconds: float = CALL_TIMEOUT_SECONDS,
     ) -> Document:
         fault = self._call("create", writes=True)
+        _check_size(kind, name, content)
         current = self._documents.get((kind, name))
         if current is not None:
             self._raise_if_response_lost(fault)
@@ -136,6 +142,7 @@
     ) -> Document:
         """Replace the content if the document is at the expected revision."""
         fault = self._call("replace", writes=True)
+        _check_size(kind, name, content)
         current = self._documents.get((kind, name))
         if current is None or current.revision != expected_revision:
             self._raise_if_response_lost(fault)
@@ -224,5 +231,10 @@
         self._changed = Event()
 
 
+def _check_size(kind: DocumentKind, name: str, content: Any) -> None:
+    if len(json.dumps(content, default=str)) > MAX_DOCUMENT_BYTES:
+        raise DocumentRejectedError(kind, name, too_large=True)
+
+
 def _unavailable(method: str) -> RunkeelError:
     return not_run(ErrorCode.STORE_UNAVAILABLE, f"{method}: the store is down")
--- a/src/runkeel_lab/users_platform/deployment.py
+++ b/src/runkeel_lab/users_platform/deployment.py
@@ -341,15 +341,21 @@
         key: str = "",
         item_headers: dict[str, str] | None = None,
         model: str = MODEL,
+        padding_bytes: int = 0,
     ) -> int:
-        """Submit a batch job; return the HTTP status, 0 without a response."""
+        """Submit a batch job; return the HTTP status, 0 without a response.
+
+        Args:
+            padding_bytes: number of bytes by which the body of each item is extended.
+        """
         body = {
             "Step": 0,
             "Model": model,
             "MinVersion": min_version,
             "DesiredCount": 1,
             "Items": [
-                _item(item_id, {"Model": model, **(item_headers or {})}) for item_id in items
+                _item(item_id, {"Model": model, **(item_headers or {})}, padding_bytes)
+                for item_id in items
             ],
         }
         headers = {"Attempt-Id": job_id, "Content-Type": "application/json", **key_header(key)}
@@ -414,12 +420,13 @@
     return {"Authorization": f"Bearer {key}"} if key else {}
 
 
-def _item(item_id: str, headers: dict[str, str]) -> dict[str, Any]:
+def _item(item_id: str, headers: dict[str, str], padding_bytes: int) -> dict[str, Any]:
+    body = f"body {item_id}".encode() + b"x" * padding_bytes
     return {
         "Id": item_id,
         "Path": f"{DRAFT_PREFIX}{item_id}",
         "Headers": headers,
-        "Body": base64.b64encode(f"body {item_id}".encode()).decode(),
+        "Body": base64.b64encode(body).decode(),
         "TokenCount": 10,
         "Group": item_id.rpartition("-")[0],
         "Scorer": {
--- a/src/runkeel_lab/users_platform/store_server.py
+++ b/src/runkeel_lab/users_platform/store_server.py
@@ -11,7 +11,13 @@
 import gevent
 from gevent.pywsgi import WSGIServer
 
-from runkeel.api.documents import Document, DocumentConflictError, Freshness, HistoryDiscardedError
+from runkeel.api.documents import (
+    Document,
+    DocumentConflictError,
+    DocumentRejectedError,
+    Freshness,
+    HistoryDiscardedError,
+)
 from runkeel.api.machines import Address
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError
@@ -22,7 +28,14 @@
 _CONNECTION = "runkeel.connection"
 _HANG_SECONDS = 60.0
 _WRITES = ("POST", "PUT", "DELETE")
-_STATUSES = {200: "OK", 404: "Not Found", 409: "Conflict", 410: "Gone", 503: "Unavailable"}
+_STATUSES = {
+    200: "OK",
+    404: "Not Found",
+    409: "Conflict",
+    410: "Gone",
+    413: "Content Too Large",
+    503: "Unavailable",
+}
 
 
 class StoreServer:
@@ -106,6 +119,8 @@
             return self._write(method, kind, unquote(name), part, body)
         except DocumentConflictError as conflict:
             return 409, None if conflict.current is None else _object(conflict.current)
+        except DocumentRejectedError:
+            return 413, None
         except HistoryDiscardedError:
             return 410, None
         except RunkeelError:
--- a/tests/handoff/test_hints.py
+++ b/tests/handoff/test_hints.py
@@ -10,7 +10,7 @@
 import gevent
 from gevent.monkey import get_original
 
-from runkeel.api.documents import DocumentKind
+from runkeel.api.documents import DocumentKind, DocumentRejectedError
 from runkeel.api.jobs import BatchJob, JobItem
 from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, may_have_run, not_run
@@ -31,6 +31,7 @@
 )
 from runkeel.jobs import job_documents
 from runkeel.jobs.job_documents import deserialize_job, encode_job, serialize_job
+from runkeel.jobs.job_store import JobStore
 from runkeel.state.observed_store import ObservedStore
 from runkeel.wire.generated.common.ttypes import MessageType
 from runkeel.wire.generated.jobs.ttypes import JobHint, JobHintReply, JobHintState
@@ -190,6 +191,38 @@
             self.wait(lambda: self.stored("good-1") and self.stored("good-2"))
         self.wait(lambda: self.stored("bad-1") and self.stored("bad-2"))
 
+    def test_job_that_the_store_rejects_is_written_once_and_does_not_delay_others(self):
+        self._kept_hints({name: make_encoded(name) for name in ("bad", "good")})
+        create = self.shared_store.create
+        rejected = []
+
+        def reject_bad(kind, name, content, timeout_seconds):
+            if name == "bad":
+                rejected.append(name)
+                raise DocumentRejectedError(kind, name, too_large=True)
+            return create(kind, name, content, timeout_seconds)
+
+        with (
+            mock.patch.object(self.shared_store, "create", reject_bad),
+            mock.patch.object(hint_service, "HANDOFF_INTERVAL_SECONDS", 0.01),
+        ):
+            self.shared_store.down = False
+            self.wait(lambda: self.stored("good"))
+            gevent.sleep(0.1)
+        self.assertEqual(rejected, ["bad"])
+
+    def test_hint_of_an_older_build_that_exceeds_a_document_is_stored_in_parts(self):
+        body = "x" * 500_000
+        items = tuple(JobItem(f"j-{n}", "/p", (), body) for n in range(3))
+        job = BatchJob("j", "h", "/p", time.time(), items)
+        with mock.patch.object(job_documents, "MAX_CONTENT_BYTES", 10_000_000):
+            encoded = encode_job(job, "part")
+        self.assertFalse(encoded.parts)
+        self._kept_hints({"j": encoded})
+        self.shared_store.down = False
+        self.wait(self.stored)
+        self.assertEqual(JobStore(self.shared_store).get("j"), job)
+
     def test_hint_survives_the_process(self):
         self.start_node()
         self.shared_store.down = True
--- a/tests/jobs/test_job_service.py
+++ b/tests/jobs/test_job_service.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from runkeel.api.documents import DocumentKind
+from runkeel.api.documents import DocumentKind, DocumentRejectedError
 from runkeel.api.jobs import BatchJob, ItemResult, JobItem, JobReference, ResultState
 from runkeel.api.machines import Address
 from runkeel.clock import steady_seconds
@@ -181,6 +181,22 @@
             self.service.accept(job, self._deadline(0.1))
         self.assertLess(steady_seconds() - started, 0.6)
 
+    def test_job_that_the_store_rejects_is_refused_at_once_and_never_kept_as_a_hint(self):
+        hints = mock.Mock()
+        service = JobService(self.store, SilentNetwork(), NoCoordinator(), "shard", hints)
+
+        def reject(kind, name, content, timeout_seconds):
+            raise DocumentRejectedError(kind, name, too_large=True)
+
+        with (
+            mock.patch.object(self.store, "create", reject),
+            self.assertRaises(RunkeelError) as caught,
+        ):
+            service.accept(make_job(), self._deadline(5.0))
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual(caught.exception.http_status, 413)
+        hints.send_hints.assert_not_called()
+
     def test_never_says_not_run_after_an_unknown_outcome(self):
         self.store.fail_next_write(StoreFault.RESPONSE_LOST)
         self.store.fail_next_write(StoreFault.DOWN, times=50)
--- a/tests/jobs/test_job_store.py
+++ b/tests/jobs/test_job_store.py
@@ -6,9 +6,15 @@
 
 import gevent
 
-from runkeel.api.documents import DocumentConflictError, DocumentKind
+from runkeel.api.documents import MAX_CONTENT_BYTES, DocumentConflictError, DocumentKind
 from runkeel.errors import RunkeelError, Verdict
-from runkeel.jobs.job_documents import MAX_PART_BYTES, encode_segment, segment_name
+from runkeel.jobs.job_documents import (
+    MAX_PART_BYTES,
+    decode_job,
+    encode_job,
+    encode_segment,
+    segment_name,
+)
 from runkeel.jobs.job_store import JobStore, JobSubmission
 from runkeel.state.immutable_documents import get_immutable
 from runkeel_lab.standins.document_store import MemoryDocumentStore, StoreFault
@@ -46,6 +52,45 @@
             self.assertLessEqual(size, MAX_PART_BYTES)
         self.assertEqual(self.jobs.get(JOB_ID), job)
 
+    def _assert_documents_fit(self):
+        kinds = (DocumentKind.JOB, DocumentKind.JOB_PART)
+        for kind in kinds:
+            for name in self.store.names(kind):
+                size = len(json.dumps(self.store.get(kind, name).content))
+                self.assertLessEqual(size, MAX_CONTENT_BYTES)
+
+    def test_few_large_items_are_not_stored_in_one_document_that_is_too_large(self):
+        job = make_job(items=4)
+        job = replace(job, items=tuple(replace(item, body="b" * 300_000) for item in job.items))
+        JobSubmission.of_job(self.store, job).write()
+        self._assert_documents_fit()
+        self.assertEqual(self.jobs.get(JOB_ID), job)
+
+    def test_item_larger_than_a_document_is_stored_in_fragments(self):
+        """Also covers ordinary items around it, and characters that JSON escapes."""
+        bodies = ["small", "b" * 1_200_000, "small", '"\\é' * 400_000, "b" * 779_000, "small"]
+        job = make_job(items=len(bodies))
+        items = zip(job.items, bodies, strict=True)
+        job = replace(job, items=tuple(replace(item, body=body) for item, body in items))
+        JobSubmission.of_job(self.store, job).write()
+        self._assert_documents_fit()
+        self.assertEqual(self.jobs.get(JOB_ID), job)
+
+    def test_job_is_not_read_without_the_last_fragment_of_an_item(self):
+        job = make_job(items=1)
+        job = replace(job, items=(replace(job.items[0], body="b" * 900_000),))
+        encoded = encode_job(job, "part")
+        parts = list(encoded.parts.values())
+        with self.assertRaises(ValueError):
+            decode_job(JOB_ID, encoded.content, parts[:-1])
+
+    def test_job_whose_fields_exceed_a_document_is_refused(self):
+        job = replace(make_job(), model="m" * MAX_CONTENT_BYTES)
+        with self.assertRaises(RunkeelError) as caught:
+            JobSubmission.of_job(self.store, job)
+        self.assertIs(caught.exception.verdict, Verdict.NOT_RUN)
+        self.assertEqual(caught.exception.http_status, 413)
+
     def test_job_does_not_exist_until_its_document_does(self):
         submission = JobSubmission.of_job(self.store, make_large_job())
         self.store.fail_next_write(StoreFault.DOWN)
--- a/tests/users_platform/test_batch_jobs.py
+++ b/tests/users_platform/test_batch_jobs.py
@@ -56,6 +56,13 @@
         response = deployment.call("edge-1", "GET", "/runkeel/items/j?Id=j-g0-1")
         self.assertEqual(response.body, b"body j-g0-1")
 
+    def test_job_with_items_larger_than_a_stored_document_is_run_and_listed(self):
+        deployment = self.start()
+        items = self.items("j", 2)
+        self.assertEqual(deployment.submit("edge-0", "j", items, padding_bytes=900_000), 202)
+        results = self.wait_for_results(deployment, "edge-1", "j", len(items))
+        self.check_results(results, items)
+
     def test_malformed_job_is_refused(self):
         deployment = self.start()
         for body in (b"", b"{", b'{"Items": 5}', b'{"Items": [{"Path": "/x"}]}'):
