Bound segments and pages of results by their size as JSON

Callers saw (by reading): a job with long texts of non-ASCII characters is never listed, and a page of such results exceeds 1 MB.

Cause: both were bounded by the characters of the texts; a character outside ASCII takes up to six bytes as JSON. The store refuses a segment above 1 MiB, and the writer tried it again without end.

Why it works: the sum is that of the encoded results, so a segment of several results is below the limit of a document.

--- a/src/runkeel/jobs/job_documents.py
+++ b/src/runkeel/jobs/job_documents.py
@@ -213,6 +213,11 @@
     return {"epoch": epoch, "results": _encode_results(results)}
 
 
+def encoded_result_bytes(result: ItemResult) -> int:
+    """Return the size of a result in a segment, as JSON in bytes."""
+    return content_bytes(_encode_results([result]))
+
+
 def decode_segment(content: dict[str, Any]) -> tuple[int, list[ItemResult]]:
     """Decode a results segment into its writer's epoch and its results."""
     return int(content["epoch"]), _decode_results(content["results"])
--- a/src/runkeel/jobs/job_state.py
+++ b/src/runkeel/jobs/job_state.py
@@ -10,10 +10,14 @@
 from gevent.event import Event
 
 from runkeel.api.jobs import BatchJob, ItemResult, JobItem, ResultPage
+from runkeel.jobs.job_documents import encoded_result_bytes
 
 _ITEM_BYTES = 1_000
 """Approximate size of an item and its result, apart from their texts."""
 
+_PAGE_ENTRY_MARGIN_BYTES = 100
+"""By how much a result may be larger in a response than in a segment, as JSON in bytes."""
+
 
 class JobState:
     """A job with its listed results, which are in the store, and its unlisted ones.
@@ -133,7 +137,7 @@
         self.ready.set()
 
     def page(self, position: int, max_bytes: int) -> ResultPage:
-        """Return results from a position on, as many as fit ``max_bytes`` but at least one."""
+        """Return results from a position on, at least one, as many as fit ``max_bytes`` as JSON."""
         return make_page(self.results, len(self.items), position, max_bytes)
 
     def wait_for_position(self, position: int, wait_seconds: float) -> None:
@@ -161,11 +165,11 @@
 
 
 def make_page(results: list[ItemResult], total: int, position: int, max_bytes: int) -> ResultPage:
-    """Return results from a position on, as many as fit ``max_bytes`` but at least one."""
+    """Return results from a position on, at least one, as many as fit ``max_bytes`` as JSON."""
     page: list[ItemResult] = []
     size = 0
     for result in results[position:]:
-        size += len(result.text) + len(result.score) + 200
+        size += encoded_result_bytes(result) + _PAGE_ENTRY_MARGIN_BYTES
         if page and size > max_bytes:
             break
         page.append(result)
--- a/src/runkeel/jobs/result_writer.py
+++ b/src/runkeel/jobs/result_writer.py
@@ -11,7 +11,12 @@
 from runkeel.api.documents import DocumentConflictError, DocumentKind, DocumentStore
 from runkeel.api.jobs import ItemResult
 from runkeel.errors import RunkeelError
-from runkeel.jobs.job_documents import decode_segment, encode_segment, segment_name
+from runkeel.jobs.job_documents import (
+    decode_segment,
+    encode_segment,
+    encoded_result_bytes,
+    segment_name,
+)
 from runkeel.jobs.job_state import JobState
 
 BATCH_DELAY_SECONDS = 0.7
@@ -30,7 +35,7 @@
 """Pause before a failed write is retried."""
 
 MAX_SEGMENT_BYTES = 800_000
-"""Bound on the text in a segment, in bytes; below the store's limit of 1 MB on documents."""
+"""Bound on the results of a segment, as JSON in bytes; below the store's limit on documents."""
 
 
 class SupersededError(Exception):
@@ -158,7 +163,7 @@
     batch: list[ItemResult] = []
     size = 0
     for result in results:
-        size += len(result.text)
+        size += encoded_result_bytes(result)
         if batch and size > MAX_SEGMENT_BYTES:
             break
         batch.append(result)
