Discard a text that no engine may continue on a SingleVersion route

Cause: an engine was chosen without regard to the version of the text, and a text of one version was kept after a run that ended for its version, though every engine had another one by then. Moves between engines and texts kept by other nodes went by the same rule.

Why it works: an engine of the text's version is taken if one has a slot; otherwise the text is discarded before the run starts, so that the run can make events. Only a run that made events keeps its text after it ended for its version, so every further run makes progress.

--- a/src/runkeel/jobs/engine_placement.py
+++ b/src/runkeel/jobs/engine_placement.py
@@ -106,19 +106,28 @@
         service: str,
         relative_length: float = 1.0,
         exclude: BackendState | None = None,
+        only_version: int = 0,
     ) -> BackendState | None:
         """Return the best engine with a free slot, None when there is none.
 
         Args:
             relative_length: expected remaining length as a multiple of a typical generation.
             exclude: an engine that must not be selected.
+            only_version: engines known to have another weight version are not selected; 0: any.
         """
         length = min(MAX_RELATIVE_LENGTH, relative_length)
         free = self._engines_with_free_slot(service)
         group_engine = free.get(self._groups.get((job.job_id, item.group), ""))
         for _ in range(MAX_DRAWS):
             candidates = free.sample(MAX_CANDIDATES)
-            best = self._cheapest(job, candidates, group_engine, length, exclude)
+            if group_engine is not None:
+                candidates.append(group_engine)
+            candidates = [
+                one
+                for one in candidates
+                if one is not exclude and self.may_have_version(one, job.model, only_version)
+            ]
+            best = self._cheapest(job, candidates, group_engine, length)
             if best is not None or len(free) <= MAX_CANDIDATES:
                 return best
         return None
@@ -133,16 +142,13 @@
         candidates: list[BackendState],
         group_engine: BackendState | None,
         length: float,
-        exclude: BackendState | None,
     ) -> BackendState | None:
         """Return the usable engine of lowest cost; ``group_engine`` has run the item's group."""
         now = steady_seconds()
         best: BackendState | None = None
         best_cost = 0.0
-        if group_engine is not None:
-            candidates.append(group_engine)
         for state in candidates:
-            if state is exclude or state.avoided(now) or not self.usable(job, state):
+            if state.avoided(now) or not self.usable(job, state):
                 continue
             cost = self.slots_in_use(state.incarnation) / max(1, state.backend.slots)
             cost -= GROUP_BONUS if state is group_engine else 0.0
@@ -186,6 +192,17 @@
             return False
         return self._version(engine, job.model) >= job.min_version
 
+    def may_have_version(self, engine: BackendState, model: str, version: int) -> bool:
+        """Return whether an engine's version of a model is this one or unknown; 0 means any."""
+        return not version or self._version(engine, model) in (0, version)
+
+    def offers_version(self, service: str, model: str, version: int) -> bool:
+        """Return whether an engine of a service may have this version of a model."""
+        return any(
+            self.may_have_version(engine, model, version)
+            for engine in self._directory.of_service(service)
+        )
+
     def observe(self, samples: Iterable[RunSample]) -> None:
         """Update the speed estimates with the events that runs have received so far."""
         self._speeds.observe(samples, steady_seconds())
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -86,6 +86,10 @@
         """
         return min(self.versions, default=0), len(self.pieces)
 
+    def fixed_version(self, single_version: bool) -> int:
+        """Return the weight version that has to generate the rest; 0 if any version may."""
+        return self.versions[0] if single_version and self.versions else 0
+
     def satisfies_versions(self, min_version: int, single_version: bool) -> bool:
         """Return whether the output complies with a job's restrictions on weight versions."""
         if any(version < min_version for version in self.versions):
--- a/src/runkeel/jobs/run_mover.py
+++ b/src/runkeel/jobs/run_mover.py
@@ -129,7 +129,14 @@
         service = choose_service(route, task.item.item_id)
         job = task.state.job
         length = self.relative_length(task)
-        return self._placement.choose(job, task.item, service, length, exclude=task.engine)
+        return self._placement.choose(
+            job,
+            task.item,
+            service,
+            length,
+            exclude=task.engine,
+            only_version=task.partial.fixed_version(route.single_version),
+        )
 
     def _move(self, task: ItemTask, other: BackendState, reason: str, gain: float) -> None:
         logger.info(
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -165,7 +165,7 @@
 
     def _switch_to_output(self, task: ItemTask, output: PartialOutput) -> None:
         """Abort the item's run so that it resumes from a better partial output."""
-        if not self._can_use(task, output):
+        if not self._can_use(task, output) or not self._has_engine_for(task, output):
             return
         logger.info(
             "aborting run to resume item from a better partial output",
@@ -184,6 +184,15 @@
             task.state.job.min_version, bool(route and route.single_version)
         )
 
+    def _has_engine_for(self, task: ItemTask, output: PartialOutput) -> bool:
+        """Return whether an engine may have the weight version that an output is bound to."""
+        route = self._route(task)
+        version = output.fixed_version(bool(route and route.single_version))
+        if not version:
+            return True
+        service = choose_service(route, task.item.item_id)
+        return self._placement.offers_version(service, task.state.job.model, version)
+
     def _resume_from(self, task: ItemTask, output: PartialOutput) -> None:
         task.resumed = True
         if self._can_use(task, output):
@@ -326,9 +335,8 @@
             if not self._runner.has_capacity:
                 # Neither this node nor a sampled runner can read the output of another run in time.
                 return starts
-            length = self._mover.relative_length(task)
             service = choose_service(route, task.item.item_id)
-            engine = self._placement.choose(task.state.job, task.item, service, length)
+            engine = self._choose_engine(task, route, service)
             if engine is None:
                 self._record_waiting(lane, task.state.job.model, now)
                 return starts
@@ -341,6 +349,17 @@
                 gevent.sleep(0)
         return starts
 
+    def _choose_engine(self, task: ItemTask, route: Route, service: str) -> BackendState | None:
+        """Return an engine that can continue the item's output, else one to generate it anew."""
+        length = self._mover.relative_length(task)
+        job, item = task.state.job, task.item
+        version = task.partial.fixed_version(route.single_version)
+        if version:
+            engine = self._placement.choose(job, item, service, length, only_version=version)
+            if engine is not None:
+                return engine
+        return self._placement.choose(job, item, service, length)
+
     def _is_quarantined(self, task: ItemTask, service: str) -> bool:
         """Return whether the quarantine withholds an item; if so, sets when it may be retried."""
         wait = self._runner.quarantine_delay_seconds(task, service)
@@ -410,18 +429,42 @@
         task.engine = engine
         task.started = False
         if engine is not None:
+            self._discard_output_of_other_version(task, route, engine)
             self._placement.acquire_slot(engine)
             self._placement.record_group(task.state.job, task.item, engine)
         self._running.add(task)
         task.greenlet = gevent.spawn(self._run_item, task, route)
 
+    def _discard_output_of_other_version(
+        self, task: ItemTask, route: Route, engine: BackendState
+    ) -> None:
+        """Discard an output that an engine's weight version must not continue."""
+        version = task.partial.fixed_version(route.single_version)
+        if self._placement.may_have_version(engine, task.state.job.model, version):
+            return
+        self._discard_output(task, f"engine {engine.incarnation} has another weight version")
+
+    def _discard_output(self, task: ItemTask, reason: str) -> None:
+        logger.info(
+            "discarding partial output",
+            code="item_text_discarded",
+            request=task.item.item_id,
+            job=task.state.job.job_id,
+            events=len(task.partial.pieces),
+            versions=list(task.partial.versions),
+            reason=reason,
+        )
+        task.partial.clear()
+
     def _run_item(self, task: ItemTask, route: Route) -> None:
         task.started = True
         try:
             if task.engine is not None:
+                resumed_events = len(task.partial.pieces)
                 outcome = self._generate(task, route)
                 if outcome is not RunOutcome.COMPLETE:
-                    self._handle_incomplete_run(task, route, outcome)
+                    progressed = len(task.partial.pieces) > resumed_events
+                    self._handle_incomplete_run(task, route, outcome, progressed)
                     return
             self._score(task, route)
         finally:
@@ -450,7 +493,10 @@
             self._lengths.observe(task.item.estimated_tokens, len(task.partial.pieces))
         return outcome
 
-    def _handle_incomplete_run(self, task: ItemTask, route: Route, outcome: RunOutcome) -> None:
+    def _handle_incomplete_run(
+        self, task: ItemTask, route: Route, outcome: RunOutcome, progressed: bool = True
+    ) -> None:
+        """Give up or requeue an item; ``progressed`` tells whether the run received events."""
         job = task.state.job
         better_output, task.better_output = task.better_output, None
         if better_output is not None and better_output.precedence > task.partial.precedence:
@@ -462,6 +508,8 @@
             return
         if outcome is RunOutcome.OLD_VERSION:
             self._placement.versions.pop((task.engine.incarnation, job.model), None)
+            if task.partial.fixed_version(route.single_version) and not progressed:
+                self._discard_output(task, "engine has another weight version than known")
         if not task.partial.satisfies_versions(job.min_version, route.single_version):
             task.partial.clear()
         if outcome is not RunOutcome.MOVED:
--- a/tests/jobs/test_run_mover.py
+++ b/tests/jobs/test_run_mover.py
@@ -50,6 +50,7 @@
             self.lengths,
             lambda task: routing.match(task.state.job.host, task.item.path),
         )
+        self.routing = routing
         self.state = JobState(make_job())
 
     def _engine(self, name):
@@ -82,6 +83,21 @@
         self.assertIs(long.reserved_engine, self.engines["fast"])
         self.assertFalse(short.run.moved)
 
+    def test_item_that_needs_a_single_version_is_not_moved_to_an_engine_with_another(self):
+        configuration = make_configuration()
+        route = replace(configuration.routes[0], single_version=True)
+        self.routing.apply(replace(configuration, version=2, routes=(route,)))
+        self._learn_speeds(fast=40, slow=30)
+        self.placement.versions["fast", "m"] = 2
+        task = self._running("slow", 10_000)
+        task.partial.versions.append(1)
+        self.mover.move_from_slow_engines([task])
+        self.assertFalse(task.run.moved)
+        self.placement.versions["slow", "m"] = 2
+        task.partial.versions[:] = [2]
+        self.mover.move_from_slow_engines([task])
+        self.assertTrue(task.run.moved)
+
     def test_the_longest_items_get_the_free_slots(self):
         self._learn_speeds(fast=40, slow=30)
         for _ in range(SLOTS - 1):
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -296,6 +296,49 @@
         self.scheduler.add(self.state)
         self.assertEqual(self.scheduler._queue.of_item(f"{JOB_ID}-0").partial.pieces, [])
 
+    def _use_single_version_engines(self, **versions):
+        """Use a route that needs one version, and engines that are said to have these versions."""
+        self._use_protocol(SilentProtocol())
+        configuration = make_configuration()
+        route = replace(configuration.routes[0], single_version=True)
+        self.routing.apply(replace(configuration, routes=(route,)))
+        self.directory.remove("e")
+        for name, version in versions.items():
+            backend = Backend(name, SERVICE, DEAD_ADDRESS, "z", 8, False, {"m": version})
+            self.directory.put(backend)
+        self.state = JobState(make_job(items=1))
+        self.scheduler.restore_outputs({f"{JOB_ID}-0": PartialOutput(["x"], "1", [2])})
+        self.scheduler.add(self.state)
+        self.scheduler._place_all()
+        return self._wait_for_run(f"{JOB_ID}-0")
+
+    def test_output_is_discarded_if_no_engine_has_the_single_version_that_it_needs(self):
+        """Guards against an item that is sent and broken off without end."""
+        task = self._use_single_version_engines(newer=3)
+        self.assertEqual((task.partial.pieces, task.partial.last_event_id), ([], None))
+
+    def test_output_is_continued_by_an_engine_with_the_single_version_that_it_needs(self):
+        names = {f"newer-{number}": 3 for number in range(5)}
+        task = self._use_single_version_engines(**names, same=2)
+        self.assertEqual((task.engine.backend_id, task.partial.pieces), ("same", ["x"]))
+
+    def test_output_is_discarded_after_a_run_that_could_not_continue_its_version(self):
+        task = self._use_single_version_engines(stale=2)
+        route = self.scheduler._route(task)
+        self.assertEqual(task.partial.pieces, ["x"])
+        self.scheduler._handle_incomplete_run(task, route, RunOutcome.OLD_VERSION, True)
+        self.assertEqual(task.partial.pieces, ["x"])
+        task.engine = self.directory.get("stale")
+        self.scheduler._handle_incomplete_run(task, route, RunOutcome.OLD_VERSION, False)
+        self.assertEqual(task.partial.pieces, [])
+
+    def test_run_is_not_aborted_for_an_output_that_no_engine_can_continue(self):
+        """Guards against a run that is aborted again and again for the same old output."""
+        task = self._use_single_version_engines(newer=3)
+        output = PartialOutput(["x"] * (MIN_EVENTS_AHEAD + 1), "9", [2])
+        self.scheduler.adopt_output(f"{JOB_ID}-0", output)
+        self.assertIsNone(task.better_output)
+
     def test_scheduling_pass_does_not_scale_with_the_number_of_queued_items(self):
         """Guards against a scheduling pass that looks for an engine for every waiting item."""
         self._use_protocol(SilentProtocol())
