Accept the end of a connection as a stream's end only between events

Cause: an answer without a length ends with its connection, and the kernel closes the connections of a killed process in order; the bytes after the last whole event were ignored, or passed on.

Why it works: a server that finishes ends its last event; so bytes after the last separator, or no event at all, show that it did not finish. The run is then broken like any other: resumed, or reset.

--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -160,6 +160,14 @@
         self.status = parser.get_code()
         self.headers = list(parser.items())
 
+    @property
+    def delimited_by_close(self) -> bool:
+        """Whether the body had no explicit length and has ended with the connection.
+
+        Such an end may be that of a server that crashed.
+        """
+        return self._parser.delimited_by_close
+
     def chunks(self, deadline: float) -> Iterator[bytes]:
         """Yield body bytes as they arrive, until the end of the response.
 
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -66,6 +66,8 @@
     state: BackendState | None = None
     server_stream: HttpResponseStream | None = None
     last_event_id: str | None = None
+    received_event: bool = False
+    """Whether the end of an event has been received."""
 
 
 class StreamForwarder:
@@ -265,8 +267,13 @@
             self._close_stream(client_stream)
 
     def _relay_attempt(self, client_stream: _ClientStream) -> Iterator[bytes]:
-        """Relay one attempt; the generator returns the error that interrupted it, or None."""
+        """Relay one attempt; the generator returns the error that interrupted it, or None.
+
+        A stream whose length was not told ends as whole only between events, as its server may have
+        crashed.
+        """
         buffer = b""
+        tail = b""
         while True:
             idle_deadline = steady_seconds() + STREAM_IDLE_TIMEOUT_SECONDS
             read_deadline = (
@@ -279,17 +286,27 @@
             except RunkeelError as error:
                 return error
             if chunk is None:
+                if client_stream.server_stream.delimited_by_close:
+                    unfinished = buffer if client_stream.route.resumable else tail
+                    error = _error_of_end(unfinished, client_stream.received_event)
+                    if error is not None:
+                        return error
                 if buffer:
                     yield buffer
                 return None
             if not client_stream.route.resumable:
                 yield chunk
+                tail = (tail + chunk)[-len(_EVENT_SEPARATOR) :]
+                if tail == _EVENT_SEPARATOR:
+                    tail = b""
+                    client_stream.received_event = True
                 continue
             *events, buffer = (buffer + chunk).split(_EVENT_SEPARATOR)
             for event in events:
                 error = self._check_event(client_stream, event)
                 if error is not None:
                     return error
+                client_stream.received_event = True
                 yield event + _EVENT_SEPARATOR
 
     def _check_event(self, client_stream: _ClientStream, block: bytes) -> RunkeelError | None:
@@ -333,6 +350,15 @@
             client_stream.state.in_flight -= 1
 
 
+def _error_of_end(unfinished_event: bytes, received_event: bool) -> RunkeelError | None:
+    """Return why a stream that ended with its connection is not whole; None if it is."""
+    if unfinished_event.strip():
+        return RunkeelError(ErrorCode.TRUNCATED_ANSWER, "the connection ended inside an event")
+    if not received_event:
+        return RunkeelError(ErrorCode.TRUNCATED_ANSWER, "the connection ended before any event")
+    return None
+
+
 def _cancel_on_disconnect(disconnected: Event, opener: gevent.Greenlet) -> None:
     disconnected.wait()
     gevent.kill(opener, RunkeelError(ErrorCode.CANCELLED, "the client disconnected"))
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -206,11 +206,22 @@
                 version = self._append_event(block, version)
                 if version < 0:
                     return RunOutcome.OLD_VERSION
+        self._check_end(stream, buffer)
         self._partial.complete = True
         self._engine.last_response_at = steady_seconds()
         self._watched.record_success()
         return RunOutcome.COMPLETE
 
+    def _check_end(self, stream: HttpResponseStream, unfinished_event: bytes) -> None:
+        """Raise TRUNCATED_ANSWER if the end of a stream is not the end of the generation."""
+        if unfinished_event.strip():
+            raise may_have_run(
+                ErrorCode.TRUNCATED_ANSWER,
+                f"the stream ended inside an event, after {len(unfinished_event)} bytes of it",
+            )
+        if stream.delimited_by_close and not self._partial.pieces:
+            raise may_have_run(ErrorCode.TRUNCATED_ANSWER, "the connection ended before any event")
+
     def _next_chunk(self, stream: HttpResponseStream, deadline: float) -> bytes | None:
         """Return the next bytes; None at the end. Raises RunkeelError when the engine stalls."""
         while True:
--- a/tests/gateway/scripted_servers.py
+++ b/tests/gateway/scripted_servers.py
@@ -37,6 +37,10 @@
         return GenerationEvent(block.decode(), "", 0, True)
 
 
+class CloseDelimited(list):
+    """Chunks of a body without an explicit length, which ends with its connection."""
+
+
 class ScriptedPool:
     """Responds as scripted: a status, an error, or a function of the deadline."""
 
@@ -83,6 +87,7 @@
     def __init__(self, status, remaining_chunks):
         self.status = status
         self.remaining_chunks = list(remaining_chunks)
+        self.delimited_by_close = isinstance(remaining_chunks, CloseDelimited)
         self.closed = False
 
     def read_chunk(self, deadline):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -13,6 +13,7 @@
 from runkeel.usage.meter import UsageMeter
 from tests.gateway.scripted_servers import (
     SERVICE,
+    CloseDelimited,
     ScriptedPool,
     StatusProtocol,
     directory_of,
@@ -66,6 +67,31 @@
         self.assertEqual(b"".join(stream.body), b"1\n\n2\n\n3\n\n4\n\n")
         self.assertEqual(self.protocol.resumed_after, [None, "2"])
 
+    def test_stream_without_a_length_that_ends_inside_an_event_is_resumed(self):
+        """Guards against half an event, and a stream that ends as whole, after a server crashed."""
+        crashed = ScriptedPool(200, CloseDelimited([b"1\n\n2\n\n3"]))
+        pools = {"a": crashed, "b": ScriptedPool(200, CloseDelimited([b"3\n\n4\n", b"\n"]))}
+        stream = self.open(make_route(), last=["b"], **pools)
+        self.assertEqual(b"".join(stream.body), b"1\n\n2\n\n3\n\n4\n\n")
+        self.assertEqual(self.protocol.resumed_after, [None, "2"])
+
+    def test_stream_without_a_length_that_ends_inside_an_event_never_ends_as_whole(self):
+        for resumable in (True, False):
+            for chunks in ([b"1\n\n2"], [b"1\n\n", b"2\n"], [b"1"], []):
+                with self.subTest(chunks, resumable=resumable):
+                    pool = ScriptedPool(200, CloseDelimited(chunks))
+                    stream = self.open(make_route(resumable, attempts=1), a=pool)
+                    with self.assertRaises(ResponseAbortedError):
+                        list(stream.body)
+
+    def test_stream_without_a_length_that_ends_between_events_is_whole(self):
+        for resumable in (True, False):
+            for chunks in ([b"1\n\n2\n\n"], [b"1\n", b"\n", b"2\n", b"\n"]):
+                with self.subTest(chunks, resumable=resumable):
+                    pool = ScriptedPool(200, CloseDelimited(chunks))
+                    stream = self.open(make_route(resumable, attempts=1), a=pool)
+                    self.assertEqual(b"".join(stream.body), b"1\n\n2\n\n")
+
     def test_stream_that_cannot_resume_is_aborted_after_the_last_complete_event(self):
         pool = ScriptedPool(200, [b"1\n\n2\n\n3", lost()])
         stream = self.open(make_route(attempts=1), a=pool)
