Never withhold items of jobs and scorers' calls after servers crashed

Callers saw: an item under which several servers had crashed was not placed again for 15 minutes and then never, though all was calm and the servers had room.

Cause: items and scorers' calls were quarantined like clients' requests: after three crashes they had three trials, due at once, after 10 s and after 900 s. An accepted item has nobody who sends it again.

Why it works: their crashes are recorded for the server alone, so the news still reach all nodes and no record is held against an item. Clients' requests are held as before.

--- a/src/runkeel/fleet_node.py
+++ b/src/runkeel/fleet_node.py
@@ -281,7 +281,10 @@
         self._election.on_term_change(self._on_coordinator_changed)
         self._term: CoordinatorTerm | None = None
         self.deferrable_calls = DeferrableCalls(self.directory)
-        scorer = Scorer(self.forwarder, self.routing, protocol, self.deferrable_calls)
+        scorer_forwarder = Forwarder(
+            self.directory, protocol, settings.zone, self.meter, self.quarantine, exempt=True
+        )
+        scorer = Scorer(scorer_forwarder, self.routing, protocol, self.deferrable_calls)
         self._loop_lag_monitor = LoopLagMonitor()
         self._runner = RunnerService(
             self._network,
--- a/src/runkeel/gateway/forwarder.py
+++ b/src/runkeel/gateway/forwarder.py
@@ -87,6 +87,7 @@
         meter: counts the requests that servers ran or may have run.
         quarantine: quarantines requests that crash servers. A quarantined request is sent only on
             a trial: a single send that the coordinator grants.
+        exempt: whether the requests are never quarantined, as those of accepted jobs.
     """
 
     def __init__(
@@ -96,7 +97,9 @@
         zone: str,
         meter: UsageMeter,
         quarantine: Quarantine,
+        exempt: bool = False,
     ) -> None:
+        self._exempt = exempt
         self._quarantine = quarantine
         self._meter = meter
         self._directory = directory
@@ -121,11 +124,7 @@
         Raises:
             RunkeelError: with verdict NOT_RUN only if no server ran the request.
         """
-        watched = self._quarantine.watch(
-            lambda: self._quarantine.fingerprinter.of_forwarded_request(request),
-            service,
-            request.request_id,
-        )
+        watched = self._watch(request, service)
         forwarded = _InFlightRequest(request, watched, route, service, deadline, steady_seconds())
         disconnect_watcher = (
             gevent.spawn(_report_disconnect, disconnected, forwarded.results)
@@ -146,6 +145,15 @@
                 disconnect_watcher.kill(block=False)
             gevent.killall(forwarded.tasks, block=False)
 
+    def _watch(self, request: ForwardedRequest, service: str) -> WatchedRequest:
+        if self._exempt:
+            return self._quarantine.watch_exempt(service, request.request_id)
+        return self._quarantine.watch(
+            lambda: self._quarantine.fingerprinter.of_forwarded_request(request),
+            service,
+            request.request_id,
+        )
+
     def _run_attempts(self, forwarded: _InFlightRequest) -> HttpResponse:
         self._start_attempt(forwarded)
         while forwarded.running:
--- a/src/runkeel/jobs/item_runner.py
+++ b/src/runkeel/jobs/item_runner.py
@@ -18,7 +18,7 @@
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.scorer import Scorer, ScoringFailedError, ScoringUnfinishedError
 from runkeel.metrics import ITEM_RUNS
-from runkeel.quarantine.quarantine import Quarantine, WatchedRequest
+from runkeel.quarantine.quarantine import Quarantine
 from runkeel.runners.pool import Runner, RunnerPool
 from runkeel.runners.remote_run import RemoteRun
 from runkeel.wire.generated.common.ttypes import HttpHeader
@@ -27,9 +27,6 @@
 MIN_RUN_SECONDS = 0.1
 """Lower bound of a run's time limit, as its deadline may pass while it waits for an engine."""
 
-QUARANTINE_RETRY_SECONDS = (0.25, 5.0)
-"""Bounds of the delay before the quarantine is asked again about a withheld item."""
-
 LOWEST_PRIORITY = 9
 """Largest priority value that engines accept; larger values are less urgent."""
 
@@ -39,7 +36,7 @@
 
     Args:
         is_loading: returns whether an engine is loading a version of a model.
-        quarantine: withholds items that crash engines.
+        quarantine: told of the engines that crash.
         runners: other nodes that run items; None: this node runs all items.
     """
 
@@ -68,35 +65,6 @@
         """Return whether an earlier run of an item may still be in flight at another node."""
         return self._runners is not None and self._runners.may_still_run(item_id)
 
-    def quarantine_delay_seconds(self, task: ItemTask, service: str) -> float:
-        """Return the delay in seconds until a quarantined item may be retried; 0: it may run now.
-
-        Requests a trial for a withheld item; if granted, the item may run once.
-        """
-        if not len(self._quarantine.ledger):
-            return 0.0
-        watched = self._watched(task, service)
-        if watched.on_trial or not watched.quarantined:
-            return 0.0
-        answer = watched.ask_trial()
-        if answer.granted:
-            return 0.0
-        shortest, longest = QUARANTINE_RETRY_SECONDS
-        return max(shortest, min(longest, answer.retry_after_seconds))
-
-    def _watched(self, task: ItemTask, service: str) -> WatchedRequest:
-        if task.watched is None:
-            job, item = task.state.job, task.item
-            fingerprinter = self._quarantine.fingerprinter
-            task.watched = self._quarantine.watch(
-                lambda: fingerprinter.of_item(
-                    job.tenant, job.host, item.path, base64.b64decode(item.body)
-                ),
-                service,
-                item.item_id,
-            )
-        return task.watched
-
     @property
     def has_capacity(self) -> bool:
         """Whether there is capacity to read one more run in time."""
@@ -193,7 +161,7 @@
             self._protocol,
             task.engine,
             request,
-            self._watched(task, task.engine.backend.service),
+            self._quarantine.watch_exempt(task.engine.backend.service, task.item.item_id),
             task.partial,
             job.min_version,
             route.single_version,
@@ -217,20 +185,11 @@
             single_version=route.single_version,
             scorer=None if scorer is None else _scorer_message(scorer),
             tenant=job.tenant,
-            on_trial=self._take_trial(task),
+            # For runners of an older build, which refuse items that they hold to crash engines.
+            on_trial=True,
         )
         return self._runners.create_run(runner, start, task.partial, self._loading(task))
 
-    def _take_trial(self, task: ItemTask) -> bool:
-        """Use up a trial granted for an item; returns whether there was one.
-
-        The node that runs the item records the outcome of the trial.
-        """
-        on_trial = task.watched is not None and task.watched.on_trial
-        if on_trial:
-            task.watched.record_delivery()
-        return on_trial
-
     def _urgency(self, task: ItemTask, route: Route) -> int:
         return min(LOWEST_PRIORITY, self._routing.rank(route, task.state.job.tenant))
 
--- a/src/runkeel/jobs/item_task.py
+++ b/src/runkeel/jobs/item_task.py
@@ -10,7 +10,6 @@
 from runkeel.gateway.backends import BackendState
 from runkeel.jobs.generation_run import GenerationRun, PartialOutput
 from runkeel.jobs.job_state import JobState
-from runkeel.quarantine.quarantine import WatchedRequest
 from runkeel.runners.remote_run import RemoteRun
 
 
@@ -44,8 +43,8 @@
     """A longer partial output received during its run; the next run resumes from it."""
     started: bool = False
     """Whether its greenlet has started; a greenlet killed before that never runs its cleanup."""
-    watched: WatchedRequest | None = None
-    """Tracks engine crashes under this item; None until the quarantine is first consulted."""
+    lost_runs: int = 0
+    """Number of consecutive runs that broke before their first event."""
     reserved_engine: BackendState | None = None
     """Engine with a slot reserved for this item while it moves there from another engine."""
 
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -27,6 +27,7 @@
 from runkeel.jobs.item_task import ItemTask
 from runkeel.jobs.job_state import JobState
 from runkeel.jobs.length_estimates import LengthEstimates
+from runkeel.jobs.loss_backoff import delay_after_losses
 from runkeel.jobs.retained_outputs import RetainedOutputs
 from runkeel.jobs.run_mover import RunMover
 from runkeel.jobs.running_items import RunningItems
@@ -71,7 +72,7 @@
     Args:
         placement: chooses an engine for each item.
         is_loading: returns whether an engine is loading a version of a model.
-        quarantine: withholds items that crash engines.
+        quarantine: told of the engines that crash.
         runners: other nodes that run items; None: this node runs all items.
         configuration_confirmed_at: returns the steady time at which the routing configuration was
             last known to equal the stored one.
@@ -300,11 +301,7 @@
             self._start(task, route, None)
         else:
             reserved = self._release_reserved_slot(task)
-            if (
-                route is None
-                or reserved is None
-                or self._is_quarantined(task, reserved.backend.service)
-            ):
+            if route is None or reserved is None:
                 self._queue.put(task)
             elif self._placement.usable(task.state.job, reserved):
                 self._start(task, route, reserved)
@@ -340,9 +337,6 @@
             if engine is None:
                 self._record_waiting(lane, task.state.job.model, now)
                 return starts
-            if self._is_quarantined(task, service):
-                self._queue.put(task)
-                continue
             self._start(task, route, engine)
             starts += 1
             if starts % STARTS_PER_YIELD == 0:
@@ -360,13 +354,6 @@
                 return engine
         return self._placement.choose(job, item, service, length)
 
-    def _is_quarantined(self, task: ItemTask, service: str) -> bool:
-        """Return whether the quarantine withholds an item; if so, sets when it may be retried."""
-        wait = self._runner.quarantine_delay_seconds(task, service)
-        if wait:
-            task.not_before = steady_seconds() + wait
-        return bool(wait)
-
     def _record_waiting(self, lane: Lane, model: str, now: float) -> None:
         lane.waiting_since = lane.waiting_since or now
         if now - lane.waiting_since > BACKLOG_WAIT_SECONDS:
@@ -512,8 +499,11 @@
                 self._discard_output(task, "engine has another weight version than known")
         if not task.partial.satisfies_versions(job.min_version, route.single_version):
             task.partial.clear()
+        lost = outcome is RunOutcome.BROKEN and not progressed
+        task.lost_runs = task.lost_runs + 1 if lost else 0
         if outcome is not RunOutcome.MOVED:
-            task.not_before = steady_seconds() + REQUEUE_DELAY_SECONDS
+            delay = max(REQUEUE_DELAY_SECONDS, delay_after_losses(task.lost_runs))
+            task.not_before = steady_seconds() + delay
             self._release_reserved_slot(task)
         task.engine = None
         if not task.state.ended:
--- a/src/runkeel/jobs/scorer.py
+++ b/src/runkeel/jobs/scorer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import base64
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import gevent
 from loguru import logger
@@ -16,6 +16,7 @@
 from runkeel.gateway.deferrable_calls import DeferrableCalls
 from runkeel.gateway.forwarder import Forwarder
 from runkeel.gateway.routing import RoutingTable, choose_service
+from runkeel.jobs.loss_backoff import delay_after_losses
 
 MIN_CALL_SECONDS = 1.0
 """Lower bound of the timeout of one call; a call that times out is retried."""
@@ -32,8 +33,7 @@
 LOGGED_WAIT_SECONDS = 0.1
 """Waits for a slot of at least this long are logged."""
 
-MAX_QUARANTINE_RETRY_SECONDS = 5.0
-"""Upper bound of the retry delay of a call that the quarantine withholds."""
+_LOSS_CODES = (ErrorCode.BACKEND_LOST, ErrorCode.TRUNCATED_ANSWER)
 
 
 class ScoringFailedError(Exception):
@@ -44,6 +44,21 @@
     """No scorer succeeded before the deadline; scoring may be retried later."""
 
 
+@dataclass(frozen=True, slots=True)
+class _CallOutcome:
+    """Outcome of one call.
+
+    Attributes:
+        stamp: stamp of a successful answer; empty if there was none.
+        failed: whether the answer counts as a failed attempt.
+        lost: whether the connection was lost before the whole answer.
+    """
+
+    stamp: str = ""
+    failed: bool = False
+    lost: bool = False
+
+
 class Scorer:
     """Calls scorers until one succeeds.
 
@@ -74,23 +89,23 @@
             ScoringUnfinishedError: the deadline passed first.
         """
         failures = 0
-        pause = RETRY_SECONDS
+        losses = 0
         while steady_seconds() < deadline:
             route = self._routing.match(call.host.lower(), call.path.partition("?")[0])
             if route is not None:
-                stamp, failed, pause = self._call_with_slot(call, route, deadline)
-                if stamp:
-                    return stamp
-                failures += failed
+                outcome = self._call_with_slot(call, route, deadline)
+                if outcome.stamp:
+                    return outcome.stamp
+                failures += outcome.failed
                 if failures >= route.max_attempts:
                     raise ScoringFailedError(f"{failures} failed attempts")
+                losses = losses + 1 if outcome.lost else 0
+            pause = max(RETRY_SECONDS, delay_after_losses(losses))
             gevent.sleep(max(0.0, min(pause, deadline - steady_seconds())))
         raise ScoringUnfinishedError(f"deadline exceeded after {failures} failed attempts")
 
-    def _call_with_slot(
-        self, call: ScorerCall, route: Route, deadline: float
-    ) -> tuple[str, int, float]:
-        """Call once a slot is free; returns the same as :meth:`_call_once`."""
+    def _call_with_slot(self, call: ScorerCall, route: Route, deadline: float) -> _CallOutcome:
+        """Call once a slot is free."""
         service = choose_service(route, call.request_id)
         asked_at = steady_seconds()
         with self._calls.slot(service, deadline) as granted:
@@ -107,13 +122,12 @@
                     waiting=self._calls.waiting(service),
                 )
             if not granted:
-                return "", 0, RETRY_SECONDS
+                return _CallOutcome()
             return self._call_once(call, route, service, deadline)
 
     def _call_once(
         self, call: ScorerCall, route: Route, service: str, deadline: float
-    ) -> tuple[str, int, float]:
-        """Return the stamp (empty: none), the failed attempts and the retry delay in seconds."""
+    ) -> _CallOutcome:
         request = self._protocol.encode_score_request(
             call.request_id, call.host, call.path, base64.b64decode(call.body)
         )
@@ -132,16 +146,10 @@
             )
             if error.code is ErrorCode.QUEUE_FULL:
                 self._calls.limit_of(service).record_refusal()
-            withheld = error.code is ErrorCode.REQUEST_QUARANTINED
-            requested_delay = (
-                min(MAX_QUARANTINE_RETRY_SECONDS, error.retry_after_seconds or 0.0)
-                if withheld
-                else 0.0
-            )
-            return "", 0, max(RETRY_SECONDS, requested_delay)
+            return _CallOutcome(lost=error.code in _LOSS_CODES)
         answer_class = self._protocol.classify(call.request_id, answer.status, answer.headers)
         if answer_class is ResponseClass.SUCCESS:
-            return self._protocol.response_signature(answer.headers), 0, RETRY_SECONDS
+            return _CallOutcome(self._protocol.response_signature(answer.headers))
         counts = self._protocol.is_failed_attempt(answer.status)
         logger.info(
             "scorer returned a failure",
@@ -150,4 +158,4 @@
             status=answer.status,
             counts=counts,
         )
-        return "", int(counts), RETRY_SECONDS
+        return _CallOutcome(failed=counts)
--- a/src/runkeel/quarantine/fingerprint.py
+++ b/src/runkeel/quarantine/fingerprint.py
@@ -1,10 +1,10 @@
-"""Request fingerprints, which identify a repeated request independent of its id and node."""
+"""Fingerprints, which identify a repeated request independent of its id and node, or a server."""
 
 from __future__ import annotations
 
 import hashlib
 
-from runkeel.api.backend_protocol import ForwardedRequest, GenerationRequest
+from runkeel.api.backend_protocol import ForwardedRequest
 
 DIGEST_BYTES = 16
 """The probability of any collision among 1e9 requests is about 1e-21."""
@@ -27,18 +27,17 @@
         self._key = hashlib.blake2b(secret).digest()
 
     def of_forwarded_request(self, request: ForwardedRequest) -> str:
-        """Return the fingerprint of a client request or scorer call."""
+        """Return the fingerprint of a client request."""
         return self._digest(
             request.tenant, request.method, request.host, request.target, request.body
         )
 
-    def of_generation(self, request: GenerationRequest) -> str:
-        """Return the fingerprint of a run of a batch item."""
-        return self.of_item(request.tenant, request.host, request.path, request.body)
+    def of_server(self, incarnation: str) -> str:
+        """Return the fingerprint under which a crash is recorded that no request can have caused.
 
-    def of_item(self, tenant: str, host: str, path: str, body: bytes) -> str:
-        """Return the fingerprint of a batch item, equal to that of the request that runs it."""
-        return self._digest(tenant, "POST", host, path, body)
+        It differs from that of every request, as no request has an empty method.
+        """
+        return self._digest("", "", "", incarnation, b"")
 
     def _digest(self, tenant: str, method: str, host: str, target: str, body: bytes) -> str:
         digest = hashlib.blake2b(digest_size=DIGEST_BYTES, key=self._key)
--- a/src/runkeel/quarantine/quarantine.py
+++ b/src/runkeel/quarantine/quarantine.py
@@ -1,7 +1,9 @@
 """Decides whether a request may be sent to servers and records the outcome of each attempt.
 
-Every path to the servers (attempts, retries, hedges, streams and their continuation, batch items,
-scorer calls) tracks its request with a :class:`WatchedRequest`.
+Every path of a client's request to the servers (attempts, retries, hedges, streams and their
+continuation) tracks it with a :class:`WatchedRequest`. Items of batch jobs and their scorer calls
+are accepted work that has to be done and don't crash servers by themselves; they are tracked with
+an :class:`ExemptRequest`, only to tell the other nodes which servers have crashed.
 """
 
 from __future__ import annotations
@@ -72,7 +74,7 @@
         self.ledger.on_change(self._on_record_changed)
 
     def watch(self, identify: Callable[[], str], service: str, request_id: str) -> WatchedRequest:
-        """Start tracking a client's request or a batch item, over all its attempts or runs.
+        """Start tracking a client's request over all its attempts.
 
         A request that the client sends again is tracked anew.
 
@@ -82,6 +84,10 @@
         """
         return WatchedRequest(self, identify, service, request_id)
 
+    def watch_exempt(self, service: str, request_id: str) -> ExemptRequest:
+        """Start tracking a run of an item or a scorer call, which is never withheld."""
+        return ExemptRequest(self, lambda: "", service, request_id)
+
     def ask(self, record: CrashRecord, wait_seconds: float) -> TrialAnswer:
         """Ask for a trial, repeatedly while another request of the service is on trial.
 
@@ -149,7 +155,7 @@
 
 
 class WatchedRequest:
-    """A client's request or a batch item, tracked over all its attempts or runs.
+    """A client's request, tracked over all its attempts.
 
     See :meth:`Quarantine.watch`.
 
@@ -232,9 +238,8 @@
         no_response = error.code in _NO_RESPONSE_CODES
         if error.code not in _CONNECTION_LOSS_CODES and not no_response:
             return
-        lost = LostConnection(
-            self._request_id, self.fingerprint, self._service, state, steady_seconds()
-        )
+        fingerprint = self._crash_fingerprint(state)
+        lost = LostConnection(self._request_id, fingerprint, self._service, state, steady_seconds())
         self._quarantine.crash_detector.classify(lost, probe=not no_response)
 
     def record_success(self) -> None:
@@ -252,6 +257,22 @@
             self.on_trial = False
             self._quarantine.ledger.record_returned_trial(self.fingerprint)
 
+    def _crash_fingerprint(self, state: BackendState) -> str:
+        """Return the fingerprint under which a crash of a server is recorded."""
+        return self.fingerprint
+
     def _record(self) -> CrashRecord | None:
         ledger = self._quarantine.ledger
         return ledger.get(self.fingerprint) if len(ledger) else None
+
+
+class ExemptRequest(WatchedRequest):
+    """A run of an item or a scorer call; crashes are attributed to the servers alone."""
+
+    __slots__ = ()
+
+    def _crash_fingerprint(self, state: BackendState) -> str:
+        return self._quarantine.fingerprinter.of_server(state.incarnation)
+
+    def _record(self) -> CrashRecord | None:
+        return None
--- a/src/runkeel/runners/hosted_run.py
+++ b/src/runkeel/runners/hosted_run.py
@@ -44,17 +44,11 @@
         self._deadline = steady_seconds() + message.remaining_ms / 1000.0
         self._output = PartialOutput([], message.resume_after or None, list(message.versions))
         request = _generation_request(message)
-        self._quarantine_watch = quarantine.watch(
-            lambda: quarantine.fingerprinter.of_generation(request),
-            state.backend.service,
-            request.request_id,
-        )
-        self._quarantine_watch.on_trial = bool(message.on_trial)
         self._run = GenerationRun(
             protocol,
             state,
             request,
-            self._quarantine_watch,
+            quarantine.watch_exempt(state.backend.service, request.request_id),
             self._output,
             message.minimum_version,
             message.single_version,
@@ -67,11 +61,6 @@
         self._score = ""
         self._task: gevent.Greenlet | None = None
 
-    @property
-    def blocked_by_quarantine(self) -> bool:
-        """Whether the item is quarantined and this run is not a trial."""
-        return self._quarantine_watch.quarantined and not self._quarantine_watch.on_trial
-
     @property
     def output_from_start(self) -> PartialOutput | None:
         """The output from its first piece on; None if empty, or if this run resumed another."""
--- a/src/runkeel/runners/service.py
+++ b/src/runkeel/runners/service.py
@@ -155,14 +155,9 @@
             return "unknown backend"
         if not state.backend.accepts_work:
             return "backend accepts no new work"
-        run = HostedRun(
+        return HostedRun(
             message, state, self._protocol, self._scorer, self._quarantine, loading, on_ended
         )
-        return (
-            "item is quarantined: backends crashed while running it"
-            if run.blocked_by_quarantine
-            else run
-        )
 
 
 class CoordinatorAssignment:
--- a/wire/jobs.thrift
+++ b/wire/jobs.thrift
@@ -215,7 +215,7 @@
   16: i64 remaining_ms,
   17: optional ItemScorer scorer,
   18: string tenant,        // whose job the item is of; empty: nobody's
-  19: bool on_trial,        // engines ended under the item; this one run of it was granted
+  19: bool on_trial,        // always set; older runners refuse items under which engines ended
 }
 
 struct ItemRunStartReply {
