Bound every part of a server's answer in bytes and by the clock

Callers saw: a server that sends one header line without end stops a node for good; no other request is served there.

Cause: a read from a socket that always has data doesn't wait, so neither the deadline (the socket's time-out) nor another task got a turn; heads, chunk extensions, trailers, events, bodies of failures and texts of items had no bound in bytes.

Why it works: bytes without a byte of the body are counted over reads and bounded; the clock is checked at each read, with one read allowed after the deadline for data that came while the process did not run; after eight reads of a response other tasks get a turn.

--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -32,6 +32,15 @@
 It applies to :meth:`HttpConnectionPool.request`; the body of a stream is not limited.
 """
 
+MAX_BYTES_WITHOUT_BODY = 128 * 1024
+"""Maximum number of bytes received in a row that contain no byte of a response body.
+
+Bounds response headers, interim responses, chunk extensions and trailers.
+"""
+
+READS_PER_YIELD = 8
+"""Number of reads after which other tasks get a turn, as a read from a full socket doesn't wait."""
+
 MAX_IDLE_CONNECTIONS = 32
 """Maximum number of idle connections kept per backend."""
 
@@ -104,6 +113,12 @@
         self.delimited_by_close = True
         return True
 
+    reads = 0
+    """Number of reads from the socket so far."""
+    bytes_without_body = 0
+    """Number of bytes received since the last byte of the body."""
+    late_read_deadline = 0.0
+    """Deadline after which a read was made, as the data may have arrived before it; 0: none."""
     delimited_by_close = False
     """Whether the body had no explicit length and ended with the connection."""
     allow_close_delimited = False
@@ -196,6 +211,20 @@
                 raise may_have_run(ErrorCode.CANCELLED, "the stream was closed")
             _receive_into(self._sock, self._parser, deadline)
 
+    def read_body(self, deadline: float, max_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
+        """Return the rest of the body.
+
+        Raises like :meth:`chunks`, and BACKEND_LOST (MAY_HAVE_RUN) if it exceeds ``max_bytes``.
+        """
+        body = bytearray()
+        for chunk in self.chunks(deadline):
+            body += chunk
+            if len(body) > max_bytes:
+                raise may_have_run(
+                    ErrorCode.BACKEND_LOST, f"response body exceeds {max_bytes} bytes"
+                )
+        return bytes(body)
+
     def close(self) -> None:
         """Return the connection to the pool if the response was read to its end, else reset it."""
         sock, self._sock = self._sock, None
@@ -475,6 +504,8 @@
 
 
 def _receive_into(sock: gevent.socket.socket, parser: _ResponseParser, deadline: float) -> None:
+    """Read once and parse what was received."""
+    _check_deadline(parser, deadline)
     sock.settimeout(max(0.001, deadline - steady_seconds()))
     try:
         data = sock.recv(RECEIVE_BYTES)
@@ -488,10 +519,39 @@
         if parser.handle_eof():
             return
         raise _incomplete_error(parser, "connection closed by the backend")
+    _parse(parser, data)
+    parser.reads += 1
+    if parser.reads % READS_PER_YIELD == 0:
+        gevent.sleep(0)
+
+
+def _check_deadline(parser: _ResponseParser, deadline: float) -> None:
+    """Allow one read after a deadline, for data that arrived while this process did not run."""
+    if steady_seconds() < deadline:
+        return
+    if parser.late_read_deadline == deadline:
+        raise may_have_run(
+            ErrorCode.DEADLINE_EXCEEDED, "the response is still incomplete after the deadline"
+        )
+    parser.late_read_deadline = deadline
+
+
+def _parse(parser: _ResponseParser, data: bytes) -> None:
+    body_bytes = parser.buffered_bytes
     try:
         parser.feed(data)
     except HTTPParseError as error:
         raise may_have_run(ErrorCode.BACKEND_LOST, f"malformed response: {error}") from error
+    if parser.buffered_bytes > body_bytes:
+        parser.bytes_without_body = 0
+        return
+    parser.bytes_without_body += len(data)
+    if parser.bytes_without_body > MAX_BYTES_WITHOUT_BODY and not parser.finished:
+        raise may_have_run(
+            ErrorCode.BACKEND_LOST,
+            f"{parser.bytes_without_body} bytes without a response body, "
+            f"the limit is {MAX_BYTES_WITHOUT_BODY}",
+        )
 
 
 def _incomplete_error(parser: _ResponseParser, detail: str) -> RunkeelError:
--- a/src/runkeel/gateway/event_order.py
+++ b/src/runkeel/gateway/event_order.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Maximum size of an event; a server that sends more without an end of the event is in trouble."""
+
 
 def is_next_event(last_event_id: str | None, event_id: str) -> bool:
     """Return whether an event is the next one in sequence; True if the ids aren't numeric.
--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -15,7 +15,7 @@
 from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, not_run
 from runkeel.gateway.backends import BackendDirectory, BackendState, choose_backend
-from runkeel.gateway.event_order import is_next_event
+from runkeel.gateway.event_order import MAX_EVENT_BYTES, is_next_event
 from runkeel.gateway.retry_after import estimate_retry_after
 from runkeel.http.frontend import ResponseAbortedError
 from runkeel.metrics import ATTEMPTS
@@ -236,7 +236,7 @@
                 the response is FOREIGN.
         """
         try:
-            body = b"".join(stream.chunks(client_stream.deadline))
+            body = stream.read_body(client_stream.deadline)
         finally:
             stream.close()
             state.in_flight -= 1
@@ -308,6 +308,9 @@
                     return error
                 client_stream.received_event = True
                 yield event + _EVENT_SEPARATOR
+            if len(buffer) > MAX_EVENT_BYTES:
+                detail = f"event of more than {MAX_EVENT_BYTES} bytes"
+                return RunkeelError(ErrorCode.BACKEND_LOST, detail)
 
     def _check_event(self, client_stream: _ClientStream, block: bytes) -> RunkeelError | None:
         """Record the id of an event; returns an error if it isn't the next one in sequence."""
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -12,7 +12,8 @@
 from runkeel.clock import steady_seconds
 from runkeel.errors import ErrorCode, RunkeelError, Verdict, may_have_run
 from runkeel.gateway.backends import BackendState
-from runkeel.gateway.event_order import is_next_event
+from runkeel.gateway.event_order import MAX_EVENT_BYTES, is_next_event
+from runkeel.jobs.job_documents import MAX_UNDIVIDED_ITEM_BYTES, content_bytes
 from runkeel.quarantine.quarantine import WatchedRequest
 
 RESPONSE_TIMEOUT_SECONDS = 2.0
@@ -24,6 +25,12 @@
 LOADING_STALL_TIMEOUT_SECONDS = 4.0
 """Longest gap between two events while the engine is loading a version."""
 
+MAX_OUTPUT_BYTES = MAX_UNDIVIDED_ITEM_BYTES
+"""Largest text of a generation, as JSON in bytes; a larger one could not be stored as a result."""
+
+MAX_FAILURE_BODY_BYTES = 1024 * 1024
+"""Maximum number of bytes read of the body of a failure response."""
+
 _UNPROCESSABLE = 422
 _revisions = itertools.count(1)
 
@@ -127,6 +134,8 @@
         self._min_version = min_version
         self._single_version = single_version
         self.loading = loading
+        self._output_bytes = 0
+        """Size of the output as JSON; 0 before the run's first event."""
         self.events = 0
         self.first_event_at = 0.0
         self.last_progress_at = 0.0
@@ -185,8 +194,7 @@
     ) -> RunOutcome:
         self.detail = f"status {stream.status}"
         try:
-            for _ in stream.chunks(steady_seconds() + STALL_TIMEOUT_SECONDS):
-                pass
+            stream.read_body(steady_seconds() + STALL_TIMEOUT_SECONDS, MAX_FAILURE_BODY_BYTES)
         except RunkeelError as error:
             self.detail += f", {error.detail}"
         if response_class in (ResponseClass.REFUSED, ResponseClass.MISDIRECTED):
@@ -206,6 +214,10 @@
                 version = self._append_event(block, version)
                 if version < 0:
                     return RunOutcome.OLD_VERSION
+            if len(buffer) > MAX_EVENT_BYTES:
+                raise may_have_run(
+                    ErrorCode.BACKEND_LOST, f"event of more than {MAX_EVENT_BYTES} bytes"
+                )
         self._check_end(stream, buffer)
         self._partial.complete = True
         self._engine.last_response_at = steady_seconds()
@@ -254,6 +266,7 @@
             if versions and self._single_version:
                 return -1
             versions.append(version)
+        self._check_output_size(event.data)
         self._partial.pieces.append(event.data)
         if event.event_id:
             self._partial.last_event_id = event.event_id
@@ -263,6 +276,17 @@
         self.last_progress_at = now
         return version
 
+    def _check_output_size(self, piece: str) -> None:
+        """Count a piece; discards the output and raises BACKEND_LOST if it is too large."""
+        if not self._output_bytes:
+            self._output_bytes = sum(content_bytes(known) for known in self._partial.pieces)
+        self._output_bytes += content_bytes(piece)
+        if self._output_bytes > MAX_OUTPUT_BYTES:
+            self._partial.clear()
+            raise may_have_run(
+                ErrorCode.BACKEND_LOST, f"output of more than {MAX_OUTPUT_BYTES} bytes"
+            )
+
 
 def _outcome_without_response(error: RunkeelError) -> RunOutcome:
     if error.verdict is not Verdict.NOT_RUN:
--- a/tests/gateway/scripted_servers.py
+++ b/tests/gateway/scripted_servers.py
@@ -102,6 +102,9 @@
         while (chunk := self.read_chunk(deadline)) is not None:
             yield chunk
 
+    def read_body(self, deadline, max_bytes=0):
+        return b"".join(self.chunks(deadline))
+
     def close(self):
         self.closed = True
 
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -8,6 +8,7 @@
 from runkeel.api.fleet import Route, RouteKind, ServiceShare
 from runkeel.clock import steady_seconds
 from runkeel.errors import RunkeelError, Verdict
+from runkeel.gateway.event_order import MAX_EVENT_BYTES
 from runkeel.gateway.streams import StreamForwarder
 from runkeel.http.frontend import ResponseAbortedError
 from runkeel.usage.meter import UsageMeter
@@ -92,6 +93,13 @@
                     stream = self.open(make_route(resumable, attempts=1), a=pool)
                     self.assertEqual(b"".join(stream.body), b"1\n\n2\n\n")
 
+    def test_event_without_an_end_is_given_up_at_a_bound_in_bytes(self):
+        """Guards against a node whose memory one server fills."""
+        flood = [b"1\n\n"] + [b"x" * 65_536] * (2 * MAX_EVENT_BYTES // 65_536)
+        pools = {"a": ScriptedPool(200, flood), "b": ScriptedPool(200, [b"2\n\n"])}
+        stream = self.open(make_route(), last=["b"], **pools)
+        self.assertEqual(b"".join(stream.body), b"1\n\n2\n\n")
+
     def test_stream_that_cannot_resume_is_aborted_after_the_last_complete_event(self):
         pool = ScriptedPool(200, [b"1\n\n2\n\n3", lost()])
         stream = self.open(make_route(attempts=1), a=pool)
--- a/tests/jobs/test_generation_run.py
+++ b/tests/jobs/test_generation_run.py
@@ -12,7 +12,13 @@
 from runkeel.backends.http_connection import OutgoingRequest
 from runkeel.clock import steady_seconds
 from runkeel.gateway.backends import BackendState
-from runkeel.jobs.generation_run import GenerationRun, PartialOutput, RunOutcome
+from runkeel.gateway.event_order import MAX_EVENT_BYTES
+from runkeel.jobs.generation_run import (
+    MAX_OUTPUT_BYTES,
+    GenerationRun,
+    PartialOutput,
+    RunOutcome,
+)
 from tests.standalone_quarantine import standalone_quarantine
 
 SERVICE = "engines"
@@ -40,7 +46,7 @@
 
 
 class GenerationRunTest(unittest.TestCase):
-    def run_against(self, *chunks, partial=None, serve=None):
+    def run_against(self, *chunks, partial=None, pause=0.01):
         """Run against an engine that sends the chunks and closes the connection."""
 
         def send(sock, _address):
@@ -48,9 +54,9 @@
             with contextlib.suppress(OSError):
                 for chunk in chunks:
                     sock.sendall(chunk)
-                    gevent.sleep(0.01)
+                    gevent.sleep(pause)
 
-        server = StreamServer(("127.0.0.1", 0), serve or send)
+        server = StreamServer(("127.0.0.1", 0), send)
         server.start()
         self.addCleanup(server.stop, 0.005)
         address = Address("127.0.0.1", server.server_port)
@@ -84,6 +90,22 @@
         outcome = self.run_against(b"HTTP/1.1 200 OK\r\n\r\n", partial=resumed)
         self.assertIs(outcome, RunOutcome.COMPLETE)
 
+    def test_event_without_an_end_is_given_up_at_a_bound_in_bytes(self):
+        """Guards against a node whose memory one engine fills."""
+        flood = [b"x" * 65_536] * (2 * MAX_EVENT_BYTES // 65_536)
+        outcome = self.run_against(b"HTTP/1.1 200 OK\r\n\r\n", b"1\n\n", *flood, pause=0.0)
+        self.assertIs(outcome, RunOutcome.BROKEN)
+        self.assertIn(str(MAX_EVENT_BYTES), self.generation.detail)
+        self.assertEqual(self.partial.pieces, ["1"])
+
+    def test_output_that_could_not_be_stored_is_discarded(self):
+        """Guards against an engine that sends events without end."""
+        events = [b"x" * 65_536 + b"\n\n"] * (2 * MAX_OUTPUT_BYTES // 65_536)
+        outcome = self.run_against(b"HTTP/1.1 200 OK\r\n\r\n", *events, pause=0.0)
+        self.assertIs(outcome, RunOutcome.BROKEN)
+        self.assertIn(str(MAX_OUTPUT_BYTES), self.generation.detail)
+        self.assertEqual(self.partial.pieces, [])
+
 
 if __name__ == "__main__":
     unittest.main()
