Take an answer with a status outside 100 to 599 for no answer

Callers saw: status 600 or 999 of a server in trouble handed on as an answer; after 000 to 099 a time-out in place of an answer of another server.

Cause: each status from 200 on counted as final and each below as interim, after which the parser waits for another head.

Why it works: the parser rejects such a head like any malformed one, so the attempt is lost at once, its connection is reset, and a request that may be repeated goes to another server.

--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -62,7 +62,9 @@
 MAX_PROBED_IDLE_SECONDS = 2.0
 """Maximum time that a connection opened by :meth:`HttpConnectionPool.probe` is kept for reuse."""
 
+_FIRST_INTERIM_STATUS = 100
 _FIRST_FINAL_STATUS = 200
+_LAST_FINAL_STATUS = 599
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of SO_LINGER that makes close() reset the connection."""
 
@@ -88,6 +90,11 @@
             raise HTTPProtocolViolationError("bytes after the end of the response")
         super()._on_message_begin()
 
+    def _on_headers_complete(self) -> int | bool | None:
+        if not _FIRST_INTERIM_STATUS <= self.get_code() <= _LAST_FINAL_STATUS:
+            raise HTTPProtocolViolationError(f"status {self.get_code()} is not in 100 to 599")
+        return super()._on_headers_complete()
+
     @property
     def finished(self) -> bool:
         """Whether the final response is complete; interim (1xx) responses don't count."""
--- a/tests/backends/test_http_connection.py
+++ b/tests/backends/test_http_connection.py
@@ -176,6 +176,24 @@
         self.serve(b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n" + b"x" * 300_000)
         self.assert_fails(ErrorCode.BACKEND_LOST)
 
+    def test_status_that_http_does_not_define_is_no_response(self) -> None:
+        """Guards against waiting for a final response after 000, and returning 600 as one."""
+        for status in (b"000", b"001", b"099", b"600", b"999"):
+            for length in (b"Content-Length: 5\r\n\r\nhello", b"Content-Length: 0\r\n\r\n"):
+                with self.subTest(status, length=length):
+                    # With a second response to come, the server keeps the connection open.
+                    self.serve(b"HTTP/1.1 " + status + b" Odd\r\n" + length, COMPLETE_RESPONSE)
+                    self.assert_fails(ErrorCode.BACKEND_LOST)
+
+    def test_interim_responses_are_skipped_and_every_final_status_is_returned(self) -> None:
+        for status in (200, 299, 301, 404, 500, 599):
+            with self.subTest(status):
+                self.serve(
+                    b"HTTP/1.1 199 Wait\r\nA: b\r\n\r\n"
+                    + COMPLETE_RESPONSE.replace(b"200", str(status).encode())
+                )
+                self.assertEqual(self.get().status, status)
+
     def test_no_response_before_the_deadline(self) -> None:
         server = self.serve(b"HTTP/1.1 100 Continue\r\n\r\n", COMPLETE_RESPONSE)
         self.assert_fails(ErrorCode.DEADLINE_EXCEEDED, seconds=0.05)
