--- a/src/runkeel/http/frontend.py
+++ b/src/runkeel/http/frontend.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -197,9 +198,16 @@
                 client_connection.socket.close()
 
     def stop(self) -> None:
-        """Close the listener and every connection."""
+        """Close the listener; requests in flight go on."""
         self._server.stop(timeout=0)
 
+    def close_connections(self) -> None:
+        """Close every connection, also those with a request in flight."""
+        for client_connection in list(self._server.connections):
+            # Unlike close(), effective at once although the request is still read from a file.
+            with contextlib.suppress(OSError):
+                client_connection.socket.shutdown(socket.SHUT_RDWR)
+
     def _application(
         self, environment: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
--- a/src/runkeel_lab/cli.py
+++ b/src/runkeel_lab/cli.py
@@ -58,6 +58,7 @@
     crashes: bool = False,
     servers: bool = False,
     partitions: bool = False,
+    stops: bool = False,
     edges: int = 3,
     record: Path | None = None,
 ) -> int:
@@ -74,16 +75,26 @@
     :param servers: as crashes, with servers restarted under the same id and invalid server
         entries by another writer.
     :param partitions: cut off zones instead, with kills, stops and store faults that overlap.
-    :param edges: number of nodes that serve clients; only with operations, crashes or servers.
+    :param stops: stop all nodes that serve clients, under clients with open connections; lasts for
+        the grace period.
+    :param edges: number of nodes that serve clients; only with operations, crashes, servers or
+        stops.
     :param record: file for a trace of the last run, for ``replay``.
     """
     from runkeel_lab.users_platform.crash_soak import CrashSoak
     from runkeel_lab.users_platform.operations_soak import OperationsSoak
     from runkeel_lab.users_platform.partition_soak import PartitionSoak
     from runkeel_lab.users_platform.servers_soak import ServersSoak
-    from runkeel_lab.users_platform.soak import Soak, run_soaks
+    from runkeel_lab.users_platform.soak import Soak, SoakRun, run_soaks
+    from runkeel_lab.users_platform.stop_soak import StopSoak
 
-    def make_soak(number: int) -> Soak:
+    if stops and record is not None:
+        print("--record: a soak of stops has no trace")
+        return EXIT_VIOLATED
+
+    def make_soak(number: int) -> SoakRun:
+        if stops:
+            return StopSoak(number, edges)
         if partitions:
             return PartitionSoak(number, seconds)
         if servers:
--- a/src/runkeel_lab/users_platform/soak.py
+++ b/src/runkeel_lab/users_platform/soak.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import gevent
 from loguru import logger
@@ -48,6 +48,13 @@
     violations: list[str] = field(default_factory=list)
 
 
+class SoakRun(Protocol):
+    """A soak run of any kind."""
+
+    def run(self) -> SoakReport:
+        """Run the soak and return its report."""
+
+
 class Soak:
     """One soak run; the seed determines the plan of faults.
 
@@ -239,7 +246,7 @@
 def run_soaks(
     seed: int,
     runs: int,
-    make_soak: Callable[[int], Soak],
+    make_soak: Callable[[int], SoakRun],
     record: Path | None = None,
 ) -> bool:
     """Run several soaks and print a line for each; return True if there were no violations.
--- a/tests/users_platform/test_planned_stop.py
+++ b/tests/users_platform/test_planned_stop.py
@@ -7,7 +7,13 @@
 from gevent import socket
 
 from runkeel.clock import steady_seconds
-from runkeel_lab.users_platform.deployment import COUNT_PREFIX, HOST, Deployment
+from runkeel_lab.users_platform.deployment import (
+    CHAT_PREFIX,
+    COUNT_PREFIX,
+    HOST,
+    RESERVE_PREFIX,
+    Deployment,
+)
 
 ROTATION_SECONDS = 0.5
 
@@ -41,10 +47,10 @@
         self.addCleanup(sock.close)
         return sock
 
-    def _request(self, sock, request_id):
+    def _request(self, sock, request_id, prefix=COUNT_PREFIX, milliseconds=1_500):
         head = (
-            f"POST {COUNT_PREFIX}x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {request_id}\r\n"
-            "Deadline-Ms: 1500\r\nContent-Length: 4\r\n\r\nrice"
+            f"POST {prefix}x HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {request_id}\r\n"
+            f"Deadline-Ms: {milliseconds}\r\nContent-Length: 4\r\n\r\nrice"
         )
         sock.sendall(head.encode())
 
@@ -79,6 +85,27 @@
         self.assertIn(b"200 OK", response)
         self.assertIn(b"connection: close", response.lower())
 
+    def test_request_that_may_outlast_the_grace_period_is_not_passed_on(self):
+        """Guards against requests that are taken and then cut off with no answer."""
+        for engine in self.deployment.engines:
+            engine.event_seconds = 1.0
+        long_stream = self._connect()
+        self._request(long_stream, "long", CHAT_PREFIX, milliseconds=60_000)
+        late, in_time = self._connect(), self._connect()
+        stop = self._stop()
+        self._sleep_until(ROTATION_SECONDS + 0.2)
+        self._request(late, "late", CHAT_PREFIX, milliseconds=60_000)
+        self._request(in_time, "in-time", RESERVE_PREFIX, milliseconds=1_000)
+        response = self._read_response(late)
+        self.assertIn(b"503", response)
+        self.assertIn(b"node_leaving", response)
+        self.assertIn(b"retry-after", response.lower())
+        self.assertIn(b"200 OK", self._read_response(in_time))
+        servers = [*self.deployment.applications, *self.deployment.engines]
+        ran = {run.request_id for server in servers for run in server.runs}
+        self.assertEqual(ran, {"long", "in-time"})
+        stop.kill()
+
     def test_node_is_unready_at_once_and_stops_in_time(self):
         task = self._stop()
         gevent.sleep(0.05)
