Reset the connection after an answer that belongs to another request

Cause: for items and streams such an answer was read to its end and its connection given back as idle, though the request sent on it was still being answered.

Why it works: the server drops a request when its connection closes, and the reset is sent before the item goes elsewhere. A stream also counted the answer as two of its attempts, which is one now.

--- a/src/runkeel/gateway/streams.py
+++ b/src/runkeel/gateway/streams.py
@@ -235,6 +235,13 @@
             RunkeelError: like :meth:`HttpResponseStream.chunks`, and BACKEND_LOST (MAY_HAVE_RUN) if
                 the response is FOREIGN.
         """
+        if response_class is ResponseClass.FOREIGN:
+            # The server may still run this request, and stops once its connection is gone.
+            stream.abort()
+            state.in_flight -= 1
+            raise RunkeelError(
+                ErrorCode.BACKEND_LOST, "response is unsigned or belongs to a different request"
+            )
         try:
             body = stream.read_body(client_stream.deadline)
         finally:
@@ -246,10 +253,6 @@
                 self._quarantine.crash_detector.address_taken(state)
             return ForwardedResponse(0, [], b"")
         client_stream.attempts_run += 1
-        if response_class is ResponseClass.FOREIGN:
-            raise RunkeelError(
-                ErrorCode.BACKEND_LOST, "response is unsigned or belongs to a different request"
-            )
         return ForwardedResponse(stream.status, stream.headers, body)
 
     def _relay(self, client_stream: _ClientStream) -> Iterator[bytes]:
--- a/src/runkeel/jobs/generation_run.py
+++ b/src/runkeel/jobs/generation_run.py
@@ -175,6 +175,11 @@
         response_class = self._protocol.classify(request_id, stream.status, stream.headers)
         if stream.status == _UNPROCESSABLE and response_class is ResponseClass.FAILURE:
             return RunOutcome.IMPOSSIBLE
+        if response_class is ResponseClass.FOREIGN:
+            # The engine may still run this request, and stops once its connection is gone.
+            stream.abort()
+            self.detail = f"status {stream.status} belongs to another request"
+            return RunOutcome.BROKEN
         if response_class is not ResponseClass.SUCCESS:
             return self._drain_failure(stream, response_class)
         version = self._protocol.weight_version(stream.headers)
--- a/tests/gateway/scripted_servers.py
+++ b/tests/gateway/scripted_servers.py
@@ -15,6 +15,7 @@
 SERVICE = "ledger"
 _CLASSES = {
     200: ResponseClass.SUCCESS,
+    299: ResponseClass.FOREIGN,
     421: ResponseClass.MISDIRECTED,
     503: ResponseClass.REFUSED,
 }
@@ -58,7 +59,8 @@
         return response
 
     def open_stream(self, outgoing, deadline):
-        return ScriptedStream(self._next(deadline), self._next_chunks())
+        self.stream = ScriptedStream(self._next(deadline), self._next_chunks())
+        return self.stream
 
     def probe(self, seconds):
         return self.reachability
@@ -89,6 +91,7 @@
         self.remaining_chunks = list(remaining_chunks)
         self.delimited_by_close = isinstance(remaining_chunks, CloseDelimited)
         self.closed = False
+        self.aborted = False
 
     def read_chunk(self, deadline):
         if not self.remaining_chunks:
@@ -109,7 +112,7 @@
         self.closed = True
 
     def abort(self):
-        self.closed = True
+        self.closed = self.aborted = True
 
 
 def directory_of(**pools) -> BackendDirectory:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -116,6 +116,14 @@
             relayed.extend(stream.body)
         self.assertEqual(relayed, [b"1\n\n"])
 
+    def test_server_is_not_left_at_work_after_a_response_to_another_request(self):
+        """Guards against a stream that goes on elsewhere while this server still runs it."""
+        pools = {"a": ScriptedPool(299, [b"late"]), "b": ScriptedPool(200, [b"1\n\n"])}
+        stream = self.open(make_route(attempts=2), last=["b"], **pools)
+        self.assertEqual(b"".join(stream.body), b"1\n\n")
+        self.assertTrue(pools["a"].stream.aborted)
+        self.assertEqual(self.in_flight(), 0)
+
     def test_non_resumable_stream_is_not_resumed(self):
         pools = {name: ScriptedPool(200, [b"x", lost()]) for name in ("a", "b")}
         stream = self.open(make_route(resumable=False), **pools)
--- a/tests/jobs/test_generation_run.py
+++ b/tests/jobs/test_generation_run.py
@@ -4,6 +4,7 @@
 import unittest
 
 import gevent
+from gevent.event import AsyncResult
 from gevent.server import StreamServer
 
 from runkeel.api.backend_protocol import GenerationEvent, GenerationRequest, ResponseClass
@@ -23,6 +24,8 @@
 
 SERVICE = "engines"
 RUN_SECONDS = 5.0
+FOREIGN_STATUS = 299
+"""Status of responses that belong to another request."""
 
 
 class LineProtocol:
@@ -32,6 +35,8 @@
         return OutgoingRequest("POST", request.path, [], request.body)
 
     def classify(self, request_id, status, headers):
+        if status == FOREIGN_STATUS:
+            return ResponseClass.FOREIGN
         return ResponseClass.SUCCESS if status == 200 else ResponseClass.FAILURE
 
     def is_failed_attempt(self, status):
@@ -45,8 +50,16 @@
         return GenerationEvent(text, text, 0, bool(text))
 
 
+def _wait_for_end(sock):
+    """Return how the client ends the connection."""
+    try:
+        return "closed" if not sock.recv(65_536) else "reused"
+    except ConnectionResetError:
+        return "reset"
+
+
 class GenerationRunTest(unittest.TestCase):
-    def run_against(self, *chunks, partial=None, pause=0.01):
+    def run_against(self, *chunks, partial=None, pause=0.01, watch_end=False):
         """Run against an engine that sends the chunks and closes the connection."""
 
         def send(sock, _address):
@@ -55,6 +68,8 @@
                 for chunk in chunks:
                     sock.sendall(chunk)
                     gevent.sleep(pause)
+                if watch_end:
+                    self.connection_end.set(_wait_for_end(sock))
 
         server = StreamServer(("127.0.0.1", 0), send)
         server.start()
@@ -70,6 +85,13 @@
         )
         return self.generation.run(steady_seconds() + RUN_SECONDS)
 
+    def test_engine_is_not_left_at_work_after_a_response_to_another_request(self):
+        """Guards against an item that goes on elsewhere while this engine still runs it."""
+        self.connection_end = AsyncResult()
+        extra = b"HTTP/1.1 299 Late\r\nContent-Length: 3\r\n\r\n1\n\n"
+        self.assertIs(self.run_against(extra, watch_end=True), RunOutcome.BROKEN)
+        self.assertEqual(self.connection_end.get(timeout=RUN_SECONDS), "reset")
+
     def test_stream_that_ends_inside_an_event_is_not_complete(self):
         """Guards against half a text that is listed as completed after an engine crashed."""
         for length in (b"", b"Content-Length: 7\r\n"):
