Run an item again after an unforeseen error, and read numbers strictly

Callers saw (by reading): an item ends without a result after an event of a faulty engine whose version or id is "²" or has thousands of digits.

Cause: str.isdigit accepts what int does not; the ValueError ended the task that ran the item, and nothing queued it again.

--- a/src/runkeel/gateway/event_order.py
+++ b/src/runkeel/gateway/event_order.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from runkeel.decimal_text import parse_decimal
+
 MAX_EVENT_BYTES = 1024 * 1024
 """Maximum size of an event; a server that sends more without an end of the event is in trouble."""
 
@@ -19,10 +21,10 @@
         last_event_id: id of the previous event, None before the first one.
         event_id: id of the event to check.
     """
-    if not event_id.isdigit():
+    number = parse_decimal(event_id)
+    if number is None:
         return True
     if last_event_id is None:
-        return int(event_id) <= 1
-    if not last_event_id.isdigit():
-        return True
-    return int(event_id) == int(last_event_id) + 1
+        return number <= 1
+    last_number = parse_decimal(last_event_id)
+    return last_number is None or number == last_number + 1
--- a/src/runkeel/jobs/scheduler.py
+++ b/src/runkeel/jobs/scheduler.py
@@ -454,6 +454,14 @@
                     self._handle_incomplete_run(task, route, outcome, progressed)
                     return
             self._score(task, route)
+        except Exception as error:
+            logger.opt(exception=error).error(
+                "unexpected error while running an item; running it again",
+                code="internal",
+                request=task.item.item_id,
+                job=task.state.job.job_id,
+            )
+            self._requeue_after_error(task)
         finally:
             if task not in self._queue:
                 self._release_reserved_slot(task)
@@ -509,6 +517,15 @@
         if not task.state.ended:
             self._queue.put(task)
 
+    def _requeue_after_error(self, task: ItemTask) -> None:
+        """Queue an item again whose run raised an unforeseen error."""
+        task.lost_runs += 1
+        delay = max(REQUEUE_DELAY_SECONDS, delay_after_losses(task.lost_runs))
+        task.not_before = steady_seconds() + delay
+        task.engine = None
+        if not self._is_done(task):
+            self._queue.put(task)
+
     def _finish(self, task: ItemTask, result: ItemResult) -> None:
         if result.state is ResultState.COMPLETED:
             self._retained.keep(task.item.item_id, task.partial)
--- a/src/runkeel/runners/hosted_run.py
+++ b/src/runkeel/runners/hosted_run.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import gevent
+from loguru import logger
 
 from runkeel.api.backend_protocol import BackendProtocol, GenerationRequest
 from runkeel.api.jobs import ScorerCall
@@ -113,7 +114,13 @@
         return bool(update.outcome)
 
     def _run_to_end(self) -> None:
-        outcome = self._run.run(self._deadline)
+        try:
+            outcome = self._run.run(self._deadline)
+        except Exception as error:
+            logger.opt(exception=error).error(
+                "unexpected error while running an item", code="internal", request=self.item_id
+            )
+            outcome = RunOutcome.BROKEN
         self._detail = self._run.detail
         if outcome is not RunOutcome.COMPLETE:
             self._finish(outcome.value)
--- a/tests/jobs/test_scheduler.py
+++ b/tests/jobs/test_scheduler.py
@@ -339,6 +339,25 @@
         self.scheduler.adopt_output(f"{JOB_ID}-0", output)
         self.assertIsNone(task.better_output)
 
+    def test_item_whose_run_raises_an_unforeseen_error_is_run_again(self):
+        """Guards against an item that ends without a result."""
+        self.routing.apply(make_configuration())
+        self.state = JobState(make_job(items=1))
+        self.scheduler.add(self.state)
+        item_id = f"{JOB_ID}-0"
+        # UnusedProtocol raises an AssertionError for each run.
+        for _ in range(3):
+            self.scheduler._place_all()
+            deadline = steady_seconds() + MAX_WAIT_SECONDS
+            while self.scheduler._running.of_item(item_id) is not None:
+                self.assertLess(steady_seconds(), deadline)
+                gevent.sleep(0.001)
+            task = self.scheduler._queue.of_item(item_id)
+            self.assertIsNotNone(task)
+            task.not_before = 0.0
+            self.scheduler._queue.put(task)
+        self.assertEqual((task.lost_runs, self.placement.slots_in_use("e")), (3, 0))
+
     def test_scheduling_pass_does_not_scale_with_the_number_of_queued_items(self):
         """Guards against a scheduling pass that looks for an engine for every waiting item."""
         self._use_protocol(SilentProtocol())
--- a/tests/users_platform/test_adapter.py
+++ b/tests/users_platform/test_adapter.py
@@ -10,6 +10,7 @@
 from runkeel.api.fleet import Backend, RouteKind
 from runkeel.api.machines import Address
 from runkeel.errors import ErrorCode, RunkeelError
+from runkeel.gateway.event_order import is_next_event
 from runkeel_lab.users_platform import use_adapter
 
 use_adapter()
@@ -211,6 +212,16 @@
         self.assertEqual((event.event_id, event.data, event.version), ("5", "a\nb", 7))
         self.assertFalse(self.protocol.parse_event(b": comment").has_data)
 
+    def test_digits_that_are_no_decimal_number_are_no_version(self):
+        """Guards against an item that ends without a result after wrong bytes of an engine."""
+        for text in ("²", "٣", "-1", "9" * 5_000, "1 2"):
+            with self.subTest(text[:4]):
+                event = self.protocol.parse_event(f"weight-versions: {text}\ndata: a".encode())
+                self.assertEqual((event.version, event.data), (0, "a"))
+                self.assertEqual(self.protocol.weight_version([("Weight-Versions", text)]), 0)
+                self.assertTrue(is_next_event("1", text))
+                self.assertTrue(is_next_event(text, "1"))
+
 
 if __name__ == "__main__":
     unittest.main()
