Copy and load open jobs piece by piece, within a coordinator's memory

Cause: the first message of a term to each successor held all open jobs, encoded for each, and was built again every 0.5 s after it had exceeded the network's limit; what a successor can't keep was sent again without end. A new term also read all open jobs at once.

Why it works: what is encoded at a time is about 2 MiB for each successor whatever is open, what is sent fits what a successor keeps, and at most two jobs with parts are read at once.

--- a/src/runkeel/jobs/coordinator.py
+++ b/src/runkeel/jobs/coordinator.py
@@ -13,6 +13,7 @@
 
 import gevent
 from gevent.event import Event
+from gevent.lock import BoundedSemaphore
 from loguru import logger
 
 from runkeel.api.documents import Document, DocumentKind, DocumentStore
@@ -69,6 +70,9 @@
 
 _POLL_INTERVAL_SECONDS = 0.02
 
+MAX_CONCURRENT_LOADS = 2
+"""Bound on the jobs with parts that are read from the store at once, which limits memory."""
+
 MAX_RECENT_JOBS = 6
 """Number of latest jobs of a model from which its demand for engines is estimated."""
 
@@ -138,6 +142,9 @@
         self._unconfirmed: dict[str, JobState] = {}
         """Running jobs that have not been seen in the store yet."""
         self._tasks: set[gevent.Greenlet] = set()
+        self._load_slots = BoundedSemaphore(MAX_CONCURRENT_LOADS)
+        self._statistics_slots = BoundedSemaphore(1)
+        """Slots of their own for ended jobs, which must not delay the open ones."""
         self._end_watcher = DocumentWatcher(store, DocumentKind.JOB_END, self._end_changed)
         self._job_watcher = DocumentWatcher(store, DocumentKind.JOB, self._job_changed)
 
@@ -342,15 +349,22 @@
             self._record_job_statistics(decode_job(document.name, document.content))
 
     def _read_and_record_statistics(self, document: Document) -> None:
-        job = self._read(document)
+        job = self._read(document, self._statistics_slots)
         if job is not None:
             self._record_job_statistics(job)
 
-    def _read(self, document: Document) -> BatchJob | None:
-        """Return the job of a document, with its parts; None if it has been removed."""
+    def _read(self, document: Document, slots: BoundedSemaphore) -> BatchJob | None:
+        """Return the job of a document; None if it has been removed.
+
+        Args:
+            slots: limits the jobs whose parts are read at once.
+        """
         while True:
             try:
-                return self._job_store.read(document)
+                if not part_names(document.content):
+                    return self._job_store.read(document)
+                with slots:
+                    return self._job_store.read(document)
             except RunkeelError as error:
                 logger.info(
                     "job read failed; retrying",
@@ -412,7 +426,7 @@
         coordinators of earlier terms are stopped from listing more. The items of a job that may
         have run in an earlier term start after that, those of a new job at once.
         """
-        job = self._read(document)
+        job = self._read(document, self._load_slots)
         if job is None:
             self._loading.pop(document.name, None)
             return
--- a/src/runkeel/jobs/job_copies.py
+++ b/src/runkeel/jobs/job_copies.py
@@ -41,6 +41,18 @@
 MAX_COPY_BYTES = 32 * 1024 * 1024
 """Bound on the encoded jobs that a successor keeps; the oldest are evicted first."""
 
+MAX_SENT_BYTES = 24 * 1024 * 1024
+"""Bound on the size of the jobs that are sent to a successor, below what it keeps.
+
+Otherwise it would evict jobs and be sent them again without end. Further jobs are not copied.
+"""
+
+MAX_MESSAGE_BYTES = 2 * 1024 * 1024
+"""Size of the jobs in a message from which further ones go into the next message."""
+
+MAX_COPIED_JOB_BYTES = 8 * 1024 * 1024
+"""Size of a job above which it is not copied; its message would exceed the network's limit."""
+
 
 @dataclass(frozen=True, slots=True)
 class CopiedJob:
@@ -105,15 +117,50 @@
         gevent.joinall([gevent.spawn(self._send_to, one) for one in successors])
 
     def _send_to(self, successor: str) -> None:
+        """Send all updates that a successor lacks, in messages of limited size."""
         sent = self._sent_counts.setdefault(successor, {})
-        states = {state.job.job_id: state for state in self._jobs()}
-        copies = [
-            copy for state in states.values() if (copy := _missing_update(state, sent)) is not None
-        ]
+        copies: list[JobCopy] = []
+        size = 0
+        for state in self._copied_states(sent):
+            copy = _missing_update(state, sent)
+            if copy is None:
+                continue
+            copies.append(copy)
+            size += len(copy.content)
+            if size >= MAX_MESSAGE_BYTES:
+                if not self._send(successor, sent, copies, []):
+                    return
+                copies, size = [], 0
         compare = self._rounds % ROUNDS_PER_COMPARISON == 0
         known_jobs = list(sent) if compare else []
-        if not copies and not known_jobs:
-            return
+        if copies or known_jobs:
+            self._send(successor, sent, copies, known_jobs)
+
+    def _copied_states(self, sent: dict[str, int]) -> list[JobState]:
+        """Return the jobs to update at a successor: those it has, and others that fit beside."""
+        copied: list[JobState] = []
+        others: list[JobState] = []
+        size = 0
+        for state in self._jobs():
+            if state.job.job_id not in sent:
+                others.append(state)
+                continue
+            copied.append(state)
+            size += 0 if state.ended or state.unloaded else state.size
+        for state in others:
+            if state.size <= MAX_COPIED_JOB_BYTES and size + state.size <= MAX_SENT_BYTES:
+                copied.append(state)
+                size += state.size
+        return copied
+
+    def _send(
+        self,
+        successor: str,
+        sent: dict[str, int],
+        copies: list[JobCopy],
+        known_jobs: list[str],
+    ) -> bool:
+        """Send a message and record what the successor has; returns whether it replied."""
         message = JobCopies(self._shard, self._epoch, copies, known_jobs)
         try:
             reply = self._network.call(
@@ -129,7 +176,7 @@
             for copy in copies:
                 # The successor may or may not have them: send them in full again.
                 sent.pop(copy.job_id, None)
-            return
+            return False
         for copy in copies:
             if copy.ended:
                 sent.pop(copy.job_id, None)
@@ -137,6 +184,7 @@
                 sent[copy.job_id] = sent.get(copy.job_id, 0) + len(copy.listed)
         for job_id in reply.missing:
             sent.pop(job_id, None)
+        return True
 
 
 def _missing_update(state: JobState, sent: dict[str, int]) -> JobCopy | None:
--- a/tests/jobs/test_coordinator.py
+++ b/tests/jobs/test_coordinator.py
@@ -23,6 +23,7 @@
 from runkeel.jobs.job_copies import CopiedJob
 from runkeel.jobs.job_documents import encode_job, encode_segment, segment_name
 from runkeel.jobs.job_state import JobState
+from runkeel.jobs.job_store import JobStore
 from runkeel.jobs.scheduler import Scheduler
 from runkeel.jobs.service import JobService
 from runkeel_lab.standins.document_store import MemoryDocumentStore
@@ -426,6 +427,37 @@
         self.assertIsNotNone(self.store.get(DocumentKind.JOB_END, JOB_ID))
         clock.offset = coordinator_module.RETENTION_SECONDS + 1.0
 
+    def test_jobs_with_parts_are_read_a_few_at_a_time(self):
+        """Guards against a new coordinator that exceeds its memory as it reads all jobs at once."""
+        for number in range(6):
+            job_id = f"parts-{number}"
+            with mock.patch.multiple(job_documents, MAX_PART_BYTES=1, MAX_CONTENT_BYTES=1):
+                encoded = encode_job(make_job(job_id=job_id), job_id)
+            self.store.put(DocumentKind.JOB, job_id, encoded.content)
+            for name, part in encoded.parts.items():
+                self.store.put(DocumentKind.JOB_PART, name, part)
+        read = JobStore.read
+        reading = []
+        most = []
+
+        def read_slowly(job_store, document):
+            if not document.name.startswith("parts"):
+                return read(job_store, document)
+            reading.append(document.name)
+            most.append(len(reading))
+            gevent.sleep(0.01)
+            reading.remove(document.name)
+            return read(job_store, document)
+
+        with mock.patch.object(JobStore, "read", read_slowly):
+            coordinator = JobCoordinator(
+                self.store, IdleScheduler(), 2, lambda model: 1, self.superseded.append
+            )
+            coordinator.start()
+            self.addCleanup(coordinator.stop)
+            self._wait(lambda: all(coordinator.job(f"parts-{n}") for n in range(6)))
+        self.assertEqual(max(most), coordinator_module.MAX_CONCURRENT_LOADS)
+
     def _put_ended_job(self):
         """Put a job with parts, two segments and an end; returns the names of its documents."""
         with mock.patch.multiple(job_documents, MAX_PART_BYTES=1, MAX_CONTENT_BYTES=1):
--- a/tests/jobs/test_job_copies.py
+++ b/tests/jobs/test_job_copies.py
@@ -1,9 +1,15 @@
 """Copies of open jobs at the coordinator's likely successors."""
 
 import unittest
+from unittest import mock
 
 from runkeel.api.jobs import BatchJob, ItemResult, JobItem, ResultState
-from runkeel.jobs.job_copies import JobCopySender, ReceivedJobCopies
+from runkeel.jobs.job_copies import (
+    MAX_MESSAGE_BYTES,
+    MAX_SENT_BYTES,
+    JobCopySender,
+    ReceivedJobCopies,
+)
 from runkeel.jobs.job_state import JobState
 from runkeel_lab.standins.peer_network import MemoryNetwork
 
@@ -21,6 +27,14 @@
     state.append_segment([ItemResult(item_id, ResultState.COMPLETED, "text")])
 
 
+def make_large_states(count, body_bytes):
+    states = []
+    for number in range(count):
+        item = JobItem(f"large{number}-0", "/p", (), "x" * body_bytes)
+        states.append(JobState(BatchJob(f"large{number}", "h", "/p", 1.0, (item,))))
+    return states
+
+
 class JobCopyTest(unittest.TestCase):
     def setUp(self):
         self.network = MemoryNetwork()
@@ -47,6 +61,44 @@
         self.assertEqual(kept["j"].listed, {"j-1"})
         self.assertEqual(kept["k"].listed, frozenset())
 
+    def _sent_sizes(self, rounds=1):
+        """Send updates and return the size of the jobs in each message."""
+        node = self.network.node("first")
+        sender = self.sender()
+        sizes = []
+        call = node.call
+
+        def record(to, message_type, message, reply_class, timeout):
+            sizes.append(sum(len(copy.content) for copy in message.jobs))
+            return call(to, message_type, message, reply_class, timeout)
+
+        with mock.patch.object(sender._network, "call", record):
+            for _ in range(rounds):
+                sender.send_once()
+        return sizes
+
+    def test_many_open_jobs_are_sent_in_messages_of_limited_size(self):
+        """Guards against a new coordinator that exceeds its memory as it encodes all jobs."""
+        body_bytes = MAX_MESSAGE_BYTES // 3
+        self.states = make_large_states(9, body_bytes)
+        sizes = self._sent_sizes()
+        self.assertLess(max(sizes), MAX_MESSAGE_BYTES + 2 * body_bytes)
+        self.assertEqual(set(self.kept()), {state.job.job_id for state in self.states})
+
+    def test_jobs_beyond_what_a_successor_keeps_are_not_sent_again_and_again(self):
+        self.states = make_large_states(12, MAX_SENT_BYTES // 8)
+        first = self._sent_sizes()
+        kept = set(self.kept())
+        self.assertTrue(kept)
+        self.assertLessEqual(sum(first), 1.1 * MAX_SENT_BYTES)
+        self.assertLessEqual(sum(self._sent_sizes(ROUNDS)), 1.1 * MAX_SENT_BYTES)
+        self.assertEqual(set(self.kept()), kept)
+
+    def test_job_that_exceeds_a_message_does_not_keep_back_the_others(self):
+        self.states = [*make_large_states(1, 17 * 1024 * 1024), make_state("j")]
+        self._sent_sizes()
+        self.assertEqual(set(self.kept()), {"j"})
+
     def test_ended_job_is_removed(self):
         sender = self.sender()
         sender.send_once()
