--- a/src/runkeel/handoff/hint_service.py
+++ b/src/runkeel/handoff/hint_service.py
@@ -62,6 +62,8 @@
 MAX_TOTAL_HINT_BYTES = 64 * 1024 * 1024
 """Maximum total size of the kept hints; further ones are refused."""
 
+_HINT_PART_SUFFIX = "-hint"
+
 
 class HintService:
     """Accepts and hands off hints; a node without a disk accepts none.
@@ -303,7 +305,6 @@
     return encode_job(decode_encoded_job(job_id, encoded), f"{job_id}{_HINT_PART_SUFFIX}")
 
 
-_HINT_PART_SUFFIX = "-hint"
 _STATE_NAMES = {
     JobHintState.STORED: "stored",
     JobHintState.KEPT: "kept",
