Give other tasks a turn after each read that fills the buffer

Callers would see: a node that serves others only twice in two seconds while one server floods it with chunks of one byte.

Cause: other tasks had a turn after eight reads, and parsing 64 KiB of such chunks takes long: eleven thousand callbacks a read.

Why it works: a read that fills the buffer shows a sender that is ahead, so a turn follows each of them; ordinary answers seldom fill it.

--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -39,7 +39,10 @@
 """
 
 READS_PER_YIELD = 8
-"""Number of reads after which other tasks get a turn, as a read from a full socket doesn't wait."""
+"""Number of reads after which other tasks get a turn, as a read from a full socket doesn't wait.
+
+They get one after each read of :data:`RECEIVE_BYTES`, too, as parsing many small chunks takes long.
+"""
 
 MAX_IDLE_CONNECTIONS = 32
 """Maximum number of idle connections kept per backend."""
@@ -528,7 +531,7 @@
         raise _incomplete_error(parser, "connection closed by the backend")
     _parse(parser, data)
     parser.reads += 1
-    if parser.reads % READS_PER_YIELD == 0:
+    if len(data) == RECEIVE_BYTES or parser.reads % READS_PER_YIELD == 0:
         gevent.sleep(0)
 
 
