Check that a server still listens after an answer that its close delimits

Cause: the kernel closes the connections of a killed process in order, and between two events nothing is left over that would show it. The body of a plain answer without a length has the same fault at any byte.

Why it works: a killed process loses its listener with its connections. A refused connection counts the answer as truncated, for items, streams and plain requests alike: an item goes on after its last event elsewhere. A connection that is accepted is kept for the next request, so it costs none, as the close-delimited answer has used up its own.

--- a/src/runkeel/backends/http_connection.py
+++ b/src/runkeel/backends/http_connection.py
@@ -65,6 +65,9 @@
 MAX_PROBED_IDLE_SECONDS = 2.0
 """Maximum time that a connection opened by :meth:`HttpConnectionPool.probe` is kept for reuse."""
 
+END_PROBE_SECONDS = 0.1
+"""Maximum time to check whether the backend still runs after a response delimited by a close."""
+
 _FIRST_INTERIM_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _LAST_FINAL_STATUS = 599
@@ -182,6 +185,7 @@
         self._pool = pool
         self._sock: gevent.socket.socket | None = sock
         self._parser = parser
+        self._end_confirmed = False
         self.status = parser.get_code()
         self.headers = list(parser.items())
 
@@ -216,11 +220,18 @@
             if body:
                 return body
             if self._parser.finished:
+                self._confirm_end()
                 return None
             if self._sock is None:
                 raise may_have_run(ErrorCode.CANCELLED, "the stream was closed")
             _receive_into(self._sock, self._parser, deadline)
 
+    def _confirm_end(self) -> None:
+        """Check once that the end of a body without a length is not that of the backend."""
+        if self._parser.delimited_by_close and not self._end_confirmed:
+            self._pool.check_backend_runs()
+            self._end_confirmed = True
+
     def read_body(self, deadline: float, max_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
         """Return the rest of the body.
 
@@ -255,7 +266,7 @@
         max_response_bytes: maximum size of a response body in :meth:`request`; streams are not
             limited.
         allow_close_delimited: whether a response without a length may be delimited by a regular
-            close of the connection; otherwise it counts as truncated.
+            close of the connection, unless the backend has ended; otherwise it counts as truncated.
     """
 
     def __init__(
@@ -310,6 +321,8 @@
                 _receive_into(sock, parser, deadline)
         finally:
             self.release(sock, parser)
+        if parser.delimited_by_close:
+            self.check_backend_runs()
         return HttpResponse(parser.get_code(), list(parser.items()), parser.take_body())
 
     def open_stream(
@@ -368,6 +381,18 @@
             self._idle.append((sock, steady_seconds() + MAX_PROBED_IDLE_SECONDS))
         return Reachability.OPEN
 
+    def check_backend_runs(self) -> None:
+        """Raise TRUNCATED_ANSWER (MAY_HAVE_RUN) if the backend has ended.
+
+        The kernel closes the connections of a crashed process in order. The end of a response that
+        is delimited by the close of its connection may therefore be missing.
+        """
+        if self._aborted or self.probe(END_PROBE_SECONDS) is Reachability.REFUSED:
+            raise may_have_run(
+                ErrorCode.TRUNCATED_ANSWER,
+                "the backend ended together with the connection that delimits its response",
+            )
+
     @property
     def idle_connections(self) -> int:
         """Number of open connections that are not in use."""
